--- /dev/null
+++ b/src/beamhatch/clock.py
@@ -0,0 +1,40 @@
+"""The runtime's clock; tests put one in its place that they pause and advance."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+
+class Clock:
+    """Tells the time and calls back later."""
+
+    def __init__(self, reactor: Any) -> None:
+        self.reactor = reactor
+
+    def now(self) -> float:
+        """Return seconds that never go back, and that count while the process or the VM stands still."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+    def tell_wall(self) -> float:
+        """Return seconds since 1970, for people and other machines."""
+        return time.time()
+
+    def call_later(self, seconds: float, function: Callable[..., Any], *arguments: Any) -> Any:
+        """Call a function after some seconds."""
+        return self.reactor.callLater(seconds, function, *arguments)
+
+
+class ManualClock(Clock):
+    """A clock over ``twisted.internet.task.Clock``, which stands still until it is advanced."""
+
+    def now(self) -> float:
+        """Return the advanced seconds."""
+        return float(self.reactor.seconds())
+
+    def tell_wall(self) -> float:
+        """Return the advanced seconds, as if they had begun in 1970."""
+        return float(self.reactor.seconds())
--- /dev/null
+++ b/src/beamhatch/command/__init__.py
@@ -0,0 +1,1 @@
+"""Subcommands of beamhatchd."""
--- /dev/null
+++ b/src/beamhatch/decide/__init__.py
@@ -0,0 +1,1 @@
+"""Pure decision code: no reactor, socket, file or wall clock."""
--- /dev/null
+++ b/src/beamhatch/decide/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Routing policies, one module a kind."""
--- /dev/null
+++ b/src/beamhatch/decide/policy/api.py
@@ -0,0 +1,76 @@
+"""What a routing policy is."""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from beamhatch.decide.call import Priority
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from beamhatch.decide.fleet import Fleet
+    from beamhatch.decide.ledger import Ledger
+    from beamhatch.ids import RequestId, WorkspaceName
+
+
+@dataclass(slots=True)
+class Need:
+    """What a request needs of a pool."""
+
+    request: RequestId
+    workspace: WorkspaceName
+    prompt_tokens: int
+    output_tokens: int
+    arrived: float
+    priority: Priority = Priority.NORMAL
+    first_token_target: float = 0.32
+    pace_target: float = 0.076
+    deadline: float | None = None
+    drop_if_late: bool = False
+    weight: float = 1.0
+    blocks: tuple[int, ...] = ()
+    exclude: frozenset[str] = frozenset()
+    labels: dict[str, str] = field(default_factory=dict)
+    policy: str = ""
+    """Name of the policy that serves it."""
+
+    @property
+    def tokens(self) -> int:
+        """Return the KV tokens held at the end of the answer."""
+        return self.prompt_tokens + self.output_tokens
+
+    @property
+    def due(self) -> float:
+        """Return when the first token should be with the caller."""
+        return self.arrived + self.first_token_target
+
+
+@dataclass(frozen=True, slots=True)
+class Choice:
+    """Where a request goes; ``decode`` is None where that is left until the prefill has ended."""
+
+    first: Ledger
+    decode: Ledger | None
+    first_token_at: float
+    """When the first token is expected."""
+
+
+class Policy(ABC):
+    """Chooses upstreams. It only looks; what it chose is entered by the pool."""
+
+    queues = True
+    """Whether requests that find no place wait for one, rather than being sent on regardless."""
+
+    def __init__(self, parameters: Mapping[str, float] | None = None) -> None:
+        self.parameters = dict(parameters or {})
+
+    @abstractmethod
+    def start(self, need: Need, fleet: Fleet, now: float) -> Choice | None:
+        """Choose where a request begins, or return None to let it wait."""
+
+    @abstractmethod
+    def land(self, need: Need, fleet: Fleet, now: float) -> Ledger | None:
+        """Choose the decode engine for a prefill that has ended, or return None to let it wait."""
--- /dev/null
+++ b/src/beamhatch/decide/promotion.py
@@ -0,0 +1,63 @@
+"""What promoting and withdrawing a policy mean for the slices."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from msgspec.structs import replace
+
+from beamhatch.decide.traffic import DEFAULT_POLICY
+from beamhatch.settings.schema import Slice
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+DEFAULT_SLICE = Slice(name="default", policy=DEFAULT_POLICY)
+"""What serves where no slice is configured."""
+
+Rearranged = tuple[list[Slice], list[str]]
+"""Slices to put, and full names of slices to remove."""
+
+
+class PromotionError(ValueError):
+    """The slices can't be rearranged like that."""
+
+
+def promote(slices: Sequence[Slice], policy: str, _: str | None = None) -> Rearranged:
+    """Let a policy serve all traffic that no other slice takes, and compare the one before with it."""
+    default = _find_default(slices)
+    compared = [name for name in dict.fromkeys([default.policy, *default.compared]) if name != policy]
+    put = [replace(default, policy=policy, compared=compared if slices else [])]
+    remove = [f"slice/{item.name}" for item in slices if item is not default and item.policy == policy]
+    return put, remove
+
+
+def withdraw(slices: Sequence[Slice], policy: str, to: str | None = None) -> Rearranged:
+    """Take a policy out of all slices.
+
+    :param to: what serves all traffic instead, where the policy does so now
+    :raises PromotionError: where the policy serves all traffic and nothing is named instead
+    """
+    default = _find_default(slices)
+    put: list[Slice] = []
+    remove: list[str] = []
+    for item in slices:
+        compared = [name for name in item.compared if name != policy]
+        if item.policy != policy and compared != item.compared:
+            put.append(replace(item, compared=compared))
+        elif item.policy == policy and item is not default:
+            remove.append(f"slice/{item.name}")
+    if default.policy == policy:
+        if to is None or to == policy:
+            raise PromotionError(f"{policy!r} serves all traffic; name the policy that is to serve instead")
+        put.append(
+            replace(default, policy=to, compared=[name for name in default.compared if name not in (policy, to)])
+        )
+    return put, remove
+
+
+def _find_default(slices: Sequence[Slice]) -> Slice:
+    for item in reversed(slices):
+        if not item.selector.strip() and item.percent == 100:
+            return item
+    return DEFAULT_SLICE
--- /dev/null
+++ b/src/beamhatch/decide/rendezvous.py
@@ -0,0 +1,20 @@
+"""Rendezvous hashing: all who know the same names agree on their order for a key, without talking."""
+
+from __future__ import annotations
+
+import hashlib
+from typing import TYPE_CHECKING, TypeVar
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+Name = TypeVar("Name", bound=str)
+
+
+def rank(key: str, names: Iterable[Name]) -> list[Name]:
+    """Return names in their order for a key, first the one that is to hold it."""
+    return sorted(names, key=lambda name: _score(key, name))
+
+
+def _score(key: str, name: str) -> bytes:
+    return hashlib.blake2b(f"{key}\0{name}".encode(), digest_size=8).digest()
--- /dev/null
+++ b/src/beamhatch/decide/traffic.py
@@ -0,0 +1,77 @@
+"""Which policy serves a request: slices of the traffic, cut by labels and by a stable hash."""
+
+from __future__ import annotations
+
+import hashlib
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from beamhatch.decide.policy.make import make_policy
+from beamhatch.settings.selector import Selector, parse_selector, select
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping, Sequence
+
+    from beamhatch.decide.policy.api import Policy
+    from beamhatch.settings.schema import Policy as PolicyDocument
+    from beamhatch.settings.schema import Slice
+
+DEFAULT_POLICY = "predicted"
+"""Serves where no slice says otherwise."""
+
+_PARTS = 10_000
+
+
+@dataclass(frozen=True, slots=True)
+class Serving:
+    """The policies for one request."""
+
+    policy: str
+    compared: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class _Cut:
+    selector: Selector
+    salt: str
+    parts: int
+    serving: Serving
+
+
+@dataclass(slots=True)
+class Traffic:
+    """All slices and policies of a configuration."""
+
+    cuts: list[_Cut] = field(default_factory=list)
+    policies: dict[str, Policy] = field(default_factory=dict)
+
+    def apply(self, slices: Sequence[Slice], documents: Sequence[PolicyDocument]) -> None:
+        """Take the slices and policies of a configuration; a policy that did not change keeps what it learned."""
+        self.cuts = [
+            _Cut(
+                parse_selector(item.selector),
+                item.name,
+                round(item.percent * _PARTS / 100),
+                Serving(item.policy, tuple(item.compared)),
+            )
+            for item in slices
+        ]
+        self.policies = {item.name: make_policy(item.algorithm, item.parameters) for item in documents}
+        self.policies.setdefault(DEFAULT_POLICY, make_policy(DEFAULT_POLICY))
+
+    def find(self, labels: Mapping[str, str], identity: str) -> Serving:
+        """Return the policies for a request; the same identity always gives the same ones."""
+        for cut in self.cuts:
+            if select(cut.selector, labels) and hash_part(cut.salt, identity) < cut.parts:
+                return cut.serving
+        return Serving(DEFAULT_POLICY)
+
+    def get_policy(self, name: str) -> Policy:
+        """Return a policy, or the default one if it was withdrawn meanwhile."""
+        return self.policies.get(name) or self.policies[DEFAULT_POLICY]
+
+
+def hash_part(salt: str, identity: str) -> int:
+    """Return which of 10,000 parts an identity falls into; growing a slice keeps what was in it."""
+    digest = hashlib.blake2b(f"{salt}/{identity}".encode(), digest_size=8).digest()
+    return int.from_bytes(digest, "big") % _PARTS
--- /dev/null
+++ b/src/beamhatch/edge/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters to callers, upstreams, the platform, peers and operators."""
--- /dev/null
+++ b/src/beamhatch/edge/caller/__init__.py
@@ -0,0 +1,1 @@
+"""The HTTP interface that callers use."""
--- /dev/null
+++ b/src/beamhatch/edge/operator/__init__.py
@@ -0,0 +1,1 @@
+"""The admin API."""
--- /dev/null
+++ b/src/beamhatch/edge/peer/__init__.py
@@ -0,0 +1,1 @@
+"""The msgpack streams between entry VMs."""
--- /dev/null
+++ b/src/beamhatch/edge/upstream/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters to engines and plain services."""
--- /dev/null
+++ b/src/beamhatch/observe/__init__.py
@@ -0,0 +1,1 @@
+"""Logs, metrics and traces."""
--- /dev/null
+++ b/src/beamhatch/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings and configuration: schema, loading and checks."""
--- /dev/null
+++ b/src/beamhatch/task/__init__.py
@@ -0,0 +1,1 @@
+"""Tasks that own their sockets and state."""
--- /dev/null
+++ b/src/beamhatch/tool/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command-line tool."""
