Serve a thousand mixed requests from the client library over three VMs

Cause: the path had only been tried by hand. The first start behind a link failed in the membership task, and the process stayed half started, which hung its test.

--- a/src/beamhatch/command/serve.py
+++ b/src/beamhatch/command/serve.py
@@ -5,6 +5,7 @@
 import os
 import signal
 import sys
+import traceback
 from typing import TYPE_CHECKING, Any
 
 from twisted.internet import defer, error
@@ -43,6 +44,11 @@
             exit_codes.append(EXIT_USAGE)
             reactor.stop()
             return
+        except Exception:  # a fault of ours: show it, and don't stay half started
+            traceback.print_exc()
+            exit_codes.append(EXIT_FAULT)
+            reactor.stop()
+            return
         print(f"READY {settings.vm} caller={node.caller_port} admin={node.admin_port} peer={node.mesh.address}")
         sys.stdout.flush()
         if on_ready is not None:
--- a/src/beamhatch/settings/schema.py
+++ b/src/beamhatch/settings/schema.py
@@ -64,6 +64,8 @@
 
     host: str = "127.0.0.1"
     port: Port = 0
+    advertised: Address | None = None
+    """Where the others reach this VM, if not at host and port."""
     seeds: list[Address] = field(default_factory=list)
     tls: Tls | None = None
     insecure: bool = False
--- a/src/beamhatch/standin/link.py
+++ b/src/beamhatch/standin/link.py
@@ -1,12 +1,14 @@
-"""A fault-injecting TCP proxy: one link between two addresses, which can be cut, cut one way, delayed or closed.
+"""A fault-injecting TCP proxy: links between two addresses, which can be cut, cut one way, delayed or closed.
 
-Orders come over HTTP on a second port: ``POST /set {"forward": "pass|drop", "back": "pass|drop", "delay": 0.0}`` and
-``POST /close``. ``drop`` loses bytes in one direction while the connections stay open.
+Orders come over HTTP on a port of their own. ``POST /set {"drops": [{"source": IP, "target": "HOST:PORT", "way":
+"forward" | "back"}], "delay": 0.0}`` replaces all faults; ``*`` stands for any source or target. What is dropped is
+lost while the connections stay open. ``POST /close`` breaks all connections.
 """
 
 from __future__ import annotations
 
 import argparse
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
 from twisted.internet import protocol
@@ -17,25 +19,38 @@
     from twisted.web import server
 
 
+@dataclass(frozen=True, slots=True)
+class Drop:
+    """Bytes that are lost."""
+
+    source: str
+    target: str
+    way: str
+
+
 class Link:
-    """The state of the link and its open connections."""
+    """The state of all links and their open connections."""
 
-    def __init__(self, reactor: Any, host: str, port: int) -> None:
+    def __init__(self, reactor: Any) -> None:
         self.reactor = reactor
-        self.host = host
-        self.port = port
-        self.drops = {"forward": False, "back": False}
+        self.drops: list[Drop] = []
         self.delay = 0.0
         self.sides: set[_Side] = set()
 
-    def carry(self, direction: str, target: _Side, data: bytes) -> None:
-        """Carry bytes in one direction, late or not at all."""
-        if self.drops[direction]:
+    def carry(self, way: str, side: _Side, data: bytes) -> None:
+        """Carry bytes to the other side, late or not at all."""
+        other = side.other
+        if other is None or self._is_dropped(side.source, side.target, way):
             return
         if self.delay:
-            self.reactor.callLater(self.delay, target.send, data)
+            self.reactor.callLater(self.delay, other.send, data)
         else:
-            target.send(data)
+            other.send(data)
+
+    def _is_dropped(self, source: str, target: str, way: str) -> bool:
+        return any(
+            drop.source in ("*", source) and drop.target in ("*", target) and drop.way == way for drop in self.drops
+        )
 
     def close_all(self) -> None:
         """Break all connections."""
@@ -45,29 +60,33 @@
 
 
 class _Side(protocol.Protocol):
-    """One end of a connection through the link."""
+    """One end of a connection through a link."""
 
-    def __init__(self, link: Link, direction: str, other: _Side | None) -> None:
+    def __init__(self, link: Link, target: str, way: str, other: _Side | None) -> None:
         self.link = link
-        self.direction = direction
+        self.target = target
+        self.way = way
         self.other = other
+        self.source = other.source if other is not None else ""
         self.waiting: list[bytes] = []
 
     def connectionMade(self) -> None:
         self.link.sides.add(self)
         if self.other is None:
+            self.source = self.transport.getPeer().host
             self._dial()
-        else:
-            self.other.other = self
-            for data in self.other.waiting:
-                self.send(data)
+            return
+        self.other.other = self
+        for data in self.other.waiting:
+            self.link.carry("forward", self.other, data)
 
     def _dial(self) -> None:
         factory = protocol.ClientFactory()
         factory.noisy = False
-        factory.buildProtocol = lambda _: _Side(self.link, "back", self)
+        factory.buildProtocol = lambda _: _Side(self.link, self.target, "back", self)
         factory.clientConnectionFailed = lambda *_: self.transport.abortConnection()
-        self.link.reactor.connectTCP(self.link.host, self.link.port, factory, timeout=2)
+        host, _, port = self.target.partition(":")
+        self.link.reactor.connectTCP(host, int(port), factory, timeout=2)
 
     def send(self, data: bytes) -> None:
         if self.transport is not None:
@@ -77,7 +96,7 @@
         if self.other is None:
             self.waiting.append(data)
         else:
-            self.link.carry(self.direction, self.other, data)
+            self.link.carry(self.way, self, data)
 
     def connectionLost(self, reason: Any = None) -> None:
         self.link.sides.discard(self)
@@ -94,10 +113,8 @@
         self.routes = {"/set": self._set, "/close": self._close}
 
     def _set(self, request: server.Request, body: Any) -> object:
-        for direction in ("forward", "back"):
-            if direction in body:
-                self._link.drops[direction] = body[direction] == "drop"
-        self._link.delay = float(body.get("delay", self._link.delay))
+        self._link.drops = [Drop(drop["source"], drop["target"], drop["way"]) for drop in body.get("drops", [])]
+        self._link.delay = float(body.get("delay", 0.0))
         return {}
 
     def _close(self, request: server.Request, body: Any) -> object:
@@ -110,19 +127,24 @@
     from twisted.internet import reactor
 
     parser = argparse.ArgumentParser(prog="python -m beamhatch.standin.link", description=__doc__)
-    parser.add_argument("--port", type=int, default=0)
-    parser.add_argument("--to", required=True, help="address behind the link, such as 127.0.0.1:9000")
-    options = parser.parse_args()
-    host, _, port = options.to.partition(":")
-    link = Link(reactor, host, int(port))
-    factory = protocol.Factory()
-    factory.noisy = False
-    factory.buildProtocol = lambda _: _Side(link, "forward", None)
-    listening = reactor.listenTCP(options.port, factory, interface="127.0.0.1")
+    parser.add_argument(
+        "--link", action="append", required=True, metavar="LISTEN=TARGET", help="two addresses, each HOST:PORT"
+    )
+    link = Link(reactor)
+    for text in parser.parse_args().link:
+        _listen(reactor, link, *text.split("="))
     orders = listen(reactor, LinkRoot(link), "127.0.0.1", 0)
-    announce(f"link {orders.getHost().port}", listening.getHost().port)
+    announce("link", orders.getHost().port)
     reactor.run()
 
 
+def _listen(reactor: Any, link: Link, address: str, target: str) -> None:
+    factory = protocol.Factory()
+    factory.noisy = False
+    factory.buildProtocol = lambda _: _Side(link, target, "forward", None)
+    host, _, port = address.partition(":")
+    reactor.listenTCP(int(port), factory, interface=host)
+
+
 if __name__ == "__main__":
     main()
--- a/src/beamhatch/task/mesh.py
+++ b/src/beamhatch/task/mesh.py
@@ -35,8 +35,6 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from twisted.internet.interfaces import IConnector
-
     from beamhatch.clock import Clock
     from beamhatch.observe.metrics import Metrics
     from beamhatch.settings.schema import Timing
@@ -77,13 +75,16 @@
         self._relayed: dict[int, tuple[PeerStream, int]] = {}
         self._log = get_log(Part.PEER)
         self._tls_context: Any = None
+        self._source = ""
 
-    def start(self, address: str, tls_context: Any = None) -> None:
+    def start(self, address: str, source: str, tls_context: Any = None) -> None:
         """Begin to dial and probe.
 
-        :param address: where this VM listens for peers
+        :param address: where the others reach this VM
+        :param source: IP address that this VM dials from
         """
         self.address = address
+        self._source = source
         self._tls_context = tls_context
         self._own_addresses.add(address)
         me = self.members.me
@@ -205,12 +206,11 @@
         host, _, port = address.partition(":")
         reactor: Any = self._clock.reactor
         limit = self._timing.connect_limit
-        connector: IConnector
+        source = (self._source, 0)
         if self._tls_context is None:
-            connector = reactor.connectTCP(host, int(port), factory, timeout=limit)
+            reactor.connectTCP(host, int(port), factory, timeout=limit, bindAddress=source)
         else:
-            connector = reactor.connectSSL(host, int(port), factory, self._tls_context, timeout=limit)
-        del connector
+            reactor.connectSSL(host, int(port), factory, self._tls_context, timeout=limit, bindAddress=source)
 
     def _find_stream(self, vm: VmName) -> PeerStream | None:
         note = self.members.find(vm)
--- a/src/beamhatch/task/node.py
+++ b/src/beamhatch/task/node.py
@@ -119,7 +119,8 @@
         head, bodies = make_first(settings.configuration)
         self.configuring.start(head, bodies)
         context = make_client_context(settings.peer.tls) if settings.peer.tls else None
-        self.mesh.start(f"{settings.peer.host}:{peer_port}", context)
+        address = settings.peer.advertised or f"{settings.peer.host}:{peer_port}"
+        self.mesh.start(address, settings.peer.host, context)
         for task in (self.guard, self.router, self.pools, self.guards, self.records, self.vms):
             task.start()
 
--- /dev/null
+++ b/tests/support/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers that start real processes and call them."""
--- /dev/null
+++ b/tests/test_whole_path.py
@@ -0,0 +1,77 @@
+"""The whole path with real processes and an official client library."""
+
+from __future__ import annotations
+
+from concurrent.futures import ThreadPoolExecutor
+from typing import TYPE_CHECKING
+
+import openai
+
+from beamhatch.standin.engine import expect_text
+from tests.support.call import call, complete
+
+if TYPE_CHECKING:
+    from tests.support.hall import Hall
+
+
+def test_client_library_gets_a_thousand_whole_answers_each_its_own(hall: Hall) -> None:
+    hall.start(vms=3)
+    clients = [
+        openai.OpenAI(base_url=f"http://127.0.0.1:{hall.ports[vm]}/v1", api_key="none", max_retries=5)
+        for vm in hall.vms
+    ]
+
+    def ask(number: int) -> bool:
+        client = clients[number % 3]
+        prompt = f"request {number} " * (1 + number % 40)
+        kind = number % 4
+        if kind == 0:
+            whole = client.completions.create(model="lm-desk", prompt=prompt, max_tokens=6)
+            return whole.choices[0].text == expect_text(prompt, 6) and whole.usage is not None
+        if kind == 1:
+            chunks = client.completions.create(model="lm-desk", prompt=prompt, max_tokens=6, stream=True)
+            return "".join(chunk.choices[0].text for chunk in chunks) == expect_text(prompt, 6)
+        if kind == 2:
+            messages = [{"role": "user", "content": prompt}]
+            chat = client.chat.completions.create(model="lm-desk", messages=messages, max_tokens=5, stream=True)  # type: ignore[call-overload]
+            text = "".join(chunk.choices[0].delta.content or "" for chunk in chat)
+            return bool(text == expect_text(f"user: {prompt}", 5))
+        answer = call(hall.ports[hall.vms[number % 3]], f"/services/acct-svc/margin/{number}", {"number": number})
+        return answer.status == 200 and answer.value["body"] == {"number": number}
+
+    with ThreadPoolExecutor(40) as pool:
+        results = list(pool.map(ask, range(1000)))
+    assert results.count(True) == 1000
+    hall.wait_nothing_held()
+
+
+def test_models_health_and_readiness_are_shown(hall: Hall) -> None:
+    hall.start(vms=1, services=0)
+    port = hall.ports["vm-1"]
+    assert [model["id"] for model in call(port, "/v1/models", method="GET").value["data"]] == ["lm-desk"]
+    assert call(port, "/healthz", method="GET").status == 200
+    assert call(port, "/readyz", method="GET").value == {"status": "ready"}
+
+
+def test_unknown_parameters_usage_and_an_engines_own_rejection_pass_through(hall: Hall) -> None:
+    hall.start(vms=1, services=0)
+    port = hall.ports["vm-1"]
+    fields = {"model": "lm-desk", "prompt": "p", "max_tokens": 2, "stream": True, "frobnicate": {"a": [1]}}
+    answer = call(port, "/v1/completions", {**fields, "stream_options": {"include_usage": True}})
+    assert b'"usage": {"prompt_tokens": 1, "completion_tokens": 2' in answer.body
+    assert answer.body.endswith(b"data: [DONE]\n\n")
+    rejected = call(port, "/v1/completions", {**fields, "temperature": 3})
+    assert rejected.status == 400
+    assert rejected.value["error"]["message"] == "temperature must be at most 2"
+    hall.wait_nothing_held()
+
+
+def test_a_trace_has_a_span_for_each_hop_under_the_callers_trace(hall: Hall) -> None:
+    hall.start(vms=1, services=0)
+    parent = "00-" + "a" * 32 + "-" + "b" * 16 + "-01"
+    answer = complete(hall.ports["vm-1"], "traced", 3, stream=True, traceparent=parent)
+    spans = hall.admin("vm-1", f"/trace?request={answer.headers['Beamhatch-Request']}")
+    assert [span["name"] for span in spans] == ["request", "queue", "prefill", "reserve", "transfer", "decode"]
+    assert {span["trace"] for span in spans} == {"a" * 32}
+    assert spans[0]["parent"] == "b" * 16
+    assert all(span["end"] is not None for span in spans)
