--- a/src/beamhatch/standin/engine.py
+++ b/src/beamhatch/standin/engine.py
@@ -370,7 +370,7 @@
         """Return all counts, for tests."""
         return {
             "held_tokens": self.held,
-            "runs": sorted(self.runs),
+            "open": sorted(self.runs),
             "exports": sorted(self.exports),
             "prefills": dict(self.prefills),
             "decodes": dict(self.decodes),
