--- a/src/beamhatch/decide/fleet.py
+++ b/src/beamhatch/decide/fleet.py
@@ -36,6 +36,10 @@
             self.pace += self.weight * (seconds / output_tokens - self.pace)
         self.output_tokens += self.weight * (output_tokens - self.output_tokens)
 
+    def expect_output(self, most: int) -> float:
+        """Return the output tokens that an answer is expected to have, of at most so many."""
+        return min(most, self.output_tokens)
+
     def note_prompt(self, tokens: int) -> None:
         """Take in the length of one prompt."""
         self.prompt_tokens += self.weight * (tokens - self.prompt_tokens)
--- a/src/beamhatch/decide/pool.py
+++ b/src/beamhatch/decide/pool.py
@@ -232,7 +232,7 @@
             self.fleet.rates.note_prompt(need.prompt_tokens)
         if choice.decode is not None:
             placed.decode = choice.decode.facts.name
-            release = choice.first_token_at + need.output_tokens * self.fleet.rates.pace
+            release = choice.first_token_at + self._predict_lifetime(need)
             self.fleet.promise(choice.decode, need.request, need.tokens, now, release)
         return True
 
@@ -253,11 +253,15 @@
             return False
         self._withdraw_promise(need.request, placed)
         placed.decode, placed.landed = ledger.facts.name, True
-        release = now + need.output_tokens * self.fleet.rates.pace
+        release = now + self._predict_lifetime(need)
         self.fleet.send(ledger, need.request, need.tokens, now, release)
         self.fleet.landings[placed.decode] = self.fleet.landings.get(placed.decode, 0) + 1
         return True
 
+    def _predict_lifetime(self, need: Need) -> float:
+        rates = self.fleet.rates
+        return rates.expect_output(need.output_tokens) * rates.pace
+
     def _take_promised(self, need: Need, placed: _Placed, now: float) -> Ledger | None:
         """Return the engine that was counted on, if its memory is free by now."""
         ledger = self.fleet.ledgers.get(placed.decode) if placed.decode is not None else None
