Wait in the router only as long as a target can be met, and tell the other VMs what is taken

Cause: under overload nearly everything was late. (1) Requests were started at the last moment that the estimate allowed, with nothing left for what can't be predicted. (2) Answers that last longer than the mean were overdue, and their memory was counted as free for every prefill. (3) Prompts queued at the prefill engines, where their order can't change. (4) Each VM saw the others only through reports 0.1 to 0.35 s old, so that all took the same free place. (5) Late requests took places from those that could still meet their target. Change: a latest start for each request with half its target as slack; refusal at once, on arrival, where those before it leave too little time; late ones get one turn in 32 and a bounded line; at most two prompts at a prefill engine; release counted evenly over a lifetime, half of it trusted; each VM tells the others every 30 ms what it holds and counts on at each engine, and a report only adds what none of them knows.

--- a/benchmarks/decisions.py
+++ b/benchmarks/decisions.py
@@ -1,5 +1,4 @@
-"""
-Run the same seeded requests through each routing variant, and print one JSON object a line.
+"""Run the same seeded requests through each routing variant, and print one JSON object a line.
 
 ``python -m benchmarks.decisions --json`` runs the whole grid. Goodput is the rate of requests that met both latency
 targets, as a share of the capacity. The seeds under ``--held-out`` were not used while tuning.
@@ -70,7 +69,9 @@
 
 
 DEPLOYMENTS = (
-    Deployment("tan-seng-hock", ("kl-a", "pj-b", "cj-c"), 0.0015, 2, 3, (200, 1400), (40, 200), 0.32, 20_000, 100_000, 24, 0.2),
+    Deployment(
+        "tan-seng-hock", ("kl-a", "pj-b", "cj-c"), 0.0015, 2, 3, (200, 1400), (40, 200), 0.32, 20_000, 100_000, 24, 0.2
+    ),
     Deployment("calorbomba", ("a", "b", "c"), 0.0005, 4, 5, (2000, 12_000), (40, 120), 1.0, 30_000, 200_000, 8, 0.5),
 )
 
@@ -176,7 +177,9 @@
     """Return the means over the seeds; counts are summed."""
     groups: dict[tuple[Any, ...], list[dict[str, Any]]] = {}
     for line in lines:
-        groups.setdefault(tuple(line[name] for name in ("deployment", "variant", "load", "vms", "fault")), []).append(line)
+        groups.setdefault(tuple(line[name] for name in ("deployment", "variant", "load", "vms", "fault")), []).append(
+            line
+        )
     merged = []
     for group in groups.values():
         first = dict(group[0])
--- a/benchmarks/fakes.py
+++ b/benchmarks/fakes.py
@@ -1,5 +1,4 @@
-"""
-Small fakes around the real decision code, on a clock that jumps from event to event.
+"""Small fakes around the real decision code, on a clock that jumps from event to event.
 
 The request aggregate, the pools and the policies are the ones that the daemon runs. Only the engines, the links and
 the callers are made up here.
@@ -15,7 +14,7 @@
 
 from beamhatch.decide.call import Priority
 from beamhatch.decide.fleet import Fleet
-from beamhatch.decide.ledger import Facts, Report
+from beamhatch.decide.ledger import Facts, Report, Share
 from beamhatch.decide.outcome import Answered, Failed, NotRun, Outcome, Unknown
 from beamhatch.decide.policy.api import Need
 from beamhatch.decide.policy.make import make_policy
@@ -52,6 +51,7 @@
 FIRST_FRAME_LIMIT = 1.0
 REPORT_PERIOD = 0.25
 EXPIRE_PERIOD = 0.1
+SHARE_PERIOD = 0.03
 
 
 class Events:
@@ -141,6 +141,8 @@
     stall_share: float = 0.0
     gap_share: float = 0.0
     cut_hall: str | None = None
+    shares: bool = True
+    """Whether the entry VMs tell each other what they have."""
     prefilled: int = 0
     wasted: int = 0
     doubled: int = 0
@@ -166,6 +168,7 @@
         self.tasks: dict[RequestId, Task] = {}
         self._seen: dict[UpstreamName, int] = {}
         self.world.events.at(0.0, self.read_reports)
+        self.world.events.at(world.rng.random() * SHARE_PERIOD, self.share)
         self.world.events.at(0.05, self.expire)
 
     def read_reports(self) -> None:
@@ -181,6 +184,20 @@
         self.carry(self.pool.serve(now))
         self.world.events.at(REPORT_PERIOD, self.read_reports)
 
+    def share(self) -> None:
+        """Tell the other VMs what this one has at each engine, in batches, as the daemon does."""
+        changed = self.pool.fleet.take_changed()
+        for vm in vms_of(self.world) if changed and self.world.shares else ():
+            if vm is not self and self.world.cut_hall not in (vm.hall, self.hall):
+                self.world.events.at(self.one_way, vm.take_shares, f"vm-{id(self)}", changed)
+        self.world.events.at(SHARE_PERIOD, self.share)
+
+    def take_shares(self, vm: str, shares: dict[UpstreamName, Share]) -> None:
+        """Take in what another VM has."""
+        for name, share in shares.items():
+            self.pool.fleet.take_share(name, vm, share, self.world.events.now)
+        self.carry(self.pool.serve(self.world.events.now))
+
     def learn_blocks(self, name: UpstreamName, blocks: tuple[int, ...]) -> None:
         """Take in late cache events, with gaps."""
         if self.world.rng.random() < self.world.gap_share:
--- a/benchmarks/path.py
+++ b/benchmarks/path.py
@@ -1,5 +1,4 @@
-"""
-Measure the path: processor time of the router alone per request and per streamed chunk, and its memory.
+"""Measure the path: processor time of the router alone per request and per streamed chunk, and its memory.
 
 Run ``python -m benchmarks.path``. It prints one JSON object, with a bare pass-through of twisted.web on the same
 stand-ins as the lower bound.
--- a/src/beamhatch/decide/fleet.py
+++ b/src/beamhatch/decide/fleet.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
+import itertools
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from sortedcontainers import SortedKeyList
 
-from beamhatch.decide.ledger import Facts, Ledger, Report, Standing
+from beamhatch.decide.ledger import Facts, Ledger, Report, Share, Standing
 from beamhatch.ids import HallName, RequestId, UpstreamName
 
 if TYPE_CHECKING:
@@ -36,10 +37,6 @@
             self.pace += self.weight * (seconds / output_tokens - self.pace)
         self.output_tokens += self.weight * (output_tokens - self.output_tokens)
 
-    def expect_output(self, most: int) -> float:
-        """Return the output tokens that an answer is expected to have, of at most so many."""
-        return min(most, self.output_tokens)
-
     def note_prompt(self, tokens: int) -> None:
         """Take in the length of one prompt."""
         self.prompt_tokens += self.weight * (tokens - self.prompt_tokens)
@@ -55,6 +52,8 @@
     rates: Rates = field(default_factory=Rates)
     landings: dict[UpstreamName, int] = field(default_factory=dict)
     """Transfers under way to each decode engine."""
+    _changed: set[UpstreamName] = field(default_factory=set)
+    _shared: dict[UpstreamName, Share] = field(default_factory=dict)
     _orders: dict[str, SortedKeyList] = field(default_factory=dict)
     _keys: dict[UpstreamName, tuple[float, str]] = field(default_factory=dict)
     _blocks: dict[int, dict[UpstreamName, float]] = field(default_factory=dict)
@@ -95,16 +94,28 @@
 
     # --- work ------------------------------------------------------------------------------------------------------
 
-    def send(self, ledger: Ledger, request: RequestId, tokens: int, now: float, release: float) -> None:
+    def send(self, ledger: Ledger, request: RequestId, tokens: int, now: float) -> None:
         """Enter work that goes to an upstream."""
-        ledger.send(request, tokens, now, release)
+        ledger.send(request, tokens, now)
         self._reorder(ledger)
 
-    def promise(self, ledger: Ledger, request: RequestId, tokens: int, now: float, release: float) -> None:
+    def promise(self, ledger: Ledger, request: RequestId, tokens: int) -> None:
         """Count on memory of a decode engine."""
-        ledger.promise(request, tokens, now, release)
+        ledger.promise(request, tokens)
         self._reorder(ledger)
 
+    def take_share(self, name: UpstreamName, vm: str, share: Share | None, now: float) -> None:
+        """Take in what another entry VM says it has at an upstream; None where that VM is gone."""
+        ledger = self.ledgers.get(name)
+        if ledger is not None:
+            ledger.take_share(vm, share, now)
+            self._reorder(ledger)
+
+    def take_changed(self) -> dict[UpstreamName, Share]:
+        """Return this VM's own shares that changed since the last call."""
+        changed, self._changed = self._changed, set()
+        return {name: self.ledgers[name].own_share for name in changed if name in self.ledgers}
+
     def withdraw(self, ledger: Ledger, request: RequestId) -> None:
         """Take back a promise."""
         ledger.withdraw(request)
@@ -141,6 +152,12 @@
         queued = ledger.jobs * self.rates.prompt_tokens
         return (queued + max(1, prompt_tokens - cached)) / ledger.facts.prefill_rate
 
+    def predict_lead(self, prompt_tokens: int) -> float:
+        """Return the seconds from a start to the first token, with nobody before it on the fastest engines."""
+        prefill = max((ledger.facts.prefill_rate for ledger in self._first_of("prefill")), default=0.0)
+        link = max((ledger.facts.link_rate for ledger in self._first_of("decode")), default=0.0)
+        return (prompt_tokens / prefill if prefill else 0.0) + (prompt_tokens / link if link else 0.0)
+
     def predict_transfer(self, ledger: Ledger, tokens: int, *, far: bool = False) -> float:
         """Return the seconds of a KV transfer over a link that others share."""
         streams = 1 + self.landings.get(ledger.facts.name, 0)
@@ -176,6 +193,9 @@
 
     # --- order -------------------------------------------------------------------------------------------------------
 
+    def _first_of(self, role: str) -> list[Ledger]:
+        return list(itertools.islice(self._walk(role), LOOKED_AT))
+
     def _walk(self, role: str) -> Iterator[Ledger]:
         order: Iterable[tuple[float, str]] = self._orders.get(role, ())
         for _, name in order:
@@ -183,6 +203,9 @@
 
     def _reorder(self, ledger: Ledger) -> None:
         name = ledger.facts.name
+        if self._shared.get(name) != ledger.own_share:
+            self._shared[name] = ledger.own_share
+            self._changed.add(name)
         self._take_out(ledger)
         if ledger.standing is not Standing.SERVING:
             return
@@ -201,4 +224,5 @@
     def _remove(self, name: UpstreamName) -> None:
         self._take_out(self.ledgers[name])
         self.forget_blocks(name)
+        self._shared.pop(name, None)
         del self.ledgers[name]
--- a/src/beamhatch/decide/policy/api.py
+++ b/src/beamhatch/decide/policy/api.py
@@ -36,6 +36,8 @@
     labels: dict[str, str] = field(default_factory=dict)
     policy: str = ""
     """Name of the policy that serves it."""
+    lead: float = 0.0
+    """Seconds that it needs from its start to its first token, with nobody before it."""
 
     @property
     def tokens(self) -> int:
@@ -47,6 +49,11 @@
         """Return when the first token should be with the caller."""
         return self.arrived + self.first_token_target
 
+    @property
+    def latest_start(self) -> float:
+        """Return the last moment at which a start still meets the target."""
+        return self.due - self.lead
+
 
 @dataclass(frozen=True, slots=True)
 class Choice:
--- a/src/beamhatch/decide/policy/reserving.py
+++ b/src/beamhatch/decide/policy/reserving.py
@@ -18,6 +18,9 @@
 """Length of a prefix block."""
 
 PREFILLS_WEIGHED = 4
+MOST_AHEAD = 2
+"""Prompts at a prefill engine at the most; the rest waits here, where its order can still change."""
+DEFAULT_TRUST = 0.5
 FAR_PENALTY = 0.001
 """Seconds that another hall costs beside its slower transfer."""
 
@@ -44,6 +47,7 @@
             return (usable[0], 0.0) if usable else None
         cached = fleet.find_cached(need.blocks, BLOCK_TOKENS) if need.blocks else {}
         candidates = fleet.list_usable("prefill", need.exclude, now, PREFILLS_WEIGHED)
+        candidates = [ledger for ledger in candidates if ledger.jobs < MOST_AHEAD]
         candidates += self._list_cached(cached, need, fleet, now, candidates)
         timed = [(ledger, self._predict_first(ledger, need, fleet, cached)) for ledger in candidates]
         return min(timed, key=lambda pair: pair[1], default=None)
@@ -56,7 +60,7 @@
             ledger = fleet.ledgers.get(name)
             if ledger is None or ledger in known or name in need.exclude or ledger.facts.role != "prefill":
                 continue
-            if ledger.is_usable(now, fleet.age_limit):
+            if ledger.is_usable(now, fleet.age_limit) and ledger.jobs < MOST_AHEAD:
                 found.append(ledger)
             if len(found) == PREFILLS_WEIGHED:
                 break
@@ -92,8 +96,8 @@
     """Starts a prefill when decode memory is expected to be free by the time its KV cache would arrive.
 
     Memory that stands free during a prefill serves nobody: with a prefill that takes as long as hundreds of output
-    tokens, many answers end meanwhile. Parameter ``margin`` (seconds, default 0) is how much earlier the memory must
-    be free.
+    tokens, many answers end meanwhile. Parameter ``trust`` (0 to 1, default 0.5) is the share of the memory expected
+    to come free during the prefill that is counted on; at 0 it is the same as reserving at the start.
     """
 
     def start(self, need: Need, fleet: Fleet, now: float) -> Choice | None:
@@ -102,10 +106,10 @@
         if best is None or not need.output_tokens:
             return None if best is None else Choice(best[0], None, now)
         prefill, seconds = best
-        margin = self.parameters.get("margin", 0.0)
+        trust = self.parameters.get("trust", DEFAULT_TRUST)
+        lifetime = fleet.rates.pace * fleet.rates.output_tokens
         for decode in self._list_decodes(need, fleet, now):
-            arrives = now + seconds + self._transfer(decode, need, fleet)
-            lifetime = fleet.rates.pace * fleet.rates.output_tokens
-            if decode.predict_free(arrives - margin, now, lifetime) >= need.tokens:
-                return Choice(prefill, decode, arrives)
+            arrives = seconds + self._transfer(decode, need, fleet)
+            if decode.predict_free(seconds * trust, lifetime) >= need.tokens:
+                return Choice(prefill, decode, now + arrives)
         return None
--- a/src/beamhatch/decide/pool.py
+++ b/src/beamhatch/decide/pool.py
@@ -12,7 +12,7 @@
 
 from beamhatch.decide.fleet import Fleet
 from beamhatch.decide.outcome import Reason
-from beamhatch.decide.waiting import Waiting
+from beamhatch.decide.waiting import LATE_TURN, Waiting
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -22,7 +22,6 @@
     from beamhatch.ids import RequestId, UpstreamName
 
 MAX_WAIT = 2.0
-"""Seconds of predicted wait beyond which a request is refused at once, rather than kept."""
 
 LANDING_LIMIT = 2.0
 """Seconds that an export may wait for decode memory; it lives only a few seconds."""
@@ -30,6 +29,15 @@
 TRIED_AT_ONCE = 8
 """How many of the next requests are tried when a place may have come free."""
 
+SLACK = 0.5
+"""Share of the first-token target that is left for what can't be predicted, such as a place that comes free late."""
+
+LATE_AT_FIRST = 8
+"""Requests that may wait before the pool's rate is known."""
+
+LONGEST_WAIT = 8.0
+"""Seconds after which a waiting request is given up whatever the rate."""
+
 SHORTEST_RETRY = 0.25
 LONGEST_RETRY = 30.0
 
@@ -101,6 +109,7 @@
     service: bool = False
     most_waiting: int = 1000
     max_wait: float = MAX_WAIT
+    """Seconds that a late request may still have to wait."""
     waiting: Waiting = field(default_factory=Waiting)
     drain: Drain = field(default_factory=Drain)
     placed: dict[RequestId, _Placed] = field(default_factory=dict)
@@ -110,12 +119,17 @@
     def ask_start(self, need: Need, now: float) -> list[Decision]:
         """Ask for the first upstream of a request."""
         policy = self.choose_policy(need)
-        if self._goes_first(need, now) and self._start(need, policy, now):
+        if need.output_tokens:
+            need.lead = self.fleet.predict_lead(need.prompt_tokens) + SLACK * need.first_token_target
+        if self.waiting.goes_first(need.priority) and self._start(need, policy, now):
             return [Started(need.request, self._first(need.request))]
         refusal = self._refuse(need, policy, now)
         if refusal is not None:
             return [refusal]
-        self.waiting.add(need, now)
+        late = self._would_be_late(need, now)
+        if late and (need.drop_if_late or not self._has_late_room(need)):
+            return [self._turn(need, Reason.OVERLOADED, "no place in time")]
+        self.waiting.add(need, late=late)
         return []
 
     def ask_landing(self, request: RequestId, exclude: frozenset[str], now: float) -> list[Decision]:
@@ -161,7 +175,7 @@
 
     def serve(self, now: float) -> list[Decision]:
         """Give places to those that wait, as far as there are any; called when anything may have changed."""
-        decisions = self._serve_landings(now)
+        decisions = self._serve_landings(now) + self._trim_late(now)
         while self.waiting and (started := self._start_next(now)) is not None:
             decisions.append(started)
         return decisions
@@ -173,11 +187,7 @@
             if now >= limit:
                 del self.landings[request]
                 decisions.append(Turned(request, Reason.OVERLOADED, "no decode memory in time", self.predict_wait()))
-        for need in list(self.waiting.needs.values()):
-            late = need.drop_if_late and now > need.due
-            if late or now - need.arrived > self.max_wait * 4:
-                self.waiting.remove(need.request)
-                decisions.append(self._turn(need, Reason.OVERLOADED, "no place in time"))
+        decisions += self._trim_late(now)
         if self.waiting and not self.fleet.has_any("service" if self.service else "prefill", now):
             for need in list(self.waiting.needs.values()):
                 self.waiting.remove(need.request)
@@ -188,34 +198,51 @@
         """Return the seconds until what waits now would have been served."""
         if self.drain.rate <= 0:
             return SHORTEST_RETRY
-        return min(LONGEST_RETRY, max(SHORTEST_RETRY, self.waiting.tokens / self.drain.rate))
+        return min(LONGEST_RETRY, max(SHORTEST_RETRY, self.waiting.count_tokens() / self.drain.rate))
 
     # --- starting --------------------------------------------------------------------------------------------------
 
-    def _goes_first(self, need: Need, now: float) -> bool:
-        """Tell whether nobody who waits goes before this request."""
-        if not self.waiting:
-            return True
-        first = next(self.waiting.list_next(now))
-        return need.priority < first.priority
-
     def _refuse(self, need: Need, policy: Policy, now: float) -> Turned | None:
         role = "service" if self.service else "prefill"
         if not self.fleet.has_any(role, now) or not policy.queues:
             return self._turn(need, Reason.NO_UPSTREAM, "no upstream can be used")
         if len(self.waiting) >= self.most_waiting:
             return self._turn(need, Reason.OVERLOADED, "the queue is full")
-        wait = self.predict_wait() if self.waiting else 0.0
-        patience = self.max_wait if need.deadline is None else min(self.max_wait, need.deadline - now)
-        if wait > patience:
-            return self._turn(need, Reason.OVERLOADED, f"the wait would be {wait:.1f} s")
         return None
 
+    def _would_be_late(self, need: Need, now: float) -> bool:
+        """Tell whether those that go before a request leave it too little time, at the rate seen so far."""
+        if self.drain.rate <= 0:
+            return now > need.latest_start
+        wait = self.waiting.count_tokens_before(need.priority) / self.drain.rate
+        return now + wait > need.latest_start
+
+    def _has_late_room(self, need: Need) -> bool:
+        """Tell whether a late request would still be served in a bearable time, out of the late ones' turns."""
+        if self.drain.rate <= 0:
+            return len(self.waiting) < LATE_AT_FIRST
+        room = self.drain.rate * self.max_wait / LATE_TURN
+        return self.waiting.count_late_tokens() + need.tokens <= room
+
+    def _trim_late(self, now: float) -> list[Decision]:
+        """Give up those that turned late, as far as there are more than can be served in a bearable time."""
+        self.waiting.move_late(now)
+        decisions: list[Decision] = []
+        while (least := self.waiting.pick_least()) is not None:
+            dropped = least.drop_if_late or now - least.arrived > LONGEST_WAIT
+            room = self.drain.rate * self.max_wait / LATE_TURN
+            over = self.drain.rate > 0 and self.waiting.count_late_tokens() > room
+            if not dropped and not over:
+                break
+            self.waiting.remove(least.request)
+            decisions.append(self._turn(least, Reason.OVERLOADED, "no place in time"))
+        return decisions
+
     def _turn(self, need: Need, reason: Reason, detail: str) -> Turned:
         return Turned(need.request, reason, detail, round(self.predict_wait(), 2))
 
     def _start_next(self, now: float) -> Started | None:
-        for need in itertools.islice(self.waiting.list_next(now), TRIED_AT_ONCE):
+        for need in itertools.islice(self.waiting.list_next(), TRIED_AT_ONCE):
             if self._start(need, self.choose_policy(need), now):
                 self.waiting.serve(need.request)
                 return Started(need.request, self._first(need.request))
@@ -227,13 +254,12 @@
             return False
         placed = _Placed(need, first=choice.first.facts.name, started=now)
         self.placed[need.request] = placed
-        self.fleet.send(choice.first, need.request, need.prompt_tokens, now, choice.first_token_at)
+        self.fleet.send(choice.first, need.request, need.prompt_tokens, now)
         if need.output_tokens:
             self.fleet.rates.note_prompt(need.prompt_tokens)
         if choice.decode is not None:
             placed.decode = choice.decode.facts.name
-            release = choice.first_token_at + self._predict_lifetime(need)
-            self.fleet.promise(choice.decode, need.request, need.tokens, now, release)
+            self.fleet.promise(choice.decode, need.request, need.tokens)
         return True
 
     # --- landing ---------------------------------------------------------------------------------------------------
@@ -253,15 +279,10 @@
             return False
         self._withdraw_promise(need.request, placed)
         placed.decode, placed.landed = ledger.facts.name, True
-        release = now + self._predict_lifetime(need)
-        self.fleet.send(ledger, need.request, need.tokens, now, release)
+        self.fleet.send(ledger, need.request, need.tokens, now)
         self.fleet.landings[placed.decode] = self.fleet.landings.get(placed.decode, 0) + 1
         return True
 
-    def _predict_lifetime(self, need: Need) -> float:
-        rates = self.fleet.rates
-        return rates.expect_output(need.output_tokens) * rates.pace
-
     def _take_promised(self, need: Need, placed: _Placed, now: float) -> Ledger | None:
         """Return the engine that was counted on, if its memory is free by now."""
         ledger = self.fleet.ledgers.get(placed.decode) if placed.decode is not None else None
--- a/src/beamhatch/decide/waiting.py
+++ b/src/beamhatch/decide/waiting.py
@@ -20,47 +20,46 @@
     from beamhatch.decide.policy.api import Need
     from beamhatch.ids import RequestId, WorkspaceName
 
-LATE_TURN = 8
+LATE_TURN = 32
 """Every so many turns, a request that is already late goes first."""
 
 
-@dataclass(slots=True)
+Lane = tuple[Priority, bool]
+"""A priority, and whether its requests are late."""
+
+
 class _Line:
-    """The waiting requests of one workspace and priority, in the order of their due times."""
+    """The waiting requests of one workspace in one lane, in the order of their latest starts."""
 
-    needs: SortedKeyList = field(default_factory=lambda: SortedKeyList(key=lambda need: (need.due, need.request)))
+    def __init__(self) -> None:
+        self.needs: SortedKeyList = SortedKeyList(key=lambda need: (need.latest_start, need.request))
 
 
 @dataclass(slots=True)
 class Waiting:
     """All waiting requests of one pool."""
 
-    lead: float = 0.0
-    """Seconds that a request needs from its start to its first token; what is due sooner is late."""
     needs: dict[RequestId, Need] = field(default_factory=dict)
-    tokens: int = 0
-    """KV tokens that all of them need."""
-    _lines: dict[tuple[Priority, bool], dict[WorkspaceName, _Line]] = field(default_factory=dict)
+    _tokens: dict[Lane, int] = field(default_factory=dict)
+    _lines: dict[Lane, dict[WorkspaceName, _Line]] = field(default_factory=dict)
     _served: dict[WorkspaceName, float] = field(default_factory=dict)
-    _where: dict[RequestId, tuple[Priority, bool]] = field(default_factory=dict)
+    _where: dict[RequestId, Lane] = field(default_factory=dict)
     _floor: float = 0.0
     _turns: int = 0
 
     def __len__(self) -> int:
         return len(self.needs)
 
-    def add(self, need: Need, now: float) -> None:
+    def add(self, need: Need, *, late: bool) -> None:
         """Let a request wait."""
         self.needs[need.request] = need
-        self.tokens += need.tokens
         self._served[need.workspace] = max(self._served.get(need.workspace, 0.0), self._floor)
-        self._enter(need, late=need.due - self.lead <= now)
+        self._enter(need, (need.priority, late))
 
     def remove(self, request: RequestId) -> Need | None:
         """Take a request out, without serving it."""
         need = self.needs.pop(request, None)
         if need is not None:
-            self.tokens -= need.tokens
             self._leave(need)
         return need
 
@@ -73,35 +72,61 @@
         self._floor = self._served[need.workspace]
         self._served[need.workspace] += need.tokens / need.weight
 
-    def list_next(self, now: float) -> Iterator[Need]:
+    def list_next(self) -> Iterator[Need]:
         """Yield the requests that are next, one of each line, best first."""
-        self._move_late(now)
-        keys = [(priority, late) for priority in Priority for late in (False, True)]
-        if self._turns % LATE_TURN == LATE_TURN - 1:
-            keys = [(priority, late) for priority in Priority for late in (True, False)]
-        for key in keys:
-            lines = self._lines.get(key, {})
+        for lane in self._order_lanes():
+            lines = self._lines.get(lane, {})
             for workspace in sorted(lines, key=lambda name: self._served[name]):
                 yield lines[workspace].needs[0]
 
-    def _move_late(self, now: float) -> None:
+    def goes_first(self, priority: Priority) -> bool:
+        """Tell whether a request that comes now goes before all that wait."""
+        return not any(self._tokens.get(lane) for lane in self._lines if lane <= (priority, False))
+
+    def count_tokens_before(self, priority: Priority) -> int:
+        """Return the KV tokens of those that go before a request that comes now and is on time."""
+        return sum(tokens for lane, tokens in self._tokens.items() if lane <= (priority, False))
+
+    def count_tokens(self) -> int:
+        """Return the KV tokens of all that wait."""
+        return sum(self._tokens.values())
+
+    def count_late_tokens(self) -> int:
+        """Return the KV tokens of those that are late."""
+        return sum(tokens for (_, late), tokens in self._tokens.items() if late)
+
+    def move_late(self, now: float) -> None:
+        """Move those that can't meet their target any more behind the others of their priority."""
         for priority in Priority:
-            lines = self._lines.get((priority, False), {})
-            for workspace in list(lines):
-                line = lines[workspace]
-                while line.needs and line.needs[0].due - self.lead <= now:
+            for line in list(self._lines.get((priority, False), {}).values()):
+                while line.needs and line.needs[0].latest_start < now:
                     need = line.needs[0]
                     self._leave(need)
-                    self._enter(need, late=True)
-
-    def _enter(self, need: Need, *, late: bool) -> None:
-        key = (need.priority, late)
-        self._where[need.request] = key
-        self._lines.setdefault(key, {}).setdefault(need.workspace, _Line()).needs.add(need)
+                    self._enter(need, (priority, True))
+
+    def pick_least(self) -> Need | None:
+        """Return the late request that matters least: of the lowest priority, the one that came last."""
+        for priority in reversed(Priority):
+            lines = self._lines.get((priority, True), {})
+            if lines:
+                return max((line.needs[-1] for line in lines.values()), key=lambda need: need.arrived)
+        return None
+
+    def _order_lanes(self) -> list[Lane]:
+        late_first = self._turns % LATE_TURN == LATE_TURN - 1
+        if late_first:
+            return [(priority, late) for late in (True, False) for priority in Priority]
+        return [(priority, late) for priority in Priority for late in (False, True)]
+
+    def _enter(self, need: Need, lane: Lane) -> None:
+        self._where[need.request] = lane
+        self._tokens[lane] = self._tokens.get(lane, 0) + need.tokens
+        self._lines.setdefault(lane, {}).setdefault(need.workspace, _Line()).needs.add(need)
 
     def _leave(self, need: Need) -> None:
-        key = self._where.pop(need.request)
-        lines = self._lines[key]
+        lane = self._where.pop(need.request)
+        self._tokens[lane] -= need.tokens
+        lines = self._lines[lane]
         lines[need.workspace].needs.remove(need)
         if not lines[need.workspace].needs:
             del lines[need.workspace]
