Share in the daemon what is taken, keep keys in a home hall, and measure the drain only while requests wait

(2) a key repeated in another hall would have run twice. (3) 503 'no place in time' at light load: the drain rate was measured while nobody waited, so a burst after a quiet time was refused. Ruled out for (3): the memory of the engines (they were nearly empty).

--- a/benchmarks/fakes.py
+++ b/benchmarks/fakes.py
@@ -8,7 +8,6 @@
 
 import heapq
 import itertools
-import random
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
@@ -45,6 +44,7 @@
 from beamhatch.ids import HallName, RequestId, UpstreamName, WorkspaceName
 
 if TYPE_CHECKING:
+    import random
     from collections.abc import Callable
 
 EXPORT_LIFE = 3.0
--- a/src/beamhatch/decide/fleet.py
+++ b/src/beamhatch/decide/fleet.py
@@ -158,6 +158,22 @@
         link = max((ledger.facts.link_rate for ledger in self._first_of("decode")), default=0.0)
         return (prompt_tokens / prefill if prefill else 0.0) + (prompt_tokens / link if link else 0.0)
 
+    def predict_rate(self) -> float:
+        """
+        Return the KV tokens a second that the engines should give back to this VM, from what is known of them.
+
+        The slower stage counts, and of it the share that this VM has of all that is held.
+        """
+        decodes = [ledger for ledger in self.ledgers.values() if ledger.facts.role == "decode"]
+        prefills = [ledger for ledger in self.ledgers.values() if ledger.facts.role == "prefill"]
+        lifetime = max(0.001, self.rates.pace * self.rates.output_tokens)
+        held = sum(ledger.held for ledger in decodes)
+        share = sum(ledger.own_tokens for ledger in decodes) / held if held else 1.0
+        per_prompt = 1 + self.rates.output_tokens / self.rates.prompt_tokens
+        landed = sum(ledger.capacity for ledger in decodes) / lifetime
+        prefilled = sum(ledger.facts.prefill_rate for ledger in prefills) * per_prompt
+        return min(landed, prefilled) * share
+
     def predict_transfer(self, ledger: Ledger, tokens: int, *, far: bool = False) -> float:
         """Return the seconds of a KV transfer over a link that others share."""
         streams = 1 + self.landings.get(ledger.facts.name, 0)
--- a/src/beamhatch/decide/pool.py
+++ b/src/beamhatch/decide/pool.py
@@ -32,6 +32,10 @@
 SLACK = 0.5
 """Share of the first-token target that is left for what can't be predicted, such as a place that comes free late."""
 
+DRAIN_SPAN = 0.5
+DRAIN_LIFE = 10.0
+"""Seconds of one measurement of the rate, and for how long it holds."""
+
 LATE_AT_FIRST = 8
 """Requests that may wait before the pool's rate is known."""
 
@@ -82,23 +86,38 @@
 
 @dataclass(slots=True)
 class Drain:
-    """How many KV tokens a pool gives back in a second, as a running mean."""
+    """
+    How many KV tokens a pool gives back in a second while requests wait, as a running mean.
+
+    What is given back while nobody waits says nothing of what the pool can do, and is not counted.
+    """
 
-    rate: float = 0.0
+    _rate: float = 0.0
+    _measured: float = 0.0
     _since: float | None = None
     _sum: int = 0
 
-    def note(self, tokens: int, now: float) -> None:
+    def note(self, tokens: int, now: float, *, waited_for: bool) -> None:
         """Take in tokens that were given back."""
+        if not waited_for:
+            self._since = None
+            return
         if self._since is None:
-            self._since = now
+            self._since, self._sum = now, 0
+            return
         self._sum += tokens
         span = now - self._since
-        if span >= 1.0:
+        if span >= DRAIN_SPAN:
             measured = self._sum / span
-            self.rate = measured if self.rate == 0 else self.rate + 0.3 * (measured - self.rate)
+            known = self.get_rate(now)
+            self._rate = measured if known == 0 else known + 0.3 * (measured - known)
+            self._measured = now
             self._since, self._sum = now, 0
 
+    def get_rate(self, now: float) -> float:
+        """Return the rate, or 0 where none was measured lately."""
+        return self._rate if now - self._measured < DRAIN_LIFE else 0.0
+
 
 @dataclass(slots=True)
 class Pool:
@@ -127,8 +146,8 @@
         if refusal is not None:
             return [refusal]
         late = self._would_be_late(need, now)
-        if late and (need.drop_if_late or not self._has_late_room(need)):
-            return [self._turn(need, Reason.OVERLOADED, "no place in time")]
+        if late and (need.drop_if_late or not self._has_late_room(need, now)):
+            return [self._turn(need, Reason.OVERLOADED, "no place in time", now)]
         self.waiting.add(need, late=late)
         return []
 
@@ -170,7 +189,7 @@
                 if ledger is not None:
                     self.fleet.withdraw(ledger, request)
                 self.fleet.end(placed.decode, request, now)
-                self.drain.note(placed.need.tokens, now)
+                self.drain.note(placed.need.tokens, now, waited_for=bool(self.waiting))
         return self.serve(now)
 
     def serve(self, now: float) -> list[Decision]:
@@ -186,60 +205,68 @@
         for request, (_, limit) in list(self.landings.items()):
             if now >= limit:
                 del self.landings[request]
-                decisions.append(Turned(request, Reason.OVERLOADED, "no decode memory in time", self.predict_wait()))
+                decisions.append(Turned(request, Reason.OVERLOADED, "no decode memory in time", self.predict_wait(now)))
         decisions += self._trim_late(now)
         if self.waiting and not self.fleet.has_any("service" if self.service else "prefill", now):
             for need in list(self.waiting.needs.values()):
                 self.waiting.remove(need.request)
-                decisions.append(self._turn(need, Reason.NO_UPSTREAM, "no upstream can be used"))
+                decisions.append(self._turn(need, Reason.NO_UPSTREAM, "no upstream can be used", now))
         return decisions + self.serve(now)
 
-    def predict_wait(self) -> float:
+    def predict_wait(self, now: float) -> float:
         """Return the seconds until what waits now would have been served."""
-        if self.drain.rate <= 0:
+        rate = self._get_rate(now)
+        if rate <= 0:
             return SHORTEST_RETRY
-        return min(LONGEST_RETRY, max(SHORTEST_RETRY, self.waiting.count_tokens() / self.drain.rate))
+        return min(LONGEST_RETRY, max(SHORTEST_RETRY, self.waiting.count_tokens() / rate))
 
     # --- starting --------------------------------------------------------------------------------------------------
 
     def _refuse(self, need: Need, policy: Policy, now: float) -> Turned | None:
         role = "service" if self.service else "prefill"
         if not self.fleet.has_any(role, now) or not policy.queues:
-            return self._turn(need, Reason.NO_UPSTREAM, "no upstream can be used")
+            return self._turn(need, Reason.NO_UPSTREAM, "no upstream can be used", now)
         if len(self.waiting) >= self.most_waiting:
-            return self._turn(need, Reason.OVERLOADED, "the queue is full")
+            return self._turn(need, Reason.OVERLOADED, "the queue is full", now)
         return None
 
+    def _get_rate(self, now: float) -> float:
+        """Return the measured rate, or the predicted one as long as there is none; 0 where there is neither."""
+        return self.drain.get_rate(now) or (0.0 if self.service else self.fleet.predict_rate())
+
     def _would_be_late(self, need: Need, now: float) -> bool:
         """Tell whether those that go before a request leave it too little time, at the rate seen so far."""
-        if self.drain.rate <= 0:
+        rate = self._get_rate(now)
+        if rate <= 0:
             return now > need.latest_start
-        wait = self.waiting.count_tokens_before(need.priority) / self.drain.rate
+        wait = self.waiting.count_tokens_before(need.priority) / rate
         return now + wait > need.latest_start
 
-    def _has_late_room(self, need: Need) -> bool:
+    def _has_late_room(self, need: Need, now: float) -> bool:
         """Tell whether a late request would still be served in a bearable time, out of the late ones' turns."""
-        if self.drain.rate <= 0:
+        rate = self._get_rate(now)
+        if rate <= 0:
             return len(self.waiting) < LATE_AT_FIRST
-        room = self.drain.rate * self.max_wait / LATE_TURN
+        room = rate * self.max_wait / LATE_TURN
         return self.waiting.count_late_tokens() + need.tokens <= room
 
     def _trim_late(self, now: float) -> list[Decision]:
         """Give up those that turned late, as far as there are more than can be served in a bearable time."""
         self.waiting.move_late(now)
+        rate = self._get_rate(now)
+        room = rate * self.max_wait / LATE_TURN
         decisions: list[Decision] = []
         while (least := self.waiting.pick_least()) is not None:
             dropped = least.drop_if_late or now - least.arrived > LONGEST_WAIT
-            room = self.drain.rate * self.max_wait / LATE_TURN
-            over = self.drain.rate > 0 and self.waiting.count_late_tokens() > room
+            over = rate > 0 and self.waiting.count_late_tokens() > room
             if not dropped and not over:
                 break
             self.waiting.remove(least.request)
-            decisions.append(self._turn(least, Reason.OVERLOADED, "no place in time"))
+            decisions.append(self._turn(least, Reason.OVERLOADED, "no place in time", now))
         return decisions
 
-    def _turn(self, need: Need, reason: Reason, detail: str) -> Turned:
-        return Turned(need.request, reason, detail, round(self.predict_wait(), 2))
+    def _turn(self, need: Need, reason: Reason, detail: str, now: float) -> Turned:
+        return Turned(need.request, reason, detail, round(self.predict_wait(now), 2))
 
     def _start_next(self, now: float) -> Started | None:
         for need in itertools.islice(self.waiting.list_next(), TRIED_AT_ONCE):
@@ -305,7 +332,7 @@
         if placed.first is not None:
             self.fleet.end(placed.first, request, now)
             if self.service:
-                self.drain.note(placed.need.tokens, now)
+                self.drain.note(placed.need.tokens, now, waited_for=bool(self.waiting))
             placed.first = None
 
     def _end_transfer(self, placed: _Placed) -> None:
--- a/src/beamhatch/edge/peer/message.py
+++ b/src/beamhatch/edge/peer/message.py
@@ -218,6 +218,37 @@
     entries: list[str]
 
 
+class Shares(_Message, frozen=True, tag=23):
+    """What the sender has at upstreams: held tokens, promised tokens and requests; ``whole`` replaces all before."""
+
+    whole: bool
+    shares: list[tuple[str, int, int, int]]
+
+
+class RemoteClaim(_Message, frozen=True, tag=24):
+    """Asks a VM of a key's home hall to claim it there for a request of the sender."""
+
+    key: str
+    digest: str
+    request: str
+
+
+class RemoteWatch(_Message, frozen=True, tag=25):
+    """Asks a VM of a key's home hall to answer when its record is no longer under way."""
+
+    key: str
+    request: str
+    seconds: float
+
+
+class RemoteEnd(_Message, frozen=True, tag=26):
+    """Has a VM of a key's home hall tell the holders how a request ended; without an answer the key is freed."""
+
+    key: str
+    request: str
+    answer: WireAnswer | None
+
+
 Message: TypeAlias = (
     Hello
     | Probe
@@ -241,6 +272,10 @@
     | StatusAsk
     | StatusAnswer
     | VmNews
+    | Shares
+    | RemoteClaim
+    | RemoteWatch
+    | RemoteEnd
 )
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/src/beamhatch/settings/schema.py
+++ b/src/beamhatch/settings/schema.py
@@ -192,6 +192,8 @@
     deadline: Seconds | None = None
     repeatable: bool = True
     goal: Literal["goodput", "wasted_prefill"] = "goodput"
+    home_hall: Name | None = None
+    """The hall that keeps this workspace's idempotency records; without it, each key's hall is chosen by its hash."""
     labels: Labels = field(default_factory=dict)
 
 
--- a/src/beamhatch/standin/link.py
+++ b/src/beamhatch/standin/link.py
@@ -67,7 +67,7 @@
         self.target = target
         self.way = way
         self.other = other
-        self.source = other.source if other is not None else ""
+        self.source: str = other.source if other is not None else ""
         self.waiting: list[bytes] = []
 
     def connectionMade(self) -> None:
--- a/src/beamhatch/task/hall_records.py
+++ b/src/beamhatch/task/hall_records.py
@@ -4,6 +4,9 @@
 dead ones too, until the platform's VM list drops them. A majority of them must grant a key before its request may be
 dispatched. Two majorities of the same holders always meet, so neither a cut nor a wrong suspicion lets a key run twice.
 
+Each key has one home hall. A VM of another hall has a VM of the home hall claim the key for it; where that hall is cut
+off, the key is refused at once.
+
 A VM grants only after it has read the records of the others for the set of VMs that is registered now. So a VM that
 lost its memory, or a change of the set, opens no gap while at most one holder of a key is lost at a time.
 """
@@ -28,10 +31,13 @@
     RecordPut,
     RecordSync,
     RecordWatch,
+    RemoteClaim,
+    RemoteEnd,
+    RemoteWatch,
     WireAnswer,
     WireRecord,
 )
-from beamhatch.ids import Boot, RecordKey, RequestId, VmName
+from beamhatch.ids import Boot, HallName, RecordKey, RequestId, VmName
 from beamhatch.observe.log import Part, get_log
 from beamhatch.task.records import RETRY_SOON, Records, make_kept, read_record
 
@@ -44,6 +50,8 @@
     from beamhatch.settings.schema import Settings
     from beamhatch.task.mesh import Mesh
 
+MIN_COPIES = 2
+"""A record needs a second VM, unless the hall is said to have one only."""
 PAGE = 200
 """Records in one page of a sync."""
 SYNC_RETRY = 0.2
@@ -64,6 +72,10 @@
         self._metrics = metrics
         limits = settings.limits
         self.store = RecordStore(limits.records, limits.record_bytes, settings.timing.record_retention)
+        self.halls: set[HallName] = set()
+        """All halls of the configuration."""
+        self.home_halls: dict[str, HallName] = {}
+        """By workspace, where it names one."""
         self._ready_epoch = ""
         self._syncing_epoch = ""
         self._pages: dict[VmName, list[RecordKey]] = {}
@@ -74,6 +86,9 @@
         mesh.handle(RecordEnd, self._take_end)
         mesh.handle(RecordWatch, self._take_watch)
         mesh.handle(RecordSync, self._take_sync)
+        mesh.handle(RemoteClaim, lambda hello, claim: defer.ensureDeferred(self._take_remote_claim(hello, claim)))
+        mesh.handle(RemoteWatch, lambda hello, watch: defer.ensureDeferred(self._take_remote_watch(hello, watch)))
+        mesh.handle(RemoteEnd, self._take_remote_end)
         mesh.call_on_change(self._take_change)
 
     def start(self) -> None:
@@ -91,68 +106,89 @@
         """Take the key of a call on a majority of its holders, or return what to tell its caller."""
         limit = call.deadline if call.deadline is not None else self._clock.now() + JOIN_LIMIT
         while True:
-            taken = await self._put_all(call)
+            taken = await self._claim_once(call)
             if taken is None or not isinstance(taken, Record):
                 return taken
             if taken.digest != call.digest or taken.state is not RecordState.RECORDED:
                 return read_record(taken, call.digest)
-            settled = await self._wait_for(taken, limit)
+            settled = await self._wait_at_home(call, taken, limit)
             if settled is not None:
                 return read_record(settled, call.digest)
             if self._clock.now() >= limit:
                 return Unknown(Reason.KEY_IN_USE, "the first request with this key is under way", RETRY_SOON)
 
-    async def _put_all(self, call: Call) -> Record | Outcome | None:
+    async def _claim_once(self, call: Call) -> Record | Outcome | None:
+        """Claim a key in its home hall; None says that it was granted."""
         assert call.key is not None
-        holders = self._list_holders(call.key)
-        needed = len(holders) // 2 + 1
-        if self._settings.copies > 1 and len(holders) < 2:
-            return self._refuse(call, Reason.RECORDS_UNREACHABLE, "no second entry VM of the hall is known")
-        answers = await self._put_in_order(call, holders)
-        for answer in answers.values():
-            if answer is not None and answer.result == "taken" and answer.record is not None:
-                self._release(call, holders)
-                return self._read_wire(answer.record)
-        if sum(1 for answer in answers.values() if answer is not None and answer.result == "granted") >= needed:
+        home = self.find_home(call.key)
+        answer: RecordAnswer | None
+        if home == self._mesh.hall:
+            me = self._mesh.members.me
+            answer = await self._put_all(RecordPut(self._epoch(), call.key, call.digest, me.vm, me.boot, call.request))
+        else:
+            claim = RemoteClaim(call.key, call.digest, call.request)
+            answer = await self._ask_home(home, claim, 2 * self._settings.timing.record_limit)
+        if answer is None:
+            return self._refuse(call, Reason.RECORDS_UNREACHABLE, f"hall {home}, which keeps the key, can't be reached")
+        if answer.result == "granted":
             return None
-        self._release(call, holders)
-        if any(answer is not None and answer.result == "full" for answer in answers.values()):
+        if answer.result == "taken" and answer.record is not None:
+            return self._read_wire(answer.record)
+        if answer.result == "full":
             return self._refuse(call, Reason.RECORDS_FULL, "the idempotency records are full")
         return self._refuse(call, Reason.RECORDS_UNREACHABLE, "too few holders of the key can be reached")
 
-    async def _put_in_order(self, call: Call, holders: list[VmName]) -> dict[VmName, RecordAnswer | None]:
+    async def _put_all(self, put: RecordPut) -> RecordAnswer:
+        """Take a key on a majority of its holders in this hall; what was taken in vain is freed."""
+        holders = self._list_holders(put.key)
+        needed = len(holders) // 2 + 1
+        if self._settings.copies > 1 and len(holders) < MIN_COPIES:
+            return RecordAnswer("unready")
+        answers = [answer for answer in await self._put_in_order(put, holders) if answer is not None]
+        taken = next((answer for answer in answers if answer.result == "taken"), None)
+        if taken is None and sum(1 for answer in answers if answer.result == "granted") >= needed:
+            return RecordAnswer("granted")
+        self._tell_holders(RecordEnd(put.key, put.request, None))
+        full = next((answer for answer in answers if answer.result == "full"), None)
+        return taken or full or RecordAnswer("unready")
+
+    async def _put_in_order(self, put: RecordPut, holders: list[VmName]) -> list[RecordAnswer | None]:
         """Ask the holders one by one until one answers, then the rest together: who wins the first, wins them all."""
-        answers: dict[VmName, RecordAnswer | None] = {}
+        answers: list[RecordAnswer | None] = []
         rest = list(holders)
         while rest:
-            holder = rest.pop(0)
-            answer = answers[holder] = await self._put(call, holder)
-            if answer is not None and answer.result in ("granted", "taken"):
+            answer = await self._put(put, rest.pop(0))
+            answers.append(answer)
+            if answer is not None and answer.result == "taken":
+                return answers
+            if answer is not None and answer.result == "granted":
                 break
-        if any(answer is not None and answer.result == "taken" for answer in answers.values()):
-            return answers
-        asked = [defer.ensureDeferred(self._put(call, holder)) for holder in rest]
-        for holder, answer in zip(rest, asked, strict=True):
-            answers[holder] = await answer
-        return answers
-
-    async def _put(self, call: Call, holder: VmName) -> RecordAnswer | None:
-        assert call.key is not None
-        me = self._mesh.members.me
-        put = RecordPut(self._epoch(), call.key, call.digest, me.vm, me.boot, call.request)
+        asked = [defer.ensureDeferred(self._put(put, holder)) for holder in rest]
+        return answers + [await one for one in asked]
+
+    async def _put(self, put: RecordPut, holder: VmName) -> RecordAnswer | None:
         answer = await self._mesh.ask(holder, put, self._settings.timing.record_limit)
         return answer if isinstance(answer, RecordAnswer) else None
 
-    async def _wait_for(self, record: Record, limit: float) -> Record | None:
+    async def _wait_at_home(self, call: Call, record: Record, limit: float) -> Record | None:
         """Wait until a record is settled; None says that its key may be free again, or that the time is over."""
         seconds = min(WATCH_LIMIT, limit - self._clock.now())
         if seconds <= 0:
             return None
-        watch = RecordWatch(record.key, record.request)
-        holders = self._list_holders(record.key)
-        asked = [defer.ensureDeferred(self._mesh.ask(holder, watch, seconds)) for holder in holders]
+        home = self.find_home(record.key)
+        if home == self._mesh.hall:
+            answer = await self._wait_for(RecordWatch(record.key, record.request), seconds)
+        else:
+            answer = await self._ask_home(home, RemoteWatch(record.key, record.request, seconds), seconds + 1)
+        if answer is not None and answer.record is not None:
+            return self._read_wire(answer.record)
+        return None
+
+    async def _wait_for(self, watch: RecordWatch, seconds: float) -> RecordAnswer | None:
+        """Ask all holders to answer when a record is settled, and take the first answer."""
+        holders = self._list_holders(watch.key)
         settled: defer.Deferred[RecordAnswer | None] = defer.Deferred()
-        left = len(asked)
+        left = len(holders)
 
         def take(answer: RecordAnswer | None) -> None:
             nonlocal left
@@ -160,14 +196,13 @@
             if not settled.called and (answer is not None or left == 0):
                 settled.callback(answer)
 
+        asked = [defer.ensureDeferred(self._mesh.ask(holder, watch, seconds)) for holder in holders]
         for one in asked:
             one.addCallback(take)
         answer = await settled
         for one in asked:
             one.cancel()
-        if answer is not None and answer.record is not None:
-            return self._read_wire(answer.record)
-        return None
+        return answer
 
     def _refuse(self, call: Call, reason: Reason, detail: str) -> Outcome:
         """Refuse without having seen the records: an earlier attempt of the key may have run."""
@@ -190,19 +225,19 @@
 
     def drop(self, call: Call) -> None:
         """Free a key, because its request is proved not to have run."""
-        if call.key is not None:
-            self._release(call, self._list_holders(call.key))
+        self._tell_end(call, None)
 
-    def _tell_end(self, call: Call, answer: KeptAnswer) -> None:
+    def _tell_end(self, call: Call, answer: KeptAnswer | None) -> None:
         assert call.key is not None
-        end = RecordEnd(call.key, call.request, _answer_to_wire(answer))
-        for holder in self._list_holders(call.key):
-            defer.ensureDeferred(self._tell(holder, end))
+        wire = _answer_to_wire(answer) if answer is not None else None
+        home = self.find_home(call.key)
+        if home == self._mesh.hall:
+            self._tell_holders(RecordEnd(call.key, call.request, wire))
+        else:
+            defer.ensureDeferred(self._tell_home(home, RemoteEnd(call.key, call.request, wire)))
 
-    def _release(self, call: Call, holders: Sequence[VmName]) -> None:
-        assert call.key is not None
-        end = RecordEnd(call.key, call.request, None)
-        for holder in holders:
+    def _tell_holders(self, end: RecordEnd) -> None:
+        for holder in self._list_holders(end.key):
             defer.ensureDeferred(self._tell(holder, end))
 
     async def _tell(self, holder: VmName, end: RecordEnd) -> None:
@@ -210,9 +245,47 @@
         for _ in range(TELL_TRIES):
             if await self._mesh.ask(holder, end, self._settings.timing.record_limit) is not None:
                 return
-            pause: defer.Deferred[None] = defer.Deferred()
-            self._clock.call_later(SYNC_RETRY, pause.callback, None)
-            await pause
+            await self._pause(SYNC_RETRY)
+
+    # --- other halls -----------------------------------------------------------------------------------------------
+
+    def find_home(self, key: str) -> HallName:
+        """Return the hall that keeps a key: the one its workspace names, or the first in the key's order."""
+        workspace = key.partition("/")[0]
+        named = self.home_halls.get(workspace)
+        if named is not None:
+            return named
+        return rank(key, sorted({self._mesh.hall, *self.halls}))[0]
+
+    async def _ask_home(self, home: HallName, message: RemoteClaim | RemoteWatch, limit: float) -> RecordAnswer | None:
+        """Ask a VM of another hall; None at once where the hall is cut off."""
+        for vm in self._mesh.far.find_in(home, self._clock.now())[:1]:
+            answer = await self._mesh.ask(vm, message, limit)
+            return answer if isinstance(answer, RecordAnswer) else None
+        return None
+
+    async def _tell_home(self, home: HallName, end: RemoteEnd) -> None:
+        for _ in range(TELL_TRIES):
+            for vm in self._mesh.far.find_in(home, self._clock.now())[:1]:
+                if await self._mesh.ask(vm, end, self._settings.timing.record_limit) is not None:
+                    return
+            await self._pause(SYNC_RETRY)
+
+    async def _take_remote_claim(self, hello: Hello, claim: RemoteClaim) -> RecordAnswer:
+        put = RecordPut(self._epoch(), claim.key, claim.digest, hello.vm, hello.boot, claim.request)
+        return await self._put_all(put)
+
+    async def _take_remote_watch(self, _: Hello, watch: RemoteWatch) -> RecordAnswer | None:
+        return await self._wait_for(RecordWatch(watch.key, watch.request), min(watch.seconds, WATCH_LIMIT))
+
+    def _take_remote_end(self, _: Hello, end: RemoteEnd) -> Done:
+        self._tell_holders(RecordEnd(end.key, end.request, end.answer))
+        return Done()
+
+    async def _pause(self, seconds: float) -> None:
+        pause: defer.Deferred[None] = defer.Deferred()
+        self._clock.call_later(seconds, pause.callback, None)
+        await pause
 
     # --- as a holder -----------------------------------------------------------------------------------------------
 
@@ -308,9 +381,7 @@
                 if await self._sync_with(vm, epoch):
                     synced.add(vm)
             if set(left) - synced:
-                pause: defer.Deferred[None] = defer.Deferred()
-                self._clock.call_later(SYNC_RETRY, pause.callback, None)
-                await pause
+                await self._pause(SYNC_RETRY)
         if self._syncing_epoch == epoch:
             self._syncing_epoch = ""
 
--- a/src/beamhatch/task/mesh.py
+++ b/src/beamhatch/task/mesh.py
@@ -31,6 +31,7 @@
 from beamhatch.edge.peer.stream import PeerStream
 from beamhatch.ids import Boot, HallName, VmName
 from beamhatch.observe.log import Part, get_log
+from beamhatch.task.far import FarVms
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -40,6 +41,7 @@
     from beamhatch.settings.schema import Timing
 
 TICK = 0.1
+FAR_PROBE_PERIOD = 0.5
 HELLO_LIMIT = 2.0
 """Seconds for the greeting of a new stream."""
 REDIAL = 0.5
@@ -67,6 +69,7 @@
         self.members = Members(me, timing.probe_period, timing.probe_timeout, timing.suspicion, rng)
         self._out: dict[str, PeerStream] = {}
         """Streams that this VM dialled, by address, once greeted."""
+        self.far = FarVms()
         self._dialling: set[str] = set()
         self._own_addresses: set[str] = set()
         self._streams: set[PeerStream] = set()
@@ -93,6 +96,7 @@
         self.members.me = Note(me.vm, me.boot, me.incarnation, me.health, address)
         self._tick()
         self._dial_all()
+        self._probe_far()
 
     # --- for the other tasks ---------------------------------------------------------------------------------------
 
@@ -106,14 +110,14 @@
 
     def cast(self, vm: VmName, message: Message) -> bool:
         """Send a message that is not answered; return False where no stream is open."""
-        stream = self._find_stream(vm)
+        stream = self._find_stream(vm) or self.far.find(vm)
         return stream is not None and stream.send(message)
 
     async def ask(self, vm: VmName, message: Message, limit: float) -> Any:
         """Send a message and return its answer, or None where none came in time."""
         if vm == self.vm:
             return await self._handle_own(message)
-        stream = self._find_stream(vm)
+        stream = self._find_stream(vm) or self.far.find(vm)
         if stream is None or len(self._asks) >= MOST_OPEN_ASKS:
             return None
         self._numbers += 1
@@ -129,6 +133,11 @@
             if timer.active():
                 timer.cancel()
 
+    def list_reachable(self) -> list[VmName]:
+        """Return the other VMs of all halls that can be told something now."""
+        near = [vm for vm in self.members.list_alive() if vm != self.vm]
+        return [*near, *self.far.list_names()]
+
     def leave(self) -> None:
         """Tell all that this VM leaves as planned."""
         news = News([_to_wire(self.members.leave())])
@@ -171,13 +180,17 @@
         return Hello(PROTOCOL, me.vm, me.boot, self.hall, self.address, notes)
 
     def _greet(self, stream: PeerStream, hello: Hello, dialled: str | None) -> None:
-        if hello.vm == self.vm or hello.hall != self.hall:
-            if hello.vm == self.vm and dialled is not None:
+        if hello.vm == self.vm:
+            if dialled is not None:
                 self._own_addresses.add(dialled)
             stream.close()
             return
         if dialled is not None:
             self._out[dialled] = stream
+        if hello.hall != self.hall:
+            if dialled is not None:
+                self.far.add(stream, hello, self._clock.now())
+            return
         note = Note(VmName(hello.vm), Boot(hello.boot), 0, Health.ALIVE, hello.address)
         self._do(self.members.take_notes([note], self._clock.now()))
         self._take_notes(hello.notes)
@@ -186,6 +199,7 @@
         self._streams.discard(stream)
         if dialled is not None and self._out.get(dialled) is stream:
             del self._out[dialled]
+        self.far.remove(stream)
         self._dialling.discard(dialled or "")
         if stream.peer is None:
             return
@@ -234,7 +248,10 @@
             stream.send(ProbeAnswer(message.number, self.sequence(), self._pick_notes()))
         elif isinstance(message, ProbeAnswer):
             self._take_news(hello, message.sequence, message.notes)
-            self._take_probe_answer(message.number)
+            if hello.hall == self.hall:
+                self._take_probe_answer(message.number)
+            else:
+                self.far.note_answer(stream, self._clock.now())
         elif isinstance(message, ProbeThrough):
             self._probe_for(stream, message)
         elif isinstance(message, News):
@@ -321,10 +338,17 @@
             self.members.take_ack(number)
 
     def _take_news(self, hello: Hello, sequence: int, notes: list[MemberNote]) -> None:
-        self._take_notes(notes)
+        if hello.hall == self.hall:
+            self._take_notes(notes)
         if sequence > self.sequence():
             self.take_sequence(VmName(hello.vm), sequence)
 
+    def _probe_far(self) -> None:
+        """Probe the VMs of other halls; what they have in force comes with the answer."""
+        for stream in self.far.list_all():
+            stream.send(Probe(0, self.sequence(), []))
+        self._clock.call_later(FAR_PROBE_PERIOD, self._probe_far)
+
     def _take_notes(self, notes: list[MemberNote]) -> None:
         read = [Note(VmName(n.vm), Boot(n.boot), n.incarnation, Health(n.health), n.address) for n in notes]
         self._do(self.members.take_notes(read, self._clock.now()))
--- a/src/beamhatch/task/node.py
+++ b/src/beamhatch/task/node.py
@@ -32,6 +32,7 @@
 from beamhatch.task.pause import PauseGuard
 from beamhatch.task.pools import Pools
 from beamhatch.task.router import Router
+from beamhatch.task.sharing import Sharing
 from beamhatch.task.vms import VmWatch
 
 if TYPE_CHECKING:
@@ -88,6 +89,7 @@
             self.traffic,
             self.comparison,
         )
+        self.sharing = Sharing(clock, self.mesh, self.pools)
         self.router.pools = self.pools
         self.router.records = self.records
         self.router.find_serving = lambda call: self.traffic.find(call.labels, call.identity)
@@ -121,7 +123,7 @@
         context = make_client_context(settings.peer.tls) if settings.peer.tls else None
         address = settings.peer.advertised or f"{settings.peer.host}:{peer_port}"
         self.mesh.start(address, settings.peer.host, context)
-        for task in (self.guard, self.router, self.pools, self.guards, self.records, self.vms):
+        for task in (self.guard, self.router, self.pools, self.sharing, self.guards, self.records, self.vms):
             task.start()
 
     def _listen_peers(self, peer: Peer) -> int:
@@ -180,6 +182,9 @@
         self.traffic.apply(configuration.list_slices(), configuration.list_policies())
         weights = {WorkspaceName(workspace.name): workspace.weight for workspace in workspaces}
         self.pools.apply(configuration.list_pools(), weights)
+        upstreams = [upstream for pool in configuration.list_pools() for upstream in pool.upstreams]
+        self.records.halls = {HallName(upstream.hall) for upstream in upstreams}
+        self.records.home_halls = {item.name: HallName(item.home_hall) for item in workspaces if item.home_hall}
 
     def explain_unready(self) -> str | None:
         """Return why this VM should get no new requests, or None."""
--- a/src/beamhatch/task/pools.py
+++ b/src/beamhatch/task/pools.py
@@ -12,11 +12,11 @@
 
 from beamhatch.decide.circuit import RetryBudget
 from beamhatch.decide.fleet import Fleet
-from beamhatch.decide.ledger import Facts, Report, Standing
+from beamhatch.decide.ledger import Facts, Report, Share, Standing
 from beamhatch.decide.outcome import Reason
 from beamhatch.decide.pool import Landing, Pool, Started, Turned
 from beamhatch.decide.request import Landed, Placed, PlacementRefused
-from beamhatch.ids import HallName, UpstreamName, WorkspaceName
+from beamhatch.ids import HallName, UpstreamName, VmName, WorkspaceName
 from beamhatch.observe.log import Part, get_log
 
 if TYPE_CHECKING:
@@ -253,6 +253,32 @@
             else:
                 exchange.feed(PlacementRefused(decision.reason, decision.detail, decision.retry_after))
 
+    # --- what other VMs have ---------------------------------------------------------------------------------------
+
+    def take_changed_shares(self) -> dict[UpstreamName, Share]:
+        """Return this VM's shares that changed since the last call."""
+        changed: dict[UpstreamName, Share] = {}
+        for hosted in self.hosted.values():
+            changed.update(hosted.pool.fleet.take_changed())
+        return changed
+
+    def list_shares(self) -> dict[UpstreamName, Share]:
+        """Return all that this VM has anywhere."""
+        ledgers = [ledger for hosted in self.hosted.values() for ledger in hosted.pool.fleet.ledgers.values()]
+        return {ledger.facts.name: ledger.own_share for ledger in ledgers if ledger.own or ledger.promises}
+
+    def take_share(self, name: UpstreamName, vm: VmName, share: Share | None) -> None:
+        """Take in what another VM has at an upstream."""
+        for hosted in self.hosted.values():
+            hosted.pool.fleet.take_share(name, vm, share, self._clock.now())
+
+    def serve_all(self) -> None:
+        """Give places to those that wait, in all pools."""
+        now = self._clock.now()
+        for hosted in list(self.hosted.values()):
+            if hosted.pool.waiting or hosted.pool.landings:
+                self._carry(hosted.pool.serve(now))
+
     # --- reports ---------------------------------------------------------------------------------------------------
 
     def _read_all(self, again: bool = True) -> None:
--- a/tests/support/hall.py
+++ b/tests/support/hall.py
@@ -5,6 +5,7 @@
 import itertools
 import json
 import os
+from functools import partial
 from typing import TYPE_CHECKING, Any
 
 from tests.support.call import Answer, call
@@ -121,7 +122,7 @@
     def wait_formed(self) -> None:
         """Wait until every running VM knows all others, may grant keys, and has fresh reports."""
         for vm in self.vms:
-            wait_until(lambda vm=vm: self._is_formed(vm), f"{vm} is formed")
+            wait_until(partial(self._is_formed, vm), f"{vm} is formed")
 
     def _is_formed(self, vm: str) -> bool:
         status = self.admin(vm, "/status")
--- a/tests/support/process.py
+++ b/tests/support/process.py
@@ -44,7 +44,7 @@
             if line.startswith("READY "):
                 self.ready = line.split()[1:]
                 return self.ready
-        raise AssertionError(f"{self.process.args} ended early: {self.read_log()}")
+        raise AssertionError(f"{self.process.args!r} ended early: {self.read_log()}")
 
     def read_log(self) -> str:
         """Return what the program logged."""
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -4,6 +4,7 @@
 
 import signal
 from concurrent.futures import ThreadPoolExecutor
+from functools import partial
 from typing import TYPE_CHECKING
 
 import pytest
@@ -20,6 +21,10 @@
     return hall.count_runs("runs", f"order-desk/{key}")
 
 
+def is_told(hall: Hall, key: str) -> bool:
+    return hall.ask_service("vm-2", key).status in (200, 409, 502)
+
+
 def test_a_repeat_at_another_vm_gets_the_kept_answer(hall: Hall) -> None:
     hall.start(services=2)
     answers = [hall.ask_service(vm, "k1") for vm in hall.vms]
@@ -135,7 +140,7 @@
     hall.heal()
     hall.wait_formed()
     for key in keys:
-        wait_until(lambda key=key: hall.ask_service("vm-2", key).status in (200, 409, 502), f"{key} is told")
+        wait_until(partial(is_told, hall, key), f"{key} is told")
         assert count(hall, key) <= 1
 
 
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import json
 import signal
 import time
+import urllib.error
 from concurrent.futures import ThreadPoolExecutor
+from functools import partial
 from typing import TYPE_CHECKING, Any
 
 import pytest
@@ -19,14 +22,10 @@
 
 def put_workspace(hall: Hall, vm: str, name: str, weight: float, **extra: Any) -> dict[str, Any]:
     """Put one workspace; return the answer with its HTTP status."""
-    import urllib.error
-
     value = {"documents": [{"kind": "workspace", "name": name, "weight": weight}], **extra}
     try:
         return {"status": 200, **hall.admin(vm, "/config", value)}
     except urllib.error.HTTPError as error:
-        import json
-
         with error:
             return {"status": error.code, **json.load(error)}
 
@@ -36,10 +35,14 @@
     return None if found is None else float(found["document"]["weight"])
 
 
+def has_weight(hall: Hall, vm: str, name: str, weight: float) -> bool:
+    return find_weight(hall, vm, name) == weight
+
+
 def wait_in_force(hall: Hall, name: str, weight: float, vms: list[str] | None = None) -> float:
     start = time.monotonic()
     for vm in vms or hall.vms:
-        wait_until(lambda vm=vm: find_weight(hall, vm, name) == weight, f"in force on {vm}", IN_FORCE_LIMIT)
+        wait_until(partial(has_weight, hall, vm, name, weight), f"in force on {vm}", IN_FORCE_LIMIT)
     return time.monotonic() - start
 
 
@@ -171,9 +174,6 @@
     ],
 )
 def test_an_unusable_document_is_rejected_with_the_place(hall: Hall, document: dict[str, Any], problem: str) -> None:
-    import json
-    import urllib.error
-
     hall.start(vms=1, services=0)
     with pytest.raises(urllib.error.HTTPError) as caught:
         order(hall.admin_ports["vm-1"], "/config", {"documents": [document]})
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -6,11 +6,14 @@
 from typing import TYPE_CHECKING
 
 import openai
+from openai.types.chat import ChatCompletionChunk
 
 from beamhatch.standin.engine import expect_text
 from tests.support.call import call, complete
 
 if TYPE_CHECKING:
+    from openai.types.chat import ChatCompletionMessageParam
+
     from tests.support.hall import Hall
 
 
@@ -32,9 +35,11 @@
             chunks = client.completions.create(model="lm-desk", prompt=prompt, max_tokens=6, stream=True)
             return "".join(chunk.choices[0].text for chunk in chunks) == expect_text(prompt, 6)
         if kind == 2:
-            messages = [{"role": "user", "content": prompt}]
-            chat = client.chat.completions.create(model="lm-desk", messages=messages, max_tokens=5, stream=True)  # type: ignore[call-overload]
-            text = "".join(chunk.choices[0].delta.content or "" for chunk in chat)
+            messages: list[ChatCompletionMessageParam] = [{"role": "user", "content": prompt}]
+            chat = client.chat.completions.create(model="lm-desk", messages=messages, max_tokens=5, stream=True)
+            text = "".join(
+                chunk.choices[0].delta.content or "" for chunk in chat if isinstance(chunk, ChatCompletionChunk)
+            )
             return bool(text == expect_text(f"user: {prompt}", 5))
         answer = call(hall.ports[hall.vms[number % 3]], f"/services/acct-svc/margin/{number}", {"number": number})
         return answer.status == 200 and answer.value["body"] == {"number": number}
