--- a/src/beamhatch/decide/fleet.py
+++ b/src/beamhatch/decide/fleet.py
@@ -159,8 +159,7 @@
         return (prompt_tokens / prefill if prefill else 0.0) + (prompt_tokens / link if link else 0.0)
 
     def predict_rate(self) -> float:
-        """
-        Return the KV tokens a second that the engines should give back to this VM, from what is known of them.
+        """Return the KV tokens a second that the engines should give back to this VM, from what is known of them.
 
         The slower stage counts, and of it the share that this VM has of all that is held.
         """
--- a/src/beamhatch/decide/pool.py
+++ b/src/beamhatch/decide/pool.py
@@ -86,8 +86,7 @@
 
 @dataclass(slots=True)
 class Drain:
-    """
-    How many KV tokens a pool gives back in a second while requests wait, as a running mean.
+    """How many KV tokens a pool gives back in a second while requests wait, as a running mean.
 
     What is given back while nobody waits says nothing of what the pool can do, and is not counted.
     """
--- a/src/beamhatch/standin/link.py
+++ b/src/beamhatch/standin/link.py
@@ -1,7 +1,8 @@
 """A fault-injecting TCP proxy: links between two addresses, which can be cut, cut one way, delayed or closed.
 
 Orders come over HTTP on a port of their own. ``POST /set {"drops": [{"source": IP, "target": "HOST:PORT", "way":
-"forward" | "back"}], "delay": 0.0}`` replaces all faults; ``*`` stands for any source or target. What is dropped is
+"forward" | "back"}], "delay": 0.0}`` replaces all faults; a target is either address of a link, and ``*`` stands for
+any. What is dropped is
 lost while the connections stay open. ``POST /close`` breaks all connections.
 """
 
@@ -40,16 +41,17 @@
     def carry(self, way: str, side: _Side, data: bytes) -> None:
         """Carry bytes to the other side, late or not at all."""
         other = side.other
-        if other is None or self._is_dropped(side.source, side.target, way):
+        if other is None or self._is_dropped(side, way):
             return
         if self.delay:
             self.reactor.callLater(self.delay, other.send, data)
         else:
             other.send(data)
 
-    def _is_dropped(self, source: str, target: str, way: str) -> bool:
+    def _is_dropped(self, side: _Side, way: str) -> bool:
+        targets = ("*", side.target, side.address)
         return any(
-            drop.source in ("*", source) and drop.target in ("*", target) and drop.way == way for drop in self.drops
+            drop.source in ("*", side.source) and drop.target in targets and drop.way == way for drop in self.drops
         )
 
     def close_all(self) -> None:
@@ -62,8 +64,9 @@
 class _Side(protocol.Protocol):
     """One end of a connection through a link."""
 
-    def __init__(self, link: Link, target: str, way: str, other: _Side | None) -> None:
+    def __init__(self, link: Link, address: str, target: str, way: str, other: _Side | None) -> None:
         self.link = link
+        self.address = address
         self.target = target
         self.way = way
         self.other = other
@@ -83,7 +86,7 @@
     def _dial(self) -> None:
         factory = protocol.ClientFactory()
         factory.noisy = False
-        factory.buildProtocol = lambda _: _Side(self.link, self.target, "back", self)
+        factory.buildProtocol = lambda _: _Side(self.link, self.address, self.target, "back", self)
         factory.clientConnectionFailed = lambda *_: self.transport.abortConnection()
         host, _, port = self.target.partition(":")
         self.link.reactor.connectTCP(host, int(port), factory, timeout=2)
@@ -141,7 +144,7 @@
 def _listen(reactor: Any, link: Link, address: str, target: str) -> None:
     factory = protocol.Factory()
     factory.noisy = False
-    factory.buildProtocol = lambda _: _Side(link, target, "forward", None)
+    factory.buildProtocol = lambda _: _Side(link, address, target, "forward", None)
     host, _, port = address.partition(":")
     reactor.listenTCP(int(port), factory, interface=host)
 
--- a/tests/support/hall.py
+++ b/tests/support/hall.py
@@ -16,6 +16,8 @@
 
 _NUMBERS = itertools.count(1)
 PEER_PORT = 7411
+KV_PORT = 7379
+FIRST_HALL = "kl-a"
 
 TIMING = {
     "load_period": 0.1,
@@ -42,6 +44,7 @@
         self.ports: dict[str, int] = {}
         self.admin_ports: dict[str, int] = {}
         self.vms: list[str] = []
+        self.halls: dict[str, str] = {}
         self._net = f"127.{os.getpid() % 200 + 20}.{next(_NUMBERS)}"
         self._documents: list[dict[str, Any]] = []
         self._overrides: dict[str, Any] = {}
@@ -58,11 +61,13 @@
         engine: dict[str, Any] | None = None,
         vm_list: bool = False,
         documents: list[dict[str, Any]] | None = None,
+        halls: dict[str, str] | None = None,
         **overrides: Any,
     ) -> Hall:
         """Start everything and wait until the VMs may grant keys."""
         self.vms = [f"vm-{number}" for number in range(1, vms + 1)]
         self._overrides = overrides
+        self.halls = {vm: (halls or {}).get(vm, FIRST_HALL) for vm in self.vms}
         shape = [f"--{name.replace('_', '-')}={value}" for name, value in (engine or {}).items()]
         self._spawn("kv", "beamhatch.standin.kv", [])
         if vm_list:
@@ -73,10 +78,12 @@
                 self._spawn(name, "beamhatch.standin.engine", [f"--name={name}", f"--role={role}", *shape])
         for number in range(1, services + 1):
             self._spawn(f"service-{number}", "beamhatch.standin.service", [f"--name=service-{number}"])
-        pairs = [f"{self._link(vm)}:{PEER_PORT}={self.host(vm)}:{PEER_PORT}" for vm in self.vms]
+        kv = f"127.0.0.1:{int(self.programs['kv'].wait_ready()[-1])}"
+        pairs = [f"{self.kv_link(hall)}={kv}" for hall in sorted(set(self.halls.values()))]
+        pairs += [f"{self._link(vm)}:{PEER_PORT}={self.host(vm)}:{PEER_PORT}" for vm in self.vms]
         self._spawn("links", "beamhatch.standin.link", [f"--link={pair}" for pair in pairs])
         for name, program in self.programs.items():
-            self.ports[name] = int(program.wait_ready()[-1])
+            self.ports[name] = int((program.ready or program.wait_ready())[-1])
         self._documents = [*self._make_documents(prefill, decode, services), *(documents or [])]
         for vm in self.vms:
             self.start_vm(vm, wait=False)
@@ -95,7 +102,7 @@
 
     def make_settings(self, vm: str) -> dict[str, Any]:
         """Return the settings of one VM."""
-        platform = {"kv": f"127.0.0.1:{self.ports['kv']}"}
+        platform = {"kv": self.kv_link(self.halls[vm])}
         if "vmlist" in self.ports:
             platform["vm_list"] = f"127.0.0.1:{self.ports['vmlist']}"
         peer = {
@@ -106,12 +113,12 @@
         }
         settings: dict[str, Any] = {
             "vm": vm,
-            "hall": "kl-a",
+            "hall": self.halls[vm],
             "caller": {"port": 0},
             "admin": {"port": 0},
             "peer": peer,
             "platform": platform,
-            "copies": min(3, len(self.vms)),
+            "copies": min(3, list(self.halls.values()).count(self.halls[vm])),
             "timing": TIMING,
             "configuration": self._documents,
         }
@@ -129,7 +136,10 @@
         alive = [member for member in status["members"] if member["health"] == "alive"]
         upstreams = self.admin(vm, "/upstreams")
         fresh = all(row["report_age"] is not None for row in upstreams)
-        return status["ready"] and status["records_ready"] and len(alive) == len(self.vms) and fresh
+        return status["ready"] and status["records_ready"] and len(alive) == self._count_near(vm) and fresh
+
+    def _count_near(self, vm: str) -> int:
+        return list(self.halls.values()).count(self.halls[vm])
 
     def _spawn(self, name: str, module: str, arguments: list[str]) -> None:
         old = self.programs.pop(name, None)
@@ -144,8 +154,14 @@
         self.admin_ports[vm] = int(named["admin"])
 
     def _make_documents(self, prefill: int, decode: int, services: int) -> list[dict[str, Any]]:
+        names = sorted(set(self.halls.values()))
         upstreams = [
-            {"name": f"{role}-{n}", "address": f"127.0.0.1:{self.ports[f'{role}-{n}']}", "hall": "kl-a", "role": role}
+            {
+                "name": f"{role}-{n}",
+                "address": f"127.0.0.1:{self.ports[f'{role}-{n}']}",
+                "hall": names[(n - 1) % len(names)],
+                "role": role,
+            }
             for role, count in (("prefill", prefill), ("decode", decode), ("service", services))
             for n in range(1, count + 1)
         ]
@@ -161,6 +177,10 @@
     def host(self, vm: str) -> str:
         return f"{self._net}.{self.vms.index(vm) + 1}"
 
+    def kv_link(self, hall: str) -> str:
+        """Return the address of the link by which a hall reaches the platform."""
+        return f"{self._net}.{201 + sorted(set(self.halls.values())).index(hall)}:{KV_PORT}"
+
     def _link(self, vm: str) -> str:
         return f"{self._net}.{self.vms.index(vm) + 101}"
 
