--- a/tests/support/hall.py
+++ b/tests/support/hall.py
@@ -45,6 +45,7 @@
         self.admin_ports: dict[str, int] = {}
         self.vms: list[str] = []
         self.halls: dict[str, str] = {}
+        self.peer_tls: dict[str, dict[str, str]] = {}
         self._net = f"127.{os.getpid() % 200 + 20}.{next(_NUMBERS)}"
         self._documents: list[dict[str, Any]] = []
         self._overrides: dict[str, Any] = {}
@@ -62,6 +63,7 @@
         vm_list: bool = False,
         documents: list[dict[str, Any]] | None = None,
         halls: dict[str, str] | None = None,
+        wait: bool = True,
         **overrides: Any,
     ) -> Hall:
         """Start everything and wait until the VMs may grant keys."""
@@ -89,7 +91,8 @@
             self.start_vm(vm, wait=False)
         for vm in self.vms:
             self._wait_vm(vm)
-        self.wait_formed()
+        if wait:
+            self.wait_formed()
         return self
 
     def start_vm(self, vm: str, *, wait: bool = True) -> None:
@@ -105,10 +108,11 @@
         platform = {"kv": self.kv_link(self.halls[vm])}
         if "vmlist" in self.ports:
             platform["vm_list"] = f"127.0.0.1:{self.ports['vmlist']}"
-        peer = {
+        peer: dict[str, Any] = {
             "host": self.host(vm),
             "port": PEER_PORT,
             "advertised": f"{self._link(vm)}:{PEER_PORT}",
+            **({"tls": self.peer_tls[vm]} if vm in self.peer_tls else {}),
             "seeds": [f"{self._link(other)}:{PEER_PORT}" for other in self.vms],
         }
         settings: dict[str, Any] = {
