--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -37,6 +37,7 @@
     Shares,
     WireAnswer,
     encode_message,
+    shorten_name,
 )
 from beamhatch.ids import Boot, HallName, RecordKey, RequestId, UpstreamName, VmName, WorkspaceName
 from beamhatch.observe.log import start_logs
@@ -146,7 +147,7 @@
 
 def measure_messages() -> dict[str, int]:
     """Return the bytes of typical messages."""
-    run, upstream = "kl-a-01.1796205094331.123456-p1", "lm-desk-prefill-123"
+    upstream = "lm-desk-prefill-123"
     key, request = "order-desk/3f0c6f0e-7a51-4f0e-8d6c-0f8f4f1f2a3b", "kl-a-01.1796205094331.123456"
     body = encode_document(Workspace(name="workspace-1", weight=3, labels={"team": "a"}))
     kept = WireAnswer("answered", "answered", "", 200, [("Content-Type", "application/json")], b"x" * 300)
@@ -155,9 +156,9 @@
     )
     messages: dict[str, Message] = {
         "probe": Probe(123456, 4300, []),
-        "runs_begun": RunsBegun(False, [(run, upstream)]),
-        "runs_ended_each": RunsEnded([request]),
-        "share_each": Shares(False, [(upstream, 123456, 12345, 12)]),
+        "runs_begun": RunsBegun(False, [(123456, "p1", shorten_name(upstream))]),
+        "runs_ended_each": RunsEnded([123456]),
+        "share_each": Shares(False, [(shorten_name(upstream), 123456, 12345, 12)]),
         "record_put": RecordPut("0" * 16, key, "0" * 64, "kl-a-01", 1796205094331, request),
         "record_answer": RecordAnswer("granted"),
         "record_end": RecordEnd(key, request, kept),
@@ -198,6 +199,31 @@
     }
 
 
+async def measure_message(count: int = 4000) -> float:
+    """Return the microseconds of one small message, sender and receiver together, each message by itself."""
+    clock = Clock(reactor)
+    meshes, ports = [], []
+    for number in range(2):
+        mesh = Mesh(clock, VmName(f"vm-{number}"), Boot(1), HallName("h"), [], Timing(), Metrics())
+        ports.append(reactor.listenTCP(0, mesh.make_factory(), interface="127.0.0.1"))
+        meshes.append(mesh)
+    addresses = [f"127.0.0.1:{port.getHost().port}" for port in ports]
+    meshes[0]._seeds = addresses
+    for mesh, address in zip(meshes, addresses, strict=True):
+        mesh.start(address, "127.0.0.1")
+    await sleep(2.0)
+    message = RunsBegun(False, [(1, "p1", 2)])
+    start = time.process_time()
+    for _ in range(count):
+        meshes[0].cast(VmName("vm-1"), message)
+        await sleep(0.0005)
+    used = time.process_time() - start
+    for port, mesh in zip(ports, meshes, strict=True):
+        await port.stopListening()
+        mesh.stop()
+    return round(used / count * 1e6, 1)
+
+
 async def measure_report(count: int = 400) -> float:
     """Return the microseconds that reading one load report costs the reader and a stand-in together."""
     _, port = start_engine(reactor, Shape())
@@ -232,6 +258,7 @@
             "share": measure_memory(lambda count: [(f"vm-{n}", Share(n * 1000, n, n % 7)) for n in range(count)]),
         },
         "message_bytes": measure_messages(),
+        "message_us": await measure_message(),
         "load_report_us": await measure_report(),
         "membership": [await measure_members(count) for count in MEMBERS],
     }
--- a/src/beamhatch/edge/peer/message.py
+++ b/src/beamhatch/edge/peer/message.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import zlib
 from typing import TypeAlias
 
 import msgspec
@@ -97,13 +98,15 @@
     """Runs of the sender that are about to hold memory on engines; ``whole`` replaces what the receiver knew."""
 
     whole: bool
-    runs: list[tuple[str, str]]
+    runs: list[tuple[int, str, int]]
+    """Number of the request, what follows it in the run's id, and the engine's short name."""
 
 
 class RunsEnded(_Message, frozen=True, tag=7):
     """Requests of the sender that hold nothing any more."""
 
-    requests: list[str]
+    requests: list[int]
+    """Numbers of the requests; their VM and boot are the sender's."""
 
 
 class RecordPut(_Message, frozen=True, tag=8):
@@ -222,7 +225,8 @@
     """What the sender has at upstreams: held tokens, promised tokens and requests; ``whole`` replaces all before."""
 
     whole: bool
-    shares: list[tuple[str, int, int, int]]
+    shares: list[tuple[int, int, int, int]]
+    """The upstream's short name, held tokens, promised tokens, requests."""
 
 
 class RemoteClaim(_Message, frozen=True, tag=24):
@@ -278,6 +282,12 @@
     | RemoteEnd
 )
 
+
+def shorten_name(name: str) -> int:
+    """Return the short name of an upstream, which all VMs make alike; 32 bits, so that it takes 5 bytes at most."""
+    return zlib.crc32(name.encode())
+
+
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODER: msgspec.msgpack.Decoder[Message] = msgspec.msgpack.Decoder(Message)
 
--- a/src/beamhatch/task/guards.py
+++ b/src/beamhatch/task/guards.py
@@ -10,12 +10,14 @@
 
 from beamhatch.decide.member import Health, Note
 from beamhatch.decide.rendezvous import rank
-from beamhatch.edge.peer.message import Hello, RunsBegun, RunsEnded
+from beamhatch.edge.peer.message import Hello, RunsBegun, RunsEnded, shorten_name
 from beamhatch.ids import Boot, RequestId, RunId, UpstreamName, VmName
 from beamhatch.observe.log import Part, get_log
 from beamhatch.task.runs import RunLedger
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from beamhatch.clock import Clock
     from beamhatch.task.cancel import Canceller
     from beamhatch.task.mesh import Mesh
@@ -31,7 +33,10 @@
 class Guards(RunLedger):
     """Tells this VM's runs to its guards, and guards the runs of others."""
 
-    def __init__(self, clock: Clock, mesh: Mesh, canceller: Canceller) -> None:
+    def __init__(
+        self, clock: Clock, mesh: Mesh, canceller: Canceller, list_engines: Callable[[], list[UpstreamName]]
+    ) -> None:
+        self._list_engines = list_engines
         self._clock = clock
         self._mesh = mesh
         self._canceller = canceller
@@ -39,8 +44,8 @@
         self._ended: list[RequestId] = []
         self._guards: list[VmName] = []
         self._told_boots: dict[VmName, Boot] = {}
-        self.guarded: dict[tuple[VmName, Boot], dict[RunId, UpstreamName]] = {}
-        """Runs of other VMs, by VM and boot."""
+        self.guarded: dict[tuple[VmName, Boot], dict[RunId, int]] = {}
+        """Runs of other VMs with the short names of their engines, by VM and boot."""
         self._orphaned: list[tuple[VmName, Boot]] = []
         self._log = get_log(Part.PEER)
         mesh.handle(RunsBegun, self._take_begun)
@@ -53,7 +58,7 @@
         if self._ended:
             ended, self._ended = self._ended, []
             for vm in self._guards:
-                self._mesh.cast(vm, RunsEnded([str(request) for request in ended]))
+                self._mesh.cast(vm, RunsEnded([_read_number(request) for request in ended]))
         self._cancel_orphans()
         self._clock.call_later(FLUSH_PERIOD, self.start)
 
@@ -63,8 +68,9 @@
         """Tell the guards of a run before it is sent."""
         request = RequestId(run.rpartition("-")[0])
         self._runs.setdefault(request, {})[run] = upstream
+        begun = RunsBegun(False, [_to_wire(run, upstream)])
         for vm in self._guards:
-            self._mesh.cast(vm, RunsBegun(False, [(run, upstream)]))
+            self._mesh.cast(vm, begun)
 
     def end(self, request: RequestId) -> None:
         """Tell the guards, some time, that a request holds nothing any more."""
@@ -76,7 +82,7 @@
         others = [vm for vm in members.list_alive() if vm != members.me.vm]
         guards = rank(members.me.vm, others)[:GUARDS]
         boots = {vm: note.boot for vm in guards if (note := members.find(vm)) is not None}
-        whole = [(str(run), str(upstream)) for runs in self._runs.values() for run, upstream in runs.items()]
+        whole = [_to_wire(run, upstream) for runs in self._runs.values() for run, upstream in runs.items()]
         for vm, boot in boots.items():
             if self._told_boots.get(vm) != boot and self._mesh.cast(vm, RunsBegun(True, whole)):
                 self._told_boots[vm] = boot
@@ -91,12 +97,13 @@
             self.guarded[owner] = {}
         runs = self.guarded.setdefault(owner, {})
         if len(runs) + len(message.runs) <= MOST_GUARDED_RUNS:
-            runs.update((RunId(run), UpstreamName(upstream)) for run, upstream in message.runs)
+            for number, rest, upstream in message.runs:
+                runs[RunId(f"{hello.vm}.{hello.boot}.{number}-{rest}")] = upstream
 
     def _take_ended(self, hello: Hello, message: RunsEnded) -> None:
         runs = self.guarded.get((VmName(hello.vm), Boot(hello.boot)), {})
         ended = set(message.requests)
-        for run in [run for run in runs if run.rpartition("-")[0] in ended]:
+        for run in [run for run in runs if _read_number(RequestId(run.rpartition("-")[0])) in ended]:
             del runs[run]
 
     def _take_change(self, note: Note, before: Note | None) -> None:
@@ -118,5 +125,16 @@
             runs = self.guarded.pop(owner, {})
             if runs:
                 self._log.info("Runs of a dead VM are cancelled.", vm=owner[0], runs=len(runs))
-            for run, upstream in runs.items():
-                self._canceller.cancel(run, upstream)
+            names = {shorten_name(name): name for name in self._list_engines()}
+            for run, short in runs.items():
+                if short in names:
+                    self._canceller.cancel(run, names[short])
+
+
+def _to_wire(run: RunId, upstream: UpstreamName) -> tuple[int, str, int]:
+    request, _, rest = run.rpartition("-")
+    return (_read_number(RequestId(request)), rest, shorten_name(upstream))
+
+
+def _read_number(request: RequestId) -> int:
+    return int(request.rpartition(".")[2])
--- a/src/beamhatch/task/node.py
+++ b/src/beamhatch/task/node.py
@@ -74,7 +74,7 @@
         self.tracer.export = self.exporter.export if settings.traces.otlp else None
         self.mesh = Mesh(clock, self.vm, self.boot, hall, list(settings.peer.seeds), timing, self.metrics)
         self.canceller = Canceller(clock, self._find_engine, timing.cancel_retry, self.metrics)
-        self.guards = Guards(clock, self.mesh, self.canceller)
+        self.guards = Guards(clock, self.mesh, self.canceller, lambda: self.pools.list_engines())
         self.records = HallRecords(clock, self.mesh, settings, self.metrics)
         self.router = Router(
             settings, self.vm, self.boot, clock, guard, self.metrics, self.tracer, self.canceller, self.guards
--- a/src/beamhatch/task/pools.py
+++ b/src/beamhatch/task/pools.py
@@ -162,6 +162,14 @@
     def _choose_policy(self, need: Need) -> Policy:
         return self._traffic.get_policy(need.policy)
 
+    def list_names(self) -> list[UpstreamName]:
+        """Return the names of all upstreams."""
+        return [name for hosted in self.hosted.values() for name in hosted.pool.fleet.ledgers]
+
+    def list_engines(self) -> list[UpstreamName]:
+        """Return the names of all engines."""
+        return list(self._engines)
+
     def find_weight(self, workspace: WorkspaceName) -> float:
         """Return a workspace's share."""
         return self.weights.get(workspace, 1.0)
--- a/src/beamhatch/task/sharing.py
+++ b/src/beamhatch/task/sharing.py
@@ -10,7 +10,7 @@
 
 from beamhatch.decide.ledger import Share
 from beamhatch.decide.member import Health, Note
-from beamhatch.edge.peer.message import Hello, Shares
+from beamhatch.edge.peer.message import Hello, Shares, shorten_name
 from beamhatch.ids import UpstreamName, VmName
 
 if TYPE_CHECKING:
@@ -66,9 +66,11 @@
         if message.whole:
             self._forget(vm)
         told = self._told.setdefault(vm, set())
-        for name, held, promised, jobs in message.shares:
-            told.add(UpstreamName(name))
-            self._pools.take_share(UpstreamName(name), vm, Share(held, promised, jobs))
+        names = {shorten_name(name): name for name in self._pools.list_names()}
+        for short, held, promised, jobs in message.shares:
+            if short in names:
+                told.add(names[short])
+                self._pools.take_share(names[short], vm, Share(held, promised, jobs))
         self._pools.serve_all()
 
     def _take_change(self, note: Note, before: Note | None) -> None:
@@ -85,5 +87,5 @@
             self._pools.take_share(name, vm, None)
 
 
-def _to_wire(shares: dict[UpstreamName, Share]) -> list[tuple[str, int, int, int]]:
-    return [(name, share.held, share.promised, share.jobs) for name, share in shares.items()]
+def _to_wire(shares: dict[UpstreamName, Share]) -> list[tuple[int, int, int, int]]:
+    return [(shorten_name(name), share.held, share.promised, share.jobs) for name, share in shares.items()]
