--- a/src/beamhatch/decide/policy/reserving.py
+++ b/src/beamhatch/decide/policy/reserving.py
@@ -23,7 +23,7 @@
 
 SHORT_QUEUE = 0.05
 """Seconds of work that may queue at a prefill engine however many prompts it is."""
-DEFAULT_TRUST = 0.5
+DEFAULT_TRUST = 0.2
 FAR_PENALTY = 0.001
 """Seconds that another hall costs beside its slower transfer."""
 
@@ -104,7 +104,7 @@
     """Starts a prefill when decode memory is expected to be free by the time its KV cache would arrive.
 
     Memory that stands free during a prefill serves nobody: with a prefill that takes as long as hundreds of output
-    tokens, many answers end meanwhile. Parameter ``trust`` (0 to 1, default 0.5) is the share of the memory expected
+    tokens, many answers end meanwhile. Parameter ``trust`` (0 to 1, default 0.2) is the share of the memory expected
     to come free during the prefill that is counted on; at 0 it is the same as reserving at the start.
     """
 
@@ -116,8 +116,9 @@
         prefill, seconds = best
         trust = self.parameters.get("trust", DEFAULT_TRUST)
         lifetime = fleet.rates.pace * fleet.rates.output_tokens
-        for decode in self._list_decodes(need, fleet, now):
-            arrives = seconds + self._transfer(decode, need, fleet)
-            if decode.predict_free(seconds * trust, lifetime) >= need.tokens:
-                return Choice(prefill, decode, now + arrives)
-        return None
+        decodes = self._list_decodes(need, fleet, now)
+        fitting = [one for one in decodes if one.predict_free(seconds * trust, lifetime) >= need.tokens]
+        if not fitting:
+            return None
+        decode = min(fitting, key=lambda one: self._transfer(one, need, fleet))
+        return Choice(prefill, decode, now + seconds + self._transfer(decode, need, fleet))
--- a/src/beamhatch/task/exchange.py
+++ b/src/beamhatch/task/exchange.py
@@ -29,6 +29,8 @@
     Finish,
     FirstFrame,
     FreePlacement,
+    Landed,
+    Placed,
     PrefillEnded,
     RecordGranted,
     RecordSettled,
@@ -103,6 +105,9 @@
         if self._feeding:
             return
         self._router.guard.check()
+        if self._router.letting_go and isinstance(fact, Placed | Landed):
+            self._facts.clear()
+            return
         self._feeding = True
         try:
             while self._facts:
--- a/src/beamhatch/task/router.py
+++ b/src/beamhatch/task/router.py
@@ -72,6 +72,8 @@
         self.stop_hard: Callable[[], None] | None = None
         self.exchanges: dict[str, Exchange] = {}
         self.accepting = True
+        self.letting_go = False
+        """True while all requests are cut: a place that one gives back must not start the next."""
         self.admission = Admission()
         self._numbers = itertools.count(1)
         self._idle: list[defer.Deferred[None]] = []
@@ -141,8 +143,10 @@
     def cut_all(self, reason: Reason) -> list[str]:
         """Let go of all requests now; return them."""
         cut = list(self.exchanges)
+        self.letting_go = True
         for exchange in list(self.exchanges.values()):
             exchange.cut(reason)
+        self.letting_go = False
         return cut
 
     def _let_go(self, _: float) -> None:
--- a/tests/support/call.py
+++ b/tests/support/call.py
@@ -107,6 +107,9 @@
             pass
         return self.received
 
+    def __del__(self) -> None:
+        self.leave()
+
     def leave(self) -> None:
         """Close the connection."""
         if self._socket is not None:
