Split the request's facts and effects, and the holders of records, into modules of their own

Cause: reading as a newcomer: request.py had 509 lines and hall_records.py 441, with claiming, holding and the wire form in one class; a pause on the clock was written three times. Change: fact.py, effect.py, record_holder.py, record_wire.py; one sleep on the clock. No behaviour changes.

--- a/benchmarks/fakes.py
+++ b/benchmarks/fakes.py
@@ -12,35 +12,36 @@
 from typing import TYPE_CHECKING, Any
 
 from beamhatch.decide.call import Priority
-from beamhatch.decide.fleet import Fleet
-from beamhatch.decide.ledger import Facts, Report, Share
-from beamhatch.decide.outcome import Answered, Failed, NotRun, Outcome, Unknown
-from beamhatch.decide.policy.api import Need
-from beamhatch.decide.policy.make import make_policy
-from beamhatch.decide.policy.reserving import BLOCK_TOKENS
-from beamhatch.decide.pool import Landing, Pool, Started
-from beamhatch.decide.request import (
+from beamhatch.decide.effect import (
     AskLanding,
     AskPlacement,
+    CancelRun,
+    Finish,
+    FreePlacement,
+    StartDecode,
+    StartPrefill,
+)
+from beamhatch.decide.fact import (
     Begin,
     Broke,
     CallerGone,
-    CancelRun,
     Ended,
-    Finish,
     FirstFrame,
-    FreePlacement,
     Landed,
     Placed,
     PlacementRefused,
     PrefillEnded,
     Refused,
-    Request,
     Stage,
-    StartDecode,
-    StartPrefill,
-    Terms,
 )
+from beamhatch.decide.fleet import Fleet
+from beamhatch.decide.ledger import Facts, Report, Share
+from beamhatch.decide.outcome import Answered, Failed, NotRun, Outcome, Unknown
+from beamhatch.decide.policy.api import Need
+from beamhatch.decide.policy.make import make_policy
+from beamhatch.decide.policy.reserving import BLOCK_TOKENS
+from beamhatch.decide.pool import Landing, Pool, Started
+from beamhatch.decide.request import Request, Terms
 from beamhatch.ids import HallName, RequestId, UpstreamName, WorkspaceName
 
 if TYPE_CHECKING:
--- a/src/beamhatch/clock.py
+++ b/src/beamhatch/clock.py
@@ -5,6 +5,8 @@
 import time
 from typing import TYPE_CHECKING, Any
 
+from twisted.internet import defer
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -28,6 +30,13 @@
         return self.reactor.callLater(seconds, function, *arguments)
 
 
+async def sleep(clock: Clock, seconds: float) -> None:
+    """Wait for some seconds of a clock."""
+    done: defer.Deferred[None] = defer.Deferred()
+    clock.call_later(seconds, done.callback, None)
+    await done
+
+
 class ManualClock(Clock):
     """A clock over ``twisted.internet.task.Clock``, which stands still until it is advanced."""
 
--- a/src/beamhatch/decide/request.py
+++ b/src/beamhatch/decide/request.py
@@ -1,6 +1,7 @@
 """The request aggregate: every state of one request, and what each input makes of it.
 
-Inputs are facts that a task observed. Effects are what a task must do next. Nothing here reads a clock or a socket, so
+Facts (`fact.py`) are what a task observed;
+effects (`effect.py`) are what it must do next. Nothing here reads a clock or a socket, so
 every interleaving can be tried in a test.
 """
 
@@ -10,6 +11,38 @@
 from enum import Enum
 from typing import TYPE_CHECKING
 
+from beamhatch.decide.effect import (
+    AskLanding,
+    AskPlacement,
+    AskRecord,
+    CancelRun,
+    Effect,
+    Finish,
+    FreePlacement,
+    ResumeDecode,
+    StartCall,
+    StartDecode,
+    StartPrefill,
+)
+from beamhatch.decide.fact import (
+    Begin,
+    Broke,
+    CallerGone,
+    Cut,
+    DeadlinePassed,
+    Ended,
+    Fact,
+    FirstFrame,
+    Landed,
+    Placed,
+    PlacementRefused,
+    PrefillEnded,
+    RecordGranted,
+    RecordSettled,
+    Refused,
+    Rejected,
+    Stage,
+)
 from beamhatch.decide.outcome import Answered, Failed, NotRun, Outcome, Reason, Unknown
 from beamhatch.ids import RequestId, RunId, UpstreamName
 
@@ -37,14 +70,6 @@
     ENDED = "ended"
 
 
-class Stage(Enum):
-    """The kind of work that an upstream does for a request."""
-
-    PREFILL = "p"
-    DECODE = "d"
-    SERVICE = "s"
-
-
 @dataclass(frozen=True, slots=True)
 class Terms:
     """What the caller asked for, as far as the states depend on it."""
@@ -56,221 +81,6 @@
     keyed: bool = False
 
 
-# --- inputs ---------------------------------------------------------------------------------------------------------
-
-
-@dataclass(frozen=True, slots=True)
-class Begin:
-    """The request is whole and valid."""
-
-
-@dataclass(frozen=True, slots=True)
-class RecordGranted:
-    """Enough holders have recorded the caller's key for this request."""
-
-
-@dataclass(frozen=True, slots=True)
-class RecordSettled:
-    """The caller's key is taken, or could not be recorded: this is the answer."""
-
-    outcome: Outcome
-
-
-@dataclass(frozen=True, slots=True)
-class Placed:
-    """The upstream for the first stage was chosen; a place to land may be counted on besides."""
-
-    first: UpstreamName
-
-
-@dataclass(frozen=True, slots=True)
-class Landed:
-    """A decode engine was chosen for a prefill that has ended."""
-
-    decode: UpstreamName
-
-
-@dataclass(frozen=True, slots=True)
-class PlacementRefused:
-    """No place can be had in time."""
-
-    reason: Reason
-    detail: str = ""
-    retry_after: float | None = None
-
-
-@dataclass(frozen=True, slots=True)
-class PrefillEnded:
-    """The prefill engine holds the exported KV cache."""
-
-
-@dataclass(frozen=True, slots=True)
-class Rejected:
-    """The upstream answered that the request itself is wrong; its answer is passed on."""
-
-    stage: Stage
-    status: int
-
-
-@dataclass(frozen=True, slots=True)
-class Refused:
-    """The upstream refused, with proof that it did not run."""
-
-    stage: Stage
-    detail: str
-    retry_allowed: bool
-    retry_after: float | None = None
-    export_lost: bool = False
-
-
-@dataclass(frozen=True, slots=True)
-class Broke:
-    """The exchange with the upstream broke off; it may have run."""
-
-    stage: Stage
-    detail: str
-    retry_allowed: bool
-
-
-@dataclass(frozen=True, slots=True)
-class FirstFrame:
-    """The decode engine holds the KV cache and its answer has begun."""
-
-
-@dataclass(frozen=True, slots=True)
-class Ended:
-    """The whole answer was passed on."""
-
-    status: int = 200
-
-
-@dataclass(frozen=True, slots=True)
-class CallerGone:
-    """The caller closed its connection, or stopped reading for too long."""
-
-
-@dataclass(frozen=True, slots=True)
-class DeadlinePassed:
-    """The caller's own deadline passed."""
-
-
-@dataclass(frozen=True, slots=True)
-class Cut:
-    """The VM must let go of the request now."""
-
-    reason: Reason
-
-
-Input = (
-    Begin
-    | RecordGranted
-    | RecordSettled
-    | Placed
-    | Landed
-    | PlacementRefused
-    | PrefillEnded
-    | Rejected
-    | Refused
-    | Broke
-    | FirstFrame
-    | Ended
-    | CallerGone
-    | DeadlinePassed
-    | Cut
-)
-
-
-# --- effects --------------------------------------------------------------------------------------------------------
-
-
-@dataclass(frozen=True, slots=True)
-class AskRecord:
-    """Record the caller's key on its holders."""
-
-
-@dataclass(frozen=True, slots=True)
-class AskPlacement:
-    """Choose upstreams for the request, leaving out those that failed it."""
-
-    exclude: frozenset[UpstreamName]
-
-
-@dataclass(frozen=True, slots=True)
-class AskLanding:
-    """Choose a decode engine for the export that is held."""
-
-    exclude: frozenset[UpstreamName]
-
-
-@dataclass(frozen=True, slots=True)
-class FreePlacement:
-    """Give back queue place and reservations."""
-
-
-@dataclass(frozen=True, slots=True)
-class StartPrefill:
-    """Send the prompt to a prefill engine."""
-
-    run: RunId
-    upstream: UpstreamName
-    behind_sent: bool
-    """True where what the caller already has is to be prefilled behind the prompt."""
-
-
-@dataclass(frozen=True, slots=True)
-class StartDecode:
-    """Have a decode engine fetch the export and generate."""
-
-    run: RunId
-    upstream: UpstreamName
-    behind_sent: bool
-
-
-@dataclass(frozen=True, slots=True)
-class ResumeDecode:
-    """Ask the same engine for the rest of a stream that broke."""
-
-    run: RunId
-    upstream: UpstreamName
-
-
-@dataclass(frozen=True, slots=True)
-class StartCall:
-    """Send the request to a plain service."""
-
-    run: RunId
-    upstream: UpstreamName
-
-
-@dataclass(frozen=True, slots=True)
-class CancelRun:
-    """Have an upstream let go of everything it holds for a run; repeated until it is acknowledged."""
-
-    run: RunId
-    upstream: UpstreamName
-
-
-@dataclass(frozen=True, slots=True)
-class Finish:
-    """Tell the caller how it ended; the last effect of every request."""
-
-    outcome: Outcome
-
-
-Effect = (
-    AskRecord
-    | AskPlacement
-    | AskLanding
-    | FreePlacement
-    | StartPrefill
-    | StartDecode
-    | ResumeDecode
-    | StartCall
-    | CancelRun
-    | Finish
-)
-
-
 @dataclass(slots=True)
 class Request:
     """One caller's request and its rules."""
@@ -297,7 +107,7 @@
     _in_doubt: bool = False
     """True once a run broke off: no later refusal proves that nothing ran."""
 
-    def step(self, fact: Input) -> list[Effect]:
+    def step(self, fact: Fact) -> list[Effect]:
         """Take in one fact and return what follows from it; a fact that comes after the end changes nothing."""
         if self.state is State.ENDED:
             return []
@@ -490,7 +300,7 @@
         return self.state is expected[stage]
 
 
-_HANDLERS: dict[type[Input], Callable[..., list[Effect]]] = {
+_HANDLERS: dict[type[Fact], Callable[..., list[Effect]]] = {
     Begin: Request._begin,
     RecordGranted: Request._go_on_recorded,
     RecordSettled: Request._settle_by_record,
--- a/src/beamhatch/task/administration.py
+++ b/src/beamhatch/task/administration.py
@@ -77,8 +77,8 @@
                 "sequence": node.configuring.configuration.head.sequence,
                 "open_requests": len(node.router.exchanges),
                 "open_cancels": len(node.canceller.open),
-                "records": len(node.records.store.records),
-                "records_ready": node.records.is_ready,
+                "records": len(node.holder.store.records),
+                "records_ready": node.holder.is_ready,
                 "members": rows,
             },
         )
--- a/src/beamhatch/task/configuring.py
+++ b/src/beamhatch/task/configuring.py
@@ -14,6 +14,7 @@
 import msgspec
 from twisted.internet import defer
 
+from beamhatch.clock import sleep
 from beamhatch.decide.configuration import (
     AlreadyAccepted,
     Change,
@@ -150,7 +151,7 @@
                     return result
             else:
                 return result
-            await self._pause(SWAP_PAUSE)
+            await sleep(self._clock, SWAP_PAUSE)
         if in_doubt:
             return UnknownChange("the platform did not answer; ask later by the change's id")
         return Unavailable("too many others change the configuration")
@@ -252,7 +253,7 @@
     async def _watch(self, kv: KeyValue) -> None:
         while self._is_watcher():
             await kv.watch(HEAD_KEY, self._revision, self._on_event)
-            await self._pause(WATCH_PAUSE * (0.5 + self._random.random()))
+            await sleep(self._clock, WATCH_PAUSE * (0.5 + self._random.random()))
         self._watching = False
 
     def _on_event(self) -> None:
@@ -332,11 +333,6 @@
         asked = [defer.ensureDeferred(self._mesh.ask(vm, StatusAsk(), ASK_LIMIT)) for vm in names]
         return [await answer for answer in asked]
 
-    async def _pause(self, seconds: float) -> None:
-        pause: defer.Deferred[None] = defer.Deferred()
-        self._clock.call_later(seconds, pause.callback, None)
-        await pause
-
 
 def _find_note(head: Head, change: str) -> ChangeNote | None:
     return next((note for note in head.changes if note.change == change), None)
--- a/src/beamhatch/task/exchange.py
+++ b/src/beamhatch/task/exchange.py
@@ -12,23 +12,26 @@
 from twisted.internet import defer
 from twisted.python.failure import Failure
 
-from beamhatch.decide.idempotency import KeptAnswer
-from beamhatch.decide.outcome import Answered, Outcome, Reason, name_outcome
-from beamhatch.decide.policy.api import Need
-from beamhatch.decide.request import (
+from beamhatch.decide.effect import (
     AskLanding,
     AskPlacement,
     AskRecord,
+    CancelRun,
+    Finish,
+    FreePlacement,
+    ResumeDecode,
+    StartCall,
+    StartDecode,
+    StartPrefill,
+)
+from beamhatch.decide.fact import (
     Begin,
     Broke,
     CallerGone,
-    CancelRun,
     Cut,
     DeadlinePassed,
     Ended,
-    Finish,
     FirstFrame,
-    FreePlacement,
     Landed,
     Placed,
     PrefillEnded,
@@ -36,15 +39,12 @@
     RecordSettled,
     Refused,
     Rejected,
-    Request,
-    ResumeDecode,
     Stage,
-    StartCall,
-    StartDecode,
-    StartPrefill,
-    State,
-    Terms,
 )
+from beamhatch.decide.idempotency import KeptAnswer
+from beamhatch.decide.outcome import Answered, Outcome, Reason, name_outcome
+from beamhatch.decide.policy.api import Need
+from beamhatch.decide.request import Request, State, Terms
 from beamhatch.edge.upstream.api import AnswerSink, AnswerStream, Break, Export, Refusal, Rejection, Sent, Whole
 from beamhatch.task.sent import DONE_FRAME, SentFrames
 
@@ -52,7 +52,8 @@
     from collections.abc import Callable, Coroutine
 
     from beamhatch.decide.call import Call
-    from beamhatch.decide.request import Effect, Input
+    from beamhatch.decide.effect import Effect
+    from beamhatch.decide.fact import Fact
     from beamhatch.edge.caller.api import CallerAnswer
     from beamhatch.observe.trace import Span
     from beamhatch.task.router import Router
@@ -75,7 +76,7 @@
         self._answer = answer
         terms = Terms(call.request, call.service, call.streamed, call.repeatable, keyed=call.key is not None)
         self.request = Request(terms)
-        self._facts: deque[Input] = deque()
+        self._facts: deque[Fact] = deque()
         self._feeding = False
         self._export: Export | None = None
         self._stream: AnswerStream | None = None
@@ -99,7 +100,7 @@
         self._answer.watch(self._lose_caller, self._pause, self._go_on)
         self.feed(Begin())
 
-    def feed(self, fact: Input) -> None:
+    def feed(self, fact: Fact) -> None:
         """Bring in a fact and carry out what follows, one after the other."""
         self._facts.append(fact)
         if self._feeding:
--- a/src/beamhatch/task/node.py
+++ b/src/beamhatch/task/node.py
@@ -7,6 +7,7 @@
 
 from twisted.internet import defer
 
+from beamhatch.clock import sleep
 from beamhatch.decide.comparison import Comparison
 from beamhatch.decide.configuration import Configuration, make_first
 from beamhatch.decide.outcome import Reason
@@ -31,6 +32,7 @@
 from beamhatch.task.mesh import Mesh
 from beamhatch.task.pause import PauseGuard
 from beamhatch.task.pools import Pools
+from beamhatch.task.record_holder import RecordHolder
 from beamhatch.task.router import Router
 from beamhatch.task.sharing import Sharing
 from beamhatch.task.vms import VmWatch
@@ -75,7 +77,8 @@
         self.mesh = Mesh(clock, self.vm, self.boot, hall, list(settings.peer.seeds), timing, self.metrics)
         self.canceller = Canceller(clock, self._find_engine, timing.cancel_retry, self.metrics)
         self.guards = Guards(clock, self.mesh, self.canceller, lambda: self.pools.list_engines())
-        self.records = HallRecords(clock, self.mesh, settings, self.metrics)
+        self.holder = RecordHolder(clock, self.mesh, settings, self.metrics)
+        self.records = HallRecords(clock, self.mesh, self.holder, settings)
         self.router = Router(
             settings, self.vm, self.boot, clock, guard, self.metrics, self.tracer, self.canceller, self.guards
         )
@@ -123,7 +126,7 @@
         context = make_context(settings.peer.tls) if settings.peer.tls else None
         address = settings.peer.advertised or f"{settings.peer.host}:{peer_port}"
         self.mesh.start(address, settings.peer.host, context)
-        for task in (self.guard, self.router, self.pools, self.sharing, self.guards, self.records, self.vms):
+        for task in (self.guard, self.router, self.pools, self.sharing, self.guards, self.holder, self.vms):
             task.start()
 
     def _listen_peers(self, peer: Peer) -> int:
@@ -142,7 +145,7 @@
         log = get_log(Part.STOP)
         self.stopping = True
         log.info("This VM stops; it is not ready any more.", open=len(self.router.exchanges))
-        await self._pause(timing.balancer_delay)
+        await sleep(self.clock, timing.balancer_delay)
         await defer.maybeDeferred(self._caller_listening.stopListening)
         self.router.accepting = False
         idle = self.router.wait_idle()
@@ -152,7 +155,7 @@
             timer.cancel()
         await self._wait_for_cancels()
         self.mesh.leave()
-        await self._pause(LEAVE_PAUSE)
+        await sleep(self.clock, LEAVE_PAUSE)
         log.info("This VM has stopped.")
 
     def cut_all(self) -> None:
@@ -166,12 +169,7 @@
         for _ in range(20):
             if not self.canceller.open:
                 return
-            await self._pause(0.1)
-
-    async def _pause(self, seconds: float) -> None:
-        pause: defer.Deferred[None] = defer.Deferred()
-        self.clock.call_later(seconds, pause.callback, None)
-        await pause
+            await sleep(self.clock, 0.1)
 
     # --- configuration ---------------------------------------------------------------------------------------------
 
--- a/src/beamhatch/task/pools.py
+++ b/src/beamhatch/task/pools.py
@@ -11,11 +11,11 @@
 from twisted.internet import defer
 
 from beamhatch.decide.circuit import RetryBudget
+from beamhatch.decide.fact import Landed, Placed, PlacementRefused
 from beamhatch.decide.fleet import Fleet
 from beamhatch.decide.ledger import Facts, Report, Share, Standing
 from beamhatch.decide.outcome import Reason
 from beamhatch.decide.pool import Landing, Pool, Started, Turned
-from beamhatch.decide.request import Landed, Placed, PlacementRefused
 from beamhatch.ids import HallName, UpstreamName, VmName, WorkspaceName
 from beamhatch.observe.log import Part, get_log
 
--- a/src/beamhatch/task/records.py
+++ b/src/beamhatch/task/records.py
@@ -46,7 +46,7 @@
     return KeptAnswer(name_outcome(outcome), reason.value, detail, status, tuple(headers), kept_body)
 
 
-def read_record(record: Record, digest: str) -> KeptAnswer | Outcome:
+def tell_repeat(record: Record, digest: str) -> KeptAnswer | Outcome:
     """Return what a repeat of a key is told where the first request has ended or is lost."""
     if record.digest != digest:
         return NotRun(Reason.KEY_MISMATCH, "the key was used with another body")
--- a/tests/decide/test_request.py
+++ b/tests/decide/test_request.py
@@ -7,18 +7,23 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
-from beamhatch.decide.outcome import Answered, NotRun, Reason, Unknown
-from beamhatch.decide.request import (
+from beamhatch.decide.effect import (
     AskLanding,
     AskPlacement,
+    CancelRun,
+    Finish,
+    ResumeDecode,
+    StartCall,
+    StartDecode,
+    StartPrefill,
+)
+from beamhatch.decide.fact import (
     Begin,
     Broke,
     CallerGone,
-    CancelRun,
     Cut,
     DeadlinePassed,
     Ended,
-    Finish,
     FirstFrame,
     Landed,
     Placed,
@@ -27,15 +32,10 @@
     RecordGranted,
     RecordSettled,
     Refused,
-    Request,
-    ResumeDecode,
     Stage,
-    StartCall,
-    StartDecode,
-    StartPrefill,
-    State,
-    Terms,
 )
+from beamhatch.decide.outcome import Answered, NotRun, Reason, Unknown
+from beamhatch.decide.request import Request, State, Terms
 from beamhatch.ids import RequestId, UpstreamName
 
 
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -5,7 +5,7 @@
 import signal
 from concurrent.futures import ThreadPoolExecutor
 from functools import partial
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import pytest
 
@@ -99,7 +99,7 @@
 
 def test_a_repeat_during_a_freeze_is_unknown_and_the_woken_vm_ends_without_an_answer(hall: Hall) -> None:
     hall.start(vms=3, services=0)
-    keyed = {"Idempotency_Key": "k1", "Beamhatch_Workspace": "order-desk"}
+    keyed: dict[str, Any] = {"Idempotency_Key": "k1", "Beamhatch_Workspace": "order-desk"}
     caller = OpenCall(hall.ports["vm-1"]).send("p " * 300, 900, **keyed)
     caller.read_until(b"/2\n")
     frozen = hall.programs["vm-1"]
@@ -117,7 +117,11 @@
     hall.start(vms=3, prefill=1, decode=1, services=0, engine={"capacity": 3000, "pace": 0.05})
     first = OpenCall(hall.ports["vm-1"]).send("first", 2500)
     first.read_until(b"/2\n")
-    keyed = {"Idempotency_Key": "k1", "Beamhatch_Workspace": "order-desk", "Beamhatch_First_Token_Target": "60"}
+    keyed: dict[str, Any] = {
+        "Idempotency_Key": "k1",
+        "Beamhatch_Workspace": "order-desk",
+        "Beamhatch_First_Token_Target": "60",
+    }
     waiting = OpenCall(hall.ports["vm-1"]).send("second", 2500, **keyed)
     wait_until(lambda: "queued" in [row["state"] for row in hall.admin("vm-1", "/requests")], "the second waits")
     frozen = hall.programs["vm-1"]
