Give up at once when every upstream was tried, and let a pool say that it is not repeatable

Cause: (1) a request that had failed at all replicas waited 8 s for one that it had not tried; found by a new test. (2) the setting 'repeatable' of a pool was read and never used. (3) Half-closed callers and the OTLP export had no test. (4) The chunk path parsed each frame's offset, and collections looked through all that was loaded. Ruled out for (1): the circuit breaker (two failures do not open it). Change: a refusal looks at what the request may still use; the pool's word comes before the workspace's; a piece that is just the next frame is compared with what is expected and passed on; start-up objects are frozen out of collections. The bare pass-through of the path benchmark uses the same stand-ins in turn; before it had one, which favoured it. Conclusion: 'given up on' is answered at once in this case too.

--- a/benchmarks/bare.py
+++ b/benchmarks/bare.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import sys
 from typing import Any
 
@@ -27,19 +28,19 @@
 
 
 class Root(resource.Resource):
-    """Sends every request to one engine."""
+    """Sends the requests to the engines in turn."""
 
     isLeaf = True
 
-    def __init__(self, target: str) -> None:
+    def __init__(self, targets: list[str]) -> None:
         super().__init__()
-        self._target = target
+        self._targets = itertools.cycle(targets)
         self._agent = Agent(reactor, pool=HTTPConnectionPool(reactor))
 
     def render(self, request: Any) -> Any:
         """Send one request on."""
         producer = FileBodyProducer(request.content)
-        sent = self._agent.request(b"POST", f"http://{self._target}".encode() + request.uri, None, producer)
+        sent = self._agent.request(b"POST", f"http://{next(self._targets)}".encode() + request.uri, None, producer)
         sent.addCallback(lambda response: response.deliverBody(PassOn(request)))
         return server.NOT_DONE_YET
 
@@ -52,6 +53,6 @@
 
 
 if __name__ == "__main__":
-    listening = reactor.listenTCP(0, QuietSite(Root(sys.argv[1])), interface="127.0.0.1", backlog=512)
+    listening = reactor.listenTCP(0, QuietSite(Root(sys.argv[1:])), interface="127.0.0.1", backlog=512)
     print(f"READY bare {listening.getHost().port}", flush=True)
     reactor.run()
--- a/benchmarks/path.py
+++ b/benchmarks/path.py
@@ -173,7 +173,7 @@
         result["router"]["mb_per_1000_streams"] = round(asyncio.run(hold_open(router, OPEN_STREAMS)), 1)
         router.close()
         for name, engines in (("streams", long), ("requests", short), ("open", slow)):
-            bare = Running("-m", "benchmarks.bare", f"127.0.0.1:{engines[0].port}")
+            bare = Running("-m", "benchmarks.bare", *(f"127.0.0.1:{engine.port}" for engine in engines))
             into = result.setdefault("bare", {"rest_mb": round(bare.read_memory(), 1)})
             if name == "streams":
                 into.update(measure_streams(bare))
--- a/src/beamhatch/command/serve.py
+++ b/src/beamhatch/command/serve.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gc
 import os
 import signal
 import sys
@@ -49,6 +50,8 @@
             exit_codes.append(EXIT_FAULT)
             reactor.stop()
             return
+        gc.collect()
+        gc.freeze()  # what was loaded stays: later collections need not look through it
         print(f"READY {settings.vm} caller={node.caller_port} admin={node.admin_port} peer={node.mesh.address}")
         sys.stdout.flush()
         if on_ready is not None:
--- a/src/beamhatch/decide/fleet.py
+++ b/src/beamhatch/decide/fleet.py
@@ -148,9 +148,9 @@
                     break
         return found
 
-    def has_any(self, role: str, now: float) -> bool:
-        """Tell whether any upstream of a role may be given work."""
-        return bool(self.list_usable(role, frozenset(), now, most=1))
+    def has_any(self, role: str, now: float, exclude: frozenset[str] = frozenset()) -> bool:
+        """Tell whether any upstream of a role may be given work, but for some."""
+        return bool(self.list_usable(role, exclude, now, most=1))
 
     def predict_prefill(self, ledger: Ledger, prompt_tokens: int, cached: int = 0) -> float:
         """Return the seconds until a prompt would be prefilled: the queue before it, then itself."""
--- a/src/beamhatch/decide/pool.py
+++ b/src/beamhatch/decide/pool.py
@@ -170,7 +170,7 @@
             placed.landed, placed.decode = False, None
         if self._land(need, placed, now):
             return [Landing(request, self._decode(request))]
-        if not self.choose_policy(need).queues or not self.fleet.has_any("decode", now):
+        if not self.choose_policy(need).queues or not self.fleet.has_any("decode", now, exclude):
             return [Turned(request, Reason.NO_UPSTREAM, "no decode engine can take it", SHORTEST_RETRY)]
         self.landings[request] = (need, now + LANDING_LIMIT)
         return []
@@ -229,7 +229,7 @@
 
     def _refuse(self, need: Need, policy: Policy, now: float) -> Turned | None:
         role = "service" if self.service else "prefill"
-        if not self.fleet.has_any(role, now) or not policy.queues:
+        if not self.fleet.has_any(role, now, need.exclude) or not policy.queues:
             return self._turn(need, Reason.NO_UPSTREAM, "no upstream can be used", now)
         if len(self.waiting) >= self.most_waiting:
             return self._turn(need, Reason.OVERLOADED, "the queue is full", now)
--- a/src/beamhatch/edge/caller/http.py
+++ b/src/beamhatch/edge/caller/http.py
@@ -10,7 +10,7 @@
 from beamhatch.decide.outcome import Answered, NotRun, Outcome, Reason
 from beamhatch.edge.caller.api import CallerAnswer
 from beamhatch.edge.caller.error import STATUS, encode_outcome, list_headers
-from beamhatch.edge.caller.parse import BadRequest, RawRequest, parse_model_call, parse_service_call
+from beamhatch.edge.caller.parse import REPEATABLE, BadRequest, RawRequest, parse_model_call, parse_service_call
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping, Sequence
@@ -18,6 +18,7 @@
     from twisted.python.failure import Failure
 
     from beamhatch.clock import Clock
+    from beamhatch.decide.call import Call
     from beamhatch.settings.schema import Limits, Timing, Workspace
     from beamhatch.task.router import Router
 
@@ -206,8 +207,10 @@
         find_workspace: Callable[[Mapping[str, str]], Workspace],
         list_models: Callable[[], list[str]],
         explain_unready: Callable[[], str | None],
+        find_repeatable: Callable[[Call], bool | None],
     ) -> None:
         super().__init__()
+        self._find_repeatable = find_repeatable
         self._router = router
         self._clock = clock
         self._find_workspace = find_workspace
@@ -247,6 +250,9 @@
         except BadRequest as problem:
             self._send_bad(request, problem, request_id)
             return
+        pools = self._find_repeatable(call)
+        if pools is not None and REPEATABLE not in raw.headers:
+            call.repeatable = pools
         self._router.submit(call, HttpAnswer(request, request_id))
 
     def _send_bad(self, request: server.Request, problem: BadRequest, request_id: str = "") -> int:
--- a/src/beamhatch/edge/upstream/frames.py
+++ b/src/beamhatch/edge/upstream/frames.py
@@ -10,7 +10,7 @@
 
 MAX_FRAME_BYTES = 1024 * 1024
 _END = b"\n\n"
-_DONE = b"data: [DONE]\n\n"
+DONE = b"data: [DONE]\n\n"
 
 
 class FrameError(ValueError):
@@ -34,6 +34,14 @@
         self._rest = b""
         self.offset = after
         """Offset of the last frame that was passed on."""
+        self._expected = b"%s%d\n" % (self._prefix, after + 1)
+
+    def take_one(self, data: bytes) -> bool:
+        """Return whether a piece is just the next frame, as nearly every one is; it is passed on as it came."""
+        if self._rest or not data.startswith(self._expected) or data.find(_END) != len(data) - len(_END):
+            return False
+        self._advance()
+        return True
 
     def feed(self, data: bytes) -> Cut:
         """Take a piece of the stream and return the whole frames in it.
@@ -43,11 +51,6 @@
         if self._rest:
             data = self._rest + data
             self._rest = b""
-        if data.find(_END) == len(data) - len(_END) and self._take(data):
-            return Cut(data, 0, data.endswith(_DONE))
-        return self._feed_slowly(data)
-
-    def _feed_slowly(self, data: bytes) -> Cut:
         cut = Cut()
         parts: list[bytes] = []
         *events, self._rest = data.split(_END)
@@ -57,7 +60,7 @@
             frame = event + _END
             if self._take(frame):
                 parts.append(frame)
-                cut.done = cut.done or frame.endswith(_DONE)
+                cut.done = cut.done or frame.endswith(DONE)
             else:
                 cut.dropped += 1
         cut.frames = b"".join(parts)
@@ -76,5 +79,9 @@
             return False
         if offset != self.offset + 1:
             raise FrameError(f"frame {self.offset + 1} is missing")
-        self.offset = offset
+        self._advance()
         return True
+
+    def _advance(self) -> None:
+        self.offset += 1
+        self._expected = b"%s%d\n" % (self._prefix, self.offset + 1)
--- a/src/beamhatch/edge/upstream/http.py
+++ b/src/beamhatch/edge/upstream/http.py
@@ -30,7 +30,7 @@
     Service,
     Whole,
 )
-from beamhatch.edge.upstream.frames import FrameCutter, FrameError
+from beamhatch.edge.upstream.frames import DONE, FrameCutter, FrameError
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -214,6 +214,11 @@
         sink = self._sink
         if sink is None:
             return
+        if self._cutter.take_one(data):
+            sink.take_frames(data, self._cutter.offset)
+            if data.endswith(DONE):
+                self._take_end()
+            return
         try:
             cut = self._cutter.feed(data)
         except FrameError as error:
@@ -224,9 +229,13 @@
             sink.count_dropped(cut.dropped)
         if cut.frames:
             sink.take_frames(cut.frames, self._cutter.offset)
-        if cut.done and self._sink is not None:
-            self._sink = None
-            self._ended = True
+        if cut.done:
+            self._take_end()
+
+    def _take_end(self) -> None:
+        sink, self._sink = self._sink, None
+        self._ended = True
+        if sink is not None:
             sink.take_end()
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
--- a/src/beamhatch/settings/schema.py
+++ b/src/beamhatch/settings/schema.py
@@ -174,6 +174,7 @@
     labels: Labels = field(default_factory=dict)
     upstreams: list[Upstream] = field(default_factory=list)
     repeatable: bool | None = None
+    """Whether its calls may be sent again, where the caller does not say; none leaves it to the workspace."""
 
 
 class Workspace(Checked, frozen=True, tag_field="kind", tag="workspace"):
--- a/src/beamhatch/task/exchange.py
+++ b/src/beamhatch/task/exchange.py
@@ -46,7 +46,8 @@
 from beamhatch.decide.policy.api import Need
 from beamhatch.decide.request import Request, State, Terms
 from beamhatch.edge.upstream.api import AnswerSink, AnswerStream, Break, Export, Refusal, Rejection, Sent, Whole
-from beamhatch.task.sent import DONE_FRAME, SentFrames
+from beamhatch.edge.upstream.frames import DONE
+from beamhatch.task.sent import SentFrames
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine
@@ -358,8 +359,8 @@
         wants_usage = (self.call.fields.get("stream_options") or {}).get("include_usage")
         if reading is None or not reading.finished or (wants_usage and not reading.has_usage):
             return False
-        self._sent.add(DONE_FRAME)
-        self._answer.write(DONE_FRAME)
+        self._sent.add(DONE)
+        self._answer.write(DONE)
         self.feed(Ended())
         return True
 
--- a/src/beamhatch/task/node.py
+++ b/src/beamhatch/task/node.py
@@ -41,6 +41,7 @@
     from collections.abc import Mapping
 
     from beamhatch.clock import Clock
+    from beamhatch.decide.call import Call
     from beamhatch.settings.schema import Peer, Settings, Tls
 
 DEFAULT_WORKSPACE = "default"
@@ -114,7 +115,9 @@
         """
         settings, clock = self.settings, self.clock
         peer_port = self._listen_peers(settings.peer)
-        root = CallerRoot(self.router, clock, self.find_workspace, self._list_models, self.explain_unready)
+        root = CallerRoot(
+            self.router, clock, self.find_workspace, self._list_models, self.explain_unready, self._find_repeatable
+        )
         site = CallerSite(root, clock, settings.limits, settings.timing)
         caller, admin = settings.caller, settings.admin
         self._caller_listening = self._listen(site, caller.host, caller.port, caller.tls)
@@ -215,5 +218,10 @@
     def _list_models(self) -> list[str]:
         return [pool.model for pool in self.configuring.configuration.list_pools() if pool.model]
 
+    def _find_repeatable(self, call: Call) -> bool | None:
+        """Return what the pool of a call says of repeating, or None where it leaves that to the workspace."""
+        hosted = self.pools.find(call.target, call.service)
+        return hosted.document.repeatable if hosted is not None else None
+
     def _find_engine(self, name: Any) -> Any:
         return self.pools.find_engine(name)
--- a/src/beamhatch/task/sent.py
+++ b/src/beamhatch/task/sent.py
@@ -8,8 +8,6 @@
 
 from beamhatch.edge.upstream.api import Sent
 
-DONE_FRAME = b"data: [DONE]\n\n"
-
 
 @dataclass(frozen=True, slots=True)
 class Reading:
--- a/tests/edge/test_bad_input.py
+++ b/tests/edge/test_bad_input.py
@@ -4,6 +4,7 @@
 
 import json
 import socket
+import time
 from typing import TYPE_CHECKING, Any
 
 from tests.support.call import OpenCall, call, complete
@@ -86,3 +87,28 @@
     answer = complete(hall.ports["vm-1"], "late", 300, Beamhatch_Deadline="0.5")
     assert (answer.status, answer.outcome, answer.value["error"]["code"]) == (504, "failed", "deadline")
     hall.wait_nothing_held()
+
+
+def test_a_half_closed_caller_is_gone_and_frees_the_engine(hall: Hall) -> None:
+    hall.start(vms=1, prefill=1, decode=1, services=0, engine={"pace": 0.1})
+    caller = OpenCall(hall.ports["vm-1"]).send("half", 300)
+    caller.read_until(b"/1\n")
+    caller.close_sending()
+    hall.wait_nothing_held()
+    wait_until(lambda: hall.admin("vm-1", "/requests") == [], "it is gone")
+    caller.leave()
+
+
+def test_a_service_that_says_so_is_never_asked_again(hall: Hall) -> None:
+    hall.service_options = {"repeatable": False}
+    hall.start(vms=1, prefill=0, decode=0, services=2)
+    for name in ("service-1", "service-2"):
+        hall.fault(name, lose_reply=9)
+    path = "/services/acct-svc/x"
+    assert call(hall.ports["vm-1"], path, {}).outcome == "unknown"
+    assert sum(sum(hall.judge(name)["runs"].values()) for name in ("service-1", "service-2")) == 1
+    start = time.monotonic()
+    allowed = call(hall.ports["vm-1"], path, {}, Beamhatch_Repeatable="yes")
+    assert (allowed.status, allowed.outcome) == (503, "unknown")
+    assert time.monotonic() - start < 2, "with every replica tried, the answer comes at once"
+    assert sum(sum(hall.judge(name)["runs"].values()) for name in ("service-1", "service-2")) == 3
--- a/tests/edge/test_frames.py
+++ b/tests/edge/test_frames.py
@@ -34,7 +34,7 @@
         pieces.append(stream[:cut])
         stream = stream[cut:]
     cutter = FrameCutter(RUN)
-    passed = b"".join(cutter.feed(piece).frames for piece in [*pieces, stream])
+    passed = b"".join(piece if cutter.take_one(piece) else cutter.feed(piece).frames for piece in [*pieces, stream])
     assert passed == b"".join(own)
     assert cutter.offset == len(own)
 
--- a/tests/support/call.py
+++ b/tests/support/call.py
@@ -107,6 +107,11 @@
             pass
         return self.received
 
+    def close_sending(self) -> None:
+        """Close the caller's own direction of the connection."""
+        assert self._socket is not None
+        self._socket.shutdown(socket.SHUT_WR)
+
     def __del__(self) -> None:
         self.leave()
 
--- a/tests/support/hall.py
+++ b/tests/support/hall.py
@@ -45,6 +45,7 @@
         self.admin_ports: dict[str, int] = {}
         self.vms: list[str] = []
         self.halls: dict[str, str] = {}
+        self.service_options: dict[str, Any] = {}
         self.peer_tls: dict[str, dict[str, str]] = {}
         self._net = f"127.{os.getpid() % 200 + 20}.{next(_NUMBERS)}"
         self._documents: list[dict[str, Any]] = []
@@ -175,7 +176,8 @@
         if engines:
             documents.append({"kind": "pool", "name": "lm-desk", "model": "lm-desk", "upstreams": engines})
         if replicas:
-            documents.append({"kind": "pool", "name": "acct-svc", "service": "acct-svc", "upstreams": replicas})
+            pool = {"kind": "pool", "name": "acct-svc", "service": "acct-svc", "upstreams": replicas}
+            documents.append({**pool, **self.service_options})
         return documents
 
     def host(self, vm: str) -> str:
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -4,7 +4,6 @@
 
 import signal
 import threading
-import time
 from concurrent.futures import ThreadPoolExecutor
 from typing import TYPE_CHECKING
 
@@ -59,7 +58,7 @@
     def watch() -> None:
         while not stop.is_set():
             balancer.check()
-            time.sleep(0.05)
+            stop.wait(0.05)
 
     with ThreadPoolExecutor(14) as pool:
         jobs = [pool.submit(load, worker) for worker in range(12)]
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -2,14 +2,18 @@
 
 from __future__ import annotations
 
+import json
 from concurrent.futures import ThreadPoolExecutor
-from typing import TYPE_CHECKING
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from threading import Thread
+from typing import TYPE_CHECKING, Any
 
 import openai
 from openai.types.chat import ChatCompletionChunk
 
 from beamhatch.standin.engine import expect_text
 from tests.support.call import call, complete
+from tests.support.process import wait_until
 
 if TYPE_CHECKING:
     from openai.types.chat import ChatCompletionMessageParam
@@ -80,3 +84,29 @@
     assert {span["trace"] for span in spans} == {"a" * 32}
     assert spans[0]["parent"] == "b" * 16
     assert all(span["end"] is not None for span in spans)
+
+
+def test_finished_traces_go_to_a_collector(hall: Hall) -> None:
+    taken: list[dict[str, Any]] = []
+
+    class Collector(BaseHTTPRequestHandler):
+        def do_POST(self) -> None:
+            taken.append(json.loads(self.rfile.read(int(self.headers["Content-Length"]))))
+            self.send_response(200)
+            self.end_headers()
+
+        def log_message(self, *arguments: Any) -> None:
+            pass
+
+    with ThreadingHTTPServer(("127.0.0.1", 0), Collector) as server:
+        serving = Thread(target=server.serve_forever)
+        serving.start()
+        url = f"http://127.0.0.1:{server.server_port}/v1/traces"
+        hall.start(vms=1, prefill=1, decode=1, services=0, traces={"otlp": url})
+        assert complete(hall.ports["vm-1"], "traced", 2).status == 200
+        wait_until(lambda: taken, "the trace arrives")
+        server.shutdown()
+        serving.join()
+    spans = taken[0]["resourceSpans"][0]["scopeSpans"][0]["spans"]
+    assert {span["name"] for span in spans} >= {"request", "prefill", "transfer", "decode"}
+    assert len({span["traceId"] for span in spans}) == 1
