Remove code that nothing uses

Cause: reading the whole change once more. Change: a manual clock, a stream count and two constants without a caller are gone; nothing else. Conclusion: no behaviour changes.

--- a/src/beamhatch/clock.py
+++ b/src/beamhatch/clock.py
@@ -1,4 +1,4 @@
-"""The runtime's clock; tests put one in its place that they pause and advance."""
+"""The runtime's clock; the decisions take the time as a number, which tests pause and advance."""
 
 from __future__ import annotations
 
@@ -35,15 +35,3 @@
     done: defer.Deferred[None] = defer.Deferred()
     clock.call_later(seconds, done.callback, None)
     await done
-
-
-class ManualClock(Clock):
-    """A clock over ``twisted.internet.task.Clock``, which stands still until it is advanced."""
-
-    def now(self) -> float:
-        """Return the advanced seconds."""
-        return float(self.reactor.seconds())
-
-    def tell_wall(self) -> float:
-        """Return the advanced seconds, as if they had begun in 1970."""
-        return float(self.reactor.seconds())
--- a/src/beamhatch/edge/platform/http.py
+++ b/src/beamhatch/edge/platform/http.py
@@ -19,7 +19,6 @@
 
     from beamhatch.observe.metrics import Metrics
 
-MAX_VALUE_BYTES = 1024 * 1024
 MAX_EVENT_BYTES = 4 * 1024 * 1024
 
 
--- a/src/beamhatch/task/mesh.py
+++ b/src/beamhatch/task/mesh.py
@@ -151,10 +151,6 @@
         for stream in list(self._streams):
             stream.send(news)
 
-    def count_streams(self) -> int:
-        """Return how many peers can be asked now."""
-        return len(self._out)
-
     def make_factory(self) -> Factory:
         """Return the factory of streams that peers dial."""
         factory = Factory()
--- a/src/beamhatch/task/pools.py
+++ b/src/beamhatch/task/pools.py
@@ -35,7 +35,6 @@
     from beamhatch.task.exchange import Exchange
 
 EXPIRE_PERIOD = 0.1
-FAILED_READS_TO_WARN = 4
 
 
 class HostedPool:
