Let a bounded line wait for decode memory, and refuse the rest at once

Change: as many requests wait at a VM as its own streams are expected to free places before an answer would be late; all others are refused at once with a time to come back. The first in line asks again when one of the VM's streams ends. A step under way now excludes another.

--- a/src/beamhatch/relay/attempt.py
+++ b/src/beamhatch/relay/attempt.py
@@ -224,6 +224,8 @@
             self._ended = True
             self._stop_timer()
             self.standing.end(self._tokens)
+            if self._sent and self.send.stage is not Stage.PREFILL and self.request.split:
+                self.core.note_freed(self.request.service.name)
 
 
 class ReserveAttempt(AnswerSink):
@@ -279,6 +281,7 @@
         found = self.core.dialect.read_reservation(bytes(self._body)) if self._head.status == 200 else None
         self.core.tally.count("reservations_total", str(self._head.status))
         if found is not None:
+            self._exchange.leave_line()
             self._exchange.request.note_reserved(Reservation(found, upstream, now + self._step.lifetime))
         elif self._head.status == MISDIRECTED:
             standing.note_misdirected(now)
--- a/src/beamhatch/relay/core.py
+++ b/src/beamhatch/relay/core.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import json
+import random
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from beamhatch.relay.api import BadRequest
 from beamhatch.relay.budget import Budget, BudgetTerms
 from beamhatch.relay.exchange import RelayExchange
+from beamhatch.relay.line import Line
 from beamhatch.relay.listing import Listing
 from beamhatch.relay.model import CallerLimits
 from beamhatch.relay.standing import Standings
@@ -26,6 +28,12 @@
     from beamhatch.relay.http_server import IncomingRequest, RequestHandler, Responder
     from beamhatch.relay.model import Service, ServiceName, Table
 
+POLL_INTERVAL = 0.04
+"""Seconds between two times that the first in line asks for decode memory."""
+
+FREED_DELAY = 0.003
+"""Seconds in which an engine gives memory back when a stream has ended."""
+
 UNREADY_RETRY = 1.0
 """Seconds after which a caller may come back to a VM that knows no configuration yet."""
 
@@ -57,6 +65,8 @@
     on_change: Callable[[], None] = lambda: None
     """Called when the configuration or the listing has changed."""
     _budgets: dict[ServiceName, Budget] = field(default_factory=dict)
+    _lines: dict[ServiceName, Line[RelayExchange]] = field(default_factory=dict)
+    _polling: set[ServiceName] = field(default_factory=set)
 
     @property
     def table(self) -> Table | None:
@@ -113,6 +123,39 @@
         budget.terms = self.terms.budget
         return budget
 
+    # --- decode memory -----------------------------------------------------------------------------------------------
+
+    def find_line(self, service: ServiceName) -> Line[RelayExchange]:
+        """Return the line for the decode memory of a service."""
+        line = self._lines.get(service)
+        if line is None:
+            line = self._lines[service] = Line()
+        return line
+
+    def wait_in_line(self, exchange: RelayExchange, late_at: float) -> None:
+        """Let a request wait; it is asked to go on when it is its turn."""
+        service = exchange.request.service.name
+        self.find_line(service).join(exchange, late_at, self.clock.now())
+        if service not in self._polling:
+            self._polling.add(service)
+            self.clock.call_later(POLL_INTERVAL * random.uniform(0.6, 1.4), self._poll, service)
+
+    def note_freed(self, service: ServiceName) -> None:
+        """Note that one of this VM's streams gave its memory back: who waits has a chance now."""
+        line = self.find_line(service)
+        line.note_freed(self.clock.now())
+        if len(line) and service not in self._polling:
+            self._polling.add(service)
+            self.clock.call_later(FREED_DELAY, self._poll, service)
+
+    def _poll(self, service: ServiceName) -> None:
+        self._polling.discard(service)
+        waiter = self.find_line(service).find_next(self.clock.now())
+        if waiter is not None:
+            waiter.advance()
+
+    # --- callers -----------------------------------------------------------------------------------------------------
+
     def serve(self, incoming: IncomingRequest, responder: Responder) -> RequestHandler | None:
         """Serve one caller's request."""
         facts = self.dialect.read_request(incoming.headers)
--- a/src/beamhatch/relay/exchange.py
+++ b/src/beamhatch/relay/exchange.py
@@ -20,7 +20,7 @@
 from beamhatch.relay.http_client import Call
 from beamhatch.relay.http_server import RequestHandler
 from beamhatch.relay.model import RouteKind, Stage
-from beamhatch.relay.request import Fail, Refuse, RelayRequest, Reserve, Send, Wait
+from beamhatch.relay.request import Fail, Refuse, RelayRequest, Reserve, Send, Step, Wait
 
 if TYPE_CHECKING:
     from beamhatch.relay.api import Headers
@@ -38,7 +38,10 @@
 RETRY_AFTER_SHARE = 0.5
 """Share of the target latency after which a refused caller may come back."""
 
-RETRY_AFTER_FULL_SHARE = 2.0
+IN_TIME_SHARE = 0.55
+"""Share of the target latency within which decode memory has to come free for an answer in time."""
+
+RETRY_AFTER_FULL_SHARE = 3.5
 """The same where upstreams are full: by then others have ended."""
 
 SHORTEST_RETRY = 0.15
@@ -66,7 +69,7 @@
         self._responder = responder
         self._passed_on = strip_hop_by_hop(incoming.headers)
         self._attempt: Attempt | ReserveAttempt | None = None
-        self._waiting: Any = None
+        self._in_line = False
         self._timer: Any = None
         self._failure: WholeAnswer | None = None
         self._ended = False
@@ -76,25 +79,33 @@
     def start(self) -> None:
         """Begin."""
         self._set_timer()
-        if not self._ended:
+        if self._ended:
+            return
+        if self.request.split and self.core.find_line(self.request.service.name).has_fresh(self.core.clock.now()):
+            self._wait_in_line()
+        else:
             self.advance()
 
     def advance(self) -> None:
-        """Carry out the next step."""
-        if self._ended:
+        """Carry out the next step, unless one is under way."""
+        if self._ended or self._attempt is not None:
             return
-        now = self.core.clock.now()
+        self._carry_out(self._plan(self.core.clock.now()))
+
+    def _plan(self, now: float) -> Step:
         request = self.request
         service = request.service.name
         budget = self.core.find_budget(service)
         usable = self.core.listing.list_usable(service, now)
-        step = request.plan(usable, self.core.chooser, budget, self.core.vms, now)
+        return request.plan(usable, self.core.chooser, budget, self.core.vms, now)
+
+    def _carry_out(self, step: Step) -> None:
         if isinstance(step, Send):
-            self._send(step, now)
+            self._send(step, self.core.clock.now())
         elif isinstance(step, Reserve):
             self._reserve(step)
         elif isinstance(step, Wait):
-            self._waiting = self.core.clock.call_later(step.seconds, self.advance)
+            self._wait_in_line()
         elif isinstance(step, Refuse):
             self._refuse(step.reason, full=step.full)
         else:
@@ -111,6 +122,19 @@
         most_idle = 1e9 if request.route.idempotent or send.stage is Stage.PREFILL else FRESH_IDLE
         attempt.start(self._make_call(send, now), most_idle)
 
+    def _wait_in_line(self) -> None:
+        """Wait for decode memory behind those that came before, or give up at once where too many wait."""
+        now = self.core.clock.now()
+        in_time = self.request.route.target_latency * IN_TIME_SHARE
+        line = self.core.find_line(self.request.service.name)
+        if not self._in_line and not self.request.begun and not line.has_room(in_time, now):
+            self._carry_out(self.request.refuse_full())
+            return
+        if not self._in_line:
+            self._in_line = True
+            self.write_log("waits", waiting=len(line), freed_per_second=line.count_rate(now))
+        self.core.wait_in_line(self, self._incoming.arrived + in_time)
+
     def _reserve(self, step: Reserve) -> None:
         attempt = ReserveAttempt(self, step)
         self._attempt = attempt
@@ -217,8 +241,7 @@
         self._ended = True
         self._stop_timer()
         self._stop_attempt()
-        if self._waiting is not None and self._waiting.active():
-            self._waiting.cancel()
+        self.leave_line()
         self._give_back()
         self.core.exchanges.discard(self)
 
@@ -257,6 +280,12 @@
         """Write a line about this request."""
         self.core.journal.write("RELAY", event, request=self.request.facts.id, route=self.request.route.name, **fields)
 
+    def leave_line(self) -> None:
+        """Wait no longer: there is decode memory, or the request has ended."""
+        if self._in_line:
+            self._in_line = False
+            self.core.find_line(self.request.service.name).leave(self)
+
     def count_seconds(self) -> float:
         """Return the seconds since the request arrived."""
         return round(self.core.clock.now() - self._incoming.arrived, 4)
--- /dev/null
+++ b/src/beamhatch/relay/line.py
@@ -0,0 +1,70 @@
+"""The line of requests that wait for decode memory: how many may wait, and who goes next.
+
+A place in decode memory comes free as streams end. A VM's own streams tell how often: as many requests may wait as
+places are expected to come free before a wait would make an answer late. All others are told at once when to come back.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass, field
+from typing import Generic, TypeVar
+
+Waiter = TypeVar("Waiter")
+
+RATE_WINDOW = 4.0
+"""Seconds over which the rate of freed places is counted."""
+
+FEWEST_WAITING = 1
+
+
+@dataclass(frozen=True, slots=True)
+class _Place(Generic[Waiter]):
+    waiter: Waiter
+    joined_at: float
+    late_at: float
+
+
+@dataclass(slots=True)
+class Line(Generic[Waiter]):
+    """Those that wait, in the order in which they came; those that are late already go behind all others."""
+
+    _places: list[_Place[Waiter]] = field(default_factory=list)
+    _freed: deque[float] = field(default_factory=deque)
+
+    def __len__(self) -> int:
+        """Return how many wait."""
+        return len(self._places)
+
+    def note_freed(self, now: float) -> None:
+        """Count a place that one of this VM's streams gave back."""
+        self._freed.append(now)
+
+    def has_room(self, wait: float, now: float) -> bool:
+        """Tell whether one more may wait, so that it should be served within some seconds."""
+        return len(self._places) < max(FEWEST_WAITING, self.count_rate(now) * wait)
+
+    def count_rate(self, now: float) -> float:
+        """Return the places that came free a second of late."""
+        while self._freed and self._freed[0] < now - RATE_WINDOW:
+            self._freed.popleft()
+        return len(self._freed) / RATE_WINDOW
+
+    def join(self, waiter: Waiter, late_at: float, now: float) -> None:
+        """Enter a request that will be late from some time on."""
+        if all(place.waiter is not waiter for place in self._places):
+            self._places.append(_Place(waiter, now, late_at))
+
+    def leave(self, waiter: Waiter) -> None:
+        """Drop a request that waits no longer."""
+        self._places = [place for place in self._places if place.waiter is not waiter]
+
+    def has_fresh(self, now: float) -> bool:
+        """Tell whether somebody waits who can still be in time."""
+        return any(now < place.late_at for place in self._places)
+
+    def find_next(self, now: float) -> Waiter | None:
+        """Return who goes next."""
+        if not self._places:
+            return None
+        return min(self._places, key=lambda place: (now >= place.late_at, place.joined_at)).waiter
--- a/src/beamhatch/relay/request.py
+++ b/src/beamhatch/relay/request.py
@@ -31,14 +31,8 @@
 RESERVE_TRIES = 4
 """Decode engines that are asked for memory in one round."""
 
-ROUND_PAUSE = 0.05
-"""Seconds between two rounds."""
-
-WAIT_SHARE = 0.23
-"""Share of the target latency for which a new request waits for decode memory.
-
-A caller that is refused within a quarter of it, and comes back in time, still earns half; a later refusal earns nothing.
-"""
+LONGEST_WAIT = 3.0
+"""Seconds for which a request waits for decode memory at the most."""
 
 RESUME_WAIT = 1.5
 """Seconds for which a stream that broke waits for decode memory; its caller leaves after some seconds."""
@@ -66,9 +60,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Wait:
-    """Plan again after some seconds."""
-
-    seconds: float
+    """Wait in line for decode memory, and plan again when it is this request's turn."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -191,11 +183,14 @@
     def _wait_for_memory(self, now: float) -> Step:
         if self._waiting_since is None:
             self._waiting_since = now
-        limit = RESUME_WAIT if self.begun else self.route.target_latency * WAIT_SHARE
-        if now - self._waiting_since >= limit:
-            return Fail("decode memory is full") if self.doubt else Refuse("decode memory is full", full=True)
+        if now - self._waiting_since >= (RESUME_WAIT if self.begun else LONGEST_WAIT):
+            return self.refuse_full()
         self._full.clear()
-        return Wait(ROUND_PAUSE)
+        return Wait()
+
+    def refuse_full(self) -> Step:
+        """Return how the request ends where decode memory is full."""
+        return Fail("decode memory is full") if self.doubt else Refuse("decode memory is full", full=True)
 
     def _choose_landing(self, usable: list[Upstream], chooser: Chooser, now: float) -> Send | None:
         engine = self.service.engine
