--- a/src/beamhatch/relay/exchange.py
+++ b/src/beamhatch/relay/exchange.py
@@ -138,6 +138,7 @@
     def _reserve(self, step: Reserve) -> None:
         attempt = ReserveAttempt(self, step)
         self._attempt = attempt
+        self.write_log("asks memory", to=step.upstream.id, prompt=self.request.facts.prompt_tokens, output=self.request.facts.output_tokens)
         attempt.start(self.core.dialect.make_reserve(step.upstream, step.tokens, step.lifetime))
 
     def _make_attempt(self, send: Send) -> Attempt:
--- a/src/beamhatch/relay/request.py
+++ b/src/beamhatch/relay/request.py
@@ -31,6 +31,9 @@
 RESERVE_TRIES = 4
 """Decode engines that are asked for memory in one round."""
 
+RESERVED_OUTPUT = 800
+"""Tokens of the answer that are reserved beside the prompt."""
+
 LONGEST_WAIT = 3.0
 """Seconds for which a request waits for decode memory at the most."""
 
@@ -175,9 +178,9 @@
         if len(self._full) < RESERVE_TRIES:
             decode = self._choose_decode(usable, chooser, now, self.handle, self._full)
             if decode is not None:
-                return Reserve(decode, self.need.tokens, engine.hold_lifetime)
+                return Reserve(decode, self.facts.prompt_tokens + RESERVED_OUTPUT, engine.hold_lifetime)
         if not self._full:
-            return None
+            return self._give_up("no decode engine can be asked")
         return self._wait_for_memory(now)
 
     def _wait_for_memory(self, now: float) -> Step:
