--- a/src/beamhatch/platform/run.py
+++ b/src/beamhatch/platform/run.py
@@ -15,7 +15,7 @@
 from beamhatch.observe.tally import Tally
 from beamhatch.platform.dialect import PlatformDialect
 from beamhatch.platform.documents import PlatformDocuments
-from beamhatch.platform.settings import BadSettings, read_settings
+from beamhatch.platform.settings import SettingsError, read_settings
 from beamhatch.platform.store import PlatformStore
 from beamhatch.relay.daemon import Daemon, RelaySettings
 from beamhatch.relay.http_client import HttpClient
@@ -70,7 +70,7 @@
         self._seen = _read_stamp(self._path)
         try:
             settings = read_settings(self._path)
-        except BadSettings as problem:
+        except SettingsError as problem:
             self._journal.write("MAIN", "settings not taken", detail=str(problem))
             return
         self._daemon.reload(settings)
@@ -92,7 +92,7 @@
     path = os.environ.get(SETTINGS_VARIABLE, "")
     try:
         settings = read_settings(path)
-    except BadSettings as problem:
+    except SettingsError as problem:
         print(f"beamhatch: {problem}", file=sys.stderr)
         return EXIT_USAGE
     make_nonblocking(sys.stdout.fileno())
--- a/src/beamhatch/platform/settings.py
+++ b/src/beamhatch/platform/settings.py
@@ -17,7 +17,7 @@
 DEFAULT_GRACE = 8.0
 
 
-class BadSettings(ValueError):
+class SettingsError(ValueError):
     """A settings file that can't be used; the text says where and why."""
 
 
@@ -51,13 +51,13 @@
 def read_settings(path: str) -> RelaySettings:
     """Return the settings in a file.
 
-    :raises BadSettings: where the file can't be read, or lacks something
+    :raises SettingsError: where the file can't be read, or lacks something
     """
     try:
         read = msgspec.convert(tomllib.loads(Path(path).read_text()), _Settings, strict=False)
         return _make_settings(read)
     except (OSError, ValueError, msgspec.ValidationError) as problem:
-        raise BadSettings(f"{path}: {problem}") from None
+        raise SettingsError(f"{path}: {problem}") from None
 
 
 def _make_settings(read: _Settings) -> RelaySettings:
--- a/src/beamhatch/relay/api.py
+++ b/src/beamhatch/relay/api.py
@@ -9,8 +9,8 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from beamhatch.relay.listing import Entry
     from beamhatch.relay.http_client import Call
+    from beamhatch.relay.listing import Entry
     from beamhatch.relay.model import Handle, RequestFacts, Reservation, Stage, Table, Upstream
     from beamhatch.relay.standing import Load
 
--- a/src/beamhatch/relay/attempt.py
+++ b/src/beamhatch/relay/attempt.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING, Any
 
 from beamhatch.relay.answer import PROMISES, WholeAnswer
-from beamhatch.relay.events import BrokenStream, EventChecker
+from beamhatch.relay.events import EventChecker, StreamError
 from beamhatch.relay.http_client import AnswerSink, Fault
 from beamhatch.relay.model import Handle, Reservation, Stage
 
@@ -134,8 +134,14 @@
             self.standing.note_silence(now)
         else:
             self.standing.note_fault(now)
-        self.exchange.write_log("send failed", to=self.send.upstream.id, fault=fault.value, detail=detail, sent=self._sent,
-                                stage=self.send.stage.value)  # fmt: skip
+        self.exchange.write_log(
+            "send failed",
+            to=self.send.upstream.id,
+            fault=fault.value,
+            detail=detail,
+            sent=self._sent,
+            stage=self.send.stage.value,
+        )
         self.core.tally.count("send_faults_total", fault.value)
         if self._sent:
             self.request.note_broken(self.send)
@@ -151,8 +157,13 @@
         if self.head.status == MISDIRECTED:
             self.standing.note_misdirected(now)
             self.core.client.close_idle(self.send.upstream.address)
-        self.exchange.write_log("turned away", to=self.send.upstream.id, status=self.head.status,
-                                stage=self.send.stage.value, detail=bytes(self.body[:120]).decode("latin-1"))  # fmt: skip
+        self.exchange.write_log(
+            "turned away",
+            to=self.send.upstream.id,
+            status=self.head.status,
+            stage=self.send.stage.value,
+            detail=bytes(self.body[:120]).decode("latin-1"),
+        )
         self.core.tally.count("turned_away_total", str(self.head.status))
         self.request.note_not_run(self.send)
         self.note_turned_away(now)
@@ -198,8 +209,13 @@
         else:
             self.standing.note_silence(now)
         abandoned = self.may_abandon()
-        self.exchange.write_log("silent", to=self.send.upstream.id, stage=self.send.stage.value, abandoned=abandoned,
-                                seconds=round(now - self._started_at, 3))  # fmt: skip
+        self.exchange.write_log(
+            "silent",
+            to=self.send.upstream.id,
+            stage=self.send.stage.value,
+            abandoned=abandoned,
+            seconds=round(now - self._started_at, 3),
+        )
         self.core.tally.count("silences_total", self.send.stage.value)
         if not abandoned:
             return
@@ -401,7 +417,7 @@
             return
         try:
             events = self._events.feed(data)
-        except BrokenStream as problem:
+        except StreamError as problem:
             self.fail(str(problem))
             return
         if events.data:
--- a/src/beamhatch/relay/core.py
+++ b/src/beamhatch/relay/core.py
@@ -24,8 +24,8 @@
     from beamhatch.relay.api import Dialect, Document, ListingNews
     from beamhatch.relay.choosing import Chooser
     from beamhatch.relay.http_client import HttpClient
-    from beamhatch.relay.listing import Entry
     from beamhatch.relay.http_server import IncomingRequest, RequestHandler, Responder
+    from beamhatch.relay.listing import Entry
     from beamhatch.relay.model import Service, ServiceName, Table
 
 POLL_INTERVAL = 0.04
@@ -42,7 +42,7 @@
 class Terms:
     """Bounds that the platform sets; a reload may change them."""
 
-    budget: BudgetTerms = BudgetTerms()
+    budget: BudgetTerms = field(default_factory=BudgetTerms)
 
 
 @dataclass(slots=True)
--- a/src/beamhatch/relay/events.py
+++ b/src/beamhatch/relay/events.py
@@ -16,7 +16,7 @@
     last: int | None
 
 
-class BrokenStream(ValueError):
+class StreamError(ValueError):
     """A stream whose events do not follow each other."""
 
 
@@ -36,13 +36,13 @@
     def feed(self, data: bytes) -> Events:
         """Take bytes as they come; return the events that are whole by now.
 
-        :raises BrokenStream: where an event's id is not the next one
+        :raises StreamError: where an event's id is not the next one
         """
         self._rest += data
         end = self._rest.rfind(b"\n\n")
         if end < 0:
             if len(self._rest) > MOST_BYTES:
-                raise BrokenStream("an event is too long")
+                raise StreamError("an event is too long")
             return Events(b"", self._last)
         whole, self._rest = self._rest[: end + 2], self._rest[end + 2 :]
         for line in whole.split(b"\n"):
@@ -52,8 +52,8 @@
 
     def _take_id(self, text: bytes) -> None:
         if not text.isdigit():
-            raise BrokenStream(f"an event has the id {text[:40]!r}")
+            raise StreamError(f"an event has the id {text[:40]!r}")
         number = int(text)
         if self._last is not None and number != self._last + 1:
-            raise BrokenStream(f"event {number} follows event {self._last}")
+            raise StreamError(f"event {number} follows event {self._last}")
         self._last = number
--- a/src/beamhatch/relay/exchange.py
+++ b/src/beamhatch/relay/exchange.py
@@ -138,7 +138,6 @@
     def _reserve(self, step: Reserve) -> None:
         attempt = ReserveAttempt(self, step)
         self._attempt = attempt
-        self.write_log("asks memory", to=step.upstream.id, prompt=self.request.facts.prompt_tokens, output=self.request.facts.output_tokens)
         attempt.start(self.core.dialect.make_reserve(step.upstream, step.tokens, step.lifetime))
 
     def _make_attempt(self, send: Send) -> Attempt:
@@ -218,8 +217,14 @@
     def _answer(self, status: int, reason: str, retry_after: float | None) -> None:
         if self._ended:
             return
-        self.write_log("broken off" if self._responder.begun else "given up", status=status, reason=reason,
-                       doubt=self.request.doubt, sends=self.request.sends, seconds=self.count_seconds())  # fmt: skip
+        self.write_log(
+            "broken off" if self._responder.begun else "given up",
+            status=status,
+            reason=reason,
+            doubt=self.request.doubt,
+            sends=self.request.sends,
+            seconds=self.count_seconds(),
+        )
         self._note_end(f"own_{status}")
         self._stop_attempt()
         if self._responder.begun:
--- a/src/beamhatch/relay/gossip.py
+++ b/src/beamhatch/relay/gossip.py
@@ -19,12 +19,12 @@
     MOST_KNOWN,
     AskConfiguration,
     AskListing,
-    BadMessage,
     Beat,
     Configuration,
     Hello,
     ListingPart,
     Message,
+    MessageError,
     decode,
     encode,
 )
@@ -82,7 +82,7 @@
         self.heard_at = self._gossip.core.clock.now()
         try:
             message = decode(string)
-        except BadMessage as problem:
+        except MessageError as problem:
             self._gossip.core.journal.write("PEER", "bad message", vm=self.vm, detail=str(problem))
             self.transport.abortConnection()
             return
--- a/src/beamhatch/relay/gossip_message.py
+++ b/src/beamhatch/relay/gossip_message.py
@@ -60,7 +60,7 @@
 _decoder: msgspec.msgpack.Decoder[Message] = msgspec.msgpack.Decoder(Message)
 
 
-class BadMessage(ValueError):
+class MessageError(ValueError):
     """A message that can't be read."""
 
 
@@ -72,9 +72,9 @@
 def decode(data: bytes) -> Message:
     """Return the message in some bytes.
 
-    :raises BadMessage: where it is none
+    :raises MessageError: where it is none
     """
     try:
         return _decoder.decode(data)
     except (msgspec.DecodeError, msgspec.ValidationError) as problem:
-        raise BadMessage(str(problem)) from None
+        raise MessageError(str(problem)) from None
--- a/src/beamhatch/relay/http_client.py
+++ b/src/beamhatch/relay/http_client.py
@@ -67,7 +67,7 @@
 class AnswerSink(ABC):
     """Takes in the answer to one call, in order; after an end or a fault nothing more comes."""
 
-    def note_sent(self) -> None:
+    def note_sent(self) -> None:  # noqa: B027 - most sinks need not know
         """Note that the request is being written."""
 
     def is_own(self, head: Head) -> bool:
