--- /dev/null
+++ b/src/beamhatch/platform/standin/base.py
@@ -0,0 +1,62 @@
+"""What the stand-ins share: a server, a reading of headers, JSON answers."""
+
+from __future__ import annotations
+
+import json
+from abc import ABC, abstractmethod
+from typing import TYPE_CHECKING, Any
+from urllib.parse import parse_qsl
+
+from beamhatch.relay.http_server import CallerServer, IncomingRequest, RequestHandler, Responder
+from beamhatch.relay.model import Address, CallerLimits
+
+if TYPE_CHECKING:
+    from beamhatch.clock import Clock
+
+GENEROUS = CallerLimits(64 * 1024, 64 * 1024 * 1024, 30.0, 60.0)
+
+
+class StandIn(ABC):
+    """A server at one address."""
+
+    def __init__(self, clock: Clock, address: Address) -> None:
+        self.clock = clock
+        self.address = address
+        self._server = CallerServer(clock, self.serve, lambda: GENEROUS, lambda status, detail: None)
+        self._port: Any = None
+
+    def start(self) -> None:
+        """Listen."""
+        self._port = self.clock.reactor.listenTCP(self.address.port, self._server, interface=self.address.host)
+
+    def stop(self) -> None:
+        """Listen no longer, and break all connections, as a crash does."""
+        if self._port is not None:
+            self._port.stopListening()
+            self._port = None
+        for connection in list(self._server.connections):
+            connection.abort()
+
+    def break_connections(self) -> None:
+        """Break all connections, and go on listening."""
+        for connection in list(self._server.connections):
+            connection.abort()
+
+    @abstractmethod
+    def serve(self, incoming: IncomingRequest, responder: Responder) -> RequestHandler | None:
+        """Serve one call."""
+
+
+def read_headers(incoming: IncomingRequest) -> dict[str, str]:
+    """Return headers by their names in lower case."""
+    return {name.lower(): value for name, value in incoming.headers}
+
+
+def read_query(incoming: IncomingRequest) -> dict[str, str]:
+    """Return the query's fields."""
+    return dict(parse_qsl(incoming.target.partition("?")[2]))
+
+
+def answer_json(responder: Responder, status: int, value: object, *headers: tuple[str, str]) -> None:
+    """Send a JSON answer."""
+    responder.send_whole(status, [("Content-Type", "application/json"), *headers], json.dumps(value).encode())
--- /dev/null
+++ b/src/beamhatch/platform/standin/store.py
@@ -0,0 +1,218 @@
+"""A stand-in of the platform's store: revisions, ranges, watches, leases and conditional changes, and its faults."""
+
+from __future__ import annotations
+
+import base64
+import json
+from dataclasses import dataclass
+from enum import Enum
+from typing import TYPE_CHECKING, Any
+
+from beamhatch.platform.standin.base import StandIn, answer_json, read_query
+from beamhatch.relay.http_server import IncomingRequest, RequestHandler, Responder
+
+if TYPE_CHECKING:
+    from beamhatch.clock import Clock
+    from beamhatch.relay.model import Address
+
+
+class StoreFault(Enum):
+    """What is wrong with the store."""
+
+    NONE = "none"
+    BUSY = "busy"
+    """It answers 503 to all."""
+    SILENT = "silent"
+    """It answers nothing."""
+    LOST = "lost"
+    """It does what is asked and gives no answer."""
+
+
+@dataclass(slots=True)
+class _Item:
+    value: bytes
+    revision: int
+    made: int
+    lease: int
+
+
+@dataclass(slots=True)
+class _Watch:
+    prefix: str
+    after: int
+    responder: Responder
+
+
+class StandInStore(StandIn):
+    """The store."""
+
+    def __init__(self, clock: Clock, address: Address) -> None:
+        super().__init__(clock, address)
+        self.fault = StoreFault.NONE
+        self.calls = 0
+        """Calls so far, refused ones included."""
+        self.revision = 0
+        self._items: dict[str, _Item] = {}
+        self._history: list[tuple[int, str, bytes | None]] = []
+        self._history_from = 0
+        self._watches: list[_Watch] = []
+        self._leases: dict[int, Any] = {}
+        self._lease_lives: dict[int, float] = {}
+
+    # --- what the operator and the upstreams do ----------------------------------------------------------------------
+
+    def put(self, key: str, value: object, lease: int = 0) -> int:
+        """Write a value, bytes or JSON; return the revision."""
+        raw = value if isinstance(value, bytes) else json.dumps(value).encode()
+        self.revision += 1
+        known = self._items.get(key)
+        self._items[key] = _Item(raw, self.revision, known.made if known else self.revision, lease)
+        self._note(key, raw)
+        return self.revision
+
+    def remove(self, key: str) -> None:
+        """Remove a key."""
+        if self._items.pop(key, None) is not None:
+            self.revision += 1
+            self._note(key, None)
+
+    def forget_history(self) -> None:
+        """Forget all changes so far, and cut the watches."""
+        self._history.clear()
+        self._history_from = self.revision
+        watches, self._watches = self._watches, []
+        for watch in watches:
+            watch.responder.abort()
+
+    def _note(self, key: str, value: bytes | None) -> None:
+        self._history.append((self.revision, key, value))
+        waiting, self._watches = self._watches, []
+        for watch in waiting:
+            if not self._answer_watch(watch):
+                self._watches.append(watch)
+
+    # --- calls -------------------------------------------------------------------------------------------------------
+
+    def serve(self, incoming: IncomingRequest, responder: Responder) -> RequestHandler | None:
+        """Serve one call."""
+        self.calls += 1
+        if self.fault is StoreFault.SILENT:
+            return None
+        if self.fault is StoreFault.BUSY:
+            answer_json(responder, 503, {})
+            return None
+        name = incoming.path.split("/")[2]
+        if self.fault is StoreFault.LOST:
+            responder = _Mute()
+        if name == "kv-key":
+            self._serve_key(read_query(incoming)["tls_key"], responder)
+        elif name == "kv-range":
+            self._serve_range(read_query(incoming), responder)
+        elif name == "kv-watch":
+            self._serve_watch(read_query(incoming), responder)
+        elif name == "kv-txn":
+            self._serve_change(json.loads(incoming.body), responder)
+        else:
+            self._serve_lease(name, incoming, responder)
+        return None
+
+    def _serve_key(self, key: str, responder: Responder) -> None:
+        if key in self._items:
+            answer_json(responder, 200, {**self._show(key), "at": self.revision})
+        else:
+            answer_json(responder, 404, {"at": self.revision})
+
+    def _serve_range(self, query: dict[str, str], responder: Responder) -> None:
+        keys = sorted(
+            key for key in self._items if key.startswith(query["path_prefix"]) and key > query.get("after", "")
+        )
+        page = keys[:50]
+        items = [self._show(key) for key in page]
+        answer_json(responder, 200, {"items": items, "more": len(page) < len(keys), "at": self.revision})
+
+    def _serve_watch(self, query: dict[str, str], responder: Responder) -> None:
+        watch = _Watch(query["path_prefix"], int(query["after"]), responder)
+        if watch.after < self._history_from:
+            answer_json(responder, 410, {})
+        elif not self._answer_watch(watch):
+            self._watches.append(watch)
+            self.clock.call_later(int(query["wait_ms"]) / 1000, self._end_watch, watch)
+
+    def _answer_watch(self, watch: _Watch) -> bool:
+        events = []
+        for revision, key, value in self._history:
+            if revision > watch.after and key.startswith(watch.prefix):
+                event: dict[str, object] = {"tls_key": key, "revision": revision}
+                event |= {"gone": True} if value is None else {"value": base64.b64encode(value).decode()}
+                events.append(event)
+        if events:
+            answer_json(watch.responder, 200, {"events": events, "at": self.revision})
+        return bool(events)
+
+    def _end_watch(self, watch: _Watch) -> None:
+        if watch in self._watches:
+            self._watches.remove(watch)
+            answer_json(watch.responder, 200, {"events": [], "at": self.revision})
+
+    def _serve_change(self, asked: dict[str, Any], responder: Responder) -> None:
+        conditions = asked.get("if_revision", [])
+        if any(self._find_revision(row["tls_key"]) != row["revision"] for row in conditions):
+            items = [self._show(row["tls_key"]) for row in conditions if row["tls_key"] in self._items]
+            answer_json(responder, 412, {"items": items})
+            return
+        if any(row.get("lease", 0) and row["lease"] not in self._leases for row in asked.get("put", [])):
+            answer_json(responder, 404, {})
+            return
+        for row in asked.get("put", []):
+            self.put(row["tls_key"], base64.b64decode(row["value"]), row.get("lease", 0))
+        for key in asked.get("remove", []):
+            self.remove(key)
+        answer_json(responder, 200, {"revision": self.revision})
+
+    def _find_revision(self, key: str) -> int:
+        return self._items[key].revision if key in self._items else 0
+
+    def _serve_lease(self, name: str, incoming: IncomingRequest, responder: Responder) -> None:
+        if name == "kv-lease":
+            lease = 1000 + len(self._lease_lives)
+            self._lease_lives[lease] = json.loads(incoming.body)["ttl_ms"] / 1000
+            self._renew(lease)
+            answer_json(responder, 200, {"lease": lease, "ttl_ms": int(self._lease_lives[lease] * 1000)})
+            return
+        lease = int(incoming.path.rpartition("/")[2])
+        if lease not in self._leases:
+            answer_json(responder, 404, {})
+        elif name == "kv-keep":
+            self._renew(lease)
+            answer_json(responder, 200, {"ttl_ms": int(self._lease_lives[lease] * 1000)})
+        else:
+            self._end_lease(lease)
+            answer_json(responder, 200, {})
+
+    def _renew(self, lease: int) -> None:
+        timer = self._leases.get(lease)
+        if timer is not None and timer.active():
+            timer.cancel()
+        self._leases[lease] = self.clock.call_later(self._lease_lives[lease], self._end_lease, lease)
+
+    def _end_lease(self, lease: int) -> None:
+        timer = self._leases.pop(lease, None)
+        if timer is not None and timer.active():
+            timer.cancel()
+        for key in [key for key, item in self._items.items() if item.lease == lease]:
+            self.remove(key)
+
+    def _show(self, key: str) -> dict[str, object]:
+        item = self._items[key]
+        value = base64.b64encode(item.value).decode()
+        return {"tls_key": key, "value": value, "revision": item.revision, "made": item.made, "lease": item.lease}
+
+
+class _Mute(Responder):
+    """Swallows an answer."""
+
+    def __init__(self) -> None:
+        self.begun = False
+
+    def send_whole(self, status: int, headers: list[tuple[str, str]], body: bytes) -> None:
+        """Send nothing."""
--- /dev/null
+++ b/src/beamhatch/platform/standin/upstream.py
@@ -0,0 +1,308 @@
+"""Stand-ins of a plain service and of a model engine, with the faults that upstreams show."""
+
+from __future__ import annotations
+
+import json
+from collections import Counter
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import TYPE_CHECKING, Any
+
+from beamhatch.platform.standin.base import StandIn, answer_json, read_headers
+from beamhatch.relay.http_server import IncomingRequest, RequestHandler, Responder
+
+if TYPE_CHECKING:
+    from beamhatch.clock import Clock
+    from beamhatch.relay.model import Address
+
+
+class UpstreamFault(Enum):
+    """What is wrong with an upstream."""
+
+    NONE = "none"
+    SHED = "shed"
+    """It turns all requests away, with proof."""
+    ERROR = "error"
+    """It runs requests, and answers 500."""
+    HANG = "hang"
+    """It runs requests, and answers nothing."""
+    CUT = "cut"
+    """It runs requests, and resets the connection inside the answer."""
+    UNPROVED = "unproved"
+    """It answers 503 without proof that it has not run the request."""
+    UNSIGNED = "unsigned"
+    """It answers 200 without its signature."""
+    FOREIGN = "foreign"
+    """It sends an answer to another request first."""
+    SKIP = "skip"
+    """It leaves an event of its stream out."""
+
+
+@dataclass(slots=True)
+class Ledger:
+    """What the upstreams of one test did, together."""
+
+    arrivals: Counter[str] = field(default_factory=Counter)
+    """Sends by request, those that were turned away included."""
+    runs: Counter[str] = field(default_factory=Counter)
+    """Runs by request."""
+    prefilled: Counter[str] = field(default_factory=Counter)
+    """Prompts read, by request."""
+    stopped: Counter[str] = field(default_factory=Counter)
+    """Runs that ended as their caller went away."""
+    deadlines: list[int] = field(default_factory=list)
+    """The milliseconds that each send was given."""
+    handles: dict[str, str] = field(default_factory=dict)
+    """The request of each KV cache that is held, by ``ADDRESS/ID``."""
+
+
+class _Run(RequestHandler):
+    """A run under way."""
+
+    def __init__(self, upstream: StandInUpstream, request: str) -> None:
+        self.upstream = upstream
+        self.request = request
+        self.timers: list[Any] = []
+        self.tokens = 0
+        """KV memory that is used until the run ends."""
+        self.ended = False
+
+    def lose_caller(self) -> None:
+        """Stop the work."""
+        if not self.ended:
+            self.upstream.ledger.stopped[self.request] += 1
+        self.end()
+
+    def pause(self) -> None:
+        """Go on: the transport holds what is written."""
+
+    def go_on(self) -> None:
+        """Go on."""
+
+    def later(self, seconds: float, function: Any) -> None:
+        """Do something unless the run has ended by then."""
+        self.timers.append(self.upstream.clock.call_later(seconds, function))
+
+    def end(self) -> None:
+        """End the run."""
+        if self.ended:
+            return
+        self.ended = True
+        self.upstream.running -= 1
+        self.upstream.used -= self.tokens
+        for timer in self.timers:
+            if timer.active():
+                timer.cancel()
+
+
+class StandInUpstream(StandIn):
+    """A plain service's replica."""
+
+    work = 0.05
+    """Seconds of one request."""
+
+    def __init__(self, clock: Clock, address: Address, instance: str, ledger: Ledger) -> None:
+        super().__init__(clock, address)
+        self.instance = instance
+        self.ledger = ledger
+        self.fault = UpstreamFault.NONE
+        self.running = 0
+        self.used = 0
+        """Tokens of runs under way."""
+
+    def describe(self, service: str, hall: str, state: str = "ready") -> dict[str, object]:
+        """Return its entry in the store."""
+        return {
+            "service": service,
+            "address": str(self.address),
+            "zone": hall,
+            "version": "v1",
+            "capacity": 6,
+            "state": state,
+            "cold_remaining_ms": 0,
+            "sequence": 0,
+        }
+
+    def serve(self, incoming: IncomingRequest, responder: Responder) -> RequestHandler | None:
+        """Serve one request."""
+        headers = read_headers(incoming)
+        request = headers.get("request-id", "")
+        if headers.get("expect-instance", self.instance) != self.instance:
+            answer_json(responder, 421, {}, ("Instance-Id", self.instance))
+            return None
+        if request:
+            self.ledger.arrivals[request] += 1
+            self.ledger.deadlines.append(int(headers.get("deadline-ms", 0)))
+        if self.fault is UpstreamFault.SHED:
+            answer_json(responder, 503, {}, ("Not-Executed", "1"))
+            return None
+        return self.work_on(incoming, headers, request, responder)
+
+    def work_on(
+        self, incoming: IncomingRequest, headers: dict[str, str], request: str, responder: Responder
+    ) -> RequestHandler | None:
+        """Run one request."""
+        run = self.begin(request)
+        run.later(self.work, lambda: self._answer(run, responder, f"{incoming.method} {incoming.target} ".encode()))
+        return run
+
+    def begin(self, request: str) -> _Run:
+        """Count a run."""
+        self.ledger.runs[request] += 1
+        self.running += 1
+        return _Run(self, request)
+
+    def sign(self, request: str) -> list[tuple[str, str]]:
+        """Return the headers of an own answer."""
+        signed = [("Request-Id", request), ("Server-Load", f"{self.running},0,6")]
+        if self.fault is not UpstreamFault.UNSIGNED:
+            signed.append(("Response-Signature", f"{self.instance}.{request}"))
+        return signed
+
+    def _answer(self, run: _Run, responder: Responder, text: bytes) -> None:
+        if self.fault is UpstreamFault.HANG:
+            return
+        run.end()
+        status = {UpstreamFault.ERROR: 500, UpstreamFault.UNPROVED: 503}.get(self.fault, 200)
+        body = text + run.request.encode()
+        if self.fault is UpstreamFault.CUT:
+            responder.begin(200, self.sign(run.request))
+            responder.write(body[:4])
+            responder.abort()
+            return
+        if self.fault is UpstreamFault.FOREIGN:
+            self.fault = UpstreamFault.NONE
+            responder.interject(200, [("Request-Id", "another"), ("Response-Signature", "x")], b"not yours")
+        responder.send_whole(status, self.sign(run.request), body)
+
+
+class StandInEngine(StandInUpstream):
+    """A model engine, for prefill or decode, with KV memory that it counts in tokens."""
+
+    step = 0.03
+    """Seconds between two events."""
+    read_rate = 50_000.0
+    """Prompt tokens a second."""
+    handle_lifetime = 0.5
+
+    def __init__(
+        self, clock: Clock, address: Address, instance: str, ledger: Ledger, phase: str, kv_tokens: int = 60_000
+    ) -> None:
+        super().__init__(clock, address, instance, ledger)
+        self.phase = phase
+        self.kv_tokens = kv_tokens
+        self.held: dict[str, int] = {}
+        """Tokens set aside, by the id of the reservation."""
+        self.cut_after: int | None = None
+        """Events after which streams break inside the next one."""
+        self._number = 0
+
+    def describe(self, service: str, hall: str, state: str = "ready") -> dict[str, object]:
+        """Return its entry in the store."""
+        return {**super().describe(service, hall, state), "phase": self.phase, "capacity": 128, "models": []}
+
+    def serve(self, incoming: IncomingRequest, responder: Responder) -> RequestHandler | None:
+        """Serve a request, or a call about memory."""
+        if not incoming.path.startswith("/api/"):
+            return super().serve(incoming, responder)
+        name, _, rest = incoming.path.removeprefix("/api/").partition("/")
+        if name == "hold-take":
+            self._set_aside(json.loads(incoming.body), responder)
+        elif name == "hold-drop":
+            self._drop(rest)
+            answer_json(responder, 200, {})
+        elif name == "kv-handle":
+            self.ledger.handles.pop(f"{self.address}/{rest}", None)
+            answer_json(responder, 200, {})
+        else:
+            answer_json(responder, 404, {})
+        return None
+
+    @property
+    def free(self) -> int:
+        """Return the tokens that are neither used nor set aside."""
+        return self.kv_tokens - self.used - sum(self.held.values())
+
+    def _set_aside(self, asked: dict[str, int], responder: Responder) -> None:
+        if self.fault is UpstreamFault.HANG:
+            return
+        if asked["tokens"] > self.free:
+            answer_json(responder, 503, {}, ("Not-Executed", "1"))
+            return
+        self._number += 1
+        hold = f"h{self._number}"
+        self.held[hold] = asked["tokens"]
+        self.clock.call_later(asked["ttl_ms"] / 1000, self._drop, hold)
+        answer_json(responder, 200, {"hold": hold})
+
+    def _drop(self, hold: str) -> None:
+        self.held.pop(hold, None)
+
+    def work_on(
+        self, incoming: IncomingRequest, headers: dict[str, str], request: str, responder: Responder
+    ) -> RequestHandler | None:
+        """Read a prompt, or stream an answer."""
+        prompt, output = (int(word) for word in headers["token-count"].split(","))
+        if (headers.get("stage") == "prefill") != (self.phase == "prefill"):
+            answer_json(responder, 421, {})
+            return None
+        if self.phase == "prefill":
+            return self._read(request, prompt, responder)
+        source = headers.get("cache-source")
+        if source is not None and self.ledger.handles.pop(source, None) != request:
+            answer_json(responder, 503, {}, ("Not-Executed", "1"))
+            return None
+        self._drop(headers.get("cache-hold", ""))
+        if prompt > self.free:
+            answer_json(responder, 503, {}, ("Not-Executed", "1"))
+            return None
+        return self._stream(request, prompt, output, int(headers.get("last-event-id", 0)), responder)
+
+    def _read(self, request: str, prompt: int, responder: Responder) -> RequestHandler:
+        self.running += 1
+        run = _Run(self, request)
+
+        def end() -> None:
+            if self.fault is UpstreamFault.HANG:
+                return
+            run.end()
+            self.ledger.prefilled[request] += 1
+            self._number += 1
+            handle = f"k{self._number}"
+            key = f"{self.address}/{handle}"
+            self.ledger.handles[key] = request
+            self.clock.call_later(self.handle_lifetime, self.ledger.handles.pop, key, None)
+            answer_json(responder, 200, {"kv_handle": handle, "tokens": prompt, "version": 1}, ("Request-Id", request))
+
+        run.later(prompt / self.read_rate, end)
+        return run
+
+    def _stream(self, request: str, prompt: int, events: int, after: int, responder: Responder) -> RequestHandler:
+        run = self.begin(request)
+        run.tokens = prompt
+        self.used += prompt
+        number = after
+
+        def step() -> None:
+            nonlocal number
+            if self.fault is UpstreamFault.HANG:
+                return
+            number += 1
+            if number == after + 1:
+                responder.begin(200, [("Content-Type", "text/event-stream"), *self.sign(request)])
+            if self.fault is UpstreamFault.SKIP and number == after + 3:
+                number += 1
+            if self.cut_after is not None and number > self.cut_after:
+                responder.write(f"id: {number}\nda".encode())
+                run.end()
+                responder.abort()
+                return
+            responder.write(f"id: {number}\ndata: {request}-{number}\n\n".encode())
+            if number >= events:
+                run.end()
+                responder.end()
+            else:
+                run.later(self.step, step)
+
+        run.later(self.step, step)
+        return run
--- a/src/beamhatch/relay/http_server.py
+++ b/src/beamhatch/relay/http_server.py
@@ -96,6 +96,11 @@
         if self._connection is not None and data:
             self._connection.write_data(data)
 
+    def interject(self, status: int, headers: Headers, body: bytes) -> None:
+        """Send an answer to another request first, as a faulty server does; for stand-ins."""
+        if self._connection is not None:
+            self._connection.write_foreign(status, headers, body)
+
     def end(self) -> None:
         """Say that the answer is whole."""
         connection, self._connection = self._connection, None
@@ -250,6 +255,12 @@
         """Write a part of the body."""
         self.transport.write(self._state.send(h11.Data(data=data)) or b"")
 
+    def write_foreign(self, status: int, headers: Headers, body: bytes) -> None:
+        """Write a whole answer without regard to what was asked; for stand-ins."""
+        lines = [f"HTTP/1.1 {status} Interjected", *(f"{name}: {value}" for name, value in headers)]
+        lines.append(f"Content-Length: {len(body)}")
+        self.transport.write("\r\n".join([*lines, "", ""]).encode("latin-1") + body)
+
     def write_end(self, data: bytes) -> None:
         """Write the last part of the body and its end, and go on to the next request."""
         if data:
--- /dev/null
+++ b/tests/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the adapter of the platform."""
--- /dev/null
+++ b/tests/platform/test_path.py
@@ -0,0 +1,263 @@
+"""Requests from a caller's socket to the last byte, against the platform's stand-ins on a paused clock."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+
+from beamhatch.platform.standin.upstream import StandInEngine, UpstreamFault
+from tests.support.platform import Caller, Platform, make_platform, make_request, read_json
+
+
+def serve(platform: Platform, path: str, request: str = "q1", **options: Any) -> Caller:
+    return platform.finish(platform.call(path, request, **options))
+
+
+def test_passes_a_plain_request_on_unchanged() -> None:
+    platform = make_platform()
+    caller = serve(platform, "/unsafe/a?b=c", body=b"hello")
+    assert caller.status == 200
+    assert caller.body == b"POST /unsafe/a?b=c q1"
+    assert "response-signature" in caller.head.lower()
+    assert platform.ledger.runs["q1"] == 1
+
+
+def test_serves_several_requests_on_a_kept_connection() -> None:
+    platform = make_platform()
+    caller = platform.connect()
+    for number in range(3):
+        caller.received = b""
+        caller.send(make_request("/safe/x", f"q{number}"))
+        platform.finish(caller)
+        assert caller.status == 200
+    assert not caller.closed
+
+
+def test_streams_by_a_prefill_and_a_decode_engine() -> None:
+    platform = make_platform()
+    caller = serve(platform, "/stream/x")
+    assert caller.status == 200
+    assert caller.events == list(range(1, 11))
+    assert platform.ledger.prefilled["q1"] == 1
+    assert platform.ledger.runs["q1"] == 1
+    assert not platform.ledger.handles
+
+
+def test_unknown_route_is_answered_404_and_a_missing_id_400() -> None:
+    platform = make_platform()
+    assert serve(platform, "/nothing/").status == 404
+    caller = platform.connect()
+    caller.send(b"GET /safe/x HTTP/1.1\r\nHost: desk.example\r\n\r\n")
+    assert platform.finish(caller).status == 400
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        b"POST /safe/x HTTP/1.1\r\nHost: desk.example\r\nRequest-Id: q\r\nContent-Length: 3\r\n"
+        b"Content-Length: 4\r\n\r\nabc",
+        b"POST /safe/x HTTP/1.1\r\nHost: desk.example\r\nRequest-Id: q\r\nContent-Length: 3\r\n"
+        b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        b"GET /safe/x HTTP/1.1\r\nHost: desk.example\r\nRequest-Id: q\r\nRequest-Id: p\r\n\r\n",
+        b"nonsense\r\n\r\n",
+    ],
+)
+def test_ambiguous_framing_is_refused_and_reaches_nobody(text: bytes) -> None:
+    platform = make_platform()
+    caller = platform.connect()
+    caller.send(text)
+    assert platform.finish(caller).status == 400
+    assert not platform.ledger.arrivals
+
+
+def test_a_body_over_the_limit_is_answered_413() -> None:
+    platform = make_platform()
+    caller = platform.connect()
+    caller.send(b"POST /safe/x HTTP/1.1\r\nHost: desk.example\r\nRequest-Id: q\r\nContent-Length: 200000\r\n\r\n")
+    assert platform.finish(caller).status == 413
+
+
+def test_a_stalled_head_is_answered_408_in_its_time() -> None:
+    platform = make_platform()
+    caller = platform.connect()
+    caller.send(b"GET /safe/x HTTP/1.1\r\nHo")
+    platform.network.run(2.9)
+    assert caller.status == 0
+    platform.network.run(0.3)
+    assert caller.status == 408
+
+
+def test_headers_that_only_the_system_sets_are_not_taken_from_callers() -> None:
+    platform = make_platform()
+    headers = {"Expect-Instance": "forged", "Stage": "prefill", "Cache-Source": "x:1/2"}
+    caller = serve(platform, "/stream/x", headers=headers)
+    assert caller.status == 200
+    assert caller.events == list(range(1, 11))
+
+
+def test_an_upstream_that_turns_away_with_proof_is_passed_over() -> None:
+    platform = make_platform()
+    platform.upstreams["plain-0"].fault = UpstreamFault.SHED
+    for number in range(4):
+        assert serve(platform, "/unsafe/x", f"q{number}", body=b"x").status == 200
+    assert set(platform.ledger.runs.values()) == {1}
+
+
+def test_when_all_turn_away_the_caller_is_told_that_it_has_not_run_and_when_to_come_back() -> None:
+    platform = make_platform()
+    for name in ("plain-0", "plain-1"):
+        platform.upstreams[name].fault = UpstreamFault.SHED
+    caller = serve(platform, "/unsafe/x", body=b"x")
+    assert caller.status == 503
+    assert "retry-after" in caller.head.lower()
+    assert not platform.ledger.runs
+
+
+@pytest.mark.parametrize("fault", [UpstreamFault.CUT, UpstreamFault.UNSIGNED, UpstreamFault.UNPROVED])
+def test_an_unsafe_request_that_may_have_run_is_never_sent_again_nor_called_not_run(fault: UpstreamFault) -> None:
+    platform = make_platform()
+    for name in ("plain-0", "plain-1"):
+        platform.upstreams[name].fault = fault
+    caller = serve(platform, "/unsafe/x", body=b"x")
+    assert caller.status == 502
+    assert platform.ledger.runs["q1"] == 1
+
+
+@pytest.mark.parametrize("fault", [UpstreamFault.CUT, UpstreamFault.ERROR, UpstreamFault.HANG, UpstreamFault.UNSIGNED])
+def test_a_safe_request_is_sent_again_once(fault: UpstreamFault) -> None:
+    platform = make_platform()
+    platform.upstreams["plain-0"].fault = fault
+    for number in range(4):
+        assert serve(platform, "/safe/x", f"q{number}").status == 200
+    assert max(platform.ledger.runs.values()) <= 2
+
+
+def test_a_safe_request_runs_on_no_more_upstreams_than_its_route_allows() -> None:
+    platform = make_platform(plain=4)
+    for upstream in platform.upstreams.values():
+        upstream.fault = UpstreamFault.ERROR
+    caller = serve(platform, "/safe/x")
+    assert caller.status == 500
+    assert platform.ledger.runs["q1"] == 2
+
+
+def test_an_answer_to_another_request_is_dropped() -> None:
+    platform = make_platform(plain=1)
+    platform.upstreams["plain-0"].fault = UpstreamFault.FOREIGN
+    caller = serve(platform, "/unsafe/x", body=b"x")
+    assert caller.status == 200
+    assert caller.body == b"POST /unsafe/x q1"
+
+
+def test_a_stream_with_a_lost_event_is_broken_off_and_does_not_look_whole() -> None:
+    platform = make_platform(decode=1)
+    platform.upstreams["decode-0"].fault = UpstreamFault.SKIP
+    caller = serve(platform, "/stream/x")
+    assert caller.reset
+    assert not caller.whole
+    assert caller.events == [1, 2]
+
+
+def test_a_stream_cut_inside_an_event_is_broken_off_where_it_may_not_resume() -> None:
+    platform = make_platform(decode=1)
+    engine = platform.upstreams["decode-0"]
+    assert isinstance(engine, StandInEngine)
+    engine.cut_after = 4
+    caller = serve(platform, "/stream/x")
+    assert not caller.whole
+    assert caller.events == [1, 2, 3, 4]
+    assert platform.ledger.runs["q1"] == 1
+
+
+def test_a_resumable_stream_goes_on_elsewhere_behind_its_last_event() -> None:
+    platform = make_platform()
+    for name in ("decode-0", "decode-1"):
+        engine = platform.upstreams[name]
+        assert isinstance(engine, StandInEngine)
+        engine.cut_after = 4
+    caller = platform.call("/resumable/x", "q1")
+    platform.network.run_until(lambda: len(caller.events) >= 2)
+    for name in ("decode-0", "decode-1"):
+        engine = platform.upstreams[name]
+        assert isinstance(engine, StandInEngine)
+        engine.cut_after = None if engine.running == 0 else 4
+    platform.finish(caller)
+    assert caller.whole
+    assert caller.events == list(range(1, 11))
+    assert platform.ledger.runs["q1"] == 2
+
+
+def test_an_engine_with_another_instance_at_its_address_is_passed_over() -> None:
+    platform = make_platform()
+    platform.upstreams["decode-0"].instance = "somebody-else"
+    for number in range(3):
+        assert serve(platform, "/stream/x", f"q{number}").status == 200
+    assert set(platform.ledger.prefilled.values()) == {1}
+
+
+def test_no_prompt_is_read_where_decode_memory_is_full() -> None:
+    platform = make_platform(decode=1)
+    engine = platform.upstreams["decode-0"]
+    assert isinstance(engine, StandInEngine)
+    engine.used = engine.kv_tokens
+    first = platform.call("/stream/x", "q1")
+    second = platform.call("/stream/x", "q2")
+    platform.finish(second)
+    assert second.status == 503
+    assert "retry-after" in second.head.lower()
+    engine.used = 0
+    assert platform.finish(first).status == 200
+    assert platform.ledger.prefilled == {"q1": 1}
+
+
+def test_no_prompt_is_read_where_no_decode_engine_is_left() -> None:
+    platform = make_platform(decode=0)
+    assert serve(platform, "/stream/x").status == 503
+    assert not platform.ledger.prefilled
+
+
+def test_memory_that_was_set_aside_is_given_back_with_a_caller_that_leaves() -> None:
+    platform = make_platform(decode=1)
+    platform.upstreams["prefill-0"].fault = UpstreamFault.HANG
+    platform.upstreams["prefill-1"].fault = UpstreamFault.HANG
+    caller = platform.call("/stream/x", "q1")
+    platform.network.run(0.1)
+    engine = platform.upstreams["decode-0"]
+    assert isinstance(engine, StandInEngine)
+    assert engine.held
+    caller.leave()
+    platform.network.run(0.1)
+    assert not engine.held
+
+
+def test_work_ends_at_once_for_a_caller_that_leaves() -> None:
+    platform = make_platform()
+    caller = platform.call("/stream/x", "q1")
+    platform.network.run_until(lambda: caller.events)
+    caller.leave()
+    platform.network.run(0.1)
+    assert platform.ledger.stopped["q1"] == 1
+    assert not platform.vms["vm1"].core.exchanges
+
+
+def test_the_route_time_out_is_answered_by_the_vm_and_the_upstreams_work_ends() -> None:
+    platform = make_platform(plain=1)
+    platform.upstreams["plain-0"].fault = UpstreamFault.HANG
+    caller = platform.call("/unsafe/x", "q1", body=b"x")
+    platform.network.run(4.9)
+    assert caller.status == 0
+    platform.network.run(0.3)
+    assert caller.status == 504
+    assert platform.ledger.stopped["q1"] == 1
+
+
+def test_each_send_is_told_the_time_that_is_left() -> None:
+    platform = make_platform()
+    serve(platform, "/unsafe/x", body=b"x", headers={"Deadline-Ms": "1000"})
+    assert 900 <= platform.ledger.deadlines[0] <= 1000
+
+
+def test_errors_of_the_relay_name_their_cause() -> None:
+    platform = make_platform(decode=0)
+    assert "no decode engine" in read_json(serve(platform, "/stream/x"))["error"]
--- /dev/null
+++ b/tests/support/network.py
@@ -0,0 +1,266 @@
+"""A network inside the test, on a clock that only the test advances."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from twisted.internet import error, task
+from twisted.python.failure import Failure
+
+from beamhatch.clock import Clock
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+DELAY = 0.001
+"""Seconds that a message takes."""
+
+STEP = 0.005
+WINDOW = 256 * 1024
+"""Bytes that wait for a reader before the writer is asked to pause."""
+
+
+class PausedClock(Clock):
+    """The product's clock, on the network's time."""
+
+    def now(self) -> float:
+        """Return the time of the network."""
+        return float(self.reactor.seconds())
+
+    def tell_wall(self) -> float:
+        """Return the same."""
+        return self.now()
+
+
+class _Handle:
+    """Takes socket options and ignores them."""
+
+    def setsockopt(self, *_: int) -> None:
+        """Ignore an option."""
+
+    def getsockopt(self, *_: int) -> int:
+        """Return nothing of use."""
+        return 0
+
+
+class Transport:
+    """One end of a connection."""
+
+    def __init__(self, network: Network, host: str, peer_host: str) -> None:
+        self.network = network
+        self.host = host
+        self.peer_host = peer_host
+        self.protocol: Any = None
+        self.other: Transport = self
+        self.connected = True
+        self.disconnecting = False
+        self._reading = True
+        self._inbox: list[tuple[str, Any]] = []
+        self._waiting = 0
+        self._producer: Any = None
+
+    # --- what protocols call -----------------------------------------------------------------------------------------
+
+    def write(self, data: bytes) -> None:
+        """Send bytes."""
+        if self.connected and not self.disconnecting and data:
+            self._send("data", bytes(data))
+            self.other._waiting += len(data)
+            if self._producer is not None and self.other._waiting > WINDOW:
+                self._producer.pauseProducing()
+
+    def loseConnection(self) -> None:
+        """Close behind what was written."""
+        if self.connected and not self.disconnecting:
+            self.disconnecting = True
+            self._send("end", error.ConnectionDone())
+            self.network.callLater(0, self._lose, error.ConnectionDone())
+
+    def abortConnection(self) -> None:
+        """Reset."""
+        if self.connected:
+            self._send("end", error.ConnectionLost())
+            self.disconnecting = True
+            self.network.callLater(0, self._lose, error.ConnectionLost())
+
+    def pauseProducing(self) -> None:
+        """Read no more."""
+        self._reading = False
+
+    def resumeProducing(self) -> None:
+        """Read again."""
+        self._reading = True
+        self.network.callLater(0, self._drain)
+
+    def registerProducer(self, producer: Any, _: bool) -> None:
+        """Note who is asked to pause."""
+        self._producer = producer
+
+    def unregisterProducer(self) -> None:
+        """Ask nobody."""
+        self._producer = None
+
+    def setTcpNoDelay(self, _: bool) -> None:
+        """Ignore."""
+
+    def getHandle(self) -> _Handle:
+        """Return something that takes socket options."""
+        return _Handle()
+
+    # --- delivery ----------------------------------------------------------------------------------------------------
+
+    def _send(self, kind: str, value: Any) -> None:
+        self.network.deliver(self, kind, value)
+
+    def take(self, kind: str, value: Any) -> None:
+        """Take in what the other end sent."""
+        self._inbox.append((kind, value))
+        self._drain()
+
+    def _drain(self) -> None:
+        while self._inbox and self._reading and self.connected:
+            kind, value = self._inbox.pop(0)
+            if kind == "end":
+                self._lose(value)
+                return
+            self._waiting -= len(value)
+            writer = self.other._producer
+            if writer is not None and self._waiting <= WINDOW // 2:
+                writer.resumeProducing()
+            self.protocol.dataReceived(value)
+
+    def _lose(self, reason: Exception) -> None:
+        if not self.connected:
+            return
+        self.connected = False
+        self.protocol.connectionLost(Failure(reason))
+
+
+class _Port:
+    def __init__(self, network: Network, key: tuple[str, int]) -> None:
+        self._network = network
+        self._key = key
+
+    def stopListening(self) -> None:
+        """Listen no more."""
+        self._network.ports.pop(self._key, None)
+
+
+class _Connector:
+    def __init__(self, network: Network, host: str, port: int, factory: Any, timeout: float) -> None:
+        self.network = network
+        self.key = (host, port)
+        self.factory = factory
+        self._timeout = network.callLater(timeout, self._fail, error.TimeoutError())
+        self._transport: Transport | None = None
+        self._over = False
+        network.callLater(DELAY, self._reach)
+
+    def disconnect(self) -> None:
+        """Give up."""
+        if self._transport is not None:
+            self._transport.loseConnection()
+        else:
+            self._over = True
+            self._stop_timer()
+
+    def _reach(self) -> None:
+        if self._over or self.network.is_cut(self.network.here, self.key[0]):
+            return
+        server = self.network.ports.get(self.key)
+        if server is None:
+            self._fail(error.ConnectionRefusedError())
+            return
+        self._stop_timer()
+        self._over = True
+        self._join(server)
+
+    def _join(self, server: Any) -> None:
+        near = Transport(self.network, self.network.here, self.key[0])
+        far = Transport(self.network, self.key[0], self.network.here)
+        near.other, far.other = far, near
+        near.protocol = self.factory.buildProtocol(None)
+        if near.protocol is None:
+            return
+        far.protocol = server.buildProtocol(None)
+        self._transport = near
+        near.protocol.transport = near
+        far.protocol.transport = far
+        far.protocol.connectionMade()
+        near.protocol.connectionMade()
+
+    def _fail(self, reason: Exception) -> None:
+        if not self._over:
+            self._over = True
+            self._stop_timer()
+            self.factory.clientConnectionFailed(self, Failure(reason))
+
+    def _stop_timer(self) -> None:
+        if self._timeout.active():
+            self._timeout.cancel()
+
+
+class Network(task.Clock):
+    """A reactor whose time and connections are the test's."""
+
+    here = "vm"
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.rightNow = 1000.0
+        self.ports: dict[tuple[str, int], Any] = {}
+        self.stopped = False
+        self._cut: set[str] = set()
+
+    def listenTCP(self, port: int, factory: Any, backlog: int = 50, interface: str = "") -> _Port:
+        """Listen."""
+        assert (interface, port) not in self.ports
+        self.ports[interface, port] = factory
+        return _Port(self, (interface, port))
+
+    def connectTCP(self, host: str, port: int, factory: Any, timeout: float = 30) -> _Connector:
+        """Connect."""
+        return _Connector(self, host, port, factory, timeout)
+
+    def callFromThread(self, function: Callable[..., Any], *arguments: Any) -> None:
+        """Call soon."""
+        self.callLater(0, function, *arguments)
+
+    def stop(self) -> None:
+        """Note that the program ends."""
+        self.stopped = True
+
+    # --- faults ------------------------------------------------------------------------------------------------------
+
+    def cut(self, host: str) -> None:
+        """Let nothing through to and from a host; nobody is told."""
+        self._cut.add(host)
+
+    def heal(self, host: str) -> None:
+        """Let messages through again; those sent meanwhile are lost."""
+        self._cut.discard(host)
+
+    def is_cut(self, *hosts: str) -> bool:
+        """Tell whether any of some hosts is cut off."""
+        return any(host in self._cut for host in hosts)
+
+    def deliver(self, sender: Transport, kind: str, value: Any) -> None:
+        """Bring something to the other end of a connection."""
+        if not self.is_cut(sender.host, sender.peer_host):
+            self.callLater(DELAY, sender.other.take, kind, value)
+
+    # --- the test's time ---------------------------------------------------------------------------------------------
+
+    def run(self, seconds: float) -> None:
+        """Let time pass."""
+        end = self.rightNow + seconds
+        while self.rightNow < end - 1e-9:
+            self.advance(min(STEP, end - self.rightNow))
+
+    def run_until(self, holds: Callable[[], Any], limit: float = 30.0) -> Any:
+        """Let time pass until a condition holds, and return its value."""
+        end = self.rightNow + limit
+        while not (value := holds()):
+            assert self.rightNow < end, f"not within {limit} s"
+            self.advance(STEP)
+        return value
