--- a/tests/test_caller_gone.py
+++ b/tests/test_caller_gone.py
@@ -24,7 +24,7 @@
 @pytest.mark.parametrize(
     ("state", "engine", "faults"),
     [
-        ("prefilling", {"prefill_rate": 3000}, {}),
+        ("prefilling", {"prefill_rate": 300}, {}),
         ("transferring", {"link_rate": 3000, "export_life": 30}, {}),
         ("transferring", {"export_life": 30}, {"stall_transfer": 1}),
         ("decoding", {"pace": 0.1}, {}),
