Move an engine between prefill and decode, by orders of one lease holder

Ruled out: reading prompts at decode engines (half pace, slows the others' tokens); refusing more.

Change: VMs tell each other in their beats what their streams ask (prompt tokens and waits a second); the holder of a lease in the store orders a change of part on lasting evidence, one at a time. A holder counts its lease from before each renewal; a new one waits the old lease and the platform's bound on turns before its first order; each order carries the revision of its claim.

--- a/src/beamhatch/platform/dialect.py
+++ b/src/beamhatch/platform/dialect.py
@@ -6,7 +6,7 @@
 
 from beamhatch.relay.api import AnswerFacts, BadRequest, Dialect, Headers, SendTerms
 from beamhatch.relay.http_client import Call
-from beamhatch.relay.model import Handle, PromptPart, RequestFacts, Reservation, Stage, Upstream
+from beamhatch.relay.model import Handle, Phase, PromptPart, RequestFacts, Reservation, Stage, Upstream
 from beamhatch.relay.standing import Load
 
 REQUEST_ID = "request-id"
@@ -126,6 +126,11 @@
         except (msgspec.DecodeError, msgspec.ValidationError):
             return None
 
+    def make_order(self, upstream: Upstream, phase: Phase, holder: str, token: int) -> Call:
+        """Return the call that has an engine play another part."""
+        order = {"operation": "phase", "phase": phase.value, "holder": holder, "fencing_token": token}
+        return _make_call("POST", "/api/order", upstream, msgspec.json.encode(order))
+
     def make_unreserve(self, reservation: Reservation) -> Call:
         """Return the call that gives back what was set aside."""
         return _make_call("DELETE", f"/api/hold-drop/{reservation.id}", reservation.upstream)
--- a/src/beamhatch/platform/settings.py
+++ b/src/beamhatch/platform/settings.py
@@ -32,6 +32,7 @@
     retry_budget_ratio: float = 0.2
     budget_window_s: float = 10
     retry_slack: float = 50
+    lease_ms: float = 3000
 
 
 class _Provider(msgspec.Struct):
@@ -73,6 +74,7 @@
         budget=BudgetTerms(bounds.retry_budget_ratio, bounds.retry_slack, bounds.budget_window_s),
         peer_address=_read_address(read.listen.control) if read.listen.control else None,
         seeds=read.seeds,
+        turn_time=bounds.lease_ms / 1000,
         metrics_address=Address(read.ip, METRICS_PORT),
         metrics_path=METRICS_PATH,
     )
--- a/src/beamhatch/platform/standin/store.py
+++ b/src/beamhatch/platform/standin/store.py
@@ -51,6 +51,8 @@
         self.fault = StoreFault.NONE
         self.calls = 0
         """Calls so far, refused ones included."""
+        self.renewals = 0
+        """Calls among them that renew a lease; they cost a tenth."""
         self.revision = 0
         self._items: dict[str, _Item] = {}
         self._history: list[tuple[int, str, bytes | None]] = []
@@ -102,6 +104,7 @@
             answer_json(responder, 503, {})
             return None
         name = incoming.path.split("/")[2]
+        self.renewals += name == "kv-keep"
         if self.fault is StoreFault.LOST:
             responder = _Mute()
         if name == "kv-key":
--- a/src/beamhatch/platform/store.py
+++ b/src/beamhatch/platform/store.py
@@ -2,13 +2,23 @@
 
 from __future__ import annotations
 
+import base64
 from typing import TYPE_CHECKING, TypeVar
 from urllib.parse import urlencode
 
 import msgspec
 
 from beamhatch.platform.documents import PlatformDocuments, read_entry
-from beamhatch.relay.api import ConfigurationNews, Document, HistoryGone, ListingNews, Store, StoreLost
+from beamhatch.relay.api import (
+    Claimed,
+    ConfigurationNews,
+    Document,
+    HistoryGone,
+    ListingNews,
+    Store,
+    StoreLost,
+    Taken,
+)
 from beamhatch.relay.http_client import Call
 from beamhatch.relay.http_fetch import fetch
 from beamhatch.relay.model import UpstreamId
@@ -22,6 +32,7 @@
 
 CONFIGURATION = "op/config"
 UPSTREAMS = "servers/"
+LEADER = "beamhatch/leader"
 READ_TIMEOUT = 2.0
 WATCH_MARGIN = 2.0
 """Seconds beyond its wait after which a watch is taken as lost."""
@@ -49,6 +60,14 @@
     at: int
 
 
+class _Lease(msgspec.Struct):
+    lease: int
+
+
+class _Changed(msgspec.Struct):
+    revision: int
+
+
 class _Events(msgspec.Struct):
     events: list[_Item]
     at: int
@@ -101,6 +120,37 @@
             return events
         return ListingNews([_make_entry(item) for item in events.events], events.at)
 
+    async def claim_leadership(self, holder: str, lifetime: float) -> Claimed | Taken | StoreLost:
+        """Claim the leadership: look first, as a look is all that most of these calls come to."""
+        looked = await self._get("kv-key", {"tls_key": LEADER})
+        if isinstance(looked, str):
+            return StoreLost(looked)
+        if looked.head.status != 404:
+            return Taken() if looked.head.status == 200 else StoreLost(f"status {looked.head.status}")
+        lease = _decode(await self._post("kv-lease", {"ttl_ms": int(lifetime * 1000)}), _Lease)
+        if isinstance(lease, StoreLost):
+            return lease
+        value = base64.b64encode(holder.encode()).decode()
+        change = {
+            "if_revision": [{"tls_key": LEADER, "revision": 0}],
+            "put": [{"tls_key": LEADER, "value": value, "lease": lease.lease}],
+            "remove": [],
+        }
+        answer = await self._post("kv-txn", change)
+        if not isinstance(answer, str) and answer.head.status == 412:
+            return Taken()
+        changed = _decode(answer, _Changed)
+        return changed if isinstance(changed, StoreLost) else Claimed(lease.lease, changed.revision)
+
+    async def keep_leadership(self, claim: Claimed) -> bool | StoreLost:
+        """Renew the lease of a claim."""
+        answer = await self._post(f"kv-keep/{claim.lease}", {})
+        if isinstance(answer, str):
+            return StoreLost(answer)
+        if answer.head.status in (200, 404):
+            return answer.head.status == 200
+        return StoreLost(f"status {answer.head.status}")
+
     async def _watch(self, prefix: str, after: int, wait: float) -> _Events | StoreLost | HistoryGone:
         query = {"path_prefix": prefix, "after": str(after), "wait_ms": str(int(wait * 1000))}
         answer = await self._get("kv-watch", query, wait + WATCH_MARGIN)
@@ -108,6 +158,11 @@
             return HistoryGone()
         return _decode(answer, _Events)
 
+    async def _post(self, name: str, body: object) -> WholeAnswer | str:
+        headers = [("Host", str(self._address)), ("Content-Type", "application/json")]
+        call = Call("POST", f"/api/{name}", headers, msgspec.json.encode(body))
+        return await fetch(self._client, self._clock, self._address, call, READ_TIMEOUT)
+
     async def _get(self, name: str, query: dict[str, str], timeout: float = READ_TIMEOUT) -> WholeAnswer | str:
         call = Call("GET", f"/api/{name}?{urlencode(query)}", [("Host", str(self._address))])
         return await fetch(self._client, self._clock, self._address, call, timeout)
--- a/src/beamhatch/relay/api.py
+++ b/src/beamhatch/relay/api.py
@@ -11,7 +11,7 @@
 
     from beamhatch.relay.http_client import Call
     from beamhatch.relay.listing import Entry
-    from beamhatch.relay.model import Handle, RequestFacts, Reservation, Stage, Table, Upstream
+    from beamhatch.relay.model import Handle, Phase, RequestFacts, Reservation, Stage, Table, Upstream
     from beamhatch.relay.standing import Load
 
 Headers = list[tuple[str, str]]
@@ -87,6 +87,13 @@
     def read_reservation(self, body: bytes) -> str | None:
         """Return the id of what was set aside, or None where the answer names none."""
 
+    @abstractmethod
+    def make_order(self, upstream: Upstream, phase: Phase, holder: str, token: int) -> Call:
+        """Return the call that has an engine play another part.
+
+        :param token: rises from holder to holder
+        """
+
     @abstractmethod
     def make_unreserve(self, reservation: Reservation) -> Call:
         """Return the call that gives back what was set aside."""
@@ -128,6 +135,19 @@
     at: int
 
 
+@dataclass(frozen=True, slots=True)
+class Claimed:
+    """The leadership is this VM's, by a claim at a revision, as long as it keeps the lease."""
+
+    lease: int
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class Taken:
+    """Another VM leads."""
+
+
 class Store(ABC):
     """The platform's store, read linearizably. Each call is paid for; a waiting watch is one call."""
 
@@ -147,6 +167,14 @@
     async def watch_listing(self, after: int, wait: float) -> ListingNews | StoreLost | HistoryGone:
         """Return changes of upstreams behind a revision as soon as there are any, or after some seconds."""
 
+    @abstractmethod
+    async def claim_leadership(self, holder: str, lifetime: float) -> Claimed | Taken | StoreLost:
+        """Claim the leadership unless another VM has it."""
+
+    @abstractmethod
+    async def keep_leadership(self, claim: Claimed) -> bool | StoreLost:
+        """Renew the lease of a claim; False where it is over."""
+
 
 class Documents(ABC):
     """How the platform writes what peers hand on to each other."""
--- a/src/beamhatch/relay/core.py
+++ b/src/beamhatch/relay/core.py
@@ -9,6 +9,7 @@
 
 from beamhatch.relay.api import BadRequest
 from beamhatch.relay.budget import Budget, BudgetTerms
+from beamhatch.relay.demand import Demand
 from beamhatch.relay.exchange import RelayExchange
 from beamhatch.relay.line import Line
 from beamhatch.relay.listing import Listing
@@ -66,6 +67,7 @@
     """Called when the configuration or the listing has changed."""
     _budgets: dict[ServiceName, Budget] = field(default_factory=dict)
     _lines: dict[ServiceName, Line[RelayExchange]] = field(default_factory=dict)
+    _demands: dict[ServiceName, Demand] = field(default_factory=dict)
     _polling: set[ServiceName] = field(default_factory=set)
 
     @property
@@ -123,6 +125,21 @@
         budget.terms = self.terms.budget
         return budget
 
+    def find_demand(self, service: ServiceName) -> Demand:
+        """Return what this VM's streams ask of a service."""
+        demand = self._demands.get(service)
+        if demand is None:
+            demand = self._demands[service] = Demand()
+        return demand
+
+    def list_demands(self) -> dict[str, tuple[float, float]]:
+        """Return prompt tokens and waits for memory, a second, by service."""
+        now = self.clock.now()
+        return {
+            name: (round(demand.count_prompt_rate(now)), round(demand.count_wait_rate(now), 2))
+            for name, demand in self._demands.items()
+        }
+
     # --- decode memory -----------------------------------------------------------------------------------------------
 
     def find_line(self, service: ServiceName) -> Line[RelayExchange]:
@@ -174,6 +191,8 @@
             self._refuse(responder, 503, "the route's service is not configured", facts.id, UNREADY_RETRY)
             return None
         self.find_budget(service.name).note_request(self.clock.now())
+        if service.engine is not None:
+            self.find_demand(service.name).note_prompt(facts.prompt_tokens, self.clock.now())
         exchange = RelayExchange(self, incoming, responder, facts, route, service)
         self.exchanges.add(exchange)
         exchange.start()
--- a/src/beamhatch/relay/daemon.py
+++ b/src/beamhatch/relay/daemon.py
@@ -12,7 +12,9 @@
 from beamhatch.relay.gossip import Gossip
 from beamhatch.relay.http_client import HttpClient
 from beamhatch.relay.http_server import CallerServer
+from beamhatch.relay.leadership import Leadership
 from beamhatch.relay.model import Address, CallerLimits
+from beamhatch.relay.ordering import Ordering
 from beamhatch.relay.standing import Standings
 from beamhatch.relay.watching import ConfigurationWatcher, ListingWatcher, Watcher
 
@@ -51,6 +53,8 @@
     budget: BudgetTerms
     peer_address: Address | None = None
     seeds: list[str] = field(default_factory=list)
+    turn_time: float = 3.0
+    """Seconds that have to pass between the orders of two VMs."""
     metrics_address: Address | None = None
     metrics_path: str = "/metrics"
 
@@ -87,6 +91,12 @@
         self.callers = CallerServer(clock, self.core.serve, self.core.find_limits, self.core.note_refused)
         self._watchers: list[Watcher] = [ConfigurationWatcher(self.core, store), ListingWatcher(self.core, store)]
         self._gossip = self._make_gossip(documents)
+        self._leadership: Leadership | None = None
+        self._ordering: Ordering | None = None
+        if self._gossip is not None:
+            self._leadership = Leadership(self.core, store, settings.vm, self._gossip.find_rank)
+            self._leadership.tenure.turn_time = settings.turn_time
+            self._ordering = Ordering(self.core, self._leadership.tenure, settings.vm, self._gossip.find_pressure)
         self._ports: list[Any] = []
         self._caller_port: Any = None
         self._stopping_since: float | None = None
@@ -109,6 +119,9 @@
             self._gossip.start()
         for watcher in self._watchers:
             watcher.start()
+        if self._leadership is not None and self._ordering is not None:
+            self._leadership.start()
+            self._ordering.start()
         gc.collect()
         gc.freeze()  # what was loaded stays: later collections need not look through it
         self.journal.write("MAIN", "started", store=str(settings.store_address), seeds=settings.seeds)
@@ -129,6 +142,8 @@
             return
         self._stopping_since = self.clock.now()
         self.callers.closing = True
+        if self._leadership is not None:
+            self._leadership.stop()
         self.journal.write("STOP", "begun", open_requests=len(self.core.exchanges))
         self.clock.call_later(IDLE_CLOSE_DELAY, self.callers.close_idle)
         self.clock.call_later(STOP_INTERVAL, self._go_on_stopping)
--- a/src/beamhatch/relay/exchange.py
+++ b/src/beamhatch/relay/exchange.py
@@ -127,6 +127,8 @@
         now = self.core.clock.now()
         in_time = self.request.route.target_latency * IN_TIME_SHARE
         line = self.core.find_line(self.request.service.name)
+        if not self._in_line:
+            self.core.find_demand(self.request.service.name).note_wait(now)
         if not self._in_line and not self.request.begun and not line.has_room(in_time, now):
             self._carry_out(self.request.refuse_full())
             return
--- a/src/beamhatch/relay/gossip.py
+++ b/src/beamhatch/relay/gossip.py
@@ -14,6 +14,7 @@
 from twisted.protocols.basic import Int32StringReceiver
 
 from beamhatch.relay.api import Document, ListingNews
+from beamhatch.relay.balancing import Pressure
 from beamhatch.relay.gossip_message import (
     MOST_BYTES,
     MOST_KNOWN,
@@ -35,6 +36,7 @@
 
     from beamhatch.relay.api import Documents
     from beamhatch.relay.core import Core
+    from beamhatch.relay.model import Service
 
 DIALLED = 3
 """Peers that this VM keeps a connection to, beside those that do so towards it."""
@@ -130,6 +132,14 @@
     since: float
 
 
+@dataclass(frozen=True, slots=True)
+class _Heard:
+    """What another VM's streams ask, and when it said so."""
+
+    demands: dict[str, tuple[float, float]]
+    at: float
+
+
 class Gossip:
     """The connections to other VMs, and who they are."""
 
@@ -146,6 +156,8 @@
         """Until when VMs are not dialled, as they did not answer."""
         self._seen: dict[str, float] = {}
         """When VMs were last heard of."""
+        self._demands: dict[str, _Heard] = {}
+        """What other VMs' streams ask, by VM."""
         self._hello_at = 0.0
         self._lacking: dict[str, _Lack] = {}
         self._telling = False
@@ -217,6 +229,8 @@
     def _forget_old(self, now: float) -> None:
         for address in [address for address, seen in self._seen.items() if now - seen > FORGET_AFTER]:
             del self._seen[address]
+        for vm in [vm for vm, heard in self._demands.items() if now - heard.at > FORGET_AFTER]:
+            del self._demands[vm]
         self.core.vms = 1 + len(self._seen)
 
     def _dial(self, now: float) -> None:
@@ -243,6 +257,21 @@
         for connection in list(self._connections):
             connection.tell(beat)
 
+    # --- what is known of the others ---------------------------------------------------------------------------------
+
+    def find_rank(self) -> int:
+        """Return how many known VMs go before this one where only some are to do a thing."""
+        return sum(hash_fraction(address) > hash_fraction(self.address) for address in self._seen)
+
+    def find_pressure(self, service: Service) -> Pressure:
+        """Return what all VMs ask of a service, worked out from those that were heard of late."""
+        now = self.core.clock.now()
+        heard = [one.demands for one in self._demands.values() if now - one.at < SILENCE_LIMIT]
+        known = [self.core.list_demands(), *heard]
+        scale = max(1.0, self.core.vms / len(known))
+        asked = [demands.get(service.name, (0.0, 0.0)) for demands in known]
+        return Pressure(scale * sum(prompts for prompts, _ in asked), scale * sum(waits for _, waits in asked))
+
     # --- messages ----------------------------------------------------------------------------------------------------
 
     def take(self, connection: PeerConnection, message: Message) -> None:
@@ -277,6 +306,8 @@
                 self._seen.setdefault(address, now)
 
     def _take_beat(self, connection: PeerConnection, message: Beat) -> None:
+        if connection.vm:
+            self._demands[connection.vm] = _Heard(message.demands, self.core.clock.now())
         own = self._make_beat()
         if self._lacks("configuration", own.version, message.version):
             connection.tell(AskConfiguration())
@@ -307,4 +338,4 @@
     def _make_beat(self) -> Beat:
         core = self.core
         version = 0 if core.table is None else core.table.version
-        return Beat(version, core.listing.newest if core.listing.complete else 0)
+        return Beat(version, core.listing.newest if core.listing.complete else 0, core.list_demands())
--- a/src/beamhatch/relay/gossip_message.py
+++ b/src/beamhatch/relay/gossip_message.py
@@ -28,6 +28,8 @@
     """Of the configuration in force; 0 where none is."""
     revision: int
     """Of the newest entry of its listing; 0 where it has no whole listing."""
+    demands: dict[str, tuple[float, float]] = {}
+    """What its streams ask of each service with engines: prompt tokens a second, waits for memory a second."""
 
 
 class AskConfiguration(msgspec.Struct, tag="ask_configuration", frozen=True):
--- /dev/null
+++ b/src/beamhatch/relay/leadership.py
@@ -0,0 +1,124 @@
+"""One VM at a time gives orders: the holder of a lease in the store.
+
+The lease's time is counted from before each renewal was sent, on the monotonic clock. A store may also end a lease
+early without telling its holder, who then goes on for as long as the lease would have lasted; so a new holder gives no
+order before that time and the platform's own bound on turns have passed. Each order carries the revision of the claim,
+which rises from holder to holder.
+"""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any
+
+from twisted.internet import defer
+
+from beamhatch.clock import sleep
+from beamhatch.relay.api import Claimed, StoreLost
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from beamhatch.relay.api import Store
+    from beamhatch.relay.core import Core
+
+LEASE_TIME = 6.0
+KEEP_INTERVAL = 2.0
+LOOK_INTERVAL = 12.0
+"""Seconds between two looks of a VM that holds nothing."""
+
+ORDER_TIME = 1.0
+"""Seconds of the lease that have to be left for an order."""
+
+HANDOVER_MARGIN = 0.5
+CANDIDATES = 3
+"""VMs that stand for leadership: the first by rank, as far as they know each other."""
+
+
+@dataclass(slots=True)
+class Tenure:
+    """What this VM believes of its own lease."""
+
+    turn_time: float = 3.0
+    """Seconds that have to pass between the orders of two holders."""
+    token: int = 0
+    _valid_until: float = -1e9
+    _acts_from: float = 1e18
+
+    def begin(self, token: int, sent_at: float, now: float) -> None:
+        """Take in that the lease was claimed, by a call that was sent at some time."""
+        self.token = token
+        self._valid_until = sent_at + LEASE_TIME
+        self._acts_from = now + LEASE_TIME + self.turn_time + HANDOVER_MARGIN
+
+    def renew(self, sent_at: float) -> None:
+        """Take in that the lease was renewed."""
+        self._valid_until = max(self._valid_until, sent_at + LEASE_TIME)
+
+    def end(self) -> None:
+        """Take in that the lease is over."""
+        self._valid_until = -1e9
+        self._acts_from = 1e18
+
+    def holds(self, now: float) -> bool:
+        """Tell whether the lease lasts."""
+        return now < self._valid_until
+
+    def may_order(self, now: float) -> bool:
+        """Tell whether an order may be given now."""
+        return self._acts_from <= now < self._valid_until - ORDER_TIME
+
+
+class Leadership:
+    """Stands for the lease, and keeps it."""
+
+    def __init__(self, core: Core, store: Store, vm: str, find_rank: Callable[[], int]) -> None:
+        self.core = core
+        self.tenure = Tenure()
+        self._store = store
+        self._vm = vm
+        self._find_rank = find_rank
+        self._running: defer.Deferred[None] | None = None
+
+    def start(self) -> None:
+        """Begin."""
+        self._running = defer.ensureDeferred(self._run())
+        self._running.addErrback(self._take_end)
+
+    def stop(self) -> None:
+        """End; the lease runs out by itself."""
+        running, self._running = self._running, None
+        self.tenure.end()
+        if running is not None:
+            running.cancel()
+
+    async def _run(self) -> None:
+        await sleep(self.core.clock, random.uniform(1.0, 3.0))
+        while True:
+            if self._find_rank() < CANDIDATES:
+                await self._stand()
+            await sleep(self.core.clock, LOOK_INTERVAL * random.uniform(0.7, 1.3))
+
+    async def _stand(self) -> None:
+        sent_at = self.core.clock.now()
+        claim = await self._store.claim_leadership(self._vm, LEASE_TIME)
+        if not isinstance(claim, Claimed):
+            return
+        self.tenure.begin(claim.revision, sent_at, self.core.clock.now())
+        self.core.journal.write("LEADER", "claimed", token=claim.revision)
+        while self.tenure.holds(self.core.clock.now()):
+            await sleep(self.core.clock, KEEP_INTERVAL)
+            sent_at = self.core.clock.now()
+            kept = await self._store.keep_leadership(claim)
+            if kept is True:
+                self.tenure.renew(sent_at)
+            elif not isinstance(kept, StoreLost):
+                break
+        self.tenure.end()
+        self.core.journal.write("LEADER", "lost", token=claim.revision)
+
+    def _take_end(self, failure: Any) -> None:
+        self.tenure.end()
+        if not failure.check(defer.CancelledError):
+            self.core.journal.write("LEADER", "failed", error=failure.getTraceback())
--- /dev/null
+++ b/src/beamhatch/relay/ordering.py
@@ -0,0 +1,73 @@
+"""Have engines change their part, from the one VM that leads."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from beamhatch.relay.balancing import PAUSE, PhaseChange, Pressure, choose_change
+from beamhatch.relay.http_fetch import fetch
+from beamhatch.relay.model import Phase
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from beamhatch.relay.answer import WholeAnswer
+    from beamhatch.relay.core import Core
+    from beamhatch.relay.leadership import Tenure
+    from beamhatch.relay.model import Service
+
+LOOK_INTERVAL = 0.5
+ORDER_TIMEOUT = 0.8
+
+
+class Ordering:
+    """Looks at the demand, and orders what is due."""
+
+    def __init__(self, core: Core, tenure: Tenure, vm: str, find_pressure: Callable[[Service], Pressure]) -> None:
+        self.core = core
+        self._tenure = tenure
+        self._vm = vm
+        self._find_pressure = find_pressure
+        self._quiet_until = 0.0
+
+    def start(self) -> None:
+        """Begin to look."""
+        self.core.clock.call_later(LOOK_INTERVAL, self._look)
+
+    def _look(self) -> None:
+        self.core.clock.call_later(LOOK_INTERVAL, self._look)
+        now = self.core.clock.now()
+        table = self.core.table
+        if table is None or now < self._quiet_until or not self._tenure.may_order(now):
+            return
+        for service in table.services.values():
+            if service.engine is not None:
+                self._look_at(service, now)
+
+    def _look_at(self, service: Service, now: float) -> None:
+        engines = [one for one in self.core.listing.list_usable(service.name, now) if one.phase is not Phase.PLAIN]
+        pressure = self._find_pressure(service)
+        change = choose_change(engines, pressure)
+        if change is not None:
+            self._quiet_until = now + PAUSE
+            self._order(change, pressure)
+
+    def _order(self, change: PhaseChange, pressure: Pressure) -> None:
+        upstream = change.upstream
+        self.core.journal.write(
+            "LEADER",
+            "orders",
+            upstream=upstream.id,
+            phase=change.phase.value,
+            token=self._tenure.token,
+            prompt_rate=round(pressure.prompt_rate),
+            wait_rate=round(pressure.wait_rate, 2),
+        )
+        self.core.tally.count("orders_total", change.phase.value)
+        call = self.core.dialect.make_order(upstream, change.phase, self._vm, self._tenure.token)
+        done = fetch(self.core.client, self.core.clock, upstream.address, call, ORDER_TIMEOUT)
+        done.addCallback(self._take_answer, upstream.id)
+
+    def _take_answer(self, answer: WholeAnswer | str, upstream: str) -> None:
+        outcome = answer if isinstance(answer, str) else f"status {answer.head.status}"
+        self.core.journal.write("LEADER", "order answered", upstream=upstream, outcome=outcome)
