Balance prefill and decode by the predicted use of each part; tell peers of faulty upstreams

Change: the use of each part is predicted from prompts read a second, the time that a stream holds memory, and the engines of the part; a change is ordered when it lowers the use of the busier part by 15 in 100 or more. Beats tell which upstreams failed the sender's requests. A prefill engine that goes on answering others is waited for.

--- a/src/beamhatch/relay/attempt.py
+++ b/src/beamhatch/relay/attempt.py
@@ -26,6 +26,9 @@
 PLAIN_PATIENCE_FACTOR = 4.0
 PREFILL_PATIENCE = 0.6
 PREFILL_PATIENCE_FACTOR = 4.0
+LONGEST_PREFILL = 3.0
+"""Seconds for which a prompt waits at an engine that reads others meanwhile."""
+
 FIRST_EVENT_PATIENCE = 1.2
 WHOLE_PATIENCE = 2.5
 GAP_PATIENCE = 1.0
@@ -134,6 +137,7 @@
             self.standing.note_silence(now)
         else:
             self.standing.note_fault(now)
+        self.core.on_fault()
         self.exchange.write_log(
             "send failed",
             to=self.send.upstream.id,
@@ -157,6 +161,8 @@
         if self.head.status == MISDIRECTED:
             self.standing.note_misdirected(now)
             self.core.client.close_idle(self.send.upstream.address)
+        else:
+            self.standing.note_busy(now)
         self.exchange.write_log(
             "turned away",
             to=self.send.upstream.id,
@@ -208,6 +214,7 @@
             self.standing.note_fault(now)
         else:
             self.standing.note_silence(now)
+            self.core.on_fault()
         abandoned = self.may_abandon()
         self.exchange.write_log(
             "silent",
@@ -218,6 +225,8 @@
         )
         self.core.tally.count("silences_total", self.send.stage.value)
         if not abandoned:
+            if self.send.stage is Stage.PREFILL:
+                self._wait(self.get_patience())
             return
         self.cancel()
         if self._sent:
@@ -357,8 +366,10 @@
         return max(PREFILL_PATIENCE, PREFILL_PATIENCE_FACTOR * self.standing.latency)
 
     def may_abandon(self) -> bool:
-        """Tell that a prefill may go elsewhere: it runs nothing."""
-        return True
+        """Tell whether a prefill, which runs nothing, may go elsewhere: not where the engine just has much to read."""
+        alive = self.standing.succeeded_at > self._started_at
+        waited = self.core.clock.now() - self._started_at
+        return not alive or waited > LONGEST_PREFILL
 
 
 class PlainAttempt(Attempt):
@@ -433,6 +444,8 @@
             self.take_fault(Fault.BROKEN, "the stream ended inside an event")
         else:
             self.succeed()
+            seconds = self.core.clock.now() - self._started_at
+            self.core.find_demand(self.request.service.name).note_stream(seconds)
             self.exchange.end_answer()
 
     def note_turned_away(self, now: float) -> None:
--- a/src/beamhatch/relay/balancing.py
+++ b/src/beamhatch/relay/balancing.py
@@ -17,10 +17,13 @@
     from collections.abc import Sequence
 
 LEAST_WAIT_RATE = 0.8
-"""Requests a second, over all VMs, that find decode memory full before an engine is moved there."""
+"""Requests a second, over all VMs, that find decode memory full and so show that a part is short."""
 
-MOST_PREFILL_USE = 0.75
-"""Share of the remaining prefill engines' rate that prompts may take after a move."""
+HIGH_USE = 0.9
+"""Use of the busier part that shows the same."""
+
+WORTHWHILE = 0.85
+"""Share of today's use of the busier part that a change has to bring it under."""
 
 PAUSE = 9.0
 """Seconds between two changes: the first has to show before there is evidence for another."""
@@ -34,6 +37,8 @@
     """Prompt tokens a second."""
     wait_rate: float
     """Requests a second that find decode memory full."""
+    memory_seconds: float
+    """Seconds for which a prompt token's memory is held at a decode engine, with its share of the answer's memory."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,19 +49,30 @@
     phase: Phase
 
 
-def choose_change(engines: Sequence[Upstream], pressure: Pressure) -> PhaseChange | None:
-    """Return the change that is due, or None."""
+def choose_change(engines: Sequence[Upstream], pressure: Pressure, kv_tokens: int) -> PhaseChange | None:
+    """Return the change that is due, or None.
+
+    :param kv_tokens: the memory of one engine
+    """
     prefills = [one for one in engines if one.phase is Phase.PREFILL]
     decodes = [one for one in engines if one.phase is Phase.DECODE]
-    if not prefills and len(decodes) > 1:
-        return PhaseChange(_choose_from(decodes, prefills), Phase.PREFILL)
-    if not decodes and len(prefills) > 1:
-        return PhaseChange(_choose_from(prefills, decodes), Phase.DECODE)
-    if len(prefills) < 2 or pressure.wait_rate < LEAST_WAIT_RATE:
-        return None
-    if pressure.prompt_rate > MOST_PREFILL_USE * PREFILL_RATE * (len(prefills) - 1):
+    today = predict_use(len(prefills), len(decodes), pressure, kv_tokens)
+    if len(engines) < 2 or (pressure.wait_rate < LEAST_WAIT_RATE and today < HIGH_USE):
         return None
-    return PhaseChange(_choose_from(prefills, decodes), Phase.DECODE)
+    if predict_use(len(prefills) - 1, len(decodes) + 1, pressure, kv_tokens) < WORTHWHILE * today:
+        return PhaseChange(_choose_from(prefills, decodes), Phase.DECODE)
+    if predict_use(len(prefills) + 1, len(decodes) - 1, pressure, kv_tokens) < WORTHWHILE * today:
+        return PhaseChange(_choose_from(decodes, prefills), Phase.PREFILL)
+    return None
+
+
+def predict_use(prefills: int, decodes: int, pressure: Pressure, kv_tokens: int) -> float:
+    """Return the use of the busier part: 1 is all that it can do."""
+    if prefills < 1 or decodes < 1:
+        return float("inf")
+    reading = pressure.prompt_rate / (PREFILL_RATE * prefills)
+    holding = pressure.prompt_rate * pressure.memory_seconds / (kv_tokens * decodes)
+    return max(reading, holding)
 
 
 def _choose_from(engines: Sequence[Upstream], others: Sequence[Upstream]) -> Upstream:
--- a/src/beamhatch/relay/choosing.py
+++ b/src/beamhatch/relay/choosing.py
@@ -13,7 +13,7 @@
 
     from beamhatch.relay.standing import Standing, Standings
 
-PREFILL_RATE = 50_000.0
+PREFILL_RATE = 52_000.0
 """Prompt tokens a second that a prefill engine is thought to read before any was seen."""
 
 SILENT_COST = 30.0
@@ -23,6 +23,9 @@
 """Seconds that an upstream which fails everything costs more than one that fails nothing."""
 
 LAPSE_COST = 2.0
+BUSY_COST = 1.0
+"""Seconds that an upstream which has just turned a request away costs more."""
+
 SESSION_GAIN = 0.08
 """Seconds by which the engine that would have a prompt's parts goes before others."""
 
@@ -145,4 +148,5 @@
 
     def _count_faults(self, standing: Standing, now: float) -> float:
         silent = SILENT_COST if now < standing.silent_until else 0.0
-        return silent + FAULT_COST * standing.get_faults(now)
+        busy = BUSY_COST if now < standing.busy_until else 0.0
+        return silent + busy + FAULT_COST * standing.get_faults(now)
--- a/src/beamhatch/relay/core.py
+++ b/src/beamhatch/relay/core.py
@@ -65,6 +65,8 @@
     exchanges: set[RelayExchange] = field(default_factory=set)
     on_change: Callable[[], None] = lambda: None
     """Called when the configuration or the listing has changed."""
+    on_fault: Callable[[], None] = lambda: None
+    """Called when an upstream failed a request."""
     _budgets: dict[ServiceName, Budget] = field(default_factory=dict)
     _lines: dict[ServiceName, Line[RelayExchange]] = field(default_factory=dict)
     _demands: dict[ServiceName, Demand] = field(default_factory=dict)
--- a/src/beamhatch/relay/daemon.py
+++ b/src/beamhatch/relay/daemon.py
@@ -116,6 +116,7 @@
         self.core.client.start()
         if self._gossip is not None:
             self.core.on_change = self._gossip.tell_soon
+            self.core.on_fault = self._gossip.tell_soon
             self._gossip.start()
         for watcher in self._watchers:
             watcher.start()
--- a/src/beamhatch/relay/gossip.py
+++ b/src/beamhatch/relay/gossip.py
@@ -29,7 +29,7 @@
     decode,
     encode,
 )
-from beamhatch.relay.model import hash_fraction
+from beamhatch.relay.model import UpstreamId, hash_fraction
 
 if TYPE_CHECKING:
     from twisted.python.failure import Failure
@@ -56,6 +56,8 @@
 """Seconds without a sign after which a VM is no longer counted."""
 
 HELLO_INTERVAL = 10.0
+LEAST_FAULTS = 0.2
+"""Share of faults from which on peers are told of an upstream."""
 
 
 class PeerConnection(Int32StringReceiver):
@@ -270,7 +272,10 @@
         known = [self.core.list_demands(), *heard]
         scale = max(1.0, self.core.vms / len(known))
         asked = [demands.get(service.name, (0.0, 0.0)) for demands in known]
-        return Pressure(scale * sum(prompts for prompts, _ in asked), scale * sum(waits for _, waits in asked))
+        memory_seconds = self.core.find_demand(service.name).count_memory_seconds()
+        return Pressure(
+            scale * sum(prompts for prompts, _ in asked), scale * sum(waits for _, waits in asked), memory_seconds
+        )
 
     # --- messages ----------------------------------------------------------------------------------------------------
 
@@ -308,6 +313,9 @@
     def _take_beat(self, connection: PeerConnection, message: Beat) -> None:
         if connection.vm:
             self._demands[connection.vm] = _Heard(message.demands, self.core.clock.now())
+        now = self.core.clock.now()
+        for upstream, share in message.faulty.items():
+            self.core.standings.get(UpstreamId(upstream)).note_hint(share, now)
         own = self._make_beat()
         if self._lacks("configuration", own.version, message.version):
             connection.tell(AskConfiguration())
@@ -338,4 +346,6 @@
     def _make_beat(self) -> Beat:
         core = self.core
         version = 0 if core.table is None else core.table.version
-        return Beat(version, core.listing.newest if core.listing.complete else 0, core.list_demands())
+        revision = core.listing.newest if core.listing.complete else 0
+        faulty = core.standings.list_faulty(LEAST_FAULTS, core.clock.now())
+        return Beat(version, revision, core.list_demands(), faulty)
--- a/src/beamhatch/relay/gossip_message.py
+++ b/src/beamhatch/relay/gossip_message.py
@@ -30,6 +30,8 @@
     """Of the newest entry of its listing; 0 where it has no whole listing."""
     demands: dict[str, tuple[float, float]] = {}
     """What its streams ask of each service with engines: prompt tokens a second, waits for memory a second."""
+    faulty: dict[str, float] = {}
+    """Upstreams that failed the sender's requests of late, with the share that they failed."""
 
 
 class AskConfiguration(msgspec.Struct, tag="ask_configuration", frozen=True):
--- a/src/beamhatch/relay/leadership.py
+++ b/src/beamhatch/relay/leadership.py
@@ -23,9 +23,9 @@
     from beamhatch.relay.api import Store
     from beamhatch.relay.core import Core
 
-LEASE_TIME = 6.0
-KEEP_INTERVAL = 2.0
-LOOK_INTERVAL = 12.0
+LEASE_TIME = 4.0
+KEEP_INTERVAL = 1.3
+LOOK_INTERVAL = 6.0
 """Seconds between two looks of a VM that holds nothing."""
 
 ORDER_TIME = 1.0
--- a/src/beamhatch/relay/ordering.py
+++ b/src/beamhatch/relay/ordering.py
@@ -45,9 +45,12 @@
                 self._look_at(service, now)
 
     def _look_at(self, service: Service, now: float) -> None:
-        engines = [one for one in self.core.listing.list_usable(service.name, now) if one.phase is not Phase.PLAIN]
+        usable = self.core.listing.list_usable(service.name, now)
+        answering = [one for one in usable if now >= self.core.standings.get(one.id).silent_until]
+        engines = [one for one in answering if one.phase is not Phase.PLAIN]
         pressure = self._find_pressure(service)
-        change = choose_change(engines, pressure)
+        assert service.engine is not None
+        change = choose_change(engines, pressure, service.engine.kv_tokens)
         if change is not None:
             self._quiet_until = now + PAUSE
             self._order(change, pressure)
@@ -62,6 +65,7 @@
             token=self._tenure.token,
             prompt_rate=round(pressure.prompt_rate),
             wait_rate=round(pressure.wait_rate, 2),
+            memory_seconds=round(pressure.memory_seconds, 2),
         )
         self.core.tally.count("orders_total", change.phase.value)
         call = self.core.dialect.make_order(upstream, change.phase, self._vm, self._tenure.token)
--- a/src/beamhatch/relay/standing.py
+++ b/src/beamhatch/relay/standing.py
@@ -22,6 +22,12 @@
 LONGEST_MISDIRECTED_PAUSE = 30.0
 """Seconds for which an upstream that says that it is another one is passed over."""
 
+BUSY_PAUSE = 0.6
+"""Seconds for which an upstream that turned a request away is passed over where there are others."""
+
+HINT_WEIGHT = 0.8
+"""How much of what another VM tells of an upstream's faults is believed."""
+
 LOAD_LIFE = 0.6
 """Seconds for which a load that an upstream told is believed."""
 
@@ -53,9 +59,13 @@
     silent_until: float = -1e9
     misdirected: int = 0
     misdirected_until: float = -1e9
+    busy_until: float = -1e9
     lapsed_until: float = -1e9
     """Until when its handles are taken to lapse at once."""
     _faults: float = 0.0
+    """By own work and by what other VMs tell."""
+    _own_faults: float = 0.0
+    """By own work only: this is what other VMs are told."""
     _faults_at: float = 0.0
     _others: int = 0
     _load_at: float = -1e9
@@ -96,6 +106,18 @@
         self.silent += 1
         self.silent_until = now + pause
 
+    def note_busy(self, now: float) -> None:
+        """Note that it turned a request away."""
+        self.busy_until = now + BUSY_PAUSE
+
+    def note_hint(self, faults: float, now: float) -> None:
+        """Take in the share of faults that another VM saw."""
+        believed = HINT_WEIGHT * faults
+        if believed > self.get_faults(now):
+            self._own_faults = self.get_own_faults(now)
+            self._faults = believed
+            self._faults_at = now
+
     def note_misdirected(self, now: float) -> None:
         """Note that another upstream has its address."""
         pause = min(LONGEST_MISDIRECTED_PAUSE, FIRST_MISDIRECTED_PAUSE * 2**self.misdirected)
@@ -116,9 +138,15 @@
         """Return the share of work that it failed of late."""
         return self._faults * 0.5 ** ((now - self._faults_at) / FAULT_HALF_LIFE)
 
+    def get_own_faults(self, now: float) -> float:
+        """Return the share of this VM's own work that it failed of late."""
+        return self._own_faults * 0.5 ** ((now - self._faults_at) / FAULT_HALF_LIFE)
+
     def _move_faults(self, outcome: float, now: float) -> None:
         current = self.get_faults(now)
+        own = self.get_own_faults(now)
         self._faults = current + FAULT_WEIGHT * (outcome - current)
+        self._own_faults = own + FAULT_WEIGHT * (outcome - own)
         self._faults_at = now
 
 
@@ -135,6 +163,11 @@
             standing = self._standings[upstream] = Standing()
         return standing
 
+    def list_faulty(self, least: float, now: float) -> dict[str, float]:
+        """Return the upstreams that failed a large enough share of their work, with that share."""
+        faults = {str(name): round(one.get_own_faults(now), 2) for name, one in self._standings.items()}
+        return {name: share for name, share in faults.items() if share >= least}
+
     def keep_only(self, wanted: set[UpstreamId]) -> None:
         """Drop upstreams that are gone and have no work."""
         dropped = [name for name, one in self._standings.items() if name not in wanted and not one.running]
