Write an order down on condition before it is sent; test the lease, the balance, streams and the client

The old holder went on giving orders beside the new one, with a lower token after a higher one.

Ruled out: shorter leases and longer waits of the new holder: no wait covers a lease that is renewed for ever; a watch on the claim's key says nothing while the store is silent.

Change: before each order a conditional write asks that the claim stands at its revision; the order goes out within half a second of a yes, or not at all. Orders are rare, so are these writes.

--- a/src/beamhatch/platform/standin/upstream.py
+++ b/src/beamhatch/platform/standin/upstream.py
@@ -38,6 +38,16 @@
     """It leaves an event of its stream out."""
 
 
+@dataclass(frozen=True, slots=True)
+class Order:
+    """An order to play another part, as it arrived."""
+
+    at: float
+    holder: str
+    token: int
+    phase: str
+
+
 @dataclass(slots=True)
 class Ledger:
     """What the upstreams of one test did, together."""
@@ -52,6 +62,7 @@
     """Runs that ended as their caller went away."""
     deadlines: list[int] = field(default_factory=list)
     """The milliseconds that each send was given."""
+    orders: list[Order] = field(default_factory=list)
     handles: dict[str, str] = field(default_factory=dict)
     """The request of each KV cache that is held, by ``ADDRESS/ID``."""
 
@@ -211,6 +222,10 @@
         elif name == "hold-drop":
             self._drop(rest)
             answer_json(responder, 200, {})
+        elif name == "order":
+            order = json.loads(incoming.body)
+            self.ledger.orders.append(Order(self.clock.now(), order["holder"], order["fencing_token"], order["phase"]))
+            answer_json(responder, 202, {})
         elif name == "kv-handle":
             self.ledger.handles.pop(f"{self.address}/{rest}", None)
             answer_json(responder, 200, {})
--- a/src/beamhatch/platform/store.py
+++ b/src/beamhatch/platform/store.py
@@ -33,6 +33,7 @@
 CONFIGURATION = "op/config"
 UPSTREAMS = "servers/"
 LEADER = "beamhatch/leader"
+LAST_ORDER = "beamhatch/order"
 READ_TIMEOUT = 2.0
 WATCH_MARGIN = 2.0
 """Seconds beyond its wait after which a watch is taken as lost."""
@@ -151,6 +152,20 @@
             return answer.head.status == 200
         return StoreLost(f"status {answer.head.status}")
 
+    async def record_order(self, claim: Claimed, order: str) -> bool | StoreLost:
+        """Write an order down on the condition that the claim stands."""
+        change = {
+            "if_revision": [{"tls_key": LEADER, "revision": claim.revision}],
+            "put": [{"tls_key": LAST_ORDER, "value": base64.b64encode(order.encode()).decode(), "lease": 0}],
+            "remove": [],
+        }
+        answer = await self._post("kv-txn", change)
+        if isinstance(answer, str):
+            return StoreLost(answer)
+        if answer.head.status in (200, 412):
+            return answer.head.status == 200
+        return StoreLost(f"status {answer.head.status}")
+
     async def _watch(self, prefix: str, after: int, wait: float) -> _Events | StoreLost | HistoryGone:
         query = {"path_prefix": prefix, "after": str(after), "wait_ms": str(int(wait * 1000))}
         answer = await self._get("kv-watch", query, wait + WATCH_MARGIN)
--- a/src/beamhatch/relay/api.py
+++ b/src/beamhatch/relay/api.py
@@ -175,6 +175,10 @@
     async def keep_leadership(self, claim: Claimed) -> bool | StoreLost:
         """Renew the lease of a claim; False where it is over."""
 
+    @abstractmethod
+    async def record_order(self, claim: Claimed, order: str) -> bool | StoreLost:
+        """Write an order down on the condition that the claim stands; False where it does not."""
+
 
 class Documents(ABC):
     """How the platform writes what peers hand on to each other."""
--- a/src/beamhatch/relay/daemon.py
+++ b/src/beamhatch/relay/daemon.py
@@ -96,7 +96,7 @@
         if self._gossip is not None:
             self._leadership = Leadership(self.core, store, settings.vm, self._gossip.find_rank)
             self._leadership.tenure.turn_time = settings.turn_time
-            self._ordering = Ordering(self.core, self._leadership.tenure, settings.vm, self._gossip.find_pressure)
+            self._ordering = Ordering(self.core, self._leadership, settings.vm, self._gossip.find_pressure)
         self._ports: list[Any] = []
         self._caller_port: Any = None
         self._stopping_since: float | None = None
--- a/src/beamhatch/relay/leadership.py
+++ b/src/beamhatch/relay/leadership.py
@@ -1,9 +1,9 @@
 """One VM at a time gives orders: the holder of a lease in the store.
 
-The lease's time is counted from before each renewal was sent, on the monotonic clock. A store may also end a lease
-early without telling its holder, who then goes on for as long as the lease would have lasted; so a new holder gives no
-order before that time and the platform's own bound on turns have passed. Each order carries the revision of the claim,
-which rises from holder to holder.
+The lease's time is counted from before each renewal was sent, on the monotonic clock. A store may also take a claim
+away early, and renew the lease all the same. So each order is first written down in the store on the condition that the
+claim stands, and sent at once or not at all; and a new holder gives no order before the old lease and the platform's
+bound on turns have passed. Each order carries the revision of the claim, which rises from holder to holder.
 """
 
 from __future__ import annotations
@@ -76,6 +76,7 @@
     def __init__(self, core: Core, store: Store, vm: str, find_rank: Callable[[], int]) -> None:
         self.core = core
         self.tenure = Tenure()
+        self.claim: Claimed | None = None
         self._store = store
         self._vm = vm
         self._find_rank = find_rank
@@ -93,6 +94,21 @@
         if running is not None:
             running.cancel()
 
+    async def confirm(self, order: str) -> bool:
+        """Write an order down if the claim still stands; return whether it may be sent now."""
+        claim = self.claim
+        sent_at = self.core.clock.now()
+        if claim is None or not self.tenure.may_order(sent_at):
+            return False
+        recorded = await self._store.record_order(claim, order)
+        if recorded is not True:
+            self.core.journal.write("LEADER", "order not recorded", token=claim.revision, answer=str(recorded))
+            if recorded is False:
+                self.tenure.end()
+            return False
+        now = self.core.clock.now()
+        return now - sent_at < ORDER_TIME / 2 and self.tenure.may_order(now)
+
     async def _run(self) -> None:
         await sleep(self.core.clock, random.uniform(1.0, 3.0))
         while True:
@@ -105,6 +121,7 @@
         claim = await self._store.claim_leadership(self._vm, LEASE_TIME)
         if not isinstance(claim, Claimed):
             return
+        self.claim = claim
         self.tenure.begin(claim.revision, sent_at, self.core.clock.now())
         self.core.journal.write("LEADER", "claimed", token=claim.revision)
         while self.tenure.holds(self.core.clock.now()):
@@ -116,6 +133,7 @@
             elif not isinstance(kept, StoreLost):
                 break
         self.tenure.end()
+        self.claim = None
         self.core.journal.write("LEADER", "lost", token=claim.revision)
 
     def _take_end(self, failure: Any) -> None:
--- a/src/beamhatch/relay/ordering.py
+++ b/src/beamhatch/relay/ordering.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
+
+from twisted.internet import defer
 
 from beamhatch.relay.balancing import PAUSE, PhaseChange, Pressure, choose_change
 from beamhatch.relay.http_fetch import fetch
@@ -11,9 +13,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from beamhatch.relay.answer import WholeAnswer
     from beamhatch.relay.core import Core
-    from beamhatch.relay.leadership import Tenure
+    from beamhatch.relay.leadership import Leadership
     from beamhatch.relay.model import Service
 
 LOOK_INTERVAL = 0.5
@@ -23,9 +24,11 @@
 class Ordering:
     """Looks at the demand, and orders what is due."""
 
-    def __init__(self, core: Core, tenure: Tenure, vm: str, find_pressure: Callable[[Service], Pressure]) -> None:
+    def __init__(
+        self, core: Core, leadership: Leadership, vm: str, find_pressure: Callable[[Service], Pressure]
+    ) -> None:
         self.core = core
-        self._tenure = tenure
+        self._leadership = leadership
         self._vm = vm
         self._find_pressure = find_pressure
         self._quiet_until = 0.0
@@ -38,7 +41,7 @@
         self.core.clock.call_later(LOOK_INTERVAL, self._look)
         now = self.core.clock.now()
         table = self.core.table
-        if table is None or now < self._quiet_until or not self._tenure.may_order(now):
+        if table is None or now < self._quiet_until or not self._leadership.tenure.may_order(now):
             return
         for service in table.services.values():
             if service.engine is not None:
@@ -53,25 +56,28 @@
         change = choose_change(engines, pressure, service.engine.kv_tokens)
         if change is not None:
             self._quiet_until = now + PAUSE
-            self._order(change, pressure)
+            defer.ensureDeferred(self._order(change, pressure)).addErrback(self._note_failure)
 
-    def _order(self, change: PhaseChange, pressure: Pressure) -> None:
+    async def _order(self, change: PhaseChange, pressure: Pressure) -> None:
         upstream = change.upstream
+        if not await self._leadership.confirm(f"{upstream.id} {change.phase.value}"):
+            return
+        token = self._leadership.tenure.token
         self.core.journal.write(
             "LEADER",
             "orders",
             upstream=upstream.id,
             phase=change.phase.value,
-            token=self._tenure.token,
+            token=token,
             prompt_rate=round(pressure.prompt_rate),
             wait_rate=round(pressure.wait_rate, 2),
             memory_seconds=round(pressure.memory_seconds, 2),
         )
         self.core.tally.count("orders_total", change.phase.value)
-        call = self.core.dialect.make_order(upstream, change.phase, self._vm, self._tenure.token)
-        done = fetch(self.core.client, self.core.clock, upstream.address, call, ORDER_TIMEOUT)
-        done.addCallback(self._take_answer, upstream.id)
-
-    def _take_answer(self, answer: WholeAnswer | str, upstream: str) -> None:
+        call = self.core.dialect.make_order(upstream, change.phase, self._vm, token)
+        answer = await fetch(self.core.client, self.core.clock, upstream.address, call, ORDER_TIMEOUT)
         outcome = answer if isinstance(answer, str) else f"status {answer.head.status}"
-        self.core.journal.write("LEADER", "order answered", upstream=upstream, outcome=outcome)
+        self.core.journal.write("LEADER", "order answered", upstream=upstream.id, outcome=outcome)
+
+    def _note_failure(self, failure: Any) -> None:
+        self.core.journal.write("LEADER", "failed", error=failure.getTraceback())
--- /dev/null
+++ b/tests/platform/test_orders.py
@@ -0,0 +1,67 @@
+"""Orders to engines, from one VM at a time."""
+
+from __future__ import annotations
+
+import itertools
+
+from beamhatch.platform.standin.store import StoreFault
+from beamhatch.platform.standin.upstream import StandInEngine
+from tests.support.platform import MODEL, Platform, make_platform
+
+
+def make_short_of_memory(vms: int) -> Platform:
+    """Return a platform whose one decode engine has room for two streams."""
+    platform = make_platform(prefill=2, decode=0)
+    platform.add_engine("decode-0", "decode", kv_tokens=13_000)
+    for number in range(2, vms + 1):
+        platform.add_vm(f"vm{number}", ["vm1:8002"])
+    platform.network.run_until(lambda: all(platform.is_ready(vm) for vm in platform.vms))
+    return platform
+
+
+def press(platform: Platform, seconds: float) -> None:
+    """Have callers ask for more streams than there is memory for."""
+    for number in range(int(seconds * 4)):
+        vm = f"vm{1 + number % len(platform.vms)}"
+        platform.call("/stream/x", f"p{platform.network.rightNow}-{number}", vm=vm, headers={"Token-Count": "5000,60"})
+        platform.network.run(0.25)
+
+
+def test_one_vm_has_a_prefill_engine_change_its_part() -> None:
+    platform = make_short_of_memory(3)
+    press(platform, 20.0)
+    orders = platform.ledger.orders
+    assert orders
+    assert {order.phase for order in orders} == {"decode"}
+    assert len({order.holder for order in orders}) == 1
+    assert len({order.token for order in orders}) == 1
+    assert len(orders) <= 2
+
+
+def test_no_order_is_given_without_pressure() -> None:
+    platform = make_platform(prefill=2, decode=1)
+    platform.network.run(30.0)
+    assert not platform.ledger.orders
+
+
+def test_no_order_is_given_by_a_vm_whose_lease_can_not_be_renewed() -> None:
+    platform = make_short_of_memory(1)
+    platform.network.run(4.0)
+    platform.store.fault = StoreFault.BUSY
+    press(platform, 20.0)
+    assert not platform.ledger.orders
+
+
+def test_a_lease_that_the_store_ends_early_brings_about_no_second_holder_in_the_same_time() -> None:
+    platform = make_short_of_memory(3)
+    press(platform, 12.0)
+    platform.store.remove("beamhatch/leader")
+    for engine in platform.upstreams.values():
+        if isinstance(engine, StandInEngine):
+            platform.store.put(f"servers/{engine.instance}", engine.describe(MODEL, "hall-a"))
+    press(platform, 25.0)
+    orders = platform.ledger.orders
+    for before, after in itertools.pairwise(orders):
+        assert after.token >= before.token
+        if after.holder != before.holder:
+            assert after.at - before.at >= 3.0
--- /dev/null
+++ b/tests/relay/test_balancing.py
@@ -0,0 +1,63 @@
+"""When an engine changes its part."""
+
+from __future__ import annotations
+
+from beamhatch.relay.balancing import PhaseChange, Pressure, choose_change
+from beamhatch.relay.model import Address, Phase, ServiceName, Upstream, UpstreamId
+
+KV = 60_000
+
+
+def make_engines(prefills: int, decodes: int) -> list[Upstream]:
+    phases = [Phase.PREFILL] * prefills + [Phase.DECODE] * decodes
+    return [
+        Upstream(
+            UpstreamId(f"u{number}"), ServiceName("s"), Address("h", number), f"hall-{number % 3}", False, phase, 9
+        )
+        for number, phase in enumerate(phases)
+    ]
+
+
+def choose(prefills: int, decodes: int, rate: float, waits: float) -> Phase | None:
+    change = choose_change(make_engines(prefills, decodes), Pressure(rate, waits, 3.7), KV)
+    return change.phase if isinstance(change, PhaseChange) else None
+
+
+def test_nothing_changes_without_pressure() -> None:
+    assert choose(2, 1, 5_000, 0.0) is None
+
+
+def test_a_prefill_engine_moves_where_decode_memory_is_short() -> None:
+    assert choose(2, 1, 26_000, 3.0) is Phase.DECODE
+    assert choose(4, 5, 75_000, 2.0) is Phase.DECODE
+
+
+def test_the_last_engine_of_a_part_stays() -> None:
+    assert choose(1, 2, 30_000, 5.0) is None
+    assert choose(1, 1, 30_000, 5.0) is None
+    assert choose(0, 1, 30_000, 5.0) is None
+
+
+def test_a_part_without_engines_gets_one() -> None:
+    assert choose(0, 3, 10_000, 5.0) is Phase.PREFILL
+    assert choose(3, 0, 10_000, 5.0) is Phase.DECODE
+
+
+def test_a_decode_engine_moves_where_prompts_wait() -> None:
+    assert choose(1, 8, 50_000, 0.0) is Phase.PREFILL
+
+
+def test_a_balanced_service_is_left_alone_under_pressure() -> None:
+    assert choose(2, 5, 90_000, 5.0) is None
+
+
+def test_a_change_does_not_bring_about_the_next() -> None:
+    for rate in (10_000, 40_000, 90_000):
+        for engines in range(2, 12):
+            prefills = 1
+            for _ in range(12):
+                phase = choose(prefills, engines - prefills, rate, 5.0)
+                if phase is None:
+                    break
+                prefills += 1 if phase is Phase.PREFILL else -1
+            assert choose(prefills, engines - prefills, rate, 5.0) is None
--- /dev/null
+++ b/tests/relay/test_events.py
@@ -0,0 +1,48 @@
+"""Cut and check the events of a stream."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from beamhatch.relay.events import EventChecker, StreamError
+
+
+def make_stream(first: int, last: int) -> bytes:
+    return b"".join(b"id: %d\ndata: x\n\n" % number for number in range(first, last + 1))
+
+
+@given(st.lists(st.integers(1, 30), max_size=20), st.integers(0, 40))
+def test_passes_whole_events_on_however_the_bytes_are_cut(cuts: list[int], first: int) -> None:
+    stream = make_stream(first + 1, first + 9)
+    checker = EventChecker(first)
+    passed = b""
+    rest = stream
+    for cut in cuts:
+        events = checker.feed(rest[:cut])
+        rest = rest[cut:]
+        passed += events.data
+        assert passed.endswith(b"\n\n") or not passed
+    passed += checker.feed(rest).data
+    assert passed == stream
+    assert checker.is_whole
+
+
+@pytest.mark.parametrize("ids", [[1, 3], [1, 1], [2, 1]])
+def test_an_event_that_is_not_the_next_breaks_the_stream(ids: list[int]) -> None:
+    checker = EventChecker(None)
+    with pytest.raises(StreamError):
+        checker.feed(b"".join(make_stream(number, number) for number in ids))
+
+
+def test_a_resumed_stream_starts_behind_what_the_caller_has() -> None:
+    checker = EventChecker(4)
+    with pytest.raises(StreamError):
+        checker.feed(make_stream(4, 4))
+
+
+def test_an_event_cut_in_the_middle_is_not_whole() -> None:
+    checker = EventChecker(None)
+    assert checker.feed(make_stream(1, 1) + b"id: 2\nda").last == 1
+    assert not checker.is_whole
--- /dev/null
+++ b/tests/relay/test_http_client.py
@@ -0,0 +1,178 @@
+"""What the client makes of answers that upstreams should not give."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import pytest
+from twisted.internet.protocol import Factory, Protocol
+
+from beamhatch.relay.http_client import AnswerSink, Call, Fault, Head, HttpClient
+from beamhatch.relay.model import Address
+from tests.support.network import Network, PausedClock
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+ADDRESS = Address("up", 1)
+WHOLE = b"HTTP/1.1 200 OK\r\nRequest-Id: q\r\nContent-Length: 2\r\n\r\nok"
+UNFRAMED = b"HTTP/1.1 200 OK\r\nRequest-Id: q\r\n\r\nok"
+FOREIGN = b"HTTP/1.1 200 OK\r\nRequest-Id: other\r\nContent-Length: 3\r\n\r\nbad"
+
+
+class RawServer(Protocol):
+    """Answers each piece of a request by a script."""
+
+    def __init__(self, script: list[Callable[[Any], None]]) -> None:
+        self.script = script
+
+    def dataReceived(self, data: bytes) -> None:
+        if self.script:
+            self.script.pop(0)(self.transport)
+
+
+class RawFactory(Factory):
+    def __init__(self, script: list[Callable[[Any], None]]) -> None:
+        self.script = script
+        self.connections = 0
+
+    def buildProtocol(self, _: Any) -> RawServer:
+        self.connections += 1
+        return RawServer(self.script)
+
+
+class Keeper(AnswerSink):
+    def __init__(self) -> None:
+        self.body = b""
+        self.outcome: str | Fault = ""
+        self.sent = False
+
+    def note_sent(self) -> None:
+        self.sent = True
+
+    def is_own(self, head: Head) -> bool:
+        return ("request-id", "other") not in head.headers
+
+    def take_head(self, head: Head) -> None:
+        assert head.status == 200
+
+    def take_data(self, data: bytes) -> None:
+        self.body += data
+
+    def take_end(self) -> None:
+        self.outcome = "whole"
+
+    def take_fault(self, fault: Fault, detail: str) -> None:
+        self.outcome = fault
+
+
+class Bench:
+    def __init__(self, *script: Callable[[Any], None]) -> None:
+        self.network = Network()
+        clock = PausedClock(self.network)
+        self.server = RawFactory(list(script))
+        self.network.listenTCP(1, self.server, interface="up")
+        self.client = HttpClient(clock)
+        self.client.start()
+
+    def ask(self, **options: Any) -> Keeper:
+        keeper = Keeper()
+        self.client.open(ADDRESS, Call("GET", "/", [("Host", "up")]), keeper, **options)
+        self.network.run(0.05)
+        return keeper
+
+
+def write(data: bytes) -> Callable[[Any], None]:
+    return lambda transport: transport.write(data)
+
+
+def write_then_close(data: bytes) -> Callable[[Any], None]:
+    def act(transport: Any) -> None:
+        transport.write(data)
+        transport.loseConnection()
+
+    return act
+
+
+def write_then_reset(data: bytes) -> Callable[[Any], None]:
+    def act(transport: Any) -> None:
+        transport.write(data)
+        transport.abortConnection()
+
+    return act
+
+
+def test_keeps_a_connection_for_the_next_call() -> None:
+    bench = Bench(write(WHOLE), write(WHOLE))
+    assert bench.ask().outcome == "whole"
+    assert bench.ask().outcome == "whole"
+    assert bench.server.connections == 1
+
+
+def test_a_call_that_may_not_be_repeated_takes_no_connection_that_was_idle_for_long() -> None:
+    bench = Bench(write(WHOLE), write(WHOLE))
+    bench.ask()
+    bench.network.run(1.5)
+    assert bench.ask(most_idle=1.0).outcome == "whole"
+    assert bench.server.connections == 2
+
+
+def test_an_idle_connection_is_closed_before_the_other_side_closes_it() -> None:
+    bench = Bench(write(WHOLE.replace(b"\r\n\r\n", b"\r\nKeep-Alive: timeout=3\r\n\r\n")))
+    bench.ask()
+    assert bench.client.count_connections(ADDRESS) == 1
+    bench.network.run(3.0)
+    assert bench.client.count_connections(ADDRESS) == 0
+
+
+def test_bytes_behind_a_whole_answer_end_the_connection_and_belong_to_nobody() -> None:
+    bench = Bench(write(WHOLE + WHOLE), write(WHOLE))
+    assert bench.ask().body == b"ok"
+    assert bench.ask().body == b"ok"
+    assert bench.server.connections == 2
+
+
+def test_late_bytes_on_an_idle_connection_end_it() -> None:
+    bench = Bench(write(WHOLE))
+    bench.ask()
+    connection = next(iter(bench.client._idle[ADDRESS]))
+    connection.transport.other.write(FOREIGN)
+    bench.network.run(0.05)
+    assert bench.client.count_connections(ADDRESS) == 0
+
+
+def test_an_answer_to_another_request_is_skipped() -> None:
+    assert Bench(write(FOREIGN + WHOLE)).ask().body == b"ok"
+    assert Bench(write_then_close(FOREIGN)).ask().outcome is Fault.BROKEN
+
+
+@pytest.mark.parametrize("cut", range(1, len(WHOLE), 7))
+def test_an_answer_that_ends_early_is_broken(cut: int) -> None:
+    assert Bench(write_then_close(WHOLE[:cut])).ask().outcome is Fault.BROKEN
+    assert Bench(write_then_reset(WHOLE[:cut])).ask().outcome is Fault.BROKEN
+
+
+def test_an_answer_without_a_length_is_whole_only_with_a_clean_end() -> None:
+    assert Bench(write_then_close(UNFRAMED)).ask().outcome == "whole"
+    assert Bench(write_then_reset(UNFRAMED)).ask().outcome is Fault.BROKEN
+
+
+def test_what_is_no_answer_is_malformed() -> None:
+    assert Bench(write(b"\x00\x01nonsense\r\n\r\n")).ask().outcome is Fault.MALFORMED
+
+
+def test_a_dead_port_is_told_from_a_broken_answer() -> None:
+    bench = Bench()
+    keeper = Keeper()
+    bench.client.open(Address("nowhere", 1), Call("GET", "/", [("Host", "up")]), keeper)
+    bench.network.run(1.0)
+    assert keeper.outcome is Fault.UNREACHED
+    assert not keeper.sent
+
+
+def test_a_silent_host_is_given_up_in_bounded_time() -> None:
+    bench = Bench(write(WHOLE))
+    bench.network.cut("up")
+    keeper = bench.ask()
+    bench.network.run(0.6)
+    assert keeper.outcome is Fault.UNREACHED
--- /dev/null
+++ b/tests/relay/test_leadership.py
@@ -0,0 +1,149 @@
+"""Who gives orders: one VM at a time, whatever the store does to its leases."""
+
+from __future__ import annotations
+
+import itertools
+from dataclasses import dataclass
+
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from beamhatch.relay.leadership import LEASE_TIME, ORDER_TIME, Tenure
+
+TURN = 3.0
+VMS = 3
+
+
+@dataclass
+class LeaseStore:
+    """Grants one lease at a time; it may end one early, and tells nobody."""
+
+    revision: int = 0
+    holder: int | None = None
+    ends_at: float = 0.0
+    renewed_anyway: int | None = None
+    """Who is told that its lease goes on although its claim is gone."""
+
+    def claim(self, vm: int, now: float) -> int | None:
+        if self.holder is not None and now < self.ends_at:
+            return None
+        self.revision += 1
+        self.holder, self.ends_at = vm, now + LEASE_TIME
+        return self.revision
+
+    def keep(self, vm: int, now: float) -> bool:
+        if self.renewed_anyway == vm:
+            return True
+        if self.holder != vm or now >= self.ends_at:
+            return False
+        self.ends_at = now + LEASE_TIME
+        return True
+
+
+@dataclass
+class LateAnswer:
+    """An answer of the store that is still on its way."""
+
+    vm: int
+    sent_at: float
+    token: int | None
+    kept: bool
+
+
+@dataclass
+class Given:
+    """An order that was given."""
+
+    at: float
+    vm: int
+    token: int
+
+
+class LeadershipMachine(RuleBasedStateMachine):
+    """VMs that claim, renew, stand still and order, with a store that is slow, loses answers and ends leases early."""
+
+    vms = st.integers(0, VMS - 1)
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now = 0.0
+        self.store = LeaseStore()
+        self.tenures = [Tenure(turn_time=TURN) for _ in range(VMS)]
+        self.late: list[LateAnswer] = []
+        self.orders: list[Given] = []
+
+    @rule(seconds=st.floats(0.01, 5.0))
+    def wait(self, seconds: float) -> None:
+        self.now += seconds
+
+    @rule(vm=vms, delay=st.floats(0, 1.0), answered=st.booleans())
+    def claim(self, vm: int, delay: float, answered: bool) -> None:
+        sent_at = self.now
+        self.now += delay
+        token = self.store.claim(vm, self.now)
+        if token is not None and answered:
+            self.late.append(LateAnswer(vm, sent_at, token, kept=True))
+
+    @rule(vm=vms, delay=st.floats(0, 1.0), answered=st.booleans())
+    def keep(self, vm: int, delay: float, answered: bool) -> None:
+        sent_at = self.now
+        self.now += delay
+        kept = self.store.keep(vm, self.now)
+        if answered:
+            self.late.append(LateAnswer(vm, sent_at, None, kept))
+
+    @precondition(lambda self: self.late)
+    @rule()
+    def hear(self) -> None:
+        answer = self.late.pop(0)
+        tenure = self.tenures[answer.vm]
+        if answer.token is not None:
+            tenure.begin(answer.token, answer.sent_at, self.now)
+        elif answer.kept:
+            tenure.renew(answer.sent_at)
+        else:
+            tenure.end()
+
+    @rule(renews=st.booleans())
+    def revoke(self, renews: bool) -> None:
+        """Take the claim away; the store may renew its lease all the same."""
+        self.store.renewed_anyway = self.store.holder if renews else None
+        self.store.holder = None
+
+    @rule(vm=vms, delay=st.floats(0, 1.0))
+    def order(self, vm: int, delay: float) -> None:
+        """Write an order down on condition, and send it if the answer comes soon."""
+        tenure = self.tenures[vm]
+        if not tenure.may_order(self.now):
+            return
+        sent_at = self.now
+        stands = self.store.holder == vm and self.store.revision == tenure.token
+        self.now += delay
+        if stands and delay < ORDER_TIME / 2 and tenure.may_order(self.now):
+            assert self.now - sent_at < ORDER_TIME
+            self.orders.append(Given(self.now, vm, tenure.token))
+
+    @invariant()
+    def holders_take_no_turns(self) -> None:
+        for before, after in itertools.pairwise(self.orders):
+            assert after.token >= before.token, "a lower token after a higher one"
+            assert after.token != before.token or after.vm == before.vm, "two holders with one token"
+            if after.vm != before.vm:
+                assert after.at - before.at >= TURN, "two holders within a turn"
+
+
+TestLeadership = LeadershipMachine.TestCase
+
+
+def test_a_holder_orders_after_the_old_lease_and_a_turn_and_not_at_its_end() -> None:
+    tenure = Tenure(turn_time=TURN)
+    tenure.begin(7, 100.0, 100.2)
+    assert not tenure.may_order(103.0)
+    for second in range(101, 120):
+        tenure.renew(float(second))
+    assert not tenure.may_order(107.5)
+    assert tenure.may_order(108.0)
+    assert tenure.may_order(121.9)
+    assert not tenure.may_order(122.1)
+    assert tenure.holds(122.5)
+    assert not tenure.holds(123.1)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -76,7 +76,7 @@
                         break
                 except ConnectionResetError:
                     break
-    # A machine under load may be suspected for a moment and refute it; what a frame must not do is have it declared dead.
+    # Under load a VM may be suspected for a moment and refute it; a frame must not have it declared dead.
     wait_until(lambda: [read_health(hall, vm, "vm-1") for vm in hall.vms] == ["alive", "alive"], "vm-1 is alive")
     for vm in hall.vms:
         assert "health=dead" not in hall.programs[vm].read_log()
