--- a/src/beamhatch/relay/daemon.py
+++ b/src/beamhatch/relay/daemon.py
@@ -91,12 +91,12 @@
         self.callers = CallerServer(clock, self.core.serve, self.core.find_limits, self.core.note_refused)
         self._watchers: list[Watcher] = [ConfigurationWatcher(self.core, store), ListingWatcher(self.core, store)]
         self._gossip = self._make_gossip(documents)
-        self._leadership: Leadership | None = None
+        self.leadership: Leadership | None = None
         self._ordering: Ordering | None = None
         if self._gossip is not None:
-            self._leadership = Leadership(self.core, store, settings.vm, self._gossip.find_rank)
-            self._leadership.tenure.turn_time = settings.turn_time
-            self._ordering = Ordering(self.core, self._leadership, settings.vm, self._gossip.find_pressure)
+            self.leadership = Leadership(self.core, store, settings.vm, self._gossip.find_rank)
+            self.leadership.tenure.turn_time = settings.turn_time
+            self._ordering = Ordering(self.core, self.leadership, settings.vm, self._gossip.find_pressure)
         self._ports: list[Any] = []
         self._caller_port: Any = None
         self._stopping_since: float | None = None
@@ -120,8 +120,8 @@
             self._gossip.start()
         for watcher in self._watchers:
             watcher.start()
-        if self._leadership is not None and self._ordering is not None:
-            self._leadership.start()
+        if self.leadership is not None and self._ordering is not None:
+            self.leadership.start()
             self._ordering.start()
         gc.collect()
         gc.freeze()  # what was loaded stays: later collections need not look through it
@@ -143,8 +143,8 @@
             return
         self._stopping_since = self.clock.now()
         self.callers.closing = True
-        if self._leadership is not None:
-            self._leadership.stop()
+        if self.leadership is not None:
+            self.leadership.stop()
         self.journal.write("STOP", "begun", open_requests=len(self.core.exchanges))
         self.clock.call_later(IDLE_CLOSE_DELAY, self.callers.close_idle)
         self.clock.call_later(STOP_INTERVAL, self._go_on_stopping)
--- a/src/beamhatch/relay/leadership.py
+++ b/src/beamhatch/relay/leadership.py
@@ -33,7 +33,10 @@
 
 HANDOVER_MARGIN = 0.5
 CANDIDATES = 3
-"""VMs that stand for leadership: the first by rank, as far as they know each other."""
+"""VMs that look about as often as the first by rank; the others look the less often the more go before them.
+
+So the looks of a fleet grow with the logarithm of its size, and somebody takes over also where the first ones are gone.
+"""
 
 
 @dataclass(slots=True)
@@ -110,11 +113,11 @@
         return now - sent_at < ORDER_TIME / 2 and self.tenure.may_order(now)
 
     async def _run(self) -> None:
-        await sleep(self.core.clock, random.uniform(1.0, 3.0))
+        await sleep(self.core.clock, random.uniform(1.0, 3.0) * (1 + self._find_rank() / CANDIDATES))
         while True:
-            if self._find_rank() < CANDIDATES:
-                await self._stand()
-            await sleep(self.core.clock, LOOK_INTERVAL * random.uniform(0.7, 1.3))
+            await self._stand()
+            pause = LOOK_INTERVAL * (1 + self._find_rank() / CANDIDATES)
+            await sleep(self.core.clock, pause * random.uniform(0.7, 1.3))
 
     async def _stand(self) -> None:
         sent_at = self.core.clock.now()
--- a/src/beamhatch/tool/run.py
+++ b/src/beamhatch/tool/run.py
@@ -9,14 +9,14 @@
 from typing import TYPE_CHECKING, Any
 
 from beamhatch import __version__
-from beamhatch.tool import complete, configure, look
+from beamhatch.tool import complete, configure, logs, look
 from beamhatch.tool.api import COMMANDS, EXIT_UNREACHABLE, EXIT_USAGE, Command, complain
 from beamhatch.tool.client import AdminClient, Unreachable
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-_REGISTERED = (look, configure, complete)
+_REGISTERED = (look, configure, complete, logs)
 DEFAULT_ADMIN = "http://127.0.0.1:8081"
 EXIT_CODES = """\
 exit codes: 0 done, 1 it did not work, 2 wrong usage or input, 3 the VM does not answer, 4 a conflict, \
--- /dev/null
+++ b/tests/observe/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of logs and figures."""
--- a/tests/platform/test_orders.py
+++ b/tests/platform/test_orders.py
@@ -65,3 +65,22 @@
         assert after.token >= before.token
         if after.holder != before.holder:
             assert after.at - before.at >= 3.0
+
+
+def find_leaders(platform: Platform) -> list[str]:
+    """Return the VMs that hold the lease."""
+    now = platform.clock.now()
+    return [name for name, vm in platform.vms.items() if vm.leadership is not None and vm.leadership.tenure.holds(now)]
+
+
+def test_another_vm_leads_soon_after_the_leader_stops() -> None:
+    platform = make_platform()
+    for number in range(2, 9):
+        platform.add_vm(f"vm{number}", ["vm1:8002"])
+    for _ in range(4):
+        platform.network.run_until(lambda: find_leaders(platform), 30.0)
+        (leader,) = find_leaders(platform)
+        platform.vms[leader].stop()
+        del platform.vms[leader]
+        platform.network.run(1.0)
+        assert not find_leaders(platform)
--- /dev/null
+++ b/tests/platform/test_settings.py
@@ -0,0 +1,67 @@
+"""The platform's settings file."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+from beamhatch.platform.settings import SettingsError, read_settings
+
+TEXT = """
+node_name = "frontend-a-1"
+ip = "10.1.0.38"
+zone = "a"
+seeds = ["10.1.0.38:8144"]
+something_new = { a = 1 }
+[listen]
+frontend = "10.1.0.38:8149"
+ready = "10.1.0.38:8141"
+control = "10.1.0.38:8144"
+[bounds]
+grace_s = 8
+retry_slack = 56
+new_bound = true
+[provider]
+address = "10.200.1.7:8142"
+"""
+
+
+def write(tmp_path: Path, text: str) -> str:
+    path = tmp_path / "boot.toml"
+    path.write_text(text)
+    return str(path)
+
+
+def test_reads_what_it_needs_and_passes_over_what_it_does_not_know(tmp_path: Path) -> None:
+    settings = read_settings(write(tmp_path, TEXT))
+    assert settings.vm == "frontend-a-1"
+    assert settings.hall == "a"
+    assert settings.grace == 8.0
+    assert settings.budget.slack == 56
+    assert str(settings.peer_address) == "10.1.0.38:8144"
+
+
+@pytest.mark.parametrize(
+    ("before", "after", "named"),
+    [
+        ('node_name = "frontend-a-1"\n', "", "node_name"),
+        ('frontend = "10.1.0.38:8149"', "frontend = 5", "frontend"),
+        ('address = "10.200.1.7:8142"', 'address = "10.200.1.7"', ""),
+        ("[listen]", "[listen", ""),
+    ],
+)
+def test_names_what_is_wrong(tmp_path: Path, before: str, after: str, named: str) -> None:
+    with pytest.raises(SettingsError, match=named):
+        read_settings(write(tmp_path, TEXT.replace(before, after)))
+
+
+def test_a_missing_file_ends_the_program_with_code_2(tmp_path: Path) -> None:
+    environment = {"BEAMHATCH_NODE_FILE": str(tmp_path / "none.toml"), "PATH": "/usr/bin"}
+    ended = subprocess.run(
+        [sys.executable, "-m", "beamhatch.platform"], env=environment, capture_output=True, text=True, timeout=60
+    )
+    assert ended.returncode == 2
+    assert "none.toml" in ended.stderr
