--- a/src/beamhatch/edge/platform/http.py
+++ b/src/beamhatch/edge/store/http.py
@@ -10,7 +10,7 @@
 from twisted.internet.protocol import Protocol, connectionDone
 
 from beamhatch.edge.http import HttpClient, Lost
-from beamhatch.edge.platform.api import Found, KeyValue, KvLost, ListedVm, Moved, Swapped, VmList
+from beamhatch.edge.store.api import Found, KeyValue, KvLost, ListedVm, Moved, Swapped, VmList
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/src/beamhatch/relay/attempt.py
+++ b/src/beamhatch/relay/attempt.py
@@ -34,7 +34,8 @@
 GAP_PATIENCE = 1.0
 """Seconds without a sign after which an upstream is taken to be silent."""
 
-RESERVE_PATIENCE = 0.25
+RESERVE_PATIENCE = 0.12
+"""Seconds: the answer takes milliseconds, and a new request has a quarter of its target to be refused in."""
 LAPSE_PAUSE = 3.0
 """Seconds for which an engine whose handles lapsed is passed over."""
 
--- a/src/beamhatch/relay/exchange.py
+++ b/src/beamhatch/relay/exchange.py
@@ -116,7 +116,17 @@
             self._run_out()
             return
         request = self.request
-        self.write_log("sent", stage=send.stage.value, to=send.upstream.id, usable_version=self._version)
+        standing = self.core.standings.get(send.upstream.id)
+        self.write_log(
+            "sent",
+            stage=send.stage.value,
+            to=send.upstream.id,
+            revision=self.core.listing.newest,
+            version=self._version,
+            running=standing.running,
+            others=round(standing.count_others(now), 1),
+            faults=round(standing.get_faults(now), 2),
+        )
         attempt = self._make_attempt(send)
         self._attempt = attempt
         most_idle = 1e9 if request.route.idempotent or send.stage is Stage.PREFILL else FRESH_IDLE
@@ -130,6 +140,7 @@
         if not self._in_line:
             self.core.find_demand(self.request.service.name).note_wait(now)
         if not self._in_line and not self.request.begun and not line.has_room(in_time, now):
+            self.write_log("line is full", waiting=len(line), freed_per_second=line.count_rate(now))
             self._carry_out(self.request.refuse_full())
             return
         if not self._in_line:
--- a/src/beamhatch/task/configuring.py
+++ b/src/beamhatch/task/configuring.py
@@ -28,7 +28,7 @@
 from beamhatch.decide.member import Health, Note
 from beamhatch.decide.rendezvous import rank
 from beamhatch.edge.peer.message import ConfigAnswer, ConfigAsk, ConfigNews, Hello, StatusAnswer, StatusAsk
-from beamhatch.edge.platform.api import KvLost, Moved, Swapped
+from beamhatch.edge.store.api import KvLost, Moved, Swapped
 from beamhatch.ids import VmName
 from beamhatch.observe.log import Part, get_log
 from beamhatch.settings.check import digest_document
@@ -37,7 +37,7 @@
     from collections.abc import Callable
 
     from beamhatch.clock import Clock
-    from beamhatch.edge.platform.api import KeyValue
+    from beamhatch.edge.store.api import KeyValue
     from beamhatch.observe.metrics import Metrics
     from beamhatch.task.mesh import Mesh
 
--- a/src/beamhatch/task/node.py
+++ b/src/beamhatch/task/node.py
@@ -16,7 +16,7 @@
 from beamhatch.edge.caller.parse import WORKSPACE, BadRequest
 from beamhatch.edge.http import HttpClient
 from beamhatch.edge.operator.http import AdminRoot
-from beamhatch.edge.platform.http import EtcdKeyValue, HttpVmList
+from beamhatch.edge.store.http import EtcdKeyValue, HttpVmList
 from beamhatch.edge.tls import make_context
 from beamhatch.edge.upstream.connect import HttpConnector
 from beamhatch.ids import Boot, HallName, VmName, WorkspaceName
@@ -95,6 +95,7 @@
         )
         self.sharing = Sharing(clock, self.mesh, self.pools)
         self.router.pools = self.pools
+        self.metrics.queued.set_function(self.pools.count_waiting)
         self.router.records = self.records
         self.router.find_serving = lambda call: self.traffic.find(call.labels, call.identity)
         self.router.find_workspace = lambda name: self._workspaces.get(name) or Workspace(name=name)
--- a/src/beamhatch/task/pools.py
+++ b/src/beamhatch/task/pools.py
@@ -80,6 +80,10 @@
         self._services: dict[UpstreamName, Service] = {}
         self._leaving: set[str] = set()
 
+    def count_waiting(self) -> int:
+        """Return how many requests wait for a place."""
+        return sum(len(hosted.pool.waiting) for hosted in self.hosted.values())
+
     def start(self) -> None:
         """Begin to read reports and to give up what waits for too long."""
         self._read_all()
--- a/src/beamhatch/task/vms.py
+++ b/src/beamhatch/task/vms.py
@@ -13,7 +13,7 @@
     from collections.abc import Callable
 
     from beamhatch.clock import Clock
-    from beamhatch.edge.platform.api import VmList
+    from beamhatch.edge.store.api import VmList
     from beamhatch.task.mesh import Mesh
 
 READERS = 2
--- a/tests/support/hall.py
+++ b/tests/support/hall.py
@@ -5,6 +5,7 @@
 import itertools
 import json
 import os
+import urllib.request
 from functools import partial
 from typing import TYPE_CHECKING, Any
 
@@ -196,6 +197,12 @@
         """Call a VM's admin API."""
         return order(self.admin_ports[vm], path, value)
 
+    def read_metric(self, vm: str, name: str) -> float:
+        """Return a figure without labels."""
+        with urllib.request.urlopen(f"http://127.0.0.1:{self.admin_ports[vm]}/metrics", timeout=10) as answer:
+            lines = answer.read().decode().splitlines()
+        return float(next(line.split()[1] for line in lines if line.startswith(f"{name} ")))
+
     def judge(self, name: str) -> Any:
         """Return a stand-in's own counts."""
         return order(self.ports[name], "/judge")
--- a/tests/test_caller_gone.py
+++ b/tests/test_caller_gone.py
@@ -50,8 +50,10 @@
     wait_state(hall, "vm-1", "decoding")
     second = OpenCall(hall.ports["vm-1"]).send(LONG + "second", 300, Beamhatch_First_Token_Target="60")
     wait_state(hall, "vm-1", "queued")
+    assert hall.read_metric("vm-1", "beamhatch_queued_requests") == 1
     second.leave()
     wait_until(lambda: len(hall.admin("vm-1", "/requests")) == 1, "the queue is empty")
+    assert hall.read_metric("vm-1", "beamhatch_queued_requests") == 0
     first.leave()
     hall.wait_nothing_held()
     assert sum(hall.judge("prefill-1")["prefills"].values()) == 1
