--- a/src/beamhatch/command/standalone.py
+++ b/src/beamhatch/command/standalone.py
@@ -33,6 +33,9 @@
 def add_arguments(parser: argparse.ArgumentParser) -> None:
     """Add the options."""
     add_ports(parser)
+    parser.add_argument(
+        "--platform", action="store_true", help="the relay and stand-ins of the users' platform instead of the router"
+    )
 
 
 @register("standalone", help_text="run the router with stand-ins, to try it", add_arguments=add_arguments)
@@ -40,6 +43,11 @@
     """Run until stopped."""
     from twisted.internet import reactor
 
+    if options.platform:
+        from beamhatch.platform.standin.trial import run_trial
+
+        return run_trial(reactor, 8080 if options.caller_port is None else options.caller_port)
+
     from beamhatch.command.serve import serve
     from beamhatch.standin.kv import start_kv
 
--- a/src/beamhatch/platform/standin/base.py
+++ b/src/beamhatch/platform/standin/base.py
@@ -26,8 +26,9 @@
         self._port: Any = None
 
     def start(self) -> None:
-        """Listen."""
+        """Listen; port 0 takes any that is free."""
         self._port = self.clock.reactor.listenTCP(self.address.port, self._server, interface=self.address.host)
+        self.address = Address(self.address.host, self._port.getHost().port)
 
     def stop(self) -> None:
         """Listen no longer, and break all connections, as a crash does."""
--- a/src/beamhatch/platform/standin/upstream.py
+++ b/src/beamhatch/platform/standin/upstream.py
@@ -60,6 +60,7 @@
     """Prompts read, by request."""
     stopped: Counter[str] = field(default_factory=Counter)
     """Runs that ended as their caller went away."""
+    bodies: dict[str, bytes] = field(default_factory=dict)
     deadlines: list[int] = field(default_factory=list)
     """The milliseconds that each send was given."""
     orders: list[Order] = field(default_factory=list)
@@ -143,6 +144,7 @@
             return None
         if request:
             self.ledger.arrivals[request] += 1
+            self.ledger.bodies[request] = incoming.body
             self.ledger.deadlines.append(int(headers.get("deadline-ms", 0)))
         if self.fault is UpstreamFault.SHED:
             answer_json(responder, 503, {}, ("Not-Executed", "1"))
@@ -195,6 +197,8 @@
     read_rate = 50_000.0
     """Prompt tokens a second."""
     handle_lifetime = 0.5
+    event_bytes = 0
+    """Bytes that each event is padded by."""
 
     def __init__(
         self, clock: Clock, address: Address, instance: str, ledger: Ledger, phase: str, kv_tokens: int = 60_000
@@ -312,7 +316,8 @@
                 run.end()
                 responder.abort()
                 return
-            responder.write(f"id: {number}\ndata: {request}-{number}\n\n".encode())
+            padding = "." * self.event_bytes
+            responder.write(f"id: {number}\ndata: {request}-{number}{padding}\n\n".encode())
             if number >= events:
                 run.end()
                 responder.end()
--- a/src/beamhatch/relay/attempt.py
+++ b/src/beamhatch/relay/attempt.py
@@ -102,6 +102,7 @@
         """Read again."""
         if self._http is not None and not self._ended:
             self._http.go_on()
+            self._wait(self.get_patience())
 
     # --- what comes back ---------------------------------------------------------------------------------------------
 
--- a/src/beamhatch/relay/balancing.py
+++ b/src/beamhatch/relay/balancing.py
@@ -19,8 +19,8 @@
 LEAST_WAIT_RATE = 0.8
 """Requests a second, over all VMs, that find decode memory full and so show that a part is short."""
 
-HIGH_USE = 0.9
-"""Use of the busier part that shows the same."""
+HIGH_USE = 0.6
+"""Use of the busier part from which on a change is made before anybody has to wait."""
 
 WORTHWHILE = 0.85
 """Share of today's use of the busier part that a change has to bring it under."""
--- a/src/beamhatch/relay/daemon.py
+++ b/src/beamhatch/relay/daemon.py
@@ -127,6 +127,11 @@
         gc.freeze()  # what was loaded stays: later collections need not look through it
         self.journal.write("MAIN", "started", store=str(settings.store_address), seeds=settings.seeds)
 
+    @property
+    def caller_port(self) -> int:
+        """Return the port on which callers are served."""
+        return int(self._caller_port.getHost().port)
+
     def reload(self, settings: RelaySettings) -> None:
         """Take changed settings as far as a running process can: bounds and seeds."""
         self.core.terms.budget = settings.budget
--- a/src/beamhatch/relay/http_server.py
+++ b/src/beamhatch/relay/http_server.py
@@ -26,6 +26,11 @@
 """Seconds for which an unread body is read on behind an error, so that the caller gets the answer and no reset."""
 
 SMALLEST_HEAD = 4096
+MOST_HELD = 32 * 1024 * 1024
+"""Bytes of bodies that all callers together may have here; the smallest VMs have 128 MB in all."""
+
+FULL_RETRY = 1.0
+"""Seconds after which a caller may come back whose body did not fit."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -127,6 +132,8 @@
         self._head_at = 0.0
         self._body: list[bytes] = []
         self._received = 0
+        self._held = 0
+        """Bytes of the body that count towards what all callers have here."""
         self._handler: RequestHandler | None = None
         self._serving = False
         self._closing = False
@@ -151,6 +158,7 @@
         """Tell whoever serves the caller that it is gone."""
         self._server.connections.discard(self)
         self._stop_timer()
+        self._let_go()
         handler, self._handler = self._handler, None
         if handler is not None:
             handler.lose_caller()
@@ -211,6 +219,11 @@
         if self._received > self._limits.body_bytes:
             self._refuse(413, f"the body has more than {self._limits.body_bytes} bytes")
             return
+        if self._server.held_bytes + len(data) > MOST_HELD:
+            self._refuse(503, "too many bytes of bodies are held", FULL_RETRY)
+            return
+        self._held += len(data)
+        self._server.held_bytes += len(data)
         self._body.append(data)
         self._wait(self._limits.header_timeout)
 
@@ -268,6 +281,7 @@
         self.transport.write(self._state.send(h11.EndOfMessage()) or b"")
         self._handler = None
         self._serving = False
+        self._let_go()
         if self._streaming:
             self._streaming = False
             self.transport.unregisterProducer()
@@ -315,17 +329,25 @@
         except h11.RemoteProtocolError as problem:
             self._refuse(problem.error_status_hint, str(problem))
 
-    def _refuse(self, status: int, detail: str) -> None:
+    def _let_go(self) -> None:
+        """Count the body no longer: the request has ended."""
+        self._server.held_bytes -= self._held
+        self._held = 0
+
+    def _refuse(self, status: int, detail: str, retry_after: float | None = None) -> None:
         """Answer a request that can't be read, and close."""
         if self._serving or self._discarding:
             self.transport.abortConnection()
             return
         self._head, self._body = None, []
+        self._let_go()
         self._server.note_refused(status, detail)
         body = json.dumps({"error": detail}).encode()
         if self._state.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             self._closing = True
             headers = [("Content-Type", "application/json"), ("Content-Length", str(len(body)))]
+            if retry_after is not None:
+                headers.append(("Retry-After", f"{retry_after:g}"))
             self.write_head(status, headers)
             self.write_data(body)
             self.transport.write(self._state.send(h11.EndOfMessage()) or b"")
@@ -376,6 +398,8 @@
         self.closing = False
         """True during a planned stop: each answer says that its connection ends."""
         self.connections: set[CallerConnection] = set()
+        self.held_bytes = 0
+        """Bytes of bodies that callers have here."""
 
     def buildProtocol(self, _: Any) -> CallerConnection:
         """Return the protocol of a new connection."""
--- a/tests/command/test_command.py
+++ b/tests/command/test_command.py
@@ -7,6 +7,7 @@
 import socket
 import subprocess
 import sys
+import urllib.request
 from typing import TYPE_CHECKING, Any
 
 import pytest
@@ -172,3 +173,16 @@
     assert plain.recv(100)[:1] in (b"", b"\x15")
     plain.close()
     assert complete(hall.ports["vm-1"], "served", 2).status == 200
+
+
+def test_standalone_serves_the_platforms_requests_between_stand_ins() -> None:
+    program = Program("beamhatch", ["standalone", "--platform", "--caller-port=0"])
+    try:
+        named = dict(word.split("=", 1) for word in program.wait_ready() if "=" in word)
+        headers = {"Host": "desk.example", "Request-Id": "q1", "Token-Count": "5000,20"}
+        request = urllib.request.Request(f"http://127.0.0.1:{named['caller']}/checks/x", headers=headers)
+        with urllib.request.urlopen(request, timeout=10) as answer:
+            events = [line for line in answer.read().split(b"\n") if line.startswith(b"id: ")]
+        assert events == [b"id: %d" % number for number in range(1, 21)]
+    finally:
+        program.close()
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -7,6 +7,8 @@
 import pytest
 
 from beamhatch.platform.standin.upstream import StandInEngine, UpstreamFault
+from beamhatch.relay.http_server import MOST_HELD
+from tests.support.network import WINDOW
 from tests.support.platform import Caller, Platform, make_platform, make_request, read_json
 
 
@@ -261,3 +263,51 @@
 def test_errors_of_the_relay_name_their_cause() -> None:
     platform = make_platform(decode=0)
     assert "no decode engine" in read_json(serve(platform, "/stream/x"))["error"]
+
+
+def test_a_body_in_chunks_arrives_whole() -> None:
+    platform = make_platform()
+    caller = platform.connect()
+    head = make_request("/unsafe/x", "q1", headers={"Transfer-Encoding": "chunked"}).replace(b"GET", b"POST")
+    caller.send(head + b"5\r\nhello\r\n")
+    platform.network.run(0.1)
+    caller.send(b"6\r\n world\r\n0\r\n\r\n")
+    assert platform.finish(caller).status == 200
+    assert platform.ledger.bodies["q1"] == b"hello world"
+
+
+def test_a_body_that_stalls_is_answered_408_and_reaches_nobody() -> None:
+    platform = make_platform()
+    caller = platform.connect()
+    caller.send(make_request("/unsafe/x", "q1", headers={"Content-Length": "10"}).replace(b"GET", b"POST") + b"half")
+    platform.network.run(3.3)
+    assert caller.status == 408
+    assert not platform.ledger.arrivals
+
+
+def test_bodies_are_held_up_to_a_bound_and_let_go() -> None:
+    platform = make_platform()
+    server = platform.vms["vm1"].callers
+    server.held_bytes = MOST_HELD - 5
+    caller = serve(platform, "/unsafe/x", body=b"too long")
+    assert caller.status == 503
+    assert "retry-after" in caller.head.lower()
+    server.held_bytes = 0
+    assert serve(platform, "/unsafe/x", "q2", body=b"too long").status == 200
+    assert server.held_bytes == 0
+
+
+def test_a_slow_reader_holds_the_engine_up() -> None:
+    platform = make_platform(decode=1)
+    engine = platform.upstreams["decode-0"]
+    assert isinstance(engine, StandInEngine)
+    engine.event_bytes = 50_000
+    caller = platform.call("/stream/x", "q1", headers={"Token-Count": "5000,60"})
+    platform.network.run_until(lambda: caller.events)
+    caller.transport.pauseProducing()
+    platform.network.run(3.0)
+    assert caller.transport.waiting < 2 * WINDOW
+    # The rest waits before the VM, which reads no more of it: there TCP holds the engine up.
+    assert max(transport.waiting for transport in platform.network.transports) > 4 * WINDOW
+    caller.transport.resumeProducing()
+    assert platform.finish(caller).events == list(range(1, 61))
--- a/tests/support/network.py
+++ b/tests/support/network.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING, Any
 
 from twisted.internet import error, task
+from twisted.internet.address import IPv4Address
 from twisted.python.failure import Failure
 
 from beamhatch.clock import Clock
@@ -52,11 +53,13 @@
         self.peer_host = peer_host
         self.protocol: Any = None
         self.other: Transport = self
+        network.transports.append(self)
         self.connected = True
         self.disconnecting = False
         self._reading = True
         self._inbox: list[tuple[str, Any]] = []
-        self._waiting = 0
+        self.waiting = 0
+        """Bytes that were sent to this end and not yet read."""
         self._producer: Any = None
 
     # --- what protocols call -----------------------------------------------------------------------------------------
@@ -65,8 +68,8 @@
         """Send bytes."""
         if self.connected and not self.disconnecting and data:
             self._send("data", bytes(data))
-            self.other._waiting += len(data)
-            if self._producer is not None and self.other._waiting > WINDOW:
+            self.other.waiting += len(data)
+            if self._producer is not None and self.other.waiting > WINDOW:
                 self._producer.pauseProducing()
 
     def loseConnection(self) -> None:
@@ -123,9 +126,9 @@
             if kind == "end":
                 self._lose(value)
                 return
-            self._waiting -= len(value)
+            self.waiting -= len(value)
             writer = self.other._producer
-            if writer is not None and self._waiting <= WINDOW // 2:
+            if writer is not None and self.waiting <= WINDOW // 2:
                 writer.resumeProducing()
             self.protocol.dataReceived(value)
 
@@ -141,6 +144,10 @@
         self._network = network
         self._key = key
 
+    def getHost(self) -> IPv4Address:
+        """Return where it listens."""
+        return IPv4Address("TCP", *self._key)
+
     def stopListening(self) -> None:
         """Listen no more."""
         self._network.ports.pop(self._key, None)
@@ -209,6 +216,7 @@
         super().__init__()
         self.rightNow = 1000.0
         self.ports: dict[tuple[str, int], Any] = {}
+        self.transports: list[Transport] = []
         self.stopped = False
         self._cut: set[str] = set()
 
