--- a/src/beamhatch/relay/exchange.py
+++ b/src/beamhatch/relay/exchange.py
@@ -8,19 +8,16 @@
 
 from beamhatch.relay.answer import PROMISES, WholeAnswer
 from beamhatch.relay.api import SendTerms
-from beamhatch.relay.attempt import (
-    Attempt,
-    DropSink,
-    PlainAttempt,
-    PrefillAttempt,
-    ReserveAttempt,
-    StreamAttempt,
-)
+from beamhatch.relay.attempt import Attempt, DropSink
 from beamhatch.relay.headers import strip_hop_by_hop
 from beamhatch.relay.http_client import Call
 from beamhatch.relay.http_server import RequestHandler
 from beamhatch.relay.model import RouteKind, Stage
+from beamhatch.relay.plain_attempt import PlainAttempt
+from beamhatch.relay.prefill_attempt import PrefillAttempt
 from beamhatch.relay.request import Fail, Refuse, RelayRequest, Reserve, Send, Step, Wait
+from beamhatch.relay.reserve_attempt import ReserveAttempt
+from beamhatch.relay.stream_attempt import StreamAttempt
 
 if TYPE_CHECKING:
     from beamhatch.relay.api import Headers
--- /dev/null
+++ b/src/beamhatch/relay/prefill_attempt.py
@@ -0,0 +1,49 @@
+"""Have a prefill engine read the prompt."""
+
+from __future__ import annotations
+
+from beamhatch.relay.attempt import Attempt
+from beamhatch.relay.http_client import Fault
+from beamhatch.relay.model import Handle
+
+MOST_BODY_BYTES = 64 * 1024
+SHORTEST_PATIENCE = 0.6
+PATIENCE_FACTOR = 4.0
+"""Times the engine's mean that a prompt may take before the engine is taken to be silent."""
+
+LONGEST_PREFILL = 3.0
+"""Seconds for which a prompt waits at an engine that reads others meanwhile."""
+
+
+class PrefillAttempt(Attempt):
+    """Has an engine read the prompt and hold its KV cache."""
+
+    def take_data(self, data: bytes) -> None:
+        """Take a part of the answer."""
+        self.body += data
+        if len(self.body) > MOST_BODY_BYTES:
+            self.fail("the answer to a prefill is too long")
+
+    def take_end(self) -> None:
+        """Go on to a decode engine."""
+        assert self.head is not None
+        if self.has_not_run():
+            self.take_not_run()
+            return
+        handle = self.core.dialect.read_handle(bytes(self.body)) if self.head.status == 200 else None
+        if handle is None:
+            self.take_fault(Fault.MALFORMED, f"status {self.head.status} to a prefill")
+            return
+        self.succeed()
+        self.request.note_prefilled(Handle(handle, self.send.upstream, self.core.clock.now()))
+        self.exchange.go_on_elsewhere(self)
+
+    def get_patience(self) -> float:
+        """Return the patience: some times what this engine takes at present."""
+        return max(SHORTEST_PATIENCE, PATIENCE_FACTOR * self.standing.latency)
+
+    def may_abandon(self) -> bool:
+        """Tell whether a prefill, which runs nothing, may go elsewhere: not where the engine just has much to read."""
+        alive = self.standing.succeeded_at > self._started_at
+        waited = self.core.clock.now() - self._started_at
+        return not alive or waited > LONGEST_PREFILL
--- /dev/null
+++ b/src/beamhatch/relay/reserve_attempt.py
@@ -0,0 +1,103 @@
+"""Ask a decode engine to set memory aside."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from beamhatch.relay.attempt import MISDIRECTED
+from beamhatch.relay.http_client import AnswerSink, Fault
+from beamhatch.relay.model import Reservation
+
+if TYPE_CHECKING:
+    from beamhatch.relay.exchange import RelayExchange
+    from beamhatch.relay.http_client import Call, Exchange, Head
+    from beamhatch.relay.request import Reserve
+
+MOST_BODY_BYTES = 64 * 1024
+PATIENCE = 0.12
+"""Seconds: the answer takes milliseconds, and a new request has a quarter of its target to be refused in."""
+
+
+class ReserveAttempt(AnswerSink):
+    """Asks a decode engine to set memory aside; it runs nothing, and counts as no send."""
+
+    def __init__(self, exchange: RelayExchange, step: Reserve) -> None:
+        self.core = exchange.core
+        self._exchange = exchange
+        self._step = step
+        self._head: Head | None = None
+        self._body = bytearray()
+        self._http: Exchange | None = None
+        self._ended = False
+        self._timer: Any = self.core.clock.call_later(PATIENCE, self._run_out)
+
+    def start(self, call: Call) -> None:
+        """Ask."""
+        http = self.core.client.open(self._step.upstream.address, call, self)
+        if not self._ended:
+            self._http = http
+
+    def cancel(self) -> None:
+        """Ask no longer; what was set aside meanwhile lapses."""
+        if not self._ended:
+            self._end()
+            if self._http is not None:
+                self._http.cancel()
+
+    def pause(self) -> None:
+        """Read on: there is nothing to hold up."""
+
+    def go_on(self) -> None:
+        """Read on."""
+
+    def take_head(self, head: Head) -> None:
+        """Take the head of the answer."""
+        self._head = head
+
+    def take_data(self, data: bytes) -> None:
+        """Take a part of the answer."""
+        self._body += data[:MOST_BODY_BYTES]
+
+    def take_end(self) -> None:
+        """Tell the request what was set aside."""
+        assert self._head is not None
+        if self._ended:
+            return
+        self._end()
+        now = self.core.clock.now()
+        upstream = self._step.upstream
+        standing = self.core.standings.get(upstream.id)
+        standing.note_alive(now)
+        found = self.core.dialect.read_reservation(bytes(self._body)) if self._head.status == 200 else None
+        self.core.tally.count("reservations_total", str(self._head.status))
+        if found is not None:
+            self._exchange.leave_line()
+            self._exchange.request.note_reserved(Reservation(found, upstream, now + self._step.lifetime))
+        elif self._head.status == MISDIRECTED:
+            standing.note_misdirected(now)
+            self._exchange.request.note_no_reservation(upstream.id)
+        else:
+            self._exchange.request.note_full(upstream.id)
+        self._exchange.write_log("reserved" if found else "not reserved", to=upstream.id, status=self._head.status)
+        self._exchange.go_on_elsewhere(self)
+
+    def take_fault(self, fault: Fault, detail: str) -> None:
+        """Go on elsewhere."""
+        if self._ended:
+            return
+        self._end()
+        upstream = self._step.upstream
+        self.core.standings.get(upstream.id).note_silence(self.core.clock.now())
+        self._exchange.request.note_no_reservation(upstream.id)
+        self._exchange.write_log("not reserved", to=upstream.id, fault=fault.value, detail=detail)
+        self._exchange.go_on_elsewhere(self)
+
+    def _run_out(self) -> None:
+        if self._http is not None:
+            self._http.cancel()
+        self.take_fault(Fault.UNREACHED, "no answer in time")
+
+    def _end(self) -> None:
+        self._ended = True
+        if self._timer.active():
+            self._timer.cancel()
--- /dev/null
+++ b/src/beamhatch/relay/stream_attempt.py
@@ -0,0 +1,110 @@
+"""Have a decode engine answer by a stream of events."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from beamhatch.relay.answer import WholeAnswer
+from beamhatch.relay.attempt import Attempt
+from beamhatch.relay.events import EventChecker, StreamError
+from beamhatch.relay.http_client import Fault
+from beamhatch.relay.model import Stage
+
+if TYPE_CHECKING:
+    from beamhatch.relay.exchange import RelayExchange
+    from beamhatch.relay.http_client import Head
+    from beamhatch.relay.request import Send
+
+FIRST_EVENT_PATIENCE = 1.2
+"""Seconds until the first event of an engine that has the prompt's KV cache."""
+
+WHOLE_PATIENCE = 2.5
+"""Seconds until the first event of an engine that has to read the prompt."""
+
+GAP_PATIENCE = 1.0
+"""Seconds between two events after which the engine is taken to be silent."""
+
+LAPSE_PAUSE = 3.0
+"""Seconds for which a prefill engine whose handles lapsed is passed over."""
+
+
+class StreamAttempt(Attempt):
+    """Has an engine answer by a stream of events, which are passed on as they come."""
+
+    def __init__(self, exchange: RelayExchange, send: Send) -> None:
+        super().__init__(exchange, send)
+        self._events = EventChecker(self.request.last_event)
+
+    def take_head(self, head: Head) -> None:
+        """Take the head; a stream's is passed on with its first event."""
+        super().take_head(head)
+        if self._streams and self.send.handle is not None:
+            self.request.note_handle_spent()
+
+    def take_data(self, data: bytes) -> None:
+        """Pass whole events on."""
+        if not self._streams:
+            self.body += data
+            return
+        try:
+            events = self._events.feed(data)
+        except StreamError as problem:
+            self.fail(str(problem))
+            return
+        if events.data:
+            self._pass_on(events.data, events.last)
+
+    def take_end(self) -> None:
+        """End the answer, or go on elsewhere."""
+        if self.has_not_run():
+            self.take_not_run()
+        elif not self._streams:
+            self._take_failure()
+        elif not self._events.is_whole or not self.exchange.request.begun:
+            self.take_fault(Fault.BROKEN, "the stream ended inside an event")
+        else:
+            self.succeed()
+            seconds = self.core.clock.now() - self._started_at
+            self.core.find_demand(self.request.service.name).note_stream(seconds)
+            self.exchange.end_answer()
+
+    def note_turned_away(self, now: float) -> None:
+        """Take in that an engine could not have the KV cache."""
+        if self.send.handle is not None and self.request.landings_failed:
+            holder = self.core.standings.get(self.send.handle.upstream.id)
+            holder.lapsed_until = now + LAPSE_PAUSE
+
+    def get_patience(self) -> float:
+        """Return the patience with an engine that has to read the prompt, or has it."""
+        if self.request.begun:
+            return GAP_PATIENCE
+        return WHOLE_PATIENCE if self.send.stage is Stage.WHOLE else FIRST_EVENT_PATIENCE
+
+    def may_abandon(self) -> bool:
+        """Tell whether the stream may be taken up elsewhere."""
+        return not self._sent or self.request.may_run_again
+
+    @property
+    def _streams(self) -> bool:
+        assert self.head is not None
+        assert self.facts is not None
+        return self.head.status == 200 and self.facts.signed and not self.facts.encoded
+
+    def _pass_on(self, data: bytes, last: int | None) -> None:
+        assert self.head is not None
+        if not self.request.begun:
+            self.exchange.begin_answer(self.head)
+        self.request.note_event(last)
+        self.exchange.pass_events(data)
+        self._wait(GAP_PATIENCE)
+
+    def _take_failure(self) -> None:
+        assert self.head is not None
+        status = self.head.status
+        if 300 <= status < 500:
+            self.succeed()
+            self.exchange.pass_on(WholeAnswer(self.head, bytes(self.body)))
+            return
+        if status >= 500:
+            self.exchange.keep_failure(WholeAnswer(self.head, bytes(self.body)))
+        self.take_fault(Fault.MALFORMED, f"the upstream failed with {status}")
