--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -9,6 +9,7 @@
 import pytest
 
 from beamhatch.platform.settings import SettingsError, read_settings
+from beamhatch.run import run_command
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -68,3 +69,11 @@
     )
     assert ended.returncode == 2
     assert "none.toml" in ended.stderr
+
+
+def test_a_file_is_checked_by_the_daemons_command(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    path = write(tmp_path, TEXT)
+    assert run_command(["check", "--platform", "--settings", path]) == 0
+    write(tmp_path, TEXT.replace("grace_s = 8", 'grace_s = "soon"'))
+    assert run_command(["check", "--platform", "--settings", path]) == 2
+    assert "grace_s" in capsys.readouterr().err
