Let a decode engine that has set memory aside read the prompt when prefill engines turn it away

Ruled out: asking prefill engines a third time (the budget, and the same engines). A test failed first (shed), passes now.

--- a/src/beamhatch/relay/request.py
+++ b/src/beamhatch/relay/request.py
@@ -211,7 +211,7 @@
             prefill = chooser.choose_prefill(usable, self.need, self._refused_by | self._failed, now)
             if prefill is not None:
                 return Send(Stage.PREFILL, prefill)
-        if self._prefills > self._prefill_faults:
+        if self.reservation is None and self._prefills > self._prefill_faults:
             return None
         if self.reservation is not None:
             return Send(Stage.WHOLE, self.reservation.upstream, None, self.reservation)
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -311,3 +311,13 @@
     assert max(transport.waiting for transport in platform.network.transports) > 4 * WINDOW
     caller.transport.resumeProducing()
     assert platform.finish(caller).events == list(range(1, 61))
+
+
+@pytest.mark.parametrize("fault", [UpstreamFault.SHED, UpstreamFault.HANG])
+def test_a_decode_engine_with_memory_reads_the_prompt_where_no_prefill_engine_does(fault: UpstreamFault) -> None:
+    platform = make_platform()
+    for name in ("prefill-0", "prefill-1"):
+        platform.upstreams[name].fault = fault
+    caller = serve(platform, "/stream/x")
+    assert caller.status == 200
+    assert platform.ledger.runs["q1"] == 1
