Scale the patience with streams by their route's targets; drop fields that nothing reads

Cause: fixed seconds (1.0 between events, 1.2 and 2.5 to the first) fit the two sites (targets 0.3 and 0.9 s) and no others. Change: the same times as multiples of the route's own targets.

--- a/src/beamhatch/platform/dialect.py
+++ b/src/beamhatch/platform/dialect.py
@@ -99,7 +99,6 @@
             signed="response-signature" in found,
             not_run="not-executed" in found,
             encoded=found.get("content-encoding", "identity").lower() != "identity",
-            instance=found.get("instance-id"),
             load=_read_load(found.get("server-load")),
         )
 
--- a/src/beamhatch/platform/documents.py
+++ b/src/beamhatch/platform/documents.py
@@ -37,7 +37,6 @@
     target_latency_ms: float
     service: str = ""
     traffic_split: list[_Split] = []
-    priority: int = 5
     max_attempts: int = 1
     resumable: bool = False
     target_gap_ms: float = 300
@@ -52,7 +51,6 @@
 
 class _Service(msgspec.Struct):
     name: str
-    max_conns: int = 100
     engine: _Engine | None = None
 
 
@@ -124,7 +122,6 @@
         shares=shares or (Share(ServiceName(read.service), 1.0),),
         timeout=read.timeout_ms / 1000,
         target_latency=read.target_latency_ms / 1000,
-        priority=read.priority,
         max_attempts=read.max_attempts,
         resumable=read.resumable,
         target_gap=read.target_gap_ms / 1000,
@@ -135,7 +132,7 @@
     engine = None
     if read.engine is not None:
         engine = Engine(read.engine.capacity, read.engine.kv_capacity, read.engine.kv_ttl_s, read.engine.hold_ms / 1000)
-    return Service(ServiceName(read.name), read.max_conns, engine)
+    return Service(ServiceName(read.name), engine)
 
 
 def _make_limits(read: _Limits) -> CallerLimits:
--- a/src/beamhatch/relay/api.py
+++ b/src/beamhatch/relay/api.py
@@ -52,7 +52,6 @@
     """True where the upstream proves that it has not run the request."""
     encoded: bool = False
     """True where the body is not as the upstream made it."""
-    instance: str | None = None
     load: Load | None = None
 
 
--- a/src/beamhatch/relay/model.py
+++ b/src/beamhatch/relay/model.py
@@ -73,10 +73,10 @@
     shares: tuple[Share, ...]
     timeout: float
     target_latency: float
-    priority: int = 5
     max_attempts: int = 1
     resumable: bool = False
     target_gap: float = 0.3
+    """The longest pause between two events of a stream in time."""
 
     @property
     def idempotent(self) -> bool:
@@ -113,7 +113,6 @@
     """A service; ``engine`` is None for a plain one."""
 
     name: ServiceName
-    max_connections: int
     engine: Engine | None = None
 
 
--- a/src/beamhatch/relay/stream_attempt.py
+++ b/src/beamhatch/relay/stream_attempt.py
@@ -15,14 +15,17 @@
     from beamhatch.relay.http_client import Head
     from beamhatch.relay.request import Send
 
-FIRST_EVENT_PATIENCE = 1.2
-"""Seconds until the first event of an engine that has the prompt's KV cache."""
+FIRST_EVENT_PATIENCE = 1.33
+"""Times the target latency until the first event of an engine that has the prompt's KV cache."""
 
-WHOLE_PATIENCE = 2.5
-"""Seconds until the first event of an engine that has to read the prompt."""
+WHOLE_PATIENCE = 2.8
+"""Times the target latency until the first event of an engine that has to read the prompt."""
 
-GAP_PATIENCE = 1.0
-"""Seconds between two events after which the engine is taken to be silent."""
+GAP_PATIENCE = 3.3
+"""Times the target pause between two events after which the engine is taken to be silent."""
+
+SHORTEST_PATIENCE = 0.6
+"""Seconds."""
 
 LAPSE_PAUSE = 3.0
 """Seconds for which a prefill engine whose handles lapsed is passed over."""
@@ -76,9 +79,11 @@
 
     def get_patience(self) -> float:
         """Return the patience with an engine that has to read the prompt, or has it."""
+        route = self.request.route
         if self.request.begun:
-            return GAP_PATIENCE
-        return WHOLE_PATIENCE if self.send.stage is Stage.WHOLE else FIRST_EVENT_PATIENCE
+            return max(SHORTEST_PATIENCE, GAP_PATIENCE * route.target_gap)
+        times = WHOLE_PATIENCE if self.send.stage is Stage.WHOLE else FIRST_EVENT_PATIENCE
+        return max(SHORTEST_PATIENCE, times * route.target_latency)
 
     def may_abandon(self) -> bool:
         """Tell whether the stream may be taken up elsewhere."""
@@ -96,7 +101,7 @@
             self.exchange.begin_answer(self.head)
         self.request.note_event(last)
         self.exchange.pass_events(data)
-        self._wait(GAP_PATIENCE)
+        self._wait(self.get_patience())
 
     def _take_failure(self) -> None:
         assert self.head is not None
--- a/tests/relay/test_request.py
+++ b/tests/relay/test_request.py
@@ -52,9 +52,9 @@
         holds=st.booleans(),
     )
     def begin(self, kind: RouteKind, resumable: bool, attempts: int, engine: bool, holds: bool) -> None:
-        route = Route("r", "h", "/", kind, (Share(SERVICE, 1),), 14.0, 0.9, 1, attempts, resumable)
+        route = Route("r", "h", "/", kind, (Share(SERVICE, 1),), 14.0, 0.9, attempts, resumable)
         traits = Engine(128, 60_000, 0.5, 2.0 if holds else 0.0) if engine else None
-        self.request = RelayRequest(RequestFacts("q", None, None, 5000, 100), route, Service(SERVICE, 100, traits))
+        self.request = RelayRequest(RequestFacts("q", None, None, 5000, 100), route, Service(SERVICE, traits))
         self.budget = Budget(BudgetTerms())
         self.chooser = LeastCost(Standings(), "h")
         phases = [Phase.PREFILL, Phase.PREFILL, Phase.DECODE, Phase.DECODE, Phase.DECODE]
