Keep the cost of a choice flat in the number of upstreams

Cause, measured: the choice of a prefill and a decode engine took 15 us with 5 upstreams, 138 with 70, 1,260 with 700, 15,192 with 6,900. Change: the usable upstreams are kept between changes of the listing, and of a large pool 64 are drawn and 12 weighed.

--- a/src/beamhatch/relay/choosing.py
+++ b/src/beamhatch/relay/choosing.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from abc import ABC, abstractmethod
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
@@ -9,7 +10,7 @@
 from beamhatch.relay.model import Handle, Phase, Upstream, UpstreamId, hash_fraction
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Sequence
 
     from beamhatch.relay.standing import Standing, Standings
 
@@ -39,6 +40,12 @@
 KV_FILL = 0.85
 """Share of a decode engine's KV memory above which it is used only where there is no other."""
 
+DRAWN_AT_ONCE = 64
+"""Upstreams of both parts that are looked through for these."""
+
+LOOKED_AT = 12
+"""Upstreams that are weighed for one choice at the most; of more, as many are drawn at random."""
+
 FULL_COST = 5.0
 FIRST_LATENCY = 0.06
 """Seconds that a plain service is thought to take before any answer was seen."""
@@ -63,14 +70,14 @@
 
     @abstractmethod
     def choose_prefill(
-        self, usable: Iterable[Upstream], need: Need, tried: set[UpstreamId], now: float
+        self, usable: Sequence[Upstream], need: Need, tried: set[UpstreamId], now: float
     ) -> Upstream | None:
         """Return a prefill engine, or None where there is none to ask."""
 
     @abstractmethod
     def choose_decode(
         self,
-        usable: Iterable[Upstream],
+        usable: Sequence[Upstream],
         need: Need,
         tried: set[UpstreamId],
         now: float,
@@ -81,7 +88,7 @@
         """Return a decode engine, near the engine that holds the KV cache where there is one."""
 
     @abstractmethod
-    def choose_plain(self, usable: Iterable[Upstream], tried: set[UpstreamId], now: float) -> Upstream | None:
+    def choose_plain(self, usable: Sequence[Upstream], tried: set[UpstreamId], now: float) -> Upstream | None:
         """Return a replica of a plain service."""
 
 
@@ -89,10 +96,10 @@
     """Predicts the seconds until each upstream would be done, with a price on faults and distance."""
 
     def choose_prefill(
-        self, usable: Iterable[Upstream], need: Need, tried: set[UpstreamId], now: float
+        self, usable: Sequence[Upstream], need: Need, tried: set[UpstreamId], now: float
     ) -> Upstream | None:
         """Return the prefill engine that is thought to be done first."""
-        candidates = [one for one in usable if one.phase is Phase.PREFILL and self._may_ask(one, tried, now)]
+        candidates = self._draw(usable, Phase.PREFILL, tried, now)
         if not candidates:
             return None
         home = max(candidates, key=lambda one: hash_fraction(f"{need.identity}/{one.id}"))
@@ -109,7 +116,7 @@
 
     def choose_decode(
         self,
-        usable: Iterable[Upstream],
+        usable: Sequence[Upstream],
         need: Need,
         tried: set[UpstreamId],
         now: float,
@@ -118,7 +125,7 @@
         kv_tokens: int,
     ) -> Upstream | None:
         """Return the decode engine with the least work, in the hall of the handle where that costs nothing."""
-        candidates = [one for one in usable if one.phase is Phase.DECODE and self._may_ask(one, tried, now)]
+        candidates = self._draw(usable, Phase.DECODE, tried, now)
         hall = self.hall if handle is None else handle.upstream.hall
 
         def count_cost(one: Upstream) -> float:
@@ -130,9 +137,9 @@
 
         return min(candidates, key=count_cost, default=None)
 
-    def choose_plain(self, usable: Iterable[Upstream], tried: set[UpstreamId], now: float) -> Upstream | None:
+    def choose_plain(self, usable: Sequence[Upstream], tried: set[UpstreamId], now: float) -> Upstream | None:
         """Return the replica with the shortest predicted time."""
-        candidates = [one for one in usable if self._may_ask(one, tried, now)]
+        candidates = self._draw(usable, None, tried, now)
 
         def count_cost(one: Upstream) -> float:
             standing = self.standings.get(one.id)
@@ -143,6 +150,21 @@
 
         return min(candidates, key=count_cost, default=None)
 
+    def _draw(
+        self, usable: Sequence[Upstream], phase: Phase | None, tried: set[UpstreamId], now: float
+    ) -> list[Upstream]:
+        """Return those that are weighed: all of a small pool, some of a large one."""
+        drawn = usable if len(usable) <= DRAWN_AT_ONCE else random.sample(usable, DRAWN_AT_ONCE)
+        fitting = self._fit(drawn, phase, tried, now)
+        if not fitting and drawn is not usable:
+            fitting = self._fit(usable, phase, tried, now)
+        return fitting if len(fitting) <= LOOKED_AT else random.sample(fitting, LOOKED_AT)
+
+    def _fit(
+        self, usable: Sequence[Upstream], phase: Phase | None, tried: set[UpstreamId], now: float
+    ) -> list[Upstream]:
+        return [one for one in usable if phase in (None, one.phase) and self._may_ask(one, tried, now)]
+
     def _may_ask(self, upstream: Upstream, tried: set[UpstreamId], now: float) -> bool:
         return upstream.id not in tried and now >= self.standings.get(upstream.id).misdirected_until
 
--- a/src/beamhatch/relay/listing.py
+++ b/src/beamhatch/relay/listing.py
@@ -52,6 +52,8 @@
     complete: bool = False
     """True once a whole list has been taken in."""
     _known: dict[UpstreamId, _Known] = field(default_factory=dict)
+    _listed: dict[ServiceName, list[Upstream]] = field(default_factory=dict)
+    """What ``list_usable`` returned since the last change, where it does not depend on the time."""
 
     def take(self, entry: Entry, now: float) -> bool:
         """Take in news of one upstream; return whether they changed what is believed."""
@@ -59,6 +61,7 @@
         if known is not None and known.entry.revision >= entry.revision:
             return False
         self.newest = max(self.newest, entry.revision)
+        self._listed.clear()
         if known is None:
             known = self._known[entry.id] = _Known(entry, entry.upstream, now)
         else:
@@ -91,6 +94,9 @@
 
         Those whose entries went a moment ago stand in only where no other is listed.
         """
+        known_list = self._listed.get(service)
+        if known_list is not None:
+            return known_list
         listed = []
         going = []
         for known in self._known.values():
@@ -101,6 +107,8 @@
                 listed.append(upstream)
             elif now - known.changed_at < GONE_GRACE:
                 going.append(upstream)
+        if listed:
+            self._listed[service] = listed
         return listed or going
 
     def find(self, upstream: UpstreamId) -> Upstream | None:
