Tests of two mechanisms that failed nothing when taken out

The first test of a step under way polled only after the engine had answered, and the listing's machine compared only after all news had been told again.

--- a/src/beamhatch/platform/standin/upstream.py
+++ b/src/beamhatch/platform/standin/upstream.py
@@ -197,6 +197,8 @@
     read_rate = 50_000.0
     """Prompt tokens a second."""
     handle_lifetime = 0.5
+    answer_delay = 0.0
+    """Seconds that an answer about memory takes."""
     event_bytes = 0
     """Bytes that each event is padded by."""
 
@@ -252,7 +254,7 @@
         hold = f"h{self._number}"
         self.held[hold] = asked["tokens"]
         self.clock.call_later(asked["ttl_ms"] / 1000, self._drop, hold)
-        answer_json(responder, 200, {"hold": hold})
+        self.clock.call_later(self.answer_delay, answer_json, responder, 200, {"hold": hold})
 
     def _drop(self, hold: str) -> None:
         self.held.pop(hold, None)
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -334,6 +334,7 @@
     core = platform.vms["vm1"].core
     assert len(core.find_line(ServiceName(MODEL))) == 1
     engine.used = 0
+    engine.answer_delay = 0.02
     for _ in range(40):
         core.note_freed(ServiceName(MODEL))
         platform.network.run(0.002)
--- a/tests/relay/test_request.py
+++ b/tests/relay/test_request.py
@@ -149,6 +149,8 @@
         self.direct = Listing()
         self.told = Listing()
         self.drained: set[str] = set()
+        self.best: dict[UpstreamId, Entry] = {}
+        """The newest news that were heard of each upstream."""
 
     @rule(name=names, draining=st.booleans(), gone=st.booleans())
     def change(self, name: str, draining: bool, gone: bool) -> None:
@@ -165,12 +167,17 @@
     @rule(data=st.data())
     def hear(self, data: st.DataObject) -> None:
         """Hear any news again, late or out of order."""
-        self.told.take(data.draw(st.sampled_from(self.news)), self.now)
+        entry = data.draw(st.sampled_from(self.news))
+        self.told.take(entry, self.now)
+        best = self.best.get(entry.id)
+        if best is None or best.revision < entry.revision:
+            self.best[entry.id] = entry
 
     @rule()
     def hear_whole(self) -> None:
         listed = [entry for entry in self.truth.values() if entry.upstream is not None]
         self.told.take_whole(listed, self.revision, self.now)
+        self.best = {entry.id: entry for entry in self.truth.values()}
         assert {entry.id for entry in listed} == {
             name for name in self.told.list_ids() if self.told.find(name) is not None
         }
@@ -179,6 +186,7 @@
     def catch_up(self) -> None:
         for entry in self.direct.list_since(0):
             self.told.take(entry, self.now)
+        self.best = {entry.id: entry for entry in self.truth.values()}
         for name in self.truth:
             assert self.told.find(UpstreamId(name)) == self.direct.find(UpstreamId(name))
 
@@ -186,6 +194,11 @@
     def wait(self, passed: float) -> None:
         self.now += passed
 
+    @invariant()
+    def believes_the_newest_that_it_heard(self) -> None:
+        for name, entry in self.best.items():
+            assert self.told.find(name) == entry.upstream
+
     @invariant()
     def gives_no_work_to_those_that_leave(self) -> None:
         usable = {one.id for one in self.direct.list_usable(SERVICE, self.now)}
