Answer a head over the limit with 431 also where it came all at once

Cause, found by a new test that failed first: h11 bounds a head only while it is incomplete; one of 20 KB that came in one piece was served (limit 16 KB). Now its size is checked when it is whole.

--- a/src/beamhatch/relay/http_server.py
+++ b/src/beamhatch/relay/http_server.py
@@ -199,6 +199,9 @@
             self._submit()
 
     def _take_head(self, head: h11.Request) -> None:
+        if len(head.target) + sum(len(name) + len(value) for name, value in head.headers) > self._limits.header_bytes:
+            self._refuse(431, f"the head has more than {self._limits.header_bytes} bytes")
+            return
         names = [name for name, _ in head.headers]
         if b"content-length" in names and b"transfer-encoding" in names:
             self._refuse(400, "both a length and chunks")
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -342,3 +342,11 @@
     assert caller.events == list(range(1, 11))
     assert platform.ledger.runs["q1"] == 1
     assert platform.ledger.prefilled["q1"] == 1
+
+
+def test_a_head_over_the_limit_is_answered_431() -> None:
+    platform = make_platform()
+    caller = platform.connect()
+    caller.send(make_request("/safe/x", "q1", headers={"Padding": "x" * 20_000}))
+    assert platform.finish(caller).status == 431
+    assert not platform.ledger.arrivals
