Have two VMs a hall watch the store, tell all of changing engines, and let a new leader order at once

Change. membership.py: who is alive, who watches (two a hall, the strongest links first), whom to dial; mentions carry an age, so that a dead VM is forgotten although others mention it. Configurations travel compressed. A change under way (changing.py) is told in beats and passed over by all, and counted with its new part by the leader; engines that went without notice are counted for 3 s more; one that leaves ends the pause between orders. A claim now holds only if no order was written down since the new holder saw the last one, so it waits from that order on, not from its claim; three candidates watch the lease instead of looking every 6 s. The demand that the leader weighs takes the others' memory seconds too: its own streams alone may be none.

--- a/src/beamhatch/platform/settings.py
+++ b/src/beamhatch/platform/settings.py
@@ -35,6 +35,10 @@
     lease_ms: float = 3000
 
 
+class _Limits(msgspec.Struct):
+    link_mbps: float = 0.0
+
+
 class _Provider(msgspec.Struct):
     address: str
 
@@ -47,6 +51,7 @@
     provider: _Provider
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     seeds: list[str] = []
+    limits: _Limits = msgspec.field(default_factory=_Limits)
 
 
 def read_settings(path: str) -> RelaySettings:
@@ -75,6 +80,7 @@
         peer_address=_read_address(read.listen.control) if read.listen.control else None,
         seeds=read.seeds,
         turn_time=bounds.lease_ms / 1000,
+        strength=read.limits.link_mbps,
         metrics_address=Address(read.ip, METRICS_PORT),
         metrics_path=METRICS_PATH,
     )
--- a/src/beamhatch/platform/standin/upstream.py
+++ b/src/beamhatch/platform/standin/upstream.py
@@ -12,6 +12,8 @@
 from beamhatch.relay.http_server import IncomingRequest, RequestHandler, Responder
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from beamhatch.clock import Clock
     from beamhatch.relay.model import Address
 
@@ -201,6 +203,8 @@
     """Seconds that an answer about memory takes."""
     event_bytes = 0
     """Bytes that each event is padded by."""
+    switch_time = 6.0
+    """Seconds behind the end of its runs that an ordered change of its part takes."""
 
     def __init__(
         self, clock: Clock, address: Address, instance: str, ledger: Ledger, phase: str, kv_tokens: int = 60_000
@@ -212,6 +216,10 @@
         """Tokens set aside, by the id of the reservation."""
         self.cut_after: int | None = None
         """Events after which streams break inside the next one."""
+        self.on_phase: Callable[[], None] = lambda: None
+        """Called when an ordered change of its part is done."""
+        self.ordered: str | None = None
+        """The part that it is to play once its runs have ended; until then it turns new requests away."""
         self._number = 0
 
     def describe(self, service: str, hall: str, state: str = "ready") -> dict[str, object]:
@@ -231,7 +239,7 @@
         elif name == "order":
             order = json.loads(incoming.body)
             self.ledger.orders.append(Order(self.clock.now(), order["holder"], order["fencing_token"], order["phase"]))
-            answer_json(responder, 202, {})
+            self._take_order(order["phase"], responder)
         elif name == "kv-handle":
             self.ledger.handles.pop(f"{self.address}/{rest}", None)
             answer_json(responder, 200, {})
@@ -239,6 +247,25 @@
             answer_json(responder, 404, {})
         return None
 
+    def _take_order(self, phase: str, responder: Responder) -> None:
+        if self.ordered is not None:
+            answer_json(responder, 409, {})
+            return
+        self.ordered = phase
+        answer_json(responder, 202, {})
+        self._await_idle()
+
+    def _await_idle(self) -> None:
+        if self.running:
+            self.clock.call_later(0.05, self._await_idle)
+        else:
+            self.clock.call_later(self.switch_time, self._switch)
+
+    def _switch(self) -> None:
+        assert self.ordered is not None
+        self.phase, self.ordered = self.ordered, None
+        self.on_phase()
+
     @property
     def free(self) -> int:
         """Return the tokens that are neither used nor set aside."""
@@ -263,6 +290,9 @@
         self, incoming: IncomingRequest, headers: dict[str, str], request: str, responder: Responder
     ) -> RequestHandler | None:
         """Read a prompt, or stream an answer."""
+        if self.ordered is not None:
+            answer_json(responder, 503, {}, ("Not-Executed", "1"))
+            return None
         prompt, output = (int(word) for word in headers["token-count"].split(","))
         if (headers.get("stage") == "prefill") != (self.phase == "prefill"):
             answer_json(responder, 421, {})
--- a/src/beamhatch/platform/store.py
+++ b/src/beamhatch/platform/store.py
@@ -14,6 +14,7 @@
     ConfigurationNews,
     Document,
     HistoryGone,
+    LeadershipNews,
     ListingNews,
     Store,
     StoreLost,
@@ -32,8 +33,9 @@
 
 CONFIGURATION = "op/config"
 UPSTREAMS = "servers/"
-LEADER = "beamhatch/leader"
-LAST_ORDER = "beamhatch/order"
+OWN = "beamhatch/"
+LEADER = f"{OWN}leader"
+LAST_ORDER = f"{OWN}order"
 READ_TIMEOUT = 2.0
 WATCH_MARGIN = 2.0
 """Seconds beyond its wait after which a watch is taken as lost."""
@@ -121,19 +123,32 @@
             return events
         return ListingNews([_make_entry(item) for item in events.events], events.at)
 
-    async def claim_leadership(self, holder: str, lifetime: float) -> Claimed | Taken | StoreLost:
-        """Claim the leadership: look first, as a look is all that most of these calls come to."""
-        looked = await self._get("kv-key", {"tls_key": LEADER})
-        if isinstance(looked, str):
-            return StoreLost(looked)
-        if looked.head.status != 404:
-            return Taken() if looked.head.status == 200 else StoreLost(f"status {looked.head.status}")
+    async def read_leadership(self) -> LeadershipNews | StoreLost:
+        """Return who leads, and what the last order was."""
+        page = _decode(await self._get("kv-range", {"path_prefix": OWN}), _Range)
+        if isinstance(page, StoreLost):
+            return page
+        revisions = {item.tls_key: item.revision for item in page.items}
+        return LeadershipNews(LEADER in revisions, revisions.get(LAST_ORDER, 0), page.at)
+
+    async def watch_leadership(self, after: int, wait: float) -> bool | StoreLost:
+        """Return True as soon as something changed behind a revision."""
+        events = await self._watch(OWN, after, wait)
+        if isinstance(events, StoreLost):
+            return events
+        return isinstance(events, HistoryGone) or bool(events.events)
+
+    async def claim_leadership(self, holder: str, lifetime: float, seen: LeadershipNews) -> Claimed | Taken | StoreLost:
+        """Claim the leadership on the condition that all is as it was seen."""
         lease = _decode(await self._post("kv-lease", {"ttl_ms": int(lifetime * 1000)}), _Lease)
         if isinstance(lease, StoreLost):
             return lease
         value = base64.b64encode(holder.encode()).decode()
         change = {
-            "if_revision": [{"tls_key": LEADER, "revision": 0}],
+            "if_revision": [
+                {"tls_key": LEADER, "revision": 0},
+                {"tls_key": LAST_ORDER, "revision": seen.last_order},
+            ],
             "put": [{"tls_key": LEADER, "value": value, "lease": lease.lease}],
             "remove": [],
         }
@@ -143,9 +158,9 @@
         changed = _decode(answer, _Changed)
         return changed if isinstance(changed, StoreLost) else Claimed(lease.lease, changed.revision)
 
-    async def keep_leadership(self, claim: Claimed) -> bool | StoreLost:
+    async def keep_leadership(self, claim: Claimed, timeout: float) -> bool | StoreLost:
         """Renew the lease of a claim."""
-        answer = await self._post(f"kv-keep/{claim.lease}", {})
+        answer = await self._post(f"kv-keep/{claim.lease}", {}, timeout)
         if isinstance(answer, str):
             return StoreLost(answer)
         if answer.head.status in (200, 404):
@@ -173,10 +188,10 @@
             return HistoryGone()
         return _decode(answer, _Events)
 
-    async def _post(self, name: str, body: object) -> WholeAnswer | str:
+    async def _post(self, name: str, body: object, timeout: float = READ_TIMEOUT) -> WholeAnswer | str:
         headers = [("Host", str(self._address)), ("Content-Type", "application/json")]
         call = Call("POST", f"/api/{name}", headers, msgspec.json.encode(body))
-        return await fetch(self._client, self._clock, self._address, call, READ_TIMEOUT)
+        return await fetch(self._client, self._clock, self._address, call, timeout)
 
     async def _get(self, name: str, query: dict[str, str], timeout: float = READ_TIMEOUT) -> WholeAnswer | str:
         call = Call("GET", f"/api/{name}?{urlencode(query)}", [("Host", str(self._address))])
--- a/src/beamhatch/relay/api.py
+++ b/src/beamhatch/relay/api.py
@@ -134,6 +134,16 @@
     at: int
 
 
+@dataclass(frozen=True, slots=True)
+class LeadershipNews:
+    """Whether a VM leads, and what the last order was, as of a revision."""
+
+    taken: bool
+    last_order: int
+    """The revision at which the last order was written down; 0 where none ever was."""
+    at: int
+
+
 @dataclass(frozen=True, slots=True)
 class Claimed:
     """The leadership is this VM's, by a claim at a revision, as long as it keeps the lease."""
@@ -167,11 +177,19 @@
         """Return changes of upstreams behind a revision as soon as there are any, or after some seconds."""
 
     @abstractmethod
-    async def claim_leadership(self, holder: str, lifetime: float) -> Claimed | Taken | StoreLost:
-        """Claim the leadership unless another VM has it."""
+    async def read_leadership(self) -> LeadershipNews | StoreLost:
+        """Return who leads, and what the last order was."""
+
+    @abstractmethod
+    async def watch_leadership(self, after: int, wait: float) -> bool | StoreLost:
+        """Return True as soon as something changed behind a revision, or is not known any more; False after a time."""
+
+    @abstractmethod
+    async def claim_leadership(self, holder: str, lifetime: float, seen: LeadershipNews) -> Claimed | Taken | StoreLost:
+        """Claim the leadership on the condition that nobody has it, and that no order was given since it was seen."""
 
     @abstractmethod
-    async def keep_leadership(self, claim: Claimed) -> bool | StoreLost:
+    async def keep_leadership(self, claim: Claimed, timeout: float) -> bool | StoreLost:
         """Renew the lease of a claim; False where it is over."""
 
     @abstractmethod
--- a/src/beamhatch/relay/balancing.py
+++ b/src/beamhatch/relay/balancing.py
@@ -14,7 +14,9 @@
 from beamhatch.relay.model import Phase, Upstream
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Collection, Sequence
+
+    from beamhatch.relay.model import UpstreamId
 
 LEAST_WAIT_RATE = 0.8
 """Requests a second, over all VMs, that find decode memory full and so show that a part is short."""
@@ -49,20 +51,28 @@
     phase: Phase
 
 
-def choose_change(engines: Sequence[Upstream], pressure: Pressure, kv_tokens: int) -> PhaseChange | None:
+def choose_change(
+    engines: Sequence[Upstream], pressure: Pressure, kv_tokens: int, movable: Collection[UpstreamId]
+) -> PhaseChange | None:
     """Return the change that is due, or None.
 
+    :param engines: all that are there, those that are changing with the part that they will play
     :param kv_tokens: the memory of one engine
+    :param movable: the engines that can be had to change now
     """
     prefills = [one for one in engines if one.phase is Phase.PREFILL]
     decodes = [one for one in engines if one.phase is Phase.DECODE]
     today = predict_use(len(prefills), len(decodes), pressure, kv_tokens)
     if len(engines) < 2 or (pressure.wait_rate < LEAST_WAIT_RATE and today < HIGH_USE):
         return None
-    if predict_use(len(prefills) - 1, len(decodes) + 1, pressure, kv_tokens) < WORTHWHILE * today:
-        return PhaseChange(_choose_from(prefills, decodes), Phase.DECODE)
-    if predict_use(len(prefills) + 1, len(decodes) - 1, pressure, kv_tokens) < WORTHWHILE * today:
-        return PhaseChange(_choose_from(decodes, prefills), Phase.PREFILL)
+    movable_prefills = [one for one in prefills if one.id in movable]
+    movable_decodes = [one for one in decodes if one.id in movable]
+    to_decode = predict_use(len(prefills) - 1, len(decodes) + 1, pressure, kv_tokens)
+    if movable_prefills and to_decode < WORTHWHILE * today:
+        return PhaseChange(_choose_from(movable_prefills, decodes), Phase.DECODE)
+    to_prefill = predict_use(len(prefills) + 1, len(decodes) - 1, pressure, kv_tokens)
+    if movable_decodes and to_prefill < WORTHWHILE * today:
+        return PhaseChange(_choose_from(movable_decodes, prefills), Phase.PREFILL)
     return None
 
 
--- a/src/beamhatch/relay/core.py
+++ b/src/beamhatch/relay/core.py
@@ -9,8 +9,10 @@
 
 from beamhatch.relay.api import BadRequest
 from beamhatch.relay.budget import Budget, BudgetTerms
+from beamhatch.relay.changing import Changes
 from beamhatch.relay.demand import Demand
 from beamhatch.relay.exchange import RelayExchange
+from beamhatch.relay.gossip_message import DemandReport
 from beamhatch.relay.line import Line
 from beamhatch.relay.listing import Listing
 from beamhatch.relay.model import CallerLimits
@@ -27,7 +29,7 @@
     from beamhatch.relay.http_client import HttpClient
     from beamhatch.relay.http_server import IncomingRequest, RequestHandler, Responder
     from beamhatch.relay.listing import Entry
-    from beamhatch.relay.model import Service, ServiceName, Table
+    from beamhatch.relay.model import Phase, Service, ServiceName, Table, Upstream, UpstreamId
 
 POLL_INTERVAL = 0.04
 """Seconds between two times that the first in line asks for decode memory."""
@@ -59,6 +61,7 @@
     standings: Standings
     terms: Terms
     listing: Listing = field(default_factory=Listing)
+    changes: Changes = field(default_factory=Changes)
     document: Document | None = None
     started: float = 0.0
     """When the VM started, in monotonic seconds."""
@@ -116,11 +119,26 @@
             changed = [entry for entry in news.entries if listing.take(entry, now)]
         for entry in changed:
             self.journal.write("LISTING", _describe(entry), upstream=entry.id, revision=entry.revision, source=source)
+            self.changes.end(entry.id, None if entry.upstream is None else entry.upstream.phase)
         if changed:
             listing.forget_old(now)
             self.standings.keep_only(listing.list_ids())
             self.on_change()
 
+    def list_usable(self, service: ServiceName) -> list[Upstream]:
+        """Return the upstreams of a service that may get new work."""
+        now = self.clock.now()
+        return self.changes.pass_over(self.listing.list_usable(service, now), now)
+
+    def take_change(self, upstream: UpstreamId, phase: Phase, seconds: float, source: str) -> None:
+        """Take in that an engine was ordered to play another part, for some seconds until that is done."""
+        found = self.listing.find(upstream)
+        if found is None or found.phase is phase:
+            return
+        if self.changes.note(upstream, phase, seconds, self.clock.now()):
+            self.journal.write("LISTING", "changing", upstream=upstream, phase=phase.value, source=source)
+            self.on_change()
+
     def find_budget(self, service: ServiceName) -> Budget:
         """Return the budget of repeated sends to a service."""
         budget = self._budgets.get(service)
@@ -136,13 +154,19 @@
             demand = self._demands[service] = Demand()
         return demand
 
-    def list_demands(self) -> dict[str, tuple[float, float]]:
-        """Return prompt tokens and waits for memory, a second, by service."""
+    def report_demand(self, service: ServiceName) -> DemandReport:
+        """Return what this VM's streams ask of a service, as other VMs are told."""
         now = self.clock.now()
-        return {
-            name: (round(demand.count_prompt_rate(now)), round(demand.count_wait_rate(now), 2))
-            for name, demand in self._demands.items()
-        }
+        demand = self.find_demand(service)
+        return DemandReport(
+            round(demand.count_prompt_rate(now)),
+            round(demand.count_wait_rate(now), 2),
+            round(demand.count_memory_seconds(), 2),
+        )
+
+    def report_demands(self) -> dict[str, DemandReport]:
+        """Return what this VM's streams ask of each service with engines."""
+        return {name: self.report_demand(name) for name in self._demands}
 
     # --- decode memory -----------------------------------------------------------------------------------------------
 
--- a/src/beamhatch/relay/daemon.py
+++ b/src/beamhatch/relay/daemon.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import gc
-import random
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
@@ -13,6 +12,7 @@
 from beamhatch.relay.http_client import HttpClient
 from beamhatch.relay.http_server import CallerServer
 from beamhatch.relay.leadership import Leadership
+from beamhatch.relay.membership import Member, Membership
 from beamhatch.relay.model import Address, CallerLimits
 from beamhatch.relay.ordering import Ordering
 from beamhatch.relay.standing import Standings
@@ -30,6 +30,12 @@
 IDLE_CLOSE_DELAY = 2.6
 """Seconds behind the begin of a planned stop after which idle connections are closed: by then no new ones come."""
 
+START_PATIENCE = 0.5
+"""Seconds for which a new VM waits for its peers to tell it what they have, before it asks the store.
+
+VMs that are seeds of the others ask the store at once.
+"""
+
 STOP_INTERVAL = 0.05
 STOP_MARGIN = 0.6
 """Seconds before the end of the time for a planned stop at which what is left is cut."""
@@ -55,6 +61,8 @@
     seeds: list[str] = field(default_factory=list)
     turn_time: float = 3.0
     """Seconds that have to pass between the orders of two VMs."""
+    strength: float = 0.0
+    """Mbit/s of the VM's link: of the VMs of a hall, the stronger ones watch the store for the others."""
     metrics_address: Address | None = None
     metrics_path: str = "/metrics"
 
@@ -90,12 +98,12 @@
             started=clock.now(),
         )
         self.callers = CallerServer(clock, self.core.serve, self.core.find_limits, self.core.note_refused)
-        self._watchers: list[Watcher] = [ConfigurationWatcher(self.core, store), ListingWatcher(self.core, store)]
         self._gossip = self._make_gossip(documents)
+        self._watchers = self._make_watchers(store)
         self.leadership: Leadership | None = None
         self._ordering: Ordering | None = None
         if self._gossip is not None:
-            self.leadership = Leadership(self.core, store, settings.vm, self._gossip.find_rank)
+            self.leadership = Leadership(self.core, store, settings.vm, self._gossip.membership.count_ahead)
             self.leadership.tenure.turn_time = settings.turn_time
             self._ordering = Ordering(self.core, self.leadership, settings.vm, self._gossip.find_pressure)
         self._ports: list[Any] = []
@@ -137,7 +145,7 @@
         """Take changed settings as far as a running process can: bounds and seeds."""
         self.core.terms.budget = settings.budget
         if self._gossip is not None:
-            self._gossip.set_seeds(settings.seeds)
+            self._gossip.membership.seeds = settings.seeds
         self.settings = settings
         self.journal.write("MAIN", "reloaded", seeds=settings.seeds, grace=settings.grace)
 
@@ -188,9 +196,14 @@
         settings = self.settings
         if settings.peer_address is None:
             return None
-        seeds = list(settings.seeds)
-        random.shuffle(seeds)
-        return Gossip(self.core, documents, settings.vm, str(settings.peer_address), seeds)
+        own = Member(str(settings.peer_address), settings.hall, settings.strength)
+        return Gossip(self.core, documents, settings.vm, Membership(own, settings.seeds))
+
+    def _make_watchers(self, store: Store) -> list[Watcher]:
+        is_due = _is_always_due if self._gossip is None else self._gossip.watches
+        first = self.settings.peer_address is None or str(self.settings.peer_address) in self.settings.seeds
+        patience = 0.0 if first or not self.settings.seeds else START_PATIENCE
+        return [watcher(self.core, store, is_due, patience) for watcher in (ConfigurationWatcher, ListingWatcher)]
 
     def _listen(self, address: Address, factory: Any) -> Any:
         return self.clock.reactor.listenTCP(address.port, factory, backlog=BACKLOG, interface=address.host)
@@ -213,3 +226,7 @@
             send_error(responder, 503, "no configuration or no list of upstreams is known yet")
         else:
             responder.send_whole(200, [("Content-Type", "application/json")], b'{"status":"ready"}')
+
+
+def _is_always_due() -> bool:
+    return True
--- a/src/beamhatch/relay/exchange.py
+++ b/src/beamhatch/relay/exchange.py
@@ -91,9 +91,8 @@
 
     def _plan(self, now: float) -> Step:
         request = self.request
-        service = request.service.name
-        budget = self.core.find_budget(service)
-        usable = self.core.listing.list_usable(service, now)
+        budget = self.core.find_budget(request.service.name)
+        usable = self.core.list_usable(request.service.name)
         return request.plan(usable, self.core.chooser, budget, self.core.vms, now)
 
     def _carry_out(self, step: Step) -> None:
--- a/src/beamhatch/relay/gossip_message.py
+++ b/src/beamhatch/relay/gossip_message.py
@@ -2,23 +2,39 @@
 
 from __future__ import annotations
 
+import zlib
+
 import msgspec
 
 from beamhatch.relay.listing import Entry
+from beamhatch.relay.membership import Member, Mention
 
 MOST_BYTES = 4 * 1024 * 1024
-MOST_KNOWN = 128
-"""Addresses in one message at the most."""
+MOST_DOCUMENT_BYTES = 16 * 1024 * 1024
+MOST_MENTIONED = 64
+"""Other VMs in one message at the most."""
+
+COMPRESSION = 1
+"""The fastest: documents repeat themselves so much that more gains little."""
+
+
+class DemandReport(msgspec.Struct, array_like=True, frozen=True):
+    """What one VM's streams ask of a service with engines."""
+
+    prompt_rate: float = 0.0
+    """Prompt tokens a second."""
+    wait_rate: float = 0.0
+    """Requests a second that find decode memory full."""
+    memory_seconds: float = 0.0
+    """Seconds for which a prompt token's memory is held at a decode engine, with its share of the answer's memory."""
 
 
 class Hello(msgspec.Struct, tag="hello", frozen=True):
     """First message on a connection, both ways, and again every few seconds."""
 
     vm: str
-    address: str
-    """Where the sender listens for peers, ``HOST:PORT``."""
-    known: list[str]
-    """Where other VMs listen."""
+    member: Member
+    known: list[Mention]
 
 
 class Beat(msgspec.Struct, tag="beat", frozen=True):
@@ -28,10 +44,12 @@
     """Of the configuration in force; 0 where none is."""
     revision: int
     """Of the newest entry of its listing; 0 where it has no whole listing."""
-    demands: dict[str, tuple[float, float]] = {}
-    """What its streams ask of each service with engines: prompt tokens a second, waits for memory a second."""
+    demands: dict[str, DemandReport] = {}
+    """By service."""
     faulty: dict[str, float] = {}
     """Upstreams that failed the sender's requests of late, with the share that they failed."""
+    changing: dict[str, tuple[str, float]] = {}
+    """Engines that were ordered to play another part, with that part and the seconds that this may still take."""
 
 
 class AskConfiguration(msgspec.Struct, tag="ask_configuration", frozen=True):
@@ -39,9 +57,9 @@
 
 
 class Configuration(msgspec.Struct, tag="configuration", frozen=True):
-    """A configuration as the operators wrote it."""
+    """A configuration as the operators wrote it, compressed."""
 
-    raw: bytes
+    packed: bytes
 
 
 class AskListing(msgspec.Struct, tag="ask_listing", frozen=True):
@@ -82,3 +100,23 @@
         return _decoder.decode(data)
     except (msgspec.DecodeError, msgspec.ValidationError) as problem:
         raise MessageError(str(problem)) from None
+
+
+def pack_document(raw: bytes) -> Configuration:
+    """Return the message that hands a document on."""
+    return Configuration(zlib.compress(raw, COMPRESSION))
+
+
+def unpack_document(message: Configuration) -> bytes:
+    """Return the document that a message hands on.
+
+    :raises MessageError: where it can't be unpacked, or is too long
+    """
+    unpacker = zlib.decompressobj()
+    try:
+        raw = unpacker.decompress(message.packed, MOST_DOCUMENT_BYTES)
+    except zlib.error as problem:
+        raise MessageError(str(problem)) from None
+    if not unpacker.eof:
+        raise MessageError("the document is cut off, or too long")
+    return raw
--- a/src/beamhatch/relay/leadership.py
+++ b/src/beamhatch/relay/leadership.py
@@ -2,8 +2,9 @@
 
 The lease's time is counted from before each renewal was sent, on the monotonic clock. A store may also take a claim
 away early, and renew the lease all the same. So each order is first written down in the store on the condition that the
-claim stands, and sent at once or not at all; and a new holder gives no order before the old lease and the platform's
-bound on turns have passed. Each order carries the revision of the claim, which rises from holder to holder.
+claim stands, and sent at once or not at all. A claim holds only if no order was written down since the new holder saw
+the last one; that holder gives no order before a lease and the platform's bound on turns have passed behind it. Each
+order carries the revision of the claim, which rises from holder to holder.
 """
 
 from __future__ import annotations
@@ -15,7 +16,7 @@
 from twisted.internet import defer
 
 from beamhatch.clock import sleep
-from beamhatch.relay.api import Claimed, StoreLost
+from beamhatch.relay.api import Claimed, LeadershipNews, StoreLost
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -23,22 +24,51 @@
     from beamhatch.relay.api import Store
     from beamhatch.relay.core import Core
 
-LEASE_TIME = 4.0
-KEEP_INTERVAL = 1.3
+LEASE_TIME = 3.0
+KEEP_INTERVAL = 0.8
+KEEP_TIMEOUT = 0.7
+"""Seconds after which a renewal without an answer is made again."""
+
 LOOK_INTERVAL = 6.0
-"""Seconds between two looks of a VM that holds nothing."""
+"""Seconds between two looks of a VM that holds nothing and is no candidate, times how many go before it."""
+
+WATCH_WAIT = 20.0
+LOST_PAUSE = 1.0
+"""Seconds behind a call that the store did not answer."""
+
+TURN_PAUSE = 0.15
+"""Seconds by which each candidate lets those before it go first."""
 
 ORDER_TIME = 1.0
 """Seconds of the lease that have to be left for an order."""
 
 HANDOVER_MARGIN = 0.5
 CANDIDATES = 3
-"""VMs that look about as often as the first by rank; the others look the less often the more go before them.
+"""VMs that watch the lease, so that one takes over at once; the others look the less often the more go before them.
 
-So the looks of a fleet grow with the logarithm of its size, and somebody takes over also where the first ones are gone.
+So the calls of a fleet grow with the logarithm of its size, and somebody takes over also where the first ones are gone.
 """
 
 
+@dataclass(slots=True)
+class LastOrder:
+    """What this VM has seen of the orders that were written down."""
+
+    revision: int = -1
+    seen_at: float = -1e9
+    """When this VM first saw it, so it is no younger."""
+
+    def take(self, revision: int, now: float) -> None:
+        """Take in the revision of the last order, 0 where none was ever given."""
+        if revision != self.revision:
+            self.revision = revision
+            self.seen_at = now if revision else -1e9
+
+    def find_turn(self, turn_time: float) -> float:
+        """Return when another VM may give orders, if it claimed the lease with nothing written down behind this."""
+        return self.seen_at + LEASE_TIME + turn_time + HANDOVER_MARGIN
+
+
 @dataclass(slots=True)
 class Tenure:
     """What this VM believes of its own lease."""
@@ -49,11 +79,11 @@
     _valid_until: float = -1e9
     _acts_from: float = 1e18
 
-    def begin(self, token: int, sent_at: float, now: float) -> None:
+    def begin(self, token: int, sent_at: float, last_order: LastOrder) -> None:
         """Take in that the lease was claimed, by a call that was sent at some time."""
         self.token = token
         self._valid_until = sent_at + LEASE_TIME
-        self._acts_from = now + LEASE_TIME + self.turn_time + HANDOVER_MARGIN
+        self._acts_from = last_order.find_turn(self.turn_time)
 
     def renew(self, sent_at: float) -> None:
         """Take in that the lease was renewed."""
@@ -83,6 +113,7 @@
         self._store = store
         self._vm = vm
         self._find_rank = find_rank
+        self._last_order = LastOrder()
         self._running: defer.Deferred[None] | None = None
 
     def start(self) -> None:
@@ -115,22 +146,37 @@
     async def _run(self) -> None:
         await sleep(self.core.clock, random.uniform(1.0, 3.0) * (1 + self._find_rank() / CANDIDATES))
         while True:
-            await self._stand()
-            pause = LOOK_INTERVAL * (1 + self._find_rank() / CANDIDATES)
-            await sleep(self.core.clock, pause * random.uniform(0.7, 1.3))
+            seen = await self._store.read_leadership()
+            if isinstance(seen, StoreLost):
+                await sleep(self.core.clock, LOST_PAUSE * random.uniform(0.7, 1.3))
+                continue
+            self._last_order.take(seen.last_order, self.core.clock.now())
+            if not seen.taken:
+                await self._stand(seen)
+            await self._await_change(seen)
+
+    async def _await_change(self, seen: LeadershipNews) -> None:
+        """Wait until it is worth looking again."""
+        rank = self._find_rank()
+        if rank >= CANDIDATES:
+            await sleep(self.core.clock, LOOK_INTERVAL * rank * random.uniform(0.7, 1.3))
+            return
+        news = await self._store.watch_leadership(seen.at, WATCH_WAIT)
+        pause = LOST_PAUSE if isinstance(news, StoreLost) else TURN_PAUSE * rank
+        await sleep(self.core.clock, pause * random.uniform(0.7, 1.3))
 
-    async def _stand(self) -> None:
+    async def _stand(self, seen: LeadershipNews) -> None:
         sent_at = self.core.clock.now()
-        claim = await self._store.claim_leadership(self._vm, LEASE_TIME)
+        claim = await self._store.claim_leadership(self._vm, LEASE_TIME, seen)
         if not isinstance(claim, Claimed):
             return
         self.claim = claim
-        self.tenure.begin(claim.revision, sent_at, self.core.clock.now())
-        self.core.journal.write("LEADER", "claimed", token=claim.revision)
+        self.tenure.begin(claim.revision, sent_at, self._last_order)
+        self.core.journal.write("LEADER", "claimed", token=claim.revision, last_order=seen.last_order)
         while self.tenure.holds(self.core.clock.now()):
             await sleep(self.core.clock, KEEP_INTERVAL)
             sent_at = self.core.clock.now()
-            kept = await self._store.keep_leadership(claim)
+            kept = await self._store.keep_leadership(claim, KEEP_TIMEOUT)
             if kept is True:
                 self.tenure.renew(sent_at)
             elif not isinstance(kept, StoreLost):
--- a/src/beamhatch/relay/listing.py
+++ b/src/beamhatch/relay/listing.py
@@ -21,6 +21,12 @@
 an entry went (``drain_timeout_ms``, 2 s and more).
 """
 
+RETURN_TIME = 3.0
+"""Seconds for which an upstream whose entry went without notice is expected back.
+
+It had been silent for some seconds before its entry went; one that crashed or was cut off is mostly back by then.
+"""
+
 TOMBSTONE_LIFE = 120.0
 
 
@@ -111,6 +117,20 @@
             self._listed[service] = listed
         return listed or going
 
+    def list_lasting(self, service: ServiceName, now: float) -> list[Upstream]:
+        """Return the upstreams of a service that are there for some time.
+
+        Those that are leaving are not; those whose entries went without notice are for a while, as most come back.
+        """
+        return [
+            known.last
+            for known in self._known.values()
+            if known.last is not None
+            and known.last.service == service
+            and not known.drained
+            and (known.entry.upstream is not None or now - known.changed_at < RETURN_TIME)
+        ]
+
     def find(self, upstream: UpstreamId) -> Upstream | None:
         """Return an upstream that is listed."""
         known = self._known.get(upstream)
--- /dev/null
+++ b/src/beamhatch/relay/membership.py
@@ -0,0 +1,155 @@
+"""Which VMs there are: who is thought to be alive, whom this VM keeps a connection to, and who reads from the store.
+
+Members tell each other whom they know, and how long ago each was last heard of. A few members of each hall, the same by
+every member's reckoning, watch the store; the others keep a connection to them, and learn from them. So what a VM costs
+the store and its peers does not grow with the fleet.
+"""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass, field
+
+import msgspec
+
+from beamhatch.relay.model import hash_fraction
+
+WATCHERS = 2
+"""Members of each hall that watch the store."""
+
+OTHERS = 2
+"""Members beside the watchers of its own hall that a VM keeps a connection to, in other halls where there are any."""
+
+FORGET_AFTER = 60.0
+"""Seconds without a sign after which a VM is no longer counted."""
+
+FIRST_REDIAL_PAUSE = 2.0
+LONGEST_REDIAL_PAUSE = 16.0
+"""Seconds for which an address that did not answer is not dialled again."""
+
+
+class Member(msgspec.Struct, frozen=True, array_like=True):
+    """One VM, as the VMs tell each other of it."""
+
+    address: str
+    """Where it listens for peers, ``HOST:PORT``."""
+    hall: str
+    strength: float = 0.0
+    """Mbit/s of its link: the stronger members watch for the others."""
+
+
+class Mention(msgspec.Struct, frozen=True, array_like=True):
+    """A VM that another one knows of."""
+
+    member: Member
+    age: float
+    """Seconds since somebody last heard from it."""
+
+
+@dataclass(slots=True)
+class _Unreached:
+    until: float
+    """When it may be dialled again."""
+    pause: float
+
+
+@dataclass(slots=True)
+class Membership:
+    """The VMs that one VM knows of."""
+
+    own: Member
+    seeds: list[str] = field(default_factory=list)
+    """Addresses from the settings; they may be out of date."""
+    _members: dict[str, Member] = field(default_factory=dict)
+    _heard_at: dict[str, float] = field(default_factory=dict)
+    _unreached: dict[str, _Unreached] = field(default_factory=dict)
+    """Addresses that did not answer when they were last dialled."""
+
+    @property
+    def size(self) -> int:
+        """Return how many VMs there are, this one among them."""
+        return 1 + len(self._members)
+
+    def take(self, member: Member, age: float, now: float) -> None:
+        """Take in that a VM was alive some seconds ago."""
+        if member.address == self.own.address or age > FORGET_AFTER:
+            return
+        self._members[member.address] = member
+        self._heard_at[member.address] = max(now - age, self._heard_at.get(member.address, 0.0))
+
+    def note_reached(self, address: str) -> None:
+        """Note that an address answered."""
+        self._unreached.pop(address, None)
+
+    def note_unreached(self, address: str, now: float) -> None:
+        """Note that an address did not answer: it is taken as dead until it does."""
+        known = self._unreached.get(address)
+        pause = FIRST_REDIAL_PAUSE if known is None else min(LONGEST_REDIAL_PAUSE, 2 * known.pause)
+        self._unreached[address] = _Unreached(now + pause * random.uniform(0.7, 1.3), pause)
+
+    def forget_old(self, now: float) -> None:
+        """Drop VMs that nobody has heard from for long."""
+        for address in [address for address, heard in self._heard_at.items() if now - heard > FORGET_AFTER]:
+            del self._heard_at[address]
+            del self._members[address]
+        known = {*self._members, *self.seeds}
+        self._unreached = {address: one for address, one in self._unreached.items() if address in known}
+
+    def list_mentions(self, most: int, now: float) -> list[Mention]:
+        """Return some of the VMs that this one knows of, drawn at random where there are many."""
+        addresses = list(self._members)
+        if len(addresses) > most:
+            addresses = random.sample(addresses, most)
+        return [Mention(self._members[one], round(max(0.0, now - self._heard_at[one]), 1)) for one in addresses]
+
+    # --- duties ------------------------------------------------------------------------------------------------------
+
+    def is_watcher(self) -> bool:
+        """Tell whether this VM is one of those that watch the store for its hall."""
+        ahead = [one for one in self._members.values() if one.hall == self.own.hall and self._goes_ahead(one)]
+        return len(ahead) < WATCHERS
+
+    def count_ahead(self) -> int:
+        """Return how many VMs go before this one where only some are to do a thing."""
+        return sum(self._goes_ahead(one) for one in self._members.values())
+
+    def _goes_ahead(self, member: Member) -> bool:
+        return member.address not in self._unreached and _rank(member) < _rank(self.own)
+
+    # --- connections -------------------------------------------------------------------------------------------------
+
+    def list_targets(self, now: float) -> list[str]:
+        """Return the addresses to which this VM keeps connections, the most important first."""
+        here = [one for one in self._members.values() if one.hall == self.own.hall]
+        alive = [one for one in here if one.address not in self._unreached]
+        targets = [one.address for one in sorted(alive, key=_rank)[:WATCHERS]]
+        elsewhere = [one for one in self._members.values() if one.hall != self.own.hall]
+        others = [one.address for one in elsewhere or here if one.address not in targets]
+        free = [address for address in others if self._may_dial(address, now)]
+        targets += sorted(free, key=lambda address: hash_fraction(f"{self.own.address}/{address}"))[:OTHERS]
+        return targets + self._list_strange_seeds(now)
+
+    def list_retries(self, now: float) -> list[str]:
+        """Return members of the own hall that did not answer, and may be dialled again."""
+        return [
+            address
+            for address, one in self._unreached.items()
+            if now >= one.until and address in self._members and self._members[address].hall == self.own.hall
+        ]
+
+    def _list_strange_seeds(self, now: float) -> list[str]:
+        """Return addresses of the settings that are no known member's: this VM may be one of several islands."""
+        return [
+            seed
+            for seed in self.seeds
+            if seed != self.own.address and seed not in self._members and self._may_dial(seed, now)
+        ]
+
+    def _may_dial(self, address: str, now: float) -> bool:
+        unreached = self._unreached.get(address)
+        return unreached is None or now >= unreached.until
+
+
+def _rank(member: Member) -> tuple[float, float, str]:
+    """Return what members are ordered by, the same on every VM."""
+    return -member.strength, hash_fraction(member.address), member.address
--- a/src/beamhatch/relay/watching.py
+++ b/src/beamhatch/relay/watching.py
@@ -12,12 +12,18 @@
 from beamhatch.relay.api import ConfigurationNews, HistoryGone, ListingNews, StoreLost
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from beamhatch.relay.api import Store
     from beamhatch.relay.core import Core
 
 WATCH_WAIT = 20.0
 """Seconds for which a watch waits; peers tell of changes that a dead watch misses."""
 
+DUTY_INTERVAL = 0.25
+"""Seconds between two looks of a VM that does not watch, whether it has to."""
+
+START_INTERVAL = 0.02
 FIRST_PAUSE = 0.15
 LONGEST_PAUSE = 1.0
 
@@ -26,10 +32,19 @@
     """Keeps one thing; ``name`` stands in the log."""
 
     name = ""
+    settle_time = 0.0
+    """Seconds behind news before the next watch: what changes meanwhile comes with one call."""
+
+    def __init__(self, core: Core, store: Store, is_due: Callable[[], bool], patience: float) -> None:
+        """Make one.
 
-    def __init__(self, core: Core, store: Store) -> None:
+        :param is_due: tells whether this VM is to watch the store, or learns from its peers
+        :param patience: seconds for which the peers are waited for at the start
+        """
         self.core = core
         self.store = store
+        self._is_due = is_due
+        self._patience = patience
         self._running: defer.Deferred[None] | None = None
         self._connected = True
         self._pause = FIRST_PAUSE
@@ -45,6 +60,10 @@
         if running is not None:
             running.cancel()
 
+    @abstractmethod
+    def is_known(self) -> bool:
+        """Tell whether this VM has the thing from anybody."""
+
     @abstractmethod
     async def read(self) -> int | StoreLost:
         """Take in all of it; return the revision as of which it was read."""
@@ -54,7 +73,11 @@
         """Take in what changed behind a revision; return up to which one."""
 
     async def _run(self) -> None:
+        await self._await_peers()
         while True:
+            if self.is_known() and not self._is_due():
+                await sleep(self.core.clock, DUTY_INTERVAL * random.uniform(0.7, 1.3))
+                continue
             at = await self.read()
             if isinstance(at, StoreLost):
                 await self._wait_again(at)
@@ -62,8 +85,14 @@
             self._note_connected(at)
             await self._follow(at)
 
+    async def _await_peers(self) -> None:
+        """Give the peers a moment to tell what they have."""
+        end = self.core.clock.now() + self._patience
+        while not self.is_known() and self.core.clock.now() < end:
+            await sleep(self.core.clock, START_INTERVAL)
+
     async def _follow(self, at: int) -> None:
-        while True:
+        while self._is_due():
             news = await self.watch(at)
             if isinstance(news, HistoryGone):
                 self.core.journal.write("STORE", "history gone", watch=self.name, after=at)
@@ -72,6 +101,8 @@
                 await self._wait_again(news)
                 continue
             self._note_connected(news)
+            if news > at:
+                await sleep(self.core.clock, self.settle_time)
             at = news
 
     async def _wait_again(self, lost: StoreLost) -> None:
@@ -99,6 +130,10 @@
 
     name = "configuration"
 
+    def is_known(self) -> bool:
+        """Tell whether there is a configuration."""
+        return self.core.table is not None
+
     async def read(self) -> int | StoreLost:
         """Read the configuration."""
         return self._take(await self.store.read_configuration())
@@ -120,6 +155,11 @@
     """Keeps the list of upstreams."""
 
     name = "listing"
+    settle_time = 0.2
+
+    def is_known(self) -> bool:
+        """Tell whether there is a whole list."""
+        return self.core.listing.complete
 
     async def read(self) -> int | StoreLost:
         """Read the list."""
--- a/tests/platform/test_orders.py
+++ b/tests/platform/test_orders.py
@@ -84,3 +84,51 @@
         del platform.vms[leader]
         platform.network.run(1.0)
         assert not find_leaders(platform)
+
+
+def count_misspent(platform: Platform) -> int:
+    """Return the prompts that were read more than once, or for a stream that never ran."""
+    prefilled, runs = platform.ledger.prefilled, platform.ledger.runs
+    return sum(count - min(1, runs[request]) for request, count in prefilled.items())
+
+
+def test_an_engine_that_is_changing_its_part_gets_nothing_new_from_any_vm() -> None:
+    platform = make_platform(prefill=2, decode=3)
+    for number in range(2, 7):
+        platform.add_vm(f"vm{number}", ["vm1:8002"])
+    platform.network.run_until(lambda: all(platform.is_ready(vm) for vm in platform.vms))
+    platform.network.run_until(lambda: find_leaders(platform), 30.0)
+    platform.network.run(12.0)
+    # Prompts press on the prefill engines so much that one of the decode engines has to read as well.
+    for engine in platform.upstreams.values():
+        if isinstance(engine, StandInEngine):
+            engine.read_rate = 1e6
+            engine.step = 0.005
+    asked: list[int] = []
+
+    def ask() -> None:
+        number = len(asked)
+        asked.append(number)
+        headers = {"Token-Count": "11000,10"}
+        platform.call("/stream/x", f"p{number}", vm=f"vm{1 + number % 6}", headers=headers)
+
+    def is_changing() -> bool:
+        ask()
+        platform.network.run(0.08)
+        return any(isinstance(one, StandInEngine) and one.ordered for one in platform.upstreams.values())
+
+    while not is_changing():
+        assert len(asked) < 1000
+    platform.network.run(0.3)
+    before = len(list_turned_away(platform))
+    for _ in range(30):
+        ask()
+        platform.network.run(0.08)
+    assert len(list_turned_away(platform)) == before
+    assert not count_misspent(platform)
+
+
+def list_turned_away(platform: Platform) -> list[str]:
+    """Return the requests that engines turned away, as all VMs' logs have them."""
+    lines = [line for journal in platform.journals.values() for line in journal.lines]
+    return [line["request"] for line in lines if line["event"] == "turned away"]
--- /dev/null
+++ b/tests/relay/test_membership.py
@@ -0,0 +1,119 @@
+"""Who watches the store, and who keeps a connection to whom."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from beamhatch.relay.membership import FORGET_AFTER, OTHERS, WATCHERS, Member, Membership
+
+HALLS = ["a", "b", "c"]
+
+
+def make_fleet(size: int, strength: float = 0.0) -> list[Member]:
+    return [Member(f"10.0.{number}:1", HALLS[number % 3], strength) for number in range(size)]
+
+
+def join(own: Member, fleet: list[Member], now: float = 0.0) -> Membership:
+    membership = Membership(own)
+    for member in fleet:
+        membership.take(member, 0.0, now)
+    return membership
+
+
+def test_members_agree_on_a_few_watchers_in_each_hall() -> None:
+    fleet = make_fleet(60)
+    watchers = [one for one in fleet if join(one, fleet).is_watcher()]
+    assert len(watchers) == WATCHERS * len(HALLS)
+    assert {one.hall for one in watchers} == set(HALLS)
+
+
+def test_the_stronger_members_watch() -> None:
+    fleet = make_fleet(30)
+    strong = [Member(f"10.1.{number}:1", "a", 200.0) for number in range(WATCHERS)]
+    assert all(join(one, [*fleet, *strong]).is_watcher() for one in strong)
+    assert not any(join(one, [*fleet, *strong]).is_watcher() for one in fleet if one.hall == "a")
+
+
+def test_a_vm_that_knows_nobody_watches() -> None:
+    assert Membership(Member("x:1", "a")).is_watcher()
+
+
+def test_the_next_one_watches_while_a_watcher_does_not_answer() -> None:
+    fleet = make_fleet(30)
+    watchers = [one for one in fleet if one.hall == "a" and join(one, fleet).is_watcher()]
+    others = [one for one in fleet if one.hall == "a" and one not in watchers]
+    memberships = [join(one, fleet) for one in others]
+    for membership in memberships:
+        membership.note_unreached(watchers[0].address, 0.0)
+    assert sum(membership.is_watcher() for membership in memberships) == 1
+    for membership in memberships:
+        membership.note_reached(watchers[0].address)
+    assert not any(membership.is_watcher() for membership in memberships)
+
+
+@pytest.mark.parametrize("size", [2, 9, 90, 600])
+def test_a_vm_keeps_few_connections_and_all_are_joined(size: int) -> None:
+    fleet = make_fleet(size)
+    targets = {one.address: join(one, fleet).list_targets(0.0) for one in fleet}
+    assert max(len(found) for found in targets.values()) <= WATCHERS + OTHERS
+    joined = {fleet[0].address}
+    while True:
+        more = {far for near in joined for far in targets[near]} | {
+            near for near, found in targets.items() if joined.intersection(found)
+        }
+        if more <= joined:
+            break
+        joined |= more
+    assert len(joined) == size
+
+
+def test_halls_stay_joined_without_the_others() -> None:
+    fleet = [one for one in make_fleet(90) if one.hall == "a"]
+    for one in fleet:
+        membership = join(one, make_fleet(90))
+        for far in make_fleet(90):
+            if far.hall != "a":
+                membership.note_unreached(far.address, 0.0)
+        targets = membership.list_targets(0.1)
+        assert targets
+        assert all(address in {near.address for near in fleet} for address in targets)
+
+
+def test_an_address_that_does_not_answer_is_dialled_the_more_rarely() -> None:
+    random.seed(1)
+    membership = join(Member("x:1", "a"), [Member("y:1", "a")])
+    now, dials = 0.0, 0
+    while now < 60.0:
+        if membership.list_retries(now) or "y:1" in membership.list_targets(now):
+            dials += 1
+            membership.note_unreached("y:1", now)
+        now += 0.5
+        membership.take(Member("y:1", "a"), 0.0, now)
+    assert 4 <= dials <= 9
+
+
+def test_a_vm_is_forgotten_though_others_go_on_to_mention_it() -> None:
+    fleet = make_fleet(6)
+    memberships = [join(one, fleet) for one in fleet[1:]]
+    now = 0.0
+    while now < FORGET_AFTER + 5:
+        now += 5.0
+        for near in memberships:
+            near.forget_old(now)
+            for far in memberships:
+                far.take(near.own, 0.0, now)
+                for mention in near.list_mentions(64, now):
+                    far.take(mention.member, mention.age, now)
+    assert all(membership.size == 5 for membership in memberships)
+
+
+def test_seeds_are_dialled_until_they_are_known_members() -> None:
+    membership = Membership(Member("x:1", "a"), ["x:1", "s:1", "t:1"])
+    assert membership.list_targets(0.0) == ["s:1", "t:1"]
+    membership.take(Member("s:1", "b"), 0.0, 0.0)
+    assert membership.list_targets(0.0) == ["s:1", "t:1"]
+    membership.note_unreached("t:1", 0.0)
+    assert membership.list_targets(0.1) == ["s:1"]
+    assert "t:1" in membership.list_targets(30.0)
