Balance many engines at once, let callers that return wait, and go on polling a line whose first leaves

Changes may be uncertain (unanswered, or recalled from the store by a VM that starts): such an engine is counted with its new part and used until it turns a request away. Engines go towards the best split, up to 15 % at once, as far as those that stay bear the load; a gain of 8 % is enough, and a third of use. Engines that went without notice are counted for 5 s; only one that says that it leaves ends the pause. Callers with clearly less time than others of their route wait behind the others, for 3 s at the most, and take no room in line from them. The line is polled as long as anybody waits.

--- a/src/beamhatch/platform/standin/upstream.py
+++ b/src/beamhatch/platform/standin/upstream.py
@@ -218,6 +218,9 @@
         """Events after which streams break inside the next one."""
         self.on_phase: Callable[[], None] = lambda: None
         """Called when an ordered change of its part is done."""
+        self.loses_order = False
+        """It leaves the next order unanswered; ``take_lost_order`` carries it out late."""
+        self._lost_order: str | None = None
         self.ordered: str | None = None
         """The part that it is to play once its runs have ended; until then it turns new requests away."""
         self._number = 0
@@ -247,7 +250,17 @@
             answer_json(responder, 404, {})
         return None
 
+    def take_lost_order(self) -> None:
+        """Carry the order out that was left unanswered."""
+        assert self._lost_order is not None
+        self.ordered, self._lost_order = self._lost_order, None
+        self._await_idle()
+
     def _take_order(self, phase: str, responder: Responder) -> None:
+        if self.loses_order:
+            self.loses_order = False
+            self._lost_order = phase
+            return
         if self.ordered is not None:
             answer_json(responder, 409, {})
             return
--- a/src/beamhatch/platform/store.py
+++ b/src/beamhatch/platform/store.py
@@ -128,8 +128,11 @@
         page = _decode(await self._get("kv-range", {"path_prefix": OWN}), _Range)
         if isinstance(page, StoreLost):
             return page
-        revisions = {item.tls_key: item.revision for item in page.items}
-        return LeadershipNews(LEADER in revisions, revisions.get(LAST_ORDER, 0), page.at)
+        items = {item.tls_key: item for item in page.items}
+        order = items.get(LAST_ORDER)
+        if order is None:
+            return LeadershipNews(LEADER in items, 0, page.at)
+        return LeadershipNews(LEADER in items, order.revision, page.at, (order.raw or b"").decode())
 
     async def watch_leadership(self, after: int, wait: float) -> bool | StoreLost:
         """Return True as soon as something changed behind a revision."""
--- a/src/beamhatch/relay/api.py
+++ b/src/beamhatch/relay/api.py
@@ -142,6 +142,8 @@
     last_order: int
     """The revision at which the last order was written down; 0 where none ever was."""
     at: int
+    order: str = ""
+    """The last order, as it was written down."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/beamhatch/relay/attempt.py
+++ b/src/beamhatch/relay/attempt.py
@@ -151,6 +151,8 @@
             detail=bytes(self.body[:120]).decode("latin-1"),
         )
         self.core.tally.count("turned_away_total", str(self.head.status))
+        if self.head.status != MISDIRECTED:
+            self.core.note_turned_away(self.send.upstream.id)
         self.request.note_not_run(self.send)
         self.note_turned_away(now)
         self.exchange.go_on_elsewhere(self)
--- a/src/beamhatch/relay/balancing.py
+++ b/src/beamhatch/relay/balancing.py
@@ -1,7 +1,7 @@
 """Decide when an engine changes its part between prefill and decode.
 
-A change takes an engine away for seconds, so it is made only on lasting evidence, one at a time, and never takes the
-last engine of a part.
+A change takes an engine away for seconds, so it is made only where it gains much, for few engines at a time, and never
+takes the last engine of a part.
 """
 
 from __future__ import annotations
@@ -21,12 +21,21 @@
 LEAST_WAIT_RATE = 0.8
 """Requests a second, over all VMs, that find decode memory full and so show that a part is short."""
 
-HIGH_USE = 0.6
+HIGH_USE = 0.35
 """Use of the busier part from which on a change is made before anybody has to wait."""
 
-WORTHWHILE = 0.85
+WORTHWHILE = 0.92
 """Share of today's use of the busier part that a change has to bring it under."""
 
+PREFILL_SHARE = 0.9
+"""Share of a prefill engine's time that is counted on: above it prompts wait long behind each other."""
+
+MOST_AT_ONCE = 0.15
+"""Share of a service's engines that change at once."""
+
+BEARABLE_USE = 0.7
+"""Use of the engines that stay while more than one changes."""
+
 PAUSE = 9.0
 """Seconds between two changes: the first has to show before there is evidence for another."""
 
@@ -51,10 +60,10 @@
     phase: Phase
 
 
-def choose_change(
+def choose_changes(
     engines: Sequence[Upstream], pressure: Pressure, kv_tokens: int, movable: Collection[UpstreamId]
-) -> PhaseChange | None:
-    """Return the change that is due, or None.
+) -> list[PhaseChange]:
+    """Return the changes that are due, all in one direction.
 
     :param engines: all that are there, those that are changing with the part that they will play
     :param kv_tokens: the memory of one engine
@@ -64,29 +73,66 @@
     decodes = [one for one in engines if one.phase is Phase.DECODE]
     today = predict_use(len(prefills), len(decodes), pressure, kv_tokens)
     if len(engines) < 2 or (pressure.wait_rate < LEAST_WAIT_RATE and today < HIGH_USE):
-        return None
-    movable_prefills = [one for one in prefills if one.id in movable]
-    movable_decodes = [one for one in decodes if one.id in movable]
-    to_decode = predict_use(len(prefills) - 1, len(decodes) + 1, pressure, kv_tokens)
-    if movable_prefills and to_decode < WORTHWHILE * today:
-        return PhaseChange(_choose_from(movable_prefills, decodes), Phase.DECODE)
-    to_prefill = predict_use(len(prefills) + 1, len(decodes) - 1, pressure, kv_tokens)
-    if movable_decodes and to_prefill < WORTHWHILE * today:
-        return PhaseChange(_choose_from(movable_decodes, prefills), Phase.PREFILL)
-    return None
+        return []
+    wanted = find_best_split(len(engines), pressure, kv_tokens)
+    if predict_use(wanted, len(engines) - wanted, pressure, kv_tokens) >= WORTHWHILE * today:
+        return []
+    most = min(abs(len(prefills) - wanted), max(1, int(MOST_AT_ONCE * len(engines))))
+    if wanted < len(prefills):
+        staying = [predict_reading(len(prefills) - away, pressure) for away in range(1, most + 1)]
+        return _choose_from(prefills, decodes, movable, _count_bearable(staying), Phase.DECODE)
+    staying = [predict_holding(len(decodes) - away, pressure, kv_tokens) for away in range(1, most + 1)]
+    return _choose_from(decodes, prefills, movable, _count_bearable(staying), Phase.PREFILL)
 
 
 def predict_use(prefills: int, decodes: int, pressure: Pressure, kv_tokens: int) -> float:
     """Return the use of the busier part: 1 is all that it can do."""
-    if prefills < 1 or decodes < 1:
+    return max(predict_reading(prefills, pressure), predict_holding(decodes, pressure, kv_tokens))
+
+
+def predict_reading(prefills: int, pressure: Pressure) -> float:
+    """Return the use of some prefill engines' time."""
+    if prefills < 1:
+        return float("inf")
+    return pressure.prompt_rate / (PREFILL_RATE * PREFILL_SHARE * prefills)
+
+
+def predict_holding(decodes: int, pressure: Pressure, kv_tokens: int) -> float:
+    """Return the use of some decode engines' memory."""
+    if decodes < 1:
         return float("inf")
-    reading = pressure.prompt_rate / (PREFILL_RATE * prefills)
-    holding = pressure.prompt_rate * pressure.memory_seconds / (kv_tokens * decodes)
-    return max(reading, holding)
+    return pressure.prompt_rate * pressure.memory_seconds / (kv_tokens * decodes)
+
+
+def find_best_split(engines: int, pressure: Pressure, kv_tokens: int) -> int:
+    """Return how many of some engines should be prefill engines, so that the busier part is used least."""
+    reading = 1 / (PREFILL_RATE * PREFILL_SHARE)
+    holding = pressure.memory_seconds / kv_tokens
+    even = int(engines * reading / (reading + holding))
+    candidates = [min(max(1, count), engines - 1) for count in (even, even + 1)]
+    return min(candidates, key=lambda count: predict_use(count, engines - count, pressure, kv_tokens))
+
+
+def _count_bearable(staying: Sequence[float]) -> int:
+    """Return how many engines may be away at once, at least one.
+
+    :param staying: the use of those that stay while one is away, two are, and so on
+    """
+    return max(1, sum(use <= BEARABLE_USE for use in staying))
 
 
-def _choose_from(engines: Sequence[Upstream], others: Sequence[Upstream]) -> Upstream:
-    """Return an engine of a hall that keeps one of its part, and has few of the other."""
+def _choose_from(
+    engines: Sequence[Upstream], others: Sequence[Upstream], movable: Collection[UpstreamId], count: int, phase: Phase
+) -> list[PhaseChange]:
+    """Return changes of engines in halls that keep one of their part, and have few of the other."""
     here = Counter(one.hall for one in engines)
     there = Counter(one.hall for one in others)
-    return min(engines, key=lambda one: (there[one.hall] - here[one.hall], one.id))
+    free = [one for one in engines if one.id in movable]
+    changes: list[PhaseChange] = []
+    while free and len(changes) < count:
+        chosen = min(free, key=lambda one: (there[one.hall] - here[one.hall], one.id))
+        free.remove(chosen)
+        here[chosen.hall] -= 1
+        there[chosen.hall] += 1
+        changes.append(PhaseChange(chosen, phase))
+    return changes
--- a/src/beamhatch/relay/core.py
+++ b/src/beamhatch/relay/core.py
@@ -9,13 +9,14 @@
 
 from beamhatch.relay.api import BadRequest
 from beamhatch.relay.budget import Budget, BudgetTerms
-from beamhatch.relay.changing import Changes
+from beamhatch.relay.changing import ChangeNews, Changes
 from beamhatch.relay.demand import Demand
 from beamhatch.relay.exchange import RelayExchange
 from beamhatch.relay.gossip_message import DemandReport
 from beamhatch.relay.line import Line
 from beamhatch.relay.listing import Listing
 from beamhatch.relay.model import CallerLimits
+from beamhatch.relay.request import LONGEST_WAIT
 from beamhatch.relay.standing import Standings
 
 if TYPE_CHECKING:
@@ -29,7 +30,7 @@
     from beamhatch.relay.http_client import HttpClient
     from beamhatch.relay.http_server import IncomingRequest, RequestHandler, Responder
     from beamhatch.relay.listing import Entry
-    from beamhatch.relay.model import Phase, Service, ServiceName, Table, Upstream, UpstreamId
+    from beamhatch.relay.model import Route, Service, ServiceName, Table, Upstream, UpstreamId
 
 POLL_INTERVAL = 0.04
 """Seconds between two times that the first in line asks for decode memory."""
@@ -37,6 +38,9 @@
 FREED_DELAY = 0.003
 """Seconds in which an engine gives memory back when a stream has ended."""
 
+RETURN_SHARE = 0.9
+"""Share of the longest time that callers of a route begin with, below which one is taken to ask again."""
+
 UNREADY_RETRY = 1.0
 """Seconds after which a caller may come back to a VM that knows no configuration yet."""
 
@@ -76,6 +80,8 @@
     _lines: dict[ServiceName, Line[RelayExchange]] = field(default_factory=dict)
     _demands: dict[ServiceName, Demand] = field(default_factory=dict)
     _polling: set[ServiceName] = field(default_factory=set)
+    _patience: dict[str, float] = field(default_factory=dict)
+    """The longest that a caller of each route would wait, in seconds."""
 
     @property
     def table(self) -> Table | None:
@@ -130,13 +136,21 @@
         now = self.clock.now()
         return self.changes.pass_over(self.listing.list_usable(service, now), now)
 
-    def take_change(self, upstream: UpstreamId, phase: Phase, seconds: float, source: str) -> None:
-        """Take in that an engine was ordered to play another part, for some seconds until that is done."""
+    def take_change(self, upstream: UpstreamId, news: ChangeNews, source: str) -> None:
+        """Take in that an engine was ordered to play another part."""
         found = self.listing.find(upstream)
-        if found is None or found.phase is phase:
+        if found is None or found.phase is news.phase:
             return
-        if self.changes.note(upstream, phase, seconds, self.clock.now()):
-            self.journal.write("LISTING", "changing", upstream=upstream, phase=phase.value, source=source)
+        if self.changes.take(upstream, news, self.clock.now()):
+            self.journal.write(
+                "LISTING", "changing", upstream=upstream, phase=news.phase.value, certain=news.certain, source=source
+            )
+            self.on_change()
+
+    def note_turned_away(self, upstream: UpstreamId) -> None:
+        """Take in that an engine turned a request away that it should have had room for."""
+        if self.changes.confirm(upstream, self.clock.now()):
+            self.journal.write("LISTING", "changing", upstream=upstream, certain=True, source="turned away")
             self.on_change()
 
     def find_budget(self, service: ServiceName) -> Budget:
@@ -181,9 +195,7 @@
         """Let a request wait; it is asked to go on when it is its turn."""
         service = exchange.request.service.name
         self.find_line(service).join(exchange, late_at, self.clock.now())
-        if service not in self._polling:
-            self._polling.add(service)
-            self.clock.call_later(POLL_INTERVAL * random.uniform(0.6, 1.4), self._poll, service)
+        self._poll_soon(service)
 
     def note_freed(self, service: ServiceName) -> None:
         """Note that one of this VM's streams gave its memory back: who waits has a chance now."""
@@ -195,9 +207,15 @@
 
     def _poll(self, service: ServiceName) -> None:
         self._polling.discard(service)
-        waiter = self.find_line(service).find_next(self.clock.now())
-        if waiter is not None:
+        for waiter in self.find_line(service).list_turns(self.clock.now(), LONGEST_WAIT):
             waiter.advance()
+        self._poll_soon(service)
+
+    def _poll_soon(self, service: ServiceName) -> None:
+        """Go on to poll as long as anybody waits, whoever leaves the line meanwhile."""
+        if len(self.find_line(service)) and service not in self._polling:
+            self._polling.add(service)
+            self.clock.call_later(POLL_INTERVAL * random.uniform(0.6, 1.4), self._poll, service)
 
     # --- callers -----------------------------------------------------------------------------------------------------
 
@@ -226,6 +244,13 @@
         exchange.start()
         return exchange
 
+    def is_return(self, route: Route, time_left: float | None) -> bool:
+        """Tell whether a caller seems to have asked before: others of its route began with clearly more time."""
+        if time_left is None:
+            return False
+        longest = self._patience[route.name] = max(time_left, self._patience.get(route.name, 0.0))
+        return time_left < RETURN_SHARE * longest
+
     def note_refused(self, status: int, detail: str) -> None:
         """Note a request that could not be read."""
         self.tally.count("requests_total", f"bad_{status}")
--- a/src/beamhatch/relay/exchange.py
+++ b/src/beamhatch/relay/exchange.py
@@ -67,6 +67,7 @@
         self._passed_on = strip_hop_by_hop(incoming.headers)
         self._attempt: Attempt | ReserveAttempt | None = None
         self._in_line = False
+        self._returns = core.is_return(route, facts.time_left)
         self._timer: Any = None
         self._failure: WholeAnswer | None = None
         self._ended = False
@@ -135,14 +136,16 @@
         line = self.core.find_line(self.request.service.name)
         if not self._in_line:
             self.core.find_demand(self.request.service.name).note_wait(now)
-        if not self._in_line and not self.request.begun and not line.has_room(in_time, now):
+        if not self._in_line and not self.request.begun and not self._returns and not line.has_room(in_time, now):
             self.write_log("line is full", waiting=len(line), freed_per_second=line.count_rate(now))
             self._carry_out(self.request.refuse_full())
             return
         if not self._in_line:
             self._in_line = True
+            self.request.note_waiting(now)
             self.write_log("waits", waiting=len(line), freed_per_second=line.count_rate(now))
-        self.core.wait_in_line(self, self._incoming.arrived + in_time)
+        late_at = now if self._returns else self._incoming.arrived + in_time
+        self.core.wait_in_line(self, late_at)
 
     def _reserve(self, step: Reserve) -> None:
         attempt = ReserveAttempt(self, step)
--- a/src/beamhatch/relay/gossip.py
+++ b/src/beamhatch/relay/gossip.py
@@ -31,7 +31,7 @@
     pack_document,
     unpack_document,
 )
-from beamhatch.relay.model import Phase, UpstreamId
+from beamhatch.relay.model import UpstreamId
 
 if TYPE_CHECKING:
     from twisted.python.failure import Failure
@@ -60,8 +60,6 @@
 LEAST_FAULTS = 0.2
 """Share of faults from which on peers are told of an upstream."""
 
-_PHASES = {phase.value for phase in Phase}
-
 
 class PeerConnection(Int32StringReceiver):
     """One connection to a peer, whoever dialled."""
@@ -328,9 +326,8 @@
             connection.tell(AskListing(own.revision))
 
     def _take_changes(self, connection: PeerConnection, message: Beat) -> None:
-        for upstream, (phase, seconds) in message.changing.items():
-            if phase in _PHASES:
-                self.core.take_change(UpstreamId(upstream), Phase(phase), seconds, f"peer {connection.vm}")
+        for upstream, news in message.changing.items():
+            self.core.take_change(UpstreamId(upstream), news, f"peer {connection.vm}")
 
     def _lacks(self, what: str, own: int, theirs: int) -> bool:
         """Tell whether to ask for something newer: at once, unless the store should tell it at any moment."""
@@ -355,5 +352,5 @@
         version = 0 if core.table is None else core.table.version
         revision = core.listing.newest if core.listing.complete else 0
         faulty = core.standings.list_faulty(LEAST_FAULTS, core.clock.now())
-        changing = core.changes.list_left(core.clock.now())
+        changing = core.changes.list_news(core.clock.now())
         return Beat(version, revision, core.report_demands(), faulty, changing)
--- a/src/beamhatch/relay/gossip_message.py
+++ b/src/beamhatch/relay/gossip_message.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from beamhatch.relay.changing import ChangeNews
 from beamhatch.relay.listing import Entry
 from beamhatch.relay.membership import Member, Mention
 
@@ -48,8 +49,8 @@
     """By service."""
     faulty: dict[str, float] = {}
     """Upstreams that failed the sender's requests of late, with the share that they failed."""
-    changing: dict[str, tuple[str, float]] = {}
-    """Engines that were ordered to play another part, with that part and the seconds that this may still take."""
+    changing: dict[str, ChangeNews] = {}
+    """Engines that were ordered to play another part."""
 
 
 class AskConfiguration(msgspec.Struct, tag="ask_configuration", frozen=True):
--- a/src/beamhatch/relay/leadership.py
+++ b/src/beamhatch/relay/leadership.py
@@ -32,6 +32,9 @@
 LOOK_INTERVAL = 6.0
 """Seconds between two looks of a VM that holds nothing and is no candidate, times how many go before it."""
 
+FIRST_LOOK = 0.4, 1.2
+"""Seconds from the start to the first look of a candidate, from and to."""
+
 WATCH_WAIT = 20.0
 LOST_PAUSE = 1.0
 """Seconds behind a call that the store did not answer."""
@@ -114,6 +117,8 @@
         self._vm = vm
         self._find_rank = find_rank
         self._last_order = LastOrder()
+        self.on_recall: Callable[[str], None] = lambda _: None
+        """Called at the start with the last order that any VM wrote down."""
         self._running: defer.Deferred[None] | None = None
 
     def start(self) -> None:
@@ -144,13 +149,17 @@
         return now - sent_at < ORDER_TIME / 2 and self.tenure.may_order(now)
 
     async def _run(self) -> None:
-        await sleep(self.core.clock, random.uniform(1.0, 3.0) * (1 + self._find_rank() / CANDIDATES))
+        await sleep(self.core.clock, random.uniform(*FIRST_LOOK) * (1 + self._find_rank() / CANDIDATES))
+        recalled = False
         while True:
             seen = await self._store.read_leadership()
             if isinstance(seen, StoreLost):
                 await sleep(self.core.clock, LOST_PAUSE * random.uniform(0.7, 1.3))
                 continue
             self._last_order.take(seen.last_order, self.core.clock.now())
+            if not recalled:
+                recalled = True
+                self.on_recall(seen.order)
             if not seen.taken:
                 await self._stand(seen)
             await self._await_change(seen)
--- a/src/beamhatch/relay/line.py
+++ b/src/beamhatch/relay/line.py
@@ -42,7 +42,8 @@
 
     def has_room(self, wait: float, now: float) -> bool:
         """Tell whether one more may wait, so that it should be served within some seconds."""
-        return len(self._places) < max(FEWEST_WAITING, self.count_rate(now) * wait)
+        fresh = sum(now < place.late_at for place in self._places)
+        return fresh < max(FEWEST_WAITING, self.count_rate(now) * wait)
 
     def count_rate(self, now: float) -> float:
         """Return the places that came free a second of late."""
@@ -63,8 +64,10 @@
         """Tell whether somebody waits who can still be in time."""
         return any(now < place.late_at for place in self._places)
 
-    def find_next(self, now: float) -> Waiter | None:
-        """Return who goes next."""
+    def list_turns(self, now: float, longest_wait: float) -> list[Waiter]:
+        """Return who goes next, and who has waited for long enough to be given an end."""
         if not self._places:
-            return None
-        return min(self._places, key=lambda place: (now >= place.late_at, place.joined_at)).waiter
+            return []
+        first = min(self._places, key=lambda place: (now >= place.late_at, place.joined_at))
+        ending = [place for place in self._places if place is not first and now - place.joined_at >= longest_wait]
+        return [place.waiter for place in [first, *ending]]
--- a/src/beamhatch/relay/listing.py
+++ b/src/beamhatch/relay/listing.py
@@ -21,7 +21,7 @@
 an entry went (``drain_timeout_ms``, 2 s and more).
 """
 
-RETURN_TIME = 3.0
+RETURN_TIME = 5.0
 """Seconds for which an upstream whose entry went without notice is expected back.
 
 It had been silent for some seconds before its entry went; one that crashed or was cut off is mostly back by then.
@@ -131,6 +131,11 @@
             and (known.entry.upstream is not None or now - known.changed_at < RETURN_TIME)
         ]
 
+    def count_left(self, service: ServiceName) -> int:
+        """Return how many upstreams of a service have said that they leave, as far as they are remembered."""
+        known = self._known.values()
+        return sum(one.drained and one.last is not None and one.last.service == service for one in known)
+
     def find(self, upstream: UpstreamId) -> Upstream | None:
         """Return an upstream that is listed."""
         known = self._known.get(upstream)
--- a/src/beamhatch/relay/ordering.py
+++ b/src/beamhatch/relay/ordering.py
@@ -6,20 +6,23 @@
 
 from twisted.internet import defer
 
-from beamhatch.relay.balancing import PAUSE, PhaseChange, Pressure, choose_change
-from beamhatch.relay.changing import LONGEST_CHANGE
+from beamhatch.relay.balancing import PAUSE, PhaseChange, Pressure, choose_changes
+from beamhatch.relay.changing import LONGEST_CHANGE, ChangeNews
 from beamhatch.relay.http_fetch import fetch
-from beamhatch.relay.model import Phase
+from beamhatch.relay.model import Phase, UpstreamId
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Sequence
 
     from beamhatch.relay.core import Core
     from beamhatch.relay.leadership import Leadership
-    from beamhatch.relay.model import Service, ServiceName, UpstreamId
+    from beamhatch.relay.model import Service, ServiceName
 
 LOOK_INTERVAL = 0.5
 ORDER_TIMEOUT = 0.8
+RECALLED_LIFE = 10.0
+"""Seconds for which an order from before the start of this VM is thought to be under way."""
+
 ACCEPTED = 202
 """The status of an engine that begins to change its part."""
 
@@ -35,13 +38,19 @@
         self._vm = vm
         self._find_pressure = find_pressure
         self._quiet_until = 0.0
-        self._engines: dict[ServiceName, int] = {}
-        """How many engines each service had at the last look."""
+        self._left: dict[ServiceName, int] = {}
+        """How many engines of each service had said that they leave at the last look."""
 
     def start(self) -> None:
         """Begin to look."""
+        self._leadership.on_recall = self._recall
         self.core.clock.call_later(LOOK_INTERVAL, self._look)
 
+    def _recall(self, order: str) -> None:
+        """Take in an order from before this VM started: its engine may still be changing."""
+        for upstream, phase in read_orders(order):
+            self.core.take_change(upstream, ChangeNews(phase, RECALLED_LIFE, certain=False), "store")
+
     def _look(self) -> None:
         self.core.clock.call_later(LOOK_INTERVAL, self._look)
         now = self.core.clock.now()
@@ -55,27 +64,34 @@
     def _look_at(self, service: Service, now: float) -> None:
         lasting = self.core.listing.list_lasting(service.name, now)
         engines = [one for one in self.core.changes.foresee(lasting, now) if one.phase is not Phase.PLAIN]
-        if len(engines) < self._engines.get(service.name, 0):
+        left = self.core.listing.count_left(service.name)
+        if left > self._left.get(service.name, 0):
             self._quiet_until = now  # what was learned before an engine left holds no longer
-        self._engines[service.name] = len(engines)
+        self._left[service.name] = left
         if now < self._quiet_until:
             return
         pressure = self._find_pressure(service)
         assert service.engine is not None
-        change = choose_change(engines, pressure, service.engine.kv_tokens, self._find_movable(service, now))
-        if change is not None:
+        changes = choose_changes(engines, pressure, service.engine.kv_tokens, self._find_movable(service, now))
+        if changes:
             self._quiet_until = now + PAUSE
-            defer.ensureDeferred(self._order(change, pressure)).addErrback(self._note_failure)
+            defer.ensureDeferred(self._order_all(changes, pressure)).addErrback(self._note_failure)
 
     def _find_movable(self, service: Service, now: float) -> set[UpstreamId]:
         """Return the engines that answer and play the part that they are listed with."""
-        usable = self.core.list_usable(service.name)
-        return {one.id for one in usable if now >= self.core.standings.get(one.id).silent_until}
+        return {
+            one.id
+            for one in self.core.list_usable(service.name)
+            if now >= self.core.standings.get(one.id).silent_until and not self.core.changes.is_under_way(one.id, now)
+        }
+
+    async def _order_all(self, changes: list[PhaseChange], pressure: Pressure) -> None:
+        if await self._leadership.confirm(write_orders(changes)):
+            for change in changes:
+                defer.ensureDeferred(self._order(change, pressure)).addErrback(self._note_failure)
 
     async def _order(self, change: PhaseChange, pressure: Pressure) -> None:
         upstream = change.upstream
-        if not await self._leadership.confirm(f"{upstream.id} {change.phase.value}"):
-            return
         token = self._leadership.tenure.token
         self.core.journal.write(
             "LEADER",
@@ -90,10 +106,26 @@
         self.core.tally.count("orders_total", change.phase.value)
         call = self.core.dialect.make_order(upstream, change.phase, self._vm, token)
         answer = await fetch(self.core.client, self.core.clock, upstream.address, call, ORDER_TIMEOUT)
-        if not isinstance(answer, str) and answer.head.status == ACCEPTED:
-            self.core.take_change(upstream.id, change.phase, LONGEST_CHANGE, "order")
+        if isinstance(answer, str):
+            self.core.take_change(upstream.id, ChangeNews(change.phase, LONGEST_CHANGE, certain=False), "order")
+        elif answer.head.status == ACCEPTED:
+            self.core.take_change(upstream.id, ChangeNews(change.phase, LONGEST_CHANGE, certain=True), "order")
         outcome = answer if isinstance(answer, str) else f"status {answer.head.status}"
         self.core.journal.write("LEADER", "order answered", upstream=upstream.id, outcome=outcome)
 
     def _note_failure(self, failure: Any) -> None:
         self.core.journal.write("LEADER", "failed", error=failure.getTraceback())
+
+
+def write_orders(changes: Sequence[PhaseChange]) -> str:
+    """Return orders that are given together as they are written down in the store."""
+    return "\n".join(f"{change.upstream.id} {change.phase.value}" for change in changes)
+
+
+def read_orders(text: str) -> list[tuple[UpstreamId, Phase]]:
+    """Return the engines and the parts of orders that were written down; none where they can't be read."""
+    pairs = [line.partition(" ") for line in text.splitlines()]
+    try:
+        return [(UpstreamId(name), Phase(phase)) for name, _, phase in pairs]
+    except ValueError:
+        return []
--- a/src/beamhatch/relay/request.py
+++ b/src/beamhatch/relay/request.py
@@ -183,9 +183,14 @@
             return self._give_up("no decode engine can be asked")
         return self._wait_for_memory(now)
 
-    def _wait_for_memory(self, now: float) -> Step:
+    def note_waiting(self, now: float) -> None:
+        """Note that the request waits for decode memory from now on, if it did not before."""
         if self._waiting_since is None:
             self._waiting_since = now
+
+    def _wait_for_memory(self, now: float) -> Step:
+        self.note_waiting(now)
+        assert self._waiting_since is not None
         if now - self._waiting_since >= (RESUME_WAIT if self.begun else LONGEST_WAIT):
             return self.refuse_full()
         self._full.clear()
--- a/tests/platform/test_orders.py
+++ b/tests/platform/test_orders.py
@@ -4,8 +4,12 @@
 
 import itertools
 
+from twisted.internet import defer
+
 from beamhatch.platform.standin.store import StoreFault
 from beamhatch.platform.standin.upstream import StandInEngine
+from beamhatch.relay.balancing import PhaseChange, Pressure
+from beamhatch.relay.model import Phase, UpstreamId
 from tests.support.platform import MODEL, Platform, make_platform
 
 
@@ -132,3 +136,68 @@
     """Return the requests that engines turned away, as all VMs' logs have them."""
     lines = [line for journal in platform.journals.values() for line in journal.lines]
     return [line["request"] for line in lines if line["event"] == "turned away"]
+
+
+def give_order(platform: Platform) -> str:
+    """Have the leader order a decode engine to read prompts; return the engine."""
+    (leader,) = find_leaders(platform)
+    ordering = platform.vms[leader]._ordering
+    assert ordering is not None
+    engine = platform.vms[leader].core.listing.find(UpstreamId("decode-0"))
+    assert engine is not None
+    defer.ensureDeferred(ordering._order_all([PhaseChange(engine, Phase.PREFILL)], Pressure(0.0, 0.0, 1.0)))
+    return engine.id
+
+
+def ask_often(platform: Platform, first: int, count: int) -> None:
+    """Have callers ask for streams, at all VMs in turn."""
+    vms = list(platform.vms)
+    for number in range(first, first + count):
+        platform.call("/stream/x", f"p{number}", vm=vms[number % len(vms)])
+        platform.network.run(0.1)
+
+
+def make_led(vms: int) -> Platform:
+    """Return a platform with some VMs of which one leads and may order."""
+    platform = make_platform(prefill=2, decode=2)
+    for number in range(2, vms + 1):
+        platform.add_vm(f"vm{number}", ["vm1:8002"])
+    platform.network.run_until(lambda: find_leaders(platform), 30.0)
+    return platform
+
+
+def test_an_engine_whose_order_was_not_answered_is_used_until_it_turns_a_request_away() -> None:
+    platform = make_led(4)
+    engine = platform.upstreams["decode-0"]
+    assert isinstance(engine, StandInEngine)
+    engine.loses_order = True
+    give_order(platform)
+    platform.network.run(1.0)
+    assert engine.ordered is None
+    ask_often(platform, 0, 20)
+    assert not list_turned_away(platform)
+    assert any(line["event"] == "sent" and line.get("to") == "decode-0" for line in platform.journals["vm1"].lines)
+    engine.take_lost_order()
+    ask_often(platform, 20, 40)
+    assert len(list_turned_away(platform)) <= 2
+    assert count_misspent(platform) <= 2
+
+
+def test_vms_that_start_anew_find_out_soon_that_an_engine_is_changing() -> None:
+    platform = make_led(4)
+    engine = platform.upstreams["decode-0"]
+    assert isinstance(engine, StandInEngine)
+    engine.switch_time = 60.0
+    give_order(platform)
+    platform.network.run(0.3)
+    assert engine.ordered is not None
+    for name in list(platform.vms):
+        platform.network.cut(name)
+        del platform.vms[name]
+    for number in range(4):
+        platform.add_vm(f"new{number}", ["new0:8002"])
+    platform.network.run_until(lambda: all(vm.core.ready for vm in platform.vms.values()), 5.0)
+    platform.network.run(1.5)
+    ask_often(platform, 0, 40)
+    assert len(list_turned_away(platform)) <= 2
+    assert count_misspent(platform) <= 2
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -350,3 +350,32 @@
     caller.send(make_request("/safe/x", "q1", headers={"Padding": "x" * 20_000}))
     assert platform.finish(caller).status == 431
     assert not platform.ledger.arrivals
+
+
+def fill_decode_memory(platform: Platform, events: int = 60) -> None:
+    """Have a stream take all decode memory, and another one wait for it."""
+    platform.call("/stream/x", "fill", headers={"Token-Count": f"59000,{events}"})
+    platform.network.run(0.1)
+    platform.call("/stream/x", "waits")
+    platform.network.run(0.05)
+
+
+def test_a_caller_that_comes_back_waits_instead_of_being_refused_again() -> None:
+    platform = make_platform(decode=1)
+    fill_decode_memory(platform)
+    first = platform.call("/stream/x", "first")
+    platform.network.run(0.2)
+    assert first.status == 503
+    again = platform.call("/stream/x", "again", headers={"Deadline-Ms": "11000"})
+    platform.network.run(0.5)
+    assert again.status == 0
+    assert platform.finish(again).status == 200
+
+
+def test_a_caller_that_comes_back_is_given_up_when_it_waited_for_long() -> None:
+    platform = make_platform(decode=1)
+    fill_decode_memory(platform, 300)
+    again = platform.call("/stream/x", "again", headers={"Deadline-Ms": "11000"})
+    platform.network.run(4.5)
+    assert again.status == 503
+    assert "retry-after" in again.head.lower()
--- a/tests/relay/test_balancing.py
+++ b/tests/relay/test_balancing.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-from beamhatch.relay.balancing import PhaseChange, Pressure, choose_change
+from dataclasses import replace
+
+from beamhatch.relay.balancing import PhaseChange, Pressure, choose_changes, find_best_split, predict_reading
 from beamhatch.relay.model import Address, Phase, ServiceName, Upstream, UpstreamId
 
 KV = 60_000
@@ -20,8 +22,8 @@
 
 def choose(prefills: int, decodes: int, rate: float, waits: float) -> Phase | None:
     engines = make_engines(prefills, decodes)
-    change = choose_change(engines, Pressure(rate, waits, 3.7), KV, {one.id for one in engines})
-    return change.phase if isinstance(change, PhaseChange) else None
+    changes = choose_changes(engines, Pressure(rate, waits, 3.7), KV, {one.id for one in engines})
+    return changes[0].phase if changes else None
 
 
 def test_nothing_changes_without_pressure() -> None:
@@ -67,6 +69,37 @@
 def test_only_an_engine_that_can_be_had_changes() -> None:
     engines = make_engines(2, 1)
     pressure = Pressure(26_000, 3.0, 3.7)
-    change = choose_change(engines, pressure, KV, {engines[1].id})
-    assert change == PhaseChange(engines[1], Phase.DECODE)
-    assert choose_change(engines, pressure, KV, set()) is None
+    assert choose_changes(engines, pressure, KV, {engines[1].id}) == [PhaseChange(engines[1], Phase.DECODE)]
+    assert choose_changes(engines, pressure, KV, set()) == []
+
+
+def test_a_large_service_goes_to_its_best_split_in_few_steps() -> None:
+    pressure = Pressure(400_000, 0.0, 3.0)
+    phases = [one.phase for one in make_engines(24, 46)]
+    rounds = 0
+    while True:
+        engines = [replace(one, phase=phase) for one, phase in zip(make_engines(24, 46), phases, strict=True)]
+        changes = choose_changes(engines, pressure, KV, {one.id for one in engines})
+        if not changes:
+            break
+        rounds += 1
+        for change in changes:
+            phases[int(change.upstream.id[1:])] = change.phase
+    wanted = find_best_split(70, pressure, KV)
+    assert rounds <= 2
+    assert abs(phases.count(Phase.PREFILL) - wanted) <= 3
+
+
+def test_no_more_change_at_once_than_the_others_bear() -> None:
+    engines = make_engines(40, 30)
+    everyone = {one.id for one in engines}
+    light, heavy = (choose_changes(engines, Pressure(rate, 0.0, 3.0), KV, everyone) for rate in (400_000, 1_000_000))
+    assert len(light) == 10
+    assert 1 < len(heavy) < 10
+    assert predict_reading(40 - len(heavy), Pressure(1_000_000, 0.0, 3.0)) <= 0.7
+
+
+def test_halls_keep_engines_of_both_parts() -> None:
+    engines = make_engines(12, 18)
+    changes = choose_changes(engines, Pressure(200_000, 0.0, 6.0), KV, {one.id for one in engines})
+    assert len({change.upstream.hall for change in changes}) == 3
