Use upstreams that lapsed all at once until they are back; let waits last 5 s; one place for own errors

The users say that entries which lapse while their store is away are back about 2 s behind its return. An upstream whose entry went stood in only while no other was listed, so the first to come back got the requests of all. A test on the listing showed it before the change.

Upstreams whose entries went without notice are used for 0.85 of the platform's drain time (1.7 s instead of 1.2 s) where they are no fewer than those listed. Requests wait in line for up to 5 s instead of 3 s. The errors of exchange.py and core.py were written twice; own_answer.py has them.

--- a/src/beamhatch/platform/settings.py
+++ b/src/beamhatch/platform/settings.py
@@ -33,6 +33,7 @@
     budget_window_s: float = 10
     retry_slack: float = 50
     lease_ms: float = 3000
+    drain_timeout_ms: float = 2000
 
 
 class _Limits(msgspec.Struct):
@@ -80,6 +81,7 @@
         peer_address=_read_address(read.listen.control) if read.listen.control else None,
         seeds=read.seeds,
         turn_time=bounds.lease_ms / 1000,
+        drain_time=bounds.drain_timeout_ms / 1000,
         strength=read.limits.link_mbps,
         metrics_address=Address(read.ip, METRICS_PORT),
         metrics_path=METRICS_PATH,
--- a/src/beamhatch/relay/core.py
+++ b/src/beamhatch/relay/core.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 import random
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
@@ -16,6 +15,7 @@
 from beamhatch.relay.line import Line
 from beamhatch.relay.listing import Listing
 from beamhatch.relay.model import CallerLimits
+from beamhatch.relay.own_answer import send_error
 from beamhatch.relay.request import LONGEST_WAIT
 from beamhatch.relay.standing import Standings
 
@@ -272,11 +272,3 @@
     if entry.upstream is None:
         return "gone"
     return "draining" if entry.upstream.draining else "listed"
-
-
-def send_error(responder: Responder, status: int, detail: str, retry_after: float | None = None) -> None:
-    """Send an error of the relay's own."""
-    headers = [("Content-Type", "application/json")]
-    if retry_after is not None:
-        headers.append(("Retry-After", f"{retry_after:g}"))
-    responder.send_whole(status, headers, json.dumps({"error": detail}).encode())
--- a/src/beamhatch/relay/daemon.py
+++ b/src/beamhatch/relay/daemon.py
@@ -7,14 +7,16 @@
 from typing import TYPE_CHECKING, Any
 
 from beamhatch.relay.choosing import LeastCost
-from beamhatch.relay.core import Core, Terms, send_error
+from beamhatch.relay.core import Core, Terms
 from beamhatch.relay.gossip import Gossip
 from beamhatch.relay.http_client import HttpClient
 from beamhatch.relay.http_server import CallerServer
 from beamhatch.relay.leadership import Leadership
+from beamhatch.relay.listing import DRAIN_TIME, GONE_GRACE_SHARE, Listing
 from beamhatch.relay.membership import Member, Membership
 from beamhatch.relay.model import Address, CallerLimits
 from beamhatch.relay.ordering import Ordering
+from beamhatch.relay.own_answer import send_error
 from beamhatch.relay.standing import Standings
 from beamhatch.relay.watching import ConfigurationWatcher, ListingWatcher, Watcher
 
@@ -61,6 +63,8 @@
     seeds: list[str] = field(default_factory=list)
     turn_time: float = 3.0
     """Seconds that have to pass between the orders of two VMs."""
+    drain_time: float = DRAIN_TIME
+    """Seconds behind the end of its entry in which an upstream may still be sent requests."""
     strength: float = 0.0
     """Mbit/s of the VM's link: of the VMs of a hall, the stronger ones watch the store for the others."""
     metrics_address: Address | None = None
@@ -95,6 +99,7 @@
             chooser=LeastCost(standings, settings.hall),
             standings=standings,
             terms=Terms(settings.budget),
+            listing=Listing(gone_grace=GONE_GRACE_SHARE * settings.drain_time),
             started=clock.now(),
         )
         self.callers = CallerServer(clock, self.core.serve, self.core.find_limits, self.core.note_refused)
--- a/src/beamhatch/relay/exchange.py
+++ b/src/beamhatch/relay/exchange.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 import random
 from typing import TYPE_CHECKING, Any
 
@@ -13,6 +12,7 @@
 from beamhatch.relay.http_client import Call
 from beamhatch.relay.http_server import RequestHandler
 from beamhatch.relay.model import RouteKind, Stage
+from beamhatch.relay.own_answer import send_error
 from beamhatch.relay.plain_attempt import PlainAttempt
 from beamhatch.relay.prefill_attempt import PrefillAttempt
 from beamhatch.relay.request import Fail, Refuse, RelayRequest, Reserve, Send, Step, Wait
@@ -20,7 +20,6 @@
 from beamhatch.relay.stream_attempt import StreamAttempt
 
 if TYPE_CHECKING:
-    from beamhatch.relay.api import Headers
     from beamhatch.relay.core import Core
     from beamhatch.relay.http_client import Head
     from beamhatch.relay.http_server import IncomingRequest, Responder
@@ -242,10 +241,7 @@
         if self._responder.begun:
             self._responder.abort()
         else:
-            headers: Headers = [("Content-Type", "application/json")]
-            if retry_after is not None:
-                headers.append(("Retry-After", f"{retry_after:g}"))
-            self._responder.send_whole(status, headers, json.dumps({"error": reason}).encode())
+            send_error(self._responder, status, reason, retry_after)
         self._end()
 
     def cut(self, reason: str) -> None:
--- a/src/beamhatch/relay/listing.py
+++ b/src/beamhatch/relay/listing.py
@@ -14,12 +14,11 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-GONE_GRACE = 1.2
-"""Seconds for which an upstream whose entry went without notice may still be used where there is no other.
+GONE_GRACE_SHARE = 0.85
+"""Share of the time behind the end of its entry, in which an upstream may still be sent requests, that is used."""
 
-Entries also go when the store loses the leases of upstreams that are well. The platform allows sends for a time after
-an entry went (``drain_timeout_ms``, 2 s and more).
-"""
+DRAIN_TIME = 2.0
+"""Seconds of that time where the settings do not tell it."""
 
 RETURN_TIME = 5.0
 """Seconds for which an upstream whose entry went without notice is expected back.
@@ -55,6 +54,11 @@
 
     newest: int = 0
     """The highest revision among the entries."""
+    gone_grace: float = GONE_GRACE_SHARE * DRAIN_TIME
+    """Seconds for which upstreams whose entries went without notice may still be used.
+
+    Entries also go when the store loses the leases of upstreams that are well; these are back about 2 s later.
+    """
     complete: bool = False
     """True once a whole list has been taken in."""
     _known: dict[UpstreamId, _Known] = field(default_factory=dict)
@@ -98,7 +102,8 @@
     def list_usable(self, service: ServiceName, now: float) -> list[Upstream]:
         """Return the upstreams of a service that may get new work.
 
-        Those whose entries went a moment ago stand in only where no other is listed.
+        Those whose entries went a moment ago are among them where they are no fewer than the others: so many at once
+        lapsed, and are about to come back.
         """
         known_list = self._listed.get(service)
         if known_list is not None:
@@ -111,11 +116,11 @@
                 continue
             if known.entry.upstream is not None:
                 listed.append(upstream)
-            elif now - known.changed_at < GONE_GRACE:
+            elif now - known.changed_at < self.gone_grace:
                 going.append(upstream)
-        if listed:
+        if not going:
             self._listed[service] = listed
-        return listed or going
+        return [*listed, *going] if len(going) >= len(listed) else listed
 
     def list_lasting(self, service: ServiceName, now: float) -> list[Upstream]:
         """Return the upstreams of a service that are there for some time.
--- a/src/beamhatch/relay/request.py
+++ b/src/beamhatch/relay/request.py
@@ -34,7 +34,7 @@
 RESERVED_OUTPUT = 800
 """Tokens of the answer that are reserved beside the prompt."""
 
-LONGEST_WAIT = 3.0
+LONGEST_WAIT = 5.0
 """Seconds for which a request waits for decode memory at the most."""
 
 RESUME_WAIT = 1.5
--- /dev/null
+++ b/tests/relay/test_listing.py
@@ -0,0 +1,61 @@
+"""Which upstreams are thought to be there."""
+
+from __future__ import annotations
+
+from beamhatch.relay.listing import Entry, Listing
+from beamhatch.relay.model import Address, Phase, ServiceName, Upstream, UpstreamId
+
+SERVICE = ServiceName("s")
+NOW = 100.0
+
+
+def make(name: str, *, draining: bool = False) -> Upstream:
+    return Upstream(UpstreamId(name), SERVICE, Address(name, 1), "a", draining, Phase.PLAIN, 9)
+
+
+def make_listing(names: str) -> Listing:
+    listing = Listing()
+    for revision, name in enumerate(names, 1):
+        listing.take(Entry(UpstreamId(name), revision, make(name)), NOW)
+    return listing
+
+
+def go(listing: Listing, name: str, now: float) -> None:
+    listing.take(Entry(UpstreamId(name), listing.newest + 1, None), now)
+
+
+def list_names(listing: Listing, now: float) -> str:
+    return "".join(sorted(one.id for one in listing.list_usable(SERVICE, now)))
+
+
+def test_one_that_went_is_not_used_while_most_are_listed() -> None:
+    listing = make_listing("abcd")
+    go(listing, "a", NOW)
+    assert list_names(listing, NOW) == "bcd"
+
+
+def test_those_that_went_all_at_once_are_used_for_a_moment_also_when_the_first_are_back() -> None:
+    listing = make_listing("abcd")
+    for name in "abcd":
+        go(listing, name, NOW)
+    assert list_names(listing, NOW + 0.5) == "abcd"
+    listing.take(Entry(UpstreamId("a"), listing.newest + 1, make("a")), NOW + 0.6)
+    assert list_names(listing, NOW + 0.7) == "abcd"
+    assert list_names(listing, NOW + listing.gone_grace + 0.1) == "a"
+
+
+def test_one_that_said_that_it_leaves_is_never_used_again() -> None:
+    listing = make_listing("ab")
+    listing.take(Entry(UpstreamId("a"), 9, make("a", draining=True)), NOW)
+    go(listing, "a", NOW + 0.1)
+    go(listing, "b", NOW + 0.1)
+    assert list_names(listing, NOW + 0.2) == "b"
+    assert listing.count_left(SERVICE) == 1
+
+
+def test_one_that_went_is_expected_back_for_a_while_but_one_that_leaves_is_not() -> None:
+    listing = make_listing("abc")
+    go(listing, "a", NOW)
+    listing.take(Entry(UpstreamId("b"), 9, make("b", draining=True)), NOW)
+    assert {one.id for one in listing.list_lasting(SERVICE, NOW + 4.9)} == {"a", "c"}
+    assert {one.id for one in listing.list_lasting(SERVICE, NOW + 5.1)} == {"c"}
