Renew watches that a silent store swallowed, found by whole VMs under interleavings

A state machine over whole VMs (four VMs in two halls; store silent, lost, busy, forgetting, ending the lease; VMs cut off and healed; configurations, leaving upstreams, faulty upstreams, callers) found that VMs did not agree within 15 s of the end of all trouble: a store that goes silent swallows the watches, and each waited for 22 s. Since only two VMs a hall watch, all of them can be hit at once; and a leader that lost its lease went to watch it, on the same silent store.

The calls about the lease are made every second or so, so the VMs that make them notice when the store is back, and ask anew on their watches; a leader that lost its lease reads before it watches. Tests: the machine, and a fleet whose watches were swallowed (failed before, as the machine did).

--- a/src/beamhatch/platform/standin/store.py
+++ b/src/beamhatch/platform/standin/store.py
@@ -78,6 +78,10 @@
             self.revision += 1
             self._note(key, None)
 
+    def find_newest(self, prefix: str) -> int:
+        """Return the revision of the last change among the keys with a prefix that are there."""
+        return max((item.revision for key, item in self._items.items() if key.startswith(prefix)), default=0)
+
     def forget_history(self) -> None:
         """Forget all changes so far, and cut the watches."""
         self._history.clear()
@@ -219,3 +223,6 @@
 
     def send_whole(self, status: int, headers: list[tuple[str, str]], body: bytes) -> None:
         """Send nothing."""
+
+    def abort(self) -> None:
+        """Do nothing: there is no answer to break off."""
--- a/src/beamhatch/relay/daemon.py
+++ b/src/beamhatch/relay/daemon.py
@@ -110,6 +110,7 @@
         if self._gossip is not None:
             self.leadership = Leadership(self.core, store, settings.vm, self._gossip.membership.count_ahead)
             self.leadership.tenure.turn_time = settings.turn_time
+            self.leadership.on_regained = self._renew_watches
             self._ordering = Ordering(self.core, self.leadership, settings.vm, self._gossip.find_pressure)
         self._ports: list[Any] = []
         self._caller_port: Any = None
@@ -141,6 +142,10 @@
         gc.freeze()  # what was loaded stays: later collections need not look through it
         self.journal.write("MAIN", "started", store=str(settings.store_address), seeds=settings.seeds)
 
+    def _renew_watches(self) -> None:
+        for watcher in self._watchers:
+            watcher.renew()
+
     @property
     def caller_port(self) -> int:
         """Return the port on which callers are served."""
--- a/src/beamhatch/relay/leadership.py
+++ b/src/beamhatch/relay/leadership.py
@@ -119,6 +119,9 @@
         self._last_order = LastOrder()
         self.on_recall: Callable[[str], None] = lambda _: None
         """Called at the start with the last order that any VM wrote down."""
+        self.on_regained: Callable[[], None] = lambda: None
+        """Called when the store answers again."""
+        self._lost = False
         self._running: defer.Deferred[None] | None = None
 
     def start(self) -> None:
@@ -153,6 +156,7 @@
         recalled = False
         while True:
             seen = await self._store.read_leadership()
+            self._note_answer(seen)
             if isinstance(seen, StoreLost):
                 await sleep(self.core.clock, LOST_PAUSE * random.uniform(0.7, 1.3))
                 continue
@@ -160,8 +164,9 @@
             if not recalled:
                 recalled = True
                 self.on_recall(seen.order)
-            if not seen.taken:
-                await self._stand(seen)
+            if not seen.taken and await self._stand(seen):
+                await sleep(self.core.clock, LOST_PAUSE * random.uniform(0.7, 1.3))
+                continue  # the store may be away, so it is read from: a watch could wait for long
             await self._await_change(seen)
 
     async def _await_change(self, seen: LeadershipNews) -> None:
@@ -174,11 +179,12 @@
         pause = LOST_PAUSE if isinstance(news, StoreLost) else TURN_PAUSE * rank
         await sleep(self.core.clock, pause * random.uniform(0.7, 1.3))
 
-    async def _stand(self, seen: LeadershipNews) -> None:
+    async def _stand(self, seen: LeadershipNews) -> bool:
+        """Claim the lease, and keep it for as long as possible; return whether this VM had it."""
         sent_at = self.core.clock.now()
         claim = await self._store.claim_leadership(self._vm, LEASE_TIME, seen)
         if not isinstance(claim, Claimed):
-            return
+            return False
         self.claim = claim
         self.tenure.begin(claim.revision, sent_at, self._last_order)
         self.core.journal.write("LEADER", "claimed", token=claim.revision, last_order=seen.last_order)
@@ -186,6 +192,7 @@
             await sleep(self.core.clock, KEEP_INTERVAL)
             sent_at = self.core.clock.now()
             kept = await self._store.keep_leadership(claim, KEEP_TIMEOUT)
+            self._note_answer(kept)
             if kept is True:
                 self.tenure.renew(sent_at)
             elif not isinstance(kept, StoreLost):
@@ -193,6 +200,14 @@
         self.tenure.end()
         self.claim = None
         self.core.journal.write("LEADER", "lost", token=claim.revision)
+        return True
+
+    def _note_answer(self, answer: object) -> None:
+        """Notice when the store is back: these calls are made often, also while nothing changes."""
+        lost = isinstance(answer, StoreLost)
+        if self._lost and not lost:
+            self.on_regained()
+        self._lost = lost
 
     def _take_end(self, failure: Any) -> None:
         self.tenure.end()
--- a/src/beamhatch/relay/watching.py
+++ b/src/beamhatch/relay/watching.py
@@ -46,6 +46,8 @@
         self._is_due = is_due
         self._patience = patience
         self._running: defer.Deferred[None] | None = None
+        self._waiting: defer.Deferred[int | StoreLost | HistoryGone] | None = None
+        self._renewing = False
         self._connected = True
         self._pause = FIRST_PAUSE
 
@@ -60,6 +62,12 @@
         if running is not None:
             running.cancel()
 
+    def renew(self) -> None:
+        """Ask anew: the store had been away, and may have lost the answer that is waited for."""
+        if self._waiting is not None and not self._waiting.called:
+            self._renewing = True
+            self._waiting.cancel()
+
     @abstractmethod
     def is_known(self) -> bool:
         """Tell whether this VM has the thing from anybody."""
@@ -93,7 +101,9 @@
 
     async def _follow(self, at: int) -> None:
         while self._is_due():
-            news = await self.watch(at)
+            news = await self._watch_once(at)
+            if news is None:
+                continue
             if isinstance(news, HistoryGone):
                 self.core.journal.write("STORE", "history gone", watch=self.name, after=at)
                 return
@@ -105,6 +115,17 @@
                 await sleep(self.core.clock, self.settle_time)
             at = news
 
+    async def _watch_once(self, at: int) -> int | StoreLost | HistoryGone | None:
+        """Watch behind a revision; return None where this is to be done anew."""
+        self._waiting = defer.ensureDeferred(self.watch(at))
+        try:
+            return await self._waiting
+        except defer.CancelledError:
+            if not self._renewing:
+                raise
+            self._renewing = False
+            return None
+
     async def _wait_again(self, lost: StoreLost) -> None:
         if self._connected:
             self._connected = False
--- a/tests/platform/test_fleet.py
+++ b/tests/platform/test_fleet.py
@@ -90,6 +90,18 @@
     platform.network.run_until(lambda: know_version(platform, 2), 6.0)
 
 
+def test_watches_that_a_silent_store_swallowed_are_made_anew_once_it_is_back() -> None:
+    platform = make_fleet(6)
+    platform.store.fault = StoreFault.SILENT
+    platform.store.break_connections()
+    platform.network.run(6.0)
+    platform.store.fault = StoreFault.NONE
+    platform.network.run(4.0)
+    platform.configure(2, [*ROUTES, NEW_ROUTE])
+    platform.network.run(1.0)
+    assert know_version(platform, 2)
+
+
 def test_a_vm_that_starts_asks_its_peers_and_not_the_store() -> None:
     platform = make_fleet(18)
     platform.store.fault = StoreFault.BUSY
