Wait within the caller's patience, and order nothing before anybody asks

A request waits for 0.8 of its caller's patience, which the adapter works out from the route's targets (2.9 s at these); each place in line knows its end. No order without prompts being asked for.

--- a/src/beamhatch/platform/documents.py
+++ b/src/beamhatch/platform/documents.py
@@ -125,6 +125,7 @@
         max_attempts=read.max_attempts,
         resumable=read.resumable,
         target_gap=read.target_gap_ms / 1000,
+        caller_patience=max(2.0, 4 * read.target_latency_ms / 1000, 8 * read.target_gap_ms / 1000),
     )
 
 
--- a/src/beamhatch/relay/balancing.py
+++ b/src/beamhatch/relay/balancing.py
@@ -69,6 +69,8 @@
     :param kv_tokens: the memory of one engine
     :param movable: the engines that can be had to change now
     """
+    if not pressure.prompt_rate:
+        return []  # at the start engines are listed one by one: a part may just not be there yet
     prefills = [one for one in engines if one.phase is Phase.PREFILL]
     decodes = [one for one in engines if one.phase is Phase.DECODE]
     today = predict_use(len(prefills), len(decodes), pressure, kv_tokens)
--- a/src/beamhatch/relay/core.py
+++ b/src/beamhatch/relay/core.py
@@ -16,7 +16,6 @@
 from beamhatch.relay.listing import Listing
 from beamhatch.relay.model import CallerLimits
 from beamhatch.relay.own_answer import send_error
-from beamhatch.relay.request import LONGEST_WAIT
 from beamhatch.relay.standing import Standings
 
 if TYPE_CHECKING:
@@ -192,9 +191,10 @@
         return line
 
     def wait_in_line(self, exchange: RelayExchange, late_at: float) -> None:
-        """Let a request wait; it is asked to go on when it is its turn."""
+        """Let a request wait; it is asked to go on when it is its turn, or when it has waited for long enough."""
         service = exchange.request.service.name
-        self.find_line(service).join(exchange, late_at, self.clock.now())
+        now = self.clock.now()
+        self.find_line(service).join(exchange, late_at, now + exchange.request.longest_wait, now)
         self._poll_soon(service)
 
     def note_freed(self, service: ServiceName) -> None:
@@ -207,7 +207,7 @@
 
     def _poll(self, service: ServiceName) -> None:
         self._polling.discard(service)
-        for waiter in self.find_line(service).list_turns(self.clock.now(), LONGEST_WAIT):
+        for waiter in self.find_line(service).list_turns(self.clock.now()):
             waiter.advance()
         self._poll_soon(service)
 
--- a/src/beamhatch/relay/line.py
+++ b/src/beamhatch/relay/line.py
@@ -23,6 +23,7 @@
     waiter: Waiter
     joined_at: float
     late_at: float
+    ends_at: float
 
 
 @dataclass(slots=True)
@@ -51,10 +52,10 @@
             self._freed.popleft()
         return len(self._freed) / RATE_WINDOW
 
-    def join(self, waiter: Waiter, late_at: float, now: float) -> None:
-        """Enter a request that will be late from some time on."""
+    def join(self, waiter: Waiter, late_at: float, ends_at: float, now: float) -> None:
+        """Enter a request that will be late from some time on, and waits up to some time."""
         if all(place.waiter is not waiter for place in self._places):
-            self._places.append(_Place(waiter, now, late_at))
+            self._places.append(_Place(waiter, now, late_at, ends_at))
 
     def leave(self, waiter: Waiter) -> None:
         """Drop a request that waits no longer."""
@@ -64,10 +65,10 @@
         """Tell whether somebody waits who can still be in time."""
         return any(now < place.late_at for place in self._places)
 
-    def list_turns(self, now: float, longest_wait: float) -> list[Waiter]:
+    def list_turns(self, now: float) -> list[Waiter]:
         """Return who goes next, and who has waited for long enough to be given an end."""
         if not self._places:
             return []
         first = min(self._places, key=lambda place: (now >= place.late_at, place.joined_at))
-        ending = [place for place in self._places if place is not first and now - place.joined_at >= longest_wait]
+        ending = [place for place in self._places if place is not first and now >= place.ends_at]
         return [place.waiter for place in [first, *ending]]
--- a/src/beamhatch/relay/model.py
+++ b/src/beamhatch/relay/model.py
@@ -77,6 +77,8 @@
     resumable: bool = False
     target_gap: float = 0.3
     """The longest pause between two events of a stream in time."""
+    caller_patience: float = 3.6
+    """Seconds without an event after which a caller leaves a stream."""
 
     @property
     def idempotent(self) -> bool:
--- a/src/beamhatch/relay/request.py
+++ b/src/beamhatch/relay/request.py
@@ -34,8 +34,8 @@
 RESERVED_OUTPUT = 800
 """Tokens of the answer that are reserved beside the prompt."""
 
-LONGEST_WAIT = 5.0
-"""Seconds for which a request waits for decode memory at the most."""
+WAIT_SHARE = 0.8
+"""Share of its caller's patience for which a request waits for decode memory at the most."""
 
 RESUME_WAIT = 1.5
 """Seconds for which a stream that broke waits for decode memory; its caller leaves after some seconds."""
@@ -131,6 +131,11 @@
         tokens = self.facts.prompt_tokens + self.facts.output_tokens
         return Need(self.facts.identity, self.facts.prompt_tokens, tokens)
 
+    @property
+    def longest_wait(self) -> float:
+        """Return the seconds for which it waits for decode memory at the most, so that its caller is still there."""
+        return WAIT_SHARE * self.route.caller_patience
+
     @property
     def landings_failed(self) -> bool:
         """Tell whether several decode engines could not have the KV cache that is held."""
@@ -191,7 +196,7 @@
     def _wait_for_memory(self, now: float) -> Step:
         self.note_waiting(now)
         assert self._waiting_since is not None
-        if now - self._waiting_since >= (RESUME_WAIT if self.begun else LONGEST_WAIT):
+        if now - self._waiting_since >= (RESUME_WAIT if self.begun else self.longest_wait):
             return self.refuse_full()
         self._full.clear()
         return Wait()
--- a/tests/relay/test_balancing.py
+++ b/tests/relay/test_balancing.py
@@ -103,3 +103,8 @@
     engines = make_engines(12, 18)
     changes = choose_changes(engines, Pressure(200_000, 0.0, 6.0), KV, {one.id for one in engines})
     assert len({change.upstream.hall for change in changes}) == 3
+
+
+def test_nothing_changes_before_anybody_asks() -> None:
+    engines = make_engines(0, 3)
+    assert choose_changes(engines, Pressure(0.0, 0.0, 3.0), KV, {one.id for one in engines}) == []
