--- a/tests/test_caller_gone.py
+++ b/tests/test_caller_gone.py
@@ -94,6 +94,6 @@
     )
     caller = OpenCall(hall.ports["vm-1"]).send("silent", 60000)
     caller.read_until(b"/2\n")
-    wait_until(lambda: hall.admin("vm-1", "/requests") == [], "the silent caller is given up", 20)
+    wait_until(lambda: hall.admin("vm-1", "/requests") == [], "the silent caller is given up", 90)
     hall.wait_nothing_held()
     caller.leave()
