Say once what a VM has: version, revision, who is known, when to poll

Each beat that was heard made a whole beat of this VM's own (demands, faults, changes) just to compare two numbers: work on a path that grows with the peers of a watcher. The version in force was worked out at five places. Membership kept who is known and when it was heard of in two dicts with the same keys. Polling a line was armed by the same lines at two places, a change was taken in by two branches that differed in one word, and two find-or-make methods wrote out what a defaultdict does.

Change: Core.version and Core.revision; one dict of known VMs; _poll_in; one branch. Behaviour is meant to stay: no test was changed.

--- a/src/beamhatch/relay/core.py
+++ b/src/beamhatch/relay/core.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections import defaultdict
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -76,8 +77,8 @@
     on_fault: Callable[[], None] = lambda: None
     """Called when an upstream failed a request."""
     _budgets: dict[ServiceName, Budget] = field(default_factory=dict)
-    _lines: dict[ServiceName, Line[RelayExchange]] = field(default_factory=dict)
-    _demands: dict[ServiceName, Demand] = field(default_factory=dict)
+    _lines: defaultdict[ServiceName, Line[RelayExchange]] = field(default_factory=lambda: defaultdict(Line))
+    _demands: defaultdict[ServiceName, Demand] = field(default_factory=lambda: defaultdict(Demand))
     _polling: set[ServiceName] = field(default_factory=set)
     _patience: dict[str, float] = field(default_factory=dict)
     """The longest that a caller of each route would wait, in seconds."""
@@ -87,6 +88,16 @@
         """Return the configuration in force."""
         return None if self.document is None else self.document.table
 
+    @property
+    def version(self) -> int:
+        """Return the version of the configuration in force, 0 where none is."""
+        return 0 if self.table is None else self.table.version
+
+    @property
+    def revision(self) -> int:
+        """Return the revision of the newest entry of the listing, 0 where there is no whole listing."""
+        return self.listing.newest if self.listing.complete else 0
+
     @property
     def ready(self) -> bool:
         """Tell whether requests can be served."""
@@ -101,7 +112,7 @@
         version = document.table.version
         if self.table is not None and self.table.version >= version:
             return False
-        before = 0 if self.table is None else self.table.version
+        before = self.version
         self.document = document
         self.journal.write(
             "CONFIG", "in force", version=version, before=before, source=source, routes=len(document.table.routes)
@@ -162,10 +173,7 @@
 
     def find_demand(self, service: ServiceName) -> Demand:
         """Return what this VM's streams ask of a service."""
-        demand = self._demands.get(service)
-        if demand is None:
-            demand = self._demands[service] = Demand()
-        return demand
+        return self._demands[service]
 
     def report_demand(self, service: ServiceName) -> DemandReport:
         """Return what this VM's streams ask of a service, as other VMs are told."""
@@ -185,10 +193,7 @@
 
     def find_line(self, service: ServiceName) -> Line[RelayExchange]:
         """Return the line for the decode memory of a service."""
-        line = self._lines.get(service)
-        if line is None:
-            line = self._lines[service] = Line()
-        return line
+        return self._lines[service]
 
     def wait_in_line(self, exchange: RelayExchange, late_at: float) -> None:
         """Let a request wait; it is asked to go on when it is its turn, or when it has waited for long enough."""
@@ -199,11 +204,8 @@
 
     def note_freed(self, service: ServiceName) -> None:
         """Note that one of this VM's streams gave its memory back: who waits has a chance now."""
-        line = self.find_line(service)
-        line.note_freed(self.clock.now())
-        if len(line) and service not in self._polling:
-            self._polling.add(service)
-            self.clock.call_later(FREED_DELAY, self._poll, service)
+        self.find_line(service).note_freed(self.clock.now())
+        self._poll_in(FREED_DELAY, service)
 
     def _poll(self, service: ServiceName) -> None:
         self._polling.discard(service)
@@ -213,9 +215,12 @@
 
     def _poll_soon(self, service: ServiceName) -> None:
         """Go on to poll as long as anybody waits, whoever leaves the line meanwhile."""
+        self._poll_in(POLL_INTERVAL * random.uniform(0.6, 1.4), service)
+
+    def _poll_in(self, seconds: float, service: ServiceName) -> None:
         if len(self.find_line(service)) and service not in self._polling:
             self._polling.add(service)
-            self.clock.call_later(POLL_INTERVAL * random.uniform(0.6, 1.4), self._poll, service)
+            self.clock.call_later(seconds, self._poll, service)
 
     # --- callers -----------------------------------------------------------------------------------------------------
 
--- a/src/beamhatch/relay/daemon.py
+++ b/src/beamhatch/relay/daemon.py
@@ -116,7 +116,7 @@
         self._caller_port: Any = None
         self._stopping_since: float | None = None
         tally.gauges["open_requests"] = lambda: float(len(self.core.exchanges))
-        tally.gauges["configuration_version"] = lambda: float(self.core.table.version if self.core.table else 0)
+        tally.gauges["configuration_version"] = lambda: float(self.core.version)
         tally.gauges["known_vms"] = lambda: float(self.core.vms)
         tally.gauges["connections_opened"] = lambda: float(client.opened)
         tally.gauges["log_lines_left_out"] = lambda: float(journal.left_out)
--- a/src/beamhatch/relay/exchange.py
+++ b/src/beamhatch/relay/exchange.py
@@ -118,7 +118,7 @@
             stage=send.stage.value,
             to=send.upstream.id,
             revision=self.core.listing.newest,
-            version=self._version,
+            version=self.core.version,
             running=standing.running,
             others=round(standing.count_others(now), 1),
             faults=round(standing.get_faults(now), 2),
@@ -173,10 +173,6 @@
             limit = min(limit, self._incoming.arrived + time_left - ANSWER_MARGIN)
         return limit
 
-    @property
-    def _version(self) -> int:
-        return 0 if self.core.table is None else self.core.table.version
-
     # --- ends --------------------------------------------------------------------------------------------------------
 
     def pass_on(self, answer: WholeAnswer) -> None:
--- a/src/beamhatch/relay/gossip.py
+++ b/src/beamhatch/relay/gossip.py
@@ -319,11 +319,10 @@
         for upstream, share in message.faulty.items():
             self.core.standings.get(UpstreamId(upstream)).note_hint(share, now)
         self._take_changes(connection, message)
-        own = self._make_beat()
-        if self._lacks("configuration", own.version, message.version):
+        if self._lacks("configuration", self.core.version, message.version):
             connection.tell(AskConfiguration())
-        if self._lacks("listing", own.revision, message.revision):
-            connection.tell(AskListing(own.revision))
+        if self._lacks("listing", self.core.revision, message.revision):
+            connection.tell(AskListing(self.core.revision))
 
     def _take_changes(self, connection: PeerConnection, message: Beat) -> None:
         for upstream, news in message.changing.items():
@@ -349,8 +348,6 @@
 
     def _make_beat(self) -> Beat:
         core = self.core
-        version = 0 if core.table is None else core.table.version
-        revision = core.listing.newest if core.listing.complete else 0
         faulty = core.standings.list_faulty(LEAST_FAULTS, core.clock.now())
         changing = core.changes.list_news(core.clock.now())
-        return Beat(version, revision, core.report_demands(), faulty, changing)
+        return Beat(core.version, core.revision, core.report_demands(), faulty, changing)
--- a/src/beamhatch/relay/membership.py
+++ b/src/beamhatch/relay/membership.py
@@ -46,6 +46,13 @@
     """Seconds since somebody last heard from it."""
 
 
+@dataclass(frozen=True, slots=True)
+class _Known:
+    member: Member
+    heard_at: float
+    """When anybody last heard from it."""
+
+
 @dataclass(slots=True)
 class _Unreached:
     until: float
@@ -60,22 +67,22 @@
     own: Member
     seeds: list[str] = field(default_factory=list)
     """Addresses from the settings; they may be out of date."""
-    _members: dict[str, Member] = field(default_factory=dict)
-    _heard_at: dict[str, float] = field(default_factory=dict)
+    _known: dict[str, _Known] = field(default_factory=dict)
     _unreached: dict[str, _Unreached] = field(default_factory=dict)
     """Addresses that did not answer when they were last dialled."""
 
     @property
     def size(self) -> int:
         """Return how many VMs there are, this one among them."""
-        return 1 + len(self._members)
+        return 1 + len(self._known)
 
     def take(self, member: Member, age: float, now: float) -> None:
         """Take in that a VM was alive some seconds ago."""
         if member.address == self.own.address or age > FORGET_AFTER:
             return
-        self._members[member.address] = member
-        self._heard_at[member.address] = max(now - age, self._heard_at.get(member.address, 0.0))
+        before = self._known.get(member.address)
+        heard_at = now - age if before is None else max(now - age, before.heard_at)
+        self._known[member.address] = _Known(member, heard_at)
 
     def note_reached(self, address: str) -> None:
         """Note that an address answered."""
@@ -89,29 +96,30 @@
 
     def forget_old(self, now: float) -> None:
         """Drop VMs that nobody has heard from for long."""
-        for address in [address for address, heard in self._heard_at.items() if now - heard > FORGET_AFTER]:
-            del self._heard_at[address]
-            del self._members[address]
-        known = {*self._members, *self.seeds}
-        self._unreached = {address: one for address, one in self._unreached.items() if address in known}
+        self._known = {address: one for address, one in self._known.items() if now - one.heard_at <= FORGET_AFTER}
+        named = {*self._known, *self.seeds}
+        self._unreached = {address: one for address, one in self._unreached.items() if address in named}
 
     def list_mentions(self, most: int, now: float) -> list[Mention]:
         """Return some of the VMs that this one knows of, drawn at random where there are many."""
-        addresses = list(self._members)
-        if len(addresses) > most:
-            addresses = random.sample(addresses, most)
-        return [Mention(self._members[one], round(max(0.0, now - self._heard_at[one]), 1)) for one in addresses]
+        known = list(self._known.values())
+        if len(known) > most:
+            known = random.sample(known, most)
+        return [Mention(one.member, round(max(0.0, now - one.heard_at), 1)) for one in known]
 
     # --- duties ------------------------------------------------------------------------------------------------------
 
     def is_watcher(self) -> bool:
         """Tell whether this VM is one of those that watch the store for its hall."""
-        ahead = [one for one in self._members.values() if one.hall == self.own.hall and self._goes_ahead(one)]
+        ahead = [one for one in self._list_members() if one.hall == self.own.hall and self._goes_ahead(one)]
         return len(ahead) < WATCHERS
 
     def count_ahead(self) -> int:
         """Return how many VMs go before this one where only some are to do a thing."""
-        return sum(self._goes_ahead(one) for one in self._members.values())
+        return sum(self._goes_ahead(one) for one in self._list_members())
+
+    def _list_members(self) -> list[Member]:
+        return [one.member for one in self._known.values()]
 
     def _goes_ahead(self, member: Member) -> bool:
         return member.address not in self._unreached and _rank(member) < _rank(self.own)
@@ -120,10 +128,10 @@
 
     def list_targets(self, now: float) -> list[str]:
         """Return the addresses to which this VM keeps connections, the most important first."""
-        here = [one for one in self._members.values() if one.hall == self.own.hall]
+        here = [one for one in self._list_members() if one.hall == self.own.hall]
         alive = [one for one in here if one.address not in self._unreached]
         targets = [one.address for one in sorted(alive, key=_rank)[:WATCHERS]]
-        elsewhere = [one for one in self._members.values() if one.hall != self.own.hall]
+        elsewhere = [one for one in self._list_members() if one.hall != self.own.hall]
         others = [one.address for one in elsewhere or here if one.address not in targets]
         free = [address for address in others if self._may_dial(address, now)]
         targets += sorted(free, key=lambda address: hash_fraction(f"{self.own.address}/{address}"))[:OTHERS]
@@ -134,7 +142,7 @@
         return [
             address
             for address, one in self._unreached.items()
-            if now >= one.until and address in self._members and self._members[address].hall == self.own.hall
+            if now >= one.until and address in self._known and self._known[address].member.hall == self.own.hall
         ]
 
     def _list_strange_seeds(self, now: float) -> list[str]:
@@ -142,7 +150,7 @@
         return [
             seed
             for seed in self.seeds
-            if seed != self.own.address and seed not in self._members and self._may_dial(seed, now)
+            if seed != self.own.address and seed not in self._known and self._may_dial(seed, now)
         ]
 
     def _may_dial(self, address: str, now: float) -> bool:
--- a/src/beamhatch/relay/ordering.py
+++ b/src/beamhatch/relay/ordering.py
@@ -106,10 +106,9 @@
         self.core.tally.count("orders_total", change.phase.value)
         call = self.core.dialect.make_order(upstream, change.phase, self._vm, token)
         answer = await fetch(self.core.client, self.core.clock, upstream.address, call, ORDER_TIMEOUT)
-        if isinstance(answer, str):
-            self.core.take_change(upstream.id, ChangeNews(change.phase, LONGEST_CHANGE, certain=False), "order")
-        elif answer.head.status == ACCEPTED:
-            self.core.take_change(upstream.id, ChangeNews(change.phase, LONGEST_CHANGE, certain=True), "order")
+        answered = not isinstance(answer, str)
+        if isinstance(answer, str) or answer.head.status == ACCEPTED:
+            self.core.take_change(upstream.id, ChangeNews(change.phase, LONGEST_CHANGE, certain=answered), "order")
         outcome = answer if isinstance(answer, str) else f"status {answer.head.status}"
         self.core.journal.write("LEADER", "order answered", upstream=upstream.id, outcome=outcome)
 
