Take no request in a planned stop that there may be no time for

A stopping VM listened for 3.2 s and served all that came; the platform excuses a cut only for what was sent within 3 s.

From 2.85 s on a stopping VM answers 503 with Retry-After to what still comes, until it stops listening. Test first: test_a_planned_stop_takes_nothing_any_more_that_it_may_have_no_time_for.

--- a/src/beamhatch/relay/core.py
+++ b/src/beamhatch/relay/core.py
@@ -41,6 +41,9 @@
 RETURN_SHARE = 0.9
 """Share of the longest time that callers of a route begin with, below which one is taken to ask again."""
 
+STOPPING_RETRY = 0.15
+"""Seconds after which a caller may come back to another VM."""
+
 UNREADY_RETRY = 1.0
 """Seconds after which a caller may come back to a VM that knows no configuration yet."""
 
@@ -71,6 +74,8 @@
     """When the VM started, in monotonic seconds."""
     vms: int = 1
     """VMs that are known to be alive, this one among them."""
+    stopping: bool = False
+    """True once a planned stop leaves no time for new requests."""
     exchanges: set[RelayExchange] = field(default_factory=set)
     on_change: Callable[[], None] = lambda: None
     """Called when the configuration or the listing has changed."""
@@ -230,6 +235,9 @@
         if isinstance(facts, BadRequest):
             self._refuse(responder, facts.status, facts.detail, "")
             return None
+        if self.stopping:
+            self._refuse(responder, 503, "this VM stops", facts.id, STOPPING_RETRY)
+            return None
         if self.table is None or not self.listing.complete:
             self._refuse(responder, 503, "no configuration is known yet", facts.id, UNREADY_RETRY)
             return None
--- a/src/beamhatch/relay/daemon.py
+++ b/src/beamhatch/relay/daemon.py
@@ -42,6 +42,9 @@
 STOP_MARGIN = 0.6
 """Seconds before the end of the time for a planned stop at which what is left is cut."""
 
+LAST_TAKEN = 2.85
+"""Seconds for which a stopping VM takes requests; the platform lets long ones be cut only if sent within 3 s."""
+
 LONGEST_LISTEN = 3.2
 """Seconds for which a stopping VM goes on to accept connections."""
 
@@ -181,6 +184,7 @@
                 exchange.cut("this VM stops")
             self.clock.call_later(STOP_INTERVAL, self._end, elapsed)
             return
+        self.core.stopping = elapsed > LAST_TAKEN
         if elapsed > LONGEST_LISTEN:
             if self._caller_port is not None:
                 port, self._caller_port = self._caller_port, None
--- a/tests/platform/test_beliefs.py
+++ b/tests/platform/test_beliefs.py
@@ -199,6 +199,17 @@
     platform.network.run_until(lambda: platform.network.stopped, 8.0)
 
 
+def test_a_planned_stop_takes_nothing_any_more_that_it_may_have_no_time_for() -> None:
+    platform = make_platform()
+    platform.vms["vm1"].stop()
+    platform.network.run(2.95)
+    late = platform.call("/stream/x", "late", headers={"Token-Count": "5000,500"})
+    platform.finish(late)
+    assert late.status == 503
+    assert "retry-after" in late.head.lower()
+    assert not platform.ledger.runs["late"]
+
+
 def test_a_planned_stop_ends_within_its_time_and_says_what_it_cuts() -> None:
     platform = make_platform(plain=1)
     platform.upstreams["plain-0"].fault = UpstreamFault.HANG
