Answer a slow request before its idle connection is closed

Cause: the connection's idle timer was reset as the bytes came and the request's own timer, of the same length, started a moment later. So the connection's ran out first; only where both ran out in one turn of the event loop did the 408 go out. Ruled out: unread bytes that reset the connection (the test sends what it announces less nine bytes, all of it read). Change: the idle timer is twice as long as the request's.

--- a/src/beamhatch/edge/caller/http.py
+++ b/src/beamhatch/edge/caller/http.py
@@ -24,6 +24,13 @@
 
 MODEL_PATHS = ("/v1/completions", "/v1/chat/completions")
 SERVICE_PREFIX = "/services/"
+IDLE_SHARE = 2.0
+"""Time for which a connection may bring nothing, as a multiple of the time that a request has to arrive in.
+
+A request's timer starts a moment behind the connection's. So the connection's has to be clearly longer, or it would close
+the connection before the request is answered.
+"""
+
 _TOO_LARGE = b"HTTP/1.1 413 Content Too Large\r\nConnection: close\r\nContent-Type: application/json\r\n\r\n"
 _TOO_SLOW = b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Type: application/json\r\n\r\n"
 
@@ -83,7 +90,8 @@
     """The server, with its bounds."""
 
     def __init__(self, root: resource.Resource, clock: Clock, limits: Limits, timing: Timing) -> None:
-        super().__init__(root, requestFactory=CallerRequest, timeout=timing.receive_limit, reactor=clock.reactor)
+        idle_limit = IDLE_SHARE * timing.receive_limit
+        super().__init__(root, requestFactory=CallerRequest, timeout=idle_limit, reactor=clock.reactor)
         self.clock = clock
         self.limits = limits
         self.timing = timing
