Let each mechanism of the decisions be left out by a switch

Ruled out: fields of the settings file, which the platform writes, and variables of the environment, which a typing error leaves unseen.

--- a/src/beamhatch/platform/run.py
+++ b/src/beamhatch/platform/run.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import argparse
 import os
 import signal
 import sys
@@ -19,6 +20,7 @@
 from beamhatch.platform.store import PlatformStore
 from beamhatch.relay.daemon import Daemon, RelaySettings
 from beamhatch.relay.http_client import HttpClient
+from beamhatch.relay.mechanism import Mechanism
 
 SETTINGS_VARIABLE = "BEAMHATCH_NODE_FILE"
 EXIT_FAULT = 1
@@ -32,6 +34,7 @@
 
     def __init__(self, path: str, settings: RelaySettings) -> None:
         self._path = path
+        self._without = settings.without
         self._seen = _read_stamp(path)
         self._clock = Clock(reactor)
         self._journal = Journal(self._clock, vm=settings.vm)
@@ -69,7 +72,7 @@
     def _reload(self) -> None:
         self._seen = _read_stamp(self._path)
         try:
-            settings = read_settings(self._path)
+            settings = read_settings(self._path, self._without)
         except SettingsError as problem:
             self._journal.write("MAIN", "settings not taken", detail=str(problem))
             return
@@ -89,9 +92,19 @@
 
 def main() -> int:
     """Run as a program."""
+    parser = argparse.ArgumentParser(prog="python -m beamhatch.platform", description=__doc__)
+    parser.add_argument(
+        "--without",
+        action="append",
+        default=[],
+        metavar="MECHANISM",
+        choices=[one.value for one in Mechanism],
+        help="leave a mechanism out, to measure what it is worth; may be given several times",
+    )
+    asked = parser.parse_args()
     path = os.environ.get(SETTINGS_VARIABLE, "")
     try:
-        settings = read_settings(path)
+        settings = read_settings(path, frozenset(Mechanism(name) for name in asked.without))
     except SettingsError as problem:
         print(f"beamhatch: {problem}", file=sys.stderr)
         return EXIT_USAGE
--- a/src/beamhatch/platform/settings.py
+++ b/src/beamhatch/platform/settings.py
@@ -9,6 +9,7 @@
 
 from beamhatch.relay.budget import BudgetTerms
 from beamhatch.relay.daemon import RelaySettings
+from beamhatch.relay.mechanism import ALL_IN, Without
 from beamhatch.relay.model import Address
 
 READY_PATH = "/api/ready"
@@ -55,19 +56,19 @@
     limits: _Limits = msgspec.field(default_factory=_Limits)
 
 
-def read_settings(path: str) -> RelaySettings:
-    """Return the settings in a file.
+def read_settings(path: str, without: Without = ALL_IN) -> RelaySettings:
+    """Return the settings in a file, for a relay that leaves some mechanisms out.
 
     :raises SettingsError: where the file can't be read, or lacks something
     """
     try:
         read = msgspec.convert(tomllib.loads(Path(path).read_text()), _Settings, strict=False)
-        return _make_settings(read)
+        return _make_settings(read, without)
     except (OSError, ValueError, msgspec.ValidationError) as problem:
         raise SettingsError(f"{path}: {problem}") from None
 
 
-def _make_settings(read: _Settings) -> RelaySettings:
+def _make_settings(read: _Settings, without: Without) -> RelaySettings:
     bounds = read.bounds
     return RelaySettings(
         vm=read.node_name,
@@ -83,6 +84,7 @@
         turn_time=bounds.lease_ms / 1000,
         drain_time=bounds.drain_timeout_ms / 1000,
         strength=read.limits.link_mbps,
+        without=without,
         metrics_address=Address(read.ip, METRICS_PORT),
         metrics_path=METRICS_PATH,
     )
--- a/src/beamhatch/relay/choosing.py
+++ b/src/beamhatch/relay/choosing.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from beamhatch.relay.mechanism import ALL_IN, Mechanism, Without
 from beamhatch.relay.model import Handle, Phase, Upstream, UpstreamId, hash_fraction
 from beamhatch.relay.pace import EnginePaces
 from beamhatch.relay.peer_work import PeerWork
@@ -64,12 +65,21 @@
     """Chooses among usable upstreams; it only looks."""
 
     def __init__(
-        self, standings: Standings, hall: str, paces: EnginePaces | None = None, work: PeerWork | None = None
+        self,
+        standings: Standings,
+        hall: str,
+        paces: EnginePaces | None = None,
+        work: PeerWork | None = None,
+        without: Without = ALL_IN,
     ) -> None:
         self.standings = standings
         self.hall = hall
         self.paces = EnginePaces() if paces is None else paces
         self.work = PeerWork() if work is None else work
+        self._session_gain = 0.0 if Mechanism.SESSION_GAIN in without else SESSION_GAIN
+        self._far_cost = 0.0 if Mechanism.HALL_COST in without else FAR_COST
+        self._far_plain_cost = 0.0 if Mechanism.HALL_COST in without else FAR_PLAIN_COST
+        self._fault_cost = 0.0 if Mechanism.FAULT_COST in without else FAULT_COST
 
     @abstractmethod
     def choose_prefill(
@@ -116,8 +126,8 @@
         home = max(candidates, key=lambda one: hash_fraction(f"{need.identity}/{one.id}"))
 
         def count_cost(one: Upstream) -> float:
-            gain = SESSION_GAIN if one is home else 0.0
-            far = FAR_COST if one.hall != self.hall else 0.0
+            gain = self._session_gain if one is home else 0.0
+            far = self._far_cost if one.hall != self.hall else 0.0
             return self.predict_prefill(one, need, now) + far - gain
 
         return min(candidates, key=count_cost)
@@ -160,7 +170,7 @@
         def count_cost(one: Upstream) -> float:
             standing = self.standings.get(one.id)
             running = standing.running + standing.count_others(now)
-            far = FAR_COST if one.hall != hall else 0.0
+            far = self._far_cost if one.hall != hall else 0.0
             full = FULL_COST if standing.tokens + need.tokens > KV_FILL * kv_tokens else 0.0
             return running * DECODE_STEP_COST + far + full + self._count_faults(standing, now)
 
@@ -174,7 +184,7 @@
             standing = self.standings.get(one.id)
             running = standing.running + standing.count_others(now)
             latency = standing.latency or FIRST_LATENCY
-            far = FAR_PLAIN_COST if one.hall != self.hall else 0.0
+            far = self._far_plain_cost if one.hall != self.hall else 0.0
             return latency * (1 + running / max(1, one.slots)) + far + self._count_faults(standing, now)
 
         return min(candidates, key=count_cost, default=None)
@@ -200,4 +210,4 @@
     def _count_faults(self, standing: Standing, now: float) -> float:
         silent = SILENT_COST if now < standing.silent_until else 0.0
         busy = BUSY_COST if now < standing.busy_until else 0.0
-        return silent + busy + FAULT_COST * standing.get_faults(now)
+        return silent + busy + self._fault_cost * standing.get_faults(now)
--- a/src/beamhatch/relay/core.py
+++ b/src/beamhatch/relay/core.py
@@ -16,6 +16,7 @@
 from beamhatch.relay.lengths import AnswerLengths
 from beamhatch.relay.line import Line
 from beamhatch.relay.listing import Listing
+from beamhatch.relay.mechanism import ALL_IN, Mechanism, Without
 from beamhatch.relay.model import CallerLimits, ServiceName
 from beamhatch.relay.own_answer import send_error
 from beamhatch.relay.pace import EnginePaces, Pace
@@ -33,7 +34,7 @@
     from beamhatch.relay.http_client import HttpClient
     from beamhatch.relay.http_server import IncomingRequest, RequestHandler, Responder
     from beamhatch.relay.listing import Entry
-    from beamhatch.relay.model import Route, Service, Table, Upstream, UpstreamId
+    from beamhatch.relay.model import RequestFacts, Route, Service, Table, Upstream, UpstreamId
 
 POLL_INTERVAL = 0.04
 """Seconds between two times that the first in line asks for decode memory."""
@@ -70,6 +71,7 @@
     chooser: Chooser
     standings: Standings
     terms: Terms
+    without: Without = ALL_IN
     listing: Listing = field(default_factory=Listing)
     changes: Changes = field(default_factory=Changes)
     paces: EnginePaces = field(default_factory=EnginePaces)
@@ -192,6 +194,11 @@
         """Return how long the answers of a service become."""
         return self._lengths[service]
 
+    def note_length(self, service: ServiceName, facts: RequestFacts, tokens: int) -> None:
+        """Learn how long an answer became."""
+        if Mechanism.LEARNED_ROOM not in self.without:
+            self._lengths[service].note(facts, tokens)
+
     def report_demand(self, service: ServiceName) -> DemandReport:
         """Return what this VM's streams ask of a service, as other VMs are told."""
         now = self.clock.now()
@@ -284,7 +291,7 @@
 
     def is_return(self, route: Route, time_left: float | None) -> bool:
         """Tell whether a caller seems to have asked before: others of its route began with clearly more time."""
-        if time_left is None:
+        if time_left is None or Mechanism.RETURNS in self.without:
             return False
         longest = self._patience[route.name] = max(time_left, self._patience.get(route.name, 0.0))
         return time_left < RETURN_SHARE * longest
--- a/src/beamhatch/relay/daemon.py
+++ b/src/beamhatch/relay/daemon.py
@@ -13,6 +13,7 @@
 from beamhatch.relay.http_server import CallerServer
 from beamhatch.relay.leadership import Leadership
 from beamhatch.relay.listing import DRAIN_TIME, GONE_GRACE_SHARE, Listing
+from beamhatch.relay.mechanism import ALL_IN, Mechanism, Without
 from beamhatch.relay.membership import Member, Membership
 from beamhatch.relay.model import Address, CallerLimits
 from beamhatch.relay.ordering import Ordering
@@ -72,6 +73,8 @@
     """Seconds behind the end of its entry in which an upstream may still be sent requests."""
     strength: float = 0.0
     """Mbit/s of the VM's link: of the VMs of a hall, the stronger ones watch the store for the others."""
+    without: Without = ALL_IN
+    """Mechanisms that are left out, to measure what they are worth."""
     metrics_address: Address | None = None
     metrics_path: str = "/metrics"
 
@@ -95,7 +98,7 @@
         self.tally = tally
         client = HttpClient(clock)
         standings = Standings()
-        paces = EnginePaces()
+        paces = EnginePaces(learns=Mechanism.LEARNED_PACES not in settings.without)
         work = PeerWork()
         self.core = Core(
             clock=clock,
@@ -103,9 +106,10 @@
             tally=tally,
             dialect=dialect,
             client=client,
-            chooser=LeastCost(standings, settings.hall, paces, work),
+            chooser=LeastCost(standings, settings.hall, paces, work, settings.without),
             standings=standings,
             paces=paces,
+            without=settings.without,
             work=work,
             terms=Terms(settings.budget),
             listing=Listing(gone_grace=GONE_GRACE_SHARE * settings.drain_time),
@@ -147,7 +151,8 @@
             watcher.start()
         if self.leadership is not None and self._ordering is not None:
             self.leadership.start()
-            self._ordering.start()
+            if Mechanism.ORDERS not in settings.without:
+                self._ordering.start()
         gc.collect()
         gc.freeze()  # what was loaded stays: later collections need not look through it
         self.journal.write("MAIN", "started", store=str(settings.store_address), seeds=settings.seeds)
@@ -221,7 +226,8 @@
         return Gossip(self.core, documents, settings.vm, Membership(own, settings.seeds))
 
     def _make_watchers(self, store: Store) -> list[Watcher]:
-        is_due = _is_always_due if self._gossip is None else self._gossip.watches
+        alone = self._gossip is None or Mechanism.FEW_WATCHERS in self.settings.without
+        is_due = _is_always_due if alone or self._gossip is None else self._gossip.watches
         first = self.settings.peer_address is None or str(self.settings.peer_address) in self.settings.seeds
         patience = 0.0 if first or not self.settings.seeds else START_PATIENCE
         return [watcher(self.core, store, is_due, patience) for watcher in (ConfigurationWatcher, ListingWatcher)]
--- a/src/beamhatch/relay/exchange.py
+++ b/src/beamhatch/relay/exchange.py
@@ -11,6 +11,7 @@
 from beamhatch.relay.headers import strip_hop_by_hop
 from beamhatch.relay.http_client import Call
 from beamhatch.relay.http_server import RequestHandler
+from beamhatch.relay.mechanism import Mechanism
 from beamhatch.relay.model import RouteKind, Stage
 from beamhatch.relay.own_answer import send_error
 from beamhatch.relay.plain_attempt import PlainAttempt
@@ -64,8 +65,15 @@
     ) -> None:
         self.core = core
         late_at = incoming.arrived + FIRST_EVENT_SHARE * route.target_latency
+        if Mechanism.WHOLE_RUNS in core.without:
+            late_at = float("inf")
         self.request = RelayRequest(
-            facts, route, service, answer_room=core.find_lengths(service.name).find_room(facts), late_at=late_at
+            facts,
+            route,
+            service,
+            answer_room=core.find_lengths(service.name).find_room(facts),
+            reserves=Mechanism.RESERVATIONS not in core.without,
+            late_at=late_at,
         )
         self._incoming = incoming
         self._responder = responder
@@ -146,6 +154,9 @@
         now = self.core.clock.now()
         in_time = self.request.route.target_latency * IN_TIME_SHARE
         line = self.core.find_line(self.request.service.name)
+        if Mechanism.LINE in self.core.without and not self.request.begun:
+            self._carry_out(self.request.refuse_full())
+            return
         if not self._in_line:
             self.core.find_demand(self.request.service.name).note_wait(now)
         if not self._in_line and not self.request.begun and not self._returns and not line.has_room(in_time, now):
--- a/src/beamhatch/relay/gossip.py
+++ b/src/beamhatch/relay/gossip.py
@@ -32,6 +32,7 @@
     pack_document,
     unpack_document,
 )
+from beamhatch.relay.mechanism import Mechanism
 from beamhatch.relay.model import UpstreamId
 
 if TYPE_CHECKING:
@@ -344,7 +345,8 @@
             self._fleet.take(connection.vm, message.demands, now)
             self.core.take_paces(message.demands)
         self._take_work(connection, message.reading)
-        for upstream, share in message.faulty.items():
+        faulty = {} if Mechanism.PEER_FAULTS in self.core.without else message.faulty
+        for upstream, share in faulty.items():
             self.core.standings.get(UpstreamId(upstream)).note_hint(share, now)
         self._take_changes(connection, message)
         if self._lacks("configuration", self.core.version, message.version):
@@ -353,7 +355,7 @@
             connection.tell(AskListing(self.core.revision))
 
     def _take_work(self, connection: PeerConnection, reading: dict[str, int]) -> None:
-        if connection.vm:
+        if connection.vm and Mechanism.PEER_WORK not in self.core.without:
             self.core.work.take(connection.vm, reading, self.core.clock.now())
 
     def _take_changes(self, connection: PeerConnection, message: Beat) -> None:
--- /dev/null
+++ b/src/beamhatch/relay/mechanism.py
@@ -0,0 +1,42 @@
+"""The mechanisms of the relay's decisions, each of which can be left out to measure what it is worth."""
+
+from __future__ import annotations
+
+from enum import Enum
+
+
+class Mechanism(Enum):
+    """A part of how the relay decides. No promise rests on any of them alone."""
+
+    LEARNED_PACES = "learned-paces"
+    """How fast engines read is learned; else the prior holds."""
+    LEARNED_ROOM = "learned-room"
+    """The room for an answer follows lengths and guesses; else the prior holds."""
+    PEER_WORK = "peer-work"
+    """VMs tell each other which prompts engines have still to read."""
+    WHOLE_RUNS = "whole-runs"
+    """Decode engines read prompts that prefill engines would be late with."""
+    ORDERS = "orders"
+    """Engines change their part."""
+    RESERVATIONS = "reservations"
+    """Decode memory is set aside before the prompt is read."""
+    LINE = "line"
+    """Requests wait for decode memory; else they are refused at once where there is none."""
+    RETURNS = "returns"
+    """Callers that come back may wait although the line is full."""
+    SESSION_GAIN = "session-gain"
+    """Prompts go to the engine that read their parts before."""
+    HALL_COST = "hall-cost"
+    """Upstreams of the own hall, or of that of the KV cache, go before others."""
+    FAULT_COST = "fault-cost"
+    """Upstreams that failed of late cost more."""
+    PEER_FAULTS = "peer-faults"
+    """VMs tell each other of upstreams that fail."""
+    FEW_WATCHERS = "few-watchers"
+    """Two VMs a hall watch the store for the others; else each watches."""
+
+
+Without = frozenset[Mechanism]
+"""The mechanisms that are left out."""
+
+ALL_IN: Without = frozenset()
--- a/src/beamhatch/relay/pace.py
+++ b/src/beamhatch/relay/pace.py
@@ -73,11 +73,14 @@
     pace: Pace = Pace()
     learned: bool = False
     """True once the pace is this VM's own finding."""
+    learns: bool = True
     _samples: deque[tuple[float, float]] = field(default_factory=lambda: deque(maxlen=MOST_SAMPLES))
     _unfitted: int = 0
 
     def note(self, tokens: int, seconds: float) -> None:
         """Take in the reading of a prompt that, as far as was known, had no other one ahead of it."""
+        if not self.learns:
+            return
         self._samples.append((float(tokens), seconds))
         self._unfitted += 1
         if len(self._samples) >= FEWEST_SAMPLES and (not self.learned or self._unfitted >= FIT_EVERY):
@@ -87,7 +90,7 @@
 
     def take(self, pace: Pace) -> None:
         """Take over what another VM has found, where this one knows nothing yet."""
-        if not self.learned:
+        if self.learns and not self.learned:
             self.pace = pace
 
 
@@ -124,6 +127,8 @@
 class EnginePaces:
     """The paces of all services."""
 
+    learns: bool = True
+    """False where the prior holds whatever is seen."""
     _readings: dict[ServiceName, ReadingPace] = field(default_factory=dict)
     _whole: dict[ServiceName, ReadingPace] = field(default_factory=dict)
 
@@ -131,14 +136,14 @@
         """Return how fast the prefill engines of a service read."""
         reading = self._readings.get(service)
         if reading is None:
-            reading = self._readings[service] = ReadingPace()
+            reading = self._readings[service] = ReadingPace(learns=self.learns)
         return reading
 
     def get_whole(self, service: ServiceName) -> ReadingPace:
         """Return how fast the decode engines of a service read, between the steps of their streams."""
         whole = self._whole.get(service)
         if whole is None:
-            whole = self._whole[service] = ReadingPace()
+            whole = self._whole[service] = ReadingPace(learns=self.learns)
         if not whole.learned:
             reading = self.get_reading(service).pace
             whole.pace = Pace(reading.overhead, WHOLE_SHARE * reading.rate)
--- a/src/beamhatch/relay/request.py
+++ b/src/beamhatch/relay/request.py
@@ -102,6 +102,8 @@
     """True once a part of the answer is with the caller."""
     answer_room: int = 0
     """Tokens that are set aside for the answer beside the prompt."""
+    reserves: bool = True
+    """False where decode memory is not to be set aside."""
     late_at: float = float("inf")
     """Monotonic seconds from which on the beginning of an answer is late."""
     _prefills: int = 0
@@ -176,7 +178,7 @@
     def _choose_reservation(self, usable: list[Upstream], chooser: Chooser, now: float) -> Step | None:
         """Return how to get decode memory, or None where it is set aside already or can't be."""
         engine = self.service.engine
-        if engine is None or not engine.hold_lifetime:
+        if engine is None or not engine.hold_lifetime or not self.reserves:
             return None
         if self.reservation is not None and now < self.reservation.until - RESERVATION_MARGIN:
             return None
--- a/src/beamhatch/relay/stream_attempt.py
+++ b/src/beamhatch/relay/stream_attempt.py
@@ -75,7 +75,7 @@
         service = self.request.service
         if service.engine is not None and self.request.last_event:
             tokens = self.request.last_event * service.engine.event_tokens
-            self.core.find_lengths(service.name).note(self.request.facts, tokens)
+            self.core.note_length(service.name, self.request.facts, tokens)
 
     def note_turned_away(self, now: float) -> None:
         """Take in that an engine could not have the KV cache."""
