Test decisions across VMs, log what can't be read, give each figure its unit and source

Cause: an entry or a configuration that could not be read was passed over in silence; 47 figures stood without a line on their unit and where they come from; what VMs decide together had no test. Found by the new tests: words on prompts to read waited 80 ms even when nothing had been told for long; now the first goes out at once.

--- a/src/beamhatch/platform/dialect.py
+++ b/src/beamhatch/platform/dialect.py
@@ -34,6 +34,7 @@
 """Headers that only the system sets; what a caller sends of them is dropped."""
 
 MOST_ID_BYTES = 200
+"""Characters of a request id at the most: ids of the platform have 16, and logs repeat them."""
 
 
 class _Prefilled(msgspec.Struct):
--- a/src/beamhatch/platform/documents.py
+++ b/src/beamhatch/platform/documents.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 import msgspec
 
 from beamhatch.relay.api import Documents
@@ -22,6 +24,9 @@
     make_table,
 )
 
+if TYPE_CHECKING:
+    from beamhatch.observe.journal import Journal
+
 
 class _Split(msgspec.Struct):
     service: str
@@ -86,33 +91,46 @@
 
 
 class PlatformDocuments(Documents):
-    """Reads the documents as the platform's pages have them."""
+    """Reads the documents as the platform's pages have them; writes a line on those that can't be read."""
+
+    def __init__(self, journal: Journal) -> None:
+        self._journal = journal
 
     def read_configuration(self, raw: bytes) -> Table | None:
         """Return the operators' configuration, or None where it can't be read."""
         try:
             read = _read_configuration(raw)
             routes = [_make_route(route) for route in read.routes]
-        except _PROBLEMS:
+        except _PROBLEMS as problem:
+            self._journal.write("CONFIG", "unreadable", bytes=len(raw), detail=str(problem))
             return None
         services = [_make_service(service) for service in read.services]
         return make_table(read.version, routes, services, _make_limits(read.limits))
 
-
-def read_entry(upstream: UpstreamId, revision: int, raw: bytes | None) -> Entry:
-    """Return an upstream's entry; one that is gone, or can't be read, has no upstream."""
-    if raw is None:
-        return Entry(upstream, revision, None)
-    try:
-        read = _read_server(raw)
-        host, _, port = read.address.rpartition(":")
-        address = Address(host, int(port))
-        phase = Phase(read.phase) if read.phase else Phase.PLAIN
-    except _PROBLEMS:
-        return Entry(upstream, revision, None)
-    draining = read.state != "ready"
-    found = Upstream(upstream, ServiceName(read.service), address, read.zone, draining, phase, read.capacity)
-    return Entry(upstream, revision, found)
+    def read_entry(self, upstream: UpstreamId, revision: int, raw: bytes | None) -> Entry:
+        """Return an upstream's entry; one that is gone, or can't be read, has no upstream."""
+        if raw is None:
+            return Entry(upstream, revision, None)
+        try:
+            found = _read_upstream(upstream, raw)
+        except _PROBLEMS as problem:
+            self._journal.write("LISTING", "unreadable", upstream=upstream, revision=revision, detail=str(problem))
+            return Entry(upstream, revision, None)
+        return Entry(upstream, revision, found)
+
+
+def _read_upstream(upstream: UpstreamId, raw: bytes) -> Upstream:
+    read = _read_server(raw)
+    host, _, port = read.address.rpartition(":")
+    return Upstream(
+        id=upstream,
+        service=ServiceName(read.service),
+        address=Address(host, int(port)),
+        hall=read.zone,
+        draining=read.state != "ready",
+        phase=Phase(read.phase) if read.phase else Phase.PLAIN,
+        slots=read.capacity,
+    )
 
 
 def _make_route(read: _Route) -> Route:
--- a/src/beamhatch/platform/run.py
+++ b/src/beamhatch/platform/run.py
@@ -24,7 +24,11 @@
 
 SETTINGS_VARIABLE = "BEAMHATCH_NODE_FILE"
 EXIT_FAULT = 1
+"""Exit code of a process that could not go on."""
+
 EXIT_USAGE = 2
+"""Exit code where the settings or the command line can not be used, as is customary."""
+
 LOOK_INTERVAL = 1.0
 """Seconds between two looks at the settings file, which may change without a signal."""
 
@@ -38,10 +42,9 @@
         self._seen = _read_stamp(path)
         self._clock = Clock(reactor)
         self._journal = Journal(self._clock, vm=settings.vm)
-        store = PlatformStore(HttpClient(self._clock), self._clock, settings.store_address)
-        self._daemon = Daemon(
-            settings, self._clock, self._journal, Tally(), PlatformDialect(), PlatformDocuments(), store
-        )
+        documents = PlatformDocuments(self._journal)
+        store = PlatformStore(HttpClient(self._clock), self._clock, settings.store_address, documents)
+        self._daemon = Daemon(settings, self._clock, self._journal, Tally(), PlatformDialect(), documents, store)
         self._exit_code = 0
 
     def run(self) -> int:
--- a/src/beamhatch/platform/settings.py
+++ b/src/beamhatch/platform/settings.py
@@ -14,8 +14,11 @@
 
 READY_PATH = "/api/ready"
 METRICS_PORT = 9464
+"""TCP port of the figures; ``deploy/system.toml`` names the same."""
+
 METRICS_PATH = "/metrics"
 DEFAULT_GRACE = 8.0
+"""Seconds for a planned stop where the settings name none, as in the platform's example."""
 
 
 class SettingsError(ValueError):
--- a/src/beamhatch/platform/standin/trial.py
+++ b/src/beamhatch/platform/standin/trial.py
@@ -22,6 +22,8 @@
 HALL = "kl-a"
 ANY_PORT = Address("127.0.0.1", 0)
 READY_INTERVAL = 0.05
+"""Seconds between two looks whether the relay is ready."""
+
 ROUTES = [("accounts", "/accounts/", "safe", "acct-svc"), ("checks", "/checks/", "streaming", "lm-desk")]
 
 
@@ -40,8 +42,10 @@
         budget=BudgetTerms(),
         peer_address=None,
     )
-    adapter = PlatformStore(HttpClient(clock), clock, store.address)
-    daemon = Daemon(settings, clock, Journal(clock, 2), Tally(), PlatformDialect(), PlatformDocuments(), adapter)
+    journal = Journal(clock, 2)
+    documents = PlatformDocuments(journal)
+    adapter = PlatformStore(HttpClient(clock), clock, store.address, documents)
+    daemon = Daemon(settings, clock, journal, Tally(), PlatformDialect(), documents, adapter)
     daemon.start()
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: reactor.callFromThread(reactor.stop))
--- a/src/beamhatch/platform/standin/upstream.py
+++ b/src/beamhatch/platform/standin/upstream.py
@@ -198,6 +198,8 @@
     """Seconds between two events."""
     read_rate = 50_000.0
     """Prompt tokens a second."""
+    reads_in_turn = False
+    """It reads one prompt after the other, also as a decode engine, which does so at half the pace."""
     handle_lifetime = 0.5
     answer_delay = 0.0
     """Seconds that an answer about memory takes."""
@@ -226,6 +228,7 @@
         self.ordered: str | None = None
         """The part that it is to play once its runs have ended; until then it turns new requests away."""
         self._number = 0
+        self._reads_until = 0.0
 
     def describe(self, service: str, hall: str, state: str = "ready") -> dict[str, object]:
         """Return its entry in the store."""
@@ -323,6 +326,8 @@
             answer_json(responder, 503, {}, ("Not-Executed", "1"))
             return None
         first = self.step if source is None else self.step + self.move_time
+        if source is None and self.reads_in_turn:
+            first += self._take_turn(2 * prompt / self.read_rate)
         return self._stream(request, prompt, output, int(headers.get("last-event-id", 0)), first, responder)
 
     def _read(self, request: str, prompt: int, responder: Responder) -> RequestHandler:
@@ -341,9 +346,17 @@
             self.clock.call_later(self.handle_lifetime, self.ledger.handles.pop, key, None)
             answer_json(responder, 200, {"kv_handle": handle, "tokens": prompt, "version": 1}, ("Request-Id", request))
 
-        run.later(prompt / self.read_rate, end)
+        run.later(self._take_turn(prompt / self.read_rate), end)
         return run
 
+    def _take_turn(self, seconds: float) -> float:
+        """Return the seconds until a reading of some seconds ends."""
+        if not self.reads_in_turn:
+            return seconds
+        now = self.clock.now()
+        self._reads_until = max(now, self._reads_until) + seconds
+        return self._reads_until - now
+
     def _stream(
         self, request: str, prompt: int, events: int, after: int, first: float, responder: Responder
     ) -> RequestHandler:
--- a/src/beamhatch/platform/store.py
+++ b/src/beamhatch/platform/store.py
@@ -8,7 +8,6 @@
 
 import msgspec
 
-from beamhatch.platform.documents import PlatformDocuments, read_entry
 from beamhatch.relay.api import (
     Claimed,
     ConfigurationNews,
@@ -26,6 +25,7 @@
 
 if TYPE_CHECKING:
     from beamhatch.clock import Clock
+    from beamhatch.platform.documents import PlatformDocuments
     from beamhatch.relay.answer import WholeAnswer
     from beamhatch.relay.http_client import HttpClient
     from beamhatch.relay.listing import Entry
@@ -37,6 +37,8 @@
 LEADER = f"{OWN}leader"
 LAST_ORDER = f"{OWN}order"
 READ_TIMEOUT = 2.0
+"""Seconds for one call: 500 times what an answer takes when the store is well."""
+
 WATCH_MARGIN = 2.0
 """Seconds beyond its wait after which a watch is taken as lost."""
 
@@ -79,11 +81,11 @@
 class PlatformStore(Store):
     """Speaks to the store over HTTP."""
 
-    def __init__(self, client: HttpClient, clock: Clock, address: Address) -> None:
+    def __init__(self, client: HttpClient, clock: Clock, address: Address, documents: PlatformDocuments) -> None:
         self._client = client
         self._clock = clock
         self._address = address
-        self._documents = PlatformDocuments()
+        self._documents = documents
 
     async def read_configuration(self) -> ConfigurationNews | StoreLost:
         """Return the configuration in force."""
@@ -111,7 +113,7 @@
             if isinstance(page, StoreLost):
                 return page
             at = page.at if at is None else at
-            entries += [_make_entry(item) for item in page.items]
+            entries += [self._make_entry(item) for item in page.items]
             if not page.more or not page.items:
                 return ListingNews(entries, at)
             query["after"] = page.items[-1].tls_key
@@ -121,7 +123,7 @@
         events = await self._watch(UPSTREAMS, after, wait)
         if not isinstance(events, _Events):
             return events
-        return ListingNews([_make_entry(item) for item in events.events], events.at)
+        return ListingNews([self._make_entry(item) for item in events.events], events.at)
 
     async def read_leadership(self) -> LeadershipNews | StoreLost:
         """Return who leads, and what the last order was."""
@@ -205,9 +207,8 @@
         table = None if raw is None else self._documents.read_configuration(raw)
         return None if raw is None or table is None else Document(raw, table)
 
-
-def _make_entry(item: _Item) -> Entry:
-    return read_entry(UpstreamId(item.tls_key.removeprefix(UPSTREAMS)), item.revision, item.raw)
+    def _make_entry(self, item: _Item) -> Entry:
+        return self._documents.read_entry(UpstreamId(item.tls_key.removeprefix(UPSTREAMS)), item.revision, item.raw)
 
 
 def _decode(answer: WholeAnswer | str, wanted: type[Read]) -> Read | StoreLost:
--- a/src/beamhatch/relay/choosing.py
+++ b/src/beamhatch/relay/choosing.py
@@ -24,6 +24,8 @@
 """Seconds that an upstream which fails everything costs more than one that fails nothing."""
 
 LAPSE_COST = 2.0
+"""Seconds that a prefill engine whose handles lapse at once costs more: a prompt read in vain, and read again."""
+
 BUSY_COST = 1.0
 """Seconds that an upstream which has just turned a request away costs more."""
 
@@ -34,6 +36,8 @@
 """Seconds that a KV cache moved between halls costs more: it takes longer and is priced."""
 
 FAR_PLAIN_COST = 0.004
+"""Seconds that a plain service in another hall costs more: the way there and back, and the price of the bytes."""
+
 DECODE_STEP_COST = 0.012
 """Seconds by which each further request at a decode engine slows one down."""
 
@@ -47,6 +51,8 @@
 """Upstreams that are weighed for one choice at the most; of more, as many are drawn at random."""
 
 FULL_COST = 5.0
+"""Seconds that a decode engine without room costs more: longer than streams take, so that it is the last choice."""
+
 FIRST_LATENCY = 0.06
 """Seconds that a plain service is thought to take before any answer was seen."""
 
--- a/src/beamhatch/relay/daemon.py
+++ b/src/beamhatch/relay/daemon.py
@@ -32,6 +32,8 @@
     from beamhatch.relay.http_server import IncomingRequest, Responder
 
 BACKLOG = 1024
+"""Connections that the kernel keeps until they are accepted: a second of the largest bursts."""
+
 IDLE_CLOSE_DELAY = 2.6
 """Seconds behind the begin of a planned stop after which idle connections are closed: by then no new ones come."""
 
@@ -42,6 +44,8 @@
 """
 
 STOP_INTERVAL = 0.05
+"""Seconds between two looks during a planned stop."""
+
 STOP_MARGIN = 0.6
 """Seconds before the end of the time for a planned stop at which what is left is cut."""
 
--- a/src/beamhatch/relay/demand.py
+++ b/src/beamhatch/relay/demand.py
@@ -23,6 +23,8 @@
 """Seconds that a stream holds decode memory, before any was seen: 600 tokens of 5 ms."""
 
 PRIOR_PROMPT = 3000.0
+"""Tokens of a prompt before any was seen, between those of the measured deployments; the first one replaces it."""
+
 PRIOR_ANSWER = 600.0
 """Tokens before any were seen, in the order of what the measured deployments' streams have; soon outweighed."""
 
--- a/src/beamhatch/relay/exchange.py
+++ b/src/beamhatch/relay/exchange.py
@@ -48,8 +48,14 @@
 """Share of the caller's time left after which it is told to come back at the latest: it would not wait for longer."""
 
 SHORTEST_RETRY = 0.15
+"""Seconds after which a caller may come back at the earliest: time for another VM to learn what this one did."""
+
 NO_SIGNATURE_STATUS = 502
+"""Status of an own failure behind a send that may have run: it promises nothing."""
+
 TIMED_OUT_STATUS = 504
+"""Status of a request that may have run and whose time is over."""
+
 FRESH_IDLE = 1.0
 """Seconds that a kept connection may have been idle for a request that may not be sent twice."""
 
--- a/src/beamhatch/relay/gossip.py
+++ b/src/beamhatch/relay/gossip.py
@@ -45,6 +45,8 @@
     from beamhatch.relay.model import Service
 
 BEAT_INTERVAL = 0.5
+"""Seconds between two beats: a peer that misses three counts as silent."""
+
 LEAST_TELL_GAP = 0.03
 """Seconds between two beats to all peers, however much changes."""
 
@@ -58,7 +60,11 @@
 """Seconds for which a VM that watches the store waits for it to tell what a peer has already."""
 
 CONNECT_TIMEOUT = 0.5
+"""Seconds for a connection to a peer: 100 round trips between halls."""
+
 FIRST_HELLO_PAUSE = 0.5
+"""Seconds between the first two words on who is known; each pause is twice the last."""
+
 LONGEST_HELLO_PAUSE = 10.0
 """Seconds between two times that peers are told who is known; at the start it is told more often."""
 
@@ -158,6 +164,7 @@
         self._telling = False
         self._told_at = -1e9
         self._telling_work = False
+        self._told_work_at = -1e9
         self._told_work: dict[str, int] = {}
         self._port: Any = None
         self._stopped = False
@@ -265,10 +272,12 @@
         """Tell all peers what engines have still to read for this VM, as it has changed."""
         if not self._telling_work and not self._stopped:
             self._telling_work = True
-            self.core.clock.call_later(LEAST_WORK_GAP, self._tell_work)
+            wait = self._told_work_at + LEAST_WORK_GAP - self.core.clock.now()
+            self.core.clock.call_later(max(0.0, wait), self._tell_work)
 
     def _tell_work(self) -> None:
         self._telling_work = False
+        self._told_work_at = self.core.clock.now()
         reading = self.core.standings.list_reading()
         if reading == self._told_work:
             return
--- a/src/beamhatch/relay/gossip_message.py
+++ b/src/beamhatch/relay/gossip_message.py
@@ -11,7 +11,11 @@
 from beamhatch.relay.membership import Member, Mention
 
 MOST_BYTES = 4 * 1024 * 1024
+"""Bytes of one message at the most: a packed configuration of the size to design for has 0.2 MB."""
+
 MOST_DOCUMENT_BYTES = 16 * 1024 * 1024
+"""Bytes of an unpacked configuration at the most: 20 times the size to design for."""
+
 MOST_MENTIONED = 64
 """Other VMs in one message at the most."""
 
--- a/src/beamhatch/relay/http_client.py
+++ b/src/beamhatch/relay/http_client.py
@@ -26,6 +26,8 @@
     from beamhatch.relay.api import Headers
 
 MOST_HEAD_BYTES = 64 * 1024
+"""Bytes of an answer's head at the most."""
+
 SWEEP_INTERVAL = 1.0
 """Seconds between two looks for idle connections that are too old."""
 
--- a/src/beamhatch/relay/http_fetch.py
+++ b/src/beamhatch/relay/http_fetch.py
@@ -15,6 +15,7 @@
     from beamhatch.relay.model import Address
 
 MOST_BYTES = 8 * 1024 * 1024
+"""Bytes of a fetched answer at the most: some pages of the store's lists."""
 
 
 class _Fetch(AnswerSink):
--- a/src/beamhatch/relay/http_server.py
+++ b/src/beamhatch/relay/http_server.py
@@ -22,10 +22,14 @@
     from beamhatch.relay.model import CallerLimits
 
 MOST_PIPELINED = 64 * 1024
+"""Bytes of further requests that wait behind one under way."""
+
 LINGER = 1.0
 """Seconds for which an unread body is read on behind an error, so that the caller gets the answer and no reset."""
 
 SMALLEST_HEAD = 4096
+"""Bytes of a head that are read whatever the operators' bound is, so that it can be answered."""
+
 MOST_HELD = 32 * 1024 * 1024
 """Bytes of bodies that all callers together may have here; the smallest VMs have 128 MB in all."""
 
--- a/src/beamhatch/relay/leadership.py
+++ b/src/beamhatch/relay/leadership.py
@@ -25,7 +25,11 @@
     from beamhatch.relay.core import Core
 
 LEASE_TIME = 3.0
+"""Seconds for which the lease of a leader runs."""
+
 KEEP_INTERVAL = 0.8
+"""Seconds between two renewals: three fit into a lease, so that one may be lost."""
+
 KEEP_TIMEOUT = 0.7
 """Seconds after which a renewal without an answer is made again."""
 
@@ -36,6 +40,8 @@
 """Seconds from the start to the first look of a candidate, from and to."""
 
 WATCH_WAIT = 20.0
+"""Seconds for which one watch of the lease is held: below the platform's bound of 30."""
+
 LOST_PAUSE = 1.0
 """Seconds behind a call that the store did not answer."""
 
@@ -46,6 +52,8 @@
 """Seconds of the lease that have to be left for an order."""
 
 HANDOVER_MARGIN = 0.5
+"""Seconds that a new leader waits beyond the turn: clocks differ, and orders take time to arrive."""
+
 CANDIDATES = 3
 """VMs that watch the lease, so that one takes over at once; the others look the less often the more go before them.
 
--- a/src/beamhatch/relay/line.py
+++ b/src/beamhatch/relay/line.py
@@ -16,6 +16,7 @@
 """Seconds over which the rate of freed places is counted."""
 
 FEWEST_WAITING = 1
+"""Requests that may wait whatever the rate of freed places is, as a VM that sees few can not tell it."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/beamhatch/relay/listing.py
+++ b/src/beamhatch/relay/listing.py
@@ -27,6 +27,7 @@
 """
 
 TOMBSTONE_LIFE = 120.0
+"""Seconds for which it is remembered that an upstream is gone: longer than old news travel."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/beamhatch/relay/membership.py
+++ b/src/beamhatch/relay/membership.py
@@ -24,6 +24,8 @@
 """Seconds without a sign after which a VM is no longer counted."""
 
 FIRST_REDIAL_PAUSE = 2.0
+"""Seconds before an address that did not answer is dialled again; each pause is twice the last."""
+
 LONGEST_REDIAL_PAUSE = 16.0
 """Seconds for which an address that did not answer is not dialled again."""
 
--- a/src/beamhatch/relay/ordering.py
+++ b/src/beamhatch/relay/ordering.py
@@ -19,10 +19,14 @@
     from beamhatch.relay.model import Service, ServiceName
 
 LOOK_INTERVAL = 0.5
+"""Seconds between two looks at the demand: as often as peers tell of it."""
+
 TELL_INTERVAL = 5.0
 """Seconds between two lines on why nothing is ordered."""
 
 ORDER_TIMEOUT = 0.8
+"""Seconds for the answer to an order: many times what an engine takes that is well."""
+
 RECALLED_LIFE = 10.0
 """Seconds for which an order from before the start of this VM is thought to be under way."""
 
--- a/src/beamhatch/relay/pace.py
+++ b/src/beamhatch/relay/pace.py
@@ -50,8 +50,10 @@
 """Standard deviation of the prompts' tokens below which they say nothing of the seconds of a token."""
 
 SLOWEST_RATE = 2_000.0
+"""Prompt tokens a second: the lower bound on what is learned."""
+
 FASTEST_RATE = 1_000_000.0
-"""Prompt tokens a second: bounds on what is learned, far outside of what engines do."""
+"""The upper bound; both are far outside of what engines do."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/beamhatch/relay/plain_attempt.py
+++ b/src/beamhatch/relay/plain_attempt.py
@@ -10,6 +10,8 @@
 """Bytes of an answer that are held until it is whole."""
 
 SHORTEST_PATIENCE = 0.25
+"""Seconds: four times what plain services took in the mean on the measured deployments."""
+
 PATIENCE_FACTOR = 4.0
 """Times the upstream's mean that an answer may take before the upstream is taken to be silent."""
 
--- a/src/beamhatch/relay/prefill_attempt.py
+++ b/src/beamhatch/relay/prefill_attempt.py
@@ -7,7 +7,11 @@
 from beamhatch.relay.model import Handle
 
 MOST_BODY_BYTES = 64 * 1024
+"""Bytes of an answer to a prefill at the most; it has less than a hundred."""
+
 SHORTEST_PATIENCE = 0.6
+"""Seconds: four times what a prompt takes at an engine that is not busy."""
+
 PATIENCE_FACTOR = 4.0
 """Times the engine's mean that a prompt may take before the engine is taken to be silent."""
 
--- a/src/beamhatch/relay/request.py
+++ b/src/beamhatch/relay/request.py
@@ -18,7 +18,11 @@
     from beamhatch.relay.model import RequestFacts, Route, Service
 
 MOST_SENDS = 6
+"""Sends of one request at the most, to bound what one caller can cause."""
+
 MOST_PREFILLS = 2
+"""Times that a prompt is given to a prefill engine: each one costs as much as hundreds of tokens."""
+
 MOST_LANDINGS = 2
 """Decode engines that one handle is offered to."""
 
--- a/src/beamhatch/relay/reserve_attempt.py
+++ b/src/beamhatch/relay/reserve_attempt.py
@@ -14,6 +14,8 @@
     from beamhatch.relay.request import Reserve
 
 MOST_BODY_BYTES = 64 * 1024
+"""Bytes of an answer about memory at the most; it has less than a hundred."""
+
 PATIENCE = 0.12
 """Seconds: the answer takes milliseconds, and a new request has a quarter of its target to be refused in."""
 
--- a/src/beamhatch/relay/standing.py
+++ b/src/beamhatch/relay/standing.py
@@ -15,6 +15,8 @@
 """How far one more outcome moves the share of faults."""
 
 FIRST_PAUSE = 0.8
+"""Seconds for which a silent upstream is passed over at first; each pause is twice the last."""
+
 LONGEST_PAUSE = 4.0
 """Seconds for which an upstream that does not answer at all is passed over."""
 
@@ -28,6 +30,8 @@
 """
 
 FIRST_MISDIRECTED_PAUSE = 2.0
+"""Seconds for the first time; each pause is twice the last."""
+
 LONGEST_MISDIRECTED_PAUSE = 30.0
 """Seconds for which an upstream that says that it is another one is passed over."""
 
@@ -41,6 +45,7 @@
 """Seconds for which a load that an upstream told is believed."""
 
 LATENCY_WEIGHT = 0.15
+"""Weight of one more observation in the running mean: the mean is of the last ten or so."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/beamhatch/relay/watching.py
+++ b/src/beamhatch/relay/watching.py
@@ -24,8 +24,13 @@
 """Seconds between two looks of a VM that does not watch, whether it has to."""
 
 START_INTERVAL = 0.02
+"""Seconds between two looks whether a peer has told what is needed."""
+
 FIRST_PAUSE = 0.15
+"""Seconds before a lost watch is made anew; each pause is twice the last."""
+
 LONGEST_PAUSE = 1.0
+"""Seconds between two tries at the most: so often a store that is down is asked."""
 
 
 class Watcher(ABC):
--- a/tests/platform/test_beliefs.py
+++ b/tests/platform/test_beliefs.py
@@ -4,10 +4,12 @@
 
 from beamhatch.platform.standin.store import StoreFault
 from beamhatch.platform.standin.upstream import UpstreamFault
+from tests.support.network import Network, PausedClock
 from tests.support.platform import (
     MODEL,
     PLAIN,
     ROUTES,
+    MemoryJournal,
     Platform,
     make_configuration,
     make_platform,
@@ -156,16 +158,19 @@
     vm1 = platform.vms["vm1"]
     import json
 
-    from beamhatch.platform.documents import PlatformDocuments, read_entry
+    from beamhatch.platform.documents import PlatformDocuments
     from beamhatch.relay.api import Document, ListingNews
     from beamhatch.relay.model import UpstreamId
 
     raw = json.dumps(configuration).encode()
-    table = PlatformDocuments().read_configuration(raw)
+    documents = PlatformDocuments(MemoryJournal(PausedClock(Network())))
+    table = documents.read_configuration(raw)
     assert table is not None
     vm1.core.take_document(Document(raw, table), "test")
     entry = json.dumps(platform.upstreams["plain-0"].describe(PLAIN, "hall-a", "draining")).encode()
-    vm1.core.take_listing(ListingNews([read_entry(UpstreamId("plain-0"), 999, entry)], 999), "test", whole=False)
+    vm1.core.take_listing(
+        ListingNews([documents.read_entry(UpstreamId("plain-0"), 999, entry)], 999), "test", whole=False
+    )
     platform.network.run(1.5)
     assert get_version(platform, "vm2") == 2
     names = {one.id for one in platform.vms["vm2"].core.listing.list_usable(table.routes[0].shares[0].service, 0.0)}
--- a/tests/support/platform.py
+++ b/tests/support/platform.py
@@ -18,6 +18,7 @@
 from beamhatch.relay.budget import BudgetTerms
 from beamhatch.relay.daemon import Daemon, RelaySettings
 from beamhatch.relay.http_client import HttpClient
+from beamhatch.relay.mechanism import ALL_IN, Without
 from beamhatch.relay.model import Address
 from tests.support.network import Network, PausedClock
 
@@ -224,7 +225,13 @@
         service = MODEL if isinstance(self.upstreams[name], StandInEngine) else PLAIN
         self.store.put(f"servers/{name}", self.upstreams[name].describe(service, "hall-a", "draining"))
 
-    def add_vm(self, name: str = "vm1", seeds: list[str] | None = None, hall: str = "hall-a") -> Daemon:
+    def add_vm(
+        self,
+        name: str = "vm1",
+        seeds: list[str] | None = None,
+        hall: str = "hall-a",
+        without: Without = ALL_IN,
+    ) -> Daemon:
         """Start a VM's relay."""
         settings = RelaySettings(
             vm=name,
@@ -237,10 +244,12 @@
             budget=BudgetTerms(0.2, 56, 10),
             peer_address=Address(name, 8002),
             seeds=seeds or [],
+            without=without,
         )
         journal = self.journals[name] = MemoryJournal(self.clock)
-        store = PlatformStore(HttpClient(self.clock), self.clock, STORE)
-        daemon = Daemon(settings, self.clock, journal, Tally(), PlatformDialect(), PlatformDocuments(), store)
+        documents = PlatformDocuments(journal)
+        store = PlatformStore(HttpClient(self.clock), self.clock, STORE, documents)
+        daemon = Daemon(settings, self.clock, journal, Tally(), PlatformDialect(), documents, store)
         self.vms[name] = daemon
         daemon.start()
         return daemon
@@ -271,7 +280,7 @@
         return caller.status == 200
 
 
-def make_platform(*, plain: int = 2, prefill: int = 2, decode: int = 2) -> Platform:
+def make_platform(*, plain: int = 2, prefill: int = 2, decode: int = 2, without: Without = ALL_IN) -> Platform:
     """Return a platform with one VM that is ready."""
     platform = Platform()
     platform.configure(1)
@@ -281,7 +290,7 @@
         platform.add_engine(f"prefill-{number}", "prefill")
     for number in range(decode):
         platform.add_engine(f"decode-{number}", "decode")
-    platform.add_vm()
+    platform.add_vm(without=without)
     platform.network.run_until(platform.is_ready)
     return platform
 
