--- a/src/beamhatch/relay/exchange.py
+++ b/src/beamhatch/relay/exchange.py
@@ -106,7 +106,8 @@
         self._set_timer()
         if self._ended:
             return
-        if self.request.split and self.core.find_line(self.request.service.name).has_fresh(self.core.clock.now()):
+        line = self.core.find_line(self.request.service.name)
+        if self.request.split and line.goes_before_newcomers(self.core.clock.now()):
             self._wait_in_line()
         else:
             self.advance()
--- a/src/beamhatch/relay/line.py
+++ b/src/beamhatch/relay/line.py
@@ -67,8 +67,8 @@
         """Drop a request that waits no longer."""
         self._places = [place for place in self._places if place.waiter is not waiter]
 
-    def has_fresh(self, now: float) -> bool:
-        """Tell whether somebody waits who can still be in time, or is owed a place."""
+    def goes_before_newcomers(self, now: float) -> bool:
+        """Tell whether somebody waits who is owed a place, or can still be in time."""
         return any(place.owed or now < place.late_at for place in self._places)
 
     def list_turns(self, now: float) -> list[Waiter]:
--- a/tests/relay/test_line.py
+++ b/tests/relay/test_line.py
@@ -27,7 +27,7 @@
     for number in range(20):
         line.join(f"late{number}", NOW, NOW + 3, NOW)
     assert line.has_room(0.5, NOW)
-    assert not line.has_fresh(NOW)
+    assert not line.goes_before_newcomers(NOW)
     line.join("fresh", NOW + 0.5, NOW + 3.1, NOW + 0.1)
     assert line.list_turns(NOW + 0.1) == ["fresh"]
     line.leave("fresh")
@@ -41,3 +41,15 @@
     line.join("fresh", NOW + 9.0, NOW + 6.0, NOW + 3.0)
     assert line.list_turns(NOW + 3.5) == ["fresh", "old"]
     assert line.list_turns(NOW + 4.5) == ["fresh", "old", "newer"]
+
+
+def test_those_that_are_owed_a_place_go_first_and_take_no_room_from_newcomers() -> None:
+    line = make_line(freed=16)
+    line.join("fresh", NOW + 0.5, NOW + 3, NOW)
+    line.join("owed", NOW, NOW + 3, NOW + 0.1, owed=True)
+    line.join("owed too", NOW, NOW + 3, NOW + 0.2, owed=True)
+    assert line.has_room(0.5, NOW + 0.2)
+    assert line.goes_before_newcomers(NOW + 2)
+    for name in ("owed", "owed too", "fresh"):
+        assert line.list_turns(NOW + 0.3) == [name]
+        line.leave(name)
