Tell why the leader orders or not once a service; tell of a last order that can't be read

Cause: read again: with two services the line would have come at each look, and an unreadable order was taken as none in silence. Two tests; lines only, no decision changes.

--- a/src/beamhatch/relay/ordering.py
+++ b/src/beamhatch/relay/ordering.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
 from twisted.internet import defer
@@ -34,6 +35,14 @@
 """The status of an engine that begins to change its part."""
 
 
+@dataclass(frozen=True, slots=True)
+class _Told:
+    """What was last written to the log on a service."""
+
+    decision: tuple[object, ...]
+    at: float
+
+
 class Ordering:
     """Looks at the demand, and orders what is due."""
 
@@ -45,8 +54,7 @@
         self._vm = vm
         self._find_pressure = find_pressure
         self._quiet_until = 0.0
-        self._told: tuple[object, ...] = ()
-        self._told_at = -1e9
+        self._told: dict[ServiceName, _Told] = {}
         self._left: dict[ServiceName, int] = {}
         """How many engines of each service had said that they leave at the last look."""
 
@@ -57,7 +65,10 @@
 
     def _recall(self, order: str) -> None:
         """Take in an order from before this VM started: its engine may still be changing."""
-        for upstream, phase in read_orders(order):
+        recalled = read_orders(order)
+        if order and not recalled:
+            self.core.journal.write("LEADER", "last order unreadable", order=order[:200])
+        for upstream, phase in recalled:
             self.core.take_change(upstream, ChangeNews(phase, RECALLED_LIFE, certain=False), "store")
 
     def _look(self) -> None:
@@ -90,10 +101,12 @@
 
     def _note_weighed(self, service: Service, pressure: Pressure, weighed: Weighed, now: float) -> None:
         """Write what a decision rests on: one line where it changed, and else some seconds apart."""
-        told = (service.name, weighed.prefills, weighed.decodes, weighed.phase, weighed.due)
-        if not pressure.prompt_rate or (told == self._told and now - self._told_at < TELL_INTERVAL):
+        told = _Told((weighed.prefills, weighed.decodes, weighed.phase, weighed.due), now)
+        last = self._told.get(service.name)
+        repeats = last is not None and last.decision == told.decision and now - last.at < TELL_INTERVAL
+        if repeats or not pressure.prompt_rate:
             return
-        self._told, self._told_at = told, now
+        self._told[service.name] = told
         self.core.journal.write(
             "LEADER",
             "weighed",
--- a/tests/platform/test_orders.py
+++ b/tests/platform/test_orders.py
@@ -204,3 +204,22 @@
     ask_often(platform, 0, 40)
     assert len(list_turned_away(platform)) <= 2
     assert count_misspent(platform) <= 2
+
+
+def test_why_the_leader_orders_or_does_not_is_told_once_and_then_some_seconds_apart() -> None:
+    platform = make_short_of_memory(1)
+    platform.network.run_until(lambda: find_leaders(platform), 30.0)
+    press(platform, 20.0)
+    lines = [line for line in platform.journals["vm1"].lines if line["event"] == "weighed"]
+    assert any(line["gain"] >= line["needed"] for line in lines)
+    assert len(lines) <= 20
+    assert {"prefills", "decodes", "prompt_rate", "residence", "read_rate"} <= set(lines[0])
+
+
+def test_a_last_order_that_can_not_be_read_is_told() -> None:
+    platform = make_platform()
+    ordering = platform.vms["vm1"]._ordering
+    assert ordering is not None
+    ordering._recall("nonsense")
+    lines = platform.journals["vm1"].lines
+    assert [line["order"] for line in lines if line["event"] == "last order unreadable"] == ["nonsense"]
