Read anew behind a lost watch, so that a silent store can't swallow the next one

Change: behind a lost watch everything is read, which is answered or lost within 2 s, and only then watched again. Before: four new tests fail (version 1 instead of 2); after: they pass, with all of relay and platform.

--- a/src/beamhatch/relay/watching.py
+++ b/src/beamhatch/relay/watching.py
@@ -105,6 +105,11 @@
             await sleep(self.core.clock, START_INTERVAL)
 
     async def _follow(self, at: int) -> None:
+        """Watch from a revision on, until the watch is lost, what it needs is, or others watch.
+
+        Behind a lost watch everything is read again: a read is answered or lost within seconds, while another watch
+        might be swallowed by a store that is still silent, and be missed only when its long time is over.
+        """
         while self._is_due():
             news = await self._watch_once(at)
             if news is None:
@@ -114,7 +119,7 @@
                 return
             if isinstance(news, StoreLost):
                 await self._wait_again(news)
-                continue
+                return
             self._note_connected(news)
             if news > at:
                 await sleep(self.core.clock, self.settle_time)
--- a/tests/platform/test_beliefs.py
+++ b/tests/platform/test_beliefs.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import pytest
+
 from beamhatch.platform.standin.store import StoreFault
 from beamhatch.platform.standin.upstream import UpstreamFault
 from tests.support.network import Network, PausedClock
@@ -240,3 +242,19 @@
     platform.finish(platform.call("/stream/x", "q1"))
     assert platform.journals["vm1"].list_events("q1") == ["reserved", "sent", "sent", "answered"]
     assert MODEL
+
+
+@pytest.mark.parametrize("silence", [0.5, 1.0, 2.5, 6.0])
+def test_a_watch_that_was_lost_is_not_swallowed_again_by_a_store_that_is_still_silent(silence: float) -> None:
+    platform = make_platform()
+    vm = platform.vms["vm1"]
+    assert vm.leadership is not None
+    vm.leadership.stop()  # its frequent calls would show that the store is back
+    journal = platform.journals["vm1"]
+    platform.store.fault = StoreFault.SILENT
+    platform.network.run_until(lambda: any(line["event"] == "lost" for line in journal.lines), 80.0)
+    platform.network.run(silence)
+    platform.store.fault = StoreFault.NONE
+    platform.configure(2, [*ROUTES, NEW_ROUTE])
+    platform.network.run(4.0)
+    assert get_version(platform, "vm1") == 2
