Serve callers that can be in time before those that are late already

Each VM also asked for freed memory as often for late requests as for others. Change: in the line, those that can be in time go first, then those that came back, then late ones. A VM whose first in line is late polls every 0.2 s instead of 0.04 s, and 0.06 s behind a freed place instead of 0.003 s.

--- a/src/beamhatch/relay/core.py
+++ b/src/beamhatch/relay/core.py
@@ -5,7 +5,7 @@
 import random
 from collections import defaultdict
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from beamhatch.relay.api import BadRequest
 from beamhatch.relay.budget import Budget, BudgetTerms
@@ -39,9 +39,19 @@
 POLL_INTERVAL = 0.04
 """Seconds between two times that the first in line asks for decode memory."""
 
+LATE_POLL_INTERVAL = 0.2
+"""Seconds between two such times where the first in line is late already.
+
+VMs whose first can be in time ask five times as often, and so get most of the places that come free, whichever VM's
+stream gave them back. With the order of the line it gains 0.015 (0.007) of a day's worth (20 days, and 15 others).
+"""
+
 FREED_DELAY = 0.003
 """Seconds in which an engine gives memory back when a stream has ended."""
 
+LATE_FREED_DELAY = 0.06
+"""Seconds behind which one that is late asks for memory that was given back: more than a poll of the others."""
+
 RETURN_SHARE = 0.9
 """Share of the longest time that callers of a route begin with, below which one is taken to ask again."""
 
@@ -59,6 +69,15 @@
     budget: BudgetTerms = field(default_factory=BudgetTerms)
 
 
+@dataclass(frozen=True, slots=True)
+class _Poll:
+    """The next time that those who wait for the decode memory of a service ask for it."""
+
+    due: float
+    """Monotonic seconds."""
+    timer: Any
+
+
 @dataclass(slots=True)
 class Core:
     """The state of one VM's relay."""
@@ -94,7 +113,8 @@
     _lines: defaultdict[ServiceName, Line[RelayExchange]] = field(default_factory=lambda: defaultdict(Line))
     _demands: defaultdict[ServiceName, Demand] = field(default_factory=lambda: defaultdict(Demand))
     _lengths: defaultdict[ServiceName, AnswerLengths] = field(default_factory=lambda: defaultdict(AnswerLengths))
-    _polling: set[ServiceName] = field(default_factory=set)
+    _polls: dict[ServiceName, _Poll] = field(default_factory=dict)
+    """The next poll of each line."""
     _patience: dict[str, float] = field(default_factory=dict)
     """The longest that a caller of each route would wait, in seconds."""
 
@@ -244,23 +264,34 @@
 
     def note_freed(self, service: ServiceName) -> None:
         """Note that one of this VM's streams gave its memory back: who waits has a chance now."""
-        self.find_line(service).note_freed(self.clock.now())
-        self._poll_in(FREED_DELAY, service)
+        now = self.clock.now()
+        line = self.find_line(service)
+        line.note_freed(now)
+        self._poll_in(FREED_DELAY if line.has_fresh(now) else LATE_FREED_DELAY, service)
 
     def _poll(self, service: ServiceName) -> None:
-        self._polling.discard(service)
+        self._polls.pop(service, None)
         for waiter in self.find_line(service).list_turns(self.clock.now()):
             waiter.advance()
         self._poll_soon(service)
 
     def _poll_soon(self, service: ServiceName) -> None:
         """Go on to poll as long as anybody waits, whoever leaves the line meanwhile."""
-        self._poll_in(POLL_INTERVAL * random.uniform(0.6, 1.4), service)
+        fresh = self.find_line(service).has_fresh(self.clock.now())
+        interval = POLL_INTERVAL if fresh else LATE_POLL_INTERVAL
+        self._poll_in(interval * random.uniform(0.6, 1.4), service)
 
     def _poll_in(self, seconds: float, service: ServiceName) -> None:
-        if len(self.find_line(service)) and service not in self._polling:
-            self._polling.add(service)
-            self.clock.call_later(seconds, self._poll, service)
+        """Poll after some seconds, unless a poll is due before."""
+        if not len(self.find_line(service)):
+            return
+        due = self.clock.now() + seconds
+        pending = self._polls.get(service)
+        if pending is not None and pending.due <= due:
+            return
+        if pending is not None:
+            pending.timer.cancel()
+        self._polls[service] = _Poll(due, self.clock.call_later(seconds, self._poll, service))
 
     # --- callers -----------------------------------------------------------------------------------------------------
 
--- a/src/beamhatch/relay/exchange.py
+++ b/src/beamhatch/relay/exchange.py
@@ -107,7 +107,7 @@
         if self._ended:
             return
         line = self.core.find_line(self.request.service.name)
-        if self.request.split and line.goes_before_newcomers(self.core.clock.now()):
+        if self.request.split and line.has_fresh(self.core.clock.now()):
             self._wait_in_line()
         else:
             self.advance()
--- a/src/beamhatch/relay/line.py
+++ b/src/beamhatch/relay/line.py
@@ -27,13 +27,18 @@
     ends_at: float
     owed: bool
 
+    def is_fresh(self, now: float) -> bool:
+        """Tell whether the answer can still be in time."""
+        return not self.owed and now < self.late_at
+
 
 @dataclass(slots=True)
 class Line(Generic[Waiter]):
     """Those that wait, in the order in which they came.
 
-    Those that are owed a place go first: callers that were refused and came back as they were told, and those that have
-    a part of their answer. Those that are late already go last.
+    Those that can still be in time go first. Behind them come those that are owed a place: callers that were refused
+    and came back as they were told, and those that have a part of their answer. Both are late whatever is done, and a
+    place that they take makes a newcomer late as well.
     """
 
     _places: list[_Place[Waiter]] = field(default_factory=list)
@@ -49,7 +54,7 @@
 
     def has_room(self, wait: float, now: float) -> bool:
         """Tell whether one more may wait, so that it should be served within some seconds."""
-        fresh = sum(now < place.late_at and not place.owed for place in self._places)
+        fresh = sum(place.is_fresh(now) for place in self._places)
         return fresh < max(FEWEST_WAITING, self.count_rate(now) * wait)
 
     def count_rate(self, now: float) -> float:
@@ -67,14 +72,14 @@
         """Drop a request that waits no longer."""
         self._places = [place for place in self._places if place.waiter is not waiter]
 
-    def goes_before_newcomers(self, now: float) -> bool:
-        """Tell whether somebody waits who is owed a place, or can still be in time."""
-        return any(place.owed or now < place.late_at for place in self._places)
+    def has_fresh(self, now: float) -> bool:
+        """Tell whether somebody waits whose answer can still be in time."""
+        return any(place.is_fresh(now) for place in self._places)
 
     def list_turns(self, now: float) -> list[Waiter]:
         """Return who goes next, and who has waited for long enough to be given an end."""
         if not self._places:
             return []
-        first = min(self._places, key=lambda place: (not place.owed, now >= place.late_at, place.joined_at))
+        first = min(self._places, key=lambda place: (not place.is_fresh(now), not place.owed, place.joined_at))
         ending = [place for place in self._places if place is not first and now >= place.ends_at]
         return [place.waiter for place in [first, *ending]]
--- a/src/beamhatch/relay/mechanism.py
+++ b/src/beamhatch/relay/mechanism.py
@@ -23,7 +23,7 @@
     LINE = "line"
     """Requests wait for decode memory; else they are refused at once where there is none."""
     RETURNS = "returns"
-    """Callers that come back may wait although the line is full."""
+    """Callers that come back may wait although the line is full, behind those that can be in time."""
     SESSION_GAIN = "session-gain"
     """Prompts go to the engine that read their parts before."""
     HALL_COST = "hall-cost"
