Let a fleet that starts learn who else is there before anybody watches the store

Cause: a VM that has just started knows nobody, so it took itself for one of its hall's two watchers and for the first candidate to lead. 60 VMs that started together made 557 calls to the store before there was a configuration, most of them reads of a key that was not there yet, and 535 calls within 3 s when they started anew with one (stand-ins, counted by call). Change: nobody watches in its first second if there are peers to learn from; a VM that hears peers leaves reading to the watchers; a configuration that is not there yet is waited for by a watch from the store's revision, not read again; the first look for a leader comes behind that second, and the later the more VMs go before.

--- a/src/beamhatch/platform/store.py
+++ b/src/beamhatch/platform/store.py
@@ -90,11 +90,21 @@
     async def read_configuration(self) -> ConfigurationNews | StoreLost:
         """Return the configuration in force."""
         answer = await self._get("kv-key", {"tls_key": CONFIGURATION})
+        if not isinstance(answer, str) and answer.head.status == 404:
+            return await self._find_revision(CONFIGURATION)
         item = _decode(answer, _Item)
         if isinstance(item, StoreLost):
             return item
         return ConfigurationNews(self._read_document(item), item.at)
 
+    async def _find_revision(self, prefix: str) -> ConfigurationNews | StoreLost:
+        """Return from which revision on a key that is not there yet is to be watched."""
+        page = _decode(await self._get("kv-range", {"path_prefix": prefix}), _Range)
+        if isinstance(page, StoreLost):
+            return page
+        written = next((item for item in page.items if item.tls_key == prefix), None)
+        return ConfigurationNews(None if written is None else self._read_document(written), page.at)
+
     async def watch_configuration(self, after: int, wait: float) -> ConfigurationNews | StoreLost | HistoryGone:
         """Return the newest configuration behind a revision."""
         events = await self._watch(CONFIGURATION, after, wait)
--- a/src/beamhatch/relay/daemon.py
+++ b/src/beamhatch/relay/daemon.py
@@ -232,9 +232,11 @@
     def _make_watchers(self, store: Store) -> list[Watcher]:
         alone = self._gossip is None or Mechanism.FEW_WATCHERS in self.settings.without
         is_due = _is_always_due if alone or self._gossip is None else self._gossip.watches
+        hears_peers = _hears_nobody if self._gossip is None else self._gossip.hears_peers
         first = self.settings.peer_address is None or str(self.settings.peer_address) in self.settings.seeds
         patience = 0.0 if first or not self.settings.seeds else START_PATIENCE
-        return [watcher(self.core, store, is_due, patience) for watcher in (ConfigurationWatcher, ListingWatcher)]
+        kinds = (ConfigurationWatcher, ListingWatcher)
+        return [watcher(self.core, store, is_due, hears_peers, patience) for watcher in kinds]
 
     def _listen(self, address: Address, factory: Any) -> Any:
         return self.clock.reactor.listenTCP(address.port, factory, backlog=BACKLOG, interface=address.host)
@@ -261,3 +263,7 @@
 
 def _is_always_due() -> bool:
     return True
+
+
+def _hears_nobody() -> bool:
+    return False
--- a/src/beamhatch/relay/gossip.py
+++ b/src/beamhatch/relay/gossip.py
@@ -68,6 +68,13 @@
 LONGEST_HELLO_PAUSE = 10.0
 """Seconds between two times that peers are told who is known; at the start it is told more often."""
 
+SETTLE_TIME = 1.0
+"""Seconds behind the start in which a VM does not yet know the others, and so watches nothing for them.
+
+Without it, each VM of a fleet that starts takes itself for a watcher: 60 VMs that started anew made 535 calls to the
+store in 3 s instead of 47 (counted on stand-ins).
+"""
+
 LEAST_FAULTS = 0.2
 """Share of faults from which on peers are told of an upstream."""
 
@@ -185,7 +192,13 @@
 
     def watches(self) -> bool:
         """Tell whether this VM is to watch the store: for its hall, or because it hears from nobody."""
-        return self.membership.is_watcher() or not any(connection.vm for connection in self._connections)
+        if self.membership.has_others and self.core.clock.now() < self.core.started + SETTLE_TIME:
+            return False
+        return self.membership.is_watcher() or not self.hears_peers()
+
+    def hears_peers(self) -> bool:
+        """Tell whether a connection to another VM is up, which tells this one what it has."""
+        return any(connection.vm for connection in self._connections)
 
     # --- connections -------------------------------------------------------------------------------------------------
 
--- a/src/beamhatch/relay/leadership.py
+++ b/src/beamhatch/relay/leadership.py
@@ -36,8 +36,8 @@
 LOOK_INTERVAL = 6.0
 """Seconds between two looks of a VM that holds nothing and is no candidate, times how many go before it."""
 
-FIRST_LOOK = 0.4, 1.2
-"""Seconds from the start to the first look of a candidate, from and to."""
+FIRST_LOOK = 1.0, 1.6
+"""Seconds from the start to the first look of a candidate, from and to: by then a VM knows who goes before it."""
 
 WATCH_WAIT = 20.0
 """Seconds for which one watch of the lease is held: below the platform's bound of 30."""
@@ -160,7 +160,9 @@
         return now - sent_at < ORDER_TIME / 2 and self.tenure.may_order(now)
 
     async def _run(self) -> None:
-        await sleep(self.core.clock, random.uniform(*FIRST_LOOK) * (1 + self._find_rank() / CANDIDATES))
+        await sleep(self.core.clock, random.uniform(*FIRST_LOOK))
+        if self._find_rank() >= CANDIDATES:
+            await self._sleep_by_rank()
         recalled = False
         while True:
             seen = await self._store.read_leadership()
@@ -181,12 +183,16 @@
         """Wait until it is worth looking again."""
         rank = self._find_rank()
         if rank >= CANDIDATES:
-            await sleep(self.core.clock, LOOK_INTERVAL * rank * random.uniform(0.7, 1.3))
+            await self._sleep_by_rank()
             return
         news = await self._store.watch_leadership(seen.at, WATCH_WAIT)
         pause = LOST_PAUSE if isinstance(news, StoreLost) else TURN_PAUSE * rank
         await sleep(self.core.clock, pause * random.uniform(0.7, 1.3))
 
+    async def _sleep_by_rank(self) -> None:
+        """Wait for the longer the more VMs go before this one."""
+        await sleep(self.core.clock, LOOK_INTERVAL * self._find_rank() * random.uniform(0.7, 1.3))
+
     async def _stand(self, seen: LeadershipNews) -> bool:
         """Claim the lease, and keep it for as long as possible; return whether this VM had it."""
         sent_at = self.core.clock.now()
--- a/src/beamhatch/relay/membership.py
+++ b/src/beamhatch/relay/membership.py
@@ -78,6 +78,11 @@
         """Return how many VMs there are, this one among them."""
         return 1 + len(self._known)
 
+    @property
+    def has_others(self) -> bool:
+        """Tell whether there are VMs to learn from, or the settings name some."""
+        return bool(self._known) or any(seed != self.own.address for seed in self.seeds)
+
     def take(self, member: Member, age: float, now: float) -> None:
         """Take in that a VM was alive some seconds ago."""
         if member.address == self.own.address or age > FORGET_AFTER:
--- a/src/beamhatch/relay/watching.py
+++ b/src/beamhatch/relay/watching.py
@@ -40,15 +40,19 @@
     settle_time = 0.0
     """Seconds behind news before the next watch: what changes meanwhile comes with one call."""
 
-    def __init__(self, core: Core, store: Store, is_due: Callable[[], bool], patience: float) -> None:
+    def __init__(
+        self, core: Core, store: Store, is_due: Callable[[], bool], hears_peers: Callable[[], bool], patience: float
+    ) -> None:
         """Make one.
 
         :param is_due: tells whether this VM is to watch the store, or learns from its peers
+        :param hears_peers: tells whether there are peers to learn from
         :param patience: seconds for which the peers are waited for at the start
         """
         self.core = core
         self.store = store
         self._is_due = is_due
+        self._hears_peers = hears_peers
         self._patience = patience
         self._running: defer.Deferred[None] | None = None
         self._waiting: defer.Deferred[int | StoreLost | HistoryGone] | None = None
@@ -87,14 +91,16 @@
 
     async def _run(self) -> None:
         await self._await_peers()
+        has_read = False
         while True:
-            if self.is_known() and not self._is_due():
+            if not self._is_due() and (has_read or self.is_known() or self._hears_peers()):
                 await sleep(self.core.clock, DUTY_INTERVAL * random.uniform(0.7, 1.3))
                 continue
             at = await self.read()
             if isinstance(at, StoreLost):
                 await self._wait_again(at)
                 continue
+            has_read = True
             self._note_connected(at)
             await self._follow(at)
 
--- a/tests/platform/test_fleet.py
+++ b/tests/platform/test_fleet.py
@@ -111,6 +111,58 @@
     assert platform.store.calls == before
 
 
+def start_together(platform: Platform, vms: int) -> None:
+    """Start VMs of three halls at the same moment, the first three of which are the seeds of all."""
+    seeds = [f"new{number}:8002" for number in range(3)]
+    for number in range(vms):
+        platform.add_vm(f"new{number}", seeds, HALLS[number % 3])
+
+
+def test_a_fleet_that_starts_before_the_configuration_is_there_asks_the_store_rarely() -> None:
+    platform = Platform()
+    platform.add_plain("plain-0")
+    start_together(platform, 30)
+    platform.network.run(6.0)
+    assert platform.store.calls <= 60
+    platform.configure(1)
+    platform.network.run(0.3)
+    assert know_version(platform, 1)
+    assert all(vm.core.ready for vm in platform.vms.values())
+
+
+def test_a_fleet_that_starts_anew_is_ready_soon_and_asks_the_store_rarely() -> None:
+    platform = Platform()
+    platform.add_plain("plain-0")
+    platform.configure(1)
+    start_together(platform, 30)
+    platform.network.run(0.6)
+    assert all(vm.core.ready for vm in platform.vms.values())
+    platform.network.run(3.0)
+    assert platform.store.calls <= 45
+
+
+@pytest.mark.parametrize("after", [0.1, 0.9, 1.1])
+def test_a_change_while_a_fleet_starts_is_in_force_soon(after: float) -> None:
+    platform = Platform()
+    platform.add_plain("plain-0")
+    platform.configure(1)
+    start_together(platform, 9)
+    platform.network.run(after)
+    platform.configure(2)
+    platform.network.run(1.3)
+    assert know_version(platform, 2)
+
+
+def test_a_vm_whose_seeds_are_down_asks_the_store_itself() -> None:
+    platform = make_platform()
+    platform.add_vm("alone", ["gone1:8002", "gone2:8002"], "hall-b")
+    platform.network.run(0.7)
+    assert platform.vms["alone"].core.ready
+    platform.configure(2)
+    platform.network.run(1.0)
+    assert platform.vms["alone"].core.version == 2
+
+
 def test_islands_find_each_other_once_a_seed_comes_up() -> None:
     platform = make_platform()
     for number in itertools.islice(itertools.count(2), 4):
