--- a/benchmarks/ablate.py
+++ b/benchmarks/ablate.py
@@ -1,9 +1,9 @@
 """Print what each mechanism of the decisions is worth, from the entries that the users' bench writes into ``journal/``.
 
-``python -m benchmarks.ablate`` reads the entries whose reason is ``ablation: all in, seed N`` or
-``ablation: without MECHANISM, seed N`` and prints a table in Markdown: a row a mechanism, a column a deployment. A cell
-has the mean worth without the mechanism and the difference to the same days and seeds with all of them, its standard
-error, and the number of days.
+``python -m benchmarks.ablate COMMIT`` reads the entries whose reason is ``ablation of COMMIT: all in, seed N`` or
+``ablation of COMMIT: without MECHANISM, seed N`` and prints a table in Markdown: a row a mechanism, a column a
+deployment. A cell has the mean worth without the mechanism and the difference to the same days and seeds with all of
+them, its standard error, and the number of days. Without a commit it reads the entries that name none.
 """
 
 from __future__ import annotations
@@ -23,7 +23,7 @@
     from pathlib import Path
 
 ALL_IN = "all in"
-REASON = re.compile(r"ablation: (?:without )?(?P<left_out>[a-z -]+), seed (?P<seed>\w+)$")
+REASON = re.compile(r"ablation(?: of (?P<commit>\w+))?: (?:without )?(?P<left_out>[a-z -]+), seed (?P<seed>\w+)$")
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,12 +54,15 @@
 Worths = dict[DayKey, float]
 
 
-def read_worths(entries: Iterable[Mapping[str, Any]]) -> dict[str, Worths]:
-    """Return the worth of each day, by what was left out; of a day that was played again, the last one."""
+def read_worths(entries: Iterable[Mapping[str, Any]], commit: str | None = None) -> dict[str, Worths]:
+    """Return the worth of each day, by what was left out; of a day that was played again, the last one.
+
+    :param commit: the code that is to have been played; None for entries that do not name it
+    """
     worths: defaultdict[str, Worths] = defaultdict(dict)
     for entry in sorted(entries, key=lambda one: str(one["at"][0])):
         found = REASON.match(entry.get("why") or "")
-        if found is None:
+        if found is None or found["commit"] != commit:
             continue
         for day in entry.get("days") or []:
             key = DayKey(entry["site"], day["name"], found["seed"])
@@ -92,9 +95,10 @@
 def main(arguments: Sequence[str] | None = None, journal: Path = JOURNAL) -> int:
     """Print the table; return the exit code."""
     parser = argparse.ArgumentParser(prog="python -m benchmarks.ablate", description=__doc__)
-    parser.parse_args(arguments)
+    parser.add_argument("commit", nargs="?", help="the code that was played, as the entries name it")
+    asked = parser.parse_args(arguments)
     entries = [json.loads(path.read_text()) for path in sorted(journal.glob("*.json"))]
-    print(format_table(read_worths(entries)))
+    print(format_table(read_worths(entries, asked.commit)))
     return 0
 
 
--- a/tests/benchmarks/test_ablate.py
+++ b/tests/benchmarks/test_ablate.py
@@ -46,6 +46,12 @@
     assert effect.difference == pytest.approx(0.1)
 
 
+def test_only_entries_of_the_asked_code_count() -> None:
+    entries = [*ENTRIES, make_entry("ablation of abc1: all in, seed 1", 0.8)]
+    assert read_worths(entries) == read_worths(ENTRIES)
+    assert [list(days.values()) for days in read_worths(entries, "abc1").values()] == [[0.8]]
+
+
 def test_prints_a_row_a_mechanism(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
     for number, entry in enumerate(ENTRIES):
         (tmp_path / f"{number}.json").write_text(json.dumps(entry))
