Split the update of a quota's level, and tell when a limit ends unseen

Cause: where a hall's sums were no longer worth telling, a limit ended without its line, and the function did three things.

Change: the level is moved by one function, the share set by another; a line is written whichever way a limit ends.

--- a/src/beamhatch/relay/workspaces/quota.py
+++ b/src/beamhatch/relay/workspaces/quota.py
@@ -18,10 +18,12 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from beamhatch.relay.workspaces.usage import NO_RATES
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from beamhatch.relay.workspaces.usage import FleetUsage, UsageNews
+    from beamhatch.relay.workspaces.usage import FleetUsage, Rates, UsageNews
     from beamhatch.relay.workspaces.workspace import Quota, Workspace, WorkspaceName
 
 STEADY_SHARE = 0.88
@@ -306,35 +308,36 @@
         level = self._levels.get(workspace)
         return level is not None and level.short
 
-    def _update_one(self, workspace: Workspace, fleet: FleetUsage, now: float) -> _Level:
+    def _update_one(self, workspace: Workspace, fleet: FleetUsage, now: float) -> None:
+        rates = fleet.rates.get(workspace.name, NO_RATES)
+        part = min(1.0, fleet.vms / max(1, self.count_vms()))
+        pace, level = self._move_level(workspace, rates, part, now)
+        asked = max(1, rates.asked)
+        level.share = max(0.0, min(1.0, (pace + level.units / SPEND_TIME) / asked)) if rates.asked else 1.0
+        if level.share == 1:
+            level.credit = 0.0
+        if _is_news(level.share, level.told_share):
+            level.told_share = level.share
+            self.on_limit(LimitChange(workspace.name, round(level.share, 2), rates.asked, round(pace), fleet.vms))
+        if not level.short and not rates.asked:
+            del self._levels[workspace.name]
+
+    def _move_level(self, workspace: Workspace, rates: Rates, part: float, now: float) -> tuple[float, _Level]:
+        """Return the pace of the VMs that were heard, which are a part of all, and the level as it is now."""
         quota = workspace.quota
         assert quota is not None
-        rates = fleet.rates.get(workspace.name)
-        part = min(1.0, fleet.vms / max(1, self.count_vms()))
-        depth = part * self.terms.find_depth(quota)
         young = now - self.started < self.terms.window
         share = CAUTIOUS_SHARE if young else max(CAUTIOUS_SHARE, STEADY_SHARE - CAUTION * (1 - part))
         pace = part * self.terms.find_pace(quota, share)
+        depth = part * self.terms.find_depth(quota)
         level = self._levels.get(workspace.name)
         if level is None:
             level = self._levels[workspace.name] = _Level(0.0 if young else depth, now)
-        taken = 0 if rates is None else rates.taken
-        left = level.units + (pace - taken) * (now - level.at)
+        left = level.units + (pace - rates.taken) * (now - level.at)
         level.units = min(depth, max(left, -MOST_DEBT_TIME * pace))
         level.short = level.units < depth
         level.at = now
-        if rates is None:
-            if not level.short:
-                del self._levels[workspace.name]
-            level.share = 1.0
-            return level
-        level.share = max(0.0, min(1.0, (pace + level.units / SPEND_TIME) / max(1, rates.asked)))
-        if level.share == 1:
-            level.credit = 0.0
-        if _is_news(level.share, level.told_share):
-            level.told_share = level.share
-            self.on_limit(LimitChange(workspace.name, round(level.share, 2), rates.asked, round(pace), fleet.vms))
-        return level
+        return pace, level
 
     def _predict(self, workspace: Workspace, level: _Level, units: int, now: float) -> float:
         """Return the seconds after which what this VM's callers ask should have earned them the units."""
--- a/tests/platform/test_keys.py
+++ b/tests/platform/test_keys.py
@@ -207,6 +207,8 @@
     assert limited
     assert limited[0]["workspace"] == "desk"
     assert limited[0]["asked"] > limited[0]["pace"]
+    platform.network.run(20.0)
+    assert [line["event"] for line in platform.journals["vm1"].lines if line["part"] == "QUOTA"][-1] == "free"
 
 
 def test_a_request_that_no_upstream_ran_costs_no_quota() -> None:
