Sort the relay's modules into subpackages by job

Change: callers, requests, choosing, upstreams, fleet and engines beside workspaces; tests mirror them. choosing.py is choosing/chooser.py. The test on the time of day looks through the subpackages too.

--- a/src/beamhatch/platform/dialect.py
+++ b/src/beamhatch/platform/dialect.py
@@ -5,9 +5,9 @@
 import msgspec
 
 from beamhatch.relay.api import AnswerFacts, BadRequest, Dialect, Headers, SendTerms
-from beamhatch.relay.http_client import Call
+from beamhatch.relay.choosing.standing import Load
 from beamhatch.relay.model import Handle, Phase, PromptPart, RequestFacts, Reservation, Stage, Upstream
-from beamhatch.relay.standing import Load
+from beamhatch.relay.upstreams.http_client import Call
 from beamhatch.relay.workspaces.workspace import KeyDigest, digest_key
 
 REQUEST_ID = "request-id"
--- a/src/beamhatch/platform/documents.py
+++ b/src/beamhatch/platform/documents.py
@@ -7,7 +7,6 @@
 import msgspec
 
 from beamhatch.relay.api import Documents
-from beamhatch.relay.listing import Entry
 from beamhatch.relay.model import (
     Address,
     CallerLimits,
@@ -23,6 +22,7 @@
     UpstreamId,
     make_table,
 )
+from beamhatch.relay.upstreams.listing import Entry
 from beamhatch.relay.workspaces.workspace import Quota, QuotaUnit, Workspace, WorkspaceName, digest_key
 
 if TYPE_CHECKING:
--- a/src/beamhatch/platform/run.py
+++ b/src/beamhatch/platform/run.py
@@ -19,8 +19,8 @@
 from beamhatch.platform.settings import SettingsError, read_settings
 from beamhatch.platform.store import PlatformStore
 from beamhatch.relay.daemon import Daemon, RelaySettings
-from beamhatch.relay.http_client import HttpClient
 from beamhatch.relay.mechanism import Mechanism
+from beamhatch.relay.upstreams.http_client import HttpClient
 
 SETTINGS_VARIABLE = "BEAMHATCH_NODE_FILE"
 EXIT_FAULT = 1
--- a/src/beamhatch/platform/settings.py
+++ b/src/beamhatch/platform/settings.py
@@ -7,10 +7,10 @@
 
 import msgspec
 
-from beamhatch.relay.budget import BudgetTerms
 from beamhatch.relay.daemon import RelaySettings
 from beamhatch.relay.mechanism import ALL_IN, Without
 from beamhatch.relay.model import Address
+from beamhatch.relay.requests.budget import BudgetTerms
 from beamhatch.relay.workspaces.quota import QuotaTerms
 
 READY_PATH = "/api/ready"
--- a/src/beamhatch/platform/standin/base.py
+++ b/src/beamhatch/platform/standin/base.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING, Any
 from urllib.parse import parse_qsl
 
-from beamhatch.relay.http_server import CallerServer, IncomingRequest, RequestHandler, Responder
+from beamhatch.relay.callers.http_server import CallerServer, IncomingRequest, RequestHandler, Responder
 from beamhatch.relay.model import Address, CallerLimits
 
 if TYPE_CHECKING:
--- a/src/beamhatch/platform/standin/upstream.py
+++ b/src/beamhatch/platform/standin/upstream.py
@@ -9,7 +9,7 @@
 from typing import TYPE_CHECKING, Any
 
 from beamhatch.platform.standin.base import StandIn, answer_json, read_headers
-from beamhatch.relay.http_server import IncomingRequest, RequestHandler, Responder
+from beamhatch.relay.callers.http_server import IncomingRequest, RequestHandler, Responder
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/src/beamhatch/platform/store.py
+++ b/src/beamhatch/platform/store.py
@@ -19,17 +19,17 @@
     StoreLost,
     Taken,
 )
-from beamhatch.relay.http_client import Call
-from beamhatch.relay.http_fetch import fetch
 from beamhatch.relay.model import UpstreamId
+from beamhatch.relay.upstreams.http_client import Call
+from beamhatch.relay.upstreams.http_fetch import fetch
 
 if TYPE_CHECKING:
     from beamhatch.clock import Clock
     from beamhatch.platform.documents import PlatformDocuments
-    from beamhatch.relay.answer import WholeAnswer
-    from beamhatch.relay.http_client import HttpClient
-    from beamhatch.relay.listing import Entry
     from beamhatch.relay.model import Address
+    from beamhatch.relay.requests.answer import WholeAnswer
+    from beamhatch.relay.upstreams.http_client import HttpClient
+    from beamhatch.relay.upstreams.listing import Entry
 
 CONFIGURATION = "op/config"
 UPSTREAMS = "servers/"
--- a/src/beamhatch/relay/api.py
+++ b/src/beamhatch/relay/api.py
@@ -9,10 +9,10 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from beamhatch.relay.http_client import Call
-    from beamhatch.relay.listing import Entry
+    from beamhatch.relay.choosing.standing import Load
     from beamhatch.relay.model import Handle, Phase, RequestFacts, Reservation, Stage, Table, Upstream
-    from beamhatch.relay.standing import Load
+    from beamhatch.relay.upstreams.http_client import Call
+    from beamhatch.relay.upstreams.listing import Entry
     from beamhatch.relay.workspaces.workspace import WorkspaceName
 
 Headers = list[tuple[str, str]]
--- /dev/null
+++ b/src/beamhatch/relay/callers/__init__.py
@@ -0,0 +1,1 @@
+"""Callers: the HTTP server, and what the relay answers itself."""
--- a/src/beamhatch/relay/http_server.py
+++ b/src/beamhatch/relay/callers/http_server.py
@@ -10,7 +10,7 @@
 import h11
 from twisted.internet.protocol import Factory, Protocol, connectionDone
 
-from beamhatch.relay.headers import decode_headers, find_header
+from beamhatch.relay.callers.headers import decode_headers, find_header
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/src/beamhatch/relay/own_answer.py
+++ b/src/beamhatch/relay/callers/own_answer.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from beamhatch.relay.http_server import Responder
+    from beamhatch.relay.callers.http_server import Responder
 
 
 def send_error(responder: Responder, status: int, detail: str, retry_after: float | None = None) -> None:
--- /dev/null
+++ b/src/beamhatch/relay/choosing/__init__.py
@@ -0,0 +1,1 @@
+"""Which upstream gets a send, by what is known of each."""
--- a/src/beamhatch/relay/choosing.py
+++ b/src/beamhatch/relay/choosing/chooser.py
@@ -7,15 +7,15 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from beamhatch.relay.choosing.pace import EnginePaces
+from beamhatch.relay.choosing.peer_work import PeerWork
 from beamhatch.relay.mechanism import ALL_IN, Mechanism, Without
 from beamhatch.relay.model import Handle, Phase, Upstream, UpstreamId, hash_fraction
-from beamhatch.relay.pace import EnginePaces
-from beamhatch.relay.peer_work import PeerWork
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from beamhatch.relay.standing import Standing, Standings
+    from beamhatch.relay.choosing.standing import Standing, Standings
 
 SILENT_COST = 30.0
 """Seconds: an upstream that does not answer is used only where there is no other."""
--- a/src/beamhatch/relay/peer_work.py
+++ b/src/beamhatch/relay/choosing/peer_work.py
@@ -9,7 +9,7 @@
 from collections.abc import Mapping
 from typing import TYPE_CHECKING
 
-from beamhatch.relay.peer_words import PeerWords
+from beamhatch.relay.fleet.peer_words import PeerWords
 
 if TYPE_CHECKING:
     from beamhatch.relay.model import UpstreamId
--- a/src/beamhatch/relay/core.py
+++ b/src/beamhatch/relay/core.py
@@ -8,21 +8,21 @@
 from typing import TYPE_CHECKING, Any
 
 from beamhatch.relay.api import BadRequest
-from beamhatch.relay.budget import Budget, BudgetTerms
-from beamhatch.relay.changing import ChangeNews, Changes
-from beamhatch.relay.demand import Demand
-from beamhatch.relay.exchange import RelayExchange
-from beamhatch.relay.gossip_message import DemandReport
-from beamhatch.relay.lengths import AnswerLengths
-from beamhatch.relay.line import Line
-from beamhatch.relay.listing import Listing
+from beamhatch.relay.callers.own_answer import send_error
+from beamhatch.relay.choosing.pace import EnginePaces, Pace
+from beamhatch.relay.choosing.peer_work import PeerWork
+from beamhatch.relay.choosing.read_times import ReadTimes
+from beamhatch.relay.choosing.standing import Standings
+from beamhatch.relay.engines.changing import ChangeNews, Changes
+from beamhatch.relay.engines.demand import Demand
+from beamhatch.relay.fleet.gossip_message import DemandReport
 from beamhatch.relay.mechanism import ALL_IN, Mechanism, Without
 from beamhatch.relay.model import CallerLimits, ServiceName
-from beamhatch.relay.own_answer import send_error
-from beamhatch.relay.pace import EnginePaces, Pace
-from beamhatch.relay.peer_work import PeerWork
-from beamhatch.relay.read_times import ReadTimes
-from beamhatch.relay.standing import Standings
+from beamhatch.relay.requests.budget import Budget, BudgetTerms
+from beamhatch.relay.requests.exchange import RelayExchange
+from beamhatch.relay.requests.lengths import AnswerLengths
+from beamhatch.relay.requests.line import Line
+from beamhatch.relay.upstreams.listing import Listing
 from beamhatch.relay.workspaces.admission import Admission, Admitted, OverQuota, Undecided
 
 if TYPE_CHECKING:
@@ -32,11 +32,11 @@
     from beamhatch.observe.journal import Journal
     from beamhatch.observe.tally import Tally
     from beamhatch.relay.api import Dialect, Document, ListingNews
-    from beamhatch.relay.choosing import Chooser
-    from beamhatch.relay.http_client import HttpClient
-    from beamhatch.relay.http_server import IncomingRequest, RequestHandler, Responder
-    from beamhatch.relay.listing import Entry
+    from beamhatch.relay.callers.http_server import IncomingRequest, RequestHandler, Responder
+    from beamhatch.relay.choosing.chooser import Chooser
     from beamhatch.relay.model import RequestFacts, Route, Service, Table, Upstream, UpstreamId
+    from beamhatch.relay.upstreams.http_client import HttpClient
+    from beamhatch.relay.upstreams.listing import Entry
     from beamhatch.relay.workspaces.admission import Decision
 
 POLL_INTERVAL = 0.04
--- a/src/beamhatch/relay/daemon.py
+++ b/src/beamhatch/relay/daemon.py
@@ -6,22 +6,22 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
-from beamhatch.relay.choosing import LeastCost
+from beamhatch.relay.callers.http_server import CallerServer
+from beamhatch.relay.callers.own_answer import send_error
+from beamhatch.relay.choosing.chooser import LeastCost
+from beamhatch.relay.choosing.pace import EnginePaces
+from beamhatch.relay.choosing.peer_work import PeerWork
+from beamhatch.relay.choosing.standing import Standings
 from beamhatch.relay.core import Core, Terms
-from beamhatch.relay.gossip import Gossip
-from beamhatch.relay.http_client import HttpClient
-from beamhatch.relay.http_server import CallerServer
-from beamhatch.relay.leadership import Leadership
-from beamhatch.relay.listing import DRAIN_TIME, GONE_GRACE_SHARE, Listing
+from beamhatch.relay.engines.leadership import Leadership
+from beamhatch.relay.engines.ordering import Ordering
+from beamhatch.relay.fleet.gossip import Gossip
+from beamhatch.relay.fleet.membership import Member, Membership
+from beamhatch.relay.fleet.watching import ConfigurationWatcher, ListingWatcher, Watcher
 from beamhatch.relay.mechanism import ALL_IN, Mechanism, Without
-from beamhatch.relay.membership import Member, Membership
 from beamhatch.relay.model import Address, CallerLimits
-from beamhatch.relay.ordering import Ordering
-from beamhatch.relay.own_answer import send_error
-from beamhatch.relay.pace import EnginePaces
-from beamhatch.relay.peer_work import PeerWork
-from beamhatch.relay.standing import Standings
-from beamhatch.relay.watching import ConfigurationWatcher, ListingWatcher, Watcher
+from beamhatch.relay.upstreams.http_client import HttpClient
+from beamhatch.relay.upstreams.listing import DRAIN_TIME, GONE_GRACE_SHARE, Listing
 from beamhatch.relay.workspaces.quota import EqualShare, FollowingShare, QuotaTerms
 from beamhatch.relay.workspaces.usage import UsageNews
 from beamhatch.relay.workspaces.usage_talk import UsageTalk
@@ -31,8 +31,8 @@
     from beamhatch.observe.journal import Journal
     from beamhatch.observe.tally import Tally
     from beamhatch.relay.api import Dialect, Documents, Store
-    from beamhatch.relay.budget import BudgetTerms
-    from beamhatch.relay.http_server import IncomingRequest, Responder
+    from beamhatch.relay.callers.http_server import IncomingRequest, Responder
+    from beamhatch.relay.requests.budget import BudgetTerms
     from beamhatch.relay.workspaces.quota import LimitChange, QuotaShare
 
 BACKLOG = 1024
--- a/src/beamhatch/relay/balancing.py
+++ b/src/beamhatch/relay/engines/balancing.py
@@ -10,8 +10,8 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from beamhatch.relay.engines.throughput import EngineFigures, find_best_split, find_capacity
 from beamhatch.relay.model import Phase, Upstream
-from beamhatch.relay.throughput import EngineFigures, find_best_split, find_capacity
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Sequence
--- a/src/beamhatch/relay/fleet_demand.py
+++ b/src/beamhatch/relay/engines/fleet_demand.py
@@ -6,11 +6,11 @@
 from statistics import median
 from typing import TYPE_CHECKING
 
-from beamhatch.relay.balancing import Pressure
-from beamhatch.relay.gossip_message import DemandReport
-from beamhatch.relay.pace import PRIOR_RATE, WHOLE_SHARE
-from beamhatch.relay.peer_words import PeerWords
-from beamhatch.relay.throughput import EngineFigures
+from beamhatch.relay.choosing.pace import PRIOR_RATE, WHOLE_SHARE
+from beamhatch.relay.engines.balancing import Pressure
+from beamhatch.relay.engines.throughput import EngineFigures
+from beamhatch.relay.fleet.gossip_message import DemandReport
+from beamhatch.relay.fleet.peer_words import PeerWords
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
--- a/src/beamhatch/relay/ordering.py
+++ b/src/beamhatch/relay/engines/ordering.py
@@ -7,16 +7,23 @@
 
 from twisted.internet import defer
 
-from beamhatch.relay.balancing import REVERSAL_PAUSE, PhaseChange, Pressure, Weighed, choose_changes, weigh_changes
-from beamhatch.relay.changing import LONGEST_CHANGE, ChangeNews
-from beamhatch.relay.http_fetch import fetch
+from beamhatch.relay.engines.balancing import (
+    REVERSAL_PAUSE,
+    PhaseChange,
+    Pressure,
+    Weighed,
+    choose_changes,
+    weigh_changes,
+)
+from beamhatch.relay.engines.changing import LONGEST_CHANGE, ChangeNews
 from beamhatch.relay.model import Phase, UpstreamId
+from beamhatch.relay.upstreams.http_fetch import fetch
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
 
     from beamhatch.relay.core import Core
-    from beamhatch.relay.leadership import Leadership
+    from beamhatch.relay.engines.leadership import Leadership
     from beamhatch.relay.model import Service, ServiceName
 
 LOOK_INTERVAL = 0.5
--- a/src/beamhatch/relay/throughput.py
+++ b/src/beamhatch/relay/engines/throughput.py
@@ -8,7 +8,7 @@
 
 from dataclasses import dataclass
 
-from beamhatch.relay.pace import PRIOR_RATE, WHOLE_SHARE
+from beamhatch.relay.choosing.pace import PRIOR_RATE, WHOLE_SHARE
 
 PREFILL_SHARE = 0.9
 """Share of a prefill engine's time that is counted on: above it prompts wait long behind each other."""
--- a/src/beamhatch/relay/gossip.py
+++ b/src/beamhatch/relay/fleet/gossip.py
@@ -11,8 +11,8 @@
 from typing import TYPE_CHECKING, Any
 
 from beamhatch.relay.api import Document, ListingNews
-from beamhatch.relay.fleet_demand import FleetDemand
-from beamhatch.relay.gossip_message import (
+from beamhatch.relay.engines.fleet_demand import FleetDemand
+from beamhatch.relay.fleet.gossip_message import (
     MOST_MENTIONED,
     AskConfiguration,
     AskListing,
@@ -26,20 +26,20 @@
     pack_document,
     unpack_document,
 )
+from beamhatch.relay.fleet.peer_connection import Accept, Dial, PeerConnection, PeerTalk
+from beamhatch.relay.fleet.throttle import Throttle
 from beamhatch.relay.mechanism import Mechanism
 from beamhatch.relay.model import UpstreamId
-from beamhatch.relay.peer_connection import Accept, Dial, PeerConnection, PeerTalk
-from beamhatch.relay.throttle import Throttle
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
     from beamhatch.relay.api import Documents
-    from beamhatch.relay.balancing import Pressure
+    from beamhatch.relay.choosing.pace import Reading
     from beamhatch.relay.core import Core
-    from beamhatch.relay.membership import Membership
+    from beamhatch.relay.engines.balancing import Pressure
+    from beamhatch.relay.fleet.membership import Membership
     from beamhatch.relay.model import Service
-    from beamhatch.relay.pace import Reading
     from beamhatch.relay.workspaces.usage_talk import UsageTalk
 
 BEAT_INTERVAL = 0.5
--- a/src/beamhatch/relay/gossip_message.py
+++ b/src/beamhatch/relay/fleet/gossip_message.py
@@ -6,10 +6,10 @@
 
 import msgspec
 
-from beamhatch.relay.changing import ChangeNews
-from beamhatch.relay.listing import Entry
-from beamhatch.relay.membership import Member, Mention
-from beamhatch.relay.pace import Reading
+from beamhatch.relay.choosing.pace import Reading
+from beamhatch.relay.engines.changing import ChangeNews
+from beamhatch.relay.fleet.membership import Member, Mention
+from beamhatch.relay.upstreams.listing import Entry
 from beamhatch.relay.workspaces.usage import HallUsage, RatesByWorkspace
 
 MOST_BYTES = 4 * 1024 * 1024
--- a/src/beamhatch/relay/peer_connection.py
+++ b/src/beamhatch/relay/fleet/peer_connection.py
@@ -8,7 +8,7 @@
 from twisted.internet.protocol import ClientFactory, Factory, connectionDone
 from twisted.protocols.basic import Int32StringReceiver
 
-from beamhatch.relay.gossip_message import MOST_BYTES, Message, MessageError, decode, encode
+from beamhatch.relay.fleet.gossip_message import MOST_BYTES, Message, MessageError, decode, encode
 
 if TYPE_CHECKING:
     from twisted.python.failure import Failure
--- a/src/beamhatch/relay/answer.py
+++ b/src/beamhatch/relay/requests/answer.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from beamhatch.relay.http_client import Head
+    from beamhatch.relay.upstreams.http_client import Head
 
 PROMISES = frozenset({408, 421, 429, 503})
 """Statuses that promise a caller that its request has not run."""
--- a/src/beamhatch/relay/exchange.py
+++ b/src/beamhatch/relay/requests/exchange.py
@@ -5,26 +5,26 @@
 import random
 from typing import TYPE_CHECKING, Any
 
-from beamhatch.relay.answer import PROMISES, WholeAnswer
 from beamhatch.relay.api import SendTerms
-from beamhatch.relay.attempt import Attempt, DropSink
-from beamhatch.relay.headers import strip_hop_by_hop
-from beamhatch.relay.http_client import Call
-from beamhatch.relay.http_server import RequestHandler
+from beamhatch.relay.callers.headers import strip_hop_by_hop
+from beamhatch.relay.callers.http_server import RequestHandler
+from beamhatch.relay.callers.own_answer import send_error
 from beamhatch.relay.mechanism import Mechanism
 from beamhatch.relay.model import RouteKind, Stage
-from beamhatch.relay.own_answer import send_error
-from beamhatch.relay.plain_attempt import PlainAttempt
-from beamhatch.relay.prefill_attempt import PrefillAttempt
-from beamhatch.relay.request import Fail, Refuse, RelayRequest, Reserve, Send, Step, Wait
-from beamhatch.relay.reserve_attempt import ReserveAttempt
-from beamhatch.relay.stream_attempt import StreamAttempt
+from beamhatch.relay.requests.answer import PROMISES, WholeAnswer
+from beamhatch.relay.requests.request import Fail, Refuse, RelayRequest, Reserve, Send, Step, Wait
+from beamhatch.relay.upstreams.attempt import Attempt, DropSink
+from beamhatch.relay.upstreams.http_client import Call
+from beamhatch.relay.upstreams.plain_attempt import PlainAttempt
+from beamhatch.relay.upstreams.prefill_attempt import PrefillAttempt
+from beamhatch.relay.upstreams.reserve_attempt import ReserveAttempt
+from beamhatch.relay.upstreams.stream_attempt import StreamAttempt
 
 if TYPE_CHECKING:
+    from beamhatch.relay.callers.http_server import IncomingRequest, Responder
     from beamhatch.relay.core import Core
-    from beamhatch.relay.http_client import Head
-    from beamhatch.relay.http_server import IncomingRequest, Responder
     from beamhatch.relay.model import RequestFacts, Route, Service, Table, Upstream
+    from beamhatch.relay.upstreams.http_client import Head
     from beamhatch.relay.workspaces.admission import Admitted
 
 ANSWER_MARGIN = 0.03
--- a/src/beamhatch/relay/request.py
+++ b/src/beamhatch/relay/requests/request.py
@@ -9,13 +9,13 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from beamhatch.relay.choosing import Need
+from beamhatch.relay.choosing.chooser import Need
 from beamhatch.relay.model import Handle, Reservation, RouteKind, Stage, Upstream, UpstreamId
 
 if TYPE_CHECKING:
-    from beamhatch.relay.budget import Budget
-    from beamhatch.relay.choosing import Chooser
+    from beamhatch.relay.choosing.chooser import Chooser
     from beamhatch.relay.model import RequestFacts, Route, Service
+    from beamhatch.relay.requests.budget import Budget
 
 MOST_SENDS = 6
 """Sends of one request at the most, to bound what one caller can cause."""
--- a/src/beamhatch/relay/attempt.py
+++ b/src/beamhatch/relay/upstreams/attempt.py
@@ -5,15 +5,15 @@
 from abc import abstractmethod
 from typing import TYPE_CHECKING, Any
 
-from beamhatch.relay.http_client import AnswerSink, Fault
 from beamhatch.relay.model import Stage
+from beamhatch.relay.upstreams.http_client import AnswerSink, Fault
 
 if TYPE_CHECKING:
     from beamhatch.relay.api import AnswerFacts
-    from beamhatch.relay.exchange import RelayExchange
-    from beamhatch.relay.http_client import Call, Exchange, Head
-    from beamhatch.relay.pace import ReadingPace
-    from beamhatch.relay.request import Send
+    from beamhatch.relay.choosing.pace import ReadingPace
+    from beamhatch.relay.requests.exchange import RelayExchange
+    from beamhatch.relay.requests.request import Send
+    from beamhatch.relay.upstreams.http_client import Call, Exchange, Head
 
 MISDIRECTED = 421
 """The status of an upstream that is not the one that was meant."""
--- a/src/beamhatch/relay/http_client.py
+++ b/src/beamhatch/relay/upstreams/http_client.py
@@ -16,7 +16,7 @@
 from twisted.internet import error
 from twisted.internet.protocol import ClientFactory, Protocol, connectionDone
 
-from beamhatch.relay.headers import decode_headers, read_idle_limit, wants_close
+from beamhatch.relay.callers.headers import decode_headers, read_idle_limit, wants_close
 from beamhatch.relay.model import Address
 
 if TYPE_CHECKING:
--- a/src/beamhatch/relay/http_fetch.py
+++ b/src/beamhatch/relay/upstreams/http_fetch.py
@@ -6,13 +6,13 @@
 
 from twisted.internet import defer
 
-from beamhatch.relay.answer import WholeAnswer
-from beamhatch.relay.http_client import AnswerSink, Fault
+from beamhatch.relay.requests.answer import WholeAnswer
+from beamhatch.relay.upstreams.http_client import AnswerSink, Fault
 
 if TYPE_CHECKING:
     from beamhatch.clock import Clock
-    from beamhatch.relay.http_client import Call, Exchange, Head, HttpClient
     from beamhatch.relay.model import Address
+    from beamhatch.relay.upstreams.http_client import Call, Exchange, Head, HttpClient
 
 MOST_BYTES = 8 * 1024 * 1024
 """Bytes of a fetched answer at the most: some pages of the store's lists."""
--- a/src/beamhatch/relay/plain_attempt.py
+++ b/src/beamhatch/relay/upstreams/plain_attempt.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from beamhatch.relay.answer import PROMISES, WholeAnswer
-from beamhatch.relay.attempt import Attempt
-from beamhatch.relay.http_client import Fault
+from beamhatch.relay.requests.answer import PROMISES, WholeAnswer
+from beamhatch.relay.upstreams.attempt import Attempt
+from beamhatch.relay.upstreams.http_client import Fault
 
 MOST_HELD_BYTES = 1024 * 1024
 """Bytes of an answer that are held until it is whole."""
--- a/src/beamhatch/relay/prefill_attempt.py
+++ b/src/beamhatch/relay/upstreams/prefill_attempt.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from beamhatch.relay.attempt import Attempt
-from beamhatch.relay.http_client import Fault
 from beamhatch.relay.mechanism import Mechanism
 from beamhatch.relay.model import Handle
+from beamhatch.relay.upstreams.attempt import Attempt
+from beamhatch.relay.upstreams.http_client import Fault
 
 MOST_BODY_BYTES = 64 * 1024
 """Bytes of an answer to a prefill at the most; it has less than a hundred."""
--- a/src/beamhatch/relay/reserve_attempt.py
+++ b/src/beamhatch/relay/upstreams/reserve_attempt.py
@@ -4,14 +4,14 @@
 
 from typing import TYPE_CHECKING, Any
 
-from beamhatch.relay.attempt import MISDIRECTED
-from beamhatch.relay.http_client import AnswerSink, Fault
 from beamhatch.relay.model import Reservation
+from beamhatch.relay.upstreams.attempt import MISDIRECTED
+from beamhatch.relay.upstreams.http_client import AnswerSink, Fault
 
 if TYPE_CHECKING:
-    from beamhatch.relay.exchange import RelayExchange
-    from beamhatch.relay.http_client import Call, Exchange, Head
-    from beamhatch.relay.request import Reserve
+    from beamhatch.relay.requests.exchange import RelayExchange
+    from beamhatch.relay.requests.request import Reserve
+    from beamhatch.relay.upstreams.http_client import Call, Exchange, Head
 
 MOST_BODY_BYTES = 64 * 1024
 """Bytes of an answer about memory at the most; it has less than a hundred."""
--- a/src/beamhatch/relay/stream_attempt.py
+++ b/src/beamhatch/relay/upstreams/stream_attempt.py
@@ -4,16 +4,16 @@
 
 from typing import TYPE_CHECKING
 
-from beamhatch.relay.answer import WholeAnswer
-from beamhatch.relay.attempt import Attempt
-from beamhatch.relay.events import EventChecker, StreamError
-from beamhatch.relay.http_client import Fault
 from beamhatch.relay.model import Stage
+from beamhatch.relay.requests.answer import WholeAnswer
+from beamhatch.relay.upstreams.attempt import Attempt
+from beamhatch.relay.upstreams.events import EventChecker, StreamError
+from beamhatch.relay.upstreams.http_client import Fault
 
 if TYPE_CHECKING:
-    from beamhatch.relay.exchange import RelayExchange
-    from beamhatch.relay.http_client import Head
-    from beamhatch.relay.request import Send
+    from beamhatch.relay.requests.exchange import RelayExchange
+    from beamhatch.relay.requests.request import Send
+    from beamhatch.relay.upstreams.http_client import Head
 
 FIRST_EVENT_PATIENCE = 1.33
 """Times the target latency until the first event of an engine that has the prompt's KV cache."""
--- a/src/beamhatch/relay/workspaces/usage_talk.py
+++ b/src/beamhatch/relay/workspaces/usage_talk.py
@@ -4,13 +4,13 @@
 
 from typing import TYPE_CHECKING
 
-from beamhatch.relay.gossip_message import Usage
+from beamhatch.relay.fleet.gossip_message import Usage
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
     from beamhatch.relay.core import Core
-    from beamhatch.relay.peer_connection import PeerConnection
+    from beamhatch.relay.fleet.peer_connection import PeerConnection
     from beamhatch.relay.workspaces.quota import QuotaShare
     from beamhatch.relay.workspaces.usage import KnownUsage, RatesByWorkspace
 
--- a/tests/platform/test_orders.py
+++ b/tests/platform/test_orders.py
@@ -8,9 +8,9 @@
 
 from beamhatch.platform.standin.store import StoreFault
 from beamhatch.platform.standin.upstream import StandInEngine
-from beamhatch.relay.balancing import PhaseChange, Pressure
+from beamhatch.relay.engines.balancing import PhaseChange, Pressure
+from beamhatch.relay.engines.throughput import EngineFigures
 from beamhatch.relay.model import Phase, UpstreamId
-from beamhatch.relay.throughput import EngineFigures
 from tests.support.platform import MODEL, Platform, make_platform
 
 
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -7,7 +7,7 @@
 import pytest
 
 from beamhatch.platform.standin.upstream import StandInEngine, UpstreamFault
-from beamhatch.relay.http_server import MOST_HELD
+from beamhatch.relay.callers.http_server import MOST_HELD
 from beamhatch.relay.model import ServiceName
 from tests.support.network import WINDOW
 from tests.support.platform import MODEL, Caller, Platform, make_platform, make_request, read_json
--- a/tests/platform/test_slow.py
+++ b/tests/platform/test_slow.py
@@ -77,6 +77,6 @@
 
 def test_nothing_on_the_request_path_reads_the_time_of_day() -> None:
     root = Path(beamhatch.__file__).parent
-    sources = [*(root / "relay").glob("*.py"), *(root / "platform").glob("*.py")]
+    sources = [*(root / "relay").rglob("*.py"), *(root / "platform").rglob("*.py")]
     assert len(sources) > 30
     assert not [source.name for source in sources if TIME_OF_DAY.search(source.read_text())]
--- a/tests/relay/test_choosing.py
+++ b/tests/relay/choosing/test_chooser.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from beamhatch.relay.choosing import DRAWN_AT_ONCE, LeastCost, Need
+from beamhatch.relay.choosing.chooser import DRAWN_AT_ONCE, LeastCost, Need
+from beamhatch.relay.choosing.standing import Load, Standings
 from beamhatch.relay.model import Address, Handle, Phase, ServiceName, Upstream, UpstreamId
-from beamhatch.relay.standing import Load, Standings
 
 NEED = Need("p1", 5000, 6000)
 KV = 60_000
--- a/tests/relay/test_pace.py
+++ b/tests/relay/choosing/test_pace.py
@@ -6,8 +6,8 @@
 
 import pytest
 
+from beamhatch.relay.choosing.pace import FEWEST_SAMPLES, PRIOR_RATE, WHOLE_SHARE, EnginePaces, Pace, ReadingPace
 from beamhatch.relay.model import ServiceName
-from beamhatch.relay.pace import FEWEST_SAMPLES, PRIOR_RATE, WHOLE_SHARE, EnginePaces, Pace, ReadingPace
 
 
 def read(reading: ReadingPace, pace: Pace, count: int, seed: int) -> None:
--- a/tests/relay/test_peer_work.py
+++ b/tests/relay/choosing/test_peer_work.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
+from beamhatch.relay.choosing.peer_work import PeerWork
+from beamhatch.relay.fleet.peer_words import TOLD_LIFE
 from beamhatch.relay.model import UpstreamId
-from beamhatch.relay.peer_words import TOLD_LIFE
-from beamhatch.relay.peer_work import PeerWork
 
 ENGINE = UpstreamId("e1")
 
--- a/tests/relay/test_read_times.py
+++ b/tests/relay/choosing/test_read_times.py
@@ -4,8 +4,8 @@
 
 import pytest
 
+from beamhatch.relay.choosing.read_times import ReadTimes
 from beamhatch.relay.mechanism import ALL_IN, Mechanism, Without
-from beamhatch.relay.read_times import ReadTimes
 from tests.support.platform import Platform, make_platform
 
 CALM, BUSY = 10_000.0, 6_500.0
--- a/tests/relay/test_balancing.py
+++ b/tests/relay/engines/test_balancing.py
@@ -6,9 +6,9 @@
 
 import pytest
 
-from beamhatch.relay.balancing import PhaseChange, Pressure, Split, choose_changes, predict_gain, weigh_changes
+from beamhatch.relay.engines.balancing import PhaseChange, Pressure, Split, choose_changes, predict_gain, weigh_changes
+from beamhatch.relay.engines.throughput import EngineFigures, find_best_split
 from beamhatch.relay.model import Address, Phase, ServiceName, Upstream, UpstreamId
-from beamhatch.relay.throughput import EngineFigures, find_best_split
 
 FIGURES = EngineFigures(
     kv_tokens=60_000, prompt=5000.0, answer=800.0, residence=3.2, read_rate=52_000.0, whole_rate=20_000.0
--- a/tests/relay/test_changing.py
+++ b/tests/relay/engines/test_changing.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from beamhatch.relay.changing import LONGEST_CHANGE, ChangeNews, Changes
+from beamhatch.relay.engines.changing import LONGEST_CHANGE, ChangeNews, Changes
 from beamhatch.relay.model import Address, Phase, ServiceName, Upstream, UpstreamId
 
 ENGINE = UpstreamId("u1")
--- a/tests/relay/test_demand.py
+++ b/tests/relay/engines/test_demand.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from beamhatch.relay.demand import Demand
+from beamhatch.relay.engines.demand import Demand
 
 
 def test_long_streams_count_before_they_have_ended() -> None:
--- a/tests/relay/test_leadership.py
+++ b/tests/relay/engines/test_leadership.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
-from beamhatch.relay.leadership import LEASE_TIME, ORDER_TIME, LastOrder, Tenure
+from beamhatch.relay.engines.leadership import LEASE_TIME, ORDER_TIME, LastOrder, Tenure
 
 TURN = 3.0
 VMS = 3
--- a/tests/relay/test_throughput.py
+++ b/tests/relay/engines/test_throughput.py
@@ -8,7 +8,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from beamhatch.relay.throughput import PREFILL_SHARE, EngineFigures, find_best_split, find_capacity
+from beamhatch.relay.engines.throughput import PREFILL_SHARE, EngineFigures, find_best_split, find_capacity
 
 FIGURES = EngineFigures(
     kv_tokens=41_000, prompt=3200.0, answer=640.0, residence=3.5, read_rate=33_000.0, whole_rate=12_000.0
--- a/tests/relay/test_membership.py
+++ b/tests/relay/fleet/test_membership.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from beamhatch.relay.membership import FORGET_AFTER, OTHERS, WATCHERS, Member, Membership
+from beamhatch.relay.fleet.membership import FORGET_AFTER, OTHERS, WATCHERS, Member, Membership
 
 HALLS = ["a", "b", "c"]
 
--- a/tests/relay/test_throttle.py
+++ b/tests/relay/fleet/test_throttle.py
@@ -4,7 +4,7 @@
 
 import itertools
 
-from beamhatch.relay.throttle import Throttle
+from beamhatch.relay.fleet.throttle import Throttle
 from tests.support.network import Network, PausedClock
 
 GAP = 0.1
--- a/tests/relay/test_lengths.py
+++ b/tests/relay/requests/test_lengths.py
@@ -7,8 +7,8 @@
 
 import pytest
 
-from beamhatch.relay.lengths import COVERED, FEWEST_SAMPLES, AnswerLengths
 from beamhatch.relay.model import RequestFacts
+from beamhatch.relay.requests.lengths import COVERED, FEWEST_SAMPLES, AnswerLengths
 
 
 def ask(*, guess: int = 0, most: int = 1500) -> RequestFacts:
--- a/tests/relay/test_line.py
+++ b/tests/relay/requests/test_line.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from beamhatch.relay.line import Line
+from beamhatch.relay.requests.line import Line
 
 NOW = 100.0
 
--- a/tests/relay/test_request.py
+++ b/tests/relay/requests/test_request.py
@@ -5,9 +5,8 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
 
-from beamhatch.relay.budget import Budget, BudgetTerms
-from beamhatch.relay.choosing import LeastCost
-from beamhatch.relay.listing import Entry, Listing
+from beamhatch.relay.choosing.chooser import LeastCost
+from beamhatch.relay.choosing.standing import Standings
 from beamhatch.relay.model import (
     Address,
     Engine,
@@ -24,8 +23,9 @@
     Upstream,
     UpstreamId,
 )
-from beamhatch.relay.request import Fail, Refuse, RelayRequest, Reserve, Send, Step, Wait
-from beamhatch.relay.standing import Standings
+from beamhatch.relay.requests.budget import Budget, BudgetTerms
+from beamhatch.relay.requests.request import Fail, Refuse, RelayRequest, Reserve, Send, Step, Wait
+from beamhatch.relay.upstreams.listing import Entry, Listing
 
 SERVICE = ServiceName("s")
 
--- a/tests/relay/test_events.py
+++ b/tests/relay/upstreams/test_events.py
@@ -6,7 +6,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from beamhatch.relay.events import EventChecker, StreamError
+from beamhatch.relay.upstreams.events import EventChecker, StreamError
 
 
 def make_stream(first: int, last: int) -> bytes:
--- a/tests/relay/test_http_client.py
+++ b/tests/relay/upstreams/test_http_client.py
@@ -7,8 +7,8 @@
 import pytest
 from twisted.internet.protocol import Factory, Protocol
 
-from beamhatch.relay.http_client import AnswerSink, Call, Fault, Head, HttpClient
 from beamhatch.relay.model import Address
+from beamhatch.relay.upstreams.http_client import AnswerSink, Call, Fault, Head, HttpClient
 from tests.support.network import Network, PausedClock
 
 if TYPE_CHECKING:
--- a/tests/relay/test_listing.py
+++ b/tests/relay/upstreams/test_listing.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from beamhatch.relay.listing import Entry, Listing
 from beamhatch.relay.model import Address, Phase, ServiceName, Upstream, UpstreamId
+from beamhatch.relay.upstreams.listing import Entry, Listing
 
 SERVICE = ServiceName("s")
 NOW = 100.0
--- a/tests/support/platform.py
+++ b/tests/support/platform.py
@@ -15,11 +15,11 @@
 from beamhatch.platform.standin.store import StandInStore
 from beamhatch.platform.standin.upstream import Ledger, StandInEngine, StandInUpstream
 from beamhatch.platform.store import PlatformStore
-from beamhatch.relay.budget import BudgetTerms
 from beamhatch.relay.daemon import Daemon, RelaySettings
-from beamhatch.relay.http_client import HttpClient
 from beamhatch.relay.mechanism import ALL_IN, Without
 from beamhatch.relay.model import Address
+from beamhatch.relay.requests.budget import BudgetTerms
+from beamhatch.relay.upstreams.http_client import HttpClient
 from beamhatch.relay.workspaces.quota import QuotaTerms
 from tests.support.network import Network, PausedClock
 
--- a/tests/support/quota_fleet.py
+++ b/tests/support/quota_fleet.py
@@ -18,7 +18,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from beamhatch.relay.gossip_message import Usage
+    from beamhatch.relay.fleet.gossip_message import Usage
     from beamhatch.relay.workspaces.quota import QuotaShare
 
 DELAY = 0.004
