Read evacuations, cold times and allowed regions, and ask one gate where a request may go

Cause: the two new customers empty halls, have upstreams that are cold behind a start, and routes and workspaces that may only be served in some regions. Ruled out: a second watch of the store for evacuations: one watch of the operators' prefix carries both at no further call. Conditions in each kind of choice: one is bound to be forgotten. Change: Evacuations (higher revision wins, told in beats), cold time of listed upstreams, regions of routes, workspaces and halls, Eligibility as the one gate behind Core.list_usable. What bounds cold upstreams is an abstract class that still lets all through.

--- a/src/beamhatch/platform/documents.py
+++ b/src/beamhatch/platform/documents.py
@@ -10,8 +10,10 @@
 from beamhatch.relay.model import (
     Address,
     CallerLimits,
+    ColdTerms,
     Engine,
     Phase,
+    Regions,
     Route,
     RouteKind,
     Service,
@@ -22,6 +24,7 @@
     UpstreamId,
     make_table,
 )
+from beamhatch.relay.places import RegionName
 from beamhatch.relay.upstreams.listing import Entry
 from beamhatch.relay.workspaces.workspace import Quota, QuotaUnit, Workspace, WorkspaceName, digest_key
 
@@ -47,6 +50,7 @@
     resumable: bool = False
     target_gap_ms: float = 300
     public: bool = False
+    allowed_regions: list[str] | None = None
 
 
 class _Engine(msgspec.Struct):
@@ -57,11 +61,16 @@
     reconfig_s: float = 6.0
     stride: int = 1
     """Tokens of one event."""
+    token_kv_bytes: float = 0
+    link_mbps: float = 0
 
 
 class _Service(msgspec.Struct):
     name: str
     engine: _Engine | None = None
+    cold_start_s: float = 0
+    cold_per_s: float = 0
+    """0 where a replica bears as much when it is cold."""
 
 
 class _Limits(msgspec.Struct):
@@ -84,6 +93,7 @@
     rate_per_s: float = 0
     """0 where there is no limit."""
     burst: float = 0
+    allowed_regions: list[str] | None = None
 
 
 class _Configuration(msgspec.Struct):
@@ -101,8 +111,10 @@
     state: str = "ready"
     phase: str = ""
     capacity: int = 1
+    cold_remaining_ms: float = 0
 
 
+BYTES_PER_MBIT = 125_000
 TOKEN_UNITS = "token"
 """How the units begin that count tokens; all others count requests."""
 
@@ -152,9 +164,15 @@
         draining=read.state != "ready",
         phase=Phase(read.phase) if read.phase else Phase.PLAIN,
         slots=read.capacity,
+        cold_left=max(0.0, read.cold_remaining_ms / 1000),
     )
 
 
+def _read_regions(names: list[str] | None) -> Regions:
+    """Return the regions that a document names; an empty list, as none at all, leaves all of them."""
+    return frozenset(RegionName(name) for name in names) if names else None
+
+
 def _make_route(read: _Route) -> Route:
     shares = tuple(Share(ServiceName(split.service), split.weight) for split in read.traffic_split if split.weight > 0)
     return Route(
@@ -170,6 +188,7 @@
         target_gap=read.target_gap_ms / 1000,
         caller_patience=max(2.0, 4 * read.target_latency_ms / 1000, 8 * read.target_gap_ms / 1000),
         public=read.public,
+        regions=_read_regions(read.allowed_regions),
     )
 
 
@@ -183,6 +202,7 @@
         keys=tuple(digest_key(key) for key in read.api_keys),
         priority=read.priority,
         quota=quota,
+        regions=_read_regions(read.allowed_regions),
     )
 
 
@@ -196,8 +216,11 @@
             hold_lifetime=read.engine.hold_ms / 1000,
             switch_time=read.engine.reconfig_s,
             event_tokens=read.engine.stride,
+            kv_token_bytes=read.engine.token_kv_bytes,
+            link_rate=read.engine.link_mbps * BYTES_PER_MBIT,
         )
-    return Service(ServiceName(read.name), engine)
+    cold = ColdTerms(read.cold_start_s, read.cold_per_s) if read.cold_per_s > 0 else None
+    return Service(ServiceName(read.name), engine, cold)
 
 
 def _make_limits(read: _Limits) -> CallerLimits:
--- a/src/beamhatch/platform/settings.py
+++ b/src/beamhatch/platform/settings.py
@@ -10,6 +10,7 @@
 from beamhatch.relay.daemon import RelaySettings
 from beamhatch.relay.mechanism import ALL_IN, Without
 from beamhatch.relay.model import Address
+from beamhatch.relay.places import Places, RegionName
 from beamhatch.relay.requests.budget import BudgetTerms
 from beamhatch.relay.workspaces.quota import QuotaTerms
 
@@ -42,6 +43,8 @@
     quota_window_s: float = 8
     quota_overage: float = 0.1
     quota_slack: float = 0
+    cold_overage: float = 1.0
+    cold_slack: float = 0.0
 
 
 class _Limits(msgspec.Struct):
@@ -60,6 +63,8 @@
     provider: _Provider
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     seeds: list[str] = []
+    zones: dict[str, str] = {}
+    """The region of each hall."""
     limits: _Limits = msgspec.field(default_factory=_Limits)
 
 
@@ -89,6 +94,9 @@
         quota=QuotaTerms(bounds.quota_window_s, bounds.quota_overage, bounds.quota_slack),
         peer_address=_read_address(read.listen.control) if read.listen.control else None,
         seeds=read.seeds,
+        places=Places({hall: RegionName(region) for hall, region in read.zones.items()}),
+        cold_overage=bounds.cold_overage,
+        cold_slack=bounds.cold_slack,
         turn_time=bounds.lease_ms / 1000,
         drain_time=bounds.drain_timeout_ms / 1000,
         strength=read.limits.link_mbps,
--- a/src/beamhatch/platform/store.py
+++ b/src/beamhatch/platform/store.py
@@ -10,7 +10,7 @@
 
 from beamhatch.relay.api import (
     Claimed,
-    ConfigurationNews,
+    DirectiveNews,
     Document,
     HistoryGone,
     LeadershipNews,
@@ -19,6 +19,7 @@
     StoreLost,
     Taken,
 )
+from beamhatch.relay.fleet.evacuations import Evacuation
 from beamhatch.relay.model import UpstreamId
 from beamhatch.relay.upstreams.http_client import Call
 from beamhatch.relay.upstreams.http_fetch import fetch
@@ -31,7 +32,11 @@
     from beamhatch.relay.upstreams.http_client import HttpClient
     from beamhatch.relay.upstreams.listing import Entry
 
-CONFIGURATION = "op/config"
+OPERATORS = "op/"
+CONFIGURATION = f"{OPERATORS}config"
+EVACUATIONS = f"{OPERATORS}evacuate/"
+"""A key of a hall is there as long as the hall is emptied; its value says nothing."""
+
 UPSTREAMS = "servers/"
 OWN = "beamhatch/"
 LEADER = f"{OWN}leader"
@@ -87,54 +92,54 @@
         self._address = address
         self._documents = documents
 
-    async def read_configuration(self) -> ConfigurationNews | StoreLost:
-        """Return the configuration in force."""
-        answer = await self._get("kv-key", {"tls_key": CONFIGURATION})
-        if not isinstance(answer, str) and answer.head.status == 404:
-            return await self._find_revision(CONFIGURATION)
-        item = _decode(answer, _Item)
-        if isinstance(item, StoreLost):
-            return item
-        return ConfigurationNews(self._read_document(item), item.at)
-
-    async def _find_revision(self, prefix: str) -> ConfigurationNews | StoreLost:
-        """Return from which revision on a key that is not there yet is to be watched."""
-        page = _decode(await self._get("kv-range", {"path_prefix": prefix}), _Range)
-        if isinstance(page, StoreLost):
-            return page
-        written = next((item for item in page.items if item.tls_key == prefix), None)
-        return ConfigurationNews(None if written is None else self._read_document(written), page.at)
+    async def read_directives(self) -> DirectiveNews | StoreLost:
+        """Return the configuration in force, and all halls that are emptied."""
+        items = await self._read_all(OPERATORS)
+        return items if isinstance(items, StoreLost) else self._make_directives(items)
+
+    async def watch_directives(self, after: int, wait: float) -> DirectiveNews | StoreLost | HistoryGone:
+        """Return what the operators changed behind a revision."""
+        events = await self._watch(OPERATORS, after, wait)
+        return self._make_directives(events) if isinstance(events, _Events) else events
+
+    def _make_directives(self, events: _Events) -> DirectiveNews:
+        documents = [item for item in events.events if item.tls_key == CONFIGURATION and not item.gone]
+        evacuations = [
+            Evacuation(item.tls_key.removeprefix(EVACUATIONS), item.revision, not item.gone)
+            for item in events.events
+            if item.tls_key.startswith(EVACUATIONS)
+        ]
+        return DirectiveNews(self._read_document(documents[-1]) if documents else None, evacuations, events.at)
+
+    async def read_listing(self) -> ListingNews | StoreLost:
+        """Return all upstreams."""
+        items = await self._read_all(UPSTREAMS)
+        if isinstance(items, StoreLost):
+            return items
+        return ListingNews([self._make_entry(item) for item in items.events], items.at)
 
-    async def watch_configuration(self, after: int, wait: float) -> ConfigurationNews | StoreLost | HistoryGone:
-        """Return the newest configuration behind a revision."""
-        events = await self._watch(CONFIGURATION, after, wait)
+    async def watch_listing(self, after: int, wait: float) -> ListingNews | StoreLost | HistoryGone:
+        """Return changes of upstreams behind a revision."""
+        events = await self._watch(UPSTREAMS, after, wait)
         if not isinstance(events, _Events):
             return events
-        items = [item for item in events.events if item.tls_key == CONFIGURATION and not item.gone]
-        return ConfigurationNews(self._read_document(items[-1]) if items else None, events.at)
+        return ListingNews([self._make_entry(item) for item in events.events], events.at)
 
-    async def read_listing(self) -> ListingNews | StoreLost:
-        """Return all upstreams, as of the first page; a watch from there tells what changed meanwhile."""
-        entries: list[Entry] = []
+    async def _read_all(self, prefix: str) -> _Events | StoreLost:
+        """Return all items with a prefix, as of the first page; a watch from there tells what changed meanwhile."""
+        items: list[_Item] = []
         at = None
-        query = {"path_prefix": UPSTREAMS}
+        query = {"path_prefix": prefix}
         while True:
             page = _decode(await self._get("kv-range", query), _Range)
             if isinstance(page, StoreLost):
                 return page
             at = page.at if at is None else at
-            entries += [self._make_entry(item) for item in page.items]
+            items += page.items
             if not page.more or not page.items:
-                return ListingNews(entries, at)
+                return _Events(items, at)
             query["after"] = page.items[-1].tls_key
 
-    async def watch_listing(self, after: int, wait: float) -> ListingNews | StoreLost | HistoryGone:
-        """Return changes of upstreams behind a revision."""
-        events = await self._watch(UPSTREAMS, after, wait)
-        if not isinstance(events, _Events):
-            return events
-        return ListingNews([self._make_entry(item) for item in events.events], events.at)
-
     async def read_leadership(self) -> LeadershipNews | StoreLost:
         """Return who leads, and what the last order was."""
         page = _decode(await self._get("kv-range", {"path_prefix": OWN}), _Range)
--- a/src/beamhatch/relay/api.py
+++ b/src/beamhatch/relay/api.py
@@ -10,6 +10,7 @@
     from collections.abc import Sequence
 
     from beamhatch.relay.choosing.standing import Load
+    from beamhatch.relay.fleet.evacuations import Evacuation
     from beamhatch.relay.model import Handle, Phase, RequestFacts, Reservation, Stage, Table, Upstream
     from beamhatch.relay.upstreams.http_client import Call
     from beamhatch.relay.upstreams.listing import Entry
@@ -124,10 +125,12 @@
 
 
 @dataclass(frozen=True, slots=True)
-class ConfigurationNews:
-    """The configuration as of a revision; ``document`` is None where it did not change or can't be read."""
+class DirectiveNews:
+    """What the operators wrote, as of a revision; ``document`` is None where it did not change or can't be read."""
 
     document: Document | None
+    evacuations: Sequence[Evacuation]
+    """Halls that are emptied, or no longer are."""
     at: int
 
 
@@ -168,12 +171,12 @@
     """The platform's store, read linearizably. Each call is paid for; a waiting watch is one call."""
 
     @abstractmethod
-    async def read_configuration(self) -> ConfigurationNews | StoreLost:
-        """Return the configuration in force."""
+    async def read_directives(self) -> DirectiveNews | StoreLost:
+        """Return the configuration in force, and all halls that are emptied."""
 
     @abstractmethod
-    async def watch_configuration(self, after: int, wait: float) -> ConfigurationNews | StoreLost | HistoryGone:
-        """Return the newest configuration behind a revision as soon as there is one, or after some seconds."""
+    async def watch_directives(self, after: int, wait: float) -> DirectiveNews | StoreLost | HistoryGone:
+        """Return what the operators changed behind a revision as soon as they do, or nothing after some seconds."""
 
     @abstractmethod
     async def read_listing(self) -> ListingNews | StoreLost:
--- /dev/null
+++ b/src/beamhatch/relay/choosing/eligibility.py
@@ -0,0 +1,79 @@
+"""Which upstreams a request may go to at all. What each of them would cost is another matter, of the chooser.
+
+Every decision that sends anything asks here, so that a new condition holds for all of them: first and repeated sends,
+prompts and streams, plain services, memory that is set aside.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import TYPE_CHECKING
+
+from beamhatch.relay.choosing.cold import ColdGate, OpenGate
+from beamhatch.relay.fleet.evacuations import Evacuations
+from beamhatch.relay.places import Places
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from beamhatch.relay.model import ColdTerms, Regions, Upstream
+    from beamhatch.relay.upstreams.listing import Listing
+
+
+class Obstacle(Enum):
+    """Why an upstream may not be sent a request."""
+
+    EMPTIED = "the operators have emptied its hall"
+    REGION = "it is in no region that the request may be served in"
+    COLD = "it is cold, and bears no more now"
+
+
+@dataclass(slots=True)
+class Eligibility:
+    """Knows what stands between requests and upstreams."""
+
+    listing: Listing
+    places: Places = field(default_factory=Places)
+    evacuations: Evacuations = field(default_factory=Evacuations)
+    gate: ColdGate = field(default_factory=OpenGate)
+
+    def find_obstacle(
+        self, upstream: Upstream, regions: Regions, cold: ColdTerms | None, now: float
+    ) -> Obstacle | None:
+        """Return why an upstream may not be sent a request, or None where it may.
+
+        :param regions: the regions that the request may be served in; None where it may be in any
+        :param cold: what upstreams of the service bear while they are cold; None where that is as much as ever
+        """
+        if self.evacuations.is_emptied(upstream.hall):
+            return Obstacle.EMPTIED
+        if regions is not None and self.places.find_region(upstream.hall) not in regions:
+            return Obstacle.REGION
+        if cold is not None and self.is_cold(upstream, cold, now) and not self.gate.may_send(upstream, cold, now):
+            return Obstacle.COLD
+        return None
+
+    def is_cold(self, upstream: Upstream, cold: ColdTerms, now: float) -> bool:
+        """Tell whether an upstream is cold, or may be as its hall was taken back a moment ago."""
+        returned = self.evacuations.find_return(upstream.hall)
+        return now < max(self.listing.find_cold_until(upstream.id), returned + cold.start_time)
+
+    def note_send(self, upstream: Upstream, cold: ColdTerms | None, now: float) -> None:
+        """Count a request that goes to an upstream."""
+        if cold is not None and self.is_cold(upstream, cold, now):
+            self.gate.note_sent(upstream.id, now)
+
+    def list_eligible(
+        self, upstreams: Iterable[Upstream], regions: Regions, cold: ColdTerms | None, now: float
+    ) -> list[Upstream]:
+        """Return those of some upstreams that a request may go to."""
+        return [one for one in upstreams if self.find_obstacle(one, regions, cold, now) is None]
+
+    def count_obstacles(
+        self, upstreams: Iterable[Upstream], regions: Regions, cold: ColdTerms | None, now: float
+    ) -> Counter[Obstacle]:
+        """Return how many of some upstreams each obstacle keeps a request from, for who asks why it was refused."""
+        found = (self.find_obstacle(one, regions, cold, now) for one in upstreams)
+        return Counter(obstacle for obstacle in found if obstacle is not None)
--- a/src/beamhatch/relay/core.py
+++ b/src/beamhatch/relay/core.py
@@ -9,6 +9,7 @@
 
 from beamhatch.relay.api import BadRequest
 from beamhatch.relay.callers.own_answer import send_error
+from beamhatch.relay.choosing.eligibility import Eligibility
 from beamhatch.relay.choosing.pace import EnginePaces, Pace
 from beamhatch.relay.choosing.peer_work import PeerWork
 from beamhatch.relay.choosing.read_times import ReadTimes
@@ -18,6 +19,7 @@
 from beamhatch.relay.fleet.gossip_message import DemandReport
 from beamhatch.relay.mechanism import ALL_IN, Mechanism, Without
 from beamhatch.relay.model import CallerLimits, ServiceName
+from beamhatch.relay.places import Places
 from beamhatch.relay.requests.budget import Budget, BudgetTerms
 from beamhatch.relay.requests.exchange import RelayExchange
 from beamhatch.relay.requests.lengths import AnswerLengths
@@ -26,7 +28,7 @@
 from beamhatch.relay.workspaces.admission import Admission, Admitted, OverQuota, Undecided
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Mapping
+    from collections.abc import Callable, Mapping, Sequence
 
     from beamhatch.clock import Clock
     from beamhatch.observe.journal import Journal
@@ -34,7 +36,8 @@
     from beamhatch.relay.api import Dialect, Document, ListingNews
     from beamhatch.relay.callers.http_server import IncomingRequest, RequestHandler, Responder
     from beamhatch.relay.choosing.chooser import Chooser
-    from beamhatch.relay.model import RequestFacts, Route, Service, Table, Upstream, UpstreamId
+    from beamhatch.relay.fleet.evacuations import Evacuation
+    from beamhatch.relay.model import ColdTerms, Regions, RequestFacts, Route, Service, Table, Upstream, UpstreamId
     from beamhatch.relay.upstreams.http_client import HttpClient
     from beamhatch.relay.upstreams.listing import Entry
     from beamhatch.relay.workspaces.admission import Decision
@@ -121,6 +124,7 @@
     admission: Admission = field(default_factory=Admission)
     without: Without = ALL_IN
     listing: Listing = field(default_factory=Listing)
+    eligibility: Eligibility = field(init=False)
     changes: Changes = field(default_factory=Changes)
     paces: EnginePaces = field(default_factory=EnginePaces)
     work: PeerWork = field(default_factory=PeerWork)
@@ -138,6 +142,7 @@
     """Called when an upstream failed a request."""
     on_work: Callable[[], None] = lambda: None
     """Called when this VM's part of what an engine has to read has changed."""
+    places: Places = field(default_factory=Places)
     _budgets: dict[ServiceName, Budget] = field(default_factory=dict)
     _lines: defaultdict[ServiceName, Line[RelayExchange]] = field(default_factory=lambda: defaultdict(Line))
     _demands: defaultdict[ServiceName, Demand] = field(default_factory=lambda: defaultdict(Demand))
@@ -148,6 +153,10 @@
     _patience: dict[str, float] = field(default_factory=dict)
     """The longest that a caller of each route would wait, in seconds."""
 
+    def __post_init__(self) -> None:
+        """Put together what stands between requests and upstreams."""
+        self.eligibility = Eligibility(self.listing, self.places)
+
     @property
     def table(self) -> Table | None:
         """Return the configuration in force."""
@@ -166,7 +175,7 @@
     @property
     def ready(self) -> bool:
         """Tell whether requests can be served."""
-        return self.document is not None and self.listing.complete
+        return self.document is not None and self.listing.complete and self.eligibility.evacuations.complete
 
     def find_limits(self) -> CallerLimits:
         """Return the bounds on callers."""
@@ -206,10 +215,36 @@
             self.standings.keep_only(listing.list_ids())
             self.on_change()
 
-    def list_usable(self, service: ServiceName) -> list[Upstream]:
-        """Return the upstreams of a service that may get new work."""
+    def list_usable(self, service: ServiceName, regions: Regions = None) -> list[Upstream]:
+        """Return the upstreams of a service that may get new work.
+
+        :param regions: the regions that a request may be served in; None where it may be in any
+        """
         now = self.clock.now()
-        return self.changes.pass_over(self.listing.list_usable(service, now), now)
+        listed = self.changes.pass_over(self.listing.list_usable(service, now), now)
+        return self.eligibility.list_eligible(listed, regions, self.find_cold_terms(service), now)
+
+    def find_cold_terms(self, service: ServiceName) -> ColdTerms | None:
+        """Return what upstreams of a service bear while they are cold; None where that is as much as ever."""
+        found = None if self.table is None else self.table.services.get(service)
+        return None if found is None else found.cold
+
+    def take_evacuations(self, news: Sequence[Evacuation], source: str, *, whole_at: int | None = None) -> None:
+        """Take in which halls are emptied.
+
+        :param whole_at: the revision as of which all others are not; None where the news are of these halls alone
+        """
+        evacuations = self.eligibility.evacuations
+        now = self.clock.now()
+        if whole_at is None:
+            changed = [one for one in news if evacuations.take(one, now)]
+        else:
+            changed = evacuations.take_whole(news, whole_at, now)
+        for one in changed:
+            event = "emptied" if one.emptied else "taken back"
+            self.journal.write("EVACUATION", event, hall=one.hall, revision=one.revision, source=source)
+        if changed:
+            self.on_change()
 
     def take_change(self, upstream: UpstreamId, news: ChangeNews, source: str) -> None:
         """Take in that an engine was ordered to play another part."""
--- a/src/beamhatch/relay/daemon.py
+++ b/src/beamhatch/relay/daemon.py
@@ -17,9 +17,10 @@
 from beamhatch.relay.engines.ordering import Ordering
 from beamhatch.relay.fleet.gossip import Gossip
 from beamhatch.relay.fleet.membership import Member, Membership
-from beamhatch.relay.fleet.watching import ConfigurationWatcher, ListingWatcher, Watcher
+from beamhatch.relay.fleet.watching import DirectivesWatcher, ListingWatcher, Watcher
 from beamhatch.relay.mechanism import ALL_IN, Mechanism, Without
 from beamhatch.relay.model import Address, CallerLimits
+from beamhatch.relay.places import Places
 from beamhatch.relay.upstreams.http_client import HttpClient
 from beamhatch.relay.upstreams.listing import DRAIN_TIME, GONE_GRACE_SHARE, Listing
 from beamhatch.relay.workspaces.quota import EqualShare, FollowingShare, QuotaTerms
@@ -78,6 +79,11 @@
     seeds: list[str] = field(default_factory=list)
     turn_time: float = 3.0
     """Seconds that have to pass between the orders of two VMs."""
+    places: Places = field(default_factory=Places)
+    cold_overage: float = 1.0
+    """Times the rate that a cold upstream bears which may reach it in one second."""
+    cold_slack: float = 0.0
+    """Requests on top of that."""
     drain_time: float = DRAIN_TIME
     """Seconds behind the end of its entry in which an upstream may still be sent requests."""
     strength: float = 0.0
@@ -123,6 +129,7 @@
             terms=Terms(settings.budget),
             listing=Listing(gone_grace=GONE_GRACE_SHARE * settings.drain_time),
             started=clock.now(),
+            places=settings.places,
         )
         self.callers = CallerServer(clock, self.core.serve, self.core.find_limits, self.core.note_refused)
         self._gossip = self._make_gossip(documents)
@@ -290,7 +297,7 @@
         hears_peers = _hears_nobody if self._gossip is None else self._gossip.hears_peers
         first = self.settings.peer_address is None or str(self.settings.peer_address) in self.settings.seeds
         patience = 0.0 if first or not self.settings.seeds else START_PATIENCE
-        kinds = (ConfigurationWatcher, ListingWatcher)
+        kinds = (DirectivesWatcher, ListingWatcher)
         return [watcher(self.core, store, is_due, hears_peers, patience) for watcher in kinds]
 
     def _listen(self, address: Address, factory: Any) -> Any:
--- a/src/beamhatch/relay/fleet/gossip.py
+++ b/src/beamhatch/relay/fleet/gossip.py
@@ -288,7 +288,7 @@
                     self.core.take_document(Document(raw, table), f"peer {connection.vm}")
             case AskListing():
                 if self.core.listing.complete:
-                    entries = self.core.listing.list_since(message.after)
+                    entries = self.core.listing.list_since(message.after, self.clock.now())
                     connection.tell(ListingPart(message.after, self.core.listing.newest, entries))
             case ListingPart():
                 news = ListingNews(message.entries, message.revision)
@@ -326,6 +326,9 @@
         for upstream, share in faulty.items():
             self.core.standings.get(UpstreamId(upstream)).note_hint(share, now)
         self._take_changes(connection, message)
+        if message.evacuations is not None:
+            self.core.eligibility.evacuations.complete = True
+            self.core.take_evacuations(message.evacuations, f"peer {connection.vm}")
         self.newest_version = max(self.newest_version, message.version)
         if self._lacks("configuration", self.core.version, message.version):
             connection.tell(AskConfiguration())
@@ -369,4 +372,5 @@
             core.changes.list_news(now),
             core.standings.list_reading(),
             list(readings),
+            core.eligibility.evacuations.list_news() if core.eligibility.evacuations.complete else None,
         )
--- a/src/beamhatch/relay/fleet/gossip_message.py
+++ b/src/beamhatch/relay/fleet/gossip_message.py
@@ -8,6 +8,7 @@
 
 from beamhatch.relay.choosing.pace import Reading
 from beamhatch.relay.engines.changing import ChangeNews
+from beamhatch.relay.fleet.evacuations import Evacuation
 from beamhatch.relay.fleet.membership import Member, Mention
 from beamhatch.relay.upstreams.listing import Entry
 from beamhatch.relay.workspaces.usage import HallUsage, RatesByWorkspace
@@ -71,6 +72,8 @@
     """Tokens of the sender's prompts that engines have still to read."""
     readings: list[Reading] = []
     """Prompts that engines read for the sender since its last beat."""
+    evacuations: list[Evacuation] | None = None
+    """Which halls are emptied, or were; None where the sender does not know."""
 
 
 class Work(msgspec.Struct, tag="work", frozen=True):
--- a/src/beamhatch/relay/fleet/watching.py
+++ b/src/beamhatch/relay/fleet/watching.py
@@ -1,4 +1,4 @@
-"""Keep the configuration and the listing as the store has them: read once, then wait for changes."""
+"""Keep the operators' directives and the listing as the store has them: read once, then wait for changes."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 from twisted.internet import defer
 
 from beamhatch.clock import sleep
-from beamhatch.relay.api import ConfigurationNews, HistoryGone, ListingNews, StoreLost
+from beamhatch.relay.api import DirectiveNews, HistoryGone, ListingNews, StoreLost
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -163,30 +163,35 @@
             self.core.clock.call_later(LONGEST_PAUSE, self.start)
 
 
-class ConfigurationWatcher(Watcher):
-    """Keeps the operators' configuration."""
+class DirectivesWatcher(Watcher):
+    """Keeps what the operators wrote: the configuration, and which halls are emptied."""
 
-    name = "configuration"
+    name = "directives"
 
     def is_known(self) -> bool:
         """Tell whether there is a configuration."""
         return self.core.table is not None
 
     async def read(self) -> int | StoreLost:
-        """Read the configuration."""
-        return self._take(await self.store.read_configuration())
+        """Read all of it."""
+        news = await self.store.read_directives()
+        if isinstance(news, StoreLost):
+            return news
+        self._take(news, whole=True)
+        return news.at
 
     async def watch(self, after: int) -> int | StoreLost | HistoryGone:
-        """Wait for another configuration."""
-        news = await self.store.watch_configuration(after, WATCH_WAIT)
-        return news if isinstance(news, HistoryGone) else self._take(news)
-
-    def _take(self, news: ConfigurationNews | StoreLost) -> int | StoreLost:
-        if isinstance(news, StoreLost):
+        """Wait for changes."""
+        news = await self.store.watch_directives(after, WATCH_WAIT)
+        if not isinstance(news, DirectiveNews):
             return news
+        self._take(news, whole=False)
+        return news.at
+
+    def _take(self, news: DirectiveNews, *, whole: bool) -> None:
         if news.document is not None:
             self.core.take_document(news.document, "store")
-        return news.at
+        self.core.take_evacuations(news.evacuations, "store", whole_at=news.at if whole else None)
 
 
 class ListingWatcher(Watcher):
--- a/src/beamhatch/relay/model.py
+++ b/src/beamhatch/relay/model.py
@@ -7,6 +7,7 @@
 from enum import Enum
 from typing import NewType
 
+from beamhatch.relay.places import RegionName
 from beamhatch.relay.workspaces.workspace import KeyDigest, Workspace
 
 UpstreamId = NewType("UpstreamId", str)
@@ -15,6 +16,9 @@
 ServiceName = NewType("ServiceName", str)
 """Name of a service, a set of upstreams that can stand in for each other."""
 
+Regions = frozenset[RegionName] | None
+"""The regions in which something may be served, cached and kept; None where it may be in any."""
+
 
 class RouteKind(Enum):
     """How often a request of a route may run."""
@@ -83,6 +87,8 @@
     """Seconds without an event after which a caller leaves a stream."""
     public: bool = False
     """True where requests need no key."""
+    regions: Regions = None
+    """Where its requests may be served."""
 
     @property
     def idempotent(self) -> bool:
@@ -116,14 +122,29 @@
     """Seconds that an idle engine needs to change its part."""
     event_tokens: int = 1
     """Tokens of one event of a stream; its last one may have fewer."""
+    kv_token_bytes: float = 0.0
+    """Bytes of the KV cache of one token; 0 where it is not told."""
+    link_rate: float = 0.0
+    """Bytes a second that an engine's link carries to another one of its hall; 0 where it is not told."""
+
+
+@dataclass(frozen=True, slots=True)
+class ColdTerms:
+    """What an upstream of a service bears while it is cold, as it is for some time behind its start."""
+
+    start_time: float
+    """Seconds for which it stays cold behind a start."""
+    rate: float
+    """Requests a second that it bears, from all VMs together."""
 
 
 @dataclass(frozen=True, slots=True)
 class Service:
-    """A service; ``engine`` is None for a plain one."""
+    """A service; ``engine`` is None for a plain one, ``cold`` where its upstreams bear as much when they are cold."""
 
     name: ServiceName
     engine: Engine | None = None
+    cold: ColdTerms | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -197,6 +218,8 @@
     draining: bool
     phase: Phase
     slots: int
+    cold_left: float = 0.0
+    """Seconds for which it stays cold, counted from when this was told."""
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/src/beamhatch/relay/places.py
@@ -0,0 +1,47 @@
+"""Where halls lie: which region each is in, and how far they are from each other."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import IntEnum
+from typing import TYPE_CHECKING, NewType
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+RegionName = NewType("RegionName", str)
+"""Name of a region, a set of halls near each other."""
+
+EVERYWHERE = RegionName("")
+"""The region of halls that the settings don't place: where they place none, all are in one."""
+
+
+class Distance(IntEnum):
+    """How far two halls are from each other; a larger one is dearer and slower."""
+
+    SAME_HALL = 0
+    SAME_REGION = 1
+    OTHER_REGION = 2
+
+
+@dataclass(frozen=True, slots=True)
+class Places:
+    """The halls of a deployment, as the settings place them."""
+
+    regions: Mapping[str, RegionName] = field(default_factory=dict)
+    """The region of each hall."""
+
+    def find_region(self, hall: str) -> RegionName:
+        """Return the region of a hall."""
+        return self.regions.get(hall, EVERYWHERE)
+
+    def knows(self, hall: str) -> bool:
+        """Tell whether the settings place a hall; where they place none, all are known."""
+        return not self.regions or hall in self.regions
+
+    def measure(self, hall: str, other: str) -> Distance:
+        """Return how far two halls are from each other."""
+        if hall == other:
+            return Distance.SAME_HALL
+        same = self.find_region(hall) == self.find_region(other)
+        return Distance.SAME_REGION if same else Distance.OTHER_REGION
--- a/src/beamhatch/relay/requests/exchange.py
+++ b/src/beamhatch/relay/requests/exchange.py
@@ -158,6 +158,7 @@
         )
         if request.split and send.stage is not Stage.PREFILL:
             self.note_memory()
+        self.core.eligibility.note_send(send.upstream, request.service.cold, now)
         attempt = self._make_attempt(send)
         self._attempt = attempt
         most_idle = 1e9 if request.route.idempotent or send.stage is Stage.PREFILL else FRESH_IDLE
--- a/src/beamhatch/relay/upstreams/listing.py
+++ b/src/beamhatch/relay/upstreams/listing.py
@@ -47,9 +47,18 @@
     changed_at: float
     first_at: float
     """When it was heard of first."""
+    cold_until: float = 0.0
+    """Until when it is cold, in monotonic seconds."""
     drained: bool = False
     """An upstream that once said that it is leaving does not come back under the same id."""
 
+    def show(self, now: float) -> Entry:
+        """Return the entry, with the time for which the upstream is still cold as it is now."""
+        upstream = self.entry.upstream
+        if upstream is None or not upstream.cold_left:
+            return self.entry
+        return replace(self.entry, upstream=replace(upstream, cold_left=max(0.0, self.cold_until - now)))
+
     def succeeds(self, other: _Known) -> bool:
         """Tell whether this may be another one, started anew: in its hall, and not known before it fell silent."""
         assert self.last is not None
@@ -88,8 +97,9 @@
             known.changed_at = now if _differs(known.entry, entry) else known.changed_at
             known.entry = entry
             known.last = entry.upstream or known.last
-        if entry.upstream is not None and entry.upstream.draining:
-            known.drained = True
+        if entry.upstream is not None:
+            known.cold_until = now + entry.upstream.cold_left
+            known.drained = known.drained or entry.upstream.draining
         return True
 
     def take_whole(self, entries: Iterable[Entry], revision: int, now: float) -> list[Entry]:
@@ -104,9 +114,9 @@
         self.complete = True
         return [entry for entry in [*listed, *gone] if self.take(entry, now)]
 
-    def list_since(self, revision: int) -> list[Entry]:
-        """Return the news behind a revision, oldest first."""
-        entries = [known.entry for known in self._known.values() if known.entry.revision > revision]
+    def list_since(self, revision: int, now: float) -> list[Entry]:
+        """Return the news behind a revision as they are handed on now, oldest first."""
+        entries = [known.show(now) for known in self._known.values() if known.entry.revision > revision]
         return sorted(entries, key=lambda entry: entry.revision)
 
     def list_usable(self, service: ServiceName, now: float) -> list[Upstream]:
@@ -164,6 +174,11 @@
         known = self._known.values()
         return sum(one.drained and one.last is not None and one.last.service == service for one in known)
 
+    def find_cold_until(self, upstream: UpstreamId) -> float:
+        """Return until when an upstream is cold, in monotonic seconds; a time that is over where it is warm."""
+        known = self._known.get(upstream)
+        return 0.0 if known is None else known.cold_until
+
     def find(self, upstream: UpstreamId) -> Upstream | None:
         """Return an upstream that is listed."""
         known = self._known.get(upstream)
@@ -187,4 +202,5 @@
 def _differs(before: Entry, after: Entry) -> bool:
     if before.upstream is None or after.upstream is None:
         return before.upstream is not after.upstream
-    return replace(before.upstream, draining=after.upstream.draining) != after.upstream
+    same = replace(before.upstream, draining=after.upstream.draining, cold_left=after.upstream.cold_left)
+    return same != after.upstream
--- a/src/beamhatch/relay/workspaces/workspace.py
+++ b/src/beamhatch/relay/workspaces/workspace.py
@@ -5,7 +5,10 @@
 import hashlib
 from dataclasses import dataclass
 from enum import Enum
-from typing import NewType
+from typing import TYPE_CHECKING, NewType
+
+if TYPE_CHECKING:
+    from beamhatch.relay.places import RegionName
 
 WorkspaceName = NewType("WorkspaceName", str)
 """Name of a workspace."""
@@ -55,6 +58,8 @@
     priority: int | None = None
     """Its rank, 0 for the highest, in place of that of a route; None where the route's holds."""
     quota: Quota | None = None
+    regions: frozenset[RegionName] | None = None
+    """Where its requests may be served; None where they may be anywhere."""
 
 
 def digest_key(key: str) -> KeyDigest:
--- a/tests/relay/requests/test_request.py
+++ b/tests/relay/requests/test_request.py
@@ -190,7 +190,7 @@
 
     @rule()
     def catch_up(self) -> None:
-        for entry in self.direct.list_since(0):
+        for entry in self.direct.list_since(0, 0.0):
             self.told.take(entry, self.now)
         self.best = {entry.id: entry for entry in self.truth.values()}
         for name in self.truth:
