Hold evacuations for memory set aside, waiting requests, old news and the split of engines

Cause: a plan took memory that was set aside without asking where its engine is; a VM that had read everything after an evacuation's end believed a peer that still told it; the leader counted engines in emptied halls; with all halls emptied requests waited in line for nobody. Ruled out: tombstones that are kept; asking all requests at the news, as a plan comes before every send anyway. Change: Evacuations know up to which revision they are whole, and beats say it; memory in an emptied hall is given up and the request owed other; nothing is given back there; 503 at once where nothing is left; the leader looks at once.

--- a/src/beamhatch/platform/store.py
+++ b/src/beamhatch/platform/store.py
@@ -37,6 +37,9 @@
 EVACUATIONS = f"{OPERATORS}evacuate/"
 """A key of a hall is there as long as the hall is emptied; its value says nothing."""
 
+LONGEST_HALL_NAME = 100
+"""Characters: what is longer names no hall, and would stand in each beat to a peer."""
+
 UPSTREAMS = "servers/"
 OWN = "beamhatch/"
 LEADER = f"{OWN}leader"
@@ -107,7 +110,7 @@
         evacuations = [
             Evacuation(item.tls_key.removeprefix(EVACUATIONS), item.revision, not item.gone)
             for item in events.events
-            if item.tls_key.startswith(EVACUATIONS)
+            if item.tls_key.startswith(EVACUATIONS) and 0 < len(item.tls_key) - len(EVACUATIONS) <= LONGEST_HALL_NAME
         ]
         return DirectiveNews(self._read_document(documents[-1]) if documents else None, evacuations, events.at)
 
--- a/src/beamhatch/relay/core.py
+++ b/src/beamhatch/relay/core.py
@@ -9,16 +9,17 @@
 
 from beamhatch.relay.api import BadRequest
 from beamhatch.relay.callers.own_answer import send_error
-from beamhatch.relay.choosing.eligibility import Eligibility
+from beamhatch.relay.choosing.eligibility import Eligibility, Obstacle
 from beamhatch.relay.choosing.pace import EnginePaces, Pace
 from beamhatch.relay.choosing.peer_work import PeerWork
 from beamhatch.relay.choosing.read_times import ReadTimes
 from beamhatch.relay.choosing.standing import Standings
 from beamhatch.relay.engines.changing import ChangeNews, Changes
 from beamhatch.relay.engines.demand import Demand
+from beamhatch.relay.fleet.evacuations import MOST_UNPLACED, Evacuations
 from beamhatch.relay.fleet.gossip_message import DemandReport
 from beamhatch.relay.mechanism import ALL_IN, Mechanism, Without
-from beamhatch.relay.model import CallerLimits, ServiceName
+from beamhatch.relay.model import CallerLimits, Phase, ServiceName
 from beamhatch.relay.places import Places
 from beamhatch.relay.requests.budget import Budget, BudgetTerms
 from beamhatch.relay.requests.exchange import RelayExchange
@@ -138,6 +139,8 @@
     exchanges: set[RelayExchange] = field(default_factory=set)
     on_change: Callable[[], None] = lambda: None
     """Called when the configuration or the listing has changed."""
+    on_evacuation: Callable[[], None] = lambda: None
+    """Called when a hall was emptied or taken back."""
     on_fault: Callable[[], None] = lambda: None
     """Called when an upstream failed a request."""
     on_work: Callable[[], None] = lambda: None
@@ -152,10 +155,12 @@
     """The next poll of each line."""
     _patience: dict[str, float] = field(default_factory=dict)
     """The longest that a caller of each route would wait, in seconds."""
+    _strange_halls: set[str] = field(default_factory=set)
+    """Emptied halls that the settings don't place, as far as they were told of in the log."""
 
     def __post_init__(self) -> None:
         """Put together what stands between requests and upstreams."""
-        self.eligibility = Eligibility(self.listing, self.places)
+        self.eligibility = Eligibility(self.listing, self.places, Evacuations(self.places))
 
     @property
     def table(self) -> Table | None:
@@ -229,22 +234,73 @@
         found = None if self.table is None else self.table.services.get(service)
         return None if found is None else found.cold
 
-    def take_evacuations(self, news: Sequence[Evacuation], source: str, *, whole_at: int | None = None) -> None:
+    def find_obstacle(self, upstream: Upstream, service: ServiceName, regions: Regions = None) -> Obstacle | None:
+        """Return why an upstream may not be sent a request of a service, or None where it may."""
+        return self.eligibility.find_obstacle(upstream, regions, self.find_cold_terms(service), self.clock.now())
+
+    def find_lack(self, service: ServiceName, regions: Regions = None) -> Obstacle | None:
+        """Return what keeps a request from all upstreams that could answer it, None where nothing does.
+
+        Prefill engines don't count: without a decode engine nothing is answered, and it can do without them. Cold
+        upstreams bear more in a moment, so they are no reason to give up.
+        """
+        now = self.clock.now()
+        answering = [one for one in self.listing.list_usable(service, now) if one.phase is not Phase.PREFILL]
+        found = self.eligibility.count_obstacles(answering, regions, self.find_cold_terms(service), now)
+        if not found or found.total() < len(answering) or Obstacle.COLD in found:
+            return None
+        return found.most_common(1)[0][0]
+
+    def take_evacuations(self, news: Sequence[Evacuation], source: str, *, as_of: int, whole: bool) -> None:
         """Take in which halls are emptied.
 
-        :param whole_at: the revision as of which all others are not; None where the news are of these halls alone
+        :param as_of: the revision up to which the news tell everything
+        :param whole: whether they are of all halls, and not just what changed behind the last revision
         """
         evacuations = self.eligibility.evacuations
         now = self.clock.now()
-        if whole_at is None:
-            changed = [one for one in news if evacuations.take(one, now)]
+        if whole:
+            changed = evacuations.take_whole(news, as_of, now)
         else:
-            changed = evacuations.take_whole(news, whole_at, now)
+            changed = [one for one in news if evacuations.take(one, now)]
+            evacuations.note_known(as_of)
         for one in changed:
-            event = "emptied" if one.emptied else "taken back"
-            self.journal.write("EVACUATION", event, hall=one.hall, revision=one.revision, source=source)
+            self._note_evacuation(one, source)
         if changed:
             self.on_change()
+            self.on_evacuation()
+            self._ask_waiting()
+
+    def _note_evacuation(self, news: Evacuation, source: str) -> None:
+        event = "emptied" if news.emptied else "taken back"
+        self.journal.write(
+            "EVACUATION",
+            event,
+            hall=news.hall,
+            revision=news.revision,
+            source=source,
+            under_way=self.count_in(news.hall),
+            emptied=len(self.eligibility.evacuations.list_emptied()),
+        )
+        strange = self._strange_halls
+        if not self.places.knows(news.hall) and news.hall not in strange and len(strange) < MOST_UNPLACED:
+            strange.add(news.hall)
+            self.journal.write("EVACUATION", "unknown hall", hall=news.hall, source=source)
+
+    def _ask_waiting(self) -> None:
+        """Have all who wait for decode memory plan anew: where nothing is left they are answered now."""
+        for service in list(self._lines):
+            if self.find_lack(service) is not None:
+                for waiter in self._lines[service].list_all():
+                    waiter.advance()
+
+    def count_in(self, hall: str) -> int:
+        """Return how many requests are under way at upstreams of a hall."""
+        return sum(exchange.hall == hall for exchange in self.exchanges)
+
+    def count_in_emptied(self) -> int:
+        """Return how many requests are still under way at upstreams of emptied halls."""
+        return sum(self.count_in(hall) for hall in self.eligibility.evacuations.list_emptied())
 
     def take_change(self, upstream: UpstreamId, news: ChangeNews, source: str) -> None:
         """Take in that an engine was ordered to play another part."""
@@ -388,7 +444,7 @@
         if self.stopping:
             return _Refusal(503, "this VM stops", STOPPING_RETRY)
         table = self.table
-        if table is None or not self.listing.complete:
+        if table is None or not self.ready:
             return _Refusal(503, "no configuration is known yet", UNREADY_RETRY)
         route = table.find_route(incoming.host, incoming.path)
         if route is None:
--- a/src/beamhatch/relay/daemon.py
+++ b/src/beamhatch/relay/daemon.py
@@ -147,6 +147,8 @@
         self._caller_port: Any = None
         self._stopping_since: float | None = None
         tally.gauges["open_requests"] = lambda: float(len(self.core.exchanges))
+        tally.gauges["emptied_halls"] = lambda: float(len(self.core.eligibility.evacuations.list_emptied()))
+        tally.gauges["requests_in_emptied_halls"] = lambda: float(self.core.count_in_emptied())
         tally.gauges["configuration_version"] = lambda: float(self.core.version)
         tally.gauges["known_vms"] = lambda: float(self.core.vms)
         tally.gauges["connections_opened"] = lambda: float(client.opened)
--- a/src/beamhatch/relay/engines/ordering.py
+++ b/src/beamhatch/relay/engines/ordering.py
@@ -77,8 +77,14 @@
     def start(self) -> None:
         """Begin to look."""
         self._leadership.on_recall = self._recall
+        self.core.on_evacuation = self._note_evacuation
         self.core.clock.call_later(LOOK_INTERVAL, self._look)
 
+    def _note_evacuation(self) -> None:
+        """Look at once at the engines that are left, before their load arrives."""
+        self._ordered.clear()  # what was ordered was right for other engines
+        self._look_at_all()
+
     def _recall(self, order: str) -> None:
         """Take in an order from before this VM started: its engine may still be changing."""
         recalled = read_orders(order)
@@ -89,6 +95,9 @@
 
     def _look(self) -> None:
         self.core.clock.call_later(LOOK_INTERVAL, self._look)
+        self._look_at_all()
+
+    def _look_at_all(self) -> None:
         now = self.core.clock.now()
         table = self.core.table
         if table is None or not self._leadership.tenure.may_order(now):
@@ -98,7 +107,8 @@
                 self._look_at(service, now)
 
     def _look_at(self, service: Service, now: float) -> None:
-        lasting = self.core.listing.list_lasting(service.name, now, self.core.standings.list_silent(now))
+        listed = self.core.listing.list_lasting(service.name, now, self.core.standings.list_silent(now))
+        lasting = self.core.eligibility.evacuations.list_outside(listed)
         engines = [one for one in self.core.changes.foresee(lasting, now) if one.phase is not Phase.PLAIN]
         left = self.core.listing.count_left(service.name)
         if left > self._left.get(service.name, 0):
@@ -157,6 +167,8 @@
 
     async def _order(self, change: PhaseChange, pressure: Pressure) -> None:
         upstream = change.upstream
+        if self.core.eligibility.evacuations.is_emptied(upstream.hall):
+            return  # while the order was written down
         token = self._leadership.tenure.token
         phase = change.phase.value
         self.core.journal.write(
--- a/src/beamhatch/relay/fleet/evacuations.py
+++ b/src/beamhatch/relay/fleet/evacuations.py
@@ -11,9 +11,18 @@
 
 import msgspec
 
+from beamhatch.relay.places import Places
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from beamhatch.relay.model import Upstream
+
+MOST_UNPLACED = 64
+"""Halls that the settings don't place of which news are kept: their names are the store's, and may be anything."""
+
+NEVER = float("-inf")
+
 
 class Evacuation(msgspec.Struct, frozen=True, array_like=True):
     """The newest news of one hall."""
@@ -24,27 +33,32 @@
     """False once the hall was taken back."""
 
 
-NEVER = float("-inf")
-
-
 @dataclass(slots=True)
 class Evacuations:
     """All halls of which there are news."""
 
+    places: Places = field(default_factory=Places)
     complete: bool = False
     """True once the whole of what the store has was taken in, read by this VM or by a peer."""
+    as_of: int = 0
+    """The revision up to which all evacuations are known: a hall that is not known as emptied was not by then.
+
+    So a peer that is behind revives no evacuation that has ended, and ended ones need not be remembered.
+    """
     _known: dict[str, Evacuation] = field(default_factory=dict)
     _returned_at: dict[str, float] = field(default_factory=dict)
 
     def take(self, news: Evacuation, now: float) -> bool:
         """Take in news of one hall; return whether they changed what is believed."""
         known = self._known.get(news.hall)
-        if known is not None and known.revision >= news.revision:
+        if news.revision <= (self.as_of if known is None else known.revision):
+            return False
+        if known is None and not self._has_room(news.hall):
             return False
         self._known[news.hall] = news
         was_emptied = known is not None and known.emptied
         if was_emptied and not news.emptied:
-            self._returned_at[news.hall] = now
+            self._note_return(news.hall, now)
         return was_emptied is not news.emptied
 
     def take_whole(self, emptied: Iterable[Evacuation], revision: int, now: float) -> list[Evacuation]:
@@ -54,16 +68,29 @@
         ended = [
             Evacuation(known.hall, revision, False)
             for known in self._known.values()
-            if known.emptied and known.hall not in halls and known.revision <= revision
+            if known.emptied and known.hall not in halls and known.revision < revision
         ]
         self.complete = True
-        return [news for news in [*listed, *ended] if self.take(news, now)]
+        changed = [news for news in [*listed, *ended] if self.take(news, now)]
+        self.note_known(revision)
+        return changed
+
+    def note_known(self, revision: int) -> None:
+        """Note that all news up to a revision were taken in; ended evacuations up to it are forgotten."""
+        self.as_of = max(self.as_of, revision)
+        old = [one.hall for one in self._known.values() if not one.emptied and one.revision <= self.as_of]
+        for hall in old:
+            del self._known[hall]
 
     def is_emptied(self, hall: str) -> bool:
         """Tell whether nothing new is to go to a hall."""
         known = self._known.get(hall)
         return known is not None and known.emptied
 
+    def list_outside(self, upstreams: Iterable[Upstream]) -> list[Upstream]:
+        """Return those of some upstreams that are in no emptied hall."""
+        return [one for one in upstreams if not self.is_emptied(one.hall)]
+
     def find_return(self, hall: str) -> float:
         """Return when a hall was taken back, in monotonic seconds of this VM."""
         return self._returned_at.get(hall, NEVER)
@@ -73,5 +100,16 @@
         return [known.hall for known in self._known.values() if known.emptied]
 
     def list_news(self) -> list[Evacuation]:
-        """Return the newest news of each hall, ended evacuations among them: peers may know older ones."""
+        """Return the newest news of each hall that is emptied, or whose end is newer than what is known as a whole."""
         return list(self._known.values())
+
+    def _has_room(self, hall: str) -> bool:
+        """Tell whether news of one more hall can be kept; those that the settings place always are."""
+        placed = self.places.regions
+        return hall in placed or sum(one not in placed for one in self._known) < MOST_UNPLACED
+
+    def _note_return(self, hall: str, now: float) -> None:
+        self._returned_at.pop(hall, None)
+        self._returned_at[hall] = now
+        while len(self._returned_at) > MOST_UNPLACED + len(self.places.regions):
+            del self._returned_at[next(iter(self._returned_at))]
--- a/src/beamhatch/relay/fleet/gossip.py
+++ b/src/beamhatch/relay/fleet/gossip.py
@@ -327,8 +327,8 @@
             self.core.standings.get(UpstreamId(upstream)).note_hint(share, now)
         self._take_changes(connection, message)
         if message.evacuations is not None:
-            self.core.eligibility.evacuations.complete = True
-            self.core.take_evacuations(message.evacuations, f"peer {connection.vm}")
+            source = f"peer {connection.vm}"
+            self.core.take_evacuations(message.evacuations, source, as_of=message.evacuations_as_of, whole=True)
         self.newest_version = max(self.newest_version, message.version)
         if self._lacks("configuration", self.core.version, message.version):
             connection.tell(AskConfiguration())
@@ -364,6 +364,7 @@
     def _make_beat(self, readings: Sequence[Reading] = ()) -> Beat:
         core = self.core
         now = core.clock.now()
+        evacuations = core.eligibility.evacuations
         return Beat(
             core.version,
             core.revision,
@@ -372,5 +373,6 @@
             core.changes.list_news(now),
             core.standings.list_reading(),
             list(readings),
-            core.eligibility.evacuations.list_news() if core.eligibility.evacuations.complete else None,
+            evacuations.list_news() if evacuations.complete else None,
+            evacuations.as_of,
         )
--- a/src/beamhatch/relay/fleet/gossip_message.py
+++ b/src/beamhatch/relay/fleet/gossip_message.py
@@ -74,6 +74,8 @@
     """Prompts that engines read for the sender since its last beat."""
     evacuations: list[Evacuation] | None = None
     """Which halls are emptied, or were; None where the sender does not know."""
+    evacuations_as_of: int = 0
+    """The revision up to which it knows them all."""
 
 
 class Work(msgspec.Struct, tag="work", frozen=True):
--- a/src/beamhatch/relay/fleet/watching.py
+++ b/src/beamhatch/relay/fleet/watching.py
@@ -169,8 +169,8 @@
     name = "directives"
 
     def is_known(self) -> bool:
-        """Tell whether there is a configuration."""
-        return self.core.table is not None
+        """Tell whether there is a configuration, and which halls are emptied is known."""
+        return self.core.table is not None and self.core.eligibility.evacuations.complete
 
     async def read(self) -> int | StoreLost:
         """Read all of it."""
@@ -191,7 +191,7 @@
     def _take(self, news: DirectiveNews, *, whole: bool) -> None:
         if news.document is not None:
             self.core.take_document(news.document, "store")
-        self.core.take_evacuations(news.evacuations, "store", whole_at=news.at if whole else None)
+        self.core.take_evacuations(news.evacuations, "store", as_of=news.at, whole=whole)
 
 
 class ListingWatcher(Watcher):
--- a/src/beamhatch/relay/requests/exchange.py
+++ b/src/beamhatch/relay/requests/exchange.py
@@ -10,7 +10,7 @@
 from beamhatch.relay.callers.http_server import RequestHandler
 from beamhatch.relay.callers.own_answer import send_error
 from beamhatch.relay.mechanism import Mechanism
-from beamhatch.relay.model import RouteKind, Stage
+from beamhatch.relay.model import Phase, RouteKind, Stage
 from beamhatch.relay.requests.answer import PROMISES, WholeAnswer
 from beamhatch.relay.requests.request import Fail, Refuse, RelayRequest, Reserve, Send, Step, Wait
 from beamhatch.relay.upstreams.attempt import Attempt, DropSink
@@ -48,6 +48,9 @@
 LONGEST_RETRY_SHARE = 0.33
 """Share of the caller's time left after which it is told to come back at the latest: it would not wait for longer."""
 
+SHUT_RETRY = 2.0
+"""Seconds after which a caller may come back where nothing may be sent anywhere: an operator has to act first."""
+
 SHORTEST_RETRY = 0.15
 """Seconds after which a caller may come back at the earliest: time for another VM to learn what this one did."""
 
@@ -110,8 +113,9 @@
         self._set_timer()
         if self._ended:
             return
-        line = self.core.find_line(self.request.service.name)
-        if self.request.split and line.has_fresh(self.core.clock.now()):
+        service = self.request.service.name
+        waits = self.request.split and self.core.find_line(service).has_fresh(self.core.clock.now())
+        if waits and self.core.find_lack(service) is None:
             self._wait_in_line()
         else:
             self.advance()
@@ -124,9 +128,28 @@
 
     def _plan(self, now: float) -> Step:
         request = self.request
-        budget = self.core.find_budget(request.service.name)
-        usable = self.core.list_usable(request.service.name)
-        return request.plan(usable, self.core.chooser, budget, self.core.vms, now)
+        service = request.service.name
+        self._give_up_shut_memory()
+        usable = self.core.list_usable(service)
+        answering = any(one.phase is not Phase.PREFILL for one in usable)
+        lack = None if answering else self.core.find_lack(service)
+        if lack is not None:
+            self.core.tally.count("shut_total", lack.name.lower())
+            return request.refuse_shut(f"nothing may be sent to any upstream: {lack.value}")
+        return request.plan(usable, self.core.chooser, self.core.find_budget(service), self.core.vms, now)
+
+    def _give_up_shut_memory(self) -> None:
+        """Give memory back that was set aside where nothing may be sent any more.
+
+        A plan takes memory that is set aside without choosing anew. Without this, prompts that were read before
+        their decode engine's hall was emptied still had their streams begin there.
+        """
+        held = self.request.reservation
+        if held is None or self.core.find_obstacle(held.upstream, self.request.service.name) is None:
+            return
+        self.request.give_up_reservation()
+        self.write_log("memory given up", to=held.upstream.id)
+        self._call(held.upstream, self.core.dialect.make_unreserve(held))
 
     def _carry_out(self, step: Step) -> None:
         if isinstance(step, Send):
@@ -136,7 +159,7 @@
         elif isinstance(step, Wait):
             self._wait_in_line()
         elif isinstance(step, Refuse):
-            self._refuse(step.reason, full=step.full)
+            self._refuse(step.reason, full=step.full, shut=step.shut)
         else:
             self._fail(step)
 
@@ -174,7 +197,8 @@
             return
         if not self._in_line:
             self.core.find_demand(self.request.service.name).note_wait(now)
-        if not self._in_line and not self.request.begun and not self._returns and not line.has_room(in_time, now):
+        owed = self._returns or self.request.begun or self.request.displaced
+        if not self._in_line and not owed and not line.has_room(in_time, now):
             self.write_log("line is full", waiting=len(line), freed_per_second=line.count_rate(now))
             self._carry_out(self.request.refuse_full())
             return
@@ -182,7 +206,6 @@
             self._in_line = True
             self.request.note_waiting(now)
             self.write_log("waits", waiting=len(line), freed_per_second=line.count_rate(now))
-        owed = self._returns or self.request.begun
         self.core.wait_in_line(self, self._incoming.arrived + in_time, owed=owed)
 
     def _reserve(self, step: Reserve) -> None:
@@ -263,8 +286,11 @@
         if self.request.route.idempotent or answer.head.status not in PROMISES:
             self._failure = answer
 
-    def _refuse(self, reason: str, *, full: bool = False) -> None:
-        retry_after = self._predict_memory() if full else RETRY_AFTER_SHARE * self.request.route.target_latency
+    def _refuse(self, reason: str, *, full: bool = False, shut: bool = False) -> None:
+        if shut:
+            retry_after = min(SHUT_RETRY, LONGEST_RETRY_SHARE * (self.limit - self.core.clock.now()))
+        else:
+            retry_after = self._predict_memory() if full else RETRY_AFTER_SHARE * self.request.route.target_latency
         self._answer(503, reason, round(max(SHORTEST_RETRY, retry_after), 2))
 
     def _predict_memory(self) -> float:
@@ -345,6 +371,9 @@
             request.reservation = None
 
     def _call(self, upstream: Upstream, call: Call) -> None:
+        """Give something back, unless its hall is emptied: nothing is sent there, and it lapses by itself."""
+        if self.core.eligibility.evacuations.is_emptied(upstream.hall):
+            return
         self.write_log("given back", target=call.target, to=upstream.id)
         self.core.client.open(upstream.address, call, DropSink())
 
@@ -378,6 +407,11 @@
             seconds = self.core.clock.now() - self._memory_since
             self.core.find_demand(self.request.service.name).note_first_event(seconds)
 
+    @property
+    def hall(self) -> str | None:
+        """Return the hall of the upstream that is at work on the request, None where none is."""
+        return None if self._attempt is None else self._attempt.hall
+
     def count_seconds(self) -> float:
         """Return the seconds since the request arrived."""
         return round(self.core.clock.now() - self._incoming.arrived, 4)
--- a/src/beamhatch/relay/requests/line.py
+++ b/src/beamhatch/relay/requests/line.py
@@ -76,6 +76,10 @@
         """Tell whether somebody waits whose answer can still be in time."""
         return any(place.is_fresh(now) for place in self._places)
 
+    def list_all(self) -> list[Waiter]:
+        """Return all who wait."""
+        return [place.waiter for place in self._places]
+
     def list_turns(self, now: float) -> list[Waiter]:
         """Return who goes next, and who has waited for long enough to be given an end."""
         if not self._places:
--- a/src/beamhatch/relay/requests/request.py
+++ b/src/beamhatch/relay/requests/request.py
@@ -71,6 +71,8 @@
     reason: str
     full: bool = False
     """True where the upstreams are full, so that an early return would find them so again."""
+    shut: bool = False
+    """True where nothing may be sent to any of the upstreams, which lasts until somebody changes it."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -115,6 +117,8 @@
     """True once a send was made that is the request's first by the budget's count."""
     reservation: Reservation | None = None
     """Decode memory that is set aside for this request and not yet used."""
+    displaced: bool = False
+    """True once memory that was set aside for it could not be used: it is owed other."""
     _full: set[UpstreamId] = field(default_factory=set)
     """Decode engines that had no memory in this round."""
     _waiting_since: float | None = None
@@ -207,6 +211,10 @@
         self._full.clear()
         return Wait()
 
+    def refuse_shut(self, reason: str) -> Step:
+        """Return how the request ends where it may be sent to none of the upstreams."""
+        return Fail(reason) if self.doubt else Refuse(reason, shut=True)
+
     def refuse_full(self) -> Step:
         """Return how the request ends where decode memory is full."""
         return Fail("decode memory is full") if self.doubt else Refuse("decode memory is full", full=True)
@@ -324,6 +332,12 @@
         self._full.clear()
         self._waiting_since = None
 
+    def give_up_reservation(self) -> Reservation | None:
+        """Rely no longer on the memory that is set aside, and ask for other; return what may be given back."""
+        reservation, self.reservation = self.reservation, None
+        self.displaced = self.displaced or reservation is not None
+        return reservation
+
     def note_full(self, upstream: UpstreamId) -> None:
         """Note that a decode engine has no memory now."""
         self._full.add(upstream)
--- a/src/beamhatch/relay/upstreams/attempt.py
+++ b/src/beamhatch/relay/upstreams/attempt.py
@@ -69,6 +69,11 @@
         if not self._ended:
             self._http = http
 
+    @property
+    def hall(self) -> str:
+        """Return where the upstream is."""
+        return self.send.upstream.hall
+
     @property
     def _reads(self) -> bool:
         """Tell whether the upstream has to read the prompt."""
--- a/src/beamhatch/relay/upstreams/reserve_attempt.py
+++ b/src/beamhatch/relay/upstreams/reserve_attempt.py
@@ -33,6 +33,11 @@
         self._ended = False
         self._timer: Any = self.core.clock.call_later(PATIENCE, self._run_out)
 
+    @property
+    def hall(self) -> str:
+        """Return where the engine is."""
+        return self._step.upstream.hall
+
     def start(self, call: Call) -> None:
         """Ask."""
         self.core.standings.get(self._step.upstream.id).tried_at = self.core.clock.now()
--- a/tests/support/platform.py
+++ b/tests/support/platform.py
@@ -206,6 +206,8 @@
     upstreams: dict[str, StandInUpstream] = field(default_factory=dict)
     vms: dict[str, Daemon] = field(default_factory=dict)
     journals: dict[str, MemoryJournal] = field(default_factory=dict)
+    halls: dict[str, str] = field(default_factory=dict)
+    """The hall of each upstream."""
 
     def __post_init__(self) -> None:
         """Start the store."""
@@ -222,33 +224,42 @@
         """Have the operators write a configuration."""
         self.store.put("op/config", make_configuration(version, routes, workspaces))
 
-    def add_plain(self, name: str) -> StandInUpstream:
+    def empty(self, hall: str) -> None:
+        """Have the operators empty a hall."""
+        self.store.put(f"op/evacuate/{hall}", b"")
+
+    def take_back(self, hall: str) -> None:
+        """Have the operators take a hall back."""
+        self.store.remove(f"op/evacuate/{hall}")
+
+    def add_plain(self, name: str, hall: str = "hall-a") -> StandInUpstream:
         """Start and list a plain service's replica."""
         upstream = StandInUpstream(self.clock, Address(f"host-{name}", 80), name, self.ledger)
-        self._add(name, upstream, PLAIN)
+        self._add(name, upstream, PLAIN, hall)
         return upstream
 
-    def add_engine(self, name: str, phase: str, kv_tokens: int = 60_000) -> StandInEngine:
+    def add_engine(self, name: str, phase: str, kv_tokens: int = 60_000, hall: str = "hall-a") -> StandInEngine:
         """Start and list an engine."""
         engine = StandInEngine(self.clock, Address(f"host-{name}", 80), name, self.ledger, phase, kv_tokens)
-        self._add(name, engine, MODEL)
+        self._add(name, engine, MODEL, hall)
         engine.on_phase = lambda: self.list_again(name)
         return engine
 
     def list_again(self, name: str) -> None:
         """Have an upstream write its entry anew."""
         service = MODEL if isinstance(self.upstreams[name], StandInEngine) else PLAIN
-        self.store.put(f"servers/{name}", self.upstreams[name].describe(service, "hall-a"))
+        self.store.put(f"servers/{name}", self.upstreams[name].describe(service, self.halls[name]))
 
-    def _add(self, name: str, upstream: StandInUpstream, service: str) -> None:
+    def _add(self, name: str, upstream: StandInUpstream, service: str, hall: str) -> None:
+        self.halls[name] = hall
         upstream.start()
         self.upstreams[name] = upstream
-        self.store.put(f"servers/{name}", upstream.describe(service, "hall-a"))
+        self.store.put(f"servers/{name}", upstream.describe(service, hall))
 
     def drain(self, name: str) -> None:
         """Have an upstream say that it leaves."""
         service = MODEL if isinstance(self.upstreams[name], StandInEngine) else PLAIN
-        self.store.put(f"servers/{name}", self.upstreams[name].describe(service, "hall-a", "draining"))
+        self.store.put(f"servers/{name}", self.upstreams[name].describe(service, self.halls[name], "draining"))
 
     def add_vm(
         self,
