--- a/src/beamhatch/platform/standin/upstream.py
+++ b/src/beamhatch/platform/standin/upstream.py
@@ -125,6 +125,8 @@
         self.running = 0
         self.used = 0
         """Tokens of runs under way."""
+        self.calls = 0
+        """Calls that reached it so far, also those about memory."""
 
     def describe(self, service: str, hall: str, state: str = "ready") -> dict[str, object]:
         """Return its entry in the store."""
@@ -141,6 +143,7 @@
 
     def serve(self, incoming: IncomingRequest, responder: Responder) -> RequestHandler | None:
         """Serve one request."""
+        self.calls += 1
         headers = read_headers(incoming)
         request = headers.get("request-id", "")
         if headers.get("expect-instance", self.instance) != self.instance:
@@ -241,6 +244,7 @@
         """Serve a request, or a call about memory."""
         if not incoming.path.startswith("/api/"):
             return super().serve(incoming, responder)
+        self.calls += 1
         name, _, rest = incoming.path.removeprefix("/api/").partition("/")
         if name == "hold-take":
             self._set_aside(json.loads(incoming.body), responder)
--- a/tests/support/platform.py
+++ b/tests/support/platform.py
@@ -12,12 +12,14 @@
 from beamhatch.observe.tally import Tally
 from beamhatch.platform.dialect import PlatformDialect
 from beamhatch.platform.documents import PlatformDocuments
+from beamhatch.platform.standin.base import StandIn, answer_json
 from beamhatch.platform.standin.store import StandInStore
 from beamhatch.platform.standin.upstream import Ledger, StandInEngine, StandInUpstream
 from beamhatch.platform.store import PlatformStore
 from beamhatch.relay.daemon import Daemon, RelaySettings
 from beamhatch.relay.mechanism import ALL_IN, Without
 from beamhatch.relay.model import Address
+from beamhatch.relay.places import Places
 from beamhatch.relay.requests.budget import BudgetTerms
 from beamhatch.relay.upstreams.http_client import HttpClient
 from beamhatch.relay.workspaces.quota import QuotaTerms
@@ -26,12 +28,31 @@
 if TYPE_CHECKING:
     from twisted.python.failure import Failure
 
+    from beamhatch.relay.callers.http_server import IncomingRequest, RequestHandler, Responder
+
 HOST = "desk.example"
 STORE = Address("store", 1)
+OTHER_DOOR = Address("store-door", 1)
 PLAIN = "accounts"
 MODEL = "models"
 
 
+class StoreDoor(StandIn):
+    """Another address of the store, at which it can turn some VMs away while it serves the others."""
+
+    def __init__(self, clock: PausedClock, store: StandInStore) -> None:
+        super().__init__(clock, OTHER_DOOR)
+        self._store = store
+        self.shut = False
+
+    def serve(self, incoming: IncomingRequest, responder: Responder) -> RequestHandler | None:
+        """Serve one call, or turn it away."""
+        if self.shut:
+            answer_json(responder, 503, {})
+            return None
+        return self._store.serve(incoming, responder)
+
+
 class MemoryJournal(Journal):
     """Keeps the lines."""
 
@@ -214,6 +235,8 @@
         self.clock = PausedClock(self.network)
         self.store = StandInStore(self.clock, STORE)
         self.store.start()
+        self.door = StoreDoor(self.clock, self.store)
+        self.door.start()
 
     def configure(
         self,
@@ -268,6 +291,8 @@
         hall: str = "hall-a",
         without: Without = ALL_IN,
         quota: QuotaTerms | None = None,
+        places: Places | None = None,
+        store: Address = STORE,
     ) -> Daemon:
         """Start a VM's relay."""
         settings = RelaySettings(
@@ -276,7 +301,8 @@
             caller_address=Address(name, 8000),
             ready_address=Address(name, 8001),
             ready_path="/api/ready",
-            store_address=STORE,
+            store_address=store,
+            places=places or Places(),
             grace=8.0,
             budget=BudgetTerms(0.2, 56, 10),
             quota=quota or QuotaTerms(),
@@ -286,8 +312,8 @@
         )
         journal = self.journals[name] = MemoryJournal(self.clock)
         documents = PlatformDocuments(journal)
-        store = PlatformStore(HttpClient(self.clock), self.clock, STORE, documents)
-        daemon = Daemon(settings, self.clock, journal, Tally(), PlatformDialect(), documents, store)
+        client = PlatformStore(HttpClient(self.clock), self.clock, store, documents)
+        daemon = Daemon(settings, self.clock, journal, Tally(), PlatformDialect(), documents, client)
         self.vms[name] = daemon
         daemon.start()
         return daemon
