Build two gates for cold upstreams, and fleets to compare them in

Sponsors (a few VMs an upstream by rendezvous hashing) and turns (each VM in its time on the upstream's countdown). Neither is in force yet.

--- a/src/beamhatch/relay/choosing/cold.py
+++ b/src/beamhatch/relay/choosing/cold.py
@@ -2,12 +2,61 @@
 
 from __future__ import annotations
 
+import math
 from abc import ABC, abstractmethod
+from collections import deque
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from collections.abc import Callable, Sequence
+
     from beamhatch.relay.model import ColdTerms, Upstream, UpstreamId
 
+WINDOW = 1.02
+"""Seconds over which this VM counts what it sent: the second that the bound is of, and the granularity of timers."""
+
+HELD_WAIT = 0.25
+"""Seconds until one asks again whose room is held by a request that has not gone out: about what a prompt is read in."""
+
+QUIET_TIME = 2.0
+"""Seconds behind its start in which a VM sends nothing to cold upstreams.
+
+What it sent before a restart is more than a second old by then, and it has heard of the other VMs.
+"""
+
+VIEW_LIFE = 1.0
+"""Seconds for which the VMs that are known of are not looked up anew."""
+
+FORGET_LOG = 60.0
+"""Seconds without a request for which it is remembered what was sent to an upstream."""
+
+
+@dataclass(frozen=True, slots=True)
+class ColdBound:
+    """How many requests may reach a cold upstream in any second, over all VMs."""
+
+    overage: float = 1.0
+    """Times the rate that the upstream bears."""
+    slack: float = 0.0
+    """Requests on top of that."""
+
+    def count(self, terms: ColdTerms) -> float:
+        """Return the requests of one second."""
+        return terms.rate * self.overage + self.slack
+
+
+@dataclass(frozen=True, slots=True)
+class KnownVms:
+    """The VMs that one VM knows of."""
+
+    own: str
+    """Its name, which a restart does not change."""
+    list_others: Callable[[float], Sequence[str]]
+    """Returns the names of those that were there of late, whether they are in touch or not."""
+    expects_others: Callable[[], bool]
+    """Tells whether there are others, although none may have been heard of."""
+
 
 class ColdGate(ABC):
     """Decides whether this VM may send one more request to an upstream that is cold.
@@ -19,13 +68,21 @@
     def may_send(self, upstream: Upstream, terms: ColdTerms, now: float) -> bool:
         """Tell whether one more request may go there now. It only looks."""
 
+    @abstractmethod
+    def hold(self, upstream: UpstreamId, now: float) -> None:
+        """Keep room for a request that is to go to a cold upstream, at a time that is not known yet."""
+
+    @abstractmethod
+    def end_hold(self, upstream: UpstreamId, now: float) -> None:
+        """Give that room back: the request goes out now, or not at all."""
+
     @abstractmethod
     def note_sent(self, upstream: UpstreamId, now: float) -> None:
         """Count a request that goes to a cold upstream."""
 
     @abstractmethod
     def find_wait(self, upstream: Upstream, terms: ColdTerms, now: float) -> float:
-        """Return the seconds until this VM may send a request there; 0 where it may now."""
+        """Return the seconds until this VM may send a request there: 0 where it may now, infinite where it can't say."""
 
 
 class OpenGate(ColdGate):
@@ -35,9 +92,123 @@
         """Say yes."""
         return True
 
+    def hold(self, upstream: UpstreamId, now: float) -> None:
+        """Hold nothing."""
+
+    def end_hold(self, upstream: UpstreamId, now: float) -> None:
+        """Hold nothing."""
+
     def note_sent(self, upstream: UpstreamId, now: float) -> None:
         """Count nothing."""
 
     def find_wait(self, upstream: Upstream, terms: ColdTerms, now: float) -> float:
         """Return no time."""
         return 0.0
+
+
+@dataclass(slots=True)
+class _SendLog:
+    """What this VM sent to one upstream in the last second, and what it holds room for."""
+
+    times: deque[float] = field(default_factory=deque)
+    held: int = 0
+    last: float = 0.0
+
+    def count(self, now: float) -> int:
+        while self.times and now - self.times[0] > WINDOW:
+            self.times.popleft()
+        return len(self.times) + self.held
+
+    def find_wait(self, most: int, now: float) -> float:
+        over = self.count(now) - most
+        if over < 0:
+            return 0.0
+        return self.times[over] + WINDOW - now if over < len(self.times) else HELD_WAIT
+
+
+class CountingGate(ColdGate):
+    """Lets a VM send some requests in any second; how many, and when, is what the kinds of it differ in."""
+
+    def __init__(self, vms: KnownVms, bound: ColdBound, started: float) -> None:
+        self.vms = vms
+        self.bound = bound
+        self._opens_at = started + QUIET_TIME
+        self._logs: dict[UpstreamId, _SendLog] = {}
+        self._others: Sequence[str] = ()
+        self._seen_at = -math.inf
+
+    @abstractmethod
+    def count_allowed(self, upstream: Upstream, terms: ColdTerms, now: float) -> int:
+        """Return how many requests of any second this VM may send to a cold upstream now."""
+
+    @abstractmethod
+    def find_opening(self, upstream: Upstream, terms: ColdTerms, now: float) -> float:
+        """Return the seconds until this VM may send any where it may not now; infinite where it can't say."""
+
+    @abstractmethod
+    def take_view(self) -> None:
+        """Take in that other VMs are known of than before."""
+
+    def may_send(self, upstream: Upstream, terms: ColdTerms, now: float) -> bool:
+        """Tell whether one more request may go there now."""
+        if not self._is_open(now):
+            return False
+        log = self._logs.get(upstream.id)
+        return (0 if log is None else log.count(now)) < self.count_allowed(upstream, terms, now)
+
+    def hold(self, upstream: UpstreamId, now: float) -> None:
+        """Keep room for a request."""
+        log = self._find_log(upstream, now)
+        log.held += 1
+
+    def end_hold(self, upstream: UpstreamId, now: float) -> None:
+        """Give room back."""
+        log = self._find_log(upstream, now)
+        log.held = max(0, log.held - 1)
+
+    def note_sent(self, upstream: UpstreamId, now: float) -> None:
+        """Count a request."""
+        self._find_log(upstream, now).times.append(now)
+
+    def find_wait(self, upstream: Upstream, terms: ColdTerms, now: float) -> float:
+        """Return the seconds until there is room."""
+        if not self._is_open(now):
+            return self._opens_at - now if now < self._opens_at else math.inf
+        allowed = self.count_allowed(upstream, terms, now)
+        if not allowed:
+            return self.find_opening(upstream, terms, now)
+        log = self._logs.get(upstream.id)
+        return 0.0 if log is None else log.find_wait(allowed, now)
+
+    @property
+    def size(self) -> int:
+        """Return how many VMs there are, as far as this one knows."""
+        return 1 + len(self._others)
+
+    def list_others(self) -> Sequence[str]:
+        """Return the other VMs."""
+        return self._others
+
+    def _is_open(self, now: float) -> bool:
+        """Tell whether this VM may send anything: not just behind its start, nor while it hears of no other."""
+        if now < self._opens_at:
+            return False
+        self._look(now)
+        return bool(self._others) or not self.vms.expects_others()
+
+    def _look(self, now: float) -> None:
+        if now - self._seen_at < VIEW_LIFE:
+            return
+        self._seen_at = now
+        others = [name for name in self.vms.list_others(now) if name != self.vms.own]
+        if set(others) != set(self._others):
+            self._others = others
+            self.take_view()
+        self._logs = {name: log for name, log in self._logs.items() if log.held or now - log.last < FORGET_LOG}
+
+    def _find_log(self, upstream: UpstreamId, now: float) -> _SendLog:
+        log = self._logs.get(upstream)
+        if log is None:
+            log = self._logs[upstream] = _SendLog()
+        log.last = now
+        return log
--- /dev/null
+++ b/tests/support/cold_fleet.py
@@ -0,0 +1,230 @@
+"""VMs that send to cold upstreams, without requests, a network or a store."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from beamhatch.relay.choosing.cold import WINDOW, ColdBound, ColdGate, KnownVms
+from beamhatch.relay.choosing.sponsors import SponsorGate
+from beamhatch.relay.choosing.turns import TurnGate
+from beamhatch.relay.model import Address, ColdTerms, Phase, ServiceName, Upstream, UpstreamId
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+TERMS = ColdTerms(3.0, 8.0)
+BOUND = ColdBound(1.5, 5.0)
+MOST = 17
+"""Requests that a cold upstream may get in any second by these."""
+
+STEP = 0.01
+"""Seconds."""
+
+LATEST_NEWS = 1.0
+"""Seconds until the last VM knows that an upstream is cold, or that there is a new VM."""
+
+LONGEST_CONNECT = 0.05
+"""Seconds between the choice of an upstream and the request on its way there."""
+
+Kind = type[SponsorGate] | type[TurnGate]
+
+
+@dataclass(eq=False)
+class Vm:
+    """One VM; a restart begins another life."""
+
+    name: str
+    offset: float
+    """Of its clock."""
+    lag: float
+    """Seconds by which its news of upstreams are late."""
+    gate: ColdGate
+    others: set[str] = field(default_factory=set)
+    side: int = 0
+    """VMs on different sides of a cut don't hear each other."""
+
+
+class ColdFleet:
+    """All of them, and what cold upstreams got."""
+
+    def __init__(self, vms: int, kind: Kind = SponsorGate, *, seed: int = 1, upstreams: int = 1) -> None:
+        self.random = random.Random(seed)
+        self.kind = kind
+        self.now = 1000.0
+        self.cold_until = self.now
+        self.asked = 0
+        self.sent: dict[UpstreamId, list[float]] = {}
+        self.served: set[str] = set()
+        """VMs that could send something."""
+        self._pending: list[tuple[float, UpstreamId, Vm, ColdGate]] = []
+        self._later: list[tuple[float, str, Vm]] = []
+        self.upstreams = [self._make_upstream(f"u{seed}-{number}") for number in range(upstreams)]
+        self.vms: list[Vm] = []
+        names = {f"10.0.{number}:1" for number in range(vms)}
+        for name in sorted(names):
+            vm = self._start(name)
+            vm.others = names - {name}
+        self.now += 10.0
+
+    def _make_upstream(self, name: str) -> Upstream:
+        return Upstream(UpstreamId(name), ServiceName("s"), Address(name, 1), "a", False, Phase.PLAIN, 6, 3.0)
+
+    def _start(self, name: str) -> Vm:
+        offset = self.random.uniform(-500, 500)
+        lag = self.random.uniform(0, LATEST_NEWS)
+        vm: Vm
+
+        def find_cold_until(upstream: UpstreamId) -> float:
+            return self.cold_until + vm.lag + vm.offset
+
+        known = KnownVms(name, lambda now: sorted(vm.others), lambda: len(self.vms) > 1)
+        vm = Vm(name, offset, lag, self.kind(known, BOUND, self.now + offset, find_cold_until))
+        self.vms.append(vm)
+        return vm
+
+    # --- what happens to it ------------------------------------------------------------------------------------------
+
+    def turn_cold(self, seconds: float) -> None:
+        """Have all upstreams be cold from now on."""
+        self.cold_until = self.now + seconds
+
+    def cut(self, vms: Iterable[Vm], side: int = 1) -> None:
+        """Cut VMs off from the others; what they know of them stays."""
+        for vm in vms:
+            vm.side = side
+
+    def heal(self) -> None:
+        """End all cuts: VMs hear of each other again within a second."""
+        for vm in self.vms:
+            vm.side = 0
+        for vm in self.vms:
+            for other in self.vms:
+                if other is not vm and other.name not in vm.others:
+                    self._later.append((self.now + self.random.uniform(0, LATEST_NEWS), other.name, vm))
+
+    def restart(self, vms: Iterable[Vm]) -> None:
+        """Have VMs forget everything; those in touch tell them most of whom they know before they may send."""
+        gone = list(vms)
+        told = {vm.name: self._list_told(vm) for vm in gone}
+        for vm in gone:
+            self.vms.remove(vm)
+        for vm in gone:
+            back = self._start(vm.name)
+            back.side = vm.side
+            for name in told[vm.name]:
+                soon = self.random.random() < 0.7
+                delay = self.random.uniform(0, LATEST_NEWS) if soon else self.random.uniform(0, 4 * LATEST_NEWS)
+                self._later.append((self.now + delay, name, back))
+
+    def _list_told(self, vm: Vm) -> list[str]:
+        in_touch = [one for one in self.vms if one.side == vm.side and one is not vm]
+        names = {name for one in in_touch[:4] for name in one.others} | {one.name for one in in_touch}
+        return sorted(names - {vm.name})
+
+    def forget(self) -> None:
+        """Have VMs forget those that they did not hear of for long."""
+        for vm in self.vms:
+            vm.others = {one.name for one in self.vms if one.side == vm.side and one is not vm}
+
+    def add(self, name: str) -> None:
+        """Start a new VM; the others hear of it within a second."""
+        others = [vm for vm in self.vms if vm.side == 0]
+        new = self._start(name)
+        for other in others:
+            self._later.append((self.now + self.random.uniform(0, LATEST_NEWS), other.name, new))
+            self._later.append((self.now + self.random.uniform(0, LATEST_NEWS), name, other))
+
+    def remove(self, vm: Vm) -> None:
+        """Lose a VM for good."""
+        self.vms.remove(vm)
+
+    # --- time --------------------------------------------------------------------------------------------------------
+
+    def run(self, seconds: float, demand: float, vms: list[Vm] | None = None) -> None:
+        """Let time pass.
+
+        :param demand: requests a second, at VMs drawn at random, that would go to each upstream if it were warm
+        :param vms: the VMs that callers ask
+        """
+        end = self.now + seconds
+        owed = 0.0
+        while self.now < end - 1e-9:
+            self._learn()
+            owed += demand * STEP * len(self.upstreams)
+            while owed > self.random.random():
+                owed -= 1
+                self._ask(self.random.choice(vms or self.vms), self.random.choice(self.upstreams))
+            self._deliver()
+            self.now += STEP
+
+    def _learn(self) -> None:
+        due = [one for one in self._later if one[0] <= self.now]
+        if due:
+            self._later = [one for one in self._later if one[0] > self.now]
+        for _, name, vm in due:
+            vm.others.add(name)
+
+    def _ask(self, vm: Vm, upstream: Upstream) -> None:
+        self.asked += 1
+        now = self.now + vm.offset
+        if not vm.gate.may_send(upstream, TERMS, now):
+            return
+        vm.gate.hold(upstream.id, now)
+        self.served.add(vm.name)
+        self._pending.append((self.now + self.random.uniform(0, LONGEST_CONNECT), upstream.id, vm, vm.gate))
+
+    def _deliver(self) -> None:
+        due = [one for one in self._pending if one[0] <= self.now]
+        self._pending = [one for one in self._pending if one[0] > self.now]
+        for _, upstream, vm, gate in due:
+            gate.end_hold(upstream, self.now + vm.offset)
+            gate.note_sent(upstream, self.now + vm.offset)
+            self.sent.setdefault(upstream, []).append(self.now)
+
+    # --- what came of it ---------------------------------------------------------------------------------------------
+
+    def find_worst(self) -> int:
+        """Return the most requests that an upstream got in a second."""
+        return max((_count_most(times) for times in self.sent.values()), default=0)
+
+    def count_sent(self) -> int:
+        return sum(len(times) for times in self.sent.values())
+
+    def draw_events(self, seconds: float, demand: float) -> None:
+        """Let time pass with cuts, restarts, new and lost VMs, and upstreams that turn cold again at any moment."""
+        end = self.now + seconds
+        number = 0
+        while self.now < end:
+            some = self.random.sample(self.vms, self.random.randint(1, len(self.vms)))
+            few = some[: max(1, len(some) // 8)]
+            match self.random.randrange(7):
+                case 0:
+                    self.cut(some, self.random.randint(1, 3))
+                case 1:
+                    self.heal()
+                case 2:
+                    self.restart(some)
+                case 3:
+                    self.restart(few)
+                case 4:
+                    number += 1
+                    self.add(f"10.1.{number}:1")
+                case 5 if len(self.vms) > 2:
+                    self.remove(few[0])
+                case _:
+                    self.turn_cold(self.random.choice([3.0, 3.0, 12.0, 30.0]))
+            self.run(self.random.choice([0.2, 0.9, 2.5]), demand)
+
+
+def _count_most(times: list[float]) -> int:
+    most, first = 0, 0
+    for last, at in enumerate(times):
+        while at - times[first] > 1.0 + 1e-9:
+            first += 1
+        most = max(most, last - first + 1)
+    return most
+
+
+assert WINDOW > 1.0
