Keep the bound of cold upstreams over all VMs by sponsors, with a permit from the plan to the send

Cause: nothing kept it. Permits are held when memory is set aside or a send is planned, and counted when it goes out, so two requests of one instant don't pass one permit and a slow connection doesn't move a send into another's second. A request whose VM has no room waits while that is in time, else it is refused with the time at which there is room.

--- a/src/beamhatch/platform/standin/upstream.py
+++ b/src/beamhatch/platform/standin/upstream.py
@@ -122,6 +122,8 @@
         self.instance = instance
         self.ledger = ledger
         self.fault = UpstreamFault.NONE
+        self.cold_left = 0.0
+        """Seconds for which its entry says that it is cold."""
         self.running = 0
         self.used = 0
         """Tokens of runs under way."""
@@ -135,7 +137,7 @@
             "version": "v1",
             "capacity": 6,
             "state": state,
-            "cold_remaining_ms": 0,
+            "cold_remaining_ms": 1000 * self.cold_left,
             "sequence": 0,
         }
 
--- a/src/beamhatch/relay/choosing/chooser.py
+++ b/src/beamhatch/relay/choosing/chooser.py
@@ -13,7 +13,7 @@
 from beamhatch.relay.model import Handle, Phase, Upstream, UpstreamId, hash_fraction
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Callable, Sequence
 
     from beamhatch.relay.choosing.standing import Standing, Standings
 
@@ -82,6 +82,8 @@
         self.hall = hall
         self.paces = EnginePaces() if paces is None else paces
         self.work = PeerWork() if work is None else work
+        self.find_cold_cost: Callable[[Upstream, float], float] = _find_no_cost
+        """Returns the seconds that an upstream costs more as it is cold."""
         self._session_gain = 0.0 if Mechanism.SESSION_GAIN in without else SESSION_GAIN
         self._far_cost = 0.0 if Mechanism.HALL_COST in without else FAR_COST
         self._far_plain_cost = 0.0 if Mechanism.HALL_COST in without else FAR_PLAIN_COST
@@ -138,7 +140,7 @@
         def count_cost(one: Upstream) -> float:
             gain = self._session_gain if one is home else 0.0
             far = self._far_cost if one.hall != self.hall else 0.0
-            return self.predict_prefill(one, need, now) + far - gain
+            return self.predict_prefill(one, need, now) + far - gain + self.find_cold_cost(one, now)
 
         return min(candidates, key=count_cost)
 
@@ -182,7 +184,8 @@
             running = standing.running + standing.count_others(now)
             far = self._far_cost if one.hall != hall else 0.0
             full = FULL_COST if standing.tokens + need.tokens > KV_FILL * kv_tokens else 0.0
-            return running * DECODE_STEP_COST + far + full + self._count_faults(standing, now)
+            cold = self.find_cold_cost(one, now)
+            return running * DECODE_STEP_COST + far + full + cold + self._count_faults(standing, now)
 
         return min(candidates, key=count_cost, default=None)
 
@@ -195,7 +198,8 @@
             running = standing.running + standing.count_others(now)
             latency = standing.latency or FIRST_LATENCY
             far = self._far_plain_cost if one.hall != self.hall else 0.0
-            return latency * (1 + running / max(1, one.slots)) + far + self._count_faults(standing, now)
+            cold = self.find_cold_cost(one, now)
+            return latency * (1 + running / max(1, one.slots)) + far + cold + self._count_faults(standing, now)
 
         return min(candidates, key=count_cost, default=None)
 
@@ -221,3 +225,7 @@
         silent = SILENT_COST if now < standing.silent_until else 0.0
         busy = BUSY_COST if now < standing.busy_until else 0.0
         return silent + busy + self._fault_cost * standing.get_faults(now)
+
+
+def _find_no_cost(upstream: Upstream, now: float) -> float:
+    return 0.0
--- a/src/beamhatch/relay/choosing/cold.py
+++ b/src/beamhatch/relay/choosing/cold.py
@@ -17,7 +17,7 @@
 """Seconds over which this VM counts what it sent: the second that the bound is of, and the granularity of timers."""
 
 HELD_WAIT = 0.25
-"""Seconds until one asks again whose room is held by a request that has not gone out: about what a prompt is read in."""
+"""Seconds until one asks again where room is held for a request that has not gone out: what a prompt is read in."""
 
 QUIET_TIME = 2.0
 """Seconds behind its start in which a VM sends nothing to cold upstreams.
@@ -82,7 +82,28 @@
 
     @abstractmethod
     def find_wait(self, upstream: Upstream, terms: ColdTerms, now: float) -> float:
-        """Return the seconds until this VM may send a request there: 0 where it may now, infinite where it can't say."""
+        """Return the seconds until this VM may send a request there: 0 where it may, infinite where it can't say."""
+
+
+@dataclass(slots=True)
+class Permit:
+    """Room for one request at a cold upstream, from the plan until it goes out or is given up."""
+
+    gate: ColdGate
+    upstream: UpstreamId
+    _held: bool = True
+
+    def use(self, now: float) -> None:
+        """Count the request: it goes out now."""
+        if self._held:
+            self.drop(now)
+            self.gate.note_sent(self.upstream, now)
+
+    def drop(self, now: float) -> None:
+        """Give the room back, unless the request went out."""
+        if self._held:
+            self._held = False
+            self.gate.end_hold(self.upstream, now)
 
 
 class OpenGate(ColdGate):
--- a/src/beamhatch/relay/choosing/eligibility.py
+++ b/src/beamhatch/relay/choosing/eligibility.py
@@ -11,7 +11,7 @@
 from enum import Enum
 from typing import TYPE_CHECKING
 
-from beamhatch.relay.choosing.cold import ColdGate, OpenGate
+from beamhatch.relay.choosing.cold import ColdGate, OpenGate, Permit
 from beamhatch.relay.fleet.evacuations import Evacuations
 from beamhatch.relay.places import Places
 
@@ -51,14 +51,32 @@
             return Obstacle.EMPTIED
         if regions is not None and self.places.find_region(upstream.hall) not in regions:
             return Obstacle.REGION
-        if cold is not None and self.is_cold(upstream, cold, now) and not self.gate.may_send(upstream, cold, now):
-            return Obstacle.COLD
-        return None
+        return Obstacle.COLD if self.is_shut(upstream, cold, now) else None
 
     def is_cold(self, upstream: Upstream, cold: ColdTerms, now: float) -> bool:
         """Tell whether an upstream is cold, or may be as its hall was taken back a moment ago."""
+        return now < self.find_cold_until(upstream, cold)
+
+    def find_cold_until(self, upstream: Upstream, cold: ColdTerms) -> float:
+        """Return until when an upstream is taken as cold, in monotonic seconds."""
         returned = self.evacuations.find_return(upstream.hall)
-        return now < max(self.listing.find_cold_until(upstream.id), returned + cold.start_time)
+        return max(self.listing.find_cold_until(upstream.id), returned + cold.start_time)
+
+    def find_wait(self, upstream: Upstream, cold: ColdTerms, now: float) -> float:
+        """Return the seconds until this VM may send to a cold upstream, at the latest when that is warm."""
+        warm_in = max(0.0, self.find_cold_until(upstream, cold) - now)
+        return min(warm_in, self.gate.find_wait(upstream, cold, now))
+
+    def take_permit(self, upstream: Upstream, cold: ColdTerms | None, now: float) -> Permit | None:
+        """Hold room for a request that is to go to an upstream; None where that is warm and needs none."""
+        if cold is None or not self.is_cold(upstream, cold, now):
+            return None
+        self.gate.hold(upstream.id, now)
+        return Permit(self.gate, upstream.id)
+
+    def is_shut(self, upstream: Upstream, cold: ColdTerms | None, now: float) -> bool:
+        """Tell whether a cold upstream bears no more from this VM now."""
+        return cold is not None and self.is_cold(upstream, cold, now) and not self.gate.may_send(upstream, cold, now)
 
     def note_send(self, upstream: Upstream, cold: ColdTerms | None, now: float) -> None:
         """Count a request that goes to an upstream."""
--- a/src/beamhatch/relay/core.py
+++ b/src/beamhatch/relay/core.py
@@ -9,7 +9,8 @@
 
 from beamhatch.relay.api import BadRequest
 from beamhatch.relay.callers.own_answer import send_error
-from beamhatch.relay.choosing.eligibility import Eligibility
+from beamhatch.relay.choosing.cold_watch import ColdWatch
+from beamhatch.relay.choosing.eligibility import Eligibility, Obstacle
 from beamhatch.relay.choosing.pace import EnginePaces, Pace
 from beamhatch.relay.choosing.peer_work import PeerWork
 from beamhatch.relay.choosing.read_times import ReadTimes
@@ -58,6 +59,18 @@
 LATE_FREED_DELAY = 0.06
 """Seconds behind which one that is late asks for memory that was given back: more than a poll of the others."""
 
+COLD_COST = 1.0
+"""Requests whose time, at the rate that a cold upstream bears, it costs more than a warm one.
+
+All VMs like the emptiest upstream best, and one that has just started is empty.
+"""
+
+COLD_LOOK = 1.0
+"""Seconds between two looks for upstreams that have become warm, for the log; there are none while all are warm."""
+
+MOST_NAMED = 8
+"""Upstreams that one line on cold ones names; of more, it tells how many."""
+
 RETURN_SHARE = 0.9
 """Share of the longest time that callers of a route begin with, below which one is taken to ask again."""
 
@@ -150,12 +163,16 @@
     _read_times: defaultdict[ServiceName, ReadTimes] = field(default_factory=lambda: defaultdict(ReadTimes))
     _polls: dict[ServiceName, _Poll] = field(default_factory=dict)
     """The next poll of each line."""
+    cold_watch: ColdWatch = field(default_factory=ColdWatch)
+    _cold_look: Any = None
+    """The next look for upstreams that are warm again."""
     _patience: dict[str, float] = field(default_factory=dict)
     """The longest that a caller of each route would wait, in seconds."""
 
     def __post_init__(self) -> None:
         """Put together what stands between requests and upstreams."""
         self.eligibility = Eligibility(self.listing, self.places)
+        self.chooser.find_cold_cost = self.find_cold_cost
 
     @property
     def table(self) -> Table | None:
@@ -210,6 +227,7 @@
         for entry in changed:
             self.journal.write("LISTING", _describe(entry), upstream=entry.id, revision=entry.revision, source=source)
             self.changes.end(entry.id, None if entry.upstream is None else entry.upstream.phase)
+        self._note_cold([entry for entry in changed if entry.upstream is not None and entry.upstream.cold_left], source)
         if changed:
             listing.forget_old(now)
             self.standings.keep_only(listing.list_ids())
@@ -224,6 +242,42 @@
         listed = self.changes.pass_over(self.listing.list_usable(service, now), now)
         return self.eligibility.list_eligible(listed, regions, self.find_cold_terms(service), now)
 
+    def _note_cold(self, entries: Sequence[Entry], source: str) -> None:
+        """Write one line on the upstreams that turned cold, and look in a while which of them are warm."""
+        turned = self.cold_watch.take([entry.id for entry in entries])
+        if turned:
+            self.journal.write("COLD", "cold", count=len(turned), upstreams=turned[:MOST_NAMED], source=source)
+            self._look_soon()
+
+    def _look_soon(self) -> None:
+        if self._cold_look is None and self.cold_watch.cold:
+            self._cold_look = self.clock.call_later(COLD_LOOK, self._look_for_warm)
+
+    def _look_for_warm(self) -> None:
+        self._cold_look = None
+        warm = self.cold_watch.end(self.listing.find_cold_until, self.clock.now())
+        if warm:
+            self.journal.write("COLD", "warm", count=len(warm), upstreams=warm[:MOST_NAMED])
+        self._look_soon()
+
+    def find_cold_wait(self, service: ServiceName, regions: Regions = None) -> float | None:
+        """Return the seconds until one of a service's cold upstreams has room for this VM, None where none lacks it."""
+        terms = self.find_cold_terms(service)
+        if terms is None:
+            return None
+        now = self.clock.now()
+        listed = self.changes.pass_over(self.listing.list_usable(service, now), now)
+        find_obstacle = self.eligibility.find_obstacle
+        shut = (one for one in listed if find_obstacle(one, regions, terms, now) is Obstacle.COLD)
+        return min((self.eligibility.find_wait(one, terms, now) for one in shut), default=None)
+
+    def find_cold_cost(self, upstream: Upstream, now: float) -> float:
+        """Return the seconds that a cold upstream costs more: the time in which it bears one more request."""
+        terms = self.find_cold_terms(upstream.service)
+        if terms is None or not self.eligibility.is_cold(upstream, terms, now):
+            return 0.0
+        return COLD_COST / terms.rate
+
     def find_cold_terms(self, service: ServiceName) -> ColdTerms | None:
         """Return what upstreams of a service bear while they are cold; None where that is as much as ever."""
         found = None if self.table is None else self.table.services.get(service)
--- a/src/beamhatch/relay/daemon.py
+++ b/src/beamhatch/relay/daemon.py
@@ -9,9 +9,12 @@
 from beamhatch.relay.callers.http_server import CallerServer
 from beamhatch.relay.callers.own_answer import send_error
 from beamhatch.relay.choosing.chooser import LeastCost
+from beamhatch.relay.choosing.cold import ColdBound, CountingGate, KnownVms
 from beamhatch.relay.choosing.pace import EnginePaces
 from beamhatch.relay.choosing.peer_work import PeerWork
+from beamhatch.relay.choosing.sponsors import SponsorGate
 from beamhatch.relay.choosing.standing import Standings
+from beamhatch.relay.choosing.turns import TurnGate
 from beamhatch.relay.core import Core, Terms
 from beamhatch.relay.engines.leadership import Leadership
 from beamhatch.relay.engines.ordering import Ordering
@@ -135,6 +138,7 @@
         self._gossip = self._make_gossip(documents)
         self._watchers = self._make_watchers(store)
         self._usage = self._make_usage()
+        self.core.eligibility.gate = self._make_cold_gate()
         self.core.admission.may_be_behind = self._may_be_behind
         self.leadership: Leadership | None = None
         self._ordering: Ordering | None = None
@@ -149,6 +153,7 @@
         tally.gauges["open_requests"] = lambda: float(len(self.core.exchanges))
         tally.gauges["configuration_version"] = lambda: float(self.core.version)
         tally.gauges["known_vms"] = lambda: float(self.core.vms)
+        tally.gauges["cold_upstreams"] = lambda: float(len(self.core.cold_watch.cold))
         tally.gauges["connections_opened"] = lambda: float(client.opened)
         tally.gauges["log_lines_left_out"] = lambda: float(journal.left_out)
 
@@ -190,6 +195,8 @@
         self.core.terms.budget = settings.budget
         if self.core.admission.share is not None:
             self.core.admission.share.take_terms(settings.quota)
+        if isinstance(self.core.eligibility.gate, CountingGate):
+            self.core.eligibility.gate.bound = _make_cold_bound(settings)
         if self._gossip is not None:
             self._gossip.membership.seeds = settings.seeds
         self.settings = settings
@@ -267,6 +274,17 @@
             gossip.usage = usage
         return usage
 
+    def _make_cold_gate(self) -> CountingGate:
+        """Return what keeps the bound of cold upstreams over all VMs."""
+        settings = self.settings
+        kind = TurnGate if Mechanism.SPONSORS in settings.without else SponsorGate
+        if self._gossip is None:
+            vms = KnownVms(settings.vm, lambda now: [], lambda: False)
+        else:
+            membership = self._gossip.membership
+            vms = KnownVms(membership.own.address, membership.list_remembered, lambda: membership.has_others)
+        return kind(vms, _make_cold_bound(settings), self.core.started, self.core.listing.find_cold_until)
+
     def _count_vms(self) -> int:
         return 1 if self._gossip is None else self._gossip.membership.size
 
@@ -323,6 +341,10 @@
             responder.send_whole(200, [("Content-Type", "application/json")], b'{"status":"ready"}')
 
 
+def _make_cold_bound(settings: RelaySettings) -> ColdBound:
+    return ColdBound(settings.cold_overage, settings.cold_slack)
+
+
 def _is_always_due() -> bool:
     return True
 
--- a/src/beamhatch/relay/fleet/membership.py
+++ b/src/beamhatch/relay/fleet/membership.py
@@ -24,6 +24,12 @@
 FORGET_AFTER = 60.0
 """Seconds without a sign after which a VM is no longer counted."""
 
+REMEMBER_AFTER = 300.0
+"""Seconds without a sign for which it is remembered that there was a VM: longer than halls are cut off.
+
+Parts of a fleet that forget each other each take themselves for the whole of it.
+"""
+
 QUICK_REDIALS = 0.2, 0.4
 """Seconds before an address that did not answer is dialled again the first two times.
 
@@ -82,6 +88,8 @@
     _known: dict[str, _Known] = field(default_factory=dict)
     _unreached: dict[str, _Unreached] = field(default_factory=dict)
     """Addresses that did not answer when they were last dialled."""
+    _remembered: dict[str, float] = field(default_factory=dict)
+    """When anybody last heard from each address, also of VMs that are no longer counted."""
 
     @property
     def size(self) -> int:
@@ -100,6 +108,7 @@
         before = self._known.get(member.address)
         heard_at = now - age if before is None else max(now - age, before.heard_at)
         self._known[member.address] = _Known(member, heard_at)
+        self._remembered[member.address] = max(heard_at, self._remembered.get(member.address, heard_at))
 
     def note_reached(self, address: str) -> None:
         """Note that an address answered."""
@@ -118,6 +127,7 @@
     def forget_old(self, now: float) -> None:
         """Drop VMs that nobody has heard from for long."""
         self._known = {address: one for address, one in self._known.items() if now - one.heard_at <= FORGET_AFTER}
+        self._remembered = {name: at for name, at in self._remembered.items() if now - at <= REMEMBER_AFTER}
         named = {*self._known, *self.seeds}
         self._unreached = {address: one for address, one in self._unreached.items() if address in named}
 
@@ -131,6 +141,10 @@
             known += random.sample(others, min(len(others), most - len(known)))
         return [Mention(one.member, round(max(0.0, now - one.heard_at), 1)) for one in known]
 
+    def list_remembered(self, now: float) -> list[str]:
+        """Return the addresses of all other VMs that were there of late, whether they are in touch or not."""
+        return [address for address, heard_at in self._remembered.items() if now - heard_at <= REMEMBER_AFTER]
+
     # --- duties ------------------------------------------------------------------------------------------------------
 
     def is_watcher(self) -> bool:
--- a/src/beamhatch/relay/requests/exchange.py
+++ b/src/beamhatch/relay/requests/exchange.py
@@ -22,6 +22,7 @@
 
 if TYPE_CHECKING:
     from beamhatch.relay.callers.http_server import IncomingRequest, Responder
+    from beamhatch.relay.choosing.cold import Permit
     from beamhatch.relay.core import Core
     from beamhatch.relay.model import RequestFacts, Route, Service, Table, Upstream
     from beamhatch.relay.upstreams.http_client import Head
@@ -51,6 +52,9 @@
 SHORTEST_RETRY = 0.15
 """Seconds after which a caller may come back at the earliest: time for another VM to learn what this one did."""
 
+COLD_MARGIN = 0.002
+"""Seconds behind the time at which a cold upstream should have room: the granularity of timers."""
+
 NO_SIGNATURE_STATUS = 502
 """Status of an own failure behind a send that may have run: it promises nothing."""
 
@@ -92,6 +96,11 @@
         self._passed_on = strip_hop_by_hop(incoming.headers)
         self._attempt: Attempt | ReserveAttempt | None = None
         self._in_line = False
+        self._permit: Permit | None = None
+        """Room for the stream at a cold engine that has set memory aside, or is asked to."""
+        self._cold_since: float | None = None
+        """When the request began to wait for room at a cold upstream, in monotonic seconds."""
+        self._cold_timer: Any = None
         self._memory_since: float | None = None
         """When the request got decode memory, in monotonic seconds."""
         self._returns = core.is_return(route, facts.time_left)
@@ -124,10 +133,27 @@
 
     def _plan(self, now: float) -> Step:
         request = self.request
+        self._check_reservation(now)
         budget = self.core.find_budget(request.service.name)
         usable = self.core.list_usable(request.service.name)
         return request.plan(usable, self.core.chooser, budget, self.core.vms, now)
 
+    def _check_reservation(self, now: float) -> None:
+        """Give memory back that was set aside at an engine which turned cold since, and bears no more."""
+        reservation = self.request.reservation
+        if reservation is None:
+            self._drop_permit()
+        elif self._permit is None and self.core.eligibility.is_shut(
+            reservation.upstream, self.request.service.cold, now
+        ):
+            self._call(reservation.upstream, self.core.dialect.make_unreserve(reservation))
+            self.request.reservation = None
+
+    def _drop_permit(self) -> None:
+        permit, self._permit = self._permit, None
+        if permit is not None:
+            permit.drop(self.core.clock.now())
+
     def _carry_out(self, step: Step) -> None:
         if isinstance(step, Send):
             self._send(step, self.core.clock.now())
@@ -136,7 +162,7 @@
         elif isinstance(step, Wait):
             self._wait_in_line()
         elif isinstance(step, Refuse):
-            self._refuse(step.reason, full=step.full)
+            self._refuse_or_wait(step)
         else:
             self._fail(step)
 
@@ -158,8 +184,11 @@
         )
         if request.split and send.stage is not Stage.PREFILL:
             self.note_memory()
-        self.core.eligibility.note_send(send.upstream, request.service.cold, now)
         attempt = self._make_attempt(send)
+        if send.reservation is not None:
+            attempt.permit, self._permit = self._permit, None
+        if attempt.permit is None:
+            attempt.permit = self.core.eligibility.take_permit(send.upstream, request.service.cold, now)
         self._attempt = attempt
         most_idle = 1e9 if request.route.idempotent or send.stage is Stage.PREFILL else FRESH_IDLE
         attempt.start(self._make_call(send, now), most_idle)
@@ -188,6 +217,9 @@
     def _reserve(self, step: Reserve) -> None:
         attempt = ReserveAttempt(self, step)
         self._attempt = attempt
+        self._drop_permit()
+        now = self.core.clock.now()
+        self._permit = self.core.eligibility.take_permit(step.upstream, self.request.service.cold, now)
         attempt.start(self.core.dialect.make_reserve(step.upstream, step.tokens, step.lifetime))
 
     def _make_attempt(self, send: Send) -> Attempt:
@@ -263,6 +295,34 @@
         if self.request.route.idempotent or answer.head.status not in PROMISES:
             self._failure = answer
 
+    def _refuse_or_wait(self, step: Refuse) -> None:
+        """Refuse the request, unless a cold upstream is all that is missing and has room while that is in time."""
+        wait = None if step.full else self.core.find_cold_wait(self.request.service.name)
+        if wait is None:
+            self._refuse(step.reason, full=step.full)
+            return
+        now = self.core.clock.now()
+        if self._cold_since is None:
+            self._cold_since = now
+        if now + wait < self._find_cold_limit():
+            self.core.tally.count("cold_waits_total")
+            self.write_log("waits for a cold upstream", seconds=round(wait, 3))
+            self._cold_timer = self.core.clock.call_later(wait + COLD_MARGIN, self._go_on_cold)
+            return
+        self.core.tally.count("cold_refusals_total")
+        longest = LONGEST_RETRY_SHARE * max(0.0, self.limit - now)
+        self._answer(503, "its upstreams are cold", round(max(SHORTEST_RETRY, min(wait, longest)), 2))
+
+    def _find_cold_limit(self) -> float:
+        """Return until when the request may wait for a cold upstream, so that its answer, or next event, is in time."""
+        if self.request.begun and self._cold_since is not None:
+            return self._cold_since + self.request.longest_wait
+        return self._incoming.arrived + IN_TIME_SHARE * self.request.route.target_latency
+
+    def _go_on_cold(self) -> None:
+        self._cold_timer = None
+        self.advance()
+
     def _refuse(self, reason: str, *, full: bool = False) -> None:
         retry_after = self._predict_memory() if full else RETRY_AFTER_SHARE * self.request.route.target_latency
         self._answer(503, reason, round(max(SHORTEST_RETRY, retry_after), 2))
@@ -316,7 +376,11 @@
     def _end(self) -> None:
         self._ended = True
         self._stop_timer()
+        if self._cold_timer is not None:
+            self._cold_timer.cancel()
+            self._cold_timer = None
         self._stop_attempt()
+        self._drop_permit()
         self.leave_line()
         if self._memory_since is not None:
             self.core.find_demand(self.request.service.name).end_stream(self._memory_since, self.core.clock.now())
--- a/src/beamhatch/relay/upstreams/attempt.py
+++ b/src/beamhatch/relay/upstreams/attempt.py
@@ -10,6 +10,7 @@
 
 if TYPE_CHECKING:
     from beamhatch.relay.api import AnswerFacts
+    from beamhatch.relay.choosing.cold import Permit
     from beamhatch.relay.choosing.pace import ReadingPace
     from beamhatch.relay.requests.exchange import RelayExchange
     from beamhatch.relay.requests.request import Send
@@ -47,6 +48,8 @@
         self.head: Head | None = None
         self.facts: AnswerFacts | None = None
         self.body = bytearray()
+        self.permit: Permit | None = None
+        """Room at a cold upstream, held until the request goes out."""
         self._http: Exchange | None = None
         self._sent = False
         self._ended = False
@@ -117,7 +120,12 @@
     def note_sent(self) -> None:
         """Enter the send where it counts."""
         self._sent = True
-        self.request.note_sent(self.send, self.core.find_budget(self.request.service.name), self.core.clock.now())
+        now = self.core.clock.now()
+        self.request.note_sent(self.send, self.core.find_budget(self.request.service.name), now)
+        if self.permit is not None:
+            self.permit.use(now)
+        else:
+            self.core.eligibility.note_send(self.send.upstream, self.request.service.cold, now)
 
     def is_own(self, head: Head) -> bool:
         """Tell whether an answer is to this request."""
@@ -259,6 +267,8 @@
     def _end(self) -> None:
         if not self._ended:
             self._ended = True
+            if self.permit is not None:
+                self.permit.drop(self.core.clock.now())
             self._stop_timer()
             self._end_reading()
             self.standing.end(self._tokens)
--- a/tests/relay/choosing/test_eligibility.py
+++ b/tests/relay/choosing/test_eligibility.py
@@ -22,6 +22,12 @@
     def may_send(self, upstream: Upstream, terms: ColdTerms, now: float) -> bool:
         return False
 
+    def hold(self, upstream: UpstreamId, now: float) -> None:
+        pass
+
+    def end_hold(self, upstream: UpstreamId, now: float) -> None:
+        pass
+
     def note_sent(self, upstream: UpstreamId, now: float) -> None:
         self.sent.append(upstream)
 
