--- a/src/beamhatch/platform/standin/upstream.py
+++ b/src/beamhatch/platform/standin/upstream.py
@@ -122,6 +122,8 @@
         self.instance = instance
         self.ledger = ledger
         self.fault = UpstreamFault.NONE
+        self.arrived: list[float] = []
+        """When each request came, in monotonic seconds."""
         self.cold_left = 0.0
         """Seconds for which its entry says that it is cold."""
         self.running = 0
@@ -150,6 +152,7 @@
             return None
         if request:
             self.ledger.arrivals[request] += 1
+            self.arrived.append(self.clock.now())
             self.ledger.bodies[request] = incoming.body
             self.ledger.headers[request] = headers
             self.ledger.deadlines.append(int(headers.get("deadline-ms", 0)))
--- a/src/beamhatch/relay/choosing/turns.py
+++ b/src/beamhatch/relay/choosing/turns.py
@@ -23,6 +23,9 @@
 LATEST_NEWS = 1.0
 """Seconds by which VMs' countdowns differ at the most."""
 
+SHORTEST_ROUND = 1.0 + LATEST_NEWS + TURN
+"""Seconds of countdowns whose turns may fall into one second."""
+
 
 class TurnGate(CountingGate):
     """Lets each VM send one request in its turn."""
@@ -39,8 +42,10 @@
         self._ranks.clear()
 
     def count_allowed(self, upstream: Upstream, terms: ColdTerms, now: float) -> int:
-        """Return 1 in this VM's turn."""
-        return 1 if self._find_until_turn(upstream.id, terms, now) <= 0 else 0
+        """Return this VM's part in its turn: 1, or more where all VMs may have theirs in one second."""
+        if self._find_until_turn(upstream.id, terms, now) > 0:
+            return 0
+        return max(1, int(self.bound.count(terms) / self.size))
 
     def find_opening(self, upstream: Upstream, terms: ColdTerms, now: float) -> float:
         """Return the seconds until this VM's next turn."""
@@ -51,8 +56,8 @@
         most = self.bound.count(terms)
         if most < 1 + 1e-9:
             return self._find_cold_until(upstream) - now
-        rate = (most - 1) / (1.0 + LATEST_NEWS + TURN)
-        period = max(self.size / rate, 1.0 + LATEST_NEWS + TURN)
+        rate = (most - 1) / SHORTEST_ROUND
+        period = max(self.size / rate, SHORTEST_ROUND)
         left = self._find_cold_until(upstream) - now
         until = (left - self._find_rank(upstream) / rate) % period
         return until - period if until > period - TURN else until
--- /dev/null
+++ b/tests/relay/choosing/test_cold.py
@@ -0,0 +1,189 @@
+"""How much one VM sends to a cold upstream."""
+
+from __future__ import annotations
+
+import math
+import time
+import tracemalloc
+
+import pytest
+
+from beamhatch.relay.choosing.cold import FORGET_LOG, QUIET_TIME, ColdBound, CountingGate, KnownVms, Permit
+from beamhatch.relay.choosing.cold_watch import ColdWatch
+from beamhatch.relay.choosing.sponsors import TERM, TERM_GAP, VIEWS, SponsorGate
+from beamhatch.relay.choosing.turns import TurnGate
+from beamhatch.relay.model import Address, ColdTerms, Phase, ServiceName, Upstream, UpstreamId
+
+TERMS = ColdTerms(3.0, 8.0)
+BOUND = ColdBound(1.5, 5.0)
+START = 100.0
+KINDS = [SponsorGate, TurnGate]
+
+
+def make_upstream(name: str = "u", cold_left: float = 3.0) -> Upstream:
+    return Upstream(UpstreamId(name), ServiceName("s"), Address(name, 1), "a", False, Phase.PLAIN, 6, cold_left)
+
+
+def make_names(count: int) -> list[str]:
+    return [f"10.0.{number}:1" for number in range(count)]
+
+
+def make_gate(
+    kind: type[SponsorGate] | type[TurnGate],
+    own: str = "own",
+    others: list[str] | None = None,
+    *,
+    expects: bool = False,
+    cold_until: float = 1e6,
+    bound: ColdBound = BOUND,
+) -> CountingGate:
+    vms = KnownVms(own, lambda now: others or [], lambda: expects)
+    return kind(vms, bound, START, lambda upstream: cold_until)
+
+
+def count_sponsors(names: list[str], upstream: Upstream, now: float = 200.0, cold_until: float = 201.0) -> int:
+    gates = [make_gate(SponsorGate, name, names, cold_until=cold_until) for name in names]
+    return sum(gate.count_allowed(upstream, TERMS, now) for gate in gates if gate.may_send(upstream, TERMS, now))
+
+
+@pytest.mark.parametrize("kind", KINDS)
+def test_a_vm_sends_nothing_just_behind_its_start(kind: type[SponsorGate] | type[TurnGate]) -> None:
+    gate = make_gate(kind)
+    assert not gate.may_send(make_upstream(), TERMS, START + QUIET_TIME - 0.1)
+    assert gate.find_wait(make_upstream(), TERMS, START + 0.5) == pytest.approx(QUIET_TIME - 0.5)
+    assert any(gate.may_send(make_upstream(), TERMS, START + QUIET_TIME + part / 10) for part in range(40))
+
+
+@pytest.mark.parametrize("kind", KINDS)
+def test_a_vm_that_hears_of_nobody_although_there_are_others_sends_nothing(
+    kind: type[SponsorGate] | type[TurnGate],
+) -> None:
+    gate = make_gate(kind, expects=True)
+    assert not any(gate.may_send(make_upstream(), TERMS, 200 + part / 10) for part in range(100))
+
+
+@pytest.mark.parametrize("vms", [1, 2, 5, 8, 74, 195])
+def test_all_vms_together_have_their_view_s_part_of_the_bound(vms: int) -> None:
+    names = make_names(vms)
+    for number in range(20):
+        assert 0 < count_sponsors(names, make_upstream(f"u{number}")) <= 17 // VIEWS
+
+
+def test_two_views_without_a_vm_in_common_stay_below_the_bound() -> None:
+    names = make_names(74)
+    for number in range(20):
+        upstream = make_upstream(f"u{number}")
+        assert count_sponsors(names[:30], upstream) + count_sponsors(names[30:], upstream) <= 17
+
+
+def test_a_vm_counts_its_requests_in_any_second() -> None:
+    gate = make_gate(SponsorGate)
+    upstream = make_upstream()
+    for number in range(8):
+        assert gate.may_send(upstream, TERMS, 200 + number / 10)
+        gate.note_sent(upstream.id, 200 + number / 10)
+    assert not gate.may_send(upstream, TERMS, 200.9)
+    assert gate.find_wait(upstream, TERMS, 200.9) == pytest.approx(0.12)
+    assert gate.may_send(upstream, TERMS, 201.03)
+
+
+def test_a_permit_is_held_from_the_plan_and_counts_when_the_request_goes_out() -> None:
+    gate = make_gate(SponsorGate, bound=ColdBound(0.25, 0.0))
+    upstream = make_upstream()
+    assert gate.may_send(upstream, TERMS, 200.0)
+    gate.hold(upstream.id, 200.0)
+    permit = Permit(gate, upstream.id)
+    assert not gate.may_send(upstream, TERMS, 205.0)
+    assert gate.find_wait(upstream, TERMS, 205.0) > 0
+    permit.use(206.0)
+    permit.use(206.5)
+    permit.drop(206.5)
+    assert not gate.may_send(upstream, TERMS, 206.9)
+    assert gate.may_send(upstream, TERMS, 207.1)
+    gate.hold(upstream.id, 207.1)
+    Permit(gate, upstream.id).drop(207.2)
+    assert gate.may_send(upstream, TERMS, 207.2)
+
+
+def test_what_is_held_is_not_forgotten() -> None:
+    gate = make_gate(SponsorGate, bound=ColdBound(0.25, 0.0))
+    gate.hold(make_upstream().id, 200.0)
+    assert not gate.may_send(make_upstream(), TERMS, 200 + 2 * FORGET_LOG)
+
+
+def test_an_upstream_that_bears_less_than_all_views_need_gets_nothing() -> None:
+    gate = make_gate(SponsorGate, bound=ColdBound(0.1, 0.0))
+    assert not gate.may_send(make_upstream(), TERMS, 200.0)
+    assert gate.find_wait(make_upstream(), TERMS, 200.0) == math.inf
+
+
+def test_the_vms_that_send_change_while_an_upstream_stays_cold_for_long() -> None:
+    names = make_names(74)
+    upstream = make_upstream(cold_left=600.0)
+    until = 800.0
+
+    def list_sponsors(left: float) -> set[str]:
+        now = until - left
+        gates = {name: make_gate(SponsorGate, name, names, cold_until=until) for name in names}
+        return {name for name, gate in gates.items() if gate.may_send(upstream, TERMS, now)}
+
+    first, second = list_sponsors(2 * TERM - TERM_GAP - 0.5), list_sponsors(TERM - TERM_GAP - 0.5)
+    assert first != second
+    assert len(first) == len(second) == 8
+    assert not list_sponsors(TERM - TERM_GAP / 2), "two terms' VMs would send in one second"
+    served: set[str] = set()
+    for term in range(60):
+        served |= list_sponsors(term * TERM + 1.0)
+    assert len(served) == len(names)
+
+
+def test_a_vm_has_one_turn_at_a_time() -> None:
+    names = make_names(74)
+    gates = [make_gate(TurnGate, name, names, cold_until=1000.0) for name in names]
+    for part in range(200):
+        now = 200 + part / 20
+        assert sum(gate.may_send(make_upstream(), TERMS, now) for gate in gates) <= 4
+    waits = [gate.find_wait(make_upstream(), TERMS, 200.0) for gate in gates]
+    assert all(
+        gate.may_send(make_upstream(), TERMS, 200.0 + wait + 0.01) for gate, wait in zip(gates, waits, strict=True)
+    )
+
+
+def test_a_thousand_cold_upstreams_cost_little() -> None:
+    names = make_names(300)
+    gate = make_gate(SponsorGate, names[0], names, cold_until=201.0)
+    upstreams = [make_upstream(f"u{number}") for number in range(1000)]
+    tracemalloc.start()
+    before = tracemalloc.get_traced_memory()[0]
+    sponsored = [one for one in upstreams if gate.may_send(one, TERMS, 200.0)]
+    for one in sponsored:
+        gate.note_sent(one.id, 200.0)
+    used = tracemalloc.get_traced_memory()[0] - before
+    tracemalloc.stop()
+    assert 5 <= len(sponsored) <= 80
+    assert used < 1_000_000
+    gate.may_send(upstreams[0], TERMS, 200.0 + 2 * FORGET_LOG)
+    assert not gate._logs
+
+
+def test_an_upstream_is_told_once_when_it_turns_cold_and_once_when_it_is_warm() -> None:
+    watch = ColdWatch()
+    names = [UpstreamId("a"), UpstreamId("b")]
+    assert watch.take(names) == names
+    assert not watch.take(names)
+    until = {"a": 5.0, "b": 7.0}
+    assert watch.end(until.__getitem__, 6.0) == ["a"]
+    assert not watch.end(until.__getitem__, 6.5)
+    assert watch.take(names) == ["a"]
+
+
+def measure() -> None:
+    """Print what a thousand cold upstreams cost a VM of 300."""
+    names = make_names(300)
+    gate = make_gate(SponsorGate, names[0], names, cold_until=201.0)
+    upstreams = [make_upstream(f"u{number}") for number in range(1000)]
+    for _ in range(2):
+        begun = time.perf_counter()
+        for one in upstreams:
+            gate.may_send(one, TERMS, 200.0)
+        print(round(1000 * (time.perf_counter() - begun), 2), "ms")  # noqa: T201
--- a/tests/support/platform.py
+++ b/tests/support/platform.py
@@ -218,9 +218,16 @@
         version: int,
         routes: list[dict[str, object]] | None = None,
         workspaces: list[dict[str, object]] | None = None,
+        cold: dict[str, object] | None = None,
     ) -> None:
-        """Have the operators write a configuration."""
-        self.store.put("op/config", make_configuration(version, routes, workspaces))
+        """Have the operators write a configuration.
+
+        :param cold: what upstreams of all services bear while they are cold
+        """
+        written = make_configuration(version, routes, workspaces)
+        if cold is not None:
+            written["services"] = [{**service, **cold} for service in SERVICES]
+        self.store.put("op/config", written)
 
     def add_plain(self, name: str) -> StandInUpstream:
         """Start and list a plain service's replica."""
@@ -240,6 +247,11 @@
         service = MODEL if isinstance(self.upstreams[name], StandInEngine) else PLAIN
         self.store.put(f"servers/{name}", self.upstreams[name].describe(service, "hall-a"))
 
+    def turn_cold(self, name: str, seconds: float) -> None:
+        """Have an upstream say that it is cold for some time."""
+        self.upstreams[name].cold_left = seconds
+        self.list_again(name)
+
     def _add(self, name: str, upstream: StandInUpstream, service: str) -> None:
         upstream.start()
         self.upstreams[name] = upstream
