--- /dev/null
+++ b/tests/platform/test_cold.py
@@ -0,0 +1,209 @@
+"""What cold upstreams get from the relay, against the platform's stand-ins on a paused clock."""
+
+from __future__ import annotations
+
+import pytest
+
+from beamhatch.relay.choosing.cold import OpenGate
+from beamhatch.relay.mechanism import Mechanism
+from beamhatch.relay.model import UpstreamId
+from tests.support.platform import Caller, Platform, make_platform
+
+ONE_A_SECOND = {"cold_start_s": 3.0, "cold_per_s": 2.0}
+"""One view of the VMs has half of what is borne."""
+
+
+def make_cold(
+    *names: str,
+    seconds: float = 20.0,
+    cold: dict[str, object] | None = None,
+    plain: int = 2,
+    prefill: int = 2,
+    decode: int = 2,
+) -> Platform:
+    """Return a platform whose upstreams of some names are cold, and whose VM is no longer new."""
+    without = frozenset({Mechanism.ORDERS})  # engines that change their part turn requests away
+    platform = make_platform(plain=plain, prefill=prefill, decode=decode, without=without)
+    platform.configure(2, cold=cold or dict(ONE_A_SECOND))
+    platform.network.run(3.0)
+    for name in names:
+        platform.turn_cold(name, seconds)
+    platform.network.run(0.3)
+    return platform
+
+
+def count_most(times: list[float]) -> int:
+    """Return the most arrivals within a second."""
+    return max((sum(at <= other <= at + 1.0 for other in times) for at in times), default=0)
+
+
+def ask(platform: Platform, path: str, count: int, pause: float = 0.0) -> list[Caller]:
+    callers = []
+    for number in range(count):
+        callers.append(platform.call(path, f"q{number}"))
+        platform.network.run(pause)
+    return [platform.finish(caller) for caller in callers]
+
+
+def count_events(platform: Platform, event: str) -> int:
+    return sum(line["event"] == event for journal in platform.journals.values() for line in journal.lines)
+
+
+def test_a_cold_replica_gets_its_part_and_the_warm_ones_the_rest() -> None:
+    platform = make_cold("plain-0", plain=2)
+    assert {caller.status for caller in ask(platform, "/safe/x", 40, 0.05)} == {200}
+    assert count_most(platform.upstreams["plain-0"].arrived) <= 1
+    assert len(platform.upstreams["plain-1"].arrived) >= 35
+
+
+def test_without_the_gate_a_cold_replica_gets_more() -> None:
+    platform = make_cold("plain-0", "plain-1", plain=2)
+    platform.vms["vm1"].core.eligibility.gate = OpenGate()
+    ask(platform, "/safe/x", 40, 0.05)
+    assert count_most(platform.upstreams["plain-0"].arrived) > 1
+
+
+def test_a_warm_upstream_of_little_work_goes_before_a_cold_one() -> None:
+    platform = make_cold("decode-0", cold={"cold_start_s": 3.0, "cold_per_s": 40.0}, decode=2)
+    ask(platform, "/stream/x", 1)
+    ask(platform, "/stream/x", 1)
+    assert not platform.upstreams["decode-0"].arrived
+
+
+def test_requests_of_one_instant_do_not_pass_one_permit() -> None:
+    platform = make_cold("decode-0", "decode-1", decode=2)
+    callers = [platform.call("/stream/x", f"q{number}") for number in range(6)]
+    platform.network.run(1.0)
+    engines = [platform.upstreams[name] for name in ("decode-0", "decode-1")]
+    assert [len(engine.arrived) for engine in engines] == [1, 1]
+    for caller in callers:
+        platform.finish(caller)
+    assert sorted(caller.status for caller in callers)[:2] == [200, 200]
+    assert all(count_most(engine.arrived) <= 1 for engine in engines)
+
+
+def test_memory_that_is_set_aside_has_its_permit_for_the_stream() -> None:
+    platform = make_cold("decode-0", decode=1)
+    first = platform.call("/stream/x", "q0")
+    platform.network.run(0.02)
+    assert "reserved" in platform.journals["vm1"].list_events("q0")
+    second = platform.call("/stream/x", "q1")
+    assert platform.finish(first).status == 200
+    platform.finish(second)
+    assert "reserved" not in platform.journals["vm1"].list_events("q1") or second.status == 200
+    assert count_most(platform.upstreams["decode-0"].arrived) <= 1
+
+
+def test_a_permit_comes_back_when_the_caller_leaves_before_the_stream() -> None:
+    platform = make_cold("decode-0", decode=1)
+    caller = platform.call("/stream/x", "q0")
+    platform.network.run(0.02)
+    assert "reserved" in platform.journals["vm1"].list_events("q0")
+    caller.leave()
+    platform.network.run(0.2)
+    assert platform.finish(platform.call("/stream/x", "q1")).status == 200
+
+
+def test_memory_at_an_engine_that_turned_cold_since_is_given_back_where_it_bears_no_more() -> None:
+    platform = make_cold(decode=2, prefill=1)
+    callers = [platform.call("/stream/x", f"q{number}") for number in range(8)]
+    platform.turn_cold("decode-0", 20.0)
+    watch = platform.vms["vm1"].core.cold_watch
+    platform.network.run_until(lambda: bool(watch.cold))
+    engine = platform.upstreams["decode-0"]
+    before = len(engine.arrived)
+    assert sum(exchange.request.reservation is not None for exchange in platform.vms["vm1"].core.exchanges) >= 4
+    for caller in callers:
+        platform.finish(caller)
+    assert count_most(engine.arrived[before:]) <= 1
+    assert [caller.status for caller in callers] == [200] * 8
+
+
+def test_all_stages_count() -> None:
+    platform = make_cold("prefill-0", "decode-0", prefill=1, decode=1)
+    ask(platform, "/stream/x", 8, 0.2)
+    assert len(platform.upstreams["prefill-0"].arrived) >= 1
+    assert count_most(platform.upstreams["prefill-0"].arrived) <= 1
+    assert count_most(platform.upstreams["decode-0"].arrived) <= 1
+
+
+def test_a_request_waits_for_room_where_that_is_in_time() -> None:
+    platform = make_cold("decode-0", "prefill-0", prefill=1, decode=1, cold={"cold_start_s": 3.0, "cold_per_s": 4.0})
+    for number in range(2):
+        assert platform.finish(platform.call("/stream/x", f"q{number}")).status == 200
+    platform.network.run(0.8)
+    caller = platform.finish(platform.call("/stream/x", "q2"))
+    assert caller.status == 200
+
+
+def test_a_request_that_can_not_be_in_time_is_told_at_once_when_there_is_room() -> None:
+    platform = make_cold("plain-0", plain=1)
+    assert platform.finish(platform.call("/unsafe/x", "q0")).status == 200
+    begun = platform.clock.now()
+    caller = platform.finish(platform.call("/unsafe/x", "q1"))
+    assert caller.status == 503
+    assert platform.clock.now() - begun < 0.1
+    assert 0.5 < float(caller.head.lower().partition("retry-after: ")[2].partition("\r\n")[0]) < 1.1
+    platform.network.run(1.1)
+    assert platform.finish(platform.call("/unsafe/x", "q2")).status == 200
+    assert platform.vms["vm1"].tally.counts["cold_refusals_total", ""] == 1
+
+
+def test_upstreams_are_used_freely_once_they_are_warm() -> None:
+    platform = make_cold("plain-0", plain=1, seconds=2.0)
+    platform.network.run(2.5)
+    assert {caller.status for caller in ask(platform, "/safe/x", 20)} == {200}
+    assert count_events(platform, "cold") == 1
+    assert count_events(platform, "warm") == 1
+    assert platform.vms["vm1"].tally.gauges["cold_upstreams"]() == 0
+
+
+def test_an_upstream_may_turn_cold_again_at_any_moment() -> None:
+    platform = make_cold("plain-0", plain=1, seconds=1.0)
+    platform.network.run(2.0)
+    platform.turn_cold("plain-0", 30.0)
+    platform.network.run(0.3)
+    before = len(platform.upstreams["plain-0"].arrived)
+    ask(platform, "/safe/x", 20, 0.05)
+    assert count_most(platform.upstreams["plain-0"].arrived[before:]) <= 1
+
+
+@pytest.mark.parametrize("without", [frozenset[Mechanism](), frozenset({Mechanism.SPONSORS})])
+def test_several_vms_keep_the_bound_together(without: frozenset[Mechanism]) -> None:
+    platform = make_platform(plain=1, without=without)
+    for number in range(2, 7):
+        platform.add_vm(f"vm{number}", ["vm1:8002"], without=without)
+    platform.configure(2, cold={"cold_start_s": 3.0, "cold_per_s": 8.0})
+    platform.network.run(4.0)
+    platform.turn_cold("plain-0", 8.0)
+    platform.network.run(1.0)
+    before = len(platform.upstreams["plain-0"].arrived)
+    for number in range(200):
+        platform.call("/safe/x", f"q{number}", vm=f"vm{1 + number % 6}")
+        platform.network.run(0.01)
+    arrived = platform.upstreams["plain-0"].arrived[before:]
+    assert arrived
+    assert count_most(arrived) <= 8
+
+
+def test_many_upstreams_that_turn_cold_at_once_are_one_line() -> None:
+    platform = make_platform(plain=30)
+    core = platform.vms["vm1"].core
+    core._note_cold([core.listing._known[UpstreamId(f"plain-{n}")].entry for n in range(30)], "store")
+    lines = [line for line in platform.journals["vm1"].lines if line["event"] == "cold"]
+    assert [(line["count"], len(line["upstreams"])) for line in lines] == [(30, 8)]
+
+
+@pytest.mark.parametrize(("told", "is_cold"), [(None, False), (-5000, False), (0, False), (600_000, True)])
+def test_what_an_entry_says_of_coldness_is_read_as_it_is(told: float | None, is_cold: bool) -> None:
+    platform = make_cold(plain=1)
+    entry = platform.upstreams["plain-0"].describe("accounts", "hall-a")
+    del entry["cold_remaining_ms"]
+    if told is not None:
+        entry["cold_remaining_ms"] = told
+    platform.store.put("servers/plain-0", entry)
+    platform.network.run(0.3)
+    core = platform.vms["vm1"].core
+    assert (core.listing.find_cold_until(UpstreamId("plain-0")) > platform.clock.now()) is is_cold
+    callers = ask(platform, "/safe/x", 12)
+    assert {caller.status for caller in callers} == ({200, 503} if is_cold else {200})
--- a/tests/relay/fleet/test_membership.py
+++ b/tests/relay/fleet/test_membership.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from beamhatch.relay.fleet.membership import FORGET_AFTER, OTHERS, WATCHERS, Member, Membership
+from beamhatch.relay.fleet.membership import FORGET_AFTER, OTHERS, REMEMBER_AFTER, WATCHERS, Member, Membership
 
 HALLS = ["a", "b", "c"]
 
@@ -136,3 +136,14 @@
     membership.note_unreached("t:1", 0.0)
     assert membership.list_targets(0.1) == ["s:1"]
     assert "t:1" in membership.list_targets(30.0)
+
+
+def test_vms_that_are_no_longer_counted_are_remembered_for_some_time() -> None:
+    fleet = make_fleet(6)
+    membership = join(fleet[0], fleet)
+    membership.take(fleet[1], 0.0, 100.0)
+    membership.forget_old(100.0)
+    assert membership.size == 2
+    assert len(membership.list_remembered(100.0)) == 5
+    membership.forget_old(REMEMBER_AFTER + 50.0)
+    assert membership.list_remembered(REMEMBER_AFTER + 50.0) == [fleet[1].address]
