--- a/src/beamhatch/platform/standin/upstream.py
+++ b/src/beamhatch/platform/standin/upstream.py
@@ -122,6 +122,10 @@
         self.instance = instance
         self.ledger = ledger
         self.fault = UpstreamFault.NONE
+        self.arrived: list[float] = []
+        """When each request came, in monotonic seconds."""
+        self.cold_left = 0.0
+        """Seconds for which its entry says that it is cold."""
         self.running = 0
         self.used = 0
         """Tokens of runs under way."""
@@ -137,7 +141,7 @@
             "version": "v1",
             "capacity": 6,
             "state": state,
-            "cold_remaining_ms": 0,
+            "cold_remaining_ms": 1000 * self.cold_left,
             "sequence": 0,
         }
 
@@ -151,6 +155,7 @@
             return None
         if request:
             self.ledger.arrivals[request] += 1
+            self.arrived.append(self.clock.now())
             self.ledger.bodies[request] = incoming.body
             self.ledger.headers[request] = headers
             self.ledger.deadlines.append(int(headers.get("deadline-ms", 0)))
--- a/src/beamhatch/relay/fleet/evacuations.py
+++ b/src/beamhatch/relay/fleet/evacuations.py
@@ -45,6 +45,8 @@
 
     So a peer that is behind revives no evacuation that has ended, and ended ones need not be remembered.
     """
+    latest_return: float = NEVER
+    """When a hall was last taken back, in monotonic seconds of this VM."""
     _known: dict[str, Evacuation] = field(default_factory=dict)
     _returned_at: dict[str, float] = field(default_factory=dict)
 
@@ -109,6 +111,7 @@
         return hall in placed or sum(one not in placed for one in self._known) < MOST_UNPLACED
 
     def _note_return(self, hall: str, now: float) -> None:
+        self.latest_return = now
         self._returned_at.pop(hall, None)
         self._returned_at[hall] = now
         while len(self._returned_at) > MOST_UNPLACED + len(self.places.regions):
--- a/src/beamhatch/relay/requests/exchange.py
+++ b/src/beamhatch/relay/requests/exchange.py
@@ -9,6 +9,7 @@
 from beamhatch.relay.callers.headers import strip_hop_by_hop
 from beamhatch.relay.callers.http_server import RequestHandler
 from beamhatch.relay.callers.own_answer import send_error
+from beamhatch.relay.choosing.eligibility import Obstacle
 from beamhatch.relay.mechanism import Mechanism
 from beamhatch.relay.model import Phase, RouteKind, Stage
 from beamhatch.relay.requests.answer import PROMISES, WholeAnswer
@@ -22,6 +23,7 @@
 
 if TYPE_CHECKING:
     from beamhatch.relay.callers.http_server import IncomingRequest, Responder
+    from beamhatch.relay.choosing.cold import Permit
     from beamhatch.relay.core import Core
     from beamhatch.relay.model import RequestFacts, Route, Service, Table, Upstream
     from beamhatch.relay.upstreams.http_client import Head
@@ -54,6 +56,9 @@
 SHORTEST_RETRY = 0.15
 """Seconds after which a caller may come back at the earliest: time for another VM to learn what this one did."""
 
+COLD_MARGIN = 0.002
+"""Seconds behind the time at which a cold upstream should have room: the granularity of timers."""
+
 NO_SIGNATURE_STATUS = 502
 """Status of an own failure behind a send that may have run: it promises nothing."""
 
@@ -95,6 +100,11 @@
         self._passed_on = strip_hop_by_hop(incoming.headers)
         self._attempt: Attempt | ReserveAttempt | None = None
         self._in_line = False
+        self._permit: Permit | None = None
+        """Room for the stream at a cold engine that has set memory aside, or is asked to."""
+        self._cold_since: float | None = None
+        """When the request began to wait for room at a cold upstream, in monotonic seconds."""
+        self._cold_timer: Any = None
         self._memory_since: float | None = None
         """When the request got decode memory, in monotonic seconds."""
         self._returns = core.is_return(route, facts.time_left)
@@ -128,7 +138,7 @@
     def _plan(self, now: float) -> Step:
         request = self.request
         service = request.service.name
-        self._give_up_shut_memory()
+        self._let_go_of_shut_memory()
         usable = self.core.list_usable(service)
         answering = any(one.phase is not Phase.PREFILL for one in usable)
         lack = None if answering else self.core.find_lack(service)
@@ -137,19 +147,30 @@
             return request.refuse_shut(f"nothing may be sent to any upstream: {lack.value}")
         return request.plan(usable, self.core.chooser, self.core.find_budget(service), self.core.vms, now)
 
-    def _give_up_shut_memory(self) -> None:
+    def _let_go_of_shut_memory(self) -> None:
         """Give memory back that was set aside where nothing may be sent any more.
 
         A plan takes memory that is set aside without choosing anew. Without this, prompts that were read before
-        their decode engine's hall was emptied still had their streams begin there.
+        their decode engine's hall was emptied still had their streams begin there. A permit keeps room at an engine
+        that is cold.
         """
         held = self.request.reservation
-        if held is None or self.core.find_obstacle(held.upstream, self.request.service.name) is None:
+        if held is None:
+            self._drop_permit()
+            return
+        obstacle = self.core.find_obstacle(held.upstream, self.request.service.name)
+        if obstacle is None or (obstacle is Obstacle.COLD and self._permit is not None):
             return
+        self._drop_permit()
         self.request.give_up_reservation()
-        self.write_log("memory given up", to=held.upstream.id)
+        self.write_log("memory given up", to=held.upstream.id, obstacle=obstacle.name.lower())
         self._call(held.upstream, self.core.dialect.make_unreserve(held))
 
+    def _drop_permit(self) -> None:
+        permit, self._permit = self._permit, None
+        if permit is not None:
+            permit.drop(self.core.clock.now())
+
     def _carry_out(self, step: Step) -> None:
         if isinstance(step, Send):
             self._send(step, self.core.clock.now())
@@ -158,7 +179,7 @@
         elif isinstance(step, Wait):
             self._wait_in_line()
         elif isinstance(step, Refuse):
-            self._refuse(step.reason, full=step.full, shut=step.shut)
+            self._refuse_or_wait(step)
         else:
             self._fail(step)
 
@@ -180,8 +201,11 @@
         )
         if request.split and send.stage is not Stage.PREFILL:
             self.note_memory()
-        self.core.eligibility.note_send(send.upstream, request.service.cold, now)
         attempt = self._make_attempt(send)
+        if send.reservation is not None:
+            attempt.permit, self._permit = self._permit, None
+        if attempt.permit is None:
+            attempt.permit = self.core.eligibility.take_permit(send.upstream, request.service.cold, now)
         self._attempt = attempt
         most_idle = 1e9 if request.route.idempotent or send.stage is Stage.PREFILL else FRESH_IDLE
         attempt.start(self._make_call(send, now), most_idle)
@@ -210,6 +234,9 @@
     def _reserve(self, step: Reserve) -> None:
         attempt = ReserveAttempt(self, step)
         self._attempt = attempt
+        self._drop_permit()
+        now = self.core.clock.now()
+        self._permit = self.core.eligibility.take_permit(step.upstream, self.request.service.cold, now)
         attempt.start(self.core.dialect.make_reserve(step.upstream, step.tokens, step.lifetime))
 
     def _make_attempt(self, send: Send) -> Attempt:
@@ -285,6 +312,34 @@
         if self.request.route.idempotent or answer.head.status not in PROMISES:
             self._failure = answer
 
+    def _refuse_or_wait(self, step: Refuse) -> None:
+        """Refuse the request, unless a cold upstream is all that is missing and has room while that is in time."""
+        wait = None if step.full or step.shut else self.core.find_cold_wait(self.request.service.name)
+        if wait is None:
+            self._refuse(step.reason, full=step.full, shut=step.shut)
+            return
+        now = self.core.clock.now()
+        if self._cold_since is None:
+            self._cold_since = now
+        if now + wait < self._find_cold_limit():
+            self.core.tally.count("cold_waits_total")
+            self.write_log("waits for a cold upstream", seconds=round(wait, 3))
+            self._cold_timer = self.core.clock.call_later(wait + COLD_MARGIN, self._go_on_cold)
+            return
+        self.core.tally.count("cold_refusals_total")
+        longest = LONGEST_RETRY_SHARE * max(0.0, self.limit - now)
+        self._answer(503, "its upstreams are cold", round(max(SHORTEST_RETRY, min(wait, longest)), 2))
+
+    def _find_cold_limit(self) -> float:
+        """Return until when the request may wait for a cold upstream, so that its answer, or next event, is in time."""
+        if self.request.begun and self._cold_since is not None:
+            return self._cold_since + self.request.longest_wait
+        return self._incoming.arrived + IN_TIME_SHARE * self.request.route.target_latency
+
+    def _go_on_cold(self) -> None:
+        self._cold_timer = None
+        self.advance()
+
     def _refuse(self, reason: str, *, full: bool = False, shut: bool = False) -> None:
         if shut:
             retry_after = min(SHUT_RETRY, LONGEST_RETRY_SHARE * (self.limit - self.core.clock.now()))
@@ -341,7 +396,11 @@
     def _end(self) -> None:
         self._ended = True
         self._stop_timer()
+        if self._cold_timer is not None:
+            self._cold_timer.cancel()
+            self._cold_timer = None
         self._stop_attempt()
+        self._drop_permit()
         self.leave_line()
         if self._memory_since is not None:
             self.core.find_demand(self.request.service.name).end_stream(self._memory_since, self.core.clock.now())
