Have two more VMs of a hall watch the store where it turns its watchers away

Cause: who watches goes by rank alone. With just the watchers turned away nobody else asked the store, and none of 24 VMs learned of an evacuation, nor of a configuration, within 5 s. Ruled out: stepping in whenever no good watch was heard of for some time, as two that stand in hear of each other and both step back; stepping in without a bound, as a store that is down for all would be asked by all. Change: beats say that the store does not answer; two members of the hall watch in the place of watchers that all say so.

--- a/src/beamhatch/relay/daemon.py
+++ b/src/beamhatch/relay/daemon.py
@@ -134,6 +134,8 @@
         self.callers = CallerServer(clock, self.core.serve, self.core.find_limits, self.core.note_refused)
         self._gossip = self._make_gossip(documents)
         self._watchers = self._make_watchers(store)
+        if self._gossip is not None:
+            self._gossip.is_turned_away = self._is_turned_away
         self._usage = self._make_usage()
         self.core.admission.may_be_behind = self._may_be_behind
         self.leadership: Leadership | None = None
@@ -302,6 +304,9 @@
         kinds = (DirectivesWatcher, ListingWatcher)
         return [watcher(self.core, store, is_due, hears_peers, patience) for watcher in kinds]
 
+    def _is_turned_away(self) -> bool:
+        return any(watcher.is_turned_away() for watcher in self._watchers)
+
     def _listen(self, address: Address, factory: Any) -> Any:
         return self.clock.reactor.listenTCP(address.port, factory, backlog=BACKLOG, interface=address.host)
 
--- a/src/beamhatch/relay/fleet/gossip.py
+++ b/src/beamhatch/relay/fleet/gossip.py
@@ -32,7 +32,7 @@
 from beamhatch.relay.model import UpstreamId
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Callable, Sequence
 
     from beamhatch.relay.api import Documents
     from beamhatch.relay.choosing.pace import Reading
@@ -114,6 +114,8 @@
         self._stopped = False
         self.newest_version = 0
         """The newest configuration that any peer told of."""
+        self.is_turned_away: Callable[[], bool] = lambda: False
+        """Tells whether the store does not answer this VM."""
         self.usage: UsageTalk | None = None
         """What is said of quotas; None where nothing is."""
 
@@ -308,6 +310,7 @@
             self.journal.write("PEER", "met", vm=message.vm, address=message.member.address)
         connection.vm = message.vm
         connection.hall = message.member.hall
+        connection.address = message.member.address
         self.membership.take(message.member, 0.0, now)
         self.membership.note_reached(message.member.address)
         for mention in message.known[:MOST_MENTIONED]:
@@ -321,6 +324,7 @@
             self.core.take_paces(message.demands)
             for reading in message.readings:
                 self.core.paces.note_told(reading)
+        self.membership.note_watch(connection.address, turned_away=message.turned_away)
         self._take_work(connection, message.reading)
         faulty = {} if Mechanism.PEER_FAULTS in self.core.without else message.faulty
         for upstream, share in faulty.items():
@@ -375,4 +379,5 @@
             list(readings),
             evacuations.list_news() if evacuations.complete else None,
             evacuations.as_of,
+            self.is_turned_away(),
         )
--- a/src/beamhatch/relay/fleet/gossip_message.py
+++ b/src/beamhatch/relay/fleet/gossip_message.py
@@ -76,6 +76,8 @@
     """Which halls are emptied, or were; None where the sender does not know."""
     evacuations_as_of: int = 0
     """The revision up to which it knows them all."""
+    turned_away: bool = False
+    """True where the store has not answered the sender's watches for some time."""
 
 
 class Work(msgspec.Struct, tag="work", frozen=True):
--- a/src/beamhatch/relay/fleet/membership.py
+++ b/src/beamhatch/relay/fleet/membership.py
@@ -18,6 +18,12 @@
 WATCHERS = 2
 """Members of each hall that watch the store."""
 
+STAND_INS = 2
+"""Members of a hall that watch in place of its watchers where the store turns all of these away.
+
+No more than these, so that a store that is down for all is asked by twice as many at the most.
+"""
+
 OTHERS = 2
 """Members beside the watchers of its own hall that a VM keeps a connection to, in other halls where there are any."""
 
@@ -82,6 +88,8 @@
     _known: dict[str, _Known] = field(default_factory=dict)
     _unreached: dict[str, _Unreached] = field(default_factory=dict)
     """Addresses that did not answer when they were last dialled."""
+    _turned_away: set[str] = field(default_factory=set)
+    """Addresses of members that say that the store does not answer them."""
 
     @property
     def size(self) -> int:
@@ -115,11 +123,19 @@
             pause = min(LONGEST_REDIAL_PAUSE, max(FIRST_REDIAL_PAUSE, 2 * known.pause))
         self._unreached[address] = _Unreached(now + pause * random.uniform(0.7, 1.3), pause, tries)
 
+    def note_watch(self, address: str, *, turned_away: bool) -> None:
+        """Note whether a member says that the store does not answer it."""
+        if turned_away:
+            self._turned_away.add(address)
+        else:
+            self._turned_away.discard(address)
+
     def forget_old(self, now: float) -> None:
         """Drop VMs that nobody has heard from for long."""
         self._known = {address: one for address, one in self._known.items() if now - one.heard_at <= FORGET_AFTER}
         named = {*self._known, *self.seeds}
         self._unreached = {address: one for address, one in self._unreached.items() if address in named}
+        self._turned_away &= self._known.keys()
 
     def list_mentions(self, most: int, now: float) -> list[Mention]:
         """Return some of the VMs that this one knows of: those that watch in each hall, and others drawn at random."""
@@ -134,9 +150,16 @@
     # --- duties ------------------------------------------------------------------------------------------------------
 
     def is_watcher(self) -> bool:
-        """Tell whether this VM is one of those that watch the store for its hall."""
+        """Tell whether this VM is one of those that watch the store for its hall, or stands in for them.
+
+        Where the store turned just the watchers away, nobody else asked it, and no VM of 24 learned of anything
+        within 5 s (paused clock).
+        """
         ahead = [one for one in self._list_members() if one.hall == self.own.hall and self._goes_ahead(one)]
-        return len(ahead) < WATCHERS
+        if len(ahead) < WATCHERS:
+            return True
+        first = sorted(ahead, key=_rank)[:WATCHERS]
+        return len(ahead) < WATCHERS + STAND_INS and all(one.address in self._turned_away for one in first)
 
     def _list_watching(self) -> list[Member]:
         """Return the members that watch, of all halls: whom a VM that has just started needs to know first."""
--- a/src/beamhatch/relay/fleet/peer_connection.py
+++ b/src/beamhatch/relay/fleet/peer_connection.py
@@ -55,6 +55,8 @@
         """The peer's name, once it has said it."""
         self.hall = ""
         """The peer's hall, once it has said it."""
+        self.address = ""
+        """Where the peer listens, once it has said it."""
         self.heard_at = 0.0
         self._talk = talk
 
--- a/src/beamhatch/relay/fleet/watching.py
+++ b/src/beamhatch/relay/fleet/watching.py
@@ -29,6 +29,9 @@
 FIRST_PAUSE = 0.15
 """Seconds before a lost watch is made anew; each pause is twice the last."""
 
+TURNED_AWAY_TIME = 0.5
+"""Seconds without an answer after which others are told: two tries, as a single watch may be cut at any moment."""
+
 LONGEST_PAUSE = 1.0
 """Seconds between two tries at the most: so often a store that is down is asked."""
 
@@ -59,6 +62,7 @@
         self._renewing = False
         self.connected = True
         """False once the store has given no answer, until it does."""
+        self._lost_at = 0.0
         self._pause = FIRST_PAUSE
 
     def start(self) -> None:
@@ -78,6 +82,10 @@
             self._renewing = True
             self._waiting.cancel()
 
+    def is_turned_away(self) -> bool:
+        """Tell whether the store has not answered for so long that others should ask it."""
+        return not self.connected and self.core.clock.now() - self._lost_at > TURNED_AWAY_TIME
+
     @abstractmethod
     def is_known(self) -> bool:
         """Tell whether this VM has the thing from anybody."""
@@ -146,6 +154,7 @@
     async def _wait_again(self, lost: StoreLost) -> None:
         if self.connected:
             self.connected = False
+            self._lost_at = self.core.clock.now()
             self.core.journal.write("STORE", "lost", watch=self.name, detail=lost.detail)
         self.core.tally.count("store_failures_total", self.name)
         await sleep(self.core.clock, self._pause * random.uniform(0.5, 1.0))
--- a/tests/platform/test_evacuation.py
+++ b/tests/platform/test_evacuation.py
@@ -478,3 +478,36 @@
     platform.network.run_until(lambda: count_emptied(platform) == vms, 1.0)
     platform.take_back("hall-b")
     platform.network.run_until(lambda: not count_emptied(platform), 1.0)
+
+
+def turn_away_watchers(platform: Platform) -> None:
+    """Have the store turn away just those VMs that watch it for the others."""
+    for vm in platform.vms.values():
+        assert vm._gossip is not None
+        watches = vm._gossip.membership.is_watcher()
+        for watcher in vm._watchers:
+            watcher.store._address = OTHER_DOOR if watches else STORE  # type: ignore[attr-defined]
+    platform.door.shut = True
+    platform.door.break_connections()
+    platform.store.break_connections()
+
+
+def test_others_watch_where_the_store_turns_all_watchers_away() -> None:
+    platform = make_fleet(24)
+    turn_away_watchers(platform)
+    platform.empty("hall-b")
+    platform.network.run_until(lambda: count_emptied(platform) == 24, 4.0)
+    platform.take_back("hall-b")
+    platform.network.run_until(lambda: not count_emptied(platform), 1.0)
+
+
+def test_few_ask_a_store_that_is_down_for_all_and_those_in_place_stop_when_it_is_back() -> None:
+    platform = make_fleet(24)
+    platform.store.fault = StoreFault.BUSY
+    platform.store.break_connections()
+    platform.network.run(10.0)
+    asking = sum(not watcher.connected for vm in platform.vms.values() for watcher in vm._watchers[:1])
+    assert asking <= 12
+    platform.store.fault = StoreFault.NONE
+    platform.network.run(5.0)
+    assert sum(vm._gossip.membership.is_watcher() for vm in platform.vms.values() if vm._gossip is not None) == 6
--- a/tests/relay/fleet/test_membership.py
+++ b/tests/relay/fleet/test_membership.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from beamhatch.relay.fleet.membership import FORGET_AFTER, OTHERS, WATCHERS, Member, Membership
+from beamhatch.relay.fleet.membership import FORGET_AFTER, OTHERS, STAND_INS, WATCHERS, Member, Membership
 
 HALLS = ["a", "b", "c"]
 
@@ -136,3 +136,21 @@
     membership.note_unreached("t:1", 0.0)
     assert membership.list_targets(0.1) == ["s:1"]
     assert "t:1" in membership.list_targets(30.0)
+
+
+def test_two_members_stand_in_for_watchers_that_are_all_turned_away_and_no_more() -> None:
+    fleet = [Member(f"v{number}:1", "a") for number in range(8)]
+    memberships = [join(one, fleet) for one in fleet]
+    first = [one.own.address for one in memberships if one.is_watcher()]
+    assert len(first) == WATCHERS
+
+    def say(addresses: list[str], *, turned_away: bool) -> int:
+        for membership in memberships:
+            for address in addresses:
+                membership.note_watch(address, turned_away=turned_away)
+        return sum(membership.is_watcher() for membership in memberships)
+
+    assert say(first[:1], turned_away=True) == WATCHERS
+    assert say(first, turned_away=True) == WATCHERS + STAND_INS
+    assert say([one.address for one in fleet], turned_away=True) == WATCHERS + STAND_INS
+    assert say(first[1:], turned_away=False) == WATCHERS
