--- a/tests/relay/fleet/test_membership.py
+++ b/tests/relay/fleet/test_membership.py
@@ -6,7 +6,15 @@
 
 import pytest
 
-from beamhatch.relay.fleet.membership import FORGET_AFTER, OTHERS, REMEMBER_AFTER, WATCHERS, Member, Membership
+from beamhatch.relay.fleet.membership import (
+    FORGET_AFTER,
+    OTHERS,
+    REMEMBER_AFTER,
+    STAND_INS,
+    WATCHERS,
+    Member,
+    Membership,
+)
 
 HALLS = ["a", "b", "c"]
 
@@ -147,3 +155,21 @@
     assert len(membership.list_remembered(100.0)) == 5
     membership.forget_old(REMEMBER_AFTER + 50.0)
     assert membership.list_remembered(REMEMBER_AFTER + 50.0) == [fleet[1].address]
+
+
+def test_two_members_stand_in_for_watchers_that_are_all_turned_away_and_no_more() -> None:
+    fleet = [Member(f"v{number}:1", "a") for number in range(8)]
+    memberships = [join(one, fleet) for one in fleet]
+    first = [one.own.address for one in memberships if one.is_watcher()]
+    assert len(first) == WATCHERS
+
+    def say(addresses: list[str], *, turned_away: bool) -> int:
+        for membership in memberships:
+            for address in addresses:
+                membership.note_watch(address, turned_away=turned_away)
+        return sum(membership.is_watcher() for membership in memberships)
+
+    assert say(first[:1], turned_away=True) == WATCHERS
+    assert say(first, turned_away=True) == WATCHERS + STAND_INS
+    assert say([one.address for one in fleet], turned_away=True) == WATCHERS + STAND_INS
+    assert say(first[1:], turned_away=False) == WATCHERS
