--- a/tests/platform/test_cold.py
+++ b/tests/platform/test_cold.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import pytest
 
-from beamhatch.relay.choosing.cold import OpenGate
+from beamhatch.relay.choosing.cold import ColdBound, CountingGate, OpenGate
 from beamhatch.relay.mechanism import Mechanism
 from beamhatch.relay.model import UpstreamId
 from tests.support.platform import Caller, Platform, make_platform
@@ -217,3 +219,30 @@
     assert (core.listing.find_cold_until(UpstreamId("plain-0")) > platform.clock.now()) is is_cold
     callers = ask(platform, "/safe/x", 12)
     assert {caller.status for caller in callers} == ({200, 503} if is_cold else {200})
+
+
+def test_the_bound_follows_the_settings() -> None:
+    daemon = make_platform(plain=1).vms["vm1"]
+    daemon.reload(replace(daemon.settings, cold_overage=1.5, cold_slack=5.0))
+    gate = daemon.core.eligibility.gate
+    assert isinstance(gate, CountingGate)
+    assert gate.bound == ColdBound(1.5, 5.0)
+
+
+def test_a_vm_that_started_just_now_sends_one_request_a_second_as_it_may_know_few_others() -> None:
+    platform = make_platform(plain=1)
+    platform.configure(2, cold={"cold_start_s": 3.0, "cold_per_s": 16.0})
+    platform.add_vm("vm2", ["vm1:8002"])
+    platform.network.run(3.0)
+    platform.turn_cold("plain-0", 30.0)
+    platform.network.run(0.3)
+    for number in range(20):
+        platform.call("/safe/x", f"q{number}", vm="vm2")
+        platform.network.run(0.05)
+    assert count_most(platform.upstreams["plain-0"].arrived) == 1
+    platform.network.run(10.0)
+    before = len(platform.upstreams["plain-0"].arrived)
+    for number in range(20):
+        platform.call("/safe/x", f"r{number}", vm="vm2")
+        platform.network.run(0.05)
+    assert count_most(platform.upstreams["plain-0"].arrived[before:]) == 4
