--- a/src/beamhatch/relay/requests/exchange.py
+++ b/src/beamhatch/relay/requests/exchange.py
@@ -302,11 +302,14 @@
             self._refuse(step.reason, full=step.full)
             return
         now = self.core.clock.now()
-        if self._cold_since is None:
+        is_first = self._cold_since is None
+        if is_first:
             self._cold_since = now
         if now + wait < self._find_cold_limit():
-            self.core.tally.count("cold_waits_total")
-            self.write_log("waits for a cold upstream", seconds=round(wait, 3))
+            if is_first:
+                self.core.tally.count("cold_waits_total")
+                self.write_log("waits for a cold upstream", seconds=round(wait, 3))
+            self._stop_cold_timer()
             self._cold_timer = self.core.clock.call_later(wait + COLD_MARGIN, self._go_on_cold)
             return
         self.core.tally.count("cold_refusals_total")
@@ -319,6 +322,11 @@
             return self._cold_since + self.request.longest_wait
         return self._incoming.arrived + IN_TIME_SHARE * self.request.route.target_latency
 
+    def _stop_cold_timer(self) -> None:
+        timer, self._cold_timer = self._cold_timer, None
+        if timer is not None:
+            timer.cancel()
+
     def _go_on_cold(self) -> None:
         self._cold_timer = None
         self.advance()
@@ -376,9 +384,7 @@
     def _end(self) -> None:
         self._ended = True
         self._stop_timer()
-        if self._cold_timer is not None:
-            self._cold_timer.cancel()
-            self._cold_timer = None
+        self._stop_cold_timer()
         self._stop_attempt()
         self._drop_permit()
         self.leave_line()
