Keep requests in the regions that route and workspace allow

Cause: allowed regions were read and never asked for: a request went to any upstream of its service. Ruled out: one line for all who wait for decode memory: who may only run where memory is full held up who may run elsewhere. 403 for a region that the settings don't know: settings are reloaded VM by VM. Change: an exchange carries the regions that its route and workspace both allow; every plan asks by them; a new configuration reaches requests under way, and what engines hold elsewhere is given back. Nowhere to go is told at once: 503, or 403 where route and workspace allow no region in common and this VM is sure to have the newest configuration. Lines for decode memory are by service and regions. Reloads place halls anew. An empty list means no bound.

--- a/src/beamhatch/platform/documents.py
+++ b/src/beamhatch/platform/documents.py
@@ -137,6 +137,10 @@
         except _PROBLEMS as problem:
             self._journal.write("CONFIG", "unreadable", bytes=len(raw), detail=str(problem))
             return None
+        unbound = [route.name for route in read.routes if route.allowed_regions == []]
+        unbound += [tenant.name for tenant in read.tenants if tenant.allowed_regions == []]
+        if unbound:
+            self._journal.write("CONFIG", "empty list of regions taken as none", names=unbound, version=read.version)
         services = [_make_service(service) for service in read.services]
         workspaces = tuple(_make_workspace(tenant) for tenant in read.tenants)
         return make_table(read.version, routes, services, _make_limits(read.limits), workspaces)
--- a/src/beamhatch/relay/choosing/eligibility.py
+++ b/src/beamhatch/relay/choosing/eligibility.py
@@ -49,12 +49,16 @@
         """
         if self.evacuations.is_emptied(upstream.hall):
             return Obstacle.EMPTIED
-        if regions is not None and self.places.find_region(upstream.hall) not in regions:
+        if not self.lies_in(upstream, regions):
             return Obstacle.REGION
         if cold is not None and self.is_cold(upstream, cold, now) and not self.gate.may_send(upstream, cold, now):
             return Obstacle.COLD
         return None
 
+    def lies_in(self, upstream: Upstream, regions: Regions) -> bool:
+        """Tell whether an upstream is in one of the regions that a request may be served in."""
+        return regions is None or self.places.lies_in(upstream.hall, regions)
+
     def is_cold(self, upstream: Upstream, cold: ColdTerms, now: float) -> bool:
         """Tell whether an upstream is cold, or may be as its hall was taken back a moment ago."""
         returned = self.evacuations.find_return(upstream.hall)
--- a/src/beamhatch/relay/core.py
+++ b/src/beamhatch/relay/core.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import random
-from collections import defaultdict
+from collections import Counter, defaultdict
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, NamedTuple
 
 from beamhatch.relay.api import BadRequest
 from beamhatch.relay.callers.own_answer import send_error
-from beamhatch.relay.choosing.eligibility import Eligibility
+from beamhatch.relay.choosing.eligibility import Eligibility, Obstacle
 from beamhatch.relay.choosing.pace import EnginePaces, Pace
 from beamhatch.relay.choosing.peer_work import PeerWork
 from beamhatch.relay.choosing.read_times import ReadTimes
@@ -18,10 +18,10 @@
 from beamhatch.relay.engines.demand import Demand
 from beamhatch.relay.fleet.gossip_message import DemandReport
 from beamhatch.relay.mechanism import ALL_IN, Mechanism, Without
-from beamhatch.relay.model import CallerLimits, ServiceName
+from beamhatch.relay.model import CallerLimits, Regions, ServiceName
 from beamhatch.relay.places import Places
 from beamhatch.relay.requests.budget import Budget, BudgetTerms
-from beamhatch.relay.requests.exchange import RelayExchange
+from beamhatch.relay.requests.exchange import REGION_RETRY, RelayExchange
 from beamhatch.relay.requests.lengths import AnswerLengths
 from beamhatch.relay.requests.line import Line
 from beamhatch.relay.upstreams.listing import Listing
@@ -37,7 +37,8 @@
     from beamhatch.relay.callers.http_server import IncomingRequest, RequestHandler, Responder
     from beamhatch.relay.choosing.chooser import Chooser
     from beamhatch.relay.fleet.evacuations import Evacuation
-    from beamhatch.relay.model import ColdTerms, Regions, RequestFacts, Route, Service, Table, Upstream, UpstreamId
+    from beamhatch.relay.model import ColdTerms, RequestFacts, Route, Service, Table, Upstream, UpstreamId
+    from beamhatch.relay.places import RegionName
     from beamhatch.relay.upstreams.http_client import HttpClient
     from beamhatch.relay.upstreams.listing import Entry
     from beamhatch.relay.workspaces.admission import Decision
@@ -83,13 +84,20 @@
 
 @dataclass(frozen=True, slots=True)
 class _Poll:
-    """The next time that those who wait for the decode memory of a service ask for it."""
+    """The next time that those who wait in a line ask for decode memory."""
 
     due: float
     """Monotonic seconds."""
     timer: Any
 
 
+class LineKey(NamedTuple):
+    """Whose line it is. Who may be served elsewhere is not held up by those for whom there is no memory."""
+
+    service: ServiceName
+    regions: Regions
+
+
 @dataclass(frozen=True, slots=True)
 class _Place:
     """Where a request is served."""
@@ -97,6 +105,7 @@
     route: Route
     service: Service
     admitted: Admitted
+    regions: Regions
 
 
 @dataclass(frozen=True, slots=True)
@@ -144,11 +153,11 @@
     """Called when this VM's part of what an engine has to read has changed."""
     places: Places = field(default_factory=Places)
     _budgets: dict[ServiceName, Budget] = field(default_factory=dict)
-    _lines: defaultdict[ServiceName, Line[RelayExchange]] = field(default_factory=lambda: defaultdict(Line))
+    _lines: defaultdict[LineKey, Line[RelayExchange]] = field(default_factory=lambda: defaultdict(Line))
     _demands: defaultdict[ServiceName, Demand] = field(default_factory=lambda: defaultdict(Demand))
     _lengths: defaultdict[ServiceName, AnswerLengths] = field(default_factory=lambda: defaultdict(AnswerLengths))
     _read_times: defaultdict[ServiceName, ReadTimes] = field(default_factory=lambda: defaultdict(ReadTimes))
-    _polls: dict[ServiceName, _Poll] = field(default_factory=dict)
+    _polls: dict[LineKey, _Poll] = field(default_factory=dict)
     """The next poll of each line."""
     _patience: dict[str, float] = field(default_factory=dict)
     """The longest that a caller of each route would wait, in seconds."""
@@ -191,11 +200,24 @@
         self.journal.write(
             "CONFIG", "in force", version=version, before=before, source=source, routes=len(document.table.routes)
         )
+        self._report_unknown_regions(document.table)
         for exchange in list(self.exchanges):
             exchange.take_table(document.table)
         self.on_change()
         return True
 
+    def _report_unknown_regions(self, table: Table) -> None:
+        """Write a line on regions that the configuration names and the settings place no hall in."""
+        unknown = sorted(region for region in table.list_regions() if not self.places.has_any({region}))
+        if unknown:
+            self.journal.write("CONFIG", "regions without halls", regions=unknown, version=table.version)
+
+    def take_places(self, places: Places) -> None:
+        """Take changed settings of where halls lie."""
+        if places != self.places:
+            self.places = self.eligibility.places = places
+            self.journal.write("MAIN", "halls placed anew", halls=len(places.regions))
+
     def take_listing(self, news: ListingNews, source: str, *, whole: bool) -> None:
         """Take in news of upstreams.
 
@@ -224,6 +246,12 @@
         listed = self.changes.pass_over(self.listing.list_usable(service, now), now)
         return self.eligibility.list_eligible(listed, regions, self.find_cold_terms(service), now)
 
+    def count_obstacles(self, service: ServiceName, regions: Regions) -> Counter[Obstacle]:
+        """Return how many upstreams of a service each obstacle keeps a request from."""
+        now = self.clock.now()
+        listed = self.listing.list_usable(service, now)
+        return self.eligibility.count_obstacles(listed, regions, self.find_cold_terms(service), now)
+
     def find_cold_terms(self, service: ServiceName) -> ColdTerms | None:
         """Return what upstreams of a service bear while they are cold; None where that is as much as ever."""
         found = None if self.table is None else self.table.services.get(service)
@@ -317,50 +345,52 @@
 
     # --- decode memory -----------------------------------------------------------------------------------------------
 
-    def find_line(self, service: ServiceName) -> Line[RelayExchange]:
-        """Return the line for the decode memory of a service."""
-        return self._lines[service]
+    def find_line(self, service: ServiceName, regions: Regions = None) -> Line[RelayExchange]:
+        """Return the line for the decode memory of a service in some regions."""
+        return self._lines[LineKey(service, regions)]
 
     def wait_in_line(self, exchange: RelayExchange, late_at: float, *, owed: bool) -> None:
         """Let a request wait; it is asked to go on when it is its turn, or when it has waited for long enough.
 
         :param owed: whether it goes before those that came just now
         """
-        service = exchange.request.service.name
+        key = LineKey(exchange.request.service.name, exchange.request.regions)
         now = self.clock.now()
-        self.find_line(service).join(exchange, late_at, now + exchange.request.longest_wait, now, owed=owed)
-        self._poll_soon(service)
+        self._lines[key].join(exchange, late_at, now + exchange.request.longest_wait, now, owed=owed)
+        self._poll_soon(key)
 
-    def note_freed(self, service: ServiceName) -> None:
-        """Note that one of this VM's streams gave its memory back: who waits has a chance now."""
+    def note_freed(self, service: ServiceName, hall: str = "") -> None:
+        """Note that one of this VM's streams gave memory back in a hall: who waits for that has a chance now."""
         now = self.clock.now()
-        line = self.find_line(service)
-        line.note_freed(now)
-        self._poll_in(FREED_DELAY if line.has_fresh(now) else LATE_FREED_DELAY, service)
-
-    def _poll(self, service: ServiceName) -> None:
-        self._polls.pop(service, None)
-        for waiter in self.find_line(service).list_turns(self.clock.now()):
+        self.find_line(service)
+        for key, line in self._lines.items():
+            if key.service == service and (key.regions is None or self.places.lies_in(hall, key.regions)):
+                line.note_freed(now)
+                self._poll_in(FREED_DELAY if line.has_fresh(now) else LATE_FREED_DELAY, key)
+
+    def _poll(self, key: LineKey) -> None:
+        self._polls.pop(key, None)
+        for waiter in self._lines[key].list_turns(self.clock.now()):
             waiter.advance()
-        self._poll_soon(service)
+        self._poll_soon(key)
 
-    def _poll_soon(self, service: ServiceName) -> None:
+    def _poll_soon(self, key: LineKey) -> None:
         """Go on to poll as long as anybody waits, whoever leaves the line meanwhile."""
-        fresh = self.find_line(service).has_fresh(self.clock.now())
+        fresh = self._lines[key].has_fresh(self.clock.now())
         interval = POLL_INTERVAL if fresh else LATE_POLL_INTERVAL
-        self._poll_in(interval * random.uniform(0.6, 1.4), service)
+        self._poll_in(interval * random.uniform(0.6, 1.4), key)
 
-    def _poll_in(self, seconds: float, service: ServiceName) -> None:
+    def _poll_in(self, seconds: float, key: LineKey) -> None:
         """Poll after some seconds, unless a poll is due before."""
-        if not len(self.find_line(service)):
+        if not len(self._lines[key]):
             return
         due = self.clock.now() + seconds
-        pending = self._polls.get(service)
+        pending = self._polls.get(key)
         if pending is not None and pending.due <= due:
             return
         if pending is not None:
             pending.timer.cancel()
-        self._polls[service] = _Poll(due, self.clock.call_later(seconds, self._poll, service))
+        self._polls[key] = _Poll(due, self.clock.call_later(seconds, self._poll, key))
 
     # --- callers -----------------------------------------------------------------------------------------------------
 
@@ -378,7 +408,9 @@
         if place.service.engine is not None:
             answer = self.find_lengths(place.service.name).find_mean(facts)
             self.find_demand(place.service.name).note_prompt(facts.prompt_tokens, answer, self.clock.now())
-        exchange = RelayExchange(self, incoming, responder, facts, place.route, place.service, place.admitted)
+        exchange = RelayExchange(
+            self, incoming, responder, facts, place.route, place.service, place.admitted, place.regions
+        )
         self.exchanges.add(exchange)
         exchange.start()
         return exchange
@@ -397,9 +429,32 @@
         if service is None:
             return _Refusal(503, "the route's service is not configured", UNREADY_RETRY)
         decision = self.admission.decide(facts, route, table, self.clock.now())
-        if isinstance(decision, Admitted):
-            return _Place(route, service, decision)
-        return _make_refusal(decision, table.version)
+        if not isinstance(decision, Admitted):
+            return _make_refusal(decision, table.version)
+        regions = table.find_regions(route, decision.workspace)
+        refusal = None if regions is None else self._refuse_by_regions(regions, table.version)
+        if refusal is not None:
+            self.admission.give_back(decision, self.clock.now())
+        return refusal or _Place(route, service, decision, regions)
+
+    def _refuse_by_regions(self, regions: frozenset[RegionName], version: int) -> _Refusal | None:
+        """Return how a request is refused that no hall may serve, or None where one may.
+
+        403 is told only where nothing but another configuration can mend it and this VM is sure to have the newest:
+        a 4xx to a request that another version allows is worse than a repeat.
+        """
+        if regions and self.places.has_any(regions):
+            return None
+        if regions:
+            self.tally.count("residency_refusals_total", "no_hall")
+            named = ", ".join(sorted(regions))
+            return _Refusal(503, f"the settings place no hall in an allowed region ({named})", REGION_RETRY)
+        detail = f"route and workspace allow no region in common, by version {version}"
+        if self.admission.may_be_behind():
+            self.tally.count("residency_refusals_total", "maybe_never")
+            return _Refusal(503, f"{detail}, and there may be a newer one", BEHIND_RETRY)
+        self.tally.count("residency_refusals_total", "never")
+        return _Refusal(403, detail)
 
     def is_return(self, route: Route, time_left: float | None) -> bool:
         """Tell whether a caller seems to have asked before: others of its route began with clearly more time."""
--- a/src/beamhatch/relay/daemon.py
+++ b/src/beamhatch/relay/daemon.py
@@ -186,8 +186,9 @@
         return int(self._caller_port.getHost().port)
 
     def reload(self, settings: RelaySettings) -> None:
-        """Take changed settings as far as a running process can: bounds and seeds."""
+        """Take changed settings as far as a running process can: bounds, seeds and where halls lie."""
         self.core.terms.budget = settings.budget
+        self.core.take_places(settings.places)
         if self.core.admission.share is not None:
             self.core.admission.share.take_terms(settings.quota)
         if self._gossip is not None:
--- a/src/beamhatch/relay/model.py
+++ b/src/beamhatch/relay/model.py
@@ -8,7 +8,7 @@
 from typing import NewType
 
 from beamhatch.relay.places import RegionName
-from beamhatch.relay.workspaces.workspace import KeyDigest, Workspace
+from beamhatch.relay.workspaces.workspace import KeyDigest, Workspace, WorkspaceName
 
 UpstreamId = NewType("UpstreamId", str)
 """Identity of one start of an upstream; a restarted upstream has another one."""
@@ -20,6 +20,13 @@
 """The regions in which something may be served, cached and kept; None where it may be in any."""
 
 
+def intersect_regions(one: Regions, other: Regions) -> Regions:
+    """Return the regions that two bounds both allow."""
+    if one is None or other is None:
+        return other if one is None else one
+    return one & other
+
+
 class RouteKind(Enum):
     """How often a request of a route may run."""
 
@@ -170,6 +177,7 @@
     workspaces: tuple[Workspace, ...] = ()
     """Whose requests are taken; where there are none, requests need no key."""
     by_key: dict[KeyDigest, Workspace] = field(default_factory=dict, compare=False, repr=False)
+    by_name: dict[WorkspaceName, Workspace] = field(default_factory=dict, compare=False, repr=False)
 
     @property
     def has_quotas(self) -> bool:
@@ -180,6 +188,21 @@
         """Return the workspace that has a key, or None."""
         return None if key is None else self.by_key.get(key)
 
+    def find_regions(self, route: Route, workspace: WorkspaceName | None, before: Regions = None) -> Regions:
+        """Return where a request may be served: in the regions that its route and its workspace both allow.
+
+        :param before: what holds for a workspace that is not in this table: its absence must not widen anything
+        """
+        if workspace is None:
+            return route.regions
+        found = self.by_name.get(workspace)
+        return intersect_regions(route.regions, before if found is None else found.regions)
+
+    def list_regions(self) -> set[RegionName]:
+        """Return all regions that routes and workspaces name."""
+        bounds = [*(route.regions for route in self.routes), *(one.regions for one in self.workspaces)]
+        return {region for bound in bounds if bound is not None for region in bound}
+
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix of a path (without query), or None."""
         for route in self.by_host.get(host, ()):
@@ -203,8 +226,9 @@
         host: tuple(sorted(found, key=lambda route: len(route.prefix), reverse=True)) for host, found in by_host.items()
     }
     by_key = {key: workspace for workspace in workspaces for key in workspace.keys}
-    by_name = {service.name: service for service in services}
-    return Table(version, tuple(routes), by_name, limits, ordered, workspaces, by_key)
+    by_name = {workspace.name: workspace for workspace in workspaces}
+    by_service = {service.name: service for service in services}
+    return Table(version, tuple(routes), by_service, limits, ordered, workspaces, by_key, by_name)
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/beamhatch/relay/places.py
+++ b/src/beamhatch/relay/places.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING, NewType
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Collection, Mapping
 
 RegionName = NewType("RegionName", str)
 """Name of a region, a set of halls near each other."""
@@ -35,6 +35,14 @@
         """Return the region of a hall."""
         return self.regions.get(hall, EVERYWHERE)
 
+    def lies_in(self, hall: str, regions: Collection[RegionName]) -> bool:
+        """Tell whether a hall is known to be in one of some regions; of one that the settings don't place, none is."""
+        return self.regions.get(hall) in regions
+
+    def has_any(self, regions: Collection[RegionName]) -> bool:
+        """Tell whether the settings place any hall in one of some regions."""
+        return any(region in regions for region in self.regions.values())
+
     def knows(self, hall: str) -> bool:
         """Tell whether the settings place a hall; where they place none, all are known."""
         return not self.regions or hall in self.regions
--- a/src/beamhatch/relay/requests/exchange.py
+++ b/src/beamhatch/relay/requests/exchange.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import random
+from dataclasses import replace
 from typing import TYPE_CHECKING, Any
 
 from beamhatch.relay.api import SendTerms
 from beamhatch.relay.callers.headers import strip_hop_by_hop
 from beamhatch.relay.callers.http_server import RequestHandler
 from beamhatch.relay.callers.own_answer import send_error
+from beamhatch.relay.choosing.eligibility import Obstacle
 from beamhatch.relay.mechanism import Mechanism
 from beamhatch.relay.model import RouteKind, Stage
 from beamhatch.relay.requests.answer import PROMISES, WholeAnswer
@@ -23,7 +25,8 @@
 if TYPE_CHECKING:
     from beamhatch.relay.callers.http_server import IncomingRequest, Responder
     from beamhatch.relay.core import Core
-    from beamhatch.relay.model import RequestFacts, Route, Service, Table, Upstream
+    from beamhatch.relay.model import Regions, RequestFacts, Route, Service, Table, Upstream
+    from beamhatch.relay.requests.line import Line
     from beamhatch.relay.upstreams.http_client import Head
     from beamhatch.relay.workspaces.admission import Admitted
 
@@ -57,6 +60,12 @@
 TIMED_OUT_STATUS = 504
 """Status of a request that may have run and whose time is over."""
 
+REGION_RETRY = 1.0
+"""Seconds after which a caller may come back where no upstream in an allowed region can serve it.
+
+An upstream restarts in 2 s, and a caller comes back for a third of the time it has left: about 4 s of 14 s.
+"""
+
 FRESH_IDLE = 1.0
 """Seconds that a kept connection may have been idle for a request that may not be sent twice."""
 
@@ -73,6 +82,7 @@
         route: Route,
         service: Service,
         admitted: Admitted,
+        regions: Regions = None,
     ) -> None:
         self.core = core
         self._admitted = admitted
@@ -86,6 +96,7 @@
             answer_room=0 if service.engine is None else core.find_lengths(service.name).find_room(facts),
             reserves=Mechanism.RESERVATIONS not in core.without,
             late_at=late_at,
+            regions=regions,
         )
         self._incoming = incoming
         self._responder = responder
@@ -110,8 +121,7 @@
         self._set_timer()
         if self._ended:
             return
-        line = self.core.find_line(self.request.service.name)
-        if self.request.split and line.has_fresh(self.core.clock.now()):
+        if self.request.split and self._line.has_fresh(self.core.clock.now()) and self._list_usable():
             self._wait_in_line()
         else:
             self.advance()
@@ -124,9 +134,33 @@
 
     def _plan(self, now: float) -> Step:
         request = self.request
+        self._let_go_of_forbidden()
         budget = self.core.find_budget(request.service.name)
-        usable = self.core.list_usable(request.service.name)
-        return request.plan(usable, self.core.chooser, budget, self.core.vms, now)
+        step = request.plan(self._list_usable(), self.core.chooser, budget, self.core.vms, now)
+        if isinstance(step, Refuse) and not step.full and request.regions is not None:
+            return self._explain_by_regions(step, request.regions, now)
+        return step
+
+    @property
+    def _line(self) -> Line[RelayExchange]:
+        """Return the line in which it waits, where it has to."""
+        return self.core.find_line(self.request.service.name, self.request.regions)
+
+    def _list_usable(self) -> list[Upstream]:
+        return self.core.list_usable(self.request.service.name, self.request.regions)
+
+    def _explain_by_regions(self, step: Refuse, regions: Regions, now: float) -> Refuse:
+        """Return a refusal as it is told where upstreams in other regions might have served the request."""
+        obstacles = self.core.count_obstacles(self.request.service.name, regions)
+        if not obstacles[Obstacle.REGION]:
+            return step
+        self.core.tally.count("residency_refusals_total", "not_now")
+        self.write_log(
+            "kept in its regions",
+            regions=sorted(regions or ()),
+            **{obstacle.name.lower(): count for obstacle, count in obstacles.items()},
+        )
+        return replace(step, reason=f"{step.reason} in the allowed regions", retry_after=REGION_RETRY)
 
     def _carry_out(self, step: Step) -> None:
         if isinstance(step, Send):
@@ -136,7 +170,7 @@
         elif isinstance(step, Wait):
             self._wait_in_line()
         elif isinstance(step, Refuse):
-            self._refuse(step.reason, full=step.full)
+            self._refuse(step.reason, full=step.full, retry_after=step.retry_after)
         else:
             self._fail(step)
 
@@ -168,7 +202,7 @@
         """Wait for decode memory behind those that came before, or give up at once where too many wait."""
         now = self.core.clock.now()
         in_time = self.request.route.target_latency * IN_TIME_SHARE
-        line = self.core.find_line(self.request.service.name)
+        line = self._line
         if Mechanism.LINE in self.core.without and not self.request.begun:
             self._carry_out(self.request.refuse_full())
             return
@@ -263,8 +297,9 @@
         if self.request.route.idempotent or answer.head.status not in PROMISES:
             self._failure = answer
 
-    def _refuse(self, reason: str, *, full: bool = False) -> None:
-        retry_after = self._predict_memory() if full else RETRY_AFTER_SHARE * self.request.route.target_latency
+    def _refuse(self, reason: str, *, full: bool = False, retry_after: float | None = None) -> None:
+        if retry_after is None:
+            retry_after = self._predict_memory() if full else RETRY_AFTER_SHARE * self.request.route.target_latency
         self._answer(503, reason, round(max(SHORTEST_RETRY, retry_after), 2))
 
     def _predict_memory(self) -> float:
@@ -344,6 +379,18 @@
             self._call(request.reservation.upstream, self.core.dialect.make_unreserve(request.reservation))
             request.reservation = None
 
+    def _let_go_of_forbidden(self) -> None:
+        """Free what engines hold for the request where it may no longer be served."""
+        request = self.request
+        lies_in = self.core.eligibility.lies_in
+        handle, reservation = request.handle, request.reservation
+        if handle is not None and not lies_in(handle.upstream, request.regions):
+            self._call(handle.upstream, self.core.dialect.make_release(handle))
+            request.note_handle_spent()
+        if reservation is not None and not lies_in(reservation.upstream, request.regions):
+            self._call(reservation.upstream, self.core.dialect.make_unreserve(reservation))
+            request.reservation = None
+
     def _call(self, upstream: Upstream, call: Call) -> None:
         self.write_log("given back", target=call.target, to=upstream.id)
         self.core.client.open(upstream.address, call, DropSink())
@@ -364,7 +411,7 @@
         """Wait no longer: there is decode memory, or the request has ended."""
         if self._in_line:
             self._in_line = False
-            self.core.find_line(self.request.service.name).leave(self)
+            self._line.leave(self)
 
     def note_memory(self) -> None:
         """Note that the request has decode memory from now on, until its end."""
@@ -403,14 +450,29 @@
             self._attempt.go_on()
 
     def take_table(self, table: Table) -> None:
-        """Take the times of a new configuration for a request that is under way."""
+        """Take the times and regions of a new configuration for a request that is under way."""
         route = table.find_route(self._incoming.host, self._incoming.path)
-        if route is None or self._ended or route.timeout == self.request.route.timeout:
+        if route is None or self._ended:
+            return
+        self._take_regions(table.find_regions(route, self._admitted.workspace, self.request.regions), table.version)
+        if self._ended or route.timeout == self.request.route.timeout:
             return
         self.write_log("timeout changed", timeout=route.timeout, version=table.version)
         self.request.take_route(route)
         self._set_timer()
 
+    def _take_regions(self, regions: Regions, version: int) -> None:
+        """Take new bounds: what is held elsewhere is given back, a run under way ends in place."""
+        if regions == self.request.regions:
+            return
+        self.write_log("regions changed", regions=None if regions is None else sorted(regions), version=version)
+        waited = self._in_line
+        self.leave_line()
+        self.request.take_regions(regions)
+        self._let_go_of_forbidden()
+        if waited:
+            self.advance()
+
     def _set_timer(self) -> None:
         self._stop_timer()
         left = self.limit - self.core.clock.now()
--- a/src/beamhatch/relay/requests/request.py
+++ b/src/beamhatch/relay/requests/request.py
@@ -14,7 +14,7 @@
 
 if TYPE_CHECKING:
     from beamhatch.relay.choosing.chooser import Chooser
-    from beamhatch.relay.model import RequestFacts, Route, Service
+    from beamhatch.relay.model import Regions, RequestFacts, Route, Service
     from beamhatch.relay.requests.budget import Budget
 
 MOST_SENDS = 6
@@ -71,6 +71,8 @@
     reason: str
     full: bool = False
     """True where the upstreams are full, so that an early return would find them so again."""
+    retry_after: float | None = None
+    """Seconds after which to come back, where this is known better than by the route."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -103,6 +105,8 @@
     """True once a part of the answer is with the caller."""
     answer_room: int = 0
     """Tokens that are set aside for the answer beside the prompt."""
+    regions: Regions = None
+    """Where it may be served."""
     reserves: bool = True
     """False where decode memory is not to be set aside."""
     late_at: float = float("inf")
@@ -336,6 +340,11 @@
         """Take the route's new terms."""
         self.route = route
 
+    def take_regions(self, regions: Regions) -> None:
+        """Take new bounds on where it may be served, and ask the engines there anew for memory."""
+        self.regions = regions
+        self._full.clear()
+
     def note_event(self, event: int | None) -> None:
         """Note that the caller has a stream up to an event."""
         self.last_event = event
--- a/tests/support/platform.py
+++ b/tests/support/platform.py
@@ -18,6 +18,7 @@
 from beamhatch.relay.daemon import Daemon, RelaySettings
 from beamhatch.relay.mechanism import ALL_IN, Without
 from beamhatch.relay.model import Address
+from beamhatch.relay.places import Places
 from beamhatch.relay.requests.budget import BudgetTerms
 from beamhatch.relay.upstreams.http_client import HttpClient
 from beamhatch.relay.workspaces.quota import QuotaTerms
@@ -204,6 +205,8 @@
     network: Network = field(default_factory=Network)
     ledger: Ledger = field(default_factory=Ledger)
     upstreams: dict[str, StandInUpstream] = field(default_factory=dict)
+    halls: dict[str, str] = field(default_factory=dict)
+    """The hall of each upstream."""
     vms: dict[str, Daemon] = field(default_factory=dict)
     journals: dict[str, MemoryJournal] = field(default_factory=dict)
 
@@ -222,33 +225,34 @@
         """Have the operators write a configuration."""
         self.store.put("op/config", make_configuration(version, routes, workspaces))
 
-    def add_plain(self, name: str) -> StandInUpstream:
+    def add_plain(self, name: str, hall: str = "hall-a") -> StandInUpstream:
         """Start and list a plain service's replica."""
         upstream = StandInUpstream(self.clock, Address(f"host-{name}", 80), name, self.ledger)
-        self._add(name, upstream, PLAIN)
+        self._add(name, upstream, PLAIN, hall)
         return upstream
 
-    def add_engine(self, name: str, phase: str, kv_tokens: int = 60_000) -> StandInEngine:
+    def add_engine(self, name: str, phase: str, kv_tokens: int = 60_000, hall: str = "hall-a") -> StandInEngine:
         """Start and list an engine."""
         engine = StandInEngine(self.clock, Address(f"host-{name}", 80), name, self.ledger, phase, kv_tokens)
-        self._add(name, engine, MODEL)
+        self._add(name, engine, MODEL, hall)
         engine.on_phase = lambda: self.list_again(name)
         return engine
 
     def list_again(self, name: str) -> None:
         """Have an upstream write its entry anew."""
         service = MODEL if isinstance(self.upstreams[name], StandInEngine) else PLAIN
-        self.store.put(f"servers/{name}", self.upstreams[name].describe(service, "hall-a"))
+        self.store.put(f"servers/{name}", self.upstreams[name].describe(service, self.halls[name]))
 
-    def _add(self, name: str, upstream: StandInUpstream, service: str) -> None:
+    def _add(self, name: str, upstream: StandInUpstream, service: str, hall: str) -> None:
         upstream.start()
         self.upstreams[name] = upstream
-        self.store.put(f"servers/{name}", upstream.describe(service, "hall-a"))
+        self.halls[name] = hall
+        self.store.put(f"servers/{name}", upstream.describe(service, hall))
 
     def drain(self, name: str) -> None:
         """Have an upstream say that it leaves."""
         service = MODEL if isinstance(self.upstreams[name], StandInEngine) else PLAIN
-        self.store.put(f"servers/{name}", self.upstreams[name].describe(service, "hall-a", "draining"))
+        self.store.put(f"servers/{name}", self.upstreams[name].describe(service, self.halls[name], "draining"))
 
     def add_vm(
         self,
@@ -257,6 +261,7 @@
         hall: str = "hall-a",
         without: Without = ALL_IN,
         quota: QuotaTerms | None = None,
+        places: Places | None = None,
     ) -> Daemon:
         """Start a VM's relay."""
         settings = RelaySettings(
@@ -271,6 +276,7 @@
             quota=quota or QuotaTerms(),
             peer_address=Address(name, 8002),
             seeds=seeds or [],
+            places=places or Places(),
             without=without,
         )
         journal = self.journals[name] = MemoryJournal(self.clock)
