Measure halls once a choice, and hold what a request tells the chooser

Cause: distance was asked for each upstream and each choice, which doubled what choosing a prefill engine took; and mutants of what RelayRequest tells (cache, bytes, refusals) and of reloaded places passed all tests. Change: costs are worked out once a hall, distances remembered, near ones drawn from a random start in place of samples. Tests of what a request needs, of the body's bytes and of reloaded places.

--- a/src/beamhatch/relay/choosing/chooser.py
+++ b/src/beamhatch/relay/choosing/chooser.py
@@ -158,11 +158,15 @@
             return None
         home = max(candidates, key=lambda one: hash_fraction(f"{need.identity}/{one.id}"))
 
+        def count_place(hall: str) -> float:
+            way = self.distances.count_way(hall, need.body_bytes)
+            return way + self.distances.count_move(hall, decode_hall, need.cache)
+
+        places = {hall: count_place(hall) for hall in {one.hall for one in candidates}}
+
         def count_cost(one: Upstream) -> float:
             gain = self._session_gain if one is home else 0.0
-            way = self.distances.count_way(one.hall, need.body_bytes)
-            move = self.distances.count_move(one.hall, decode_hall, need.cache)
-            return self.predict_prefill(one, need, now) + way + move - gain
+            return self.predict_prefill(one, need, now) + places[one.hall] - gain
 
         return min(candidates, key=count_cost)
 
@@ -200,7 +204,7 @@
         """Return the decode engine with the least work, near the VM and the handle where that costs nothing."""
         candidates: Sequence[Upstream] = self._draw(usable, Phase.DECODE, tried, now, self.hall)
         find_region = self.distances.places.find_region
-        refusals = Counter(find_region(hall) for hall in need.refused_halls) if self._spills else Counter()
+        refusals = Counter(find_region(hall) for hall in need.refused_halls)
         if self._spills:
             refused = set(need.refused_halls)
             candidates = self._spill.narrow(
@@ -209,15 +213,21 @@
                 lambda one: 1.0 if one.hall in refused else self._count_load(one, now),
             )
 
+        def count_place(hall: str) -> float:
+            cost = self.distances.count_way(hall, need.body_bytes + need.answer_bytes)
+            if handle is not None:
+                cost += self.distances.count_move(handle.upstream.hall, hall, need.cache)
+            if refusals and self._spills:
+                cost += self._spill.count_cost(find_region(hall), refusals)
+            return cost
+
+        places = {hall: count_place(hall) for hall in {one.hall for one in candidates}}
+
         def count_cost(one: Upstream) -> float:
             standing = self.standings.get(one.id)
             running = standing.running + standing.count_others(now)
-            far = self.distances.count_way(one.hall, need.body_bytes + need.answer_bytes)
-            if handle is not None:
-                far += self.distances.count_move(handle.upstream.hall, one.hall, need.cache)
-            far += self._spill.count_cost(find_region(one.hall), refusals)
             full = FULL_COST if standing.tokens + need.tokens > KV_FILL * kv_tokens else 0.0
-            return running * DECODE_STEP_COST + far + full + self._count_faults(standing, now)
+            return running * DECODE_STEP_COST + places[one.hall] + full + self._count_faults(standing, now)
 
         return min(candidates, key=count_cost, default=None)
 
@@ -229,13 +239,13 @@
     def choose_plain(self, usable: Sequence[Upstream], tried: set[UpstreamId], now: float) -> Upstream | None:
         """Return the replica with the shortest predicted time."""
         candidates = self._draw(usable, None, tried, now, self.hall)
+        places = {hall: self.distances.count_way(hall, PLAIN_BYTES) for hall in {one.hall for one in candidates}}
 
         def count_cost(one: Upstream) -> float:
             standing = self.standings.get(one.id)
             running = standing.running + standing.count_others(now)
             latency = standing.latency or FIRST_LATENCY
-            far = self.distances.count_way(one.hall, PLAIN_BYTES)
-            return latency * (1 + running / max(1, one.slots)) + far + self._count_faults(standing, now)
+            return latency * (1 + running / max(1, one.slots)) + places[one.hall] + self._count_faults(standing, now)
 
         return min(candidates, key=count_cost, default=None)
 
@@ -254,15 +264,19 @@
     def _draw_near(self, fitting: list[Upstream], hall: str) -> list[Upstream]:
         """Return some from near a hall and some from anywhere, so that far ones are known when near ones are full."""
         measure = self.distances.places.measure
+        distances = {found: measure(hall, found) for found in {one.hall for one in fitting}}
         rings: dict[Distance, list[Upstream]] = {distance: [] for distance in Distance}
         for one in fitting:
-            rings[measure(hall, one.hall)].append(one)
+            rings[distances[one.hall]].append(one)
         drawn: list[Upstream] = []
+        rest = rings[Distance.OTHER_REGION]
         for distance, most in NEAR_DRAWN.items():
             ring = rings[distance]
-            drawn += random.sample(ring, min(len(ring), most - len(drawn)))
-        taken = {one.id for one in drawn}
-        rest = [one for one in fitting if one.id not in taken]
+            wanted = most - len(drawn)
+            first = random.randrange(len(ring)) if len(ring) > wanted else 0
+            turned = ring[first:] + ring[:first]
+            drawn += turned[:wanted]
+            rest += turned[wanted:]
         return drawn + random.sample(rest, LOOKED_AT - len(drawn))
 
     def _fit(
--- a/src/beamhatch/relay/places.py
+++ b/src/beamhatch/relay/places.py
@@ -30,6 +30,8 @@
 
     regions: Mapping[str, RegionName] = field(default_factory=dict)
     """The region of each hall."""
+    _measured: dict[tuple[str, str], Distance] = field(default_factory=dict, compare=False, repr=False)
+    """What was measured before: choices ask for dozens of halls each, and there are few."""
 
     def find_region(self, hall: str) -> RegionName:
         """Return the region of a hall."""
@@ -49,6 +51,12 @@
 
     def measure(self, hall: str, other: str) -> Distance:
         """Return how far two halls are from each other."""
+        found = self._measured.get((hall, other))
+        if found is None:
+            found = self._measured[hall, other] = self._measure(hall, other)
+        return found
+
+    def _measure(self, hall: str, other: str) -> Distance:
         if hall == other:
             return Distance.SAME_HALL
         same = self.find_region(hall) == self.find_region(other)
--- a/tests/platform/test_residency.py
+++ b/tests/platform/test_residency.py
@@ -9,7 +9,7 @@
 
 from beamhatch.platform.standin.upstream import StandInEngine
 from beamhatch.relay.model import ServiceName
-from beamhatch.relay.places import Places, RegionName
+from beamhatch.relay.places import Distance, Places, RegionName
 from beamhatch.relay.workspaces.admission import Admission, Admitted
 from tests.support.platform import MODEL, PLAIN, Platform, make_request, make_route, make_workspace
 
@@ -352,3 +352,6 @@
     reload(platform.vms["vm1"], Places({"hall-a": WEST, "hall-b": RegionName("south")}))
     assert platform.finish(platform.call("/safe/x", "q2")).status == 200
     assert list_asked(platform, "q2") == {"plain-east"}
+    assert platform.vms["vm1"].core.chooser.distances.measure("hall-b") is Distance.OTHER_REGION
+    reload(platform.vms["vm1"], Places({"hall-a": WEST, "hall-b": WEST}))
+    assert platform.vms["vm1"].core.chooser.distances.measure("hall-b") is Distance.SAME_REGION
--- a/tests/platform/test_spilling.py
+++ b/tests/platform/test_spilling.py
@@ -76,3 +76,12 @@
     platform.network.run_until(lambda: all(listing.find(UpstreamId(name)) for name in names))
     assert platform.finish(platform.call(path, "q2")).status == 200
     assert not list_spills(platform, "q2")
+
+
+def test_the_bytes_of_a_body_count_for_where_it_goes() -> None:
+    platform = make_world()
+    caller = platform.call("/stream/x", "q", body=b"x" * 300)
+    platform.network.run(0.02)
+    [exchange] = platform.vms["vm1"].core.exchanges
+    assert exchange.request.need.body_bytes == 300
+    assert platform.finish(caller).status == 200
