--- a/src/beamhatch/relay/choosing/spill.py
+++ b/src/beamhatch/relay/choosing/spill.py
@@ -15,9 +15,6 @@
 DOUBT = 2.0
 """Engines that are thought to have had memory before any was asked: two refusals make the next one as likely as not."""
 
-RING_LOAD = 0.85
-"""Share of the places of a ring that are taken, as far as they are known, from which on the next one is looked at."""
-
 IsNear = Callable[[str], bool]
 """Tells whether a hall is in the VM's region."""
 
@@ -74,23 +71,3 @@
         """Return the chance that the region's next engine refuses as well, times what asking in vain costs."""
         refused = refusals.get(region, 0)
         return VAIN_COST * refused / (refused + DOUBT)
-
-
-class RingSpill(Spill):
-    """Own hall, own region, others: the next ring is looked at when the nearer ones are loaded beyond a threshold."""
-
-    def narrow(
-        self, drawn: Sequence[Upstream], measure: Callable[[str], Distance], count_load: CountLoad
-    ) -> Sequence[Upstream]:
-        """Return the engines of the nearest rings, up to the first that has room."""
-        chosen: list[Upstream] = []
-        for ring in Distance:
-            found = [one for one in drawn if measure(one.hall) is ring]
-            chosen += found
-            if found and sum(map(count_load, found)) < RING_LOAD * len(found):
-                break
-        return chosen
-
-    def count_cost(self, region: RegionName, refusals: dict[RegionName, int]) -> float:
-        """Return nothing: the rings decide."""
-        return 0.0
--- a/tests/relay/choosing/spill_play.py
+++ b/tests/relay/choosing/spill_play.py
@@ -14,6 +14,7 @@
 from typing import TYPE_CHECKING
 
 from beamhatch.relay.choosing.chooser import LeastCost, Need
+from beamhatch.relay.choosing.spill import CountLoad, Spill
 from beamhatch.relay.choosing.standing import Load, Standings
 from beamhatch.relay.mechanism import ALL_IN, Without
 from beamhatch.relay.model import Address, Phase, ServiceName, Upstream, UpstreamId
@@ -21,9 +22,7 @@
 from beamhatch.relay.requests.request import RESERVE_TRIES
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
-    from beamhatch.relay.choosing.spill import Spill
+    from collections.abc import Callable, Sequence
 
 REGIONS = {f"{region}{hall}": RegionName(region) for region in "xyz" for hall in "12"}
 PLACES = Places(REGIONS)
@@ -45,6 +44,30 @@
 NEED = Need("p", 5000, 5070, answer_bytes=70 * 150)
 
 
+RING_LOAD = 0.85
+"""Share of the places of a ring that are taken, as far as they are known, from which on the next one is looked at."""
+
+
+class RingSpill(Spill):
+    """Own hall, own region, others: the next ring is looked at when the nearer ones are loaded beyond a threshold."""
+
+    def narrow(
+        self, drawn: Sequence[Upstream], measure: Callable[[str], Distance], count_load: CountLoad
+    ) -> Sequence[Upstream]:
+        """Return the engines of the nearest rings, up to the first that has room."""
+        chosen: list[Upstream] = []
+        for ring in Distance:
+            found = [one for one in drawn if measure(one.hall) is ring]
+            chosen += found
+            if found and sum(map(count_load, found)) < RING_LOAD * len(found):
+                break
+        return chosen
+
+    def count_cost(self, region: RegionName, refusals: dict[RegionName, int]) -> float:
+        """Return nothing: the rings decide."""
+        return 0.0
+
+
 @dataclass
 class Count:
     """What became of the requests of one play."""
--- a/tests/relay/choosing/test_spill.py
+++ b/tests/relay/choosing/test_spill.py
@@ -7,12 +7,12 @@
 import pytest
 
 from beamhatch.relay.choosing.chooser import LOOKED_AT, LeastCost
-from beamhatch.relay.choosing.spill import PredictedSpill, RingSpill
+from beamhatch.relay.choosing.spill import PredictedSpill
 from beamhatch.relay.choosing.standing import Standings
 from beamhatch.relay.mechanism import ALL_IN, Mechanism, Without
 from beamhatch.relay.model import Address, Phase, ServiceName, Upstream, UpstreamId
 from beamhatch.relay.places import Distance
-from tests.relay.choosing.spill_play import PLACES, REGIONS, Play
+from tests.relay.choosing.spill_play import PLACES, REGIONS, Play, RingSpill
 
 LENGTH, BEGIN, END = 12.0, 3.0, 9.0
 """Seconds of a play, and from when to when one region is in trouble."""
