Join residency, distance and spill with evacuations and cold upstreams

What engines hold for a request is given back at one place, whatever keeps it from being sent there. Where only upstreams of allowed regions lack, the refusal says so; where one of them is cold, the request waits for it.

--- a/src/beamhatch/relay/choosing/eligibility.py
+++ b/src/beamhatch/relay/choosing/eligibility.py
@@ -49,10 +49,14 @@
         """
         if self.evacuations.is_emptied(upstream.hall):
             return Obstacle.EMPTIED
-        if regions is not None and self.places.find_region(upstream.hall) not in regions:
+        if not self.lies_in(upstream, regions):
             return Obstacle.REGION
         return Obstacle.COLD if self.is_shut(upstream, cold, now) else None
 
+    def lies_in(self, upstream: Upstream, regions: Regions) -> bool:
+        """Tell whether an upstream is in one of the regions that a request may be served in."""
+        return regions is None or self.places.lies_in(upstream.hall, regions)
+
     def is_cold(self, upstream: Upstream, cold: ColdTerms, now: float) -> bool:
         """Tell whether an upstream is cold, or may be as its hall was taken back a moment ago."""
         return now < self.find_cold_until(upstream, cold)
--- a/src/beamhatch/relay/requests/exchange.py
+++ b/src/beamhatch/relay/requests/exchange.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from dataclasses import replace
 from typing import TYPE_CHECKING, Any
 
 from beamhatch.relay.api import SendTerms
@@ -10,8 +11,10 @@
 from beamhatch.relay.callers.http_server import RequestHandler
 from beamhatch.relay.callers.own_answer import send_error
 from beamhatch.relay.choosing.eligibility import Obstacle
+from beamhatch.relay.choosing.spill import SpillReason, find_reason
 from beamhatch.relay.mechanism import Mechanism
 from beamhatch.relay.model import Phase, RouteKind, Stage
+from beamhatch.relay.places import Distance
 from beamhatch.relay.requests.answer import PROMISES, WholeAnswer
 from beamhatch.relay.requests.request import Fail, Refuse, RelayRequest, Reserve, Send, Step, Wait
 from beamhatch.relay.upstreams.attempt import Attempt, DropSink
@@ -25,7 +28,8 @@
     from beamhatch.relay.callers.http_server import IncomingRequest, Responder
     from beamhatch.relay.choosing.cold import Permit
     from beamhatch.relay.core import Core
-    from beamhatch.relay.model import RequestFacts, Route, Service, Table, Upstream
+    from beamhatch.relay.model import Regions, RequestFacts, Route, Service, Table, Upstream
+    from beamhatch.relay.requests.line import Line
     from beamhatch.relay.upstreams.http_client import Head
     from beamhatch.relay.workspaces.admission import Admitted
 
@@ -50,9 +54,6 @@
 LONGEST_RETRY_SHARE = 0.33
 """Share of the caller's time left after which it is told to come back at the latest: it would not wait for longer."""
 
-SHUT_RETRY = 2.0
-"""Seconds after which a caller may come back where nothing may be sent anywhere: an operator has to act first."""
-
 SHORTEST_RETRY = 0.15
 """Seconds after which a caller may come back at the earliest: time for another VM to learn what this one did."""
 
@@ -65,6 +66,12 @@
 TIMED_OUT_STATUS = 504
 """Status of a request that may have run and whose time is over."""
 
+REGION_RETRY = 1.0
+"""Seconds after which a caller may come back where no upstream in an allowed region can serve it.
+
+An upstream restarts in 2 s, and a caller comes back for a third of the time it has left: about 4 s of 14 s.
+"""
+
 FRESH_IDLE = 1.0
 """Seconds that a kept connection may have been idle for a request that may not be sent twice."""
 
@@ -81,6 +88,7 @@
         route: Route,
         service: Service,
         admitted: Admitted,
+        regions: Regions = None,
     ) -> None:
         self.core = core
         self._admitted = admitted
@@ -94,6 +102,8 @@
             answer_room=0 if service.engine is None else core.find_lengths(service.name).find_room(facts),
             reserves=Mechanism.RESERVATIONS not in core.without,
             late_at=late_at,
+            regions=regions,
+            body_bytes=len(incoming.body),
         )
         self._incoming = incoming
         self._responder = responder
@@ -123,8 +133,7 @@
         self._set_timer()
         if self._ended:
             return
-        line = self.core.find_line(self.request.service.name)
-        if self.request.split and line.has_fresh(self.core.clock.now()):
+        if self.request.split and self._line.has_fresh(self.core.clock.now()) and self._list_usable():
             self._wait_in_line()
         else:
             self.advance()
@@ -138,31 +147,60 @@
     def _plan(self, now: float) -> Step:
         request = self.request
         service = request.service.name
-        self._let_go_of_shut_memory()
-        usable = self.core.list_usable(service)
+        self._let_go_of_shut()
+        usable = self._list_usable()
         answering = any(one.phase is not Phase.PREFILL for one in usable)
-        lack = None if answering else self.core.find_lack(service)
+        lack = None if answering else self.core.find_lack(service, request.regions)
         if lack is not None:
             self.core.tally.count("shut_total", lack.name.lower())
-            return request.refuse_shut(f"nothing may be sent to any upstream: {lack.value}")
-        return request.plan(usable, self.core.chooser, self.core.find_budget(service), self.core.vms, now)
+            step = request.refuse_shut(f"nothing may be sent to any upstream: {lack.value}")
+        else:
+            step = request.plan(usable, self.core.chooser, self.core.find_budget(service), self.core.vms, now)
+        if isinstance(step, Refuse) and not step.full and request.regions is not None:
+            return self._explain_by_regions(step, request.regions)
+        return step
+
+    @property
+    def _line(self) -> Line[RelayExchange]:
+        """Return the line in which it waits, where it has to."""
+        return self.core.find_line(self.request.service.name, self.request.regions)
+
+    def _list_usable(self) -> list[Upstream]:
+        return self.core.list_usable(self.request.service.name, self.request.regions)
+
+    def _explain_by_regions(self, step: Refuse, regions: Regions) -> Refuse:
+        """Return a refusal as it is told where upstreams in other regions might have served the request."""
+        obstacles = self.core.count_obstacles(self.request.service.name, regions)
+        if not obstacles[Obstacle.REGION] or obstacles[Obstacle.COLD]:
+            return step
+        self.core.tally.count("residency_refusals_total", "not_now")
+        self.write_log(
+            "kept in its regions",
+            regions=sorted(regions or ()),
+            **{obstacle.name.lower(): count for obstacle, count in obstacles.items()},
+        )
+        return replace(step, reason=f"{step.reason} in the allowed regions", retry_after=REGION_RETRY)
 
-    def _let_go_of_shut_memory(self) -> None:
-        """Give memory back that was set aside where nothing may be sent any more.
+    def _let_go_of_shut(self) -> None:
+        """Give back what engines hold for the request where nothing may be sent for it any more.
 
         A plan takes memory that is set aside without choosing anew. Without this, prompts that were read before
         their decode engine's hall was emptied still had their streams begin there. A permit keeps room at an engine
-        that is cold.
+        that is cold. A KV cache may leave an emptied hall, but no region that the request is bound to.
         """
-        held = self.request.reservation
+        request = self.request
+        handle, held = request.handle, request.reservation
+        if handle is not None and not self.core.eligibility.lies_in(handle.upstream, request.regions):
+            self._call(handle.upstream, self.core.dialect.make_release(handle))
+            request.note_handle_spent()
         if held is None:
             self._drop_permit()
             return
-        obstacle = self.core.find_obstacle(held.upstream, self.request.service.name)
+        obstacle = self.core.find_obstacle(held.upstream, request.service.name, request.regions)
         if obstacle is None or (obstacle is Obstacle.COLD and self._permit is not None):
             return
         self._drop_permit()
-        self.request.give_up_reservation()
+        request.give_up_reservation()
         self.write_log("memory given up", to=held.upstream.id, obstacle=obstacle.name.lower())
         self._call(held.upstream, self.core.dialect.make_unreserve(held))
 
@@ -173,8 +211,11 @@
 
     def _carry_out(self, step: Step) -> None:
         if isinstance(step, Send):
+            if step.reservation is None:
+                self._note_distance(step.upstream)
             self._send(step, self.core.clock.now())
         elif isinstance(step, Reserve):
+            self._note_distance(step.upstream)
             self._reserve(step)
         elif isinstance(step, Wait):
             self._wait_in_line()
@@ -183,6 +224,25 @@
         else:
             self._fail(step)
 
+    def _note_distance(self, upstream: Upstream) -> None:
+        """Count how far an upstream is that was chosen, and tell why one in another region was."""
+        distances = self.core.chooser.distances
+        distance = distances.measure(upstream.hall)
+        self.core.tally.count("choices_by_distance_total", distance.name.lower())
+        if distance is not Distance.OTHER_REGION:
+            return
+
+        def is_near(hall: str) -> bool:
+            return distances.measure(hall) is not Distance.OTHER_REGION
+
+        reservation = self.request.reservation
+        if upstream.phase is Phase.PREFILL and reservation is not None and not is_near(reservation.upstream.hall):
+            reason = SpillReason.PAIR
+        else:
+            reason = find_reason(self._list_usable(), upstream.phase, self.request.list_full(), is_near)
+        self.core.tally.count("spills_total", reason.name.lower())
+        self.write_log("spilled", to=upstream.id, hall=upstream.hall, phase=upstream.phase.value, reason=reason.value)
+
     def _send(self, send: Send, now: float) -> None:
         if self.limit - now < LEAST_TIME:
             self._run_out()
@@ -214,7 +274,7 @@
         """Wait for decode memory behind those that came before, or give up at once where too many wait."""
         now = self.core.clock.now()
         in_time = self.request.route.target_latency * IN_TIME_SHARE
-        line = self.core.find_line(self.request.service.name)
+        line = self._line
         if Mechanism.LINE in self.core.without and not self.request.begun:
             self._carry_out(self.request.refuse_full())
             return
@@ -314,9 +374,10 @@
 
     def _refuse_or_wait(self, step: Refuse) -> None:
         """Refuse the request, unless a cold upstream is all that is missing and has room while that is in time."""
-        wait = None if step.full or step.shut else self.core.find_cold_wait(self.request.service.name)
+        known = step.full or step.retry_after is not None
+        wait = None if known else self.core.find_cold_wait(self.request.service.name, self.request.regions)
         if wait is None:
-            self._refuse(step.reason, full=step.full, shut=step.shut)
+            self._refuse(step.reason, full=step.full, retry_after=step.retry_after)
             return
         now = self.core.clock.now()
         is_first = self._cold_since is None
@@ -348,9 +409,9 @@
         self._cold_timer = None
         self.advance()
 
-    def _refuse(self, reason: str, *, full: bool = False, shut: bool = False) -> None:
-        if shut:
-            retry_after = min(SHUT_RETRY, LONGEST_RETRY_SHARE * (self.limit - self.core.clock.now()))
+    def _refuse(self, reason: str, *, full: bool = False, retry_after: float | None = None) -> None:
+        if retry_after is not None:
+            retry_after = min(retry_after, LONGEST_RETRY_SHARE * max(0.0, self.limit - self.core.clock.now()))
         else:
             retry_after = self._predict_memory() if full else RETRY_AFTER_SHARE * self.request.route.target_latency
         self._answer(503, reason, round(max(SHORTEST_RETRY, retry_after), 2))
@@ -457,7 +518,7 @@
         """Wait no longer: there is decode memory, or the request has ended."""
         if self._in_line:
             self._in_line = False
-            self.core.find_line(self.request.service.name).leave(self)
+            self._line.leave(self)
 
     def note_memory(self) -> None:
         """Note that the request has decode memory from now on, until its end."""
@@ -501,14 +562,29 @@
             self._attempt.go_on()
 
     def take_table(self, table: Table) -> None:
-        """Take the times of a new configuration for a request that is under way."""
+        """Take the times and regions of a new configuration for a request that is under way."""
         route = table.find_route(self._incoming.host, self._incoming.path)
-        if route is None or self._ended or route.timeout == self.request.route.timeout:
+        if route is None or self._ended:
+            return
+        self._take_regions(table.find_regions(route, self._admitted.workspace, self.request.regions), table.version)
+        if self._ended or route.timeout == self.request.route.timeout:
             return
         self.write_log("timeout changed", timeout=route.timeout, version=table.version)
         self.request.take_route(route)
         self._set_timer()
 
+    def _take_regions(self, regions: Regions, version: int) -> None:
+        """Take new bounds: what is held elsewhere is given back, a run under way ends in place."""
+        if regions == self.request.regions:
+            return
+        self.write_log("regions changed", regions=None if regions is None else sorted(regions), version=version)
+        waited = self._in_line
+        self.leave_line()
+        self.request.take_regions(regions)
+        self._let_go_of_shut()
+        if waited:
+            self.advance()
+
     def _set_timer(self) -> None:
         self._stop_timer()
         left = self.limit - self.core.clock.now()
--- a/src/beamhatch/relay/requests/request.py
+++ b/src/beamhatch/relay/requests/request.py
@@ -6,17 +6,21 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING
 
 from beamhatch.relay.choosing.chooser import Need
+from beamhatch.relay.choosing.distance import EVENT_BYTES, find_cache
 from beamhatch.relay.model import Handle, Reservation, RouteKind, Stage, Upstream, UpstreamId
 
 if TYPE_CHECKING:
     from beamhatch.relay.choosing.chooser import Chooser
-    from beamhatch.relay.model import RequestFacts, Route, Service
+    from beamhatch.relay.model import Regions, RequestFacts, Route, Service
     from beamhatch.relay.requests.budget import Budget
 
+SHUT_RETRY = 2.0
+"""Seconds after which a caller may come back where nothing may be sent anywhere: an operator has to act first."""
+
 MOST_SENDS = 6
 """Sends of one request at the most, to bound what one caller can cause."""
 
@@ -71,8 +75,8 @@
     reason: str
     full: bool = False
     """True where the upstreams are full, so that an early return would find them so again."""
-    shut: bool = False
-    """True where nothing may be sent to any of the upstreams, which lasts until somebody changes it."""
+    retry_after: float | None = None
+    """Seconds after which to come back, where this is known better than by the route."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -105,6 +109,10 @@
     """True once a part of the answer is with the caller."""
     answer_room: int = 0
     """Tokens that are set aside for the answer beside the prompt."""
+    regions: Regions = None
+    """Where it may be served."""
+    body_bytes: int = 0
+    """Bytes of its body."""
     reserves: bool = True
     """False where decode memory is not to be set aside."""
     late_at: float = float("inf")
@@ -136,8 +144,19 @@
     @property
     def need(self) -> Need:
         """Return what it needs of an upstream."""
-        tokens = self.facts.prompt_tokens + self.facts.output_tokens
-        return Need(self.facts.identity, self.facts.prompt_tokens, tokens)
+        facts, engine = self.facts, self.service.engine
+        tokens = facts.prompt_tokens + facts.output_tokens
+        if engine is None:
+            return Need(facts.identity, facts.prompt_tokens, tokens)
+        return Need(
+            facts.identity,
+            facts.prompt_tokens,
+            tokens,
+            cache=find_cache(engine, facts.prompt_tokens),
+            body_bytes=self.body_bytes,
+            answer_bytes=EVENT_BYTES * (self.answer_room or facts.output_tokens) // engine.event_tokens,
+            decode_hall="" if self.reservation is None else self.reservation.upstream.hall,
+        )
 
     @property
     def longest_wait(self) -> float:
@@ -213,7 +232,7 @@
 
     def refuse_shut(self, reason: str) -> Step:
         """Return how the request ends where it may be sent to none of the upstreams."""
-        return Fail(reason) if self.doubt else Refuse(reason, shut=True)
+        return Fail(reason) if self.doubt else Refuse(reason, retry_after=SHUT_RETRY)
 
     def refuse_full(self) -> Step:
         """Return how the request ends where decode memory is full."""
@@ -263,10 +282,13 @@
     ) -> Upstream | None:
         tried = self._refused_by | self._failed | full
         kv_tokens = self.service.engine.kv_tokens if self.service.engine else 0
-        chosen = chooser.choose_decode(usable, self.need, tried, now, handle=handle, kv_tokens=kv_tokens)
+        need = self.need
+        if full:
+            need = replace(need, refused_halls=tuple(one.hall for one in usable if one.id in full))
+        chosen = chooser.choose_decode(usable, need, tried, now, handle=handle, kv_tokens=kv_tokens)
         if chosen is None:
             tried = self._failed | full  # one that turned a landing away may do so as the handle had lapsed
-            return chooser.choose_decode(usable, self.need, tried, now, handle=handle, kv_tokens=kv_tokens)
+            return chooser.choose_decode(usable, need, tried, now, handle=handle, kv_tokens=kv_tokens)
         return chosen
 
     def _counts_as_extra(self, stage: Stage) -> bool:
@@ -350,6 +372,15 @@
         """Take the route's new terms."""
         self.route = route
 
+    def list_full(self) -> set[UpstreamId]:
+        """Return the decode engines that had no memory in this round."""
+        return set(self._full)
+
+    def take_regions(self, regions: Regions) -> None:
+        """Take new bounds on where it may be served, and ask the engines there anew for memory."""
+        self.regions = regions
+        self._full.clear()
+
     def note_event(self, event: int | None) -> None:
         """Note that the caller has a stream up to an event."""
         self.last_event = event
--- a/tests/support/platform.py
+++ b/tests/support/platform.py
@@ -225,10 +225,10 @@
     network: Network = field(default_factory=Network)
     ledger: Ledger = field(default_factory=Ledger)
     upstreams: dict[str, StandInUpstream] = field(default_factory=dict)
-    vms: dict[str, Daemon] = field(default_factory=dict)
-    journals: dict[str, MemoryJournal] = field(default_factory=dict)
     halls: dict[str, str] = field(default_factory=dict)
     """The hall of each upstream."""
+    vms: dict[str, Daemon] = field(default_factory=dict)
+    journals: dict[str, MemoryJournal] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         """Start the store."""
@@ -314,12 +314,12 @@
             ready_address=Address(name, 8001),
             ready_path="/api/ready",
             store_address=store,
-            places=places or Places(),
             grace=8.0,
             budget=BudgetTerms(0.2, 56, 10),
             quota=quota or QuotaTerms(),
             peer_address=Address(name, 8002),
             seeds=seeds or [],
+            places=places or Places(),
             without=without,
         )
         journal = self.journals[name] = MemoryJournal(self.clock)
