--- a/src/beamhatch/relay/core.py
+++ b/src/beamhatch/relay/core.py
@@ -62,8 +62,8 @@
 COLD_COST = 1.0
 """Requests whose time, at the rate that a cold upstream bears, it costs more than a warm one.
 
-All VMs like the emptiest upstream best, and one that has just started is empty, and slow. A quarter of it served less on
-a day with 11 engines that came back cold: 0.668 in place of 0.754 (one run each).
+All VMs like the emptiest upstream best, and one that has just started is empty, and slow. A quarter of it served less
+on a day with 11 engines that came back cold: 0.668 in place of 0.754 (one run each).
 """
 
 COLD_LOOK = 1.0
