--- a/src/beamhatch/observe/tally.py
+++ b/src/beamhatch/observe/tally.py
@@ -51,6 +51,10 @@
         """Count one event."""
         self.counts[name, label] += 1
 
+    def add(self, name: str, label: str, amount: int) -> None:
+        """Count some units of one kind, such as bytes."""
+        self.counts[name, label] += amount
+
     def note_latency(self, name: str, label: str, seconds: float) -> None:
         """Count one duration."""
         latency = self.latencies.get((name, label))
--- a/src/beamhatch/relay/fleet/gossip.py
+++ b/src/beamhatch/relay/fleet/gossip.py
@@ -27,6 +27,7 @@
     unpack_document,
 )
 from beamhatch.relay.fleet.peer_connection import Accept, Dial, PeerConnection, PeerTalk
+from beamhatch.relay.fleet.peer_traffic import PeerTraffic
 from beamhatch.relay.fleet.throttle import Throttle
 from beamhatch.relay.mechanism import Mechanism
 from beamhatch.relay.model import UpstreamId
@@ -98,6 +99,7 @@
         self.membership = membership
         self._documents = documents
         self._vm = vm
+        self._traffic = PeerTraffic(core.tally, membership.own.hall, core.places)
         self._connections: set[PeerConnection] = set()
         self._dialled: dict[str, PeerConnection | None] = {}
         """Addresses that this VM dialled, with the connection once it is up."""
@@ -158,6 +160,7 @@
         self._connections.add(connection)
         if connection.dialled is not None:
             self._dialled[connection.dialled] = connection
+            connection.hall = self.membership.find_hall(connection.dialled)
             self.membership.note_reached(connection.dialled)
         connection.tell(self._make_hello())
         connection.tell(self._make_beat())
@@ -172,6 +175,10 @@
         if connection.vm and not self._stopped:
             self.journal.write("PEER", "lost", vm=connection.vm, connections=len(self._connections))
 
+    def note_sent(self, connection: PeerConnection, message: Message, size: int) -> None:
+        """Count a message that was sent."""
+        self._traffic.note_sent(message, size, connection.hall)
+
     def note_unreached(self, address: str) -> None:
         """Note that an address did not answer."""
         self._dialled.pop(address, None)
--- a/src/beamhatch/relay/fleet/membership.py
+++ b/src/beamhatch/relay/fleet/membership.py
@@ -101,6 +101,11 @@
         heard_at = now - age if before is None else max(now - age, before.heard_at)
         self._known[member.address] = _Known(member, heard_at)
 
+    def find_hall(self, address: str) -> str:
+        """Return the hall of a VM, empty where it is not known."""
+        known = self._known.get(address)
+        return "" if known is None else known.member.hall
+
     def note_reached(self, address: str) -> None:
         """Note that an address answered."""
         self._unreached.pop(address, None)
--- a/src/beamhatch/relay/fleet/peer_connection.py
+++ b/src/beamhatch/relay/fleet/peer_connection.py
@@ -35,6 +35,10 @@
     def note_unreached(self, address: str) -> None:
         """Note that an address did not answer."""
 
+    @abstractmethod
+    def note_sent(self, connection: PeerConnection, message: Message, size: int) -> None:
+        """Count a message that was sent, with the bytes of its encoding."""
+
     @abstractmethod
     def take(self, connection: PeerConnection, message: Message) -> None:
         """Take in one message.
@@ -54,7 +58,7 @@
         self.vm = ""
         """The peer's name, once it has said it."""
         self.hall = ""
-        """The peer's hall, once it has said it."""
+        """The peer's hall, once it has said it, or as others told it where this VM dialled."""
         self.heard_at = 0.0
         self._talk = talk
 
@@ -84,7 +88,9 @@
 
     def tell(self, message: Message) -> None:
         """Send a message."""
-        self.sendString(encode(message))
+        data = encode(message)
+        self.sendString(data)
+        self._talk.note_sent(self, message, len(data))
 
 
 class Accept(Factory):
--- a/tests/support/network.py
+++ b/tests/support/network.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import TYPE_CHECKING, Any
 
 from twisted.internet import error, task
@@ -21,6 +22,10 @@
 """Bytes that wait for a reader before the writer is asked to pause."""
 
 
+def _find_same_delay(_here: str, _there: str) -> float:
+    return DELAY
+
+
 class PausedClock(Clock):
     """The product's clock, on the network's time."""
 
@@ -158,14 +163,17 @@
 
 
 class _Connector:
-    def __init__(self, network: Network, host: str, port: int, factory: Any, timeout: float) -> None:
+    def __init__(
+        self, network: Network, host: str, port: int, factory: Any, timeout: float, here: str | None = None
+    ) -> None:
         self.network = network
+        self.here = here or network.here
         self.key = (host, port)
         self.factory = factory
         self._timeout = network.callLater(timeout, self._fail, error.TimeoutError())
         self._transport: Transport | None = None
         self._over = False
-        network.callLater(DELAY, self._reach)
+        network.callLater(network.find_delay(self.here, host), self._reach)
 
     def disconnect(self) -> None:
         """Give up."""
@@ -176,7 +184,7 @@
             self._stop_timer()
 
     def _reach(self) -> None:
-        if self._over or self.network.is_cut(self.network.here, self.key[0]):
+        if self._over or self.network.is_cut(self.here, self.key[0]):
             return
         server = self.network.ports.get(self.key)
         if server is None:
@@ -187,8 +195,8 @@
         self._join(server)
 
     def _join(self, server: Any) -> None:
-        near = Transport(self.network, self.network.here, self.key[0])
-        far = Transport(self.network, self.key[0], self.network.here)
+        near = Transport(self.network, self.here, self.key[0])
+        far = Transport(self.network, self.key[0], self.here)
         near.other, far.other = far, near
         near.protocol = self.factory.buildProtocol(None)
         if near.protocol is None:
@@ -224,6 +232,10 @@
         self.stopped = False
         self.held_up = 0.0
         """Seconds by which every tenth packet comes late, and all behind it on its connection."""
+        self.find_delay: Callable[[str, str], float] = _find_same_delay
+        """Returns the seconds that a message takes from one host to another."""
+        self.carried: Counter[tuple[str, str]] = Counter()
+        """Bytes from one host to another."""
         self._cut: set[str] = set()
         self._sent = 0
 
@@ -237,6 +249,10 @@
         """Connect."""
         return _Connector(self, host, port, factory, timeout)
 
+    def at(self, host: str) -> HostNetwork:
+        """Return the network as a host sees it, whose own connections are known as its."""
+        return HostNetwork(self, host)
+
     def callFromThread(self, function: Callable[..., Any], *arguments: Any) -> None:
         """Call soon."""
         self.callLater(0, function, *arguments)
@@ -270,8 +286,12 @@
         if sender.silent or self.is_cut(sender.host, sender.peer_host):
             return
         self._sent += 1
+        if kind == "data":
+            self.carried[sender.host, sender.peer_host] += len(value)
         late = self.held_up if self._sent % 10 == 0 else 0.0
-        sender.arrives_at = max(sender.arrives_at, self.rightNow + DELAY + late)
+        sender.arrives_at = max(
+            sender.arrives_at, self.rightNow + self.find_delay(sender.host, sender.peer_host) + late
+        )
         self.callLater(sender.arrives_at - self.rightNow, sender.other.take, kind, value)
 
     # --- the test's time ---------------------------------------------------------------------------------------------
@@ -289,3 +309,19 @@
             assert self.rightNow < end, f"not within {limit} s"
             self.advance(STEP)
         return value
+
+
+class HostNetwork:
+    """The network with the name of who dials, so that a cut or a distance holds for connections both ways."""
+
+    def __init__(self, network: Network, host: str) -> None:
+        self._network = network
+        self._host = host
+
+    def __getattr__(self, name: str) -> Any:
+        """Return what the network has."""
+        return getattr(self._network, name)
+
+    def connectTCP(self, host: str, port: int, factory: Any, timeout: float = 30) -> _Connector:
+        """Connect."""
+        return _Connector(self._network, host, port, factory, timeout, here=self._host)
--- a/tests/support/platform.py
+++ b/tests/support/platform.py
@@ -18,6 +18,7 @@
 from beamhatch.relay.daemon import Daemon, RelaySettings
 from beamhatch.relay.mechanism import ALL_IN, Without
 from beamhatch.relay.model import Address
+from beamhatch.relay.places import Places
 from beamhatch.relay.requests.budget import BudgetTerms
 from beamhatch.relay.upstreams.http_client import HttpClient
 from beamhatch.relay.workspaces.quota import QuotaTerms
@@ -206,6 +207,11 @@
     upstreams: dict[str, StandInUpstream] = field(default_factory=dict)
     vms: dict[str, Daemon] = field(default_factory=dict)
     journals: dict[str, MemoryJournal] = field(default_factory=dict)
+    halls: dict[str, str] = field(default_factory=dict)
+    """Of the upstreams that are not in the first hall."""
+    places: Places = field(default_factory=Places)
+    names_hosts: bool = False
+    """Whether connections that a VM dials are known as its: needed for distances, and for cuts that hold both ways."""
 
     def __post_init__(self) -> None:
         """Start the store."""
@@ -235,20 +241,24 @@
         engine.on_phase = lambda: self.list_again(name)
         return engine
 
+    def find_hall(self, upstream: str) -> str:
+        """Return the hall of an upstream."""
+        return self.halls.get(upstream, "hall-a")
+
     def list_again(self, name: str) -> None:
         """Have an upstream write its entry anew."""
         service = MODEL if isinstance(self.upstreams[name], StandInEngine) else PLAIN
-        self.store.put(f"servers/{name}", self.upstreams[name].describe(service, "hall-a"))
+        self.store.put(f"servers/{name}", self.upstreams[name].describe(service, self.find_hall(name)))
 
     def _add(self, name: str, upstream: StandInUpstream, service: str) -> None:
         upstream.start()
         self.upstreams[name] = upstream
-        self.store.put(f"servers/{name}", upstream.describe(service, "hall-a"))
+        self.store.put(f"servers/{name}", upstream.describe(service, self.find_hall(name)))
 
     def drain(self, name: str) -> None:
         """Have an upstream say that it leaves."""
         service = MODEL if isinstance(self.upstreams[name], StandInEngine) else PLAIN
-        self.store.put(f"servers/{name}", self.upstreams[name].describe(service, "hall-a", "draining"))
+        self.store.put(f"servers/{name}", self.upstreams[name].describe(service, self.find_hall(name), "draining"))
 
     def add_vm(
         self,
@@ -272,11 +282,13 @@
             peer_address=Address(name, 8002),
             seeds=seeds or [],
             without=without,
+            places=self.places,
         )
         journal = self.journals[name] = MemoryJournal(self.clock)
         documents = PlatformDocuments(journal)
-        store = PlatformStore(HttpClient(self.clock), self.clock, STORE, documents)
-        daemon = Daemon(settings, self.clock, journal, Tally(), PlatformDialect(), documents, store)
+        clock = PausedClock(self.network.at(name)) if self.names_hosts else self.clock
+        store = PlatformStore(HttpClient(clock), clock, STORE, documents)
+        daemon = Daemon(settings, clock, journal, Tally(), PlatformDialect(), documents, store)
         self.vms[name] = daemon
         daemon.start()
         return daemon
