Tell peers in other halls only what is news to them, and sums of quotas once

Of what VMs told each other across halls, most was usage of quotas (404 of 476 KB/s on a paused fleet of 74 VMs in three halls with 16 workspaces), told by every VM to each of its peers in other halls, and by all halls to each other; then beats, which repeated everything twice a second, and mentions of 64 VMs. Now a beat to another hall has what changed on that connection; sums go between the VMs that add up, which prefer each other as peers, and a sum goes from its own hall only, but to a hall that does not hear that one. Ruled out: fewer connections between halls, as a hall whose two watchers have just died silently learns by those of its other VMs.

--- a/src/beamhatch/relay/fleet/gossip.py
+++ b/src/beamhatch/relay/fleet/gossip.py
@@ -10,8 +10,11 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
+import msgspec
+
 from beamhatch.relay.api import Document, ListingNews
 from beamhatch.relay.engines.fleet_demand import FleetDemand
+from beamhatch.relay.fleet.far_words import SIGN_OF_LIFE
 from beamhatch.relay.fleet.gossip_message import (
     MOST_MENTIONED,
     AskConfiguration,
@@ -77,6 +80,13 @@
 store in 3 s instead of 47 (counted on stand-ins).
 """
 
+FAR_MENTIONED = 8
+"""VMs that a peer in another hall is told of again each time, drawn at random, beside those that are new to it.
+
+All VMs of a hall tell several peers each in other halls every 10 s: of 24 VMs in each of three halls, each is mentioned
+to each other hall every 2 s, of which VMs need to hear every 60 s.
+"""
+
 LEAST_FAULTS = 0.2
 """Share of faults from which on peers are told of an upstream."""
 
@@ -162,8 +172,8 @@
             self._dialled[connection.dialled] = connection
             connection.hall = self.membership.find_hall(connection.dialled)
             self.membership.note_reached(connection.dialled)
-        connection.tell(self._make_hello())
-        connection.tell(self._make_beat())
+        self._tell_hello(connection)
+        self._tell_beat(connection, self._make_beat())
 
     def remove(self, connection: PeerConnection) -> None:
         """Drop a connection that ended."""
@@ -195,7 +205,8 @@
         self.core.vms = self.membership.size
         self._dial(now)
         self._say_hello(now)
-        self._tell_all()
+        self._beats.note_done()
+        self._tell_beats(regular=True)
         self.clock.call_later(BEAT_INTERVAL, self._tick)
 
     def _drop_silent(self, now: float) -> None:
@@ -226,9 +237,22 @@
             return
         self._hello_at = now
         self._hello_pause = min(LONGEST_HELLO_PAUSE, 2 * self._hello_pause)
-        hello = self._make_hello()
         for connection in list(self._connections):
-            connection.tell(hello)
+            self._tell_hello(connection)
+
+    def _tell_hello(self, connection: PeerConnection) -> None:
+        """Tell a peer who is known; one in another hall, mainly who is new to it."""
+        now = self.clock.now()
+        known = self.membership.list_mentions(MOST_MENTIONED, now)
+        if self._is_far(connection):
+            told = connection.told.mentioned
+            known = self.membership.list_news(told, MOST_MENTIONED, FAR_MENTIONED, now)
+            told.update(mention.member.address for mention in known)
+        connection.tell(Hello(self._vm, self.membership.own, known))
+
+    def _is_far(self, connection: PeerConnection) -> bool:
+        """Tell whether a peer is in another hall, or has not said yet where it is."""
+        return connection.hall != self.membership.own.hall
 
     def tell_soon(self) -> None:
         """Tell all peers what this VM has, as it has just changed."""
@@ -244,15 +268,43 @@
             return
         self._told_work = reading
         for connection in list(self._connections):
-            connection.tell(Work(reading))
+            if not self._is_far(connection):
+                connection.tell(Work(reading))
+                continue
+            news = connection.told.pick_reading(self._list_reading_in(connection.hall, reading))
+            if news is not None:
+                connection.tell(Work(news))
 
     def _tell_all(self) -> None:
-        if self._stopped:
-            return
-        self._beats.note_done()
+        if not self._stopped:
+            self._beats.note_done()
+            self._tell_beats(regular=False)
+
+    def _tell_beats(self, *, regular: bool) -> None:
+        """Tell all peers what this VM has; those in other halls, only what is news to them.
+
+        :param regular: whether they are given a sign of life where there are no news
+        """
         beat = self._make_beat(self.core.paces.take_untold())
         for connection in list(self._connections):
+            self._tell_beat(connection, beat, regular=regular)
+
+    def _tell_beat(self, connection: PeerConnection, beat: Beat, *, regular: bool = True) -> None:
+        if not self._is_far(connection):
             connection.tell(beat)
+            return
+        here = msgspec.structs.replace(beat, reading=self._list_reading_in(connection.hall, beat.reading or {}))
+        news = connection.told.pick_news(here, self.clock.now())
+        if regular or news != SIGN_OF_LIFE:
+            connection.tell(news)
+
+    def _list_reading_in(self, hall: str, reading: dict[str, int]) -> dict[str, int]:
+        """Return what the engines of a hall have to read for this VM: peers there mostly send to these."""
+        return {name: tokens for name, tokens in reading.items() if self._find_hall_of(name) == hall}
+
+    def _find_hall_of(self, upstream: str) -> str:
+        found = self.core.listing.find(UpstreamId(upstream))
+        return "" if found is None else found.hall
 
     # --- what is known of the others ---------------------------------------------------------------------------------
 
@@ -276,7 +328,8 @@
             case Beat():
                 self._take_beat(connection, message)
             case Work():
-                self._take_work(connection, message.reading)
+                connection.heard.reading = message.reading
+                self._take_work(connection)
             case Usage():
                 if self.usage is not None:
                     self.usage.take(connection, message)
@@ -323,12 +376,14 @@
 
     def _take_beat(self, connection: PeerConnection, message: Beat) -> None:
         now = self.clock.now()
+        heard = connection.heard
+        heard.take(message)
         if connection.vm:
-            self._fleet.take(connection.vm, message.demands, now)
-            self.core.take_paces(message.demands)
+            self._fleet.take(connection.vm, heard.demands, now)
+            self.core.take_paces(heard.demands)
             for reading in message.readings:
                 self.core.paces.note_told(reading)
-        self._take_work(connection, message.reading)
+        self._take_work(connection)
         faulty = {} if Mechanism.PEER_FAULTS in self.core.without else message.faulty
         for upstream, share in faulty.items():
             self.core.standings.get(UpstreamId(upstream)).note_hint(share, now)
@@ -336,15 +391,15 @@
         if message.evacuations is not None:
             self.core.eligibility.evacuations.complete = True
             self.core.take_evacuations(message.evacuations, f"peer {connection.vm}")
-        self.newest_version = max(self.newest_version, message.version)
-        if self._lacks("configuration", self.core.version, message.version):
+        self.newest_version = max(self.newest_version, heard.version)
+        if self._lacks("configuration", self.core.version, heard.version):
             connection.tell(AskConfiguration())
-        if self._lacks("listing", self.core.revision, message.revision):
+        if self._lacks("listing", self.core.revision, heard.revision):
             connection.tell(AskListing(self.core.revision))
 
-    def _take_work(self, connection: PeerConnection, reading: dict[str, int]) -> None:
+    def _take_work(self, connection: PeerConnection) -> None:
         if connection.vm and Mechanism.PEER_WORK not in self.core.without:
-            self.core.work.take(connection.vm, reading, self.clock.now())
+            self.core.work.take(connection.vm, connection.heard.reading, self.clock.now())
 
     def _take_changes(self, connection: PeerConnection, message: Beat) -> None:
         for upstream, news in message.changing.items():
@@ -364,10 +419,6 @@
         self._lacking[what] = _Lack(own, now)
         return True
 
-    def _make_hello(self) -> Hello:
-        known = self.membership.list_mentions(MOST_MENTIONED, self.clock.now())
-        return Hello(self._vm, self.membership.own, known)
-
     def _make_beat(self, readings: Sequence[Reading] = ()) -> Beat:
         core = self.core
         now = core.clock.now()
@@ -380,4 +431,5 @@
             core.standings.list_reading(),
             list(readings),
             core.eligibility.evacuations.list_news() if core.eligibility.evacuations.complete else None,
+            self.membership.is_watcher(),
         )
--- a/src/beamhatch/relay/fleet/gossip_message.py
+++ b/src/beamhatch/relay/fleet/gossip_message.py
@@ -55,12 +55,12 @@
     known: list[Mention]
 
 
-class Beat(msgspec.Struct, tag="beat", frozen=True):
-    """What the sender has."""
+class Beat(msgspec.Struct, tag="beat", frozen=True, omit_defaults=True):
+    """What the sender has. What is left out is as it was told on this connection before."""
 
-    version: int
+    version: int | None = None
     """Of the configuration in force; 0 where none is."""
-    revision: int
+    revision: int | None = None
     """Of the newest entry of its listing; 0 where it has no whole listing."""
     demands: dict[str, DemandReport] = {}
     """By service."""
@@ -68,12 +68,14 @@
     """Upstreams that failed the sender's requests of late, with the share that they failed."""
     changing: dict[str, ChangeNews] = {}
     """Engines that were ordered to play another part."""
-    reading: dict[str, int] = {}
-    """Tokens of the sender's prompts that engines have still to read."""
+    reading: dict[str, int] | None = None
+    """Tokens of the sender's prompts that engines have still to read; to another hall, that hall's engines only."""
     readings: list[Reading] = []
     """Prompts that engines read for the sender since its last beat."""
     evacuations: list[Evacuation] | None = None
     """Which halls are emptied, or were; None where the sender does not know."""
+    adds_up: bool | None = None
+    """Whether the sender adds up what its hall tells."""
 
 
 class Work(msgspec.Struct, tag="work", frozen=True):
@@ -82,13 +84,15 @@
     reading: dict[str, int]
 
 
-class Usage(msgspec.Struct, tag="usage", frozen=True):
+class Usage(msgspec.Struct, tag="usage", frozen=True, omit_defaults=True):
     """How fast workspaces use their quotas."""
 
-    own: RatesByWorkspace | None
+    own: RatesByWorkspace | None = None
     """By the sender's own callers; None where the receiver has no use for it."""
-    halls: list[HallUsage]
+    halls: list[HallUsage] = []
     """The newest sums that the sender knows and the receiver may not."""
+    direct: list[str] | None = None
+    """Halls whose sums the sender has from VMs there; None where that is as it was told before."""
 
 
 class AskConfiguration(msgspec.Struct, tag="ask_configuration", frozen=True):
--- a/src/beamhatch/relay/fleet/membership.py
+++ b/src/beamhatch/relay/fleet/membership.py
@@ -134,7 +134,20 @@
             others = [one for one in known if one.member.address not in watching]
             known = [one for one in known if one.member.address in watching][:most]
             known += random.sample(others, min(len(others), most - len(known)))
-        return [Mention(one.member, round(max(0.0, now - one.heard_at), 1)) for one in known]
+        return [_make_mention(one, now) for one in known]
+
+    def list_news(self, told: set[str], most: int, again: int, now: float) -> list[Mention]:
+        """Return the VMs that somebody was not told of, those that watch first, and some others drawn at random.
+
+        :param most: of all at the most
+        :param again: of the others at the most
+        """
+        watching = {member.address for member in self._list_watching()}
+        new = [one for one in self._known.values() if one.member.address not in told]
+        new.sort(key=lambda one: one.member.address not in watching)
+        old = [one for one in self._known.values() if one.member.address in told]
+        again = min(len(old), again, max(0, most - len(new)))
+        return [_make_mention(one, now) for one in [*new[:most], *random.sample(old, again)]]
 
     # --- duties ------------------------------------------------------------------------------------------------------
 
@@ -171,9 +184,29 @@
         elsewhere = [one for one in self._list_members() if one.hall != self.own.hall]
         others = [one.address for one in elsewhere or here if one.address not in targets]
         free = [address for address in others if self._may_dial(address, now)]
-        targets += sorted(free, key=lambda address: hash_fraction(f"{self.own.address}/{address}"))[:OTHERS]
+        free.sort(key=lambda address: hash_fraction(f"{self.own.address}/{address}"))
+        first = self._list_counterparts(now)
+        targets += [*first, *(address for address in free if address not in first)][:OTHERS]
         return targets + self._list_strange_seeds(now)
 
+    def _list_counterparts(self, now: float) -> list[str]:
+        """Return whom this VM, where it watches, prefers in other halls: those that watch there, of its own rank.
+
+        Each rank takes the halls that follow its own in another order, so that halls are joined directly, up to five
+        of them: what is added up in one hall reaches those that add up in another one without a VM between them.
+        """
+        by_hall: defaultdict[str, list[Member]] = defaultdict(list)
+        for member in self._list_members():
+            if member.hall == self.own.hall or self._may_dial(member.address, now):
+                by_hall[member.hall].append(member)
+        place = sum(self._goes_ahead(member) for member in by_hall.pop(self.own.hall, []))
+        if place >= WATCHERS or not by_hall:
+            return []
+        following = sorted(by_hall, key=lambda hall: (hall < self.own.hall, hall))
+        halls = [following[(place * OTHERS + step) % len(following)] for step in range(min(OTHERS, len(following)))]
+        ranked = [sorted(by_hall[hall], key=_rank) for hall in halls]
+        return [members[min(place, len(members) - 1)].address for members in ranked]
+
     def list_retries(self, now: float) -> list[str]:
         """Return members of the own hall that did not answer, and may be dialled again."""
         return [
@@ -195,6 +228,10 @@
         return unreached is None or now >= unreached.until
 
 
+def _make_mention(known: _Known, now: float) -> Mention:
+    return Mention(known.member, round(max(0.0, now - known.heard_at), 1))
+
+
 def _rank(member: Member) -> tuple[float, float, str]:
     """Return what members are ordered by, the same on every VM."""
     return -member.strength, hash_fraction(member.address), member.address
--- a/src/beamhatch/relay/fleet/peer_connection.py
+++ b/src/beamhatch/relay/fleet/peer_connection.py
@@ -8,6 +8,7 @@
 from twisted.internet.protocol import ClientFactory, Factory, connectionDone
 from twisted.protocols.basic import Int32StringReceiver
 
+from beamhatch.relay.fleet.far_words import HeardWords, ToldWords
 from beamhatch.relay.fleet.gossip_message import MOST_BYTES, Message, MessageError, decode, encode
 
 if TYPE_CHECKING:
@@ -60,8 +61,15 @@
         self.hall = ""
         """The peer's hall, once it has said it, or as others told it where this VM dialled."""
         self.heard_at = 0.0
+        self.heard = HeardWords()
+        self.told = ToldWords()
         self._talk = talk
 
+    @property
+    def adds_up(self) -> bool:
+        """Tell whether the peer says that it adds up what its hall tells."""
+        return self.heard.adds_up
+
     def connectionMade(self) -> None:
         """Say who this is."""
         self.transport.setTcpNoDelay(True)
--- a/src/beamhatch/relay/workspaces/usage_talk.py
+++ b/src/beamhatch/relay/workspaces/usage_talk.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from beamhatch.relay.fleet.gossip_message import Usage
@@ -29,6 +30,25 @@
 """
 
 
+DIRECT_LIFE = 0.7
+"""Seconds behind which a hall no longer counts as heard directly: two calm intervals and a way between regions."""
+
+
+@dataclass(slots=True)
+class _Peer:
+    """What a VM knows that this one has a connection to."""
+
+    known: dict[str, KnownUsage] = field(default_factory=dict)
+    """The sums that the peer was told, or told itself, by hall."""
+    direct: frozenset[str] = frozenset()
+    """The halls that the peer hears directly, and so is not told of from another hall."""
+    told_direct: frozenset[str] = frozenset()
+    """Those of which it was told that this VM hears them directly."""
+    heard_at: float = float("-inf")
+    """When it told the sum of its own hall last, in monotonic seconds."""
+    hall: str = ""
+
+
 class UsageTalk:
     """What this VM says and hears of the use of quotas."""
 
@@ -49,8 +69,7 @@
         self._share = share
         self._list_connections = list_connections
         self._adds_up = adds_up
-        self._known_to: dict[PeerConnection, dict[str, KnownUsage]] = {}
-        """The sums that a peer was told, or told itself, by hall."""
+        self._peers: dict[str, _Peer] = {}
         self._told_own = False
         """Whether the last word had rates of this VM's callers."""
         self._stopped = False
@@ -65,18 +84,29 @@
 
     def forget(self, connection: PeerConnection) -> None:
         """Drop what a peer knew whose connection ended."""
-        self._known_to.pop(connection, None)
+        self._peers.pop(connection.vm, None)
 
     def take(self, connection: PeerConnection, message: Usage) -> None:
         """Take in what a peer told."""
+        if not connection.vm:
+            return
         now = self.core.clock.now()
-        if message.own is not None and connection.hall == self.news.hall and connection.vm:
+        if message.own is not None and connection.hall == self.news.hall:
             self.news.members.take(connection.vm, message.own, now)
-        known = self._known_to.setdefault(connection, {})
+        peer = self._find_peer(connection)
+        if message.direct is not None:
+            peer.direct = frozenset(message.direct)
         for told in message.halls:
             usage = self.news.take_hall(told, now)
-            if usage.is_newer(known.get(usage.hall)):
-                known[usage.hall] = usage
+            if usage.is_newer(peer.known.get(usage.hall)):
+                peer.known[usage.hall] = usage
+            if usage.hall == connection.hall:
+                peer.heard_at = now
+
+    def _find_peer(self, connection: PeerConnection) -> _Peer:
+        peer = self._peers.setdefault(connection.vm, _Peer())
+        peer.hall = connection.hall
+        return peer
 
     def _tick(self) -> None:
         if self._stopped:
@@ -99,19 +129,69 @@
         self._share.update(table.workspaces, now)
         own = self.news.own.list_rates(now)
         halls = self.news.list_halls(now)
-        for connection in self._list_connections():
-            self._tell_one(connection, own, halls, now)
+        direct = self._list_direct(now)
+        covered = self._list_covered(direct, now)
+        for connection in self._list_told():
+            is_near = connection.hall == self.news.hall
+            self._tell_one(connection, own, halls, direct if is_near else covered, now)
         self._told_own = bool(own)
         return any(usage.rates for usage in halls)
 
-    def _tell_one(self, connection: PeerConnection, own: RatesByWorkspace, halls: list[KnownUsage], now: float) -> None:
-        known = self._known_to.setdefault(connection, {})
-        news = [usage for usage in halls if usage.is_newer(known.get(usage.hall))]
-        of_hall = connection.hall == self.news.hall and (own or self._told_own)
-        if not news and not of_hall:
+    def _list_told(self) -> list[PeerConnection]:
+        """Return the peers that are told: all of the hall; of other halls, those that add up, by those that add up.
+
+        A VM that adds up tells all its peers of a hall where it has no connection to one that does. Of two connections
+        to one VM, as both dialled, one is enough.
+        """
+        connections = {connection.vm: connection for connection in self._list_connections()}.values()
+        if not self._adds_up():
+            return [connection for connection in connections if connection.hall == self.news.hall]
+        joined = {connection.hall for connection in connections if connection.adds_up} - {self.news.hall}
+        return [connection for connection in connections if connection.adds_up or connection.hall not in joined]
+
+    def _list_direct(self, now: float) -> frozenset[str]:
+        """Return the other halls whose sums this VM has from VMs there: peers in third halls need not tell it.
+
+        Without it, each of six halls is told each sum by all others: five times the bytes.
+        """
+        return frozenset(
+            peer.hall
+            for peer in self._peers.values()
+            if peer.hall != self.news.hall and now - peer.heard_at < DIRECT_LIFE
+        )
+
+    def _list_covered(self, direct: frozenset[str], now: float) -> frozenset[str]:
+        """Return these and the halls that others of the own hall hear directly, who tell this VM and the hall."""
+        others = [
+            peer.direct
+            for peer in self._peers.values()
+            if peer.hall == self.news.hall and now - peer.heard_at < DIRECT_LIFE
+        ]
+        return direct.union(*others)
+
+    def _tell_one(
+        self,
+        connection: PeerConnection,
+        own: RatesByWorkspace,
+        halls: list[KnownUsage],
+        direct: frozenset[str],
+        now: float,
+    ) -> None:
+        peer = self._find_peer(connection)
+        is_near = connection.hall == self.news.hall
+        news = [usage for usage in halls if usage.is_newer(peer.known.get(usage.hall))]
+        if not is_near:
+            known = (peer.direct | {connection.hall}) - {self.news.hall}
+            news = [usage for usage in news if usage.hall not in known]
+        of_hall = is_near and (own or self._told_own)
+        tells_direct = connection.adds_up and direct != peer.told_direct
+        if not news and not of_hall and not tells_direct:
             return
-        known.update({usage.hall: usage for usage in news})
-        connection.tell(Usage(own if of_hall else None, [usage.make_message(now) for usage in news]))
+        peer.known.update({usage.hall: usage for usage in news})
+        if tells_direct:
+            peer.told_direct = direct
+        sums = [usage.make_message(now) for usage in news]
+        connection.tell(Usage(own if of_hall else None, sums, sorted(direct) if tells_direct else None))
 
     def _list_near(self, sums: RatesByWorkspace, vms: int, now: float) -> RatesByWorkspace:
         """Return the sums that are worth telling: of quotas that are near, partly spent, or told of by another hall."""
--- a/tests/relay/fleet/test_membership.py
+++ b/tests/relay/fleet/test_membership.py
@@ -22,6 +22,11 @@
     return membership
 
 
+def find_first(members: list[Member]) -> Member:
+    """Return the member that goes before all others."""
+    return next(one for one in members if join(one, members).count_ahead() == 0)
+
+
 def test_members_agree_on_a_few_watchers_in_each_hall() -> None:
     fleet = make_fleet(60)
     watchers = [one for one in fleet if join(one, fleet).is_watcher()]
@@ -136,3 +141,62 @@
     membership.note_unreached("t:1", 0.0)
     assert membership.list_targets(0.1) == ["s:1"]
     assert "t:1" in membership.list_targets(30.0)
+
+
+@pytest.mark.parametrize("halls", [2, 3, 4, 5])
+def test_those_that_watch_in_different_halls_are_joined_directly(halls: int) -> None:
+    fleet = [Member(f"10.0.{number}:1", f"hall-{number % halls}") for number in range(60)]
+    watching = {one.address: one for one in fleet if join(one, fleet).is_watcher()}
+    pairs = {
+        frozenset((near.hall, watching[address].hall))
+        for near in watching.values()
+        for address in join(near, fleet).list_targets(0.0)
+        if address in watching and watching[address].hall != near.hall
+    }
+    assert len(pairs) == halls * (halls - 1) / 2
+
+
+@pytest.mark.parametrize("halls", [3, 6, 11])
+def test_halls_stay_joined_by_those_that_watch_though_half_of_them_are_gone(halls: int) -> None:
+    fleet = [Member(f"10.{copy}.{number}:1", f"hall-{number:02}") for number in range(halls) for copy in range(9)]
+    first = [find_first([one for one in fleet if one.hall == hall]) for hall in {one.hall for one in fleet}]
+    memberships = {one.address: join(one, fleet) for one in fleet if one not in first}
+    for membership in memberships.values():
+        for gone in first:
+            membership.note_unreached(gone.address, 0.0)
+    watching = {address: one for address, one in memberships.items() if one.is_watcher()}
+    joined = {next(iter(watching.values())).own.hall}
+    links = [
+        {near.own.hall, watching[address].own.hall}
+        for near in watching.values()
+        for address in near.list_targets(0.1)
+        if address in watching
+    ]
+    for _ in range(halls):
+        joined |= {hall for link in links if link & joined for hall in link}
+    assert len(joined) == halls
+
+
+def test_where_a_counterpart_does_not_answer_the_next_one_is_preferred_until_it_may_be_dialled_again() -> None:
+    fleet = make_fleet(30)
+    own = next(one for one in fleet if join(one, fleet).is_watcher())
+    membership = join(own, fleet)
+    far = {one.address: one for one in fleet if one.hall != own.hall}
+    before = [address for address in membership.list_targets(0.0) if address in far]
+    membership.note_unreached(before[0], 0.0)
+    after = [address for address in membership.list_targets(0.1) if address in far]
+    assert before[0] not in after
+    assert {far[address].hall for address in after} == {far[address].hall for address in before}
+    assert before[0] in membership.list_targets(1.0)
+
+
+def test_news_of_members_are_those_that_were_not_told_and_a_few_others() -> None:
+    fleet = make_fleet(50)
+    membership = join(fleet[0], fleet)
+    told: set[str] = set()
+    first = membership.list_news(told, 64, 8, 0.0)
+    assert len(first) == 49
+    told.update(mention.member.address for mention in first)
+    assert len(membership.list_news(told, 64, 8, 0.0)) == 8
+    membership.take(Member("late:1", "a"), 0.0, 1.0)
+    assert membership.list_news(told, 64, 8, 1.0)[0].member.address == "late:1"
--- a/tests/support/quota_fleet.py
+++ b/tests/support/quota_fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import random
 from dataclasses import dataclass, field
 from types import SimpleNamespace
@@ -45,6 +46,8 @@
     here: Vm
     there: Vm
     other: _Link | None = None
+    joins_halls: bool = False
+    """Whether it is kept by those only that add up, to those of the same rank in another hall."""
 
     def __hash__(self) -> int:
         return id(self)
@@ -57,6 +60,17 @@
     def hall(self) -> str:
         return self.there.hall
 
+    @property
+    def adds_up(self) -> bool:
+        return self.there.adds_up
+
+    @property
+    def is_wanted(self) -> bool:
+        """Tell whether the product would keep the connection."""
+        if self.joins_halls:
+            return self.here.adds_up and self.there.adds_up and self.here.place == self.there.place
+        return self.hall != self.here.hall or self.here.adds_up or self.there.adds_up
+
     def tell(self, message: Usage) -> None:
         assert self.other is not None
         self.fleet.sent += 1
@@ -81,6 +95,8 @@
     share: QuotaShare | None = None
     links_up: list[_Link] = field(default_factory=list)
     adds_up: bool = False
+    place: int = 0
+    """Rank among the VMs of its hall that hear each other."""
     side: int = 0
     """VMs on different sides of a cut don't hear each other."""
     seen_side: int = 0
@@ -136,18 +152,21 @@
                 here.other, there.other = there, here
                 vm.links.append(here)
                 peer.links.append(there)
+        for vm, peer in itertools.combinations(self.vms, 2):
+            if vm.hall != peer.hall:
+                here, there = _Link(self, vm, peer, joins_halls=True), _Link(self, peer, vm, joins_halls=True)
+                here.other, there.other = there, here
+                vm.links.append(here)
+                peer.links.append(there)
 
     def _find_links(self) -> None:
         """Work out who adds up, and which connections are up: those to them in a hall, and a few to other halls."""
         for vm in self.vms:
             members = [one for one in self.vms if one.hall == vm.hall and vm.hears(one)]
-            vm.adds_up = vm in members[:TELLERS]
+            vm.place = members.index(vm)
+            vm.adds_up = vm.place < TELLERS
         for vm in self.vms:
-            vm.links_up = [
-                link
-                for link in vm.links
-                if vm.hears(link.there) and (link.hall != vm.hall or vm.adds_up or link.there.adds_up)
-            ]
+            vm.links_up = [link for link in vm.links if vm.hears(link.there) and link.is_wanted]
 
     def _start(self, vm: Vm) -> None:
         news = UsageNews(vm.name, vm.hall)
