Tell peers at the start only of VMs that they don't know

Most bytes between halls in the first 16 s were mentions of VMs: 64 on each connection from both ends, again after 0.5, 1, 2, 4 and 8 s. A VM that was dialled now first hears whom the other one knows, and both leave out what the other told; random ones are repeated only later.

--- a/src/beamhatch/relay/fleet/far_words.py
+++ b/src/beamhatch/relay/fleet/far_words.py
@@ -15,10 +15,11 @@
 from beamhatch.relay.fleet.gossip_message import Beat, DemandReport
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Iterable, Mapping
 
     from beamhatch.relay.engines.changing import ChangeNews
     from beamhatch.relay.fleet.evacuations import Evacuation
+    from beamhatch.relay.fleet.membership import Member
 
 DEMAND_CHANGE = 0.25
 """Share by which a figure of a report has to change to be told: the sum over tens of VMs is nearer than that."""
@@ -76,7 +77,11 @@
     _evacuations: dict[str, int] | None = None
     """Revision by hall; None before any were told."""
     mentioned: set[str] = field(default_factory=set)
-    """Addresses of the VMs that it was told of."""
+    """Addresses of the VMs that it was told of, or told of itself."""
+
+    def note_mentioned(self, members: Iterable[Member]) -> None:
+        """Note that both ends know of some VMs."""
+        self.mentioned.update(member.address for member in members)
 
     def pick_news(self, whole: Beat, now: float) -> Beat:
         """Return the part of a beat that the peer was not told yet, and take it as told."""
--- a/src/beamhatch/relay/fleet/gossip.py
+++ b/src/beamhatch/relay/fleet/gossip.py
@@ -172,7 +172,10 @@
             self._dialled[connection.dialled] = connection
             connection.hall = self.membership.find_hall(connection.dialled)
             self.membership.note_reached(connection.dialled)
-        self._tell_hello(connection)
+        if connection.dialled is None:
+            connection.tell(Hello(self._vm, self.membership.own, []))  # who is known follows, once it said who it is
+        else:
+            self._tell_hello(connection)
         self._tell_beat(connection, self._make_beat())
 
     def remove(self, connection: PeerConnection) -> None:
@@ -245,9 +248,9 @@
         now = self.clock.now()
         known = self.membership.list_mentions(MOST_MENTIONED, now)
         if self._is_far(connection):
-            told = connection.told.mentioned
-            known = self.membership.list_news(told, MOST_MENTIONED, FAR_MENTIONED, now)
-            told.update(mention.member.address for mention in known)
+            again = FAR_MENTIONED if self._hello_pause == LONGEST_HELLO_PAUSE else 0
+            known = self.membership.list_news(connection.told.mentioned, MOST_MENTIONED, again, now)
+            connection.told.note_mentioned(mention.member for mention in known)
         connection.tell(Hello(self._vm, self.membership.own, known))
 
     def _is_far(self, connection: PeerConnection) -> bool:
@@ -364,15 +367,19 @@
 
     def _take_hello(self, connection: PeerConnection, message: Hello) -> None:
         now = self.clock.now()
-        if not connection.vm:
+        is_new = not connection.vm
+        if is_new:
             self.journal.write("PEER", "met", vm=message.vm, address=message.member.address)
         connection.vm = message.vm
         connection.hall = message.member.hall
+        connection.told.note_mentioned([message.member, *(mention.member for mention in message.known)])
         self.membership.take(message.member, 0.0, now)
         self.membership.note_reached(message.member.address)
         for mention in message.known[:MOST_MENTIONED]:
             self.membership.take(mention.member, mention.age, now)
         self.core.vms = self.membership.size
+        if is_new and connection.dialled is None:
+            self._tell_hello(connection)
 
     def _take_beat(self, connection: PeerConnection, message: Beat) -> None:
         now = self.clock.now()
