--- a/tests/relay/fleet/test_membership.py
+++ b/tests/relay/fleet/test_membership.py
@@ -143,7 +143,7 @@
     assert "t:1" in membership.list_targets(30.0)
 
 
-@pytest.mark.parametrize("halls", [2, 3, 4, 5])
+@pytest.mark.parametrize("halls", [2, 3, 4, 5, 6])
 def test_those_that_watch_in_different_halls_are_joined_directly(halls: int) -> None:
     fleet = [Member(f"10.0.{number}:1", f"hall-{number % halls}") for number in range(60)]
     watching = {one.address: one for one in fleet if join(one, fleet).is_watcher()}
