--- a/src/beamhatch/relay/fleet/gossip.py
+++ b/src/beamhatch/relay/fleet/gossip.py
@@ -42,7 +42,7 @@
     from beamhatch.relay.choosing.pace import Reading
     from beamhatch.relay.core import Core
     from beamhatch.relay.engines.balancing import Pressure
-    from beamhatch.relay.fleet.membership import Membership
+    from beamhatch.relay.fleet.membership import Membership, Mention
     from beamhatch.relay.model import Service
     from beamhatch.relay.workspaces.usage_talk import UsageTalk
 
@@ -114,6 +114,8 @@
         self._dialled: dict[str, PeerConnection | None] = {}
         """Addresses that this VM dialled, with the connection once it is up."""
         self._fleet = FleetDemand()
+        self._adds_up = False
+        """Whether this VM adds up what its hall tells, as of the last regular beat: it takes 0.1 ms to find out."""
         self._hello_at = 0.0
         self._hello_pause = FIRST_HELLO_PAUSE
         self._lacking: dict[str, _Lack] = {}
@@ -207,6 +209,7 @@
         self.core.work.forget_old(now)
         self.core.vms = self.membership.size
         self._dial(now)
+        self._adds_up = self.membership.is_watcher()
         self._say_hello(now)
         self._beats.note_done()
         self._tell_beats(regular=True)
@@ -245,14 +248,18 @@
 
     def _tell_hello(self, connection: PeerConnection) -> None:
         """Tell a peer who is known; one in another hall, mainly who is new to it."""
-        now = self.clock.now()
-        known = self.membership.list_mentions(MOST_MENTIONED, now)
-        if self._is_far(connection):
-            again = FAR_MENTIONED if self._hello_pause == LONGEST_HELLO_PAUSE else 0
-            known = self.membership.list_news(connection.told.mentioned, MOST_MENTIONED, again, now)
-            connection.told.note_mentioned(mention.member for mention in known)
+        known = self._list_news_for(connection) if self._is_far(connection) else self._list_known()
         connection.tell(Hello(self._vm, self.membership.own, known))
 
+    def _list_known(self) -> list[Mention]:
+        return self.membership.list_mentions(MOST_MENTIONED, self.clock.now())
+
+    def _list_news_for(self, connection: PeerConnection) -> list[Mention]:
+        again = FAR_MENTIONED if self._hello_pause == LONGEST_HELLO_PAUSE else 0
+        news = self.membership.list_news(connection.told.mentioned, MOST_MENTIONED, again, self.clock.now())
+        connection.told.note_mentioned(mention.member for mention in news)
+        return news
+
     def _is_far(self, connection: PeerConnection) -> bool:
         """Tell whether a peer is in another hall, or has not said yet where it is."""
         return connection.hall != self.membership.own.hall
@@ -438,5 +445,5 @@
             core.standings.list_reading(),
             list(readings),
             core.eligibility.evacuations.list_news() if core.eligibility.evacuations.complete else None,
-            self.membership.is_watcher(),
+            self._adds_up,
         )
--- a/src/beamhatch/relay/workspaces/usage_talk.py
+++ b/src/beamhatch/relay/workspaces/usage_talk.py
@@ -122,7 +122,8 @@
         table = self.core.table
         assert table is not None
         self.news.forget_old(now)
-        if self._adds_up():
+        adds_up = self._adds_up()
+        if adds_up:
             members = {connection.vm for connection in self._list_connections() if connection.hall == self.news.hall}
             vms = 1 + len(members)
             self.news.note_hall(self._list_near(self.news.add_up_members(now), vms, now), vms, now)
@@ -131,20 +132,20 @@
         halls = self.news.list_halls(now)
         direct = self._list_direct(now)
         covered = self._list_covered(direct, now)
-        for connection in self._list_told():
+        for connection in self._list_told(adds_up=adds_up):
             is_near = connection.hall == self.news.hall
             self._tell_one(connection, own, halls, direct if is_near else covered, now)
         self._told_own = bool(own)
         return any(usage.rates for usage in halls)
 
-    def _list_told(self) -> list[PeerConnection]:
+    def _list_told(self, *, adds_up: bool) -> list[PeerConnection]:
         """Return the peers that are told: all of the hall; of other halls, those that add up, by those that add up.
 
         A VM that adds up tells all its peers of a hall where it has no connection to one that does. Of two connections
         to one VM, as both dialled, one is enough.
         """
         connections = {connection.vm: connection for connection in self._list_connections()}.values()
-        if not self._adds_up():
+        if not adds_up:
             return [connection for connection in connections if connection.hall == self.news.hall]
         joined = {connection.hall for connection in connections if connection.adds_up} - {self.news.hall}
         return [connection for connection in connections if connection.adds_up or connection.hall not in joined]
