Join what VMs tell across halls with evacuations

A beat to another hall has all evacuations where any is news, and the revision up to which that is all; whether a VM is turned away by the store is told in its own hall alone. The bounds on bytes of an idle and of a starting fleet hold.

--- a/src/beamhatch/relay/fleet/peer_connection.py
+++ b/src/beamhatch/relay/fleet/peer_connection.py
@@ -8,6 +8,7 @@
 from twisted.internet.protocol import ClientFactory, Factory, connectionDone
 from twisted.protocols.basic import Int32StringReceiver
 
+from beamhatch.relay.fleet.far_words import HeardWords, ToldWords
 from beamhatch.relay.fleet.gossip_message import MOST_BYTES, Message, MessageError, decode, encode
 
 if TYPE_CHECKING:
@@ -35,6 +36,10 @@
     def note_unreached(self, address: str) -> None:
         """Note that an address did not answer."""
 
+    @abstractmethod
+    def note_sent(self, connection: PeerConnection, message: Message, size: int) -> None:
+        """Count a message that was sent, with the bytes of its encoding."""
+
     @abstractmethod
     def take(self, connection: PeerConnection, message: Message) -> None:
         """Take in one message.
@@ -54,12 +59,19 @@
         self.vm = ""
         """The peer's name, once it has said it."""
         self.hall = ""
-        """The peer's hall, once it has said it."""
+        """The peer's hall, once it has said it, or as others told it where this VM dialled."""
         self.address = ""
         """Where the peer listens, once it has said it."""
         self.heard_at = 0.0
+        self.heard = HeardWords()
+        self.told = ToldWords()
         self._talk = talk
 
+    @property
+    def adds_up(self) -> bool:
+        """Tell whether the peer says that it adds up what its hall tells."""
+        return self.heard.adds_up
+
     def connectionMade(self) -> None:
         """Say who this is."""
         self.transport.setTcpNoDelay(True)
@@ -86,7 +98,9 @@
 
     def tell(self, message: Message) -> None:
         """Send a message."""
-        self.sendString(encode(message))
+        data = encode(message)
+        self.sendString(data)
+        self._talk.note_sent(self, message, len(data))
 
 
 class Accept(Factory):
--- a/tests/support/platform.py
+++ b/tests/support/platform.py
@@ -226,9 +226,12 @@
     ledger: Ledger = field(default_factory=Ledger)
     upstreams: dict[str, StandInUpstream] = field(default_factory=dict)
     halls: dict[str, str] = field(default_factory=dict)
-    """The hall of each upstream."""
+    """The hall of each upstream; it may be set before the upstream is added."""
     vms: dict[str, Daemon] = field(default_factory=dict)
     journals: dict[str, MemoryJournal] = field(default_factory=dict)
+    places: Places = field(default_factory=Places)
+    names_hosts: bool = False
+    """Whether connections that a VM dials are known as its: needed for distances, and for cuts that hold both ways."""
 
     def __post_init__(self) -> None:
         """Start the store."""
@@ -275,6 +278,10 @@
         engine.on_phase = lambda: self.list_again(name)
         return engine
 
+    def find_hall(self, upstream: str) -> str:
+        """Return the hall of an upstream."""
+        return self.halls.get(upstream, "hall-a")
+
     def list_again(self, name: str) -> None:
         """Have an upstream write its entry anew."""
         service = MODEL if isinstance(self.upstreams[name], StandInEngine) else PLAIN
@@ -286,10 +293,10 @@
         self.list_again(name)
 
     def _add(self, name: str, upstream: StandInUpstream, service: str, hall: str) -> None:
-        self.halls[name] = hall
+        self.halls.setdefault(name, hall)
         upstream.start()
         self.upstreams[name] = upstream
-        self.store.put(f"servers/{name}", upstream.describe(service, hall))
+        self.store.put(f"servers/{name}", upstream.describe(service, self.halls[name]))
 
     def drain(self, name: str) -> None:
         """Have an upstream say that it leaves."""
@@ -319,13 +326,14 @@
             quota=quota or QuotaTerms(),
             peer_address=Address(name, 8002),
             seeds=seeds or [],
-            places=places or Places(),
+            places=places or self.places,
             without=without,
         )
         journal = self.journals[name] = MemoryJournal(self.clock)
         documents = PlatformDocuments(journal)
-        client = PlatformStore(HttpClient(self.clock), self.clock, store, documents)
-        daemon = Daemon(settings, self.clock, journal, Tally(), PlatformDialect(), documents, client)
+        clock = PausedClock(self.network.at(name)) if self.names_hosts else self.clock
+        client = PlatformStore(HttpClient(clock), clock, store, documents)
+        daemon = Daemon(settings, clock, journal, Tally(), PlatformDialect(), documents, client)
         self.vms[name] = daemon
         daemon.start()
         return daemon
