Share decode memory fairly between workspaces

Change: FairOrder with three ways, start-time fair queueing by tokens in force (--without fairness); priorities of workspaces and routes; a request of a workspace far ahead gives way when the line is full.

--- a/src/beamhatch/platform/documents.py
+++ b/src/beamhatch/platform/documents.py
@@ -51,6 +51,7 @@
     target_gap_ms: float = 300
     public: bool = False
     allowed_regions: list[str] | None = None
+    priority: int = 0
 
 
 class _Engine(msgspec.Struct):
@@ -189,6 +190,7 @@
         caller_patience=max(2.0, 4 * read.target_latency_ms / 1000, 8 * read.target_gap_ms / 1000),
         public=read.public,
         regions=_read_regions(read.allowed_regions),
+        priority=read.priority,
     )
 
 
--- a/src/beamhatch/relay/core.py
+++ b/src/beamhatch/relay/core.py
@@ -22,8 +22,9 @@
 from beamhatch.relay.places import Places
 from beamhatch.relay.requests.budget import Budget, BudgetTerms
 from beamhatch.relay.requests.exchange import RelayExchange
+from beamhatch.relay.requests.fair_order import ArrivalOrder, StartTimeOrder
 from beamhatch.relay.requests.lengths import AnswerLengths
-from beamhatch.relay.requests.line import Line
+from beamhatch.relay.requests.line import NO_CLAIM, Line
 from beamhatch.relay.upstreams.listing import Listing
 from beamhatch.relay.workspaces.admission import Admission, Admitted, OverQuota, Undecided
 
@@ -38,6 +39,7 @@
     from beamhatch.relay.choosing.chooser import Chooser
     from beamhatch.relay.fleet.evacuations import Evacuation
     from beamhatch.relay.model import ColdTerms, Regions, RequestFacts, Route, Service, Table, Upstream, UpstreamId
+    from beamhatch.relay.requests.line import Claim
     from beamhatch.relay.upstreams.http_client import HttpClient
     from beamhatch.relay.upstreams.listing import Entry
     from beamhatch.relay.workspaces.admission import Decision
@@ -144,7 +146,7 @@
     """Called when this VM's part of what an engine has to read has changed."""
     places: Places = field(default_factory=Places)
     _budgets: dict[ServiceName, Budget] = field(default_factory=dict)
-    _lines: defaultdict[ServiceName, Line[RelayExchange]] = field(default_factory=lambda: defaultdict(Line))
+    _lines: defaultdict[ServiceName, Line[RelayExchange]] = field(init=False)
     _demands: defaultdict[ServiceName, Demand] = field(default_factory=lambda: defaultdict(Demand))
     _lengths: defaultdict[ServiceName, AnswerLengths] = field(default_factory=lambda: defaultdict(AnswerLengths))
     _read_times: defaultdict[ServiceName, ReadTimes] = field(default_factory=lambda: defaultdict(ReadTimes))
@@ -156,6 +158,7 @@
     def __post_init__(self) -> None:
         """Put together what stands between requests and upstreams."""
         self.eligibility = Eligibility(self.listing, self.places)
+        self._lines = defaultdict(self._make_line)
 
     @property
     def table(self) -> Table | None:
@@ -321,14 +324,19 @@
         """Return the line for the decode memory of a service."""
         return self._lines[service]
 
-    def wait_in_line(self, exchange: RelayExchange, late_at: float, *, owed: bool) -> None:
+    def _make_line(self) -> Line[RelayExchange]:
+        return Line(ArrivalOrder() if Mechanism.FAIRNESS in self.without else StartTimeOrder())
+
+    def wait_in_line(self, exchange: RelayExchange, late_at: float, *, owed: bool, claim: Claim = NO_CLAIM) -> None:
         """Let a request wait; it is asked to go on when it is its turn, or when it has waited for long enough.
 
         :param owed: whether it goes before those that came just now
         """
         service = exchange.request.service.name
         now = self.clock.now()
-        self.find_line(service).join(exchange, late_at, now + exchange.request.longest_wait, now, owed=owed)
+        self.find_line(service).join(
+            exchange, late_at, now + exchange.request.longest_wait, now, owed=owed, claim=claim
+        )
         self._poll_soon(service)
 
     def note_freed(self, service: ServiceName) -> None:
--- a/src/beamhatch/relay/mechanism.py
+++ b/src/beamhatch/relay/mechanism.py
@@ -36,6 +36,8 @@
     """A prefill engine is waited for by what prompts took of late at all of them; else by what it took itself."""
     SHARED_QUOTAS = "shared-quotas"
     """A VM's part of a workspace's quota follows what callers ask it; else each VM has an equal part."""
+    FAIRNESS = "fairness"
+    """Decode memory is shared fairly between workspaces; else whoever came first is next."""
     FEW_WATCHERS = "few-watchers"
     """Two VMs a hall watch the store for the others; else each watches."""
 
--- a/src/beamhatch/relay/model.py
+++ b/src/beamhatch/relay/model.py
@@ -89,6 +89,8 @@
     """True where requests need no key."""
     regions: Regions = None
     """Where its requests may be served."""
+    priority: int = 0
+    """The rank of its requests, 0 for the highest, where their workspace has none."""
 
     @property
     def idempotent(self) -> bool:
--- a/src/beamhatch/relay/requests/exchange.py
+++ b/src/beamhatch/relay/requests/exchange.py
@@ -12,6 +12,7 @@
 from beamhatch.relay.mechanism import Mechanism
 from beamhatch.relay.model import RouteKind, Stage
 from beamhatch.relay.requests.answer import PROMISES, WholeAnswer
+from beamhatch.relay.requests.line import Claim
 from beamhatch.relay.requests.request import Fail, Refuse, RelayRequest, Reserve, Send, Step, Wait
 from beamhatch.relay.upstreams.attempt import Attempt, DropSink
 from beamhatch.relay.upstreams.http_client import Call
@@ -87,6 +88,7 @@
             reserves=Mechanism.RESERVATIONS not in core.without,
             late_at=late_at,
         )
+        self._claim = Claim(admitted.workspace, admitted.priority, facts.prompt_tokens + self.request.answer_room)
         self._incoming = incoming
         self._responder = responder
         self._passed_on = strip_hop_by_hop(incoming.headers)
@@ -175,15 +177,32 @@
         if not self._in_line:
             self.core.find_demand(self.request.service.name).note_wait(now)
         if not self._in_line and not self.request.begun and not self._returns and not line.has_room(in_time, now):
-            self.write_log("line is full", waiting=len(line), freed_per_second=line.count_rate(now))
-            self._carry_out(self.request.refuse_full())
-            return
+            displaced = line.find_displaced(self._claim, now)
+            self.write_log(
+                "line is full",
+                waiting=len(line),
+                freed_per_second=line.count_rate(now),
+                workspace=self._claim.workspace,
+                goes_before=displaced is not None,
+            )
+            if displaced is None:
+                self._carry_out(self.request.refuse_full())
+                return
+            displaced.give_way(self._claim)
         if not self._in_line:
             self._in_line = True
             self.request.note_waiting(now)
-            self.write_log("waits", waiting=len(line), freed_per_second=line.count_rate(now))
+            self.write_log(
+                "waits", waiting=len(line), freed_per_second=line.count_rate(now), workspace=self._claim.workspace
+            )
         owed = self._returns or self.request.begun
-        self.core.wait_in_line(self, self._incoming.arrived + in_time, owed=owed)
+        self.core.wait_in_line(self, self._incoming.arrived + in_time, owed=owed, claim=self._claim)
+
+    def give_way(self, claim: Claim) -> None:
+        """Leave the line to a request of a workspace that was served less."""
+        self.core.tally.count("line_displaced_total")
+        self.write_log("gives way", workspace=self._claim.workspace, to=claim.workspace)
+        self._carry_out(self.request.refuse_full())
 
     def _reserve(self, step: Reserve) -> None:
         attempt = ReserveAttempt(self, step)
@@ -371,6 +390,7 @@
         if self._memory_since is None:
             self._memory_since = self.core.clock.now()
             self.core.find_demand(self.request.service.name).begin_stream(self._memory_since)
+            self.core.find_line(self.request.service.name).note_served(self._claim, self._memory_since)
 
     def note_first_event(self) -> None:
         """Learn how long decode memory is held before the first event."""
--- a/src/beamhatch/relay/requests/line.py
+++ b/src/beamhatch/relay/requests/line.py
@@ -2,13 +2,19 @@
 
 A place in decode memory comes free as streams end. A VM's own streams tell how often: as many requests may wait as
 places are expected to come free before a wait would make an answer late. All others are told at once when to come back.
+Between workspaces it goes by their priority, and within one by a :class:`FairOrder`.
 """
 
 from __future__ import annotations
 
 from collections import deque
 from dataclasses import dataclass, field
-from typing import Generic, TypeVar
+from typing import TYPE_CHECKING, Generic, TypeVar
+
+from beamhatch.relay.requests.fair_order import ArrivalOrder, FairOrder
+
+if TYPE_CHECKING:
+    from beamhatch.relay.workspaces.workspace import WorkspaceName
 
 Waiter = TypeVar("Waiter")
 
@@ -19,6 +25,21 @@
 """Requests that may wait whatever the rate of freed places is, as a VM that sees few can not tell it."""
 
 
+@dataclass(frozen=True, slots=True)
+class Claim:
+    """Whose request it is, and how much it asks."""
+
+    workspace: WorkspaceName | None = None
+    """None where it belongs to no workspace; all such are treated as of one."""
+    priority: int = 0
+    """Its rank, 0 for the highest."""
+    tokens: int = 0
+    """Of decode memory."""
+
+
+NO_CLAIM = Claim()
+
+
 @dataclass(frozen=True, slots=True)
 class _Place(Generic[Waiter]):
     waiter: Waiter
@@ -26,6 +47,7 @@
     late_at: float
     ends_at: float
     owed: bool
+    claim: Claim
 
     def is_fresh(self, now: float) -> bool:
         """Tell whether the answer can still be in time."""
@@ -38,9 +60,11 @@
 
     Those that can still be in time go first. Behind them come those that are owed a place: callers that were refused
     and came back as they were told, and those that have a part of their answer. Both are late whatever is done, and a
-    place that they take makes a newcomer late as well.
+    place that they take makes a newcomer late as well. Among those that can be in time, and among the others, the
+    higher priority goes first, then the workspace that is next, and within it who is owed a place, and who came first.
     """
 
+    order: FairOrder = field(default_factory=ArrivalOrder)
     _places: list[_Place[Waiter]] = field(default_factory=list)
     _freed: deque[float] = field(default_factory=deque)
 
@@ -63,10 +87,37 @@
             self._freed.popleft()
         return len(self._freed) / RATE_WINDOW
 
-    def join(self, waiter: Waiter, late_at: float, ends_at: float, now: float, *, owed: bool = False) -> None:
+    def note_served(self, claim: Claim, now: float) -> None:
+        """Note that a request got decode memory, whether it waited or not."""
+        self.order.note_served(claim.workspace, claim.tokens, now)
+
+    def join(
+        self,
+        waiter: Waiter,
+        late_at: float,
+        ends_at: float,
+        now: float,
+        *,
+        owed: bool = False,
+        claim: Claim = NO_CLAIM,
+    ) -> None:
         """Enter a request that will be late from some time on, and waits up to some time."""
         if all(place.waiter is not waiter for place in self._places):
-            self._places.append(_Place(waiter, now, late_at, ends_at, owed))
+            self._places.append(_Place(waiter, now, late_at, ends_at, owed, claim))
+
+    def find_displaced(self, claim: Claim, now: float) -> Waiter | None:
+        """Return who is to give way to a newcomer although he waits, or None.
+
+        It is the last of those that can be in time, where his priority is not higher and his workspace is ahead of the
+        newcomer's by more than both requests: so two that ask as much as each other don't drive each other out.
+        """
+        fresh = [place for place in self._places if place.is_fresh(now)]
+        if not fresh:
+            return None
+        last = self._sort(fresh, now)[-1]
+        lead = self.order.find_lead(last.claim.workspace, claim.workspace, now)
+        gives_way = last.claim.priority >= claim.priority and lead > last.claim.tokens + claim.tokens
+        return last.waiter if gives_way else None
 
     def leave(self, waiter: Waiter) -> None:
         """Drop a request that waits no longer."""
@@ -80,6 +131,24 @@
         """Return who goes next, and who has waited for long enough to be given an end."""
         if not self._places:
             return []
-        first = min(self._places, key=lambda place: (not place.is_fresh(now), not place.owed, place.joined_at))
+        first = self._sort(self._places, now)[0]
         ending = [place for place in self._places if place is not first and now >= place.ends_at]
         return [place.waiter for place in [first, *ending]]
+
+    def _sort(self, places: list[_Place[Waiter]], now: float) -> list[_Place[Waiter]]:
+        """Return places in the order of their turns."""
+        ranks = {owner: rank for rank, owner in enumerate(self.order.rank(_list_owners(places), now))}
+        return sorted(
+            places,
+            key=lambda place: (
+                not place.is_fresh(now),
+                place.claim.priority,
+                ranks.get(place.claim.workspace, 0),
+                not place.owed,
+                place.joined_at,
+            ),
+        )
+
+
+def _list_owners(places: list[_Place[Waiter]]) -> list[WorkspaceName | None]:
+    return [place.claim.workspace for place in places]
--- a/src/beamhatch/relay/workspaces/admission.py
+++ b/src/beamhatch/relay/workspaces/admission.py
@@ -23,6 +23,8 @@
     """Whose request it is; None where the route asks for no key and none was given."""
     cost: int = 0
     """Units of the workspace's quota that were taken for it."""
+    priority: int = 0
+    """Its rank by its workspace, or else by its route; 0 for all where the configuration has no workspaces."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -68,9 +70,12 @@
         if workspace is None:
             return self._decide_unknown(facts, route)
         if self.share is None or workspace.quota is None:
-            return Admitted(keyed=True, workspace=workspace.name)
+            return Admitted(keyed=True, workspace=workspace.name, priority=_find_priority(workspace, route))
         cost = workspace.quota.measure(facts.prompt_tokens + facts.output_tokens)
-        return self._take_quota(workspace, cost, self.share, now)
+        wait = self.share.take(workspace, cost, now)
+        if wait is not None:
+            return OverQuota(workspace.name, wait)
+        return Admitted(keyed=True, workspace=workspace.name, cost=cost, priority=_find_priority(workspace, route))
 
     def give_back(self, admitted: Admitted, now: float) -> None:
         """Give back what was taken for a request that reached no upstream."""
@@ -79,14 +84,11 @@
 
     def _decide_unknown(self, facts: RequestFacts, route: Route) -> Decision:
         if route.public:
-            return Admitted(keyed=True)
+            return Admitted(keyed=True, priority=route.priority)
         if facts.key is not None and self.may_be_behind():
             return Undecided()
         return UnknownKey()
 
-    @staticmethod
-    def _take_quota(workspace: Workspace, cost: int, share: QuotaShare, now: float) -> Decision:
-        wait = share.take(workspace, cost, now)
-        if wait is not None:
-            return OverQuota(workspace.name, wait)
-        return Admitted(keyed=True, workspace=workspace.name, cost=cost)
+
+def _find_priority(workspace: Workspace, route: Route) -> int:
+    return route.priority if workspace.priority is None else workspace.priority
