--- /dev/null
+++ b/tests/platform/test_fair_line.py
@@ -0,0 +1,44 @@
+"""A full line, as callers of two workspaces see it."""
+
+from __future__ import annotations
+
+import pytest
+
+from beamhatch.relay.mechanism import ALL_IN, Mechanism, Without
+from tests.support.platform import ROUTES, Caller, Platform, make_platform, make_workspace
+
+KEYS = {"desk": "asnmgkcuyj8pjbvk9m68", "back": "k7b2ex5wa5xwyhks8nbk"}
+
+
+def ask(platform: Platform, workspace: str, request: str, tokens: str = "2000,10") -> Caller:
+    headers = {"Authorization": f"Bearer {KEYS[workspace]}", "Token-Count": tokens}
+    return platform.call("/stream/x", request, headers=headers)
+
+
+def fill_line(without: Without) -> tuple[Platform, Caller]:
+    """Have one workspace take all decode memory and the place in line, behind a small request of the other."""
+    platform = make_platform(decode=1, without=without)
+    platform.configure(2, ROUTES, [make_workspace(name, key) for name, key in KEYS.items()])
+    platform.network.run(3.0)
+    assert platform.finish(ask(platform, "back", "small")).status == 200
+    ask(platform, "desk", "fill", "59000,60")
+    platform.network.run(0.1)
+    waiting = ask(platform, "desk", "waits")
+    platform.network.run(0.05)
+    return platform, waiting
+
+
+@pytest.mark.parametrize(("without", "displaced"), [(ALL_IN, True), (frozenset({Mechanism.FAIRNESS}), False)])
+def test_a_workspace_that_was_served_little_takes_the_place_in_line(without: Without, *, displaced: bool) -> None:
+    platform, waiting = fill_line(without)
+    other = ask(platform, "back", "other")
+    platform.network.run(0.05)
+    assert (waiting.status, other.status) == ((503, 0) if displaced else (0, 503))
+    assert "retry-after" in (waiting if displaced else other).head.lower()
+
+
+def test_two_requests_of_one_workspace_do_not_drive_each_other_out() -> None:
+    platform, waiting = fill_line(ALL_IN)
+    again = ask(platform, "desk", "again")
+    platform.network.run(0.05)
+    assert (waiting.status, again.status) == (0, 503)
