--- a/src/beamhatch/relay/core.py
+++ b/src/beamhatch/relay/core.py
@@ -24,8 +24,9 @@
 from beamhatch.relay.places import Places
 from beamhatch.relay.requests.budget import Budget, BudgetTerms
 from beamhatch.relay.requests.exchange import REGION_RETRY, RelayExchange
+from beamhatch.relay.requests.fair_order import ArrivalOrder, StartTimeOrder
 from beamhatch.relay.requests.lengths import AnswerLengths
-from beamhatch.relay.requests.line import Line
+from beamhatch.relay.requests.line import NO_CLAIM, Line
 from beamhatch.relay.upstreams.listing import Listing
 from beamhatch.relay.workspaces.admission import Admission, Admitted, OverQuota, Undecided
 
@@ -41,6 +42,7 @@
     from beamhatch.relay.fleet.evacuations import Evacuation
     from beamhatch.relay.model import ColdTerms, RequestFacts, Route, Service, Table, Upstream, UpstreamId
     from beamhatch.relay.places import RegionName
+    from beamhatch.relay.requests.line import Claim
     from beamhatch.relay.upstreams.http_client import HttpClient
     from beamhatch.relay.upstreams.listing import Entry
     from beamhatch.relay.workspaces.admission import Decision
@@ -170,7 +172,7 @@
     """Called when this VM's part of what an engine has to read has changed."""
     places: Places = field(default_factory=Places)
     _budgets: dict[ServiceName, Budget] = field(default_factory=dict)
-    _lines: defaultdict[LineKey, Line[RelayExchange]] = field(default_factory=lambda: defaultdict(Line))
+    _lines: defaultdict[LineKey, Line[RelayExchange]] = field(init=False)
     _demands: defaultdict[ServiceName, Demand] = field(default_factory=lambda: defaultdict(Demand))
     _lengths: defaultdict[ServiceName, AnswerLengths] = field(default_factory=lambda: defaultdict(AnswerLengths))
     _read_times: defaultdict[ServiceName, ReadTimes] = field(default_factory=lambda: defaultdict(ReadTimes))
@@ -188,6 +190,7 @@
         """Put together what stands between requests and upstreams."""
         self.eligibility = Eligibility(self.listing, self.places, Evacuations(self.places))
         self.chooser.find_cold_cost = self.find_cold_cost
+        self._lines = defaultdict(self._make_line)
 
     @property
     def table(self) -> Table | None:
@@ -461,14 +464,18 @@
         """Return the line for the decode memory of a service in some regions."""
         return self._lines[LineKey(service, regions)]
 
-    def wait_in_line(self, exchange: RelayExchange, late_at: float, *, owed: bool) -> None:
+    def _make_line(self) -> Line[RelayExchange]:
+        return Line(ArrivalOrder() if Mechanism.FAIRNESS in self.without else StartTimeOrder())
+
+    def wait_in_line(self, exchange: RelayExchange, late_at: float, *, owed: bool, claim: Claim = NO_CLAIM) -> None:
         """Let a request wait; it is asked to go on when it is its turn, or when it has waited for long enough.
 
         :param owed: whether it goes before those that came just now
         """
         key = LineKey(exchange.request.service.name, exchange.request.regions)
         now = self.clock.now()
-        self._lines[key].join(exchange, late_at, now + exchange.request.longest_wait, now, owed=owed)
+        until = now + exchange.request.longest_wait
+        self._lines[key].join(exchange, late_at, until, now, owed=owed, claim=claim)
         self._poll_soon(key)
 
     def note_freed(self, service: ServiceName, hall: str = "") -> None:
--- a/src/beamhatch/relay/mechanism.py
+++ b/src/beamhatch/relay/mechanism.py
@@ -41,7 +41,9 @@
     SHARED_QUOTAS = "shared-quotas"
     """A VM's part of a workspace's quota follows what callers ask it; else each VM has an equal part."""
     SPONSORS = "sponsors"
-    """A few VMs send to each cold upstream; else each has a short turn. Both keep the bound."""
+    """A few VMs send to each cold upstream; else each has a short turn, which breaks the bound where VMs are few."""
+    FAIRNESS = "fairness"
+    """Decode memory is shared fairly between workspaces; else whoever came first is next."""
     FEW_WATCHERS = "few-watchers"
     """Two VMs a hall watch the store for the others; else each watches."""
 
--- a/src/beamhatch/relay/requests/exchange.py
+++ b/src/beamhatch/relay/requests/exchange.py
@@ -16,6 +16,7 @@
 from beamhatch.relay.model import Phase, RouteKind, Stage
 from beamhatch.relay.places import Distance
 from beamhatch.relay.requests.answer import PROMISES, WholeAnswer
+from beamhatch.relay.requests.line import Claim
 from beamhatch.relay.requests.request import Fail, Refuse, RelayRequest, Reserve, Send, Step, Wait
 from beamhatch.relay.upstreams.attempt import Attempt, DropSink
 from beamhatch.relay.upstreams.http_client import Call
@@ -105,6 +106,7 @@
             regions=regions,
             body_bytes=len(incoming.body),
         )
+        self._claim = Claim(admitted.workspace, admitted.priority, facts.prompt_tokens + self.request.answer_room)
         self._incoming = incoming
         self._responder = responder
         self._passed_on = strip_hop_by_hop(incoming.headers)
@@ -282,14 +284,31 @@
             self.core.find_demand(self.request.service.name).note_wait(now)
         owed = self._returns or self.request.begun or self.request.displaced
         if not self._in_line and not owed and not line.has_room(in_time, now):
-            self.write_log("line is full", waiting=len(line), freed_per_second=line.count_rate(now))
-            self._carry_out(self.request.refuse_full())
-            return
+            displaced = line.find_displaced(self._claim, now)
+            self.write_log(
+                "line is full",
+                waiting=len(line),
+                freed_per_second=line.count_rate(now),
+                workspace=self._claim.workspace,
+                goes_before=displaced is not None,
+            )
+            if displaced is None:
+                self._carry_out(self.request.refuse_full())
+                return
+            displaced.give_way(self._claim)
         if not self._in_line:
             self._in_line = True
             self.request.note_waiting(now)
-            self.write_log("waits", waiting=len(line), freed_per_second=line.count_rate(now))
-        self.core.wait_in_line(self, self._incoming.arrived + in_time, owed=owed)
+            self.write_log(
+                "waits", waiting=len(line), freed_per_second=line.count_rate(now), workspace=self._claim.workspace
+            )
+        self.core.wait_in_line(self, self._incoming.arrived + in_time, owed=owed, claim=self._claim)
+
+    def give_way(self, claim: Claim) -> None:
+        """Leave the line to a request of a workspace that was served less."""
+        self.core.tally.count("line_displaced_total")
+        self.write_log("gives way", workspace=self._claim.workspace, to=claim.workspace)
+        self._carry_out(self.request.refuse_full())
 
     def _reserve(self, step: Reserve) -> None:
         attempt = ReserveAttempt(self, step)
@@ -525,6 +544,7 @@
         if self._memory_since is None:
             self._memory_since = self.core.clock.now()
             self.core.find_demand(self.request.service.name).begin_stream(self._memory_since)
+            self.core.find_line(self.request.service.name).note_served(self._claim, self._memory_since)
 
     def note_first_event(self) -> None:
         """Learn how long decode memory is held before the first event."""
