Soak relays as processes under drawn faults, and check promises from outside

Cause: the users ask for a soak of the real programs; there was none. Ruled out: stand-ins in processes of their own: one process sees all arrivals in one order and by one clock. The proxy of the stand-ins can be opened in a process (open_link).

--- a/src/beamhatch/standin/link.py
+++ b/src/beamhatch/standin/link.py
@@ -135,18 +135,20 @@
     )
     link = Link(reactor)
     for text in parser.parse_args().link:
-        _listen(reactor, link, *text.split("="))
+        open_link(reactor, link, *text.split("="))
     orders = listen(reactor, LinkRoot(link), "127.0.0.1", 0)
     announce("link", orders.getHost().port)
     reactor.run()
 
 
-def _listen(reactor: Any, link: Link, address: str, target: str) -> None:
+def open_link(reactor: Any, link: Link, address: str, target: str) -> int:
+    """Listen at an address for connections to another one; return the port, which is any that is free for 0."""
     factory = protocol.Factory()
     factory.noisy = False
     factory.buildProtocol = lambda _: _Side(link, address, target, "forward", None)
     host, _, port = address.partition(":")
-    reactor.listenTCP(int(port), factory, interface=host)
+    listening = reactor.listenTCP(int(port), factory, interface=host)
+    return int(listening.getHost().port)
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak: real relays as processes, faults from outside, promises checked while it runs."""
--- /dev/null
+++ b/tests/soak/faults.py
@@ -0,0 +1,278 @@
+"""Carries the steps of a schedule out, from outside of the relays."""
+
+from __future__ import annotations
+
+import signal
+from typing import TYPE_CHECKING, TypeVar
+
+from beamhatch.platform.standin.store import StoreFault
+from beamhatch.platform.standin.upstream import UpstreamFault
+from beamhatch.standin.link import Drop
+from tests.soak.promise import GRACE, LEAVE_BOUND, Promise
+from tests.soak.schedule import PLANNED, FaultKind, Step
+from tests.soak.upstreams import ModelEngine
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Sequence
+
+    from tests.soak.vm import VmProcess
+    from tests.soak.world import World
+
+RESTART_DELAY = 0.5
+"""Seconds behind its end after which a process is started again."""
+
+STOP_SLACK = 2.0
+"""Seconds beyond its time that a planned stop may take here, as the machine is shared."""
+
+LINGER = 1.0
+"""Seconds for which a leaving upstream serves on behind the time by which nothing new may come."""
+
+SLOW = 0.15
+"""Seconds by which bytes come late on a slow link."""
+
+UPSTREAM_FAULTS = [one for one in UpstreamFault if one is not UpstreamFault.NONE]
+
+
+Thing = TypeVar("Thing")
+
+
+def pick(things: Sequence[Thing], step: Step) -> Thing:
+    """Return the one of some things that a step strikes."""
+    return things[int(step.pick * len(things)) % len(things)]
+
+
+class Faults:
+    """Strikes, and mends what it struck."""
+
+    def __init__(self, world: World) -> None:
+        self._world = world
+        self._witness = world.witness
+        self._clock = world.clock
+        self.under_way = 0
+        self._by_kind: dict[FaultKind, Callable[[Step], None]] = {
+            FaultKind.KILL: self._kill,
+            FaultKind.FREEZE: self._freeze,
+            FaultKind.STOP: self._stop,
+            FaultKind.RELOAD: self._reload,
+            FaultKind.HERD: self._herd,
+            FaultKind.STORE_SILENT: lambda step: self._harm_store(step, StoreFault.SILENT),
+            FaultKind.STORE_BUSY: lambda step: self._harm_store(step, StoreFault.BUSY),
+            FaultKind.STORE_LOST: lambda step: self._harm_store(step, StoreFault.LOST),
+            FaultKind.STORE_FORGETS: self._forget,
+            FaultKind.LINK_SILENT: self._silence_link,
+            FaultKind.LINK_SLOW: self._slow_links,
+            FaultKind.LINK_BREAKS: self._break_links,
+            FaultKind.UPSTREAM_FAULT: self._harm_upstream,
+            FaultKind.UPSTREAM_CRASH: self._crash_upstream,
+            FaultKind.UPSTREAM_LEAVES: self._leave,
+            FaultKind.HALL_COLD: self._chill_hall,
+            FaultKind.EVACUATE: self._evacuate,
+            FaultKind.CONFIGURE: lambda step: self._world.configure(),
+        }
+
+    def plan(self, steps: Sequence[Step]) -> None:
+        """Have all steps carried out at their times."""
+        for step in steps:
+            self._clock.call_later(step.at, self._strike, step)
+
+    def _strike(self, step: Step) -> None:
+        if step.kind not in PLANNED:
+            self._witness.unplanned.begin()
+            self._later(step.seconds, self._witness.unplanned.end, None)
+        self._by_kind[step.kind](step)
+
+    def _later(self, seconds: float, function: Callable[..., None], *arguments: object) -> None:
+        """Do something later; a run does not end before."""
+        self.under_way += 1
+
+        def act() -> None:
+            self.under_way -= 1
+            function(*([self._world.now()] if arguments == (None,) else arguments))
+
+        self._clock.call_later(seconds, act)
+
+    # --- relays ------------------------------------------------------------------------------------------------------
+
+    def _disturb(self, vm: VmProcess, seconds: float) -> None:
+        calm = self._witness.vms[vm.name].calm
+        calm.begin()
+        self._later(seconds, calm.end, None)
+
+    def start_vm(self, vm: VmProcess) -> None:
+        """Start a relay, unless it runs."""
+        if vm.runs:
+            return
+        vm.start()
+        facts = self._witness.vms[vm.name]
+        facts.life = vm.life
+        facts.seen.clear()
+        self._disturb(vm, RESTART_DELAY)
+
+    def _kill(self, step: Step) -> None:
+        self._kill_vm(pick(self._world.vms, step), step.seconds / 3)
+
+    def _kill_vm(self, vm: VmProcess, down: float) -> None:
+        vm.kill()
+        self._disturb(vm, RESTART_DELAY + down)
+        self._later(RESTART_DELAY + down, self.start_vm, vm)
+
+    def _herd(self, step: Step) -> None:
+        for vm in self._world.vms[: max(1, int(len(self._world.vms) * (0.5 + step.pick / 2)))]:
+            self._kill_vm(vm, 0.1)
+
+    def _freeze(self, step: Step) -> None:
+        vm = pick(self._world.vms, step)
+        if vm.frozen or not vm.runs:
+            return
+        vm.frozen = True
+        vm.send(signal.SIGSTOP)
+        self._disturb(vm, step.seconds)
+        self._later(step.seconds, self._thaw, vm, vm.life)
+
+    def _thaw(self, vm: VmProcess, life: int) -> None:
+        if vm.life == life:
+            vm.frozen = False
+            self._witness.vms[vm.name].thawed_at = self._world.now()
+            vm.send(signal.SIGCONT)
+
+    def _stop(self, step: Step) -> None:
+        vm = pick(self._world.vms, step)
+        if vm.frozen or not vm.runs or vm.stopping_since is not None:
+            return
+        vm.stopping_since = self._world.now()
+        vm.send(signal.SIGTERM)
+        calm = self._witness.vms[vm.name].calm
+        calm.begin()
+        self._await_end(vm, vm.life)
+
+    def _await_end(self, vm: VmProcess, life: int) -> None:
+        self._later(0.1, self._look_at_end, vm, life)
+
+    def _look_at_end(self, vm: VmProcess, life: int) -> None:
+        now = self._world.now()
+        calm = self._witness.vms[vm.name].calm
+        if vm.life != life:
+            calm.end(now)
+        elif vm.runs:
+            if vm.stopping_since is not None and not vm.frozen and now > vm.stopping_since + GRACE + STOP_SLACK:
+                self._witness.break_promise(Promise.PLANNED_STOP, now, f"{vm.name} still runs")
+                vm.kill()
+            self._await_end(vm, life)
+        else:
+            if vm.exit_code not in (0, -signal.SIGKILL):
+                self._witness.break_promise(Promise.PLANNED_STOP, now, f"{vm.name} ended with {vm.exit_code}")
+            calm.end(now)
+            self._later(RESTART_DELAY, self.start_vm, vm)
+
+    def _reload(self, step: Step) -> None:
+        for vm in self._world.vms:
+            vm.touch()
+            vm.send(signal.SIGHUP)
+
+    # --- store and links ---------------------------------------------------------------------------------------------
+
+    def _harm_store(self, step: Step, fault: StoreFault) -> None:
+        store = self._world.store
+        if store.fault is not StoreFault.NONE:
+            return
+        store.fault = fault
+        self._witness.store.begin()
+        self._later(step.seconds, self._mend_store)
+
+    def _mend_store(self) -> None:
+        self._world.store.fault = StoreFault.NONE
+        self._world.store.break_connections()
+        self._witness.store.end(self._world.now())
+
+    def _forget(self, step: Step) -> None:
+        self._witness.store.begin()
+        self._world.store.forget_history()
+        self._witness.store.end(self._world.now())
+
+    def _silence_link(self, step: Step) -> None:
+        vm = pick(self._world.vms, step)
+        link = self._world.store_links[vm.name]
+        if link.drops:
+            return
+        link.drops = [Drop("*", "*", "forward"), Drop("*", "*", "back")]
+        self._disturb(vm, step.seconds)
+        self._later(step.seconds, self._mend_link, vm)
+
+    def _mend_link(self, vm: VmProcess) -> None:
+        link = self._world.store_links[vm.name]
+        link.drops = []
+        link.close_all()
+
+    def _slow_links(self, step: Step) -> None:
+        self._world.upstream_link.delay = SLOW
+        for vm in self._world.vms:
+            self._disturb(vm, step.seconds)
+        self._later(step.seconds, self._quicken_links)
+
+    def _quicken_links(self) -> None:
+        self._world.upstream_link.delay = 0.0
+
+    def _break_links(self, step: Step) -> None:
+        for vm in self._world.vms:
+            self._disturb(vm, 0.0)
+        self._world.upstream_link.close_all()
+
+    # --- upstreams ---------------------------------------------------------------------------------------------------
+
+    def _harm_upstream(self, step: Step) -> None:
+        upstream = pick(list(self._world.placed.values()), step).upstream
+        upstream.fault = UPSTREAM_FAULTS[int(step.seconds * 1000) % len(UPSTREAM_FAULTS)]
+        self._later(step.seconds, self._mend_upstream, upstream)
+
+    def _mend_upstream(self, upstream: ModelEngine) -> None:
+        upstream.fault = UpstreamFault.NONE
+
+    def _crash_upstream(self, step: Step) -> None:
+        name = pick(list(self._world.placed), step)
+        self._crash(name, step.seconds / 2)
+
+    def _crash(self, name: str, down: float) -> None:
+        placed = self._world.remove_upstream(name)
+        phase = placed.upstream.phase if isinstance(placed.upstream, ModelEngine) else ""
+        self._later(down, self._return, placed.service, placed.hall, phase)
+
+    def _return(self, service: str, hall: str, phase: str) -> None:
+        self._world.add_upstream(service, hall, phase, cold=True)
+
+    def _chill_hall(self, step: Step) -> None:
+        hall = pick(sorted({one.hall for one in self._world.placed.values()}), step)
+        for name in [name for name, one in self._world.placed.items() if one.hall == hall]:
+            self._crash(name, step.seconds / 2)
+
+    def _leave(self, step: Step) -> None:
+        name = pick(list(self._world.placed), step)
+        facts = self._witness.upstreams[name]
+        if facts.leaves_at < float("inf"):
+            return
+        placed = self._world.placed[name]
+        phase = placed.upstream.phase if isinstance(placed.upstream, ModelEngine) else ""
+        self._world.add_upstream(placed.service, placed.hall, phase, cold=True)
+        self._world.list_upstream(name, state="draining")
+        facts.leaves_at = self._world.now()
+        self._later(LEAVE_BOUND + LINGER, self._end_upstream, name)
+
+    def _end_upstream(self, name: str) -> None:
+        if name in self._world.placed:
+            self._world.remove_upstream(name)
+
+    def _evacuate(self, step: Step) -> None:
+        hall = pick(sorted({one.hall for one in self._world.placed.values()}), step)
+        if hall in self._witness.emptied:
+            return
+        self._world.store.put(f"op/evacuate/{hall}", {})
+        self._witness.emptied[hall] = self._world.now()
+        self._later(step.seconds + 3.0, self._take_back, hall)
+
+    def _take_back(self, hall: str) -> None:
+        """Take a hall back whose upstreams have just turned cold."""
+        for name, placed in self._world.placed.items():
+            if placed.hall == hall:
+                leaves = self._witness.upstreams[name].leaves_at < float("inf")
+                self._world.list_upstream(name, cold=True, state="draining" if leaves else "ready")
+        del self._witness.emptied[hall]
+        self._world.store.remove(f"op/evacuate/{hall}")
--- /dev/null
+++ b/tests/soak/schedule.py
@@ -0,0 +1,101 @@
+"""What goes wrong in a run, drawn from its seed: series of faults that overlap."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+from enum import Enum
+
+
+class FaultKind(Enum):
+    """A fault, or an operator's work."""
+
+    KILL = "kill"
+    """A relay is killed, and started again."""
+    FREEZE = "freeze"
+    """A relay stands still for some seconds."""
+    STOP = "stop"
+    """A planned stop of a relay, which is started again behind its end."""
+    RELOAD = "reload"
+    """Relays are told that their settings changed."""
+    HERD = "herd"
+    """Most relays are killed at once."""
+    STORE_SILENT = "store_silent"
+    STORE_BUSY = "store_busy"
+    STORE_LOST = "store_lost"
+    """The store does what is asked, and gives no answer."""
+    STORE_FORGETS = "store_forgets"
+    LINK_SILENT = "link_silent"
+    """What one relay and the store say to each other is lost."""
+    LINK_SLOW = "link_slow"
+    """All that relays and upstreams say to each other comes late."""
+    LINK_BREAKS = "link_breaks"
+    """All connections between relays and upstreams break."""
+    UPSTREAM_FAULT = "upstream_fault"
+    """An upstream sheds, fails, hangs, breaks off, or sends what is no answer."""
+    UPSTREAM_CRASH = "upstream_crash"
+    """An upstream is gone, and comes back cold under another id."""
+    UPSTREAM_LEAVES = "upstream_leaves"
+    """An upstream says that it leaves, serves on for a while, and ends; another one comes."""
+    HALL_COLD = "hall_cold"
+    """All upstreams of a hall go down, and come back together, cold."""
+    EVACUATE = "evacuate"
+    """A hall is emptied, and taken back later."""
+    CONFIGURE = "configure"
+    """A configuration with another route, and without the one added before."""
+
+
+WEIGHTS = {
+    FaultKind.KILL: 3,
+    FaultKind.FREEZE: 2,
+    FaultKind.STOP: 2,
+    FaultKind.RELOAD: 1,
+    FaultKind.HERD: 1,
+    FaultKind.STORE_SILENT: 1,
+    FaultKind.STORE_BUSY: 1,
+    FaultKind.STORE_LOST: 1,
+    FaultKind.STORE_FORGETS: 1,
+    FaultKind.LINK_SILENT: 2,
+    FaultKind.LINK_SLOW: 1,
+    FaultKind.LINK_BREAKS: 1,
+    FaultKind.UPSTREAM_FAULT: 4,
+    FaultKind.UPSTREAM_CRASH: 3,
+    FaultKind.UPSTREAM_LEAVES: 2,
+    FaultKind.HALL_COLD: 1,
+    FaultKind.EVACUATE: 2,
+    FaultKind.CONFIGURE: 4,
+}
+
+PLANNED = frozenset(
+    {FaultKind.STOP, FaultKind.RELOAD, FaultKind.UPSTREAM_LEAVES, FaultKind.EVACUATE, FaultKind.CONFIGURE}
+)
+"""What operators do, and nothing may be lost by."""
+
+MEAN_GAP = 1.2
+"""Seconds between two faults in the mean: with faults of up to 6 s, some five overlap."""
+
+
+@dataclass(frozen=True, slots=True)
+class Step:
+    """One fault."""
+
+    at: float
+    """Seconds from the start of the run."""
+    kind: FaultKind
+    seconds: float
+    """How long it lasts."""
+    pick: float
+    """From 0 to 1: which of the things that it may strike."""
+
+
+def draw_steps(seed: int, seconds: float) -> list[Step]:
+    """Return the faults of a run."""
+    drawn = random.Random(seed)
+    kinds = list(WEIGHTS)
+    steps = []
+    at = drawn.uniform(0.5, 2.0)
+    while at < seconds:
+        kind = drawn.choices(kinds, [WEIGHTS[one] for one in kinds])[0]
+        steps.append(Step(at, kind, drawn.uniform(0.5, 6.0), drawn.random()))
+        at += drawn.expovariate(1 / MEAN_GAP)
+    return steps
--- /dev/null
+++ b/tests/soak/test_soak.py
@@ -0,0 +1,133 @@
+"""A short run of the soak, with real processes; and checks that have to see what they are there for."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+from typing import TYPE_CHECKING
+
+import pytest
+
+from beamhatch.platform.standin.upstream import Ledger, Order
+from tests.soak.caller import Outcome
+from tests.soak.promise import COLD_BOUND, Promise
+from tests.soak.schedule import draw_steps
+from tests.soak.witness import Asked, RouteTerms, UpstreamFacts, VmFacts, Witness
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+ROUTES = {
+    "/safe/": RouteTerms(),
+    "/unsafe/": RouteTerms(repeatable=False),
+    "/stream/": RouteTerms(streams=True, repeatable=False),
+    "/west/": RouteTerms(regions=frozenset({"west"})),
+}
+SIGNED = {"request-id": "q1", "response-signature": "i-1.q1"}
+
+
+@pytest.fixture
+def witness() -> Witness:
+    made = Witness(Ledger(), ROUTES)
+    made.vms["vm0"] = VmFacts(life=1)
+    made.upstreams["i-1"] = UpstreamFacts("east-a", "east")
+    made.acknowledged.update({1: 0.0, 2: 5.0})
+    return made
+
+
+def ask(witness: Witness, route: str, sent_at: float = 20.0, request: str = "q1") -> None:
+    witness.asked[request] = Asked(route, "vm0", 1, sent_at)
+
+
+def list_broken(witness: Witness) -> set[Promise]:
+    return {breach.promise for breach in witness.breaches}
+
+
+def make_outcome(route: str, status: int, headers: dict[str, str], body: bytes, *, whole: bool = True) -> Outcome:
+    return Outcome("q1", route, f"{route}x", "vm0", 1, 20.0, 21.0, status, headers, body, whole)
+
+
+def make_events(*numbers: int) -> bytes:
+    return b"".join(b"id: %d\ndata: q1-%d\n\n" % (number, number) for number in numbers)
+
+
+def test_a_run_keeps_all_promises(tmp_path: Path) -> None:
+    command = [sys.executable, "-m", "tests.soak", "--seed", "7", "--seconds", "6", "--vms", "3"]
+    done = subprocess.run([*command, "--logs", str(tmp_path)], capture_output=True, text=True, timeout=110)
+    assert done.returncode == 0, done.stdout + done.stderr
+
+
+def test_the_same_seed_draws_the_same_faults() -> None:
+    assert draw_steps(5, 30.0) == draw_steps(5, 30.0)
+    assert draw_steps(5, 30.0) != draw_steps(6, 30.0)
+
+
+def test_whole_answers_break_nothing(witness: Witness) -> None:
+    ask(witness, "/stream/")
+    witness.ledger.runs["q1"] = 1
+    witness.take_outcome(make_outcome("/stream/", 200, SIGNED, make_events(*range(1, 11))))
+    assert not witness.breaches
+
+
+@pytest.mark.parametrize(
+    ("route", "runs", "status", "headers", "body", "promise"),
+    [
+        ("/unsafe/", 2, 200, SIGNED, b"POST /unsafe/x q1", Promise.ONCE),
+        ("/unsafe/", 1, 503, {}, b"", Promise.NOT_RUN),
+        ("/safe/", 1, 200, {"request-id": "q1"}, b"GET /safe/x q1", Promise.OWN_ANSWER),
+        ("/safe/", 1, 200, SIGNED, b"GET /safe/x q2", Promise.OWN_ANSWER),
+        ("/stream/", 1, 200, SIGNED, make_events(1, 2, 4), Promise.ORDER),
+        ("/stream/", 1, 200, SIGNED, make_events(1, 2, 3), Promise.ORDER),
+    ],
+)
+def test_a_wrong_outcome_is_seen(
+    witness: Witness, route: str, runs: int, status: int, headers: dict[str, str], body: bytes, promise: Promise
+) -> None:
+    ask(witness, route)
+    witness.ledger.runs["q1"] = runs
+    witness.take_outcome(make_outcome(route, status, headers, body))
+    assert promise in list_broken(witness)
+
+
+def test_arrivals_where_nothing_may_arrive_are_seen(witness: Witness) -> None:
+    ask(witness, "/west/")
+    witness.emptied["east-a"] = 10.0
+    witness.upstreams["i-1"].leaves_at = 10.0
+    witness.take_arrival("q1", "/west/x", "i-1", 20.0)
+    assert list_broken(witness) == {Promise.REGION, Promise.EMPTIED, Promise.LEAVING}
+
+
+def test_a_vm_that_was_disturbed_is_not_held_to_bounds_of_time(witness: Witness) -> None:
+    ask(witness, "/safe/")
+    witness.emptied["east-a"] = 10.0
+    witness.vms["vm0"].calm.begin()
+    witness.vms["vm0"].calm.end(18.0)
+    witness.take_arrival("q1", "/safe/x", "i-1", 20.0)
+    assert not witness.breaches
+
+
+def test_too_much_at_a_cold_upstream_is_seen(witness: Witness) -> None:
+    ask(witness, "/safe/")
+    witness.upstreams["i-1"].cold_until = 30.0
+    for number in range(int(COLD_BOUND)):
+        witness.take_arrival("q1", "/safe/x", "i-1", 20.0 + number / 100)
+    assert not witness.breaches
+    witness.take_arrival("q1", "/safe/x", "i-1", 20.9)
+    assert list_broken(witness) == {Promise.COLD}
+
+
+def test_an_old_version_is_seen(witness: Witness) -> None:
+    ask(witness, "/v1/")
+    witness.take_arrival("q1", "/v1/x", "i-1", 20.0)
+    assert list_broken(witness) == {Promise.IN_FORCE}
+    ask(witness, "/v1/", request="q2")
+    witness.vms["vm0"].seen[2] = 10.0
+    witness.take_arrival("q2", "/v1/x", "i-1", 20.1)
+    assert Promise.NO_STEP_BACK in list_broken(witness)
+
+
+def test_two_holders_of_orders_are_seen(witness: Witness) -> None:
+    witness.vms["vm1"] = VmFacts()
+    witness.ledger.orders += [Order(100.0, "vm0", 5, "decode"), Order(101.0, "vm1", 6, "decode")]
+    witness.check_orders(0.0)
+    assert list_broken(witness) == {Promise.ONE_LEADER}
--- /dev/null
+++ b/tests/soak/upstreams.py
@@ -0,0 +1,76 @@
+"""Stand-ins of upstreams that note what reaches them, and when."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from beamhatch.platform.standin.base import read_headers
+from beamhatch.platform.standin.upstream import StandInEngine, StandInUpstream
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from beamhatch.clock import Clock
+    from beamhatch.platform.standin.upstream import Ledger
+    from beamhatch.relay.callers.http_server import IncomingRequest, RequestHandler, Responder
+    from beamhatch.relay.model import Address
+
+
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """A request that reached the upstream that was meant."""
+
+    request: str
+    path: str
+    instance: str
+
+
+class Observed(StandInUpstream):
+    """Tells of each request that reaches it."""
+
+    on_arrival: Callable[[Arrival], None]
+
+    def serve(self, incoming: IncomingRequest, responder: Responder) -> RequestHandler | None:
+        """Note a request that is meant for this upstream, and serve it."""
+        headers = read_headers(incoming)
+        request = headers.get("request-id", "")
+        if request and headers.get("expect-instance", self.instance) == self.instance and self.plays(headers):
+            self.on_arrival(Arrival(request, incoming.path, self.instance))
+        return super().serve(incoming, responder)
+
+    def plays(self, headers: dict[str, str]) -> bool:
+        """Tell whether it plays the part that a request asks for."""
+        return True
+
+
+class PlainReplica(Observed):
+    """A replica of a plain service."""
+
+    def __init__(
+        self, clock: Clock, address: Address, instance: str, ledger: Ledger, on_arrival: Callable[[Arrival], None]
+    ) -> None:
+        super().__init__(clock, address, instance, ledger)
+        self.on_arrival = on_arrival
+
+
+class ModelEngine(Observed, StandInEngine):
+    """A model engine."""
+
+    switch_time = 2.0
+
+    def __init__(
+        self,
+        clock: Clock,
+        address: Address,
+        instance: str,
+        ledger: Ledger,
+        phase: str,
+        on_arrival: Callable[[Arrival], None],
+    ) -> None:
+        StandInEngine.__init__(self, clock, address, instance, ledger, phase)
+        self.on_arrival = on_arrival
+
+    def plays(self, headers: dict[str, str]) -> bool:
+        """Tell whether it plays the part that a request asks for."""
+        return (headers.get("stage") == "prefill") == (self.phase == "prefill")
--- /dev/null
+++ b/tests/soak/witness.py
@@ -0,0 +1,277 @@
+"""Checks each promise from what callers and upstreams see."""
+
+from __future__ import annotations
+
+import re
+from collections import deque
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from tests.soak.promise import (
+    COLD_BOUND,
+    CONFIGURATION_BOUND,
+    EMPTY_BOUND,
+    LEAVE_BOUND,
+    STEP_BACK_SLACK,
+    THAW_SLACK,
+    TOUCH_TIME,
+    TURN_TIME,
+    Breach,
+    Promise,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from beamhatch.platform.standin.upstream import Ledger, Order
+    from tests.soak.caller import Outcome
+
+NEVER = float("inf")
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+VERSIONED = re.compile(r"/v(\d+)/")
+
+
+@dataclass(slots=True)
+class Calm:
+    """Since when nothing disturbs a thing; faults may overlap."""
+
+    _active: int = 0
+    _ended: float = 0.0
+
+    @property
+    def since(self) -> float:
+        """Return since when, in seconds of the run; never where something does."""
+        return NEVER if self._active else self._ended
+
+    def begin(self) -> None:
+        """Note that a fault begins."""
+        self._active += 1
+
+    def end(self, now: float) -> None:
+        """Note that a fault ends."""
+        self._active -= 1
+        self._ended = now
+
+
+@dataclass(frozen=True, slots=True)
+class RouteTerms:
+    """What the witness knows of a route."""
+
+    streams: bool = False
+    repeatable: bool = True
+    most_runs: int = 2
+    regions: frozenset[str] | None = None
+
+
+@dataclass(slots=True)
+class UpstreamFacts:
+    """What the witness knows of an upstream."""
+
+    hall: str
+    region: str
+    cold_until: float = 0.0
+    leaves_at: float = NEVER
+    """When the store had that it leaves."""
+    arrivals: deque[float] = field(default_factory=deque)
+    """Of the last second, while it is cold."""
+
+
+@dataclass(slots=True)
+class VmFacts:
+    """What the witness knows of a VM."""
+
+    calm: Calm = field(default_factory=Calm)
+    life: int = 0
+    thawed_at: float = -NEVER
+    seen: dict[int, float] = field(default_factory=dict)
+    """When the effect of each version was first seen in this life."""
+
+
+@dataclass(slots=True)
+class Asked:
+    """A request under way, or ended."""
+
+    route: str
+    vm: str
+    life: int
+    sent_at: float
+
+
+@dataclass(slots=True)
+class Witness:
+    """Sees all arrivals, outcomes and orders."""
+
+    ledger: Ledger
+    routes: Mapping[str, RouteTerms]
+    """By the beginning of the path."""
+    breaches: list[Breach] = field(default_factory=list)
+    upstreams: dict[str, UpstreamFacts] = field(default_factory=dict)
+    vms: dict[str, VmFacts] = field(default_factory=dict)
+    store: Calm = field(default_factory=Calm)
+    unplanned: Calm = field(default_factory=Calm)
+    """Whether any fault is there that operators did not plan."""
+    emptied: dict[str, float] = field(default_factory=dict)
+    """When the store had that a hall is emptied."""
+    acknowledged: dict[int, float] = field(default_factory=dict)
+    """When the store had each version."""
+    asked: dict[str, Asked] = field(default_factory=dict)
+    refused: dict[str, float] = field(default_factory=dict)
+    """Requests that were said not to have run, and when."""
+    outcomes: int = 0
+    served: int = 0
+    _orders: int = 0
+    _last_order: Order | None = None
+
+    def break_promise(self, promise: Promise, now: float, detail: str) -> None:
+        """Note a breach."""
+        self.breaches.append(Breach(promise, now, detail))
+
+    def is_in_touch(self, vm: str, now: float) -> bool:
+        """Tell whether a VM is held to bounds of time."""
+        return max(self.vms[vm].calm.since, self.store.since) + TOUCH_TIME < now
+
+    # --- arrivals ----------------------------------------------------------------------------------------------------
+
+    def take_arrival(self, request: str, path: str, instance: str, now: float) -> None:
+        """Check a request that reached the upstream that was meant."""
+        upstream = self.upstreams[instance]
+        asked = self.asked.get(request)
+        if asked is None:
+            self.break_promise(Promise.OWN_ANSWER, now, f"{instance} got {request}, which nobody sent")
+            return
+        self._check_cold(upstream, instance, now)
+        self._check_region(upstream, asked, request, now)
+        if request in self.refused:
+            self.break_promise(Promise.NOT_RUN, now, f"{request} reached {instance} behind its refusal")
+        if self.is_in_touch(asked.vm, now):
+            self._check_place(upstream, request, instance, now)
+        self._check_version(asked, request, path, now)
+
+    def _check_cold(self, upstream: UpstreamFacts, instance: str, now: float) -> None:
+        if now >= upstream.cold_until:
+            upstream.arrivals.clear()
+            return
+        upstream.arrivals.append(now)
+        while upstream.arrivals[0] <= now - 1.0:
+            upstream.arrivals.popleft()
+        if len(upstream.arrivals) > COLD_BOUND:
+            self.break_promise(Promise.COLD, now, f"{instance} got {len(upstream.arrivals)} requests in a second")
+
+    def _check_region(self, upstream: UpstreamFacts, asked: Asked, request: str, now: float) -> None:
+        regions = self.find_terms(asked.route).regions
+        if regions is not None and upstream.region not in regions:
+            self.break_promise(Promise.REGION, now, f"{request} of {asked.route} reached {upstream.hall}")
+
+    def _check_place(self, upstream: UpstreamFacts, request: str, instance: str, now: float) -> None:
+        if now > self.emptied.get(upstream.hall, NEVER) + EMPTY_BOUND:
+            late = now - self.emptied[upstream.hall]
+            self.break_promise(Promise.EMPTIED, now, f"{request} reached {instance}, {late:.2f} s behind")
+        if now > upstream.leaves_at + LEAVE_BOUND:
+            late = now - upstream.leaves_at
+            self.break_promise(Promise.LEAVING, now, f"{request} reached {instance}, {late:.2f} s behind")
+
+    def _check_version(self, asked: Asked, request: str, path: str, now: float) -> None:
+        found = VERSIONED.match(path)
+        if found is None:
+            return
+        version = int(found[1])
+        vm = self.vms[asked.vm]
+        if vm.life == asked.life:
+            vm.seen.setdefault(version, now)
+        removed_at = self.acknowledged.get(version + 1, NEVER)
+        if asked.sent_at > removed_at + CONFIGURATION_BOUND and self.is_in_touch(asked.vm, asked.sent_at):
+            self.break_promise(Promise.IN_FORCE, now, f"{request} ran by version {version}, {asked.vm}")
+        newer = [at for other, at in vm.seen.items() if other > version]
+        if vm.life == asked.life and newer and asked.sent_at > min(newer) + STEP_BACK_SLACK:
+            self.break_promise(Promise.NO_STEP_BACK, now, f"{request} ran by version {version}, {asked.vm}")
+
+    # --- outcomes ----------------------------------------------------------------------------------------------------
+
+    def find_terms(self, route: str) -> RouteTerms:
+        """Return the terms of a route."""
+        return self.routes.get(route, RouteTerms())
+
+    def take_outcome(self, outcome: Outcome) -> None:
+        """Check what a caller got."""
+        self.outcomes += 1
+        terms = self.find_terms(outcome.route)
+        self._check_runs(outcome.request, terms, outcome.ended_at)
+        signature = outcome.headers.get("response-signature")
+        if outcome.status in NOT_RUN_STATUSES and signature is None:
+            self.refused[outcome.request] = outcome.ended_at
+            if self.ledger.runs[outcome.request]:
+                self.break_promise(
+                    Promise.NOT_RUN, outcome.ended_at, f"{outcome.request} ran, and got {outcome.status}"
+                )
+        if outcome.status == 200:
+            self._check_success(outcome, terms, signature)
+        if outcome.status == 404:
+            self._check_missing(outcome)
+
+    def _check_runs(self, request: str, terms: RouteTerms, now: float) -> None:
+        runs = self.ledger.runs[request]
+        if runs > (terms.most_runs if terms.repeatable else 1):
+            self.break_promise(Promise.ONCE, now, f"{request} ran {runs} times")
+
+    def _check_success(self, outcome: Outcome, terms: RouteTerms, signature: str | None) -> None:
+        now = outcome.ended_at
+        own = outcome.headers.get("request-id") == outcome.request
+        if not own or signature is None or not signature.endswith(f".{outcome.request}"):
+            self.break_promise(Promise.OWN_ANSWER, now, f"{outcome.request} got the answer {signature}")
+            return
+        if terms.streams:
+            self._check_stream(outcome)
+        elif outcome.whole and not outcome.body.endswith(outcome.request.encode()):
+            self.break_promise(Promise.OWN_ANSWER, now, f"{outcome.request} got the body {outcome.body[:80]!r}")
+        self.served += outcome.whole
+
+    def _check_stream(self, outcome: Outcome) -> None:
+        ids = [int(number) for number in re.findall(rb"^id: (\d+)\n", outcome.body, re.M)]
+        texts = [int(number) for number in re.findall(rb"-(\d+)\n\n", outcome.body)]
+        wanted = list(range(1, len(ids) + 1))
+        if ids != wanted or texts[: len(ids)] != wanted[: len(texts)]:
+            self.break_promise(Promise.ORDER, outcome.ended_at, f"{outcome.request} got the events {ids}")
+        if outcome.whole and len(ids) != STREAM_EVENTS:
+            self.break_promise(Promise.ORDER, outcome.ended_at, f"{outcome.request} ended with {len(ids)} events")
+
+    def _check_missing(self, outcome: Outcome) -> None:
+        found = VERSIONED.match(outcome.target)
+        version = int(found[1]) if found else 0
+        acknowledged = self.acknowledged.get(version, 0.0)
+        if outcome.ended_at > self.acknowledged.get(version + 1, NEVER):
+            return
+        late = outcome.sent_at > acknowledged + CONFIGURATION_BOUND
+        if late and self.is_in_touch(outcome.vm, outcome.sent_at):
+            self.break_promise(Promise.IN_FORCE, outcome.ended_at, f"{outcome.request} got 404 for version {version}")
+        vm = self.vms[outcome.vm]
+        if vm.life == outcome.life and outcome.sent_at > vm.seen.get(version, NEVER) + STEP_BACK_SLACK:
+            self.break_promise(Promise.NO_STEP_BACK, outcome.ended_at, f"{outcome.request} got 404 at {outcome.vm}")
+
+    # --- orders, ends ------------------------------------------------------------------------------------------------
+
+    def check_orders(self, started: float) -> None:
+        """Check the orders that engines got since the last look.
+
+        :param started: when the run began, in the ledger's seconds
+        """
+        for order in self.ledger.orders[self._orders :]:
+            last, self._last_order = self._last_order, order
+            at = order.at - started
+            thawed = self.vms[order.holder].thawed_at
+            if last is None or thawed <= at < thawed + THAW_SLACK:
+                continue
+            turn = last.holder != order.holder and order.at - last.at < TURN_TIME
+            if turn or order.token < last.token:
+                self.break_promise(Promise.ONE_LEADER, at, f"{order.holder} with {order.token} behind {last}")
+        self._orders = len(self.ledger.orders)
+
+    def check_all_runs(self, now: float) -> None:
+        """Check once more, at the end, what ran."""
+        for request, asked in self.asked.items():
+            self._check_runs(request, self.find_terms(asked.route), now)
+            if request in self.refused and self.ledger.runs[request]:
+                self.break_promise(Promise.NOT_RUN, now, f"{request} was refused, and ran later")
+
+
+STREAM_EVENTS = 10
+"""Events of each stream."""
--- /dev/null
+++ b/tests/soak/world.py
@@ -0,0 +1,305 @@
+"""The platform around the relays, in the soak's own process: a store, upstreams, links between, and callers."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from beamhatch.platform.standin.store import StandInStore
+from beamhatch.platform.standin.upstream import Ledger
+from beamhatch.relay.model import Address
+from beamhatch.standin.link import Link, open_link
+from tests.soak.caller import CONNECT_TIMEOUT, HOST, PATIENCE, CallerConnection, CallerFactory, Outcome
+from tests.soak.promise import COLD_RATE, COLD_TIME, TOUCH_TIME, Promise
+from tests.soak.upstreams import Arrival, ModelEngine, PlainReplica
+from tests.soak.vm import CALLER_PORT, PEER_PORT, READY_PORT, VmProcess
+from tests.soak.witness import STREAM_EVENTS, Asked, RouteTerms, UpstreamFacts, VmFacts, Witness
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+    from beamhatch.clock import Clock
+
+HALLS = {"west-a": "west", "west-b": "west", "east-a": "east"}
+"""Halls and the region of each."""
+
+PLAIN = "accounts"
+MODEL = "models"
+ENGINES_A_HALL = ("prefill", "decode", "decode")
+CALLERS_A_VM = 3
+PAUSE = 0.05, 0.4
+"""Seconds between two requests of a caller, from and to."""
+
+LEAVES_EARLY = 0.06
+"""Share of requests whose caller leaves before the end."""
+
+READY_INTERVAL = 0.5
+"""Seconds between two times that a VM is asked whether it is ready; two misses take it out."""
+
+PATHS = ("/safe/", "/unsafe/", "/stream/", "/resumable/", "/west/")
+ROUTES = {
+    "/safe/": RouteTerms(),
+    "/unsafe/": RouteTerms(repeatable=False),
+    "/stream/": RouteTerms(streams=True, repeatable=False),
+    "/resumable/": RouteTerms(streams=True),
+    "/west/": RouteTerms(regions=frozenset({"west"})),
+}
+
+
+@dataclass(slots=True)
+class Placed:
+    """An upstream and where it is."""
+
+    upstream: PlainReplica | ModelEngine
+    service: str
+    hall: str
+    phase: str
+
+
+class World:
+    """Everything but the relays' processes, which it knows by name."""
+
+    def __init__(self, clock: Clock, folder: Path, seed: int, vms: int, mutant: str) -> None:
+        self.clock = clock
+        self.started = clock.now()
+        self.random = random.Random(seed)
+        self.net = f"127.{64 + seed % 128}"
+        """Loopback addresses of this run alone."""
+        self.ledger = Ledger()
+        self.witness = Witness(self.ledger, dict(ROUTES))
+        self.store = StandInStore(clock, Address(f"{self.net}.0.1", 0))
+        self.store.start()
+        self.upstream_link = Link(clock.reactor)
+        self.store_links: dict[str, Link] = {}
+        self.placed: dict[str, Placed] = {}
+        self.version = 0
+        self._number = 0
+        self.stopping = False
+        self.vms = [self._make_vm(folder, number, vms, mutant) for number in range(vms)]
+        self.rotation: Counter[str] = Counter()
+        """Times in a row that each VM was not ready; one with less than two gets connections."""
+        self.asked_count = 0
+        self.open_callers = 0
+
+    def now(self) -> float:
+        """Return the seconds of the run."""
+        return self.clock.now() - self.started
+
+    def _make_vm(self, folder: Path, number: int, vms: int, mutant: str) -> VmProcess:
+        name = f"vm{number}"
+        ips = [f"{self.net}.1.{other + 1}" for other in range(vms)]
+        link = self.store_links[name] = Link(self.clock.reactor)
+        port = open_link(self.clock.reactor, link, f"{self.net}.2.{number + 1}:0", str(self.store.address))
+        hall = list(HALLS)[number % len(HALLS)]
+        seeds = [f"{ip}:{PEER_PORT}" for ip in ips[:3]]
+        self.witness.vms[name] = VmFacts()
+        store = f"{self.net}.2.{number + 1}:{port}"
+        return VmProcess(folder, name, ips[number], hall, HALLS, seeds, store, mutant)
+
+    def find_vm(self, name: str) -> VmProcess:
+        """Return a VM by its name."""
+        return next(vm for vm in self.vms if vm.name == name)
+
+    # --- upstreams and configurations --------------------------------------------------------------------------------
+
+    def fill(self) -> None:
+        """Write the first configuration, and start all upstreams."""
+        self.configure()
+        for hall in HALLS:
+            self.add_upstream(PLAIN, hall)
+            for phase in ENGINES_A_HALL:
+                self.add_upstream(MODEL, hall, phase)
+
+    def add_upstream(self, service: str, hall: str, phase: str = "", *, cold: bool = False) -> None:
+        """Start and list an upstream, under an id of its own."""
+        self._number += 1
+        name = f"i-{self._number}"
+        address = Address(f"{self.net}.3.1", 0)
+        upstream: PlainReplica | ModelEngine
+        if service == PLAIN:
+            upstream = PlainReplica(self.clock, address, name, self.ledger, self._take_arrival)
+        else:
+            upstream = ModelEngine(self.clock, address, name, self.ledger, phase, self._take_arrival)
+            upstream.on_phase = lambda: self.list_upstream(name)
+        upstream.start()
+        host = f"{self.net}.4.1"
+        port = open_link(self.clock.reactor, self.upstream_link, f"{host}:0", str(upstream.address))
+        upstream.address = Address(host, port)  # what others know of it, also in the names of KV caches
+        self.placed[name] = Placed(upstream, service, hall, phase)
+        self.witness.upstreams[name] = UpstreamFacts(hall, HALLS[hall])
+        self.list_upstream(name, cold=cold)
+
+    def list_upstream(self, name: str, *, cold: bool = False, state: str = "ready") -> None:
+        """Have an upstream write its entry."""
+        placed = self.placed.get(name)
+        if placed is None:
+            return
+        entry = placed.upstream.describe(placed.service, placed.hall, state)
+        if cold:
+            entry["cold_remaining_ms"] = COLD_TIME * 1000
+            self.witness.upstreams[name].cold_until = self.now() + COLD_TIME
+        self.store.put(f"servers/{name}", entry)
+
+    def remove_upstream(self, name: str) -> Placed:
+        """Have an upstream crash; return what it was."""
+        placed = self.placed.pop(name)
+        placed.upstream.stop()
+        self.store.remove(f"servers/{name}")
+        return placed
+
+    def configure(self) -> None:
+        """Write the next configuration: with a route of its own, and without that of the one before."""
+        self.version += 1
+        routes = [
+            _make_route("/safe/", "safe", PLAIN),
+            _make_route("/unsafe/", "unsafe", PLAIN),
+            _make_route("/stream/", "streaming", MODEL, max_attempts=1),
+            _make_route("/resumable/", "streaming", MODEL, resumable=True),
+            _make_route("/west/", "safe", PLAIN, allowed_regions=["west"]),
+            _make_route(f"/v{self.version}/", "safe", PLAIN),
+        ]
+        engine = {"capacity": 128, "kv_capacity": 60_000, "kv_ttl_s": 0.5, "hold_ms": 2000, "reconfig_s": 2}
+        cold = {"cold_start_s": COLD_TIME, "cold_per_s": COLD_RATE}
+        services = [{"name": PLAIN, **cold}, {"name": MODEL, "engine": engine, **cold}]
+        document = {"version": self.version, "routes": routes, "services": services, "limits": {}}
+        self.store.put("op/config", document)
+        self.witness.acknowledged[self.version] = self.now()
+
+    def _take_arrival(self, arrival: Arrival) -> None:
+        self.witness.take_arrival(arrival.request, arrival.path, arrival.instance, self.now())
+
+    # --- callers -----------------------------------------------------------------------------------------------------
+
+    def watch_readiness(self) -> None:
+        """Begin to ask VMs whether they are ready; until one says so it gets no connections."""
+        for vm in self.vms:
+            self.rotation[vm.name] = 2
+            self._ask_ready(vm)
+
+    def list_unready(self) -> list[str]:
+        """Return the VMs that get no new connections."""
+        return [vm.name for vm in self.vms if self.rotation[vm.name] >= 2]
+
+    def is_ready(self) -> bool:
+        """Tell whether all VMs get new connections."""
+        return not self.list_unready()
+
+    def start_callers(self) -> None:
+        """Let callers come."""
+        for _ in range(CALLERS_A_VM * len(self.vms)):
+            self.open_callers += 1
+            self._connect()
+
+    def _ask_ready(self, vm: VmProcess) -> None:
+        if self.stopping:
+            return
+        self.clock.call_later(READY_INTERVAL, self._ask_ready, vm)
+
+        def take_end(outcome: Outcome) -> None:
+            self.rotation[vm.name] = 0 if outcome.status == 200 else self.rotation[vm.name] + 1
+
+        def ask(connection: CallerConnection) -> None:
+            outcome = Outcome("ready", "", "/api/ready", vm.name, vm.life, self.now())
+            connection.ask(outcome, [("Connection", "close")], b"")
+            self.clock.call_later(READY_INTERVAL, connection.leave)
+
+        def fail() -> None:
+            self.rotation[vm.name] += 1
+
+        factory = CallerFactory(ask, take_end, fail)
+        self.clock.reactor.connectTCP(vm.ip, READY_PORT, factory, timeout=READY_INTERVAL)
+
+    def _choose_vm(self) -> VmProcess:
+        ready = [vm for vm in self.vms if self.rotation[vm.name] < 2]
+        return self.random.choice(ready or self.vms)
+
+    def _connect(self) -> None:
+        if self.stopping:
+            self.open_callers -= 1
+            return
+        vm = self._choose_vm()
+
+        def begin(connection: CallerConnection) -> None:
+            self._ask(vm, connection)
+
+        def take_end(outcome: Outcome) -> None:
+            outcome.ended_at = self.now()
+            self.witness.take_outcome(outcome)
+            self._note_stop(vm, outcome)
+
+        def fail() -> None:
+            self.clock.call_later(0.2, self._connect)
+
+        factory = CallerFactory(begin, take_end, fail)
+        self.clock.reactor.connectTCP(vm.ip, CALLER_PORT, factory, timeout=CONNECT_TIMEOUT)
+
+    def _ask(self, vm: VmProcess, connection: CallerConnection) -> None:
+        """Send one request after the other for as long as the connection is there."""
+        if self.stopping or not connection.open:
+            if connection.open:
+                connection.leave()
+            self._connect()
+            return
+        route = self._choose_path()
+        self.asked_count += 1
+        request = f"{vm.name}-{vm.life}-{self.asked_count}"
+        outcome = Outcome(request, route, f"{route}x", vm.name, vm.life, self.now())
+        self.witness.asked[request] = Asked(route, vm.name, vm.life, outcome.sent_at)
+        headers = [("Token-Count", f"4000,{STREAM_EVENTS}"), ("Prompt-Prefix", f"aa:200,{self.asked_count:x}:3800")]
+        streams = self.witness.find_terms(route).streams
+        connection.ask(outcome, headers if streams else [], b"x" if route == "/unsafe/" else b"")
+        if self.random.random() < LEAVES_EARLY:
+            self.clock.call_later(self.random.uniform(0.0, 0.3), self._leave, connection, outcome)
+        self.clock.call_later(PATIENCE, self._leave, connection, outcome)
+        self._go_on(vm, connection, outcome)
+
+    def _leave(self, connection: CallerConnection, outcome: Outcome) -> None:
+        if not outcome.ended_at and connection.open:
+            connection.leave()
+
+    def _go_on(self, vm: VmProcess, connection: CallerConnection, outcome: Outcome) -> None:
+        """Send the next request once one has ended."""
+        if not outcome.ended_at:
+            self.clock.call_later(0.03, self._go_on, vm, connection, outcome)
+        else:
+            self.clock.call_later(self.random.uniform(*PAUSE), self._ask, vm, connection)
+
+    def _choose_path(self) -> str:
+        newest = f"/v{self.version}/"
+        before = f"/v{max(1, self.version - 1)}/"
+        return self.random.choice([*PATHS, *PATHS, newest, before])
+
+    def _note_stop(self, vm: VmProcess, outcome: Outcome) -> None:
+        """Check that a planned stop cut nothing off, where nothing else was wrong."""
+        stopping = vm.stopping_since is not None and outcome.life == vm.life
+        calm = self.witness.unplanned.since + TOUCH_TIME < outcome.sent_at
+        if stopping and calm and not outcome.whole and not outcome.left:
+            self.witness.break_promise(
+                Promise.PLANNED_STOP, outcome.ended_at, f"{outcome.request} was cut off at {vm.name}"
+            )
+
+    # --- the end -----------------------------------------------------------------------------------------------------
+
+    def list_kept(self) -> list[str]:
+        """Return what engines still hold."""
+        kept = [f"{name} uses {one.upstream.used}" for name, one in self.placed.items() if one.upstream.used]
+        for name, one in self.placed.items():
+            if isinstance(one.upstream, ModelEngine) and one.upstream.held:
+                kept.append(f"{name} keeps {one.upstream.held} set aside")
+        return kept + [f"KV cache {key} of {request}" for key, request in self.ledger.handles.items()]
+
+
+def _make_route(prefix: str, kind: str, service: str, **changes: object) -> dict[str, object]:
+    return {
+        "name": f"r-{prefix.strip('/')}",
+        "host": HOST,
+        "path_prefix": prefix,
+        "route_type": kind,
+        "timeout_ms": 6000,
+        "target_latency_ms": 900,
+        "service": service,
+        "max_attempts": 2,
+        **changes,
+    }
