--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -14,6 +14,7 @@
 
 from tests.soak.mutants import MUTANTS
 from tests.soak.run import Report, run_soak
+from tests.soak.schedule import WEIGHTS, FaultKind, draw_steps
 
 MOST_SHOWN = 20
 """Breaches that are printed one by one."""
@@ -29,13 +30,22 @@
     parser.add_argument("--seconds", type=float, default=20.0, help="for which faults strike")
     parser.add_argument("--vms", type=int, default=6)
     parser.add_argument("--mutant", default="", choices=["", *MUTANTS], help="break a mechanism of the relays")
+    parser.add_argument(
+        "--fault",
+        action="append",
+        type=FaultKind,
+        help="strike by this kind alone; may be given several times; a mutant's own kinds if left out",
+    )
     parser.add_argument("--logs", type=Path, help="where the relays' lines go; a temporary folder if left out")
     asked = parser.parse_args()
     _, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
     resource.setrlimit(resource.RLIMIT_NOFILE, (min(MOST_FILES, hard), hard))
     folder = asked.logs or Path(tempfile.mkdtemp(prefix="soak-"))
     folder.mkdir(parents=True, exist_ok=True)
-    report = run_soak(folder, asked.seed, asked.seconds, asked.vms, asked.mutant)
+    mutant = MUTANTS.get(asked.mutant)
+    kinds = asked.fault or (list(WEIGHTS) if mutant is None else mutant.faults)
+    steps = draw_steps(asked.seed, asked.seconds, kinds)
+    report = run_soak(folder, asked.seed, asked.vms, asked.seconds, steps, asked.mutant)
     _show(report, asked.seed, folder)
     return 1 if report.breaches else 0
 
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -27,6 +27,9 @@
 LINGER = 1.0
 """Seconds for which a leaving upstream serves on behind the time by which nothing new may come."""
 
+EMPTY_TIME = 6.0
+"""Seconds for which a hall is emptied at the least: longer than the bound within which nothing new may come."""
+
 SLOW = 0.15
 """Seconds by which bytes come late on a slow link."""
 
@@ -266,7 +269,7 @@
             return
         self._world.store.put(f"op/evacuate/{hall}", {})
         self._witness.emptied[hall] = self._world.now()
-        self._later(step.seconds + 3.0, self._take_back, hall)
+        self._later(step.seconds + EMPTY_TIME, self._take_back, hall)
 
     def _take_back(self, hall: str) -> None:
         """Take a hall back whose upstreams have just turned cold."""
--- a/tests/soak/mutants.py
+++ b/tests/soak/mutants.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import sys
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
 from beamhatch.platform.run import main
@@ -14,6 +15,7 @@
 from beamhatch.relay.upstreams.events import EventChecker
 from beamhatch.relay.upstreams.listing import Listing
 from tests.soak.promise import Promise
+from tests.soak.schedule import FaultKind
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -76,21 +78,35 @@
     EventChecker._take_id = lambda self, text: None  # type: ignore[method-assign]
 
 
-MUTANTS: dict[str, tuple[Promise, Callable[[], None]]] = {
-    "runs-again": (Promise.ONCE, _runs_again),
-    "promises-falsely": (Promise.NOT_RUN, _promises_falsely),
-    "ignores-evacuations": (Promise.EMPTIED, _passes_obstacle(Obstacle.EMPTIED)),
-    "ignores-regions": (Promise.REGION, _passes_obstacle(Obstacle.REGION)),
-    "ignores-cold": (Promise.COLD, _passes_obstacle(Obstacle.COLD)),
-    "uses-leaving": (Promise.LEAVING, _uses_leaving),
-    "keeps-first-configuration": (Promise.IN_FORCE, _keeps_first_configuration),
-    "stops-at-once": (Promise.PLANNED_STOP, _stops_at_once),
-    "keeps-memory": (Promise.GIVEN_BACK, _keeps_memory),
-    "passes-any-event": (Promise.ORDER, _passes_any_event),
+@dataclass(frozen=True, slots=True)
+class Mutant:
+    """A relay with one mechanism broken."""
+
+    promise: Promise
+    """What is to be seen broken."""
+    faults: list[FaultKind]
+    """What brings it out."""
+    mutate: Callable[[], None]
+
+
+UPSTREAM_FAULTS = [FaultKind.UPSTREAM_FAULT]
+COLD_FAULTS = [FaultKind.HALL_COLD, FaultKind.UPSTREAM_CRASH]
+
+MUTANTS = {
+    "runs-again": Mutant(Promise.ONCE, UPSTREAM_FAULTS, _runs_again),
+    "promises-falsely": Mutant(Promise.NOT_RUN, UPSTREAM_FAULTS, _promises_falsely),
+    "ignores-evacuations": Mutant(Promise.EMPTIED, [FaultKind.EVACUATE], _passes_obstacle(Obstacle.EMPTIED)),
+    "ignores-regions": Mutant(Promise.REGION, [FaultKind.CONFIGURE], _passes_obstacle(Obstacle.REGION)),
+    "ignores-cold": Mutant(Promise.COLD, COLD_FAULTS, _passes_obstacle(Obstacle.COLD)),
+    "uses-leaving": Mutant(Promise.LEAVING, [FaultKind.UPSTREAM_LEAVES], _uses_leaving),
+    "keeps-first-configuration": Mutant(Promise.IN_FORCE, [FaultKind.CONFIGURE], _keeps_first_configuration),
+    "stops-at-once": Mutant(Promise.PLANNED_STOP, [FaultKind.STOP], _stops_at_once),
+    "keeps-memory": Mutant(Promise.GIVEN_BACK, UPSTREAM_FAULTS, _keeps_memory),
+    "passes-any-event": Mutant(Promise.ORDER, UPSTREAM_FAULTS, _passes_any_event),
 }
-"""By name: the promise that is broken, and what breaks it."""
+"""By name."""
 
 
 if __name__ == "__main__":
-    MUTANTS[sys.argv.pop(1)][1]()
+    MUTANTS[sys.argv.pop(1)].mutate()
     sys.exit(main())
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -9,12 +9,13 @@
 from tests.soak.caller import PATIENCE
 from tests.soak.faults import Faults
 from tests.soak.promise import RECOVERY_BOUND, Breach, Promise
-from tests.soak.schedule import draw_steps
 from tests.soak.world import World
 
 if TYPE_CHECKING:
     from pathlib import Path
 
+    from tests.soak.schedule import Step
+
 START_BOUND = 20.0
 """Seconds from the start of the relays to the first callers, at the most; they come once all relays are ready."""
 
@@ -42,12 +43,12 @@
 class _Run:
     """The phases of one run, one after the other."""
 
-    def __init__(self, world: World, seed: int, seconds: float) -> None:
+    def __init__(self, world: World, seconds: float, steps: list[Step]) -> None:
         self._world = world
         self._clock = world.clock
         self._faults = Faults(world)
         self._seconds = seconds
-        self.steps = draw_steps(seed, seconds)
+        self.steps = steps
 
     def start(self) -> None:
         """Start the relays, then callers and faults."""
@@ -111,13 +112,13 @@
         self._clock.reactor.stop()
 
 
-def run_soak(folder: Path, seed: int, seconds: float, vms: int, mutant: str = "") -> Report:
+def run_soak(folder: Path, seed: int, vms: int, seconds: float, steps: list[Step], mutant: str = "") -> Report:
     """Run once in this process, which is then used up; end all relays, whatever happens."""
     from twisted.internet import reactor
 
     clock = Clock(reactor)
     world = World(clock, folder, seed, vms, mutant)
-    run = _Run(world, seed, seconds)
+    run = _Run(world, seconds, steps)
     clock.call_later(0.0, run.start)
     try:
         reactor.run()
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -5,6 +5,10 @@
 import random
 from dataclasses import dataclass
 from enum import Enum
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
 
 
 class FaultKind(Enum):
@@ -88,10 +92,9 @@
     """From 0 to 1: which of the things that it may strike."""
 
 
-def draw_steps(seed: int, seconds: float) -> list[Step]:
-    """Return the faults of a run."""
+def draw_steps(seed: int, seconds: float, kinds: Sequence[FaultKind] = tuple(WEIGHTS)) -> list[Step]:
+    """Return the faults of a run, of some kinds."""
     drawn = random.Random(seed)
-    kinds = list(WEIGHTS)
     steps = []
     at = drawn.uniform(0.5, 2.0)
     while at < seconds:
