Mend what the reviews of the joined parts found

Cause: found by reading, by two who wrote none of it. A line of some regions never learned whom it served, so it was first come first served. New regions took the KV cache and the memory of a send under way. A stream that broke was cut although a cold engine had room within a second. Refusals that one more upstream would not mend waited for a cold one. A VM that was sponsor anew planned every 2 ms. A VM that had no room for news of a hall told others the hall was taken back; a peer in another hall that lags could make one believe an evacuation that had ended; faults told to a peer were kept for ever. Ruled out: shortening the time for which upstreams of a hall that was taken back count as cold: entries may be 2 s late. Leaving a gap before each term of sponsors: upstreams cold for 8 to 10 s would get nothing at first. Change: one order a service for all its lines; regions are taken where nothing is in use; steps say whether an upstream is what lacks; waits of 20 ms at the least, out of line; evacuations are told whole or not at all.

--- a/src/beamhatch/relay/choosing/sponsors.py
+++ b/src/beamhatch/relay/choosing/sponsors.py
@@ -69,9 +69,12 @@
         if not sponsors:
             return 0
         term = self._find_term(upstream, terms, now)
-        if term is None or not self._is_sponsor(upstream.id, term, sponsors):
+        if term is None:
+            return 0
+        if not self._is_sponsor(upstream.id, term, sponsors):
             self._shut.add(upstream.id)
             return 0
+        self._shut.discard(upstream.id)  # its turn came since the last look
         return 1 if self.is_new(now) else part // sponsors
 
     def find_opening(self, upstream: Upstream, terms: ColdTerms, now: float) -> float:
--- a/src/beamhatch/relay/core.py
+++ b/src/beamhatch/relay/core.py
@@ -24,14 +24,14 @@
 from beamhatch.relay.places import Places
 from beamhatch.relay.requests.budget import Budget, BudgetTerms
 from beamhatch.relay.requests.exchange import REGION_RETRY, RelayExchange
-from beamhatch.relay.requests.fair_order import ArrivalOrder, StartTimeOrder
+from beamhatch.relay.requests.fair_order import ArrivalOrder, FairOrder, StartTimeOrder
 from beamhatch.relay.requests.lengths import AnswerLengths
 from beamhatch.relay.requests.line import NO_CLAIM, Line
 from beamhatch.relay.upstreams.listing import Listing
 from beamhatch.relay.workspaces.admission import Admission, Admitted, OverQuota, Undecided
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Mapping, Sequence
+    from collections.abc import Callable, Collection, Mapping, Sequence
 
     from beamhatch.clock import Clock
     from beamhatch.observe.journal import Journal
@@ -172,7 +172,9 @@
     """Called when this VM's part of what an engine has to read has changed."""
     places: Places = field(default_factory=Places)
     _budgets: dict[ServiceName, Budget] = field(default_factory=dict)
-    _lines: defaultdict[LineKey, Line[RelayExchange]] = field(init=False)
+    _lines: dict[LineKey, Line[RelayExchange]] = field(default_factory=dict)
+    _orders: defaultdict[ServiceName, FairOrder] = field(init=False)
+    """Who is next for the decode memory of each service, whatever line he waits in."""
     _demands: defaultdict[ServiceName, Demand] = field(default_factory=lambda: defaultdict(Demand))
     _lengths: defaultdict[ServiceName, AnswerLengths] = field(default_factory=lambda: defaultdict(AnswerLengths))
     _read_times: defaultdict[ServiceName, ReadTimes] = field(default_factory=lambda: defaultdict(ReadTimes))
@@ -190,7 +192,7 @@
         """Put together what stands between requests and upstreams."""
         self.eligibility = Eligibility(self.listing, self.places, Evacuations(self.places))
         self.chooser.find_cold_cost = self.find_cold_cost
-        self._lines = defaultdict(self._make_line)
+        self._orders = defaultdict(self._make_order)
 
     @property
     def table(self) -> Table | None:
@@ -241,7 +243,8 @@
     def take_places(self, places: Places) -> None:
         """Take changed settings of where halls lie."""
         if places != self.places:
-            self.places = self.eligibility.places = self.chooser.distances.places = places
+            self.places = self.eligibility.places = self.eligibility.evacuations.places = places
+            self.chooser.distances.places = places
             self.journal.write("MAIN", "halls placed anew", halls=len(places.regions))
 
     def take_listing(self, news: ListingNews, source: str, *, whole: bool) -> None:
@@ -291,15 +294,21 @@
             self.journal.write("COLD", "warm", count=len(warm), upstreams=warm[:MOST_NAMED])
         self._look_soon()
 
-    def find_cold_wait(self, service: ServiceName, regions: Regions = None) -> float | None:
-        """Return the seconds until one of a service's cold upstreams has room for this VM, None where none lacks it."""
+    def find_cold_wait(
+        self, service: ServiceName, regions: Regions = None, tried: Collection[UpstreamId] = ()
+    ) -> float | None:
+        """Return the seconds until one of a service's cold upstreams has room for this VM, None where none lacks it.
+
+        :param tried: those that a request won't go to any more
+        """
         terms = self.find_cold_terms(service)
         if terms is None:
             return None
         now = self.clock.now()
         listed = self.changes.pass_over(self.listing.list_usable(service, now), now)
         find_obstacle = self.eligibility.find_obstacle
-        shut = (one for one in listed if find_obstacle(one, regions, terms, now) is Obstacle.COLD)
+        left = (one for one in listed if one.id not in tried)
+        shut = (one for one in left if find_obstacle(one, regions, terms, now) is Obstacle.COLD)
         return min((self.eligibility.find_wait(one, terms, now) for one in shut), default=None)
 
     def find_cold_cost(self, upstream: Upstream, now: float) -> float:
@@ -462,10 +471,14 @@
 
     def find_line(self, service: ServiceName, regions: Regions = None) -> Line[RelayExchange]:
         """Return the line for the decode memory of a service in some regions."""
-        return self._lines[LineKey(service, regions)]
+        key = LineKey(service, regions)
+        line = self._lines.get(key)
+        if line is None:
+            line = self._lines[key] = Line(self._orders[service])
+        return line
 
-    def _make_line(self) -> Line[RelayExchange]:
-        return Line(ArrivalOrder() if Mechanism.FAIRNESS in self.without else StartTimeOrder())
+    def _make_order(self) -> FairOrder:
+        return ArrivalOrder() if Mechanism.FAIRNESS in self.without else StartTimeOrder()
 
     def wait_in_line(self, exchange: RelayExchange, late_at: float, *, owed: bool, claim: Claim = NO_CLAIM) -> None:
         """Let a request wait; it is asked to go on when it is its turn, or when it has waited for long enough.
@@ -475,7 +488,7 @@
         key = LineKey(exchange.request.service.name, exchange.request.regions)
         now = self.clock.now()
         until = now + exchange.request.longest_wait
-        self._lines[key].join(exchange, late_at, until, now, owed=owed, claim=claim)
+        self.find_line(key.service, key.regions).join(exchange, late_at, until, now, owed=owed, claim=claim)
         self._poll_soon(key)
 
     def note_freed(self, service: ServiceName, hall: str = "") -> None:
--- a/src/beamhatch/relay/fleet/evacuations.py
+++ b/src/beamhatch/relay/fleet/evacuations.py
@@ -47,6 +47,8 @@
     """
     latest_return: float = NEVER
     """When a hall was last taken back, in monotonic seconds of this VM."""
+    lacks_room: bool = False
+    """True where news of an emptied hall could not be kept: what is known is not all, and not told as such."""
     _known: dict[str, Evacuation] = field(default_factory=dict)
     _returned_at: dict[str, float] = field(default_factory=dict)
 
@@ -56,6 +58,7 @@
         if news.revision <= (self.as_of if known is None else known.revision):
             return False
         if known is None and not self._has_room(news.hall):
+            self.lacks_room = self.lacks_room or news.emptied
             return False
         self._known[news.hall] = news
         was_emptied = known is not None and known.emptied
@@ -73,6 +76,7 @@
             if known.emptied and known.hall not in halls and known.revision < revision
         ]
         self.complete = True
+        self.lacks_room = False
         changed = [news for news in [*listed, *ended] if self.take(news, now)]
         self.note_known(revision)
         return changed
--- a/src/beamhatch/relay/fleet/far_words.py
+++ b/src/beamhatch/relay/fleet/far_words.py
@@ -100,6 +100,7 @@
         )
         self._version, self._revision, self._adds_up = whole.version, whole.revision, whole.adds_up
         self._demands.update(news.demands)
+        self._faulty = {name: told for name, told in self._faulty.items() if now - told[1] < REPEAT_TIME}
         self._faulty.update({name: (share, now) for name, share in news.faulty.items()})
         self._changing = {name: told for name, told in self._changing.items() if name in whole.changing}
         self._changing.update({name: (change, now) for name, change in news.changing.items()})
@@ -112,6 +113,10 @@
         self._reading = dict(reading)
         return self._reading
 
+    def forget_evacuations(self) -> None:
+        """Tell all evacuations in the next beat, whatever was told."""
+        self._evacuations = None
+
     def _is_fault_news(self, upstream: str, share: float, now: float) -> bool:
         told = self._faulty.get(upstream)
         return told is None or share >= told[0] + FAULT_CHANGE or now - told[1] >= REPEAT_TIME
--- a/src/beamhatch/relay/fleet/gossip.py
+++ b/src/beamhatch/relay/fleet/gossip.py
@@ -307,6 +307,8 @@
             return
         here = msgspec.structs.replace(beat, reading=self._list_reading_in(connection.hall, beat.reading or {}))
         news = connection.told.pick_news(here, self.clock.now())
+        if not connection.hall:  # it may be of this hall
+            news = msgspec.structs.replace(news, turned_away=beat.turned_away)
         if regular or news != SIGN_OF_LIFE:
             connection.tell(news)
 
@@ -408,6 +410,8 @@
             self.core.standings.get(UpstreamId(upstream)).note_hint(share, now)
         self._take_changes(connection, message)
         if message.evacuations is not None:
+            if message.evacuations_as_of < self.core.eligibility.evacuations.as_of:
+                connection.told.forget_evacuations()  # a peer that is behind may believe one that has ended
             source = f"peer {connection.vm}"
             self.core.take_evacuations(message.evacuations, source, as_of=message.evacuations_as_of, whole=True)
         self.newest_version = max(self.newest_version, heard.version)
@@ -450,7 +454,7 @@
             core.changes.list_news(now),
             core.standings.list_reading(),
             list(readings),
-            evacuations.list_news() if evacuations.complete else None,
+            evacuations.list_news() if evacuations.complete and not evacuations.lacks_room else None,
             evacuations.as_of,
             self.is_turned_away(),
             self._adds_up,
--- a/src/beamhatch/relay/requests/exchange.py
+++ b/src/beamhatch/relay/requests/exchange.py
@@ -58,6 +58,9 @@
 SHORTEST_RETRY = 0.15
 """Seconds after which a caller may come back at the earliest: time for another VM to learn what this one did."""
 
+SHORTEST_COLD_WAIT = 0.02
+"""Seconds for which a request waits for a cold upstream at the least: a plan among 1,000 of them takes 1 ms."""
+
 COLD_MARGIN = 0.002
 """Seconds behind the time at which a cold upstream should have room: the granularity of timers."""
 
@@ -144,6 +147,7 @@
         """Carry out the next step, unless one is under way."""
         if self._ended or self._attempt is not None:
             return
+        self._stop_cold_timer()
         self._carry_out(self._plan(self.core.clock.now()))
 
     def _plan(self, now: float) -> Step:
@@ -221,10 +225,8 @@
             self._reserve(step)
         elif isinstance(step, Wait):
             self._wait_in_line()
-        elif isinstance(step, Refuse):
-            self._refuse_or_wait(step)
         else:
-            self._fail(step)
+            self._wait_or_end(step)
 
     def _note_distance(self, upstream: Upstream) -> None:
         """Count how far an upstream is that was chosen, and tell why one in another region was."""
@@ -263,6 +265,7 @@
         )
         if request.split and send.stage is not Stage.PREFILL:
             self.note_memory()
+        self._cold_since = None
         attempt = self._make_attempt(send)
         if send.reservation is not None:
             attempt.permit, self._permit = self._permit, None
@@ -282,9 +285,12 @@
             return
         if not self._in_line:
             self.core.find_demand(self.request.service.name).note_wait(now)
-        owed = self._returns or self.request.begun or self.request.displaced
+        began_to_wait = self.request.displaced or self.request.doubt or self._cold_since is not None
+        owed = self._returns or self.request.begun or began_to_wait
         if not self._in_line and not owed and not line.has_room(in_time, now):
             displaced = line.find_displaced(self._claim, now)
+            if displaced is not None and displaced.has_attempt:
+                displaced = None  # memory may be granted to it at this moment
             self.write_log(
                 "line is full",
                 waiting=len(line),
@@ -304,6 +310,11 @@
             )
         self.core.wait_in_line(self, self._incoming.arrived + in_time, owed=owed, claim=self._claim)
 
+    @property
+    def has_attempt(self) -> bool:
+        """Tell whether something is being asked of an upstream for the request."""
+        return self._attempt is not None
+
     def give_way(self, claim: Claim) -> None:
         """Leave the line to a request of a workspace that was served less."""
         self.core.tally.count("line_displaced_total")
@@ -391,12 +402,11 @@
         if self.request.route.idempotent or answer.head.status not in PROMISES:
             self._failure = answer
 
-    def _refuse_or_wait(self, step: Refuse) -> None:
-        """Refuse the request, unless a cold upstream is all that is missing and has room while that is in time."""
-        known = step.full or step.retry_after is not None
-        wait = None if known else self.core.find_cold_wait(self.request.service.name, self.request.regions)
+    def _wait_or_end(self, step: Refuse | Fail) -> None:
+        """End the request, unless a cold upstream is all that is missing and has room while that is in time."""
+        wait = self._find_cold_wait(step)
         if wait is None:
-            self._refuse(step.reason, full=step.full, retry_after=step.retry_after)
+            self._give_up(step)
             return
         now = self.core.clock.now()
         is_first = self._cold_since is None
@@ -406,12 +416,30 @@
             if is_first:
                 self.core.tally.count("cold_waits_total")
                 self.write_log("waits for a cold upstream", seconds=round(wait, 3))
+            self.leave_line()  # whom another upstream may serve is not held up behind it
             self._stop_cold_timer()
-            self._cold_timer = self.core.clock.call_later(wait + COLD_MARGIN, self._go_on_cold)
+            self._cold_timer = self.core.clock.call_later(max(wait, SHORTEST_COLD_WAIT) + COLD_MARGIN, self.advance)
             return
         self.core.tally.count("cold_refusals_total")
+        if isinstance(step, Fail):
+            self._fail(step)
+            return
         longest = LONGEST_RETRY_SHARE * max(0.0, self.limit - now)
-        self._answer(503, "its upstreams are cold", round(max(SHORTEST_RETRY, min(wait, longest)), 2))
+        soon = RETRY_AFTER_SHARE * self.request.route.target_latency if self.core.vms > 1 else wait
+        back = min(wait, longest, soon)  # the next try reaches another VM, which may have room before this one
+        self._answer(503, "its upstreams are cold", round(max(SHORTEST_RETRY, back), 2))
+
+    def _find_cold_wait(self, step: Refuse | Fail) -> float | None:
+        """Return the seconds until a cold upstream has room, None where that would not help."""
+        if not step.lacks_upstream or (isinstance(step, Refuse) and step.retry_after is not None):
+            return None
+        return self.core.find_cold_wait(self.request.service.name, self.request.regions, self.request.tried)
+
+    def _give_up(self, step: Refuse | Fail) -> None:
+        if isinstance(step, Fail):
+            self._fail(step)
+        else:
+            self._refuse(step.reason, full=step.full, retry_after=step.retry_after)
 
     def _find_cold_limit(self) -> float:
         """Return until when the request may wait for a cold upstream, so that its answer, or next event, is in time."""
@@ -421,13 +449,9 @@
 
     def _stop_cold_timer(self) -> None:
         timer, self._cold_timer = self._cold_timer, None
-        if timer is not None:
+        if timer is not None and timer.active():
             timer.cancel()
 
-    def _go_on_cold(self) -> None:
-        self._cold_timer = None
-        self.advance()
-
     def _refuse(self, reason: str, *, full: bool = False, retry_after: float | None = None) -> None:
         if retry_after is not None:
             retry_after = min(retry_after, LONGEST_RETRY_SHARE * max(0.0, self.limit - self.core.clock.now()))
@@ -601,10 +625,26 @@
         waited = self._in_line
         self.leave_line()
         self.request.take_regions(regions)
-        self._let_go_of_shut()
+        if self._is_unsent_elsewhere(regions):
+            self._stop_attempt()
+            waited = True
+        if self._attempt is None or self._reads_apart:
+            self._let_go_of_shut()  # else the plan behind the attempt does it: what is held may be in use by now
         if waited:
             self.advance()
 
+    @property
+    def _reads_apart(self) -> bool:
+        """Tell whether a prefill engine reads the prompt, so that nothing else that is held is in use."""
+        return isinstance(self._attempt, Attempt) and self._attempt.send.stage is Stage.PREFILL
+
+    def _is_unsent_elsewhere(self, regions: Regions) -> bool:
+        """Tell whether a send to a region that is not allowed is about to be written, as its connection comes up."""
+        attempt = self._attempt
+        if not isinstance(attempt, Attempt) or attempt.sent:
+            return False
+        return not self.core.eligibility.lies_in(attempt.send.upstream, regions)
+
     def _set_timer(self) -> None:
         self._stop_timer()
         left = self.limit - self.core.clock.now()
--- a/src/beamhatch/relay/requests/request.py
+++ b/src/beamhatch/relay/requests/request.py
@@ -77,6 +77,8 @@
     """True where the upstreams are full, so that an early return would find them so again."""
     retry_after: float | None = None
     """Seconds after which to come back, where this is known better than by the route."""
+    lacks_upstream: bool = False
+    """True where there is no upstream to send it to, and one more would help."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -84,6 +86,8 @@
     """Tell the caller that the request failed; it may have run."""
 
     reason: str
+    lacks_upstream: bool = False
+    """True where it may run again, and there is no upstream to send it to."""
 
 
 Step = Send | Reserve | Wait | Refuse | Fail
@@ -158,6 +162,11 @@
             decode_hall="" if self.reservation is None else self.reservation.upstream.hall,
         )
 
+    @property
+    def tried(self) -> set[UpstreamId]:
+        """Return the upstreams that it won't be sent to any more."""
+        return self._refused_by | self._failed
+
     @property
     def longest_wait(self) -> float:
         """Return the seconds for which it waits for decode memory at the most, so that its caller is still there."""
@@ -183,7 +192,7 @@
             return self._give_up("too many upstreams turned it away")
         step = self._choose(usable, chooser, now)
         if step is None:
-            return self._give_up("no upstream can take it")
+            return self._give_up("no upstream can take it", lacks_upstream=True)
         if isinstance(step, Send) and self._counts_as_extra(step.stage) and not budget.allows(now, vms):
             return self._give_up("the budget for repeated sends is spent")
         return step
@@ -214,7 +223,7 @@
             if decode is not None and not chooser.is_unreachable(decode, now):
                 return Reserve(decode, self.facts.prompt_tokens + self.answer_room, engine.hold_lifetime)
         if not self._full:
-            return self._give_up("no decode engine can be asked")
+            return self._give_up("no decode engine can be asked", lacks_upstream=True)
         return self._wait_for_memory(now)
 
     def note_waiting(self, now: float) -> None:
@@ -296,8 +305,10 @@
             return self._prefills > 0
         return self._first_counted
 
-    def _give_up(self, reason: str) -> Step:
-        return Fail(reason) if self.doubt else Refuse(reason)
+    def _give_up(self, reason: str, *, lacks_upstream: bool = False) -> Step:
+        if self.doubt:
+            return Fail(reason, lacks_upstream=lacks_upstream)
+        return Refuse(reason, lacks_upstream=lacks_upstream)
 
     # --- what became of a send ---------------------------------------------------------------------------------------
 
--- a/src/beamhatch/relay/upstreams/attempt.py
+++ b/src/beamhatch/relay/upstreams/attempt.py
@@ -62,6 +62,11 @@
         self._tokens_ahead = 0
         """Tokens of other prompts that it had to read first, as far as they were known at the start."""
 
+    @property
+    def sent(self) -> bool:
+        """Tell whether the request was written, or begun to be."""
+        return self._sent
+
     def start(self, call: Call, most_idle: float) -> None:
         """Send the request."""
         self.standing.begin(self._tokens, self.core.clock.now())
--- a/tests/platform/test_cold.py
+++ b/tests/platform/test_cold.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from beamhatch.platform.standin.upstream import StandInEngine
 from beamhatch.relay.choosing.cold import ColdBound, CountingGate, OpenGate
 from beamhatch.relay.mechanism import Mechanism
 from beamhatch.relay.model import UpstreamId
@@ -246,3 +247,16 @@
         platform.call("/safe/x", f"r{number}", vm="vm2")
         platform.network.run(0.05)
     assert count_most(platform.upstreams["plain-0"].arrived[before:]) == 4
+
+
+def test_a_stream_that_breaks_waits_for_a_cold_engine_where_no_other_is_left() -> None:
+    platform = make_cold("decode-1", seconds=20.0, decode=2)
+    platform.network.run(9.0)  # by then the budget allows a third send
+    broken = platform.upstreams["decode-0"]
+    assert isinstance(broken, StandInEngine)
+    broken.cut_after = 3
+    ask(platform, "/resumable/warm-up", 1)
+    caller = platform.call("/resumable/x", "broken")
+    platform.finish(caller)
+    assert caller.events == list(range(1, 11))
+    assert count_events(platform, "waits for a cold upstream") >= 1
--- a/tests/platform/test_fair_line.py
+++ b/tests/platform/test_fair_line.py
@@ -5,7 +5,10 @@
 import pytest
 
 from beamhatch.relay.mechanism import ALL_IN, Mechanism, Without
-from tests.support.platform import ROUTES, Caller, Platform, make_platform, make_workspace
+from beamhatch.relay.model import ServiceName
+from beamhatch.relay.places import RegionName
+from beamhatch.relay.workspaces.workspace import WorkspaceName
+from tests.support.platform import MODEL, ROUTES, Caller, Platform, make_platform, make_workspace
 
 KEYS = {"desk": "asnmgkcuyj8pjbvk9m68", "back": "k7b2ex5wa5xwyhks8nbk"}
 
@@ -42,3 +45,11 @@
     again = ask(platform, "desk", "again")
     platform.network.run(0.05)
     assert (waiting.status, again.status) == (0, 503)
+
+
+def test_lines_of_different_regions_share_what_workspaces_were_served() -> None:
+    platform, _ = fill_line(ALL_IN)
+    core = platform.vms["vm1"].core
+    line = core.find_line(ServiceName(MODEL), frozenset({RegionName("west")}))
+    desk, back = WorkspaceName("desk"), WorkspaceName("back")
+    assert line.order.find_lead(desk, back, platform.clock.now()) > 20_000
--- a/tests/relay/fleet/test_evacuations.py
+++ b/tests/relay/fleet/test_evacuations.py
@@ -113,3 +113,12 @@
     for vm in vms[1:]:
         vm.take_whole(vms[0].list_news(), vms[0].as_of, 1.0)
         assert set(vm.list_emptied()) == set(store.emptied)
+
+
+def test_a_vm_that_could_not_keep_all_news_says_so_until_it_knows_all() -> None:
+    evacuations = Evacuations()
+    for number in range(MOST_UNPLACED + 1):
+        evacuations.take(Evacuation(f"hall-{number}", number + 1, True), 1.0)
+    assert evacuations.lacks_room
+    evacuations.take_whole([Evacuation("hall-0", 1, True)], 200, 2.0)
+    assert not evacuations.lacks_room
--- a/tests/relay/fleet/test_far_words.py
+++ b/tests/relay/fleet/test_far_words.py
@@ -116,6 +116,13 @@
     assert carry(told, heard, change(WHOLE, evacuations=[ended]), 0.5).evacuations == [ended]
 
 
+def test_a_peer_that_is_behind_is_told_all_evacuations_again() -> None:
+    told, heard = ToldWords(), HeardWords()
+    carry(told, heard, WHOLE, 0.1)
+    told.forget_evacuations()
+    assert carry(told, heard, WHOLE, 0.2).evacuations == []
+
+
 def test_readings_of_engines_are_told_as_they_come_and_only_where_they_changed() -> None:
     told = ToldWords()
     assert told.pick_reading({}) is None
