--- a/src/beamhatch/platform/standin/upstream.py
+++ b/src/beamhatch/platform/standin/upstream.py
@@ -72,7 +72,7 @@
     """The request of each KV cache that is held, by ``ADDRESS/ID``."""
 
 
-class _Run(RequestHandler):
+class Run(RequestHandler):
     """A run under way."""
 
     def __init__(self, upstream: StandInUpstream, request: str) -> None:
@@ -172,11 +172,11 @@
         run.later(self.work, lambda: self._answer(run, responder, f"{incoming.method} {incoming.target} ".encode()))
         return run
 
-    def begin(self, request: str) -> _Run:
+    def begin(self, request: str) -> Run:
         """Count a run."""
         self.ledger.runs[request] += 1
         self.running += 1
-        return _Run(self, request)
+        return Run(self, request)
 
     def sign(self, request: str) -> list[tuple[str, str]]:
         """Return the headers of an own answer."""
@@ -185,7 +185,7 @@
             signed.append(("Response-Signature", f"{self.instance}.{request}"))
         return signed
 
-    def _answer(self, run: _Run, responder: Responder, text: bytes) -> None:
+    def _answer(self, run: Run, responder: Responder, text: bytes) -> None:
         if self.fault is UpstreamFault.HANG:
             return
         run.end()
@@ -344,7 +344,7 @@
 
     def _read(self, request: str, prompt: int, responder: Responder) -> RequestHandler:
         self.running += 1
-        run = _Run(self, request)
+        run = Run(self, request)
 
         def end() -> None:
             if self.fault is UpstreamFault.HANG:
--- a/tests/soak/mutants.py
+++ b/tests/soak/mutants.py
@@ -42,6 +42,11 @@
     return mutate
 
 
+def _ignores_cold() -> None:
+    _passes_obstacle(Obstacle.COLD)()
+    Core.find_cold_cost = lambda self, upstream, now: 0.0  # type: ignore[method-assign]
+
+
 def _uses_leaving() -> None:
     take = Listing.take
 
@@ -97,7 +102,7 @@
     "promises-falsely": Mutant(Promise.NOT_RUN, UPSTREAM_FAULTS, _promises_falsely),
     "ignores-evacuations": Mutant(Promise.EMPTIED, [FaultKind.EVACUATE], _passes_obstacle(Obstacle.EMPTIED)),
     "ignores-regions": Mutant(Promise.REGION, [FaultKind.CONFIGURE], _passes_obstacle(Obstacle.REGION)),
-    "ignores-cold": Mutant(Promise.COLD, COLD_FAULTS, _passes_obstacle(Obstacle.COLD)),
+    "ignores-cold": Mutant(Promise.COLD, COLD_FAULTS, _ignores_cold),
     "uses-leaving": Mutant(Promise.LEAVING, [FaultKind.UPSTREAM_LEAVES], _uses_leaving),
     "keeps-first-configuration": Mutant(Promise.IN_FORCE, [FaultKind.CONFIGURE], _keeps_first_configuration),
     "stops-at-once": Mutant(Promise.PLANNED_STOP, [FaultKind.STOP], _stops_at_once),
--- a/tests/soak/promise.py
+++ b/tests/soak/promise.py
@@ -66,6 +66,9 @@
 GRACE = 8.0
 """Seconds that a planned stop may take."""
 
+GONE_BOUND = 1.5
+"""Seconds behind which no upstream works for a caller that left: three times the users' bound, as machines are shared."""
+
 TURN_TIME = 3.0
 """Seconds between the orders of two VMs."""
 
--- a/tests/soak/upstreams.py
+++ b/tests/soak/upstreams.py
@@ -12,7 +12,7 @@
     from collections.abc import Callable
 
     from beamhatch.clock import Clock
-    from beamhatch.platform.standin.upstream import Ledger
+    from beamhatch.platform.standin.upstream import Ledger, Run
     from beamhatch.relay.callers.http_server import IncomingRequest, RequestHandler, Responder
     from beamhatch.relay.model import Address
 
@@ -30,6 +30,21 @@
     """Tells of each request that reaches it."""
 
     on_arrival: Callable[[Arrival], None]
+    active: set[str]
+    """Requests that it is at work on, among all upstreams."""
+
+    def begin(self, request: str) -> Run:
+        """Begin to work on a request."""
+        run = super().begin(request)
+        self.active.add(request)
+        end = run.end
+
+        def note_end() -> None:
+            self.active.discard(request)
+            end()
+
+        run.end = note_end  # type: ignore[method-assign]
+        return run
 
     def serve(self, incoming: IncomingRequest, responder: Responder) -> RequestHandler | None:
         """Note a request that is meant for this upstream, and serve it."""
@@ -48,10 +63,17 @@
     """A replica of a plain service."""
 
     def __init__(
-        self, clock: Clock, address: Address, instance: str, ledger: Ledger, on_arrival: Callable[[Arrival], None]
+        self,
+        clock: Clock,
+        address: Address,
+        instance: str,
+        ledger: Ledger,
+        on_arrival: Callable[[Arrival], None],
+        active: set[str],
     ) -> None:
         super().__init__(clock, address, instance, ledger)
         self.on_arrival = on_arrival
+        self.active = active
 
 
 class ModelEngine(Observed, StandInEngine):
@@ -67,9 +89,11 @@
         ledger: Ledger,
         phase: str,
         on_arrival: Callable[[Arrival], None],
+        active: set[str],
     ) -> None:
         StandInEngine.__init__(self, clock, address, instance, ledger, phase)
         self.on_arrival = on_arrival
+        self.active = active
 
     def plays(self, headers: dict[str, str]) -> bool:
         """Tell whether it plays the part that a request asks for."""
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -12,7 +12,7 @@
 from beamhatch.relay.model import Address
 from beamhatch.standin.link import Link, open_link
 from tests.soak.caller import CONNECT_TIMEOUT, HOST, PATIENCE, CallerConnection, CallerFactory, Outcome
-from tests.soak.promise import COLD_RATE, COLD_TIME, TOUCH_TIME, Promise
+from tests.soak.promise import COLD_RATE, COLD_TIME, GONE_BOUND, TOUCH_TIME, Promise
 from tests.soak.upstreams import Arrival, ModelEngine, PlainReplica
 from tests.soak.vm import CALLER_PORT, PEER_PORT, READY_PORT, VmProcess
 from tests.soak.witness import STREAM_EVENTS, Asked, RouteTerms, UpstreamFacts, VmFacts, Witness
@@ -28,8 +28,8 @@
 PLAIN = "accounts"
 MODEL = "models"
 ENGINES_A_HALL = ("prefill", "decode", "decode")
-CALLERS_A_VM = 3
-PAUSE = 0.05, 0.4
+CALLERS_A_VM = 6
+PAUSE = 0.03, 0.25
 """Seconds between two requests of a caller, from and to."""
 
 LEAVES_EARLY = 0.06
@@ -74,6 +74,8 @@
         self.upstream_link = Link(clock.reactor)
         self.store_links: dict[str, Link] = {}
         self.placed: dict[str, Placed] = {}
+        self.active: set[str] = set()
+        """Requests that upstreams are at work on."""
         self.version = 0
         self._number = 0
         self.stopping = False
@@ -119,9 +121,9 @@
         address = Address(f"{self.net}.3.1", 0)
         upstream: PlainReplica | ModelEngine
         if service == PLAIN:
-            upstream = PlainReplica(self.clock, address, name, self.ledger, self._take_arrival)
+            upstream = PlainReplica(self.clock, address, name, self.ledger, self._take_arrival, self.active)
         else:
-            upstream = ModelEngine(self.clock, address, name, self.ledger, phase, self._take_arrival)
+            upstream = ModelEngine(self.clock, address, name, self.ledger, phase, self._take_arrival, self.active)
             upstream.on_phase = lambda: self.list_upstream(name)
         upstream.start()
         host = f"{self.net}.4.1"
@@ -228,6 +230,8 @@
             outcome.ended_at = self.now()
             self.witness.take_outcome(outcome)
             self._note_stop(vm, outcome)
+            if outcome.left:
+                self.clock.call_later(GONE_BOUND, self._check_gone, outcome)
 
         def fail() -> None:
             self.clock.call_later(0.2, self._connect)
@@ -271,6 +275,13 @@
         before = f"/v{max(1, self.version - 1)}/"
         return self.random.choice([*PATHS, *PATHS, newest, before])
 
+    def _check_gone(self, outcome: Outcome) -> None:
+        """Check that nobody works for a caller that left some time ago, at a VM that nothing disturbed."""
+        since = self.witness.vms[outcome.vm].calm.since
+        if outcome.request in self.active and since + TOUCH_TIME < outcome.ended_at:
+            detail = f"an upstream is still at work on {outcome.request}, whose caller left"
+            self.witness.break_promise(Promise.GIVEN_BACK, self.now(), detail)
+
     def _note_stop(self, vm: VmProcess, outcome: Outcome) -> None:
         """Check that a planned stop cut nothing off, where nothing else was wrong."""
         stopping = vm.stopping_since is not None and outcome.life == vm.life
