--- a/tests/soak/promise.py
+++ b/tests/soak/promise.py
@@ -67,7 +67,7 @@
 """Seconds that a planned stop may take."""
 
 GONE_BOUND = 1.5
-"""Seconds behind which no upstream works for a caller that left: three times the users' bound, as machines are shared."""
+"""Seconds behind which no upstream works for a caller that left: three times the users' bound, on a shared machine."""
 
 TURN_TIME = 3.0
 """Seconds between the orders of two VMs."""
