List what stays, and what a request tried, at one place each; say what a Mbit/s is

Two functions of Core passed over engines that change their part in the same words; three places joined the same two sets that RelayRequest.tried joins; a constant had no line on its unit. Ruled out: taking Eligibility.note_send out as dead: a send whose upstream turned cold behind its plan is counted there. Change: one function each; behaviour as before.

--- a/src/beamhatch/platform/documents.py
+++ b/src/beamhatch/platform/documents.py
@@ -116,6 +116,8 @@
 
 
 BYTES_PER_MBIT = 125_000
+"""Bytes a second of 1 Mbit/s, by definition; link rates are written in Mbit/s."""
+
 TOKEN_UNITS = "token"
 """How the units begin that count tokens; all others count requests."""
 
--- a/src/beamhatch/relay/core.py
+++ b/src/beamhatch/relay/core.py
@@ -273,8 +273,13 @@
         :param regions: the regions that a request may be served in; None where it may be in any
         """
         now = self.clock.now()
-        listed = self.changes.pass_over(self.listing.list_usable(service, now), now)
-        return self.eligibility.list_eligible(listed, regions, self.find_cold_terms(service), now)
+        return self.eligibility.list_eligible(
+            self._list_staying(service, now), regions, self.find_cold_terms(service), now
+        )
+
+    def _list_staying(self, service: ServiceName, now: float) -> list[Upstream]:
+        """Return the upstreams of a service that are listed and not away for a change of their part."""
+        return self.changes.pass_over(self.listing.list_usable(service, now), now)
 
     def _note_cold(self, entries: Sequence[Entry], source: str) -> None:
         """Write one line on the upstreams that turned cold, and look in a while which of them are warm."""
@@ -305,9 +310,8 @@
         if terms is None:
             return None
         now = self.clock.now()
-        listed = self.changes.pass_over(self.listing.list_usable(service, now), now)
         find_obstacle = self.eligibility.find_obstacle
-        left = (one for one in listed if one.id not in tried)
+        left = (one for one in self._list_staying(service, now) if one.id not in tried)
         shut = (one for one in left if find_obstacle(one, regions, terms, now) is Obstacle.COLD)
         return min((self.eligibility.find_wait(one, terms, now) for one in shut), default=None)
 
--- a/src/beamhatch/relay/requests/request.py
+++ b/src/beamhatch/relay/requests/request.py
@@ -198,7 +198,7 @@
         return step
 
     def _choose(self, usable: list[Upstream], chooser: Chooser, now: float) -> Step | None:
-        tried = self._refused_by | self._failed
+        tried = self.tried
         if not self.split:
             upstream = chooser.choose_plain(usable, tried, now)
             if upstream is None or chooser.is_unreachable(upstream, now):
@@ -260,7 +260,7 @@
 
     def _choose_first(self, usable: list[Upstream], chooser: Chooser, now: float) -> Send | None:
         if self._prefills < MOST_PREFILLS:
-            prefill = chooser.choose_prefill(usable, self.need, self._refused_by | self._failed, now)
+            prefill = chooser.choose_prefill(usable, self.need, self.tried, now)
             if prefill is not None:
                 return self._choose_whole(prefill, chooser, now) or Send(Stage.PREFILL, prefill)
         if self.reservation is None and self._prefills > self._prefill_faults:
@@ -289,7 +289,7 @@
         handle: Handle | None,
         full: set[UpstreamId],
     ) -> Upstream | None:
-        tried = self._refused_by | self._failed | full
+        tried = self.tried | full
         kv_tokens = self.service.engine.kv_tokens if self.service.engine else 0
         need = self.need
         if full:
