Say in the lines whose run broke, how far it had come, and whether its upstream ended

Cause: the timeline of the engines that ended could not tell a request that ends them from ones that stand beside it: nothing told that two requests are one asked again, nor an upstream's end from a broken connection. Change: a fingerprint of method, host, target, caller and body in 'sent' and 'send failed'; how long a run had gone on, whether its upstream had begun, and the connections left to it; a counter. 8 tests of the fingerprint, one of the line.

--- a/src/beamhatch/relay/requests/exchange.py
+++ b/src/beamhatch/relay/requests/exchange.py
@@ -16,6 +16,7 @@
 from beamhatch.relay.model import Phase, RouteKind, Stage
 from beamhatch.relay.places import Distance
 from beamhatch.relay.requests.answer import PROMISES, WholeAnswer
+from beamhatch.relay.requests.fingerprint import find_fingerprint
 from beamhatch.relay.requests.line import Claim
 from beamhatch.relay.requests.request import Fail, Refuse, RelayRequest, Reserve, Send, Step, Wait
 from beamhatch.relay.upstreams.attempt import Attempt, DropSink
@@ -110,6 +111,7 @@
             body_bytes=len(incoming.body),
         )
         self._claim = Claim(admitted.workspace, admitted.priority, facts.prompt_tokens + self.request.answer_room)
+        self.fingerprint = find_fingerprint(incoming, admitted.workspace)
         self._incoming = incoming
         self._responder = responder
         self._passed_on = strip_hop_by_hop(incoming.headers)
@@ -255,6 +257,7 @@
         standing = self.core.standings.get(send.upstream.id)
         self.write_log(
             "sent",
+            fingerprint=self.fingerprint.hex(),
             stage=send.stage.value,
             to=send.upstream.id,
             revision=self.core.listing.newest,
--- a/src/beamhatch/relay/upstreams/attempt.py
+++ b/src/beamhatch/relay/upstreams/attempt.py
@@ -173,8 +173,14 @@
             detail=detail,
             sent=self._sent,
             stage=self.send.stage.value,
+            begun=self.head is not None,
+            ran=round(now - self._started_at, 4),
+            connections=self.core.client.count_connections(self.send.upstream.address),
+            fingerprint=self.exchange.fingerprint.hex(),
         )
         self.core.tally.count("send_faults_total", fault.value)
+        if fault is Fault.BROKEN and self.send.stage is not Stage.PREFILL:
+            self.core.tally.count("broken_runs_total", "begun" if self.head is not None else "unanswered")
         if self._sent:
             self.request.note_broken(self.send)
         else:
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -379,3 +379,21 @@
     platform.network.run(3.2)  # its caller would leave at 3.6 s
     assert again.status == 503
     assert "retry-after" in again.head.lower()
+
+
+def test_a_run_that_breaks_says_whose_it_was_and_how_far_it_had_come() -> None:
+    platform = make_platform(decode=1)
+    engine = platform.upstreams["decode-0"]
+    caller = platform.call("/stream/x", "q1")
+    platform.network.run_until(lambda: platform.ledger.runs["q1"])
+    platform.network.run(0.1)
+    engine.stop()
+    platform.finish(caller)
+    lines = [line for line in platform.journals["vm1"].lines if line.get("request") == "q1"]
+    sent = [line["fingerprint"] for line in lines if line["event"] == "sent"]
+    (failed,) = [line for line in lines if line["event"] == "send failed"]
+    assert set(sent) == {failed["fingerprint"]}
+    assert failed["begun"]
+    assert 0.05 < failed["ran"] < 0.3
+    assert failed["connections"] == 0
+    assert platform.vms["vm1"].tally.counts["broken_runs_total", "begun"] == 1
--- /dev/null
+++ b/tests/relay/requests/test_fingerprint.py
@@ -0,0 +1,50 @@
+"""Requests that ask for the same work are told apart from all others."""
+
+from __future__ import annotations
+
+import pytest
+
+from beamhatch.relay.callers.http_server import IncomingRequest
+from beamhatch.relay.requests.fingerprint import FINGERPRINT_BYTES, find_fingerprint
+from beamhatch.relay.workspaces.workspace import WorkspaceName
+
+ALPHA = WorkspaceName("alpha")
+
+
+def make_incoming(**changes: object) -> IncomingRequest:
+    fields = {
+        "method": "POST",
+        "target": "/a/b?c=d",
+        "headers": [("Host", "desk.example"), ("Request-Id", "q1"), ("Deadline-Ms", "14000")],
+        "body": b"text",
+        "arrived": 1.0,
+    }
+    return IncomingRequest(**{**fields, **changes})  # type: ignore[arg-type]
+
+
+def test_a_request_that_is_sent_again_keeps_its_fingerprint() -> None:
+    again = make_incoming(
+        headers=[("host", "DESK.example"), ("Request-Id", "q2"), ("Deadline-Ms", "9000")], arrived=7.0
+    )
+    assert find_fingerprint(make_incoming(), ALPHA) == find_fingerprint(again, ALPHA)
+    assert len(find_fingerprint(make_incoming(), ALPHA)) == FINGERPRINT_BYTES
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"method": "GET"},
+        {"target": "/a/b?c=e"},
+        {"target": "/a/b"},
+        {"body": b"texts"},
+        {"headers": [("Host", "other.example")]},
+        {"target": "/a/b?c=dalpha", "body": b""},
+    ],
+)
+def test_another_request_has_another(changes: dict[str, object]) -> None:
+    assert find_fingerprint(make_incoming(**changes), ALPHA) != find_fingerprint(make_incoming(), ALPHA)
+
+
+def test_the_same_request_of_another_caller_has_another() -> None:
+    found = {find_fingerprint(make_incoming(), workspace) for workspace in (ALPHA, WorkspaceName("beta"), None)}
+    assert len(found) == 3
