Bring about what ended the engines: a request that is sent again ends all that run it

Cause (suspected): a request that ends its upstream is not remembered. The stand-ins end by given targets, 0.1 s behind the begin, and come back 2.5 s later under the same id with a new time of birth.

--- a/src/beamhatch/platform/standin/upstream.py
+++ b/src/beamhatch/platform/standin/upstream.py
@@ -50,6 +50,15 @@
     phase: str
 
 
+@dataclass(frozen=True, slots=True)
+class Crash:
+    """The end of an upstream by a request that it ran."""
+
+    at: float
+    upstream: str
+    request: str
+
+
 @dataclass(slots=True)
 class Ledger:
     """What the upstreams of one test did, together."""
@@ -70,6 +79,11 @@
     orders: list[Order] = field(default_factory=list)
     handles: dict[str, str] = field(default_factory=dict)
     """The request of each KV cache that is held, by ``ADDRESS/ID``."""
+    deadly: set[str] = field(default_factory=set)
+    """Targets of requests that end each upstream that begins to run them."""
+    crashes: list[Crash] = field(default_factory=list)
+    sends: list[tuple[float, str]] = field(default_factory=list)
+    """When each send arrived, and its target."""
 
 
 class Run(RequestHandler):
@@ -82,6 +96,7 @@
         self.tokens = 0
         """KV memory that is used until the run ends."""
         self.ended = False
+        upstream.runs.add(self)
 
     def lose_caller(self) -> None:
         """Stop the work."""
@@ -104,6 +119,7 @@
         if self.ended:
             return
         self.ended = True
+        self.upstream.runs.discard(self)
         self.upstream.running -= 1
         self.upstream.used -= self.tokens
         for timer in self.timers:
@@ -116,10 +132,19 @@
 
     work = 0.05
     """Seconds of one request."""
+    crash_delay = 0.1
+    """Seconds behind its begin at which a deadly request ends the upstream."""
+    restart_time = 2.5
+    """Seconds behind its end after which it is back."""
 
     def __init__(self, clock: Clock, address: Address, instance: str, ledger: Ledger) -> None:
         super().__init__(clock, address)
         self.instance = instance
+        self.born = int(1000 * clock.tell_wall())
+        """When it started, in Unix milliseconds."""
+        self.runs: set[Run] = set()
+        self.on_return: Callable[[], None] = lambda: None
+        """Called when it is back after a crash, to list it."""
         self.ledger = ledger
         self.fault = UpstreamFault.NONE
         self.arrived: list[float] = []
@@ -143,8 +168,25 @@
             "state": state,
             "cold_remaining_ms": 1000 * self.cold_left,
             "sequence": 0,
+            "born": self.born,
         }
 
+    def crash(self) -> None:
+        """End at once with all runs, and come back in a while with nothing of before."""
+        self.stop()
+        for run in list(self.runs):
+            run.end()
+        self.clock.call_later(self.restart_time, self._come_back)
+
+    def _come_back(self) -> None:
+        self.born = int(1000 * self.clock.tell_wall())
+        self.start()
+        self.on_return()
+
+    def _crash_by(self, request: str) -> None:
+        self.ledger.crashes.append(Crash(self.clock.now(), self.instance, request))
+        self.crash()
+
     def serve(self, incoming: IncomingRequest, responder: Responder) -> RequestHandler | None:
         """Serve one request."""
         self.calls += 1
@@ -155,6 +197,7 @@
             return None
         if request:
             self.ledger.arrivals[request] += 1
+            self.ledger.sends.append((self.clock.now(), incoming.target))
             self.arrived.append(self.clock.now())
             self.ledger.bodies[request] = incoming.body
             self.ledger.headers[request] = headers
@@ -169,6 +212,9 @@
     ) -> RequestHandler | None:
         """Run one request."""
         run = self.begin(request)
+        if incoming.target in self.ledger.deadly:
+            run.later(self.crash_delay, lambda: self._crash_by(request))
+            return run
         run.later(self.work, lambda: self._answer(run, responder, f"{incoming.method} {incoming.target} ".encode()))
         return run
 
@@ -241,6 +287,12 @@
         self._number = 0
         self._reads_until = 0.0
 
+    def crash(self) -> None:
+        """End at once, with all that it holds."""
+        self.held.clear()
+        self.ordered = None
+        super().crash()
+
     def describe(self, service: str, hall: str, state: str = "ready") -> dict[str, object]:
         """Return its entry in the store."""
         return {**super().describe(service, hall, state), "phase": self.phase, "capacity": 128, "models": []}
@@ -340,6 +392,11 @@
         first = self.step if source is None else self.step + self.move_time
         if source is None and self.reads_in_turn:
             first += self._take_turn(2 * prompt / self.read_rate)
+        if incoming.target in self.ledger.deadly:
+            run = self.begin(request)
+            responder.begin(200, [("Content-Type", "text/event-stream"), *self.sign(request)])
+            run.later(self.crash_delay, lambda: self._crash_by(request))
+            return run
         return self._stream(request, prompt, output, int(headers.get("last-event-id", 0)), first, responder)
 
     def _read(self, request: str, prompt: int, responder: Responder) -> RequestHandler:
--- a/tests/support/platform.py
+++ b/tests/support/platform.py
@@ -296,6 +296,7 @@
         self.halls.setdefault(name, hall)
         upstream.start()
         self.upstreams[name] = upstream
+        upstream.on_return = lambda: self.list_again(name)
         self.store.put(f"servers/{name}", upstream.describe(service, self.halls[name]))
 
     def drain(self, name: str) -> None:
