Keep away a request that ends the upstreams that run it, on all VMs

Cause: what a request did to the engines that ran it stood in the aggregate of one try of one caller (RelayRequest) and ended with it; faults were held against engines alone. Each try, at each VM, was a new request. Class: state of a recurring failure kept by attempt, not by what recurs. Ruled out: too many streams (engines end with nothing else aboard, in the test); the budget (it counts repeats of one id, as it is meant to). Change: requests have a fingerprint; VMs detect ends of upstreams, tell each other who was aboard, attribute ends by the fewest requests that explain them, and send a request that explains three to nothing for ten minutes, 503 with the time that is left; the store keeps it across restarts of all. A good end clears it. No special case for a kind of send: asked before each step of a request.

--- /dev/null
+++ b/benchmarks/quarantine.py
@@ -0,0 +1,100 @@
+"""Count what it takes a fleet to keep away a request that ends engines: seconds to the last VM, and bytes.
+
+``python -m benchmarks.quarantine --vms 74`` plays relays, stand-ins and callers on a paused network. Each engine that
+ends has streams of as many VMs as there are, up to 64, as at the size to design for. One JSON object is printed.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import time
+
+from tests.support.platform import Platform
+
+from beamhatch.relay.places import Places, RegionName
+
+TARGET = "/resumable/x"
+STREAMS = 64
+ENDS = 3
+REGION_DELAY = 0.012
+"""Seconds of a message between regions."""
+
+
+def make_fleet(vms: int, halls: int) -> Platform:
+    """Return a fleet that knows itself."""
+    regions = {f"hall-{number}": RegionName(f"region-{number * 3 // halls}") for number in range(halls)}
+    platform = Platform(places=Places(regions), names_hosts=True)
+    hall_of = {f"vm{number}": f"hall-{number % halls}" for number in range(vms)}
+    region_of = {name: regions[hall] for name, hall in hall_of.items()}
+
+    def find_delay(here: str, there: str) -> float:
+        far = here in region_of and there in region_of and region_of[here] != region_of[there]
+        return REGION_DELAY if far else 0.001
+
+    platform.network.find_delay = find_delay
+    platform.configure(1)
+    platform.add_engine("prefill-0", "prefill", hall="hall-0")
+    for number in range(ENDS + 1):
+        platform.halls[f"decode-{number}"] = f"hall-{number % halls}"
+        platform.add_engine(f"decode-{number}", "decode", kv_tokens=10**9)
+    for name, hall in hall_of.items():
+        platform.add_vm(name, ["vm0:8002", "vm1:8002"], hall)
+    platform.network.run(16.0)
+    return platform
+
+
+def count_bytes(platform: Platform) -> list[int]:
+    """Return the bytes on quarantine that each VM has sent."""
+    counts = [vm.tally.counts for vm in platform.vms.values()]
+    return [
+        sum(of for (name, kind), of in one.items() if name == "peer_bytes_total" and "quarantine" in kind)
+        for one in counts
+    ]
+
+
+def play(vms: int, halls: int) -> dict[str, object]:
+    """End three engines with full streams, and wait until all VMs keep the request away."""
+    platform = make_fleet(vms, halls)
+    names = list(platform.vms)
+    platform.ledger.deadly.add(TARGET)
+    number = 0
+    while len(platform.ledger.crashes) < ENDS:
+        number += 1
+        for stream in range(STREAMS):
+            name = f"own-{number}-{stream}"
+            vm = names[stream * 7 % len(names)]
+            platform.call(f"/resumable/{name}", name, vm=vm, headers={"Token-Count": "50,400"})
+        platform.network.run(1.0)
+        vm = names[number * 31 % len(names)]
+        platform.call(TARGET, f"again-{number}", vm=vm, headers={"Token-Count": "50,40"})
+        platform.network.run(1.0)
+    third = sorted(crash.at for crash in platform.ledger.crashes)[ENDS - 1]
+    platform.network.run_until(
+        lambda: all(vm.core.quarantine.count(vm.clock.now()) == 1 for vm in platform.vms.values()), 20.0
+    )
+    sent = count_bytes(platform)
+    runs = [sum(len(end.runs) for end in vm.core.quarantine.ends) for vm in platform.vms.values()]
+    return {
+        "vms": vms,
+        "ends": len(platform.ledger.crashes),
+        "seconds_to_last_vm": round(platform.clock.now() - third, 2),
+        "runs_known": [min(runs), max(runs)],
+        "bytes_an_end_and_vm": round(sum(sent) / len(sent) / ENDS),
+        "bytes_an_end_at_the_busiest": round(max(sent) / ENDS),
+    }
+
+
+def main() -> None:
+    """Play one size."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--vms", type=int, default=74)
+    parser.add_argument("--halls", type=int, default=6)
+    chosen = parser.parse_args()
+    begun = time.monotonic()
+    found = play(chosen.vms, chosen.halls)
+    print(json.dumps({**found, "seconds_played_in": round(time.monotonic() - begun)}))
+
+
+if __name__ == "__main__":
+    main()
--- a/src/beamhatch/platform/standin/upstream.py
+++ b/src/beamhatch/platform/standin/upstream.py
@@ -140,8 +140,8 @@
     def __init__(self, clock: Clock, address: Address, instance: str, ledger: Ledger) -> None:
         super().__init__(clock, address)
         self.instance = instance
-        self.born = int(1000 * clock.tell_wall())
-        """When it started, in Unix milliseconds."""
+        self.born = int(1000 * clock.now())
+        """When it started, in milliseconds of its clock, whose zero is nobody's business."""
         self.runs: set[Run] = set()
         self.on_return: Callable[[], None] = lambda: None
         """Called when it is back after a crash, to list it."""
@@ -179,7 +179,7 @@
         self.clock.call_later(self.restart_time, self._come_back)
 
     def _come_back(self) -> None:
-        self.born = int(1000 * self.clock.tell_wall())
+        self.born = int(1000 * self.clock.now())
         self.start()
         self.on_return()
 
--- a/src/beamhatch/platform/store.py
+++ b/src/beamhatch/platform/store.py
@@ -21,6 +21,7 @@
 )
 from beamhatch.relay.fleet.evacuations import Evacuation
 from beamhatch.relay.model import UpstreamId
+from beamhatch.relay.requests.fingerprint import FINGERPRINT_BYTES, Fingerprint
 from beamhatch.relay.upstreams.http_client import Call
 from beamhatch.relay.upstreams.http_fetch import fetch
 
@@ -44,6 +45,11 @@
 OWN = "beamhatch/"
 LEADER = f"{OWN}leader"
 LAST_ORDER = f"{OWN}order"
+QUARANTINE = f"{OWN}quarantine/"
+"""A key of a fingerprint is there as long as its quarantine is kept; its value says nothing."""
+
+HEX_DIGITS = frozenset("0123456789abcdef")
+
 READ_TIMEOUT = 2.0
 """Seconds for one call: 500 times what an answer takes when the store is well."""
 
@@ -143,16 +149,35 @@
                 return _Events(items, at)
             query["after"] = page.items[-1].tls_key
 
+    async def keep_quarantine(self, fingerprint: Fingerprint, seconds: float) -> StoreLost | None:
+        """Write the key of a fingerprint under a lease of its own, unless it is there."""
+        lease = _decode(await self._post("kv-lease", {"ttl_ms": int(seconds * 1000)}), _Lease)
+        if isinstance(lease, StoreLost):
+            return lease
+        key = f"{QUARANTINE}{fingerprint.hex()}"
+        change = {
+            "if_revision": [{"tls_key": key, "revision": 0}],
+            "put": [{"tls_key": key, "value": "", "lease": lease.lease}],
+            "remove": [],
+        }
+        return _find_loss(await self._post("kv-txn", change))
+
+    async def end_quarantine(self, fingerprint: Fingerprint) -> StoreLost | None:
+        """Remove the key of a fingerprint."""
+        change = {"if_revision": [], "put": [], "remove": [f"{QUARANTINE}{fingerprint.hex()}"]}
+        return _find_loss(await self._post("kv-txn", change))
+
     async def read_leadership(self) -> LeadershipNews | StoreLost:
-        """Return who leads, and what the last order was."""
+        """Return who leads, what the last order was, and which requests are held."""
         page = _decode(await self._get("kv-range", {"path_prefix": OWN}), _Range)
         if isinstance(page, StoreLost):
             return page
         items = {item.tls_key: item for item in page.items}
         order = items.get(LAST_ORDER)
+        held = [found for found in map(_read_fingerprint, items) if found is not None]
         if order is None:
-            return LeadershipNews(LEADER in items, 0, page.at)
-        return LeadershipNews(LEADER in items, order.revision, page.at, (order.raw or b"").decode())
+            return LeadershipNews(LEADER in items, 0, page.at, held=held)
+        return LeadershipNews(LEADER in items, order.revision, page.at, (order.raw or b"").decode(), held)
 
     async def watch_leadership(self, after: int, wait: float) -> bool | StoreLost:
         """Return True as soon as something changed behind a revision."""
@@ -229,6 +254,21 @@
         return self._documents.read_entry(UpstreamId(item.tls_key.removeprefix(UPSTREAMS)), item.revision, item.raw)
 
 
+def _read_fingerprint(key: str) -> Fingerprint | None:
+    """Return the fingerprint whose quarantine a key keeps, or None where it is another key."""
+    name = key.removeprefix(QUARANTINE)
+    if len(name) != 2 * FINGERPRINT_BYTES or not set(name) <= HEX_DIGITS:
+        return None
+    return Fingerprint(bytes.fromhex(name))
+
+
+def _find_loss(answer: WholeAnswer | str) -> StoreLost | None:
+    """Return whether a change may not have been made; where its condition did not hold, another VM has made it."""
+    if isinstance(answer, str):
+        return StoreLost(answer)
+    return None if answer.head.status in (200, 412) else StoreLost(f"status {answer.head.status}")
+
+
 def _decode(answer: WholeAnswer | str, wanted: type[Read]) -> Read | StoreLost:
     if isinstance(answer, str):
         return StoreLost(answer)
--- a/src/beamhatch/relay/api.py
+++ b/src/beamhatch/relay/api.py
@@ -12,6 +12,7 @@
     from beamhatch.relay.choosing.standing import Load
     from beamhatch.relay.fleet.evacuations import Evacuation
     from beamhatch.relay.model import Handle, Phase, RequestFacts, Reservation, Stage, Table, Upstream
+    from beamhatch.relay.requests.fingerprint import Fingerprint
     from beamhatch.relay.upstreams.http_client import Call
     from beamhatch.relay.upstreams.listing import Entry
     from beamhatch.relay.workspaces.workspace import WorkspaceName
@@ -152,6 +153,8 @@
     at: int
     order: str = ""
     """The last order, as it was written down."""
+    held: Sequence[Fingerprint] = ()
+    """Requests whose quarantine is kept: they are read with what a few VMs watch anyway, and cost no call."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -186,9 +189,17 @@
     async def watch_listing(self, after: int, wait: float) -> ListingNews | StoreLost | HistoryGone:
         """Return changes of upstreams behind a revision as soon as there are any, or after some seconds."""
 
+    @abstractmethod
+    async def keep_quarantine(self, fingerprint: Fingerprint, seconds: float) -> StoreLost | None:
+        """Keep the quarantine of a request for some seconds, whatever becomes of the VMs."""
+
+    @abstractmethod
+    async def end_quarantine(self, fingerprint: Fingerprint) -> StoreLost | None:
+        """Keep the quarantine of a request no longer."""
+
     @abstractmethod
     async def read_leadership(self) -> LeadershipNews | StoreLost:
-        """Return who leads, and what the last order was."""
+        """Return who leads, what the last order was, and which requests are held."""
 
     @abstractmethod
     async def watch_leadership(self, after: int, wait: float) -> bool | StoreLost:
--- a/src/beamhatch/relay/core.py
+++ b/src/beamhatch/relay/core.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections import Counter, defaultdict
 from dataclasses import dataclass, field
@@ -22,9 +23,12 @@
 from beamhatch.relay.mechanism import ALL_IN, Mechanism, Without
 from beamhatch.relay.model import CallerLimits, Phase, Regions, ServiceName
 from beamhatch.relay.places import Places
+from beamhatch.relay.quarantine.quarantine import Quarantine
+from beamhatch.relay.quarantine.talk import QuarantineTalk
 from beamhatch.relay.requests.budget import Budget, BudgetTerms
-from beamhatch.relay.requests.exchange import REGION_RETRY, RelayExchange
+from beamhatch.relay.requests.exchange import HELD, REGION_RETRY, RelayExchange
 from beamhatch.relay.requests.fair_order import ArrivalOrder, FairOrder, StartTimeOrder
+from beamhatch.relay.requests.fingerprint import find_fingerprint
 from beamhatch.relay.requests.lengths import AnswerLengths
 from beamhatch.relay.requests.line import NO_CLAIM, Line
 from beamhatch.relay.upstreams.listing import Listing
@@ -42,6 +46,7 @@
     from beamhatch.relay.fleet.evacuations import Evacuation
     from beamhatch.relay.model import ColdTerms, RequestFacts, Route, Service, Table, Upstream, UpstreamId
     from beamhatch.relay.places import RegionName
+    from beamhatch.relay.requests.fingerprint import Fingerprint
     from beamhatch.relay.requests.line import Claim
     from beamhatch.relay.upstreams.http_client import HttpClient
     from beamhatch.relay.upstreams.listing import Entry
@@ -123,6 +128,7 @@
     service: Service
     admitted: Admitted
     regions: Regions
+    fingerprint: Fingerprint
 
 
 @dataclass(frozen=True, slots=True)
@@ -152,6 +158,8 @@
     listing: Listing = field(default_factory=Listing)
     eligibility: Eligibility = field(init=False)
     changes: Changes = field(default_factory=Changes)
+    quarantine: Quarantine = field(default_factory=Quarantine)
+    quarantine_talk: QuarantineTalk = field(init=False)
     paces: EnginePaces = field(default_factory=EnginePaces)
     work: PeerWork = field(default_factory=PeerWork)
     document: Document | None = None
@@ -193,6 +201,7 @@
         self.eligibility = Eligibility(self.listing, self.places, Evacuations(self.places))
         self.chooser.find_cold_cost = self.find_cold_cost
         self._orders = defaultdict(self._make_order)
+        self.quarantine_talk = QuarantineTalk(self)
 
     @property
     def table(self) -> Table | None:
@@ -545,7 +554,15 @@
             answer = self.find_lengths(place.service.name).find_mean(facts)
             self.find_demand(place.service.name).note_prompt(facts.prompt_tokens, answer, self.clock.now())
         exchange = RelayExchange(
-            self, incoming, responder, facts, place.route, place.service, place.admitted, place.regions
+            self,
+            incoming,
+            responder,
+            facts,
+            place.route,
+            place.service,
+            place.admitted,
+            place.fingerprint,
+            place.regions,
         )
         self.exchanges.add(exchange)
         exchange.start()
@@ -569,9 +586,19 @@
             return _make_refusal(decision, table.version)
         regions = table.find_regions(route, decision.workspace)
         refusal = None if regions is None else self._refuse_by_regions(regions, table.version)
+        fingerprint = find_fingerprint(incoming, decision.workspace)
+        refusal = refusal or self._refuse_held(fingerprint)
         if refusal is not None:
             self.admission.give_back(decision, self.clock.now())
-        return refusal or _Place(route, service, decision, regions)
+        return refusal or _Place(route, service, decision, regions, fingerprint)
+
+    def _refuse_held(self, fingerprint: Fingerprint) -> _Refusal | None:
+        """Return how a request is refused that ends what runs it, None where it does not."""
+        hold = self.quarantine.find_hold(fingerprint, self.clock.now())
+        if hold is None:
+            return None
+        self.tally.count("quarantine_refusals_total")
+        return _Refusal(503, f"{HELD}, fingerprint {fingerprint.hex()}", math.ceil(hold.until - self.clock.now()))
 
     def _refuse_by_regions(self, regions: frozenset[RegionName], version: int) -> _Refusal | None:
         """Return how a request is refused that no hall may serve, or None where one may.
@@ -592,6 +619,12 @@
         self.tally.count("residency_refusals_total", "never")
         return _Refusal(403, detail)
 
+    def end_waits(self, fingerprint: Fingerprint) -> None:
+        """Have all who wait with a request that is held now be told so."""
+        for exchange in list(self.exchanges):
+            if exchange.fingerprint == fingerprint:
+                exchange.advance()
+
     def is_return(self, route: Route, time_left: float | None) -> bool:
         """Tell whether a caller seems to have asked before: others of its route began with clearly more time."""
         if time_left is None or Mechanism.RETURNS in self.without:
--- a/src/beamhatch/relay/daemon.py
+++ b/src/beamhatch/relay/daemon.py
@@ -24,6 +24,7 @@
 from beamhatch.relay.mechanism import ALL_IN, Mechanism, Without
 from beamhatch.relay.model import Address, CallerLimits
 from beamhatch.relay.places import Places
+from beamhatch.relay.quarantine.keeping import QuarantineKeeping
 from beamhatch.relay.upstreams.http_client import HttpClient
 from beamhatch.relay.upstreams.listing import DRAIN_TIME, GONE_GRACE_SHARE, Listing
 from beamhatch.relay.workspaces.quota import EqualShare, FollowingShare, QuotaTerms
@@ -139,6 +140,9 @@
         self._watchers = self._make_watchers(store)
         if self._gossip is not None:
             self._gossip.is_turned_away = self._is_turned_away
+        keeping = QuarantineKeeping(self.core, store)
+        self.core.quarantine_talk.on_hold = keeping.keep
+        self.core.quarantine_talk.on_clear = keeping.end
         self._usage = self._make_usage()
         self.core.eligibility.gate = self._make_cold_gate()
         self.core.admission.may_be_behind = self._may_be_behind
@@ -148,6 +152,7 @@
             self.leadership = Leadership(self.core, store, settings.vm, self._gossip.membership.count_ahead)
             self.leadership.tenure.turn_time = settings.turn_time
             self.leadership.on_regained = self._renew_watches
+            self.leadership.on_quarantine = self.core.quarantine_talk.take_kept
             self._ordering = Ordering(self.core, self.leadership, settings.vm, self._gossip.find_pressure)
         self._ports: list[Any] = []
         self._caller_port: Any = None
@@ -157,6 +162,7 @@
         tally.gauges["requests_in_emptied_halls"] = lambda: float(self.core.count_in_emptied())
         tally.gauges["configuration_version"] = lambda: float(self.core.version)
         tally.gauges["known_vms"] = lambda: float(self.core.vms)
+        tally.gauges["held_requests"] = lambda: float(self.core.quarantine.count(clock.now()))
         tally.gauges["cold_upstreams"] = lambda: float(len(self.core.cold_watch.cold))
         tally.gauges["connections_opened"] = lambda: float(client.opened)
         tally.gauges["log_lines_left_out"] = lambda: float(journal.left_out)
--- a/src/beamhatch/relay/engines/leadership.py
+++ b/src/beamhatch/relay/engines/leadership.py
@@ -19,10 +19,11 @@
 from beamhatch.relay.api import Claimed, LeadershipNews, StoreLost
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Sequence
 
     from beamhatch.relay.api import Store
     from beamhatch.relay.core import Core
+    from beamhatch.relay.requests.fingerprint import Fingerprint
 
 LEASE_TIME = 3.0
 """Seconds for which the lease of a leader runs."""
@@ -129,6 +130,8 @@
         """Called at the start with the last order that any VM wrote down."""
         self.on_regained: Callable[[], None] = lambda: None
         """Called when the store answers again."""
+        self.on_quarantine: Callable[[Sequence[Fingerprint]], None] = lambda _: None
+        """Called with the requests whose quarantine the store keeps, each time it is read."""
         self._lost = False
         self._running: defer.Deferred[None] | None = None
 
@@ -171,6 +174,7 @@
                 await sleep(self.core.clock, LOST_PAUSE * random.uniform(0.7, 1.3))
                 continue
             self._last_order.take(seen.last_order, self.core.clock.now())
+            self.on_quarantine(seen.held)
             if not recalled:
                 recalled = True
                 self.on_recall(seen.order)
--- a/src/beamhatch/relay/fleet/gossip.py
+++ b/src/beamhatch/relay/fleet/gossip.py
@@ -24,6 +24,7 @@
     Hello,
     ListingPart,
     Message,
+    QuarantineNews,
     Usage,
     Work,
     pack_document,
@@ -107,6 +108,9 @@
         self.clock = core.clock
         self.journal = core.journal
         self.membership = membership
+        core.quarantine_talk.list_connections = self.list_connections
+        core.quarantine_talk.hall = membership.own.hall
+        core.quarantine_talk.hands_on = lambda: self._adds_up
         self._documents = documents
         self._vm = vm
         self._traffic = PeerTraffic(core.tally, membership.own.hall, core.places)
@@ -347,6 +351,8 @@
             case Usage():
                 if self.usage is not None:
                     self.usage.take(connection, message)
+            case QuarantineNews():
+                self.core.quarantine_talk.take(connection, message)
             case _:
                 self._take_document(connection, message)
 
@@ -390,6 +396,8 @@
         for mention in message.known[:MOST_MENTIONED]:
             self.membership.take(mention.member, mention.age, now)
         self.core.vms = self.membership.size
+        if is_new:
+            self.core.quarantine_talk.tell_all(connection)
         if is_new and connection.dialled is None:
             self._tell_hello(connection)
 
--- a/src/beamhatch/relay/fleet/gossip_message.py
+++ b/src/beamhatch/relay/fleet/gossip_message.py
@@ -10,6 +10,8 @@
 from beamhatch.relay.engines.changing import ChangeNews
 from beamhatch.relay.fleet.evacuations import Evacuation
 from beamhatch.relay.fleet.membership import Member, Mention
+from beamhatch.relay.quarantine.ends import EndNews
+from beamhatch.relay.quarantine.quarantine import ClearNews, HoldNews
 from beamhatch.relay.upstreams.listing import Entry
 from beamhatch.relay.workspaces.usage import HallUsage, RatesByWorkspace
 
@@ -99,6 +101,17 @@
     """Halls whose sums the sender has from VMs there; None where that is as it was told before."""
 
 
+class QuarantineNews(msgspec.Struct, tag="quarantine", frozen=True):
+    """What the sender knows, and the receiver may not, of requests that end upstreams."""
+
+    ends: list[EndNews]
+    """Ends of upstreams, with runs that broke there."""
+    cleared: list[ClearNews]
+    """Requests that came to a good end."""
+    holds: list[HoldNews]
+    """Requests whose quarantine the store keeps."""
+
+
 class AskConfiguration(msgspec.Struct, tag="ask_configuration", frozen=True):
     """The sender wants the receiver's configuration."""
 
@@ -123,7 +136,7 @@
     entries: list[Entry]
 
 
-Message = Hello | Beat | Work | Usage | AskConfiguration | Configuration | AskListing | ListingPart
+Message = Hello | Beat | Work | Usage | QuarantineNews | AskConfiguration | Configuration | AskListing | ListingPart
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder: msgspec.msgpack.Decoder[Message] = msgspec.msgpack.Decoder(Message)
--- /dev/null
+++ b/src/beamhatch/relay/quarantine/keeping.py
@@ -0,0 +1,80 @@
+"""Have the store keep quarantines, so that they outlast a restart of all VMs."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING, Any
+
+from twisted.internet import defer
+
+from beamhatch.clock import sleep
+from beamhatch.relay.api import StoreLost
+from beamhatch.relay.quarantine.quarantine import HOLD_TIME
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from beamhatch.relay.api import Store
+    from beamhatch.relay.core import Core
+    from beamhatch.relay.requests.fingerprint import Fingerprint
+
+STAND_IN_WAIT = 1.0, 2.0
+"""Seconds for which VMs wait that did not see the last end: the one that did has written it down by then."""
+
+FIRST_PAUSE = 0.5
+"""Seconds before the next try at a store that gave no answer; each pause is twice the last."""
+
+LONGEST_PAUSE = 8.0
+"""Seconds between two tries at the most: a store that is down is asked by one or two VMs only."""
+
+
+class QuarantineKeeping:
+    """Writes to the store which requests are held, as often as it takes."""
+
+    def __init__(self, core: Core, store: Store) -> None:
+        self.core = core
+        self._store = store
+
+    def keep(self, fingerprint: Fingerprint, first: bool) -> None:
+        """Have a quarantine kept, unless another VM has.
+
+        :param first: whether this VM is the one to begin with
+        """
+        wait = 0.0 if first else random.uniform(*STAND_IN_WAIT)
+        self.core.clock.call_later(wait, self._run, self._keep, fingerprint)
+
+    def end(self, fingerprint: Fingerprint) -> None:
+        """Have a quarantine kept no longer."""
+        self._run(self._end, fingerprint)
+
+    def _run(self, work: Callable[[Fingerprint], Awaitable[None]], fingerprint: Fingerprint) -> None:
+        running = defer.ensureDeferred(work(fingerprint))
+        running.addErrback(self._report_failure)
+
+    async def _keep(self, fingerprint: Fingerprint) -> None:
+        quarantine = self.core.quarantine
+        pause = FIRST_PAUSE
+        while not quarantine.is_told(fingerprint, now := self.core.clock.now()):
+            hold = quarantine.find_hold(fingerprint, now)
+            if hold is None:
+                return  # cleared, or another request explains the ends
+            lost = await self._store.keep_quarantine(fingerprint, min(HOLD_TIME, hold.until - now))
+            if lost is None:
+                self.core.journal.write("QUARANTINE", "kept", fingerprint=fingerprint.hex())
+                self.core.quarantine_talk.note_held(fingerprint)
+                return
+            self._report_loss(fingerprint, lost)
+            await sleep(self.core.clock, pause * random.uniform(0.7, 1.3))
+            pause = min(LONGEST_PAUSE, 2 * pause)
+
+    async def _end(self, fingerprint: Fingerprint) -> None:
+        lost = await self._store.end_quarantine(fingerprint)
+        if lost is not None:  # its lease ends it
+            self._report_loss(fingerprint, lost)
+
+    def _report_loss(self, fingerprint: Fingerprint, lost: StoreLost) -> None:
+        self.core.tally.count("store_failures_total", "quarantine")
+        self.core.journal.write("QUARANTINE", "not kept", fingerprint=fingerprint.hex(), detail=lost.detail)
+
+    def _report_failure(self, failure: Any) -> None:
+        self.core.journal.write("QUARANTINE", "keeping failed", error=failure.getTraceback())
--- /dev/null
+++ b/src/beamhatch/relay/quarantine/talk.py
@@ -0,0 +1,242 @@
+"""What this VM sees, hears and says of requests that end upstreams.
+
+Each VM tells its peers what it saw of an end; these tell theirs what is news to them. So all VMs that can reach each
+other know the same, whichever VM a request came to. A peer that is met is told everything, behind a restart or a cut.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from beamhatch.relay.fleet.gossip_message import QuarantineNews
+from beamhatch.relay.fleet.throttle import Throttle
+from beamhatch.relay.quarantine.detection import LEAST_RUN, EndDetection
+from beamhatch.relay.quarantine.ends import SAME_END, EndNews
+from beamhatch.relay.quarantine.quarantine import HOLD_TIME, ClearNews, HoldNews
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable, Sequence
+
+    from beamhatch.relay.core import Core
+    from beamhatch.relay.fleet.peer_connection import PeerConnection
+    from beamhatch.relay.model import Upstream
+    from beamhatch.relay.quarantine.quarantine import Hold
+    from beamhatch.relay.requests.fingerprint import Fingerprint
+
+TELL_GAP = 0.1
+"""Seconds between two words to each peer: at 300 VMs an end takes a few of them, and not one for each stream."""
+
+ATTRIBUTE_DELAY = 0.3
+"""Seconds behind news of an end in which the parts of other VMs come in, before it is attributed.
+
+News cross four VMs at the most; who stood beside the request that ended the upstream is known by then.
+"""
+
+MOST_TOLD_ENDS = 64
+"""Ends that a peer is told of when it is met, the newest: 60 KB at the most."""
+
+MOST_LOGGED = 8
+"""Upstreams that one line names."""
+
+Item = EndNews | ClearNews | HoldNews
+
+
+@dataclass(frozen=True, slots=True)
+class _Untold:
+    item: Item
+    source: PeerConnection | None
+    """The connection on which it was told to this VM; None where it is this VM's own."""
+    since: float
+
+
+class QuarantineTalk:
+    """Keeps the quarantine of one VM, and what is said of it."""
+
+    def __init__(self, core: Core) -> None:
+        self.core = core
+        self.quarantine = core.quarantine
+        self.list_connections: Callable[[], Iterable[PeerConnection]] = list
+        """Returns the connections to peers that are up."""
+        self.hall = ""
+        """The hall of this VM."""
+        self.hands_on: Callable[[], bool] = lambda: True
+        """Tells whether this VM hands on what peers tell: it watches the store, and all of its hall talk to it."""
+        self.on_hold: Callable[[Fingerprint, bool], None] = lambda fingerprint, first: None
+        """Called with a request that is held by ends that this VM saw itself, and whether it saw the last of them."""
+        self.on_clear: Callable[[Fingerprint], None] = lambda fingerprint: None
+        """Called with a request that came to a good end here, and whose quarantine the store keeps."""
+        self._detection = EndDetection(core.clock, core.client.count_connections, self._note_end)
+        self._words = Throttle(core.clock, TELL_GAP, self._tell)
+        self._untold: list[_Untold] = []
+        self._own: dict[Fingerprint, float] = {}
+        """When a run of each request broke here last at an upstream's end."""
+        self._pending = False
+
+    # --- what this VM sees -------------------------------------------------------------------------------------------
+
+    def note_broken(self, upstream: Upstream, fingerprint: Fingerprint, ran: float, *, begun: bool) -> None:
+        """Note that the connection of a run has ended before its answer.
+
+        :param begun: whether the upstream had begun to answer; where it never does before it is done, time must tell
+        """
+        if not begun and ran < LEAST_RUN:
+            return
+        if self.quarantine.is_good(fingerprint, self.core.clock.now()):
+            self.core.tally.count("quarantine_excused_total")
+            return
+        self._detection.note_broken(upstream, fingerprint, ran)
+
+    def note_good(self, fingerprint: Fingerprint) -> None:
+        """Note that a run came to a good end."""
+        now = self.core.clock.now()
+        kept = self.quarantine.is_told(fingerprint, now)
+        if self.quarantine.note_good(fingerprint, now):
+            self._report_clear(fingerprint, "a run here came to a good end")
+            self._say(ClearNews(fingerprint, 0.0), None)
+            if kept:
+                self.on_clear(fingerprint)
+
+    def note_held(self, fingerprint: Fingerprint) -> None:
+        """Note that the store keeps the quarantine of a request."""
+        self._take_hold(HoldNews(fingerprint, 0.0, HOLD_TIME), None)
+
+    def take_kept(self, kept: Sequence[Fingerprint]) -> None:
+        """Take in all requests whose quarantine the store keeps."""
+        for fingerprint in kept:
+            self.note_held(fingerprint)
+        self.quarantine.end_told_but(kept)
+
+    def _note_end(self, news: EndNews) -> None:
+        now = self.core.clock.now()
+        self.core.tally.count("upstream_ends_total")
+        self.core.journal.write("QUARANTINE", "upstream ended", upstream=news.upstream, runs=len(news.runs))
+        for run in news.runs:
+            self._own[run.fingerprint] = now
+        self._take_end(news, None)
+
+    # --- what peers tell ---------------------------------------------------------------------------------------------
+
+    def take(self, connection: PeerConnection, message: QuarantineNews) -> None:
+        """Take in what a peer tells."""
+        for cleared in message.cleared:
+            self._take_clear(cleared, connection)
+        for hold in message.holds:
+            self._take_hold(hold, connection)
+        for end in message.ends:
+            self._take_end(end, connection)
+
+    def tell_all(self, connection: PeerConnection) -> None:
+        """Tell a peer that was met all there is."""
+        now = self.core.clock.now()
+        ends = [end.tell(now) for end in list(self.quarantine.ends)[-MOST_TOLD_ENDS:]]
+        holds = self.quarantine.list_told(now)
+        if ends or holds:
+            connection.tell(QuarantineNews(ends, [], holds))
+
+    def _take_end(self, news: EndNews, source: PeerConnection | None) -> None:
+        fresh = self.quarantine.take_end(news, self.core.clock.now())
+        if fresh is None:
+            return
+        self._say(fresh, source)
+        if not self._pending:
+            self._pending = True
+            self.core.clock.call_later(ATTRIBUTE_DELAY, self._attribute)
+
+    def _take_clear(self, news: ClearNews, source: PeerConnection) -> None:
+        if self.quarantine.clear(news.fingerprint, self.core.clock.now() - news.age):
+            self._report_clear(news.fingerprint, f"peer {source.vm}")
+            self._say(news, source)
+
+    def _take_hold(self, news: HoldNews, source: PeerConnection | None) -> None:
+        now = self.core.clock.now()
+        if self.quarantine.take_hold(news, now):
+            hold = self.quarantine.find_hold(news.fingerprint, now)
+            self._report_hold(news.fingerprint, hold, "the store" if source is None else f"peer {source.vm}")
+            self.core.end_waits(news.fingerprint)
+            self._say(news, source)
+
+    # --- what is made of it ------------------------------------------------------------------------------------------
+
+    def _attribute(self) -> None:
+        self._pending = False
+        now = self.core.clock.now()
+        for fingerprint in self.quarantine.attribute(now):
+            self._report_hold(fingerprint, self.quarantine.find_hold(fingerprint, now), "ends")
+            self.core.end_waits(fingerprint)
+            own = self._own.get(fingerprint)
+            if own is not None:
+                self.on_hold(fingerprint, now - own < 2 * ATTRIBUTE_DELAY)
+        self._own = {found: at for found, at in self._own.items() if self.quarantine.ends.has(found)}
+
+    def _report_hold(self, fingerprint: Fingerprint, hold: Hold | None, source: str) -> None:
+        upstreams = [end.upstream for end in self.quarantine.ends if fingerprint in end.runs]
+        self.core.tally.count("quarantines_total", "begun")
+        self.core.journal.write(
+            "QUARANTINE",
+            "begun",
+            fingerprint=fingerprint.hex(),
+            ends=0 if hold is None else hold.ends,
+            upstreams=upstreams[-MOST_LOGGED:],
+            seconds=0 if hold is None else round(hold.until - self.core.clock.now(), 1),
+            source=source,
+        )
+
+    def _report_clear(self, fingerprint: Fingerprint, source: str) -> None:
+        self.core.tally.count("quarantines_total", "cleared")
+        self.core.journal.write("QUARANTINE", "cleared", fingerprint=fingerprint.hex(), source=source)
+
+    # --- words -------------------------------------------------------------------------------------------------------
+
+    def _say(self, item: Item, source: PeerConnection | None) -> None:
+        self._untold.append(_Untold(item, source, self.core.clock.now()))
+        self._words.ask()
+
+    def _tell(self) -> None:
+        untold, self._untold = self._untold, []
+        now = self.core.clock.now()
+        hands_on = self.hands_on()
+        for connection in self.list_connections():
+            items = [
+                _age(one.item, now - one.since)
+                for one in untold
+                if one.source is not connection and (hands_on or self._is_owed(connection, one.source))
+            ]
+            if items:
+                connection.tell(_make_message(items))
+
+    def _is_owed(self, connection: PeerConnection, source: PeerConnection | None) -> bool:
+        """Tell whether this VM tells a peer something although others hand on: its own, and from afar to the near.
+
+        While all VMs handed everything on, 74 of them sent 10 KB each for the end of an engine with 64 streams.
+        """
+        return source is None or (source.hall != self.hall and connection.hall == self.hall)
+
+
+def _age(item: Item, seconds: float) -> Item:
+    """Return an item as it is told some seconds after it was taken in."""
+    aged = msgspec.structs.replace(item, age=round(item.age + seconds, 3))
+    return msgspec.structs.replace(aged, left=item.left - seconds) if isinstance(item, HoldNews) else aged
+
+
+def _make_message(items: list[Item]) -> QuarantineNews:
+    return QuarantineNews(
+        _join_ends(item for item in items if isinstance(item, EndNews)),
+        [item for item in items if isinstance(item, ClearNews)],
+        [item for item in items if isinstance(item, HoldNews)],
+    )
+
+
+def _join_ends(news: Iterable[EndNews]) -> list[EndNews]:
+    """Return news with the parts of each end joined: each part of its own has 45 bytes, of which a run has 14."""
+    joined: dict[str, EndNews] = {}
+    apart = []
+    for one in news:
+        first = joined.setdefault(one.upstream, one)
+        if abs(first.age - one.age) >= SAME_END:
+            apart.append(one)
+        elif first is not one:
+            joined[one.upstream] = EndNews(first.upstream, first.age, [*first.runs, *one.runs])
+    return [*joined.values(), *apart]
--- a/src/beamhatch/relay/requests/exchange.py
+++ b/src/beamhatch/relay/requests/exchange.py
@@ -16,7 +16,6 @@
 from beamhatch.relay.model import Phase, RouteKind, Stage
 from beamhatch.relay.places import Distance
 from beamhatch.relay.requests.answer import PROMISES, WholeAnswer
-from beamhatch.relay.requests.fingerprint import find_fingerprint
 from beamhatch.relay.requests.line import Claim
 from beamhatch.relay.requests.request import Fail, Refuse, RelayRequest, Reserve, Send, Step, Wait
 from beamhatch.relay.upstreams.attempt import Attempt, DropSink
@@ -31,6 +30,7 @@
     from beamhatch.relay.choosing.cold import Permit
     from beamhatch.relay.core import Core
     from beamhatch.relay.model import Regions, RequestFacts, Route, Service, Table, Upstream
+    from beamhatch.relay.requests.fingerprint import Fingerprint
     from beamhatch.relay.requests.line import Line
     from beamhatch.relay.upstreams.http_client import Head
     from beamhatch.relay.workspaces.admission import Admitted
@@ -77,6 +77,9 @@
 An upstream restarts in 2 s, and a caller comes back for a third of the time it has left: about 4 s of 14 s.
 """
 
+HELD = "each upstream that began to run it has ended"
+"""Why a request in quarantine is refused."""
+
 FRESH_IDLE = 1.0
 """Seconds that a kept connection may have been idle for a request that may not be sent twice."""
 
@@ -93,6 +96,7 @@
         route: Route,
         service: Service,
         admitted: Admitted,
+        fingerprint: Fingerprint,
         regions: Regions = None,
     ) -> None:
         self.core = core
@@ -111,7 +115,7 @@
             body_bytes=len(incoming.body),
         )
         self._claim = Claim(admitted.workspace, admitted.priority, facts.prompt_tokens + self.request.answer_room)
-        self.fingerprint = find_fingerprint(incoming, admitted.workspace)
+        self.fingerprint = fingerprint
         self._incoming = incoming
         self._responder = responder
         self._passed_on = strip_hop_by_hop(incoming.headers)
@@ -155,6 +159,10 @@
     def _plan(self, now: float) -> Step:
         request = self.request
         service = request.service.name
+        hold = self.core.quarantine.find_hold(self.fingerprint, now)
+        if hold is not None:  # its run under way goes on: what comes to a good end clears it
+            self.core.tally.count("quarantine_refusals_total")
+            return Fail(HELD) if request.doubt else Refuse(HELD, retry_after=hold.until - now)
         self._let_go_of_shut()
         usable = self._list_usable()
         answering = any(one.phase is not Phase.PREFILL for one in usable)
--- a/src/beamhatch/relay/upstreams/attempt.py
+++ b/src/beamhatch/relay/upstreams/attempt.py
@@ -175,18 +175,25 @@
             stage=self.send.stage.value,
             begun=self.head is not None,
             ran=round(now - self._started_at, 4),
-            connections=self.core.client.count_connections(self.send.upstream.address),
             fingerprint=self.exchange.fingerprint.hex(),
         )
         self.core.tally.count("send_faults_total", fault.value)
-        if fault is Fault.BROKEN and self.send.stage is not Stage.PREFILL:
-            self.core.tally.count("broken_runs_total", "begun" if self.head is not None else "unanswered")
+        if fault is Fault.BROKEN and self._sent and self.send.stage is not Stage.PREFILL:
+            self._report_broken_run(now - self._started_at)
         if self._sent:
             self.request.note_broken(self.send)
         else:
             self.request.note_unreached(self.send)
         self.exchange.go_on_elsewhere(self)
 
+    def _report_broken_run(self, ran: float) -> None:
+        """Tell of a run whose upstream may have ended; a prompt that is only read runs nothing."""
+        begun = self.head is not None
+        self.core.tally.count("broken_runs_total", "begun" if begun else "unanswered")
+        if begun or not self.request.split:
+            talk = self.core.quarantine_talk
+            talk.note_broken(self.send.upstream, self.exchange.fingerprint, ran, begun=begun)
+
     def take_not_run(self) -> None:
         """Go on elsewhere behind an upstream that turned the request away."""
         self._end()
@@ -225,6 +232,8 @@
         self._end()
         now = self.core.clock.now()
         self.standing.note_success(now - self._started_at, now)
+        if self.send.stage is not Stage.PREFILL:
+            self.core.quarantine_talk.note_good(self.exchange.fingerprint)
         self.core.tally.note_latency("send", self.send.stage.value, now - self._started_at)
 
     def fail(self, detail: str) -> None:
--- /dev/null
+++ b/tests/relay/quarantine/test_attribution.py
@@ -0,0 +1,158 @@
+"""Which request ended the upstreams, of all that ran there."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass, field
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from beamhatch.relay.model import UpstreamId
+from beamhatch.relay.quarantine.attribution import (
+    LEAST_ENDS,
+    LEAST_UNEXPLAINED,
+    Attribution,
+    CountAttribution,
+    CoverAttribution,
+)
+from beamhatch.relay.quarantine.ends import UpstreamEnd
+from beamhatch.relay.requests.fingerprint import Fingerprint
+
+DEADLY = Fingerprint(b"deadly")
+BOTH = (CountAttribution(), CoverAttribution())
+
+
+def make_end(number: int, at: float, **ran: float) -> UpstreamEnd:
+    runs = {Fingerprint(name.encode()): seconds for name, seconds in ran.items()}
+    return UpstreamEnd(UpstreamId(f"engine-{number}"), at, runs)
+
+
+def test_a_request_is_held_behind_three_ends_and_not_before() -> None:
+    ends = [make_end(number, 10.0 + number, deadly=0.1) for number in range(3)]
+    for attribution in BOTH:
+        assert attribution.find_causes(ends[:2]) == {}
+        assert attribution.find_causes(ends) == {DEADLY: 3}
+
+
+def test_ends_of_one_moment_have_one_cause_which_is_none_of_the_requests_aboard() -> None:
+    together = [make_end(number, 10.0 + 0.01 * number, lookup=0.05) for number in range(5)]
+    for attribution in BOTH:
+        assert attribution.find_causes(together) == {}
+
+
+def test_who_ran_beside_it_is_let_go_by_what_explains_the_ends() -> None:
+    beside = {1: {"a": 0.4}, 2: {"a": 0.7, "b": 2.0}, 3: {"a": 1.0, "b": 0.3}, 4: {"b": 0.2}}
+    ends = [make_end(number, 10.0 + number, deadly=0.1, **others) for number, others in beside.items()]
+    assert set(CountAttribution().find_causes(ends)) == {DEADLY, Fingerprint(b"a"), Fingerprint(b"b")}
+    assert CoverAttribution().find_causes(ends) == {DEADLY: 4}
+
+
+def test_among_equals_it_is_the_one_whose_runs_were_the_shortest() -> None:
+    ends = [make_end(number, 10.0 + number, deadly=0.12, beside=0.3 + number) for number in range(3)]
+    assert CoverAttribution().find_causes(ends) == {DEADLY: 3}
+
+
+def test_two_deadly_requests_are_both_found() -> None:
+    ends = [
+        make_end(number, 10.0 + number, deadly=0.1, **({"other": 0.5} if number == 2 else {})) for number in range(3)
+    ]
+    ends += [make_end(number, 20.0 + number, other=0.1) for number in range(3)]
+    assert set(CoverAttribution().find_causes(ends)) == {DEADLY, Fingerprint(b"other")}
+
+
+@settings(max_examples=60)
+@given(st.lists(st.sets(st.sampled_from("abcdef")), max_size=12))
+def test_whoever_is_held_explains_enough_ends_that_nobody_else_does(aboard: list[set[str]]) -> None:
+    ends = [make_end(number, float(number), **dict.fromkeys(sorted(one), 0.1)) for number, one in enumerate(aboard)]
+    causes = CoverAttribution().find_causes(ends)
+    assert all(count >= LEAST_ENDS for count in causes.values())
+    assert LEAST_UNEXPLAINED * len(causes) <= len(ends)
+    assert set(causes) <= set(CountAttribution().find_causes(ends))
+
+
+# --- a storm, played ------------------------------------------------------------------------------------------------
+
+ENGINES = 9
+RESTART = 3.0
+STREAM_TIME = 2.2
+STREAM_RATE = 9.0
+CRASH_DELAY = 0.12
+STORM = 16.0
+TRIES = 4
+"""Runs of one stream at the most: two engines for each of two tries of its caller."""
+
+
+@dataclass
+class Storm:
+    """Nine engines, streams of 2.2 s, and a request that comes four at a time each 3.5 s and ends what runs it."""
+
+    seed: int
+    ends: list[UpstreamEnd] = field(default_factory=list)
+
+    def __post_init__(self) -> None:
+        """Play it."""
+        self._random = random.Random(self.seed)
+        self._back_at = dict.fromkeys(range(ENGINES), 0.0)
+        self._runs: dict[int, dict[Fingerprint, float]] = {number: {} for number in range(ENGINES)}
+        self._tries: dict[Fingerprint, int] = {}
+        self._waiting: list[Fingerprint] = []
+        self._due: list[tuple[float, int]] = []
+        now = 0.0
+        deadly_at = [3.5 * burst + 0.15 * one + self._random.uniform(0, 0.1) for burst in range(5) for one in range(4)]
+        while now < STORM:
+            now += 0.02
+            for number in [number for at, number in self._due if at <= now]:
+                self._end(number, now)
+            self._due = [(at, number) for at, number in self._due if at > now]
+            if self._random.random() < STREAM_RATE * 0.02:
+                self._waiting.append(Fingerprint(self._random.randbytes(8)))
+            while deadly_at and deadly_at[0] <= now:
+                deadly_at.pop(0)
+                chosen = self._begin(DEADLY, now)
+                if chosen is not None:
+                    self._due.append((now + CRASH_DELAY, chosen))
+            waiting, self._waiting = self._waiting, []
+            for one in waiting:
+                if self._begin(one, now) is None:
+                    self._waiting.append(one)
+            for runs in self._runs.values():
+                for done in [name for name, begun in runs.items() if name != DEADLY and now - begun > STREAM_TIME]:
+                    del runs[done]
+
+    def _begin(self, fingerprint: Fingerprint, now: float) -> int | None:
+        up = [number for number, at in self._back_at.items() if now >= at]
+        if not up:
+            return None
+        number = self._random.choice(up)
+        self._runs[number][fingerprint] = now
+        return number
+
+    def _end(self, number: int, now: float) -> None:
+        if now < self._back_at[number]:
+            return
+        self._back_at[number] = now + RESTART * self._random.uniform(0.8, 1.2)
+        runs, self._runs[number] = self._runs[number], {}
+        ran = {name: now - begun for name, begun in runs.items()}
+        self.ends.append(UpstreamEnd(UpstreamId(f"engine-{number}-{len(self.ends)}"), now, ran))
+        for name in runs:
+            self._tries[name] = self._tries.get(name, 0) + 1
+            if name != DEADLY and self._tries[name] < TRIES:
+                self._waiting.append(name)
+
+    def count_innocent(self, attribution: Attribution) -> tuple[int, int]:
+        """Return how many streams beside it are held at any time, and of how many that broke."""
+        held: set[Fingerprint] = set()
+        for count in range(1, len(self.ends) + 1):
+            held |= set(attribution.find_causes(self.ends[:count]))
+        return len(held - {DEADLY}), len({name for end in self.ends for name in end.runs} - {DEADLY})
+
+
+def test_in_a_storm_the_deadly_request_is_held_and_next_to_nobody_beside_it() -> None:
+    storms = [Storm(seed) for seed in range(60)]
+    assert all(DEADLY in CoverAttribution().find_causes(storm.ends) for storm in storms)
+    counted = [storm.count_innocent(CountAttribution()) for storm in storms]
+    covered = [storm.count_innocent(CoverAttribution()) for storm in storms]
+    broken = sum(of for _, of in covered)
+    assert sum(held for held, _ in counted) >= 40
+    assert sum(held for held, _ in covered) <= 0.002 * broken
