Know an upstream's lives apart, and take no upstream from what others wrote

Cause: an upstream may start again under the id that it had. Read against the code, these beliefs of its earlier life were held against it, or relied on: that it leaves (for good), faults, silence and misdirection (up to 30 s), an ordered change of its part (20 s), memory and KV caches held there. 'sequence' is read nowhere, so counts that start anew change nothing (a test). Entries of other writers: fields that were missing had defaults, any state but 'ready' was 'draining', a port could be 0; one that is overwritten was still used for 1.7 s where all were. Change: 'born' names a life; another one begins without beliefs, work under way stays counted. What is no entry names no upstream, not even one that is expected back.

--- a/src/beamhatch/platform/documents.py
+++ b/src/beamhatch/platform/documents.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from enum import Enum
+from typing import TYPE_CHECKING, Annotated
 
 import msgspec
 
@@ -32,6 +33,10 @@
     from beamhatch.observe.journal import Journal
 
 
+LONGEST_COLD_MS = 86_400_000
+"""Milliseconds: a day. Upstreams of the measured deployments are cold for 25 s at the most."""
+
+
 class _Split(msgspec.Struct):
     service: str
     weight: float
@@ -105,14 +110,25 @@
     tenants: list[_Tenant] = []
 
 
+class _State(Enum):
+    READY = "ready"
+    DRAINING = "draining"
+
+
 class _Server(msgspec.Struct):
-    service: str
+    """An upstream's entry. What lacks any of these, or has them otherwise, was written by somebody else."""
+
+    service: Annotated[str, msgspec.Meta(min_length=1)]
     address: str
-    zone: str = ""
-    state: str = "ready"
+    zone: str
+    version: str
+    capacity: Annotated[int, msgspec.Meta(ge=1)]
+    state: _State
+    cold_remaining_ms: Annotated[float, msgspec.Meta(ge=0, le=LONGEST_COLD_MS)]
+    sequence: Annotated[int, msgspec.Meta(ge=0)]
+    """Counts the upstream's own words; it starts anew with each life, so nothing is ordered by it."""
+    born: Annotated[int, msgspec.Meta(ge=0)] = 0
     phase: str = ""
-    capacity: int = 1
-    cold_remaining_ms: float = 0
 
 
 BYTES_PER_MBIT = 125_000
@@ -123,7 +139,7 @@
 
 _read_configuration = msgspec.json.Decoder(_Configuration).decode
 _read_server = msgspec.json.Decoder(_Server).decode
-_PROBLEMS = (msgspec.DecodeError, msgspec.ValidationError, ValueError)
+_PROBLEMS = (msgspec.DecodeError, msgspec.ValidationError, ValueError, RecursionError)
 
 
 class PlatformDocuments(Documents):
@@ -149,32 +165,46 @@
         return make_table(read.version, routes, services, _make_limits(read.limits), workspaces)
 
     def read_entry(self, upstream: UpstreamId, revision: int, raw: bytes | None) -> Entry:
-        """Return an upstream's entry; one that is gone, or can't be read, has no upstream."""
+        """Return an upstream's entry; one that is gone, or can't be read, has no upstream.
+
+        Others may write there too: what is no upstream's entry names none to use, and takes nothing from the rest.
+        """
         if raw is None:
             return Entry(upstream, revision, None)
         try:
             found = _read_upstream(upstream, raw)
         except _PROBLEMS as problem:
             self._journal.write("LISTING", "unreadable", upstream=upstream, revision=revision, detail=str(problem))
-            return Entry(upstream, revision, None)
+            return Entry(upstream, revision, None, readable=False)
         return Entry(upstream, revision, found)
 
 
 def _read_upstream(upstream: UpstreamId, raw: bytes) -> Upstream:
     read = _read_server(raw)
-    host, _, port = read.address.rpartition(":")
     return Upstream(
         id=upstream,
         service=ServiceName(read.service),
-        address=Address(host, int(port)),
+        address=_read_address(read.address),
         hall=read.zone,
-        draining=read.state != "ready",
+        draining=read.state is _State.DRAINING,
         phase=Phase(read.phase) if read.phase else Phase.PLAIN,
         slots=read.capacity,
-        cold_left=max(0.0, read.cold_remaining_ms / 1000),
+        cold_left=read.cold_remaining_ms / 1000,
+        born=read.born,
     )
 
 
+def _read_address(text: str) -> Address:
+    """Return an address.
+
+    :raises ValueError: where it has no host or no port
+    """
+    host, _, port = text.rpartition(":")
+    if not host or not port.isascii() or not port.isdigit() or not 0 < int(port) < 65536:
+        raise ValueError(f"{text[:100]!r} is no address")
+    return Address(host, int(port))
+
+
 def _read_regions(names: list[str] | None) -> Regions:
     """Return the regions that a document names; an empty list, as none at all, leaves all of them."""
     return frozenset(RegionName(name) for name in names) if names else None
--- a/src/beamhatch/relay/choosing/standing.py
+++ b/src/beamhatch/relay/choosing/standing.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, fields
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -97,6 +97,12 @@
         self.running += 1
         self.tokens += tokens
 
+    def begin_life(self) -> None:
+        """Forget what its earlier life showed; work of this VM that is still to end there stays counted."""
+        fresh = Standing(self.running, self.tokens, self.reading)
+        for each in fields(self):
+            setattr(self, each.name, getattr(fresh, each.name))
+
     def is_unreachable(self, now: float) -> bool:
         """Tell whether it is known to answer nobody, and whether it does so still was tried just now."""
         silent = self.silent >= KNOWN_SILENT and now < self.silent_until
--- a/src/beamhatch/relay/core.py
+++ b/src/beamhatch/relay/core.py
@@ -263,6 +263,7 @@
         """
         now = self.clock.now()
         listing = self.listing
+        before = {entry.id: listing.find_last(entry.id) for entry in news.entries}
         if whole:
             changed = listing.take_whole(news.entries, news.at, now)
         else:
@@ -270,12 +271,26 @@
         for entry in changed:
             self.journal.write("LISTING", _describe(entry), upstream=entry.id, revision=entry.revision, source=source)
             self.changes.end(entry.id, None if entry.upstream is None else entry.upstream.phase)
+            last = before.get(entry.id)
+            if entry.upstream is not None and last is not None and not entry.upstream.is_same_life(last):
+                self._note_restart(entry.upstream, last)
         self._note_cold([entry for entry in changed if entry.upstream is not None and entry.upstream.cold_left], source)
         if changed:
             listing.forget_old(now)
             self.standings.keep_only(listing.list_ids())
             self.on_change()
 
+    def _note_restart(self, upstream: Upstream, before: Upstream) -> None:
+        """Forget what was believed of an upstream that has started again under its id."""
+        self.journal.write("LISTING", "started again", upstream=upstream.id, born=upstream.born, before=before.born)
+        self.standings.get(upstream.id).begin_life()
+        self.changes.end(upstream.id, None)
+
+    def is_over(self, upstream: Upstream) -> bool:
+        """Tell whether an upstream has started again since, so that it holds nothing of what was held there."""
+        newest = self.listing.find_last(upstream.id)
+        return newest is not None and not newest.is_same_life(upstream)
+
     def list_usable(self, service: ServiceName, regions: Regions = None) -> list[Upstream]:
         """Return the upstreams of a service that may get new work.
 
--- a/src/beamhatch/relay/model.py
+++ b/src/beamhatch/relay/model.py
@@ -246,6 +246,15 @@
     slots: int
     cold_left: float = 0.0
     """Seconds for which it stays cold, counted from when this was told."""
+    born: int = 0
+    """When it started, in Unix milliseconds by its own clock; 0 where it does not tell.
+
+    It names a life, and is no time: another number under the same id is another start, which holds nothing of before.
+    """
+
+    def is_same_life(self, other: Upstream) -> bool:
+        """Tell whether two entries are of one start of an upstream."""
+        return self.id == other.id and self.born == other.born
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/beamhatch/relay/requests/exchange.py
+++ b/src/beamhatch/relay/requests/exchange.py
@@ -206,12 +206,19 @@
         """
         request = self.request
         handle, held = request.handle, request.reservation
-        if handle is not None and not self.core.eligibility.lies_in(handle.upstream, request.regions):
+        if handle is not None and self.core.is_over(handle.upstream):
+            request.note_handle_spent()
+        elif handle is not None and not self.core.eligibility.lies_in(handle.upstream, request.regions):
             self._call(handle.upstream, self.core.dialect.make_release(handle))
             request.note_handle_spent()
         if held is None:
             self._drop_permit()
             return
+        if self.core.is_over(held.upstream):
+            self._drop_permit()
+            request.give_up_reservation()
+            self.write_log("memory given up", to=held.upstream.id, obstacle="started again")
+            return
         obstacle = self.core.find_obstacle(held.upstream, request.service.name, request.regions)
         if obstacle is None or (obstacle is Obstacle.COLD and self._permit is not None):
             return
--- a/src/beamhatch/relay/upstreams/listing.py
+++ b/src/beamhatch/relay/upstreams/listing.py
@@ -37,6 +37,8 @@
     id: UpstreamId
     revision: int
     upstream: Upstream | None
+    readable: bool = True
+    """False where something else stands in its place: it is not even expected back."""
 
 
 @dataclass(slots=True)
@@ -50,7 +52,12 @@
     cold_until: float = 0.0
     """Until when it is cold, in monotonic seconds."""
     drained: bool = False
-    """An upstream that once said that it is leaving does not come back under the same id."""
+    """An upstream that once said that it is leaving does not come back in the same life."""
+
+    @property
+    def may_last(self) -> bool:
+        """Tell whether it may be used, or expected back, as long as its entry is not gone for long."""
+        return self.last is not None and not self.drained and self.entry.readable
 
     def show(self, now: float) -> Entry:
         """Return the entry, with the time for which the upstream is still cold as it is now."""
@@ -97,6 +104,8 @@
             known = self._known[entry.id] = _Known(entry, entry.upstream, now, now)
         else:
             known.changed_at = now if _differs(known.entry, entry) else known.changed_at
+            if entry.upstream is not None and known.last is not None and not entry.upstream.is_same_life(known.last):
+                known.drained = False
             known.entry = entry
             known.last = entry.upstream or known.last
         if entry.upstream is not None:
@@ -135,7 +144,7 @@
         going = []
         for known in self._known.values():
             upstream = known.last
-            if upstream is None or upstream.service != service or known.drained:
+            if upstream is None or upstream.service != service or not known.may_last:
                 continue
             if known.entry.upstream is not None:
                 listed.append(upstream)
@@ -149,14 +158,14 @@
         """Return the upstreams of a service that are there for some time.
 
         Those that are leaving are not; those whose entries went without notice are for a while, as most come back. One
-        that restarts does so in its hall under another id, so each that is new there stands for one that went.
+        that restarts does so in its hall under its id or another, so each that is new there stands for one that went.
 
         :param silent: those that do not answer; their entries may still be listed for some heartbeats
         """
         listed = []
         awaited = []
         for known in self._known.values():
-            if known.last is None or known.last.service != service or known.drained:
+            if known.last is None or known.last.service != service or not known.may_last:
                 continue
             if known.entry.upstream is not None and known.entry.id not in silent:
                 listed.append(known)
@@ -182,6 +191,11 @@
         known = self._known.get(upstream)
         return 0.0 if known is None else known.cold_until
 
+    def find_last(self, upstream: UpstreamId) -> Upstream | None:
+        """Return what was listed last of an upstream, also after its entry is gone."""
+        known = self._known.get(upstream)
+        return None if known is None else known.last
+
     def find(self, upstream: UpstreamId) -> Upstream | None:
         """Return an upstream that is listed."""
         known = self._known.get(upstream)
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -4,9 +4,20 @@
 
 import json
 
+import pytest
+
 from beamhatch.platform.documents import PlatformDocuments
+from beamhatch.relay.model import ServiceName, UpstreamId
+from beamhatch.relay.upstreams.listing import Entry
 from tests.support.network import Network, PausedClock
-from tests.support.platform import MODEL, MemoryJournal, make_configuration, make_route
+from tests.support.platform import (
+    MODEL,
+    PLAIN,
+    MemoryJournal,
+    make_configuration,
+    make_platform,
+    make_route,
+)
 
 
 def test_the_priority_of_a_route_is_read() -> None:
@@ -15,3 +26,98 @@
     table = documents.read_configuration(json.dumps(make_configuration(1, routes)).encode())
     assert table is not None
     assert [route.priority for route in table.routes] == [3]
+
+
+ENTRY = {
+    "service": PLAIN,
+    "address": "10.0.0.1:80",
+    "zone": "hall-a",
+    "version": "v1",
+    "capacity": 6,
+    "state": "ready",
+    "cold_remaining_ms": 0,
+    "sequence": 4,
+    "born": 1_900_000_000_000,
+}
+REQUIRED = ["service", "address", "zone", "version", "capacity", "state", "cold_remaining_ms", "sequence"]
+UPSTREAM = UpstreamId("i-1")
+
+
+def read(raw: bytes) -> Entry:
+    return PlatformDocuments(MemoryJournal(PausedClock(Network()))).read_entry(UPSTREAM, 7, raw)
+
+
+def test_an_upstreams_entry_is_read_with_its_start() -> None:
+    entry = read(json.dumps(ENTRY).encode())
+    assert entry.upstream is not None
+    assert entry.upstream.born == 1_900_000_000_000
+    assert entry.readable
+    untold = {name: value for name, value in ENTRY.items() if name != "born"}
+    older = read(json.dumps(untold).encode())
+    assert older.upstream is not None
+    assert older.upstream.born == 0
+
+
+@pytest.mark.parametrize("name", REQUIRED)
+def test_an_entry_that_lacks_a_field_names_no_upstream(name: str) -> None:
+    entry = read(json.dumps({field: value for field, value in ENTRY.items() if field != name}).encode())
+    assert entry == Entry(UPSTREAM, 7, None, readable=False)
+
+
+@pytest.mark.parametrize("name", [*REQUIRED, "born"])
+@pytest.mark.parametrize("value", [None, True, [], {}, 1.5, "x", -3])
+def test_an_entry_with_a_field_of_another_type_names_no_upstream(name: str, value: object) -> None:
+    fitting = {"cold_remaining_ms": (1.5,), "service": ("x",), "zone": ("x",), "version": ("x",)}
+    if value in fitting.get(name, ()) and not isinstance(value, bool):
+        return
+    assert not read(json.dumps({**ENTRY, name: value}).encode()).readable
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"state": "resting"},
+        {"phase": "dreaming"},
+        {"address": "10.0.0.1"},
+        {"address": ":80"},
+        {"address": "10.0.0.1:0"},
+        {"address": "10.0.0.1:65536"},
+        {"address": "10.0.0.1:-1"},
+        {"service": ""},
+        {"capacity": 0},
+        {"cold_remaining_ms": 1e300},
+    ],
+)
+def test_an_entry_with_words_that_mean_nothing_names_no_upstream(changes: dict[str, object]) -> None:
+    assert not read(json.dumps({**ENTRY, **changes}).encode()).readable
+
+
+@pytest.mark.parametrize("raw", [b"", b"\x00\xff\xfe", b"null", b"[]", b"7", b'"x"', b"{", b"{}", b"[" * 10_000])
+def test_bytes_that_are_no_entry_name_no_upstream(raw: bytes) -> None:
+    assert not read(raw).readable
+
+
+def test_entries_of_other_writers_take_nothing_from_the_rest() -> None:
+    platform = make_platform(plain=2)
+    for number, raw in enumerate([b"", b"\xff\xfe\x00", b"{}", json.dumps({**ENTRY, "state": "?"}).encode()]):
+        platform.store.put(f"servers/other-{number}", raw)
+    platform.store.put("servers/", b"x")
+    platform.store.put("servers/plain-1", b"\xff")
+    platform.network.run(0.5)
+    platform.add_vm("vm2", ["vm1:8002"], "hall-b")
+    platform.network.run(3.0)
+    for name, vm in platform.vms.items():
+        assert [one.id for one in vm.core.list_usable(ServiceName(PLAIN))] == ["plain-0"], name
+        assert platform.finish(platform.call("/safe/x", f"q-{name}", vm=name)).status == 200
+    platform.list_again("plain-1")
+    platform.network.run(0.5)
+    assert len(platform.vms["vm2"].core.list_usable(ServiceName(PLAIN))) == 2
+
+
+def test_where_all_entries_are_overwritten_none_is_used() -> None:
+    platform = make_platform(plain=2)
+    for number in range(2):
+        platform.store.put(f"servers/plain-{number}", b"{}")
+    platform.network.run(0.3)
+    assert platform.finish(platform.call("/safe/x", "q1")).status == 503
+    assert not platform.ledger.arrivals
