--- a/src/beamhatch/platform/documents.py
+++ b/src/beamhatch/platform/documents.py
@@ -124,7 +124,8 @@
     version: str
     capacity: Annotated[int, msgspec.Meta(ge=1)]
     state: _State
-    cold_remaining_ms: Annotated[float, msgspec.Meta(ge=0, le=LONGEST_COLD_MS)]
+    cold_remaining_ms: Annotated[float, msgspec.Meta(le=LONGEST_COLD_MS)]
+    """Below 0 where it has been warm for some time."""
     sequence: Annotated[int, msgspec.Meta(ge=0)]
     """Counts the upstream's own words; it starts anew with each life, so nothing is ordered by it."""
     born: Annotated[int, msgspec.Meta(ge=0)] = 0
@@ -189,7 +190,7 @@
         draining=read.state is _State.DRAINING,
         phase=Phase(read.phase) if read.phase else Phase.PLAIN,
         slots=read.capacity,
-        cold_left=read.cold_remaining_ms / 1000,
+        cold_left=max(0.0, read.cold_remaining_ms / 1000),
         born=read.born,
     )
 
