--- a/src/beamhatch/platform/standin/upstream.py
+++ b/src/beamhatch/platform/standin/upstream.py
@@ -57,6 +57,7 @@
     at: float
     upstream: str
     request: str
+    target: str
 
 
 @dataclass(slots=True)
@@ -183,8 +184,9 @@
         self.start()
         self.on_return()
 
-    def _crash_by(self, request: str) -> None:
-        self.ledger.crashes.append(Crash(self.clock.now(), self.instance, request))
+    def crash_by(self, request: str, target: str) -> None:
+        """End at once, by a request that it ran."""
+        self.ledger.crashes.append(Crash(self.clock.now(), self.instance, request, target))
         self.crash()
 
     def serve(self, incoming: IncomingRequest, responder: Responder) -> RequestHandler | None:
@@ -213,7 +215,7 @@
         """Run one request."""
         run = self.begin(request)
         if incoming.target in self.ledger.deadly:
-            run.later(self.crash_delay, lambda: self._crash_by(request))
+            run.later(self.crash_delay, lambda: self.crash_by(request, incoming.target))
             return run
         run.later(self.work, lambda: self._answer(run, responder, f"{incoming.method} {incoming.target} ".encode()))
         return run
@@ -395,7 +397,7 @@
         if incoming.target in self.ledger.deadly:
             run = self.begin(request)
             responder.begin(200, [("Content-Type", "text/event-stream"), *self.sign(request)])
-            run.later(self.crash_delay, lambda: self._crash_by(request))
+            run.later(self.crash_delay, lambda: self.crash_by(request, incoming.target))
             return run
         return self._stream(request, prompt, output, int(headers.get("last-event-id", 0)), first, responder)
 
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -33,6 +33,16 @@
 SLOW = 0.15
 """Seconds by which bytes come late on a slow link."""
 
+DEADLY_ROUTES = ("/resumable/", "/stream/", "/safe/", "/unsafe/")
+DEADLY_GAP = 0.3
+"""Seconds between two tries of a request that ends what runs it."""
+
+DEADLY_TIME = 8.0
+"""Seconds for which it is tried at the least: longer than three ends and the time in which all learn of them."""
+
+DEADLY_RESTART = 1.5
+"""Seconds behind the end of an upstream after which another one is there, cold."""
+
 UPSTREAM_FAULTS = [one for one in UpstreamFault if one is not UpstreamFault.NONE]
 
 
@@ -71,7 +81,10 @@
             FaultKind.HALL_COLD: self._chill_hall,
             FaultKind.EVACUATE: self._evacuate,
             FaultKind.CONFIGURE: lambda step: self._world.configure(),
+            FaultKind.DEADLY: self._send_deadly,
         }
+        self._deadly = 0
+        world.on_crash = lambda name: self._crash(name, DEADLY_RESTART)
 
     def plan(self, steps: Sequence[Step]) -> None:
         """Have all steps carried out at their times."""
@@ -230,6 +243,16 @@
     def _mend_upstream(self, upstream: ModelEngine) -> None:
         upstream.fault = UpstreamFault.NONE
 
+    def _send_deadly(self, step: Step) -> None:
+        """Have a caller send one request again and again, for longer than it may arrive anywhere."""
+        self._deadly += 1
+        route = DEADLY_ROUTES[int(step.pick * len(DEADLY_ROUTES))]
+        target = f"{route}deadly-{self._deadly}"
+        self._world.ledger.deadly.add(target)
+        sends = int((step.seconds + DEADLY_TIME) / DEADLY_GAP)
+        for number in range(sends):
+            self._later(number * DEADLY_GAP, self._world.ask_once, route, target)
+
     def _crash_upstream(self, step: Step) -> None:
         name = pick(list(self._world.placed), step)
         self._crash(name, step.seconds / 2)
--- a/tests/soak/mutants.py
+++ b/tests/soak/mutants.py
@@ -10,6 +10,7 @@
 from beamhatch.relay.choosing.eligibility import Eligibility, Obstacle
 from beamhatch.relay.core import Core
 from beamhatch.relay.daemon import Daemon
+from beamhatch.relay.quarantine.quarantine import Quarantine
 from beamhatch.relay.requests.exchange import RelayExchange
 from beamhatch.relay.requests.request import RelayRequest
 from beamhatch.relay.upstreams.events import EventChecker
@@ -94,6 +95,10 @@
     mutate: Callable[[], None]
 
 
+def _sends_deadly() -> None:
+    Quarantine.find_hold = lambda self, fingerprint, now: None  # type: ignore[method-assign]
+
+
 UPSTREAM_FAULTS = [FaultKind.UPSTREAM_FAULT]
 COLD_FAULTS = [FaultKind.HALL_COLD, FaultKind.UPSTREAM_CRASH]
 
@@ -107,6 +112,7 @@
     "keeps-first-configuration": Mutant(Promise.IN_FORCE, [FaultKind.CONFIGURE], _keeps_first_configuration),
     "stops-at-once": Mutant(Promise.PLANNED_STOP, [FaultKind.STOP], _stops_at_once),
     "keeps-memory": Mutant(Promise.GIVEN_BACK, UPSTREAM_FAULTS, _keeps_memory),
+    "sends-deadly": Mutant(Promise.DEADLY, [FaultKind.DEADLY], _sends_deadly),
     "passes-any-event": Mutant(Promise.ORDER, UPSTREAM_FAULTS, _passes_any_event),
 }
 """By name."""
--- a/tests/soak/promise.py
+++ b/tests/soak/promise.py
@@ -22,6 +22,7 @@
     PLANNED_STOP = "a planned stop cuts off nothing, and ends in its time"
     ONE_LEADER = "orders to engines come from one VM at a time"
     GIVEN_BACK = "memory of engines is given back once its callers are gone"
+    DEADLY = "a request that ends upstreams is kept from the rest"
     RECOVERY = "everything is served again once faults are over"
 
 
@@ -63,6 +64,11 @@
 COLD_BOUND = COLD_RATE * COLD_OVERAGE + COLD_SLACK
 """Requests that reach a cold upstream in any second at the most."""
 
+LEAST_ENDS = 3
+MOST_LATE_SENDS = 3
+CONTACT_TIME = 3.0
+"""Three sends may arrive later than these seconds behind the third end that a request caused."""
+
 GRACE = 8.0
 """Seconds that a planned stop may take."""
 
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -47,6 +47,11 @@
     """A hall is emptied, and taken back later."""
     CONFIGURE = "configure"
     """A configuration with another route, and without the one added before."""
+    DEADLY = "deadly"
+    """A caller sends a request again and again that ends each upstream that begins to run it.
+
+    It is drawn only where it is asked for: with it, there are few upstreams left for other faults to show on.
+    """
 
 
 WEIGHTS = {
@@ -98,7 +103,7 @@
     steps = []
     at = drawn.uniform(0.5, 2.0)
     while at < seconds:
-        kind = drawn.choices(kinds, [WEIGHTS[one] for one in kinds])[0]
+        kind = drawn.choices(kinds, [WEIGHTS.get(one, 1) for one in kinds])[0]
         steps.append(Step(at, kind, drawn.uniform(0.5, 6.0), drawn.random()))
         at += drawn.expovariate(1 / MEAN_GAP)
     return steps
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -116,6 +116,19 @@
     assert list_broken(witness) == {Promise.COLD}
 
 
+def test_a_deadly_request_that_arrives_too_often_too_late_is_seen(witness: Witness) -> None:
+    ask(witness, "/safe/")
+    for at in (20.0, 20.5, 21.0):
+        witness.take_crash("/safe/deadly", at)
+    for at in (23.9, 24.1, 24.2, 24.3):
+        witness.take_arrival("q1", "/safe/deadly", "i-1", at)
+    assert not witness.breaches
+    witness.take_arrival("q1", "/safe/other", "i-1", 24.4)
+    assert not witness.breaches
+    witness.take_arrival("q1", "/safe/deadly", "i-1", 24.5)
+    assert list_broken(witness) == {Promise.DEADLY}
+
+
 def test_an_old_version_is_seen(witness: Witness) -> None:
     ask(witness, "/v1/")
     witness.take_arrival("q1", "/v1/x", "i-1", 20.0)
--- a/tests/soak/upstreams.py
+++ b/tests/soak/upstreams.py
@@ -32,6 +32,14 @@
     on_arrival: Callable[[Arrival], None]
     active: set[str]
     """Requests that it is at work on, among all upstreams."""
+    on_crash: Callable[[str], None]
+    """Called when a request has ended it."""
+
+    def crash(self) -> None:
+        """End with all runs; another one comes in its place."""
+        for run in list(self.runs):
+            run.end()
+        self.on_crash(self.instance)
 
     def begin(self, request: str) -> Run:
         """Begin to work on a request."""
@@ -69,10 +77,12 @@
         instance: str,
         ledger: Ledger,
         on_arrival: Callable[[Arrival], None],
+        on_crash: Callable[[str], None],
         active: set[str],
     ) -> None:
         super().__init__(clock, address, instance, ledger)
         self.on_arrival = on_arrival
+        self.on_crash = on_crash
         self.active = active
 
 
@@ -89,10 +99,12 @@
         ledger: Ledger,
         phase: str,
         on_arrival: Callable[[Arrival], None],
+        on_crash: Callable[[str], None],
         active: set[str],
     ) -> None:
         StandInEngine.__init__(self, clock, address, instance, ledger, phase)
         self.on_arrival = on_arrival
+        self.on_crash = on_crash
         self.active = active
 
     def plays(self, headers: dict[str, str]) -> bool:
--- a/tests/soak/witness.py
+++ b/tests/soak/witness.py
@@ -3,15 +3,18 @@
 from __future__ import annotations
 
 import re
-from collections import deque
+from collections import Counter, deque
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from tests.soak.promise import (
     COLD_BOUND,
     CONFIGURATION_BOUND,
+    CONTACT_TIME,
     EMPTY_BOUND,
+    LEAST_ENDS,
     LEAVE_BOUND,
+    MOST_LATE_SENDS,
     STEP_BACK_SLACK,
     THAW_SLACK,
     TOUCH_TIME,
@@ -117,6 +120,10 @@
     asked: dict[str, Asked] = field(default_factory=dict)
     refused: dict[str, float] = field(default_factory=dict)
     """Requests that were said not to have run, and when."""
+    ends: dict[str, list[float]] = field(default_factory=dict)
+    """When upstreams were ended by the requests for a target."""
+    late_sends: Counter[str] = field(default_factory=Counter)
+    """Sends for each such target later than all VMs could know."""
     outcomes: int = 0
     served: int = 0
     _orders: int = 0
@@ -139,6 +146,7 @@
         if asked is None:
             self.break_promise(Promise.OWN_ANSWER, now, f"{instance} got {request}, which nobody sent")
             return
+        self._check_deadly(asked, request, path, now)
         self._check_cold(upstream, instance, now)
         self._check_region(upstream, asked, request, now)
         if request in self.refused:
@@ -147,6 +155,19 @@
             self._check_place(upstream, request, instance, now)
         self._check_version(asked, request, path, now)
 
+    def take_crash(self, target: str, now: float) -> None:
+        """Take in that a request for a target has ended an upstream."""
+        self.ends.setdefault(target, []).append(now)
+
+    def _check_deadly(self, asked: Asked, request: str, target: str, now: float) -> None:
+        ends = self.ends.get(target, [])
+        if len(ends) < LEAST_ENDS or now < ends[LEAST_ENDS - 1] + CONTACT_TIME:
+            return
+        if self.is_in_touch(asked.vm, now):
+            self.late_sends[target] += 1
+            if self.late_sends[target] > MOST_LATE_SENDS:
+                self.break_promise(Promise.DEADLY, now, f"{request} for {target}, which ended {len(ends)} upstreams")
+
     def _check_cold(self, upstream: UpstreamFacts, instance: str, now: float) -> None:
         if now >= upstream.cold_until:
             upstream.arrivals.clear()
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -18,6 +18,7 @@
 from tests.soak.witness import STREAM_EVENTS, Asked, RouteTerms, UpstreamFacts, VmFacts, Witness
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from pathlib import Path
 
     from beamhatch.clock import Clock
@@ -84,6 +85,8 @@
         """Times in a row that each VM was not ready; one with less than two gets connections."""
         self.asked_count = 0
         self.open_callers = 0
+        self.on_crash: Callable[[str], None] = lambda name: None
+        """Called with an upstream that a request has ended, to bring another one."""
 
     def now(self) -> float:
         """Return the seconds of the run."""
@@ -121,9 +124,13 @@
         address = Address(f"{self.net}.3.1", 0)
         upstream: PlainReplica | ModelEngine
         if service == PLAIN:
-            upstream = PlainReplica(self.clock, address, name, self.ledger, self._take_arrival, self.active)
+            upstream = PlainReplica(
+                self.clock, address, name, self.ledger, self._take_arrival, self._take_crash, self.active
+            )
         else:
-            upstream = ModelEngine(self.clock, address, name, self.ledger, phase, self._take_arrival, self.active)
+            upstream = ModelEngine(
+                self.clock, address, name, self.ledger, phase, self._take_arrival, self._take_crash, self.active
+            )
             upstream.on_phase = lambda: self.list_upstream(name)
         upstream.start()
         host = f"{self.net}.4.1"
@@ -169,6 +176,10 @@
         self.store.put("op/config", document)
         self.witness.acknowledged[self.version] = self.now()
 
+    def _take_crash(self, name: str) -> None:
+        self.witness.take_crash(self.ledger.crashes[-1].target, self.now())
+        self.on_crash(name)
+
     def _take_arrival(self, arrival: Arrival) -> None:
         self.witness.take_arrival(arrival.request, arrival.path, arrival.instance, self.now())
 
@@ -259,6 +270,26 @@
         self.clock.call_later(PATIENCE, self._leave, connection, outcome)
         self._go_on(vm, connection, outcome)
 
+    def ask_once(self, route: str, target: str) -> None:
+        """Send one request to any VM, on a connection of its own."""
+        vm = self._choose_vm()
+        self.asked_count += 1
+        outcome = Outcome(f"once-{self.asked_count}", route, target, vm.name, vm.life, self.now())
+        self.witness.asked[outcome.request] = Asked(route, vm.name, vm.life, outcome.sent_at)
+        headers = [("Token-Count", f"4000,{STREAM_EVENTS}"), ("Prompt-Prefix", f"aa:200,{self.asked_count:x}:3800")]
+
+        def ask(connection: CallerConnection) -> None:
+            connection.ask(outcome, headers, b"")
+            self.clock.call_later(PATIENCE, self._leave, connection, outcome)
+
+        def take_end(ended: Outcome) -> None:
+            ended.ended_at = self.now()
+            self.witness.take_outcome(ended)
+
+        self.clock.reactor.connectTCP(
+            vm.ip, CALLER_PORT, CallerFactory(ask, take_end, lambda: None), timeout=CONNECT_TIMEOUT
+        )
+
     def _leave(self, connection: CallerConnection, outcome: Outcome) -> None:
         if not outcome.ended_at and connection.open:
             connection.leave()
