Tell of a good end where it matters, and write a line only where a request was held

Change: a good end is told where the request was held or had a part in two ends; who knows of one says so when the request is named again. Tests: two VMs that tell each other just this never add up ends with a good end between.

--- a/src/beamhatch/relay/quarantine/ends.py
+++ b/src/beamhatch/relay/quarantine/ends.py
@@ -101,9 +101,9 @@
                 found = True
         return found
 
-    def has(self, fingerprint: Fingerprint) -> bool:
-        """Tell whether a run of a request broke at any end."""
-        return any(fingerprint in end.runs for end in self._ends)
+    def count(self, fingerprint: Fingerprint) -> int:
+        """Return at how many ends a run of a request broke."""
+        return sum(fingerprint in end.runs for end in self._ends)
 
     def forget_old(self, now: float) -> None:
         """Drop ends that were long ago, and those in which nobody has a part any more."""
--- a/src/beamhatch/relay/quarantine/quarantine.py
+++ b/src/beamhatch/relay/quarantine/quarantine.py
@@ -72,6 +72,15 @@
     """Ends that it explains; 0 where these are not known here."""
 
 
+@dataclass(frozen=True, slots=True)
+class Clearing:
+    """What a good end cleared a request of."""
+
+    was_held: bool
+    ends: int
+    """Ends at which a run of it had broken."""
+
+
 @dataclass(frozen=True, slots=True)
 class _Told:
     begun_at: float
@@ -133,20 +142,32 @@
 
     # --- good ends ---------------------------------------------------------------------------------------------------
 
-    def note_good(self, fingerprint: Fingerprint, now: float) -> bool:
-        """Note that a run came to a good end; return whether that clears its request of anything."""
+    def note_good(self, fingerprint: Fingerprint, now: float) -> Clearing | None:
+        """Note that a run came to a good end; return what that clears its request of, None where there is nothing."""
         _put(self._good, fingerprint, now, MOST_GOOD)
-        held = fingerprint in self._attributed or fingerprint in self._told
-        if not held and not (len(self.ends) and self.ends.has(fingerprint)):
-            return False
-        return self.clear(fingerprint, now)
+        was_held = fingerprint in self._attributed or fingerprint in self._told
+        ends = self.ends.count(fingerprint) if len(self.ends) else 0
+        if not was_held and not ends:
+            return None
+        self.clear(fingerprint, now)
+        return Clearing(was_held, ends)
+
+    def list_cleared(self, news: EndNews, now: float) -> list[ClearNews]:
+        """Return which requests that had a part in an end came to a good end here before it."""
+        at = now - news.age
+        cleared = []
+        for run in news.runs:
+            good_at = self._good.get(run.fingerprint, self._cleared.get(run.fingerprint, at))
+            if good_at < at:
+                cleared.append(ClearNews(run.fingerprint, round(now - good_at, 3)))
+        return cleared
 
     def is_good(self, fingerprint: Fingerprint, now: float) -> bool:
         """Tell whether a run of a request came to a good end here of late."""
         return now - self._good.get(fingerprint, float("-inf")) < GOOD_TIME
 
     def clear(self, fingerprint: Fingerprint, at: float) -> bool:
-        """Void what is held against a request up to a time; return whether that is news."""
+        """Void what is held against a request up to a time; return whether there was anything."""
         if self._cleared.get(fingerprint, float("-inf")) >= at:
             return False
         _put(self._cleared, fingerprint, at, MOST_CLEARED)
--- a/src/beamhatch/relay/quarantine/talk.py
+++ b/src/beamhatch/relay/quarantine/talk.py
@@ -35,6 +35,13 @@
 News cross four VMs at the most; who stood beside the request that ended the upstream is known by then.
 """
 
+TOLD_ENDS = 2
+"""Ends of a request from which on its good end is told at once.
+
+Most that stood beside once are streams that nobody asks for again: telling each would cost more than the ends. Whoever
+knows of a good end says so when the request is named again, so that no three ends add up with a good end between them.
+"""
+
 MOST_TOLD_ENDS = 64
 """Ends that a peer is told of when it is met, the newest: 60 KB at the most."""
 
@@ -93,11 +100,15 @@
         """Note that a run came to a good end."""
         now = self.core.clock.now()
         kept = self.quarantine.is_told(fingerprint, now)
-        if self.quarantine.note_good(fingerprint, now):
+        clearing = self.quarantine.note_good(fingerprint, now)
+        if clearing is None:
+            return
+        if clearing.was_held:
             self._report_clear(fingerprint, "a run here came to a good end")
+        if clearing.was_held or clearing.ends >= TOLD_ENDS:
             self._say(ClearNews(fingerprint, 0.0), None)
-            if kept:
-                self.on_clear(fingerprint)
+        if kept:
+            self.on_clear(fingerprint)
 
     def note_held(self, fingerprint: Fingerprint) -> None:
         """Note that the store keeps the quarantine of a request."""
@@ -137,18 +148,24 @@
             connection.tell(QuarantineNews(ends, [], holds))
 
     def _take_end(self, news: EndNews, source: PeerConnection | None) -> None:
-        fresh = self.quarantine.take_end(news, self.core.clock.now())
+        now = self.core.clock.now()
+        fresh = self.quarantine.take_end(news, now)
         if fresh is None:
             return
         self._say(fresh, source)
+        for cleared in self.quarantine.list_cleared(fresh, now):
+            self._say(cleared, None)
         if not self._pending:
             self._pending = True
             self.core.clock.call_later(ATTRIBUTE_DELAY, self._attribute)
 
     def _take_clear(self, news: ClearNews, source: PeerConnection) -> None:
-        if self.quarantine.clear(news.fingerprint, self.core.clock.now() - news.age):
-            self._report_clear(news.fingerprint, f"peer {source.vm}")
+        now = self.core.clock.now()
+        was_held = self.quarantine.find_hold(news.fingerprint, now) is not None
+        if self.quarantine.clear(news.fingerprint, now - news.age):
             self._say(news, source)
+        if was_held and self.quarantine.find_hold(news.fingerprint, now) is None:
+            self._report_clear(news.fingerprint, f"peer {source.vm}")
 
     def _take_hold(self, news: HoldNews, source: PeerConnection | None) -> None:
         now = self.core.clock.now()
@@ -169,7 +186,7 @@
             own = self._own.get(fingerprint)
             if own is not None:
                 self.on_hold(fingerprint, now - own < 2 * ATTRIBUTE_DELAY)
-        self._own = {found: at for found, at in self._own.items() if self.quarantine.ends.has(found)}
+        self._own = {found: at for found, at in self._own.items() if self.quarantine.ends.count(found)}
 
     def _report_hold(self, fingerprint: Fingerprint, hold: Hold | None, source: str) -> None:
         upstreams = [end.upstream for end in self.quarantine.ends if fingerprint in end.runs]
--- a/tests/relay/quarantine/test_quarantine.py
+++ b/tests/relay/quarantine/test_quarantine.py
@@ -8,7 +8,16 @@
 from hypothesis import strategies as st
 
 from beamhatch.relay.quarantine.ends import MEMORY, MOST_ENDS, MOST_RUNS, BrokenRun, EndNews, UpstreamEnds
-from beamhatch.relay.quarantine.quarantine import GOOD_TIME, HOLD_TIME, MOST_GOOD, MOST_TOLD, HoldNews, Quarantine
+from beamhatch.relay.quarantine.quarantine import (
+    GOOD_TIME,
+    HOLD_TIME,
+    MOST_GOOD,
+    MOST_TOLD,
+    Clearing,
+    ClearNews,
+    HoldNews,
+    Quarantine,
+)
 from beamhatch.relay.requests.fingerprint import Fingerprint
 
 DEADLY = Fingerprint(b"deadly")
@@ -68,11 +77,35 @@
 def test_a_good_end_clears_a_request_and_what_was_told_of_before_stays_void() -> None:
     quarantine = Quarantine()
     last = hold(quarantine)
-    assert quarantine.note_good(DEADLY, last + 1)
+    assert quarantine.note_good(DEADLY, last + 1) == Clearing(was_held=True, ends=3)
     assert quarantine.find_hold(DEADLY, last + 1) is None
     assert quarantine.take_end(make_news(1, DEADLY, age=2.0), last + 2) is None
     assert quarantine.attribute(last + 2) == {}
-    assert not quarantine.note_good(DEADLY, last + 3)
+    assert quarantine.note_good(DEADLY, last + 3) is None
+
+
+def test_who_knows_of_a_good_end_says_so_when_the_request_is_named_again() -> None:
+    quarantine = Quarantine()
+    quarantine.take_end(make_news(1, OTHER), 10.0)
+    assert quarantine.note_good(OTHER, 11.0) == Clearing(was_held=False, ends=1)
+    assert quarantine.list_cleared(make_news(2, OTHER, DEADLY), 14.0) == [ClearNews(OTHER, 3.0)]
+    assert quarantine.list_cleared(make_news(3, OTHER, age=5.0), 14.0) == []
+
+
+def test_three_ends_with_good_ends_between_add_up_at_nobody() -> None:
+    """One VM knows of the good ends, the other one only of the ends and of what it is told."""
+    knowing, other = Quarantine(), Quarantine()
+    for number in range(6):
+        now = 10.0 + 5 * number
+        news = make_news(number, OTHER)
+        cleared = knowing.list_cleared(news, now)
+        for quarantine in (knowing, other):
+            quarantine.take_end(news, now)
+        for one in cleared:
+            other.clear(one.fingerprint, now - one.age)
+        for quarantine in (knowing, other):
+            assert quarantine.attribute(now + 0.3) == {}
+        knowing.note_good(OTHER, now + 1)
 
 
 def test_what_breaks_behind_a_good_end_counts_anew() -> None:
@@ -106,7 +139,7 @@
 def test_old_words_of_the_store_hold_nothing_that_was_cleared_since() -> None:
     quarantine = Quarantine()
     quarantine.take_hold(HoldNews(DEADLY, 0.0, HOLD_TIME), 10.0)
-    assert quarantine.note_good(DEADLY, 20.0)
+    assert quarantine.note_good(DEADLY, 20.0) == Clearing(was_held=True, ends=0)
     assert not quarantine.take_hold(HoldNews(DEADLY, 15.0, 500.0), 21.0)
     assert quarantine.find_hold(DEADLY, 21.0) is None
 
