Test that streams that end engines behind some events, and whole runs, are kept away; and a suspended machine whole

A caller's time on a machine that was suspended for 6 s fails on the clock of before (no answer 0.6 s behind it), the lease of a leader held before too.

--- a/tests/platform/test_deadly.py
+++ b/tests/platform/test_deadly.py
@@ -27,13 +27,13 @@
 VMS = 3
 
 
-def make_fleet(*, plain: int = 3, decode: int = 8) -> Platform:
+def make_fleet(*, plain: int = 3, prefill: int = 2, decode: int = 8) -> Platform:
     """Return a platform with three VMs in three halls."""
     platform = Platform(names_hosts=True)
     platform.configure(1)
     for number in range(plain):
         platform.add_plain(f"plain-{number}")
-    for number in range(2):
+    for number in range(prefill):
         platform.add_engine(f"prefill-{number}", "prefill")
     for number in range(decode):
         platform.add_engine(f"decode-{number}", "decode")
@@ -77,6 +77,34 @@
     assert all("retry-after" in caller.head.lower() for caller in callers[-4:])
 
 
+def test_it_is_kept_away_too_where_decode_engines_read_the_prompt_themselves() -> None:
+    platform = make_fleet(prefill=0)
+    send_again(platform, "/resumable/x", times=16, gap=1.1)
+    assert len(platform.ledger.crashes) >= 3
+    assert count_late_sends(platform, "/resumable/x") <= MOST_MORE
+
+
+def test_a_stream_that_ends_its_engines_behind_some_events_is_kept_away_too() -> None:
+    platform = make_fleet()
+    ends: list[float] = []
+    callers = []
+    for number in range(6):
+        caller = platform.call(
+            "/resumable/x", f"again-{number}", vm=f"vm{number % VMS}", headers={"Token-Count": "5000,60"}
+        )
+        callers.append(caller)
+        for _ in range(300):
+            platform.network.run(0.01)
+            running = [one for one in platform.upstreams.values() if one.instance.startswith("decode") and one.running]
+            if running and len(caller.events) >= 3 + 3 * len(ends):
+                ends.append(platform.clock.now())
+                running[0].crash()
+        platform.network.run(2.0)
+    assert len(ends) <= 6
+    assert [caller.status for caller in callers[-2:]] == [503, 503]
+    assert sum(at > ends[2] + CONTACT_TIME for at, _ in platform.ledger.sends) <= MOST_MORE
+
+
 def test_a_burst_of_the_same_request_at_all_machines_is_kept_away_too() -> None:
     platform = make_fleet()
     platform.ledger.deadly.add("/resumable/x")
--- a/tests/platform/test_slow.py
+++ b/tests/platform/test_slow.py
@@ -7,7 +7,8 @@
 from pathlib import Path
 
 import beamhatch
-from beamhatch.platform.standin.upstream import StandInEngine
+from beamhatch.platform.standin.upstream import StandInEngine, UpstreamFault
+from tests.support.network import SuspendableClock
 from tests.support.platform import Platform, make_platform
 
 TIME_OF_DAY = re.compile(r"\btime\.time\(|\bdatetime\.|\btell_wall\(")
@@ -75,6 +76,35 @@
     assert set(platform.ledger.runs.values()) == {1}
 
 
+def test_a_caller_is_answered_in_its_time_though_the_machine_was_suspended_meanwhile() -> None:
+    """A timer that is not moved has 4 s left behind the 6 s."""
+    platform = make_platform(plain=1)
+    clock = SuspendableClock(platform.network)
+    platform.add_vm("vm2", ["vm1:8002"], "hall-b", clock=clock)
+    platform.network.run(3.0)
+    platform.upstreams["plain-0"].fault = UpstreamFault.HANG
+    caller = platform.call("/unsafe/x", "q1", vm="vm2")
+    platform.network.run(1.0)
+    assert caller.status == 0
+    clock.suspended += 6.0
+    platform.network.run(0.6)
+    assert caller.status == 504
+
+
+def test_a_leader_that_was_suspended_gives_no_order_by_a_lease_that_is_over() -> None:
+    platform = Platform()
+    platform.configure(1)
+    platform.add_engine("decode-0", "decode")
+    clock = SuspendableClock(platform.network)
+    vm = platform.add_vm(clock=clock)
+    leadership = vm.leadership
+    assert leadership is not None
+    platform.network.run_until(lambda: leadership.tenure.may_order(clock.now()), 30.0)
+    clock.suspended += 4.0
+    assert not leadership.tenure.may_order(clock.now())
+    assert not leadership.tenure.holds(clock.now())
+
+
 def test_nothing_on_the_request_path_reads_the_time_of_day() -> None:
     root = Path(beamhatch.__file__).parent
     sources = [*(root / "relay").rglob("*.py"), *(root / "platform").rglob("*.py")]
--- a/tests/support/network.py
+++ b/tests/support/network.py
@@ -38,6 +38,17 @@
         return self.now()
 
 
+class SuspendableClock(PausedClock):
+    """The clock of a machine that can be suspended: the time goes on, while timers stand still."""
+
+    suspended = 0.0
+    """Seconds that the timers did not count."""
+
+    def now(self) -> float:
+        """Return the time of the network with what the timers missed."""
+        return super().now() + self.suspended
+
+
 class _Handle:
     """Takes socket options and ignores them."""
 
--- a/tests/support/platform.py
+++ b/tests/support/platform.py
@@ -313,8 +313,12 @@
         quota: QuotaTerms | None = None,
         places: Places | None = None,
         store: Address = STORE,
+        clock: PausedClock | None = None,
     ) -> Daemon:
-        """Start a VM's relay."""
+        """Start a VM's relay.
+
+        :param clock: its own, where that may differ from the network's
+        """
         settings = RelaySettings(
             vm=name,
             hall=hall,
@@ -332,7 +336,8 @@
         )
         journal = self.journals[name] = MemoryJournal(self.clock)
         documents = PlatformDocuments(journal)
-        clock = PausedClock(self.network.at(name)) if self.names_hosts else self.clock
+        if clock is None:
+            clock = PausedClock(self.network.at(name)) if self.names_hosts else self.clock
         client = PlatformStore(HttpClient(clock), clock, store, documents)
         daemon = Daemon(settings, clock, journal, Tally(), PlatformDialect(), documents, client)
         self.vms[name] = daemon
