Remove what was cleared from a store that was away, and hold nothing by an older word of it

Cause (read, not seen): the key of a cleared request was removed by one call; a store that was away kept it for up to ten minutes, and whoever read it held the request again. Change: the removal is tried again until the key's lease is over; what was cleared within the time of a lease is not held by what the store keeps.

--- a/src/beamhatch/relay/quarantine/keeping.py
+++ b/src/beamhatch/relay/quarantine/keeping.py
@@ -63,18 +63,24 @@
                 self.core.journal.write("QUARANTINE", "kept", fingerprint=fingerprint.hex())
                 self.core.quarantine_talk.note_held(fingerprint)
                 return
-            self._report_loss(fingerprint, lost)
-            await sleep(self.core.clock, pause * random.uniform(0.7, 1.3))
-            pause = min(LONGEST_PAUSE, 2 * pause)
+            pause = await self._wait_again(fingerprint, lost, pause)
 
     async def _end(self, fingerprint: Fingerprint) -> None:
-        lost = await self._store.end_quarantine(fingerprint)
-        if lost is not None:  # its lease ends it
-            self._report_loss(fingerprint, lost)
+        """Remove the key, as VMs that start would hold the request by it; behind its lease there is none."""
+        until = self.core.clock.now() + HOLD_TIME
+        pause = FIRST_PAUSE
+        while self.core.quarantine.find_hold(fingerprint, now := self.core.clock.now()) is None and now < until:
+            lost = await self._store.end_quarantine(fingerprint)
+            if lost is None:
+                return
+            pause = await self._wait_again(fingerprint, lost, pause)
 
-    def _report_loss(self, fingerprint: Fingerprint, lost: StoreLost) -> None:
+    async def _wait_again(self, fingerprint: Fingerprint, lost: StoreLost, pause: float) -> float:
+        """Wait before the next try; return the seconds to wait before the one behind it."""
         self.core.tally.count("store_failures_total", "quarantine")
-        self.core.journal.write("QUARANTINE", "not kept", fingerprint=fingerprint.hex(), detail=lost.detail)
+        self.core.journal.write("QUARANTINE", "store lost", fingerprint=fingerprint.hex(), detail=lost.detail)
+        await sleep(self.core.clock, pause * random.uniform(0.7, 1.3))
+        return min(LONGEST_PAUSE, 2 * pause)
 
     def _report_failure(self, failure: Any) -> None:
         self.core.journal.write("QUARANTINE", "keeping failed", error=failure.getTraceback())
--- a/src/beamhatch/relay/quarantine/quarantine.py
+++ b/src/beamhatch/relay/quarantine/quarantine.py
@@ -57,7 +57,7 @@
 
     fingerprint: Fingerprint
     age: float
-    """Seconds since it was read from the store, or written there."""
+    """Seconds since it was written to the store, at the most."""
     left: float
     """Seconds for which it still holds."""
 
--- a/src/beamhatch/relay/quarantine/talk.py
+++ b/src/beamhatch/relay/quarantine/talk.py
@@ -111,13 +111,16 @@
             self.on_clear(fingerprint)
 
     def note_held(self, fingerprint: Fingerprint) -> None:
-        """Note that the store keeps the quarantine of a request."""
+        """Note that the store keeps the quarantine of a request from now on."""
         self._take_hold(HoldNews(fingerprint, 0.0, HOLD_TIME), None)
 
     def take_kept(self, kept: Sequence[Fingerprint]) -> None:
-        """Take in all requests whose quarantine the store keeps."""
+        """Take in all requests whose quarantine the store keeps.
+
+        The store does not say since when, so what was cleared within the time of its lease stays cleared.
+        """
         for fingerprint in kept:
-            self.note_held(fingerprint)
+            self._take_hold(HoldNews(fingerprint, HOLD_TIME, HOLD_TIME), None)
         self.quarantine.end_told_but(kept)
 
     def _note_end(self, news: EndNews) -> None:
--- a/tests/platform/test_deadly.py
+++ b/tests/platform/test_deadly.py
@@ -303,6 +303,27 @@
     assert sum(line["event"] == "kept" for journal in platform.journals.values() for line in journal.lines) == 1
 
 
+def test_what_was_cleared_is_removed_from_a_store_that_was_away_and_holds_nothing_until_then() -> None:
+    platform = make_fleet()
+    caller = platform.call("/resumable/x", "long", vm="vm1", headers={"Token-Count": "5000,100"})
+    platform.network.run_until(lambda: platform.ledger.runs["long"])
+    (exchange,) = platform.vms["vm1"].core.exchanges
+    key = f"beamhatch/quarantine/{exchange.fingerprint.hex()}"
+    platform.store.put(key, b"")
+    platform.network.run(2.0)
+    assert [vm.core.quarantine.count(vm.clock.now()) for vm in platform.vms.values()] == [1] * VMS
+    platform.store.fault = StoreFault.BUSY
+    assert platform.finish(caller).status == 200
+    platform.network.run(1.0)
+    platform.store.fault = StoreFault.NONE
+    platform.store.put("beamhatch/order", b"")  # all who watch there read again
+    platform.network.run(0.2)
+    assert [vm.core.quarantine.count(vm.clock.now()) for vm in platform.vms.values()] == [0] * VMS
+    platform.network.run(10.0)
+    assert platform.store.find_newest(key) == 0
+    assert platform.finish(platform.call("/resumable/x", "again", vm="vm2")).status == 200
+
+
 def test_a_hall_that_was_cut_off_learns_it_when_it_is_back() -> None:
     platform = make_fleet()
     platform.network.cut("vm2")
