Say once whom the soak's upstreams tell

Cause: the two kinds of upstreams repeated each other's constructors to hand three things on, and the deadly requests had added a line to each of four places. Ruled out on reading the change again: one reader of addresses for entries and settings (an entry's is stricter on purpose; settings may name port 0); one place that refuses what is held (new requests and those under way end differently). Change: one method, no constructors of their own; 30 lines less.

--- a/tests/soak/upstreams.py
+++ b/tests/soak/upstreams.py
@@ -11,10 +11,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from beamhatch.clock import Clock
-    from beamhatch.platform.standin.upstream import Ledger, Run
+    from beamhatch.platform.standin.upstream import Run
     from beamhatch.relay.callers.http_server import IncomingRequest, RequestHandler, Responder
-    from beamhatch.relay.model import Address
 
 
 @dataclass(frozen=True, slots=True)
@@ -35,6 +33,12 @@
     on_crash: Callable[[str], None]
     """Called when a request has ended it."""
 
+    def observe(self, on_arrival: Callable[[Arrival], None], on_crash: Callable[[str], None], active: set[str]) -> None:
+        """Say whom to tell, before it starts."""
+        self.on_arrival = on_arrival
+        self.on_crash = on_crash
+        self.active = active
+
     def crash(self) -> None:
         """End with all runs; another one comes in its place."""
         for run in list(self.runs):
@@ -70,43 +74,12 @@
 class PlainReplica(Observed):
     """A replica of a plain service."""
 
-    def __init__(
-        self,
-        clock: Clock,
-        address: Address,
-        instance: str,
-        ledger: Ledger,
-        on_arrival: Callable[[Arrival], None],
-        on_crash: Callable[[str], None],
-        active: set[str],
-    ) -> None:
-        super().__init__(clock, address, instance, ledger)
-        self.on_arrival = on_arrival
-        self.on_crash = on_crash
-        self.active = active
-
 
 class ModelEngine(Observed, StandInEngine):
     """A model engine."""
 
     switch_time = 2.0
 
-    def __init__(
-        self,
-        clock: Clock,
-        address: Address,
-        instance: str,
-        ledger: Ledger,
-        phase: str,
-        on_arrival: Callable[[Arrival], None],
-        on_crash: Callable[[str], None],
-        active: set[str],
-    ) -> None:
-        StandInEngine.__init__(self, clock, address, instance, ledger, phase)
-        self.on_arrival = on_arrival
-        self.on_crash = on_crash
-        self.active = active
-
     def plays(self, headers: dict[str, str]) -> bool:
         """Tell whether it plays the part that a request asks for."""
         return (headers.get("stage") == "prefill") == (self.phase == "prefill")
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -124,14 +124,11 @@
         address = Address(f"{self.net}.3.1", 0)
         upstream: PlainReplica | ModelEngine
         if service == PLAIN:
-            upstream = PlainReplica(
-                self.clock, address, name, self.ledger, self._take_arrival, self._take_crash, self.active
-            )
+            upstream = PlainReplica(self.clock, address, name, self.ledger)
         else:
-            upstream = ModelEngine(
-                self.clock, address, name, self.ledger, phase, self._take_arrival, self._take_crash, self.active
-            )
+            upstream = ModelEngine(self.clock, address, name, self.ledger, phase)
             upstream.on_phase = lambda: self.list_upstream(name)
+        upstream.observe(self._take_arrival, self._take_crash, self.active)
         upstream.start()
         host = f"{self.net}.4.1"
         port = open_link(self.clock.reactor, self.upstream_link, f"{host}:0", str(upstream.address))
