Read what upstreams say of themselves in their answers, and write it down

Cause: the hypotheses on the incident differ in whether a VM heard that an upstream leaves or wants rest, and when; no line or figure told it. Ruled out: lines for each answer (hundreds a second); one line an upstream's life and one a rest are enough, and one for each send in spite of them. Change: no logic of routing. Leaving and Retry-After are read from the head of each answer of an upstream: prompts, memory set aside and given back, streams, whole answers, orders. A Retry-After is a number of seconds, or a date against the answer's own; anything else asks nothing, 600 s at the most.

--- a/src/beamhatch/platform/dialect.py
+++ b/src/beamhatch/platform/dialect.py
@@ -8,6 +8,7 @@
 from beamhatch.relay.choosing.standing import Load
 from beamhatch.relay.model import Handle, Phase, PromptPart, RequestFacts, Reservation, Stage, Upstream
 from beamhatch.relay.upstreams.http_client import Call
+from beamhatch.relay.upstreams.retry_after import read_retry_after
 from beamhatch.relay.workspaces.workspace import KeyDigest, digest_key
 
 REQUEST_ID = "request-id"
@@ -41,6 +42,13 @@
 OF_WORKSPACES = frozenset({KEY, WORKSPACE})
 """Headers that concern nobody but the relay where it admits requests by keys."""
 
+LEAVING = "server-leaving"
+SAYS_SO = "1"
+"""The only value by which an upstream says that it leaves; any other says nothing."""
+
+TURNED_AWAY = frozenset({429, 503})
+"""Statuses by which an upstream turns a request away; with these it may ask for rest."""
+
 MOST_ID_BYTES = 200
 """Characters of a request id at the most: ids of the platform have 16, and logs repeat them."""
 
@@ -120,6 +128,8 @@
             not_run="not-executed" in found,
             encoded=found.get("content-encoding", "identity").lower() != "identity",
             load=_read_load(found.get("server-load")),
+            leaving=found.get(LEAVING, "").strip() == SAYS_SO,
+            rest=read_retry_after(found.get("retry-after"), found.get("date")) if status in TURNED_AWAY else None,
         )
 
     def read_handle(self, body: bytes) -> str | None:
--- a/src/beamhatch/relay/api.py
+++ b/src/beamhatch/relay/api.py
@@ -60,6 +60,10 @@
     encoded: bool = False
     """True where the body is not as the upstream made it."""
     load: Load | None = None
+    leaving: bool = False
+    """True where the upstream says that it leaves."""
+    rest: float | None = None
+    """Seconds for which the upstream wants nothing from this VM; None where it asks for no rest."""
 
 
 class Dialect(ABC):
--- a/src/beamhatch/relay/core.py
+++ b/src/beamhatch/relay/core.py
@@ -31,6 +31,7 @@
 from beamhatch.relay.requests.fingerprint import find_fingerprint
 from beamhatch.relay.requests.lengths import AnswerLengths
 from beamhatch.relay.requests.line import NO_CLAIM, Line
+from beamhatch.relay.upstreams.announcements import Announcements
 from beamhatch.relay.upstreams.listing import Listing
 from beamhatch.relay.workspaces.admission import Admission, Admitted, OverQuota, Undecided
 
@@ -156,6 +157,7 @@
     admission: Admission = field(default_factory=Admission)
     without: Without = ALL_IN
     listing: Listing = field(default_factory=Listing)
+    announcements: Announcements = field(init=False)
     eligibility: Eligibility = field(init=False)
     changes: Changes = field(default_factory=Changes)
     quarantine: Quarantine = field(default_factory=Quarantine)
@@ -198,6 +200,7 @@
 
     def __post_init__(self) -> None:
         """Put together what stands between requests and upstreams."""
+        self.announcements = Announcements(self.clock, self.journal, self.tally, self.dialect)
         self.eligibility = Eligibility(self.listing, self.places, Evacuations(self.places))
         self.chooser.find_cold_cost = self.find_cold_cost
         self._orders = defaultdict(self._make_order)
@@ -278,6 +281,7 @@
         if changed:
             listing.forget_old(now)
             self.standings.keep_only(listing.list_ids())
+            self.announcements.forget_old(listing.list_ids())
             self.on_change()
 
     def _note_restart(self, upstream: Upstream, before: Upstream) -> None:
--- a/src/beamhatch/relay/daemon.py
+++ b/src/beamhatch/relay/daemon.py
@@ -163,6 +163,8 @@
         tally.gauges["configuration_version"] = lambda: float(self.core.version)
         tally.gauges["known_vms"] = lambda: float(self.core.vms)
         tally.gauges["held_requests"] = lambda: float(self.core.quarantine.count(clock.now()))
+        tally.gauges["leaving_by_own_word"] = lambda: float(len(self.core.announcements.departures.list_untold()))
+        tally.gauges["resting_upstreams"] = lambda: float(self.core.announcements.rests.count(clock.now()))
         tally.gauges["cold_upstreams"] = lambda: float(len(self.core.cold_watch.cold))
         tally.gauges["connections_opened"] = lambda: float(client.opened)
         tally.gauges["log_lines_left_out"] = lambda: float(journal.left_out)
--- a/src/beamhatch/relay/engines/ordering.py
+++ b/src/beamhatch/relay/engines/ordering.py
@@ -178,6 +178,8 @@
         call = self.core.dialect.make_order(upstream, change.phase, self._vm, token)
         answer = await fetch(self.core.client, self.core.clock, upstream.address, call, ORDER_TIMEOUT)
         answered = not isinstance(answer, str)
+        if not isinstance(answer, str):
+            self.core.announcements.read(upstream, answer.head)
         if isinstance(answer, str) or answer.head.status == ACCEPTED:
             self.core.take_change(upstream.id, ChangeNews(change.phase, LONGEST_CHANGE, certain=answered), "order")
         outcome = answer if isinstance(answer, str) else f"status {answer.head.status}"
--- a/src/beamhatch/relay/model.py
+++ b/src/beamhatch/relay/model.py
@@ -5,7 +5,7 @@
 import hashlib
 from dataclasses import dataclass, field
 from enum import Enum
-from typing import NewType
+from typing import NamedTuple, NewType
 
 from beamhatch.relay.places import RegionName
 from beamhatch.relay.workspaces.workspace import KeyDigest, Workspace, WorkspaceName
@@ -233,6 +233,17 @@
     return Table(version, tuple(routes), by_service, limits, ordered, workspaces, by_key, by_name)
 
 
+class Life(NamedTuple):
+    """One start of an upstream."""
+
+    id: UpstreamId
+    born: int
+    """When it started, in Unix milliseconds by its own clock; 0 where it does not tell.
+
+    It names a life, and is no time: another number under the same id is another start, which holds nothing of before.
+    """
+
+
 @dataclass(frozen=True, slots=True)
 class Upstream:
     """What an upstream's listing says of it."""
@@ -247,14 +258,16 @@
     cold_left: float = 0.0
     """Seconds for which it stays cold, counted from when this was told."""
     born: int = 0
-    """When it started, in Unix milliseconds by its own clock; 0 where it does not tell.
+    """See ``Life``."""
 
-    It names a life, and is no time: another number under the same id is another start, which holds nothing of before.
-    """
+    @property
+    def life(self) -> Life:
+        """Return which start of the upstream it is."""
+        return Life(self.id, self.born)
 
     def is_same_life(self, other: Upstream) -> bool:
         """Tell whether two entries are of one start of an upstream."""
-        return self.id == other.id and self.born == other.born
+        return self.life == other.life
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/beamhatch/relay/requests/exchange.py
+++ b/src/beamhatch/relay/requests/exchange.py
@@ -19,7 +19,8 @@
 from beamhatch.relay.requests.answer import PROMISES, WholeAnswer
 from beamhatch.relay.requests.line import Claim
 from beamhatch.relay.requests.request import Fail, Refuse, RelayRequest, Reserve, Send, Step, Wait
-from beamhatch.relay.upstreams.attempt import Attempt, DropSink
+from beamhatch.relay.upstreams.announcements import AnnouncementSink
+from beamhatch.relay.upstreams.attempt import Attempt
 from beamhatch.relay.upstreams.http_client import Call
 from beamhatch.relay.upstreams.plain_attempt import PlainAttempt
 from beamhatch.relay.upstreams.prefill_attempt import PrefillAttempt
@@ -565,7 +566,7 @@
         if self.core.eligibility.evacuations.is_emptied(upstream.hall):
             return
         self.write_log("given back", target=call.target, to=upstream.id)
-        self.core.client.open(upstream.address, call, DropSink())
+        self.core.client.open(upstream.address, call, AnnouncementSink(self.core.announcements, upstream))
 
     # --- what an attempt tells ---------------------------------------------------------------------------------------
 
--- a/src/beamhatch/relay/upstreams/attempt.py
+++ b/src/beamhatch/relay/upstreams/attempt.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, Any
 
 from beamhatch.relay.model import Stage
+from beamhatch.relay.upstreams.announcements import MISDIRECTED
 from beamhatch.relay.upstreams.http_client import AnswerSink, Fault
 
 if TYPE_CHECKING:
@@ -16,25 +17,6 @@
     from beamhatch.relay.requests.request import Send
     from beamhatch.relay.upstreams.http_client import Call, Exchange, Head
 
-MISDIRECTED = 421
-"""The status of an upstream that is not the one that was meant."""
-
-
-class DropSink(AnswerSink):
-    """Takes no notice of an answer."""
-
-    def take_head(self, head: Head) -> None:
-        """Take no notice."""
-
-    def take_data(self, data: bytes) -> None:
-        """Take no notice."""
-
-    def take_end(self) -> None:
-        """Take no notice."""
-
-    def take_fault(self, fault: Fault, detail: str) -> None:
-        """Take no notice."""
-
 
 class Attempt(AnswerSink):
     """One send; it ends by telling the exchange what to do next."""
@@ -131,6 +113,10 @@
         """Enter the send where it counts."""
         self._sent = True
         now = self.core.clock.now()
+        told = self.core.announcements.note_sent(self.send.upstream)
+        if told:
+            planned = round(now - self._started_at, 3)
+            self.exchange.write_log("sent in spite of its word", to=self.send.upstream.id, planned=planned, **told)
         self.request.note_sent(self.send, self.core.find_budget(self.request.service.name), now)
         if self.permit is not None:
             self.permit.use(now)
@@ -149,7 +135,7 @@
     def take_head(self, head: Head) -> None:
         """Take the head of the answer."""
         self.head = head
-        self.facts = self.core.dialect.read_answer(head.status, head.headers)
+        self.facts = self.core.announcements.read(self.send.upstream, head)
         now = self.core.clock.now()
         self.standing.note_alive(now)
         if self.facts.load is not None:
--- a/src/beamhatch/relay/upstreams/reserve_attempt.py
+++ b/src/beamhatch/relay/upstreams/reserve_attempt.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING, Any
 
 from beamhatch.relay.model import Reservation
-from beamhatch.relay.upstreams.attempt import MISDIRECTED
+from beamhatch.relay.upstreams.announcements import MISDIRECTED
 from beamhatch.relay.upstreams.http_client import AnswerSink, Fault
 
 if TYPE_CHECKING:
@@ -58,9 +58,16 @@
     def go_on(self) -> None:
         """Read on."""
 
+    def note_sent(self) -> None:
+        """Note where memory is asked for in spite of what the engine said."""
+        told = self.core.announcements.note_sent(self._step.upstream)
+        if told:
+            self._exchange.write_log("asked in spite of its word", to=self._step.upstream.id, **told)
+
     def take_head(self, head: Head) -> None:
         """Take the head of the answer."""
         self._head = head
+        self.core.announcements.read(self._step.upstream, head)
 
     def take_data(self, data: bytes) -> None:
         """Take a part of the answer."""
--- /dev/null
+++ b/tests/relay/upstreams/test_retry_after.py
@@ -0,0 +1,66 @@
+"""What is made of a ``Retry-After``, whatever stands in it."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from beamhatch.relay.upstreams.retry_after import LONGEST_WAIT, read_retry_after
+
+NOW = "Thu, 03 Dec 2026 03:00:00 GMT"
+
+
+@pytest.mark.parametrize(
+    ("text", "seconds"),
+    [
+        ("3", 3.0),
+        (" 2.5 ", 2.5),
+        ("0", None),
+        ("-3", None),
+        ("-0.5", None),
+        ("", None),
+        ("soon", None),
+        ("1e3", None),
+        ("0x10", None),
+        ("inf", None),
+        ("nan", None),
+        ("3 s", None),
+        ("٣", None),
+        ("600", 600.0),
+        ("601", LONGEST_WAIT),
+        ("9" * 300, LONGEST_WAIT),
+        ("9" * 5000, LONGEST_WAIT),
+        (None, None),
+    ],
+)
+def test_seconds_are_obeyed_up_to_ten_minutes_and_what_is_none_asks_nothing(
+    text: str | None, seconds: float | None
+) -> None:
+    assert read_retry_after(text, NOW) == seconds
+
+
+@pytest.mark.parametrize(
+    ("text", "seconds"),
+    [
+        ("Thu, 03 Dec 2026 03:00:04 GMT", 4.0),
+        ("Thu, 03 Dec 2026 02:59:00 GMT", None),
+        ("Thu, 03 Dec 2026 03:00:00 GMT", None),
+        ("Fri, 04 Dec 2026 03:00:00 GMT", LONGEST_WAIT),
+        ("Thu, 99 Dec 2026 03:00:00 GMT", None),
+        ("Thu, 03 Dec 2026 03:00:04 -0000", None),
+    ],
+)
+def test_a_date_is_read_against_the_answers_own_clock(text: str, seconds: float | None) -> None:
+    assert read_retry_after(text, NOW) == seconds
+
+
+@pytest.mark.parametrize("date", [None, "", "now", "Thu, 03 Dec 2026 03:00:00 -0000"])
+def test_a_date_asks_nothing_where_the_answer_does_not_tell_its_own(date: str | None) -> None:
+    assert read_retry_after("Thu, 03 Dec 2026 03:00:04 GMT", date) is None
+
+
+@given(st.text(), st.none() | st.text())
+def test_no_text_raises_or_is_obeyed_for_longer(text: str, date: str | None) -> None:
+    found = read_retry_after(text, date)
+    assert found is None or 0 < found <= LONGEST_WAIT
