Bring about requests to upstreams that said in an answer that they leave, or want rest

Cause (suspected): nobody reads these words of an answer. The stand-ins say both in all kinds of answers.

--- a/src/beamhatch/platform/standin/upstream.py
+++ b/src/beamhatch/platform/standin/upstream.py
@@ -155,8 +155,14 @@
         self.running = 0
         self.used = 0
         """Tokens of runs under way."""
-        self.calls = 0
-        """Calls that reached it so far, also those about memory."""
+        self.called_at: list[float] = []
+        """When each call reached it, also those about memory, in monotonic seconds."""
+        self.leaving = False
+        """It says in all its answers that it leaves."""
+        self.rest = ""
+        """What it asks of who is turned away: a ``Retry-After``; nothing where it is empty."""
+        self.rest_asked_at: list[float] = []
+        """When it asked for rest, in monotonic seconds."""
 
     def describe(self, service: str, hall: str, state: str = "ready") -> dict[str, object]:
         """Return its entry in the store."""
@@ -172,6 +178,23 @@
             "born": self.born,
         }
 
+    @property
+    def calls(self) -> int:
+        """Return how many calls reached it so far."""
+        return len(self.called_at)
+
+    def list_words(self, status: int = 200) -> list[tuple[str, str]]:
+        """Return the headers by which it tells of itself in an answer."""
+        words = [("Server-Leaving", "1")] if self.leaving else []
+        if status == 503 and self.rest:
+            self.rest_asked_at.append(self.clock.now())
+            words.append(("Retry-After", self.rest))
+        return words
+
+    def answer(self, responder: Responder, status: int, value: object, *headers: tuple[str, str]) -> None:
+        """Send a JSON answer."""
+        answer_json(responder, status, value, *headers, *self.list_words(status))
+
     def crash(self) -> None:
         """End at once with all runs, and come back in a while with nothing of before."""
         self.stop()
@@ -191,11 +214,11 @@
 
     def serve(self, incoming: IncomingRequest, responder: Responder) -> RequestHandler | None:
         """Serve one request."""
-        self.calls += 1
+        self.called_at.append(self.clock.now())
         headers = read_headers(incoming)
         request = headers.get("request-id", "")
         if headers.get("expect-instance", self.instance) != self.instance:
-            answer_json(responder, 421, {}, ("Instance-Id", self.instance))
+            self.answer(responder, 421, {}, ("Instance-Id", self.instance))
             return None
         if request:
             self.ledger.arrivals[request] += 1
@@ -205,7 +228,7 @@
             self.ledger.headers[request] = headers
             self.ledger.deadlines.append(int(headers.get("deadline-ms", 0)))
         if self.fault is UpstreamFault.SHED:
-            answer_json(responder, 503, {}, ("Not-Executed", "1"))
+            self.answer(responder, 503, {}, ("Not-Executed", "1"))
             return None
         return self.work_on(incoming, headers, request, responder)
 
@@ -231,7 +254,7 @@
         signed = [("Request-Id", request), ("Server-Load", f"{self.running},0,6")]
         if self.fault is not UpstreamFault.UNSIGNED:
             signed.append(("Response-Signature", f"{self.instance}.{request}"))
-        return signed
+        return signed + self.list_words()
 
     def _answer(self, run: Run, responder: Responder, text: bytes) -> None:
         if self.fault is UpstreamFault.HANG:
@@ -303,22 +326,22 @@
         """Serve a request, or a call about memory."""
         if not incoming.path.startswith("/api/"):
             return super().serve(incoming, responder)
-        self.calls += 1
+        self.called_at.append(self.clock.now())
         name, _, rest = incoming.path.removeprefix("/api/").partition("/")
         if name == "hold-take":
             self._set_aside(json.loads(incoming.body), responder)
         elif name == "hold-drop":
             self._drop(rest)
-            answer_json(responder, 200, {})
+            self.answer(responder, 200, {})
         elif name == "order":
             order = json.loads(incoming.body)
             self.ledger.orders.append(Order(self.clock.now(), order["holder"], order["fencing_token"], order["phase"]))
             self._take_order(order["phase"], responder)
         elif name == "kv-handle":
             self.ledger.handles.pop(f"{self.address}/{rest}", None)
-            answer_json(responder, 200, {})
+            self.answer(responder, 200, {})
         else:
-            answer_json(responder, 404, {})
+            self.answer(responder, 404, {})
         return None
 
     def take_lost_order(self) -> None:
@@ -333,10 +356,10 @@
             self._lost_order = phase
             return
         if self.ordered is not None:
-            answer_json(responder, 409, {})
+            self.answer(responder, 409, {})
             return
         self.ordered = phase
-        answer_json(responder, 202, {})
+        self.answer(responder, 202, {})
         self._await_idle()
 
     def _await_idle(self) -> None:
@@ -359,13 +382,13 @@
         if self.fault is UpstreamFault.HANG:
             return
         if asked["tokens"] > self.free:
-            answer_json(responder, 503, {}, ("Not-Executed", "1"))
+            self.answer(responder, 503, {}, ("Not-Executed", "1"))
             return
         self._number += 1
         hold = f"h{self._number}"
         self.held[hold] = asked["tokens"]
         self.clock.call_later(asked["ttl_ms"] / 1000, self._drop, hold)
-        self.clock.call_later(self.answer_delay, answer_json, responder, 200, {"hold": hold})
+        self.clock.call_later(self.answer_delay, self.answer, responder, 200, {"hold": hold})
 
     def _drop(self, hold: str) -> None:
         self.held.pop(hold, None)
@@ -375,21 +398,21 @@
     ) -> RequestHandler | None:
         """Read a prompt, or stream an answer."""
         if self.ordered is not None:
-            answer_json(responder, 503, {}, ("Not-Executed", "1"))
+            self.answer(responder, 503, {}, ("Not-Executed", "1"))
             return None
         prompt, output = (int(word) for word in headers["token-count"].split(","))
         if (headers.get("stage") == "prefill") != (self.phase == "prefill"):
-            answer_json(responder, 421, {})
+            self.answer(responder, 421, {})
             return None
         if self.phase == "prefill":
             return self._read(request, prompt, responder)
         source = headers.get("cache-source")
         if source is not None and self.ledger.handles.pop(source, None) != request:
-            answer_json(responder, 503, {}, ("Not-Executed", "1"))
+            self.answer(responder, 503, {}, ("Not-Executed", "1"))
             return None
         self._drop(headers.get("cache-hold", ""))
         if prompt > self.free:
-            answer_json(responder, 503, {}, ("Not-Executed", "1"))
+            self.answer(responder, 503, {}, ("Not-Executed", "1"))
             return None
         first = self.step if source is None else self.step + self.move_time
         if source is None and self.reads_in_turn:
@@ -415,7 +438,7 @@
             key = f"{self.address}/{handle}"
             self.ledger.handles[key] = request
             self.clock.call_later(self.handle_lifetime, self.ledger.handles.pop, key, None)
-            answer_json(responder, 200, {"kv_handle": handle, "tokens": prompt, "version": 1}, ("Request-Id", request))
+            self.answer(responder, 200, {"kv_handle": handle, "tokens": prompt, "version": 1}, ("Request-Id", request))
 
         run.later(self._take_turn(prompt / self.read_rate), end)
         return run
