Have the soak's upstreams leave and rest by their own word, with promises and mutants

Cause: no stand-in said anything of itself in an answer, so neither tests nor the soak could see that nobody read it.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -14,7 +14,7 @@
 
 from tests.soak.mutants import MUTANTS
 from tests.soak.run import Report, run_soak
-from tests.soak.schedule import WEIGHTS, FaultKind, draw_steps
+from tests.soak.schedule import FaultKind, draw_steps
 
 MOST_SHOWN = 20
 """Breaches that are printed one by one."""
@@ -43,7 +43,7 @@
     folder = asked.logs or Path(tempfile.mkdtemp(prefix="soak-"))
     folder.mkdir(parents=True, exist_ok=True)
     mutant = MUTANTS.get(asked.mutant)
-    kinds = asked.fault or (list(WEIGHTS) if mutant is None else mutant.faults)
+    kinds = asked.fault or ([] if mutant is None else mutant.faults)
     steps = draw_steps(asked.seed, asked.seconds, kinds)
     report = run_soak(folder, asked.seed, asked.vms, asked.seconds, steps, asked.mutant)
     _show(report, asked.seed, folder)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -8,13 +8,14 @@
 from beamhatch.platform.standin.store import StoreFault
 from beamhatch.platform.standin.upstream import UpstreamFault
 from beamhatch.standin.link import Drop
-from tests.soak.promise import GRACE, LEAVE_BOUND, Promise
+from tests.soak.promise import GRACE, LEAVE_BOUND, REST_TIME, Promise
 from tests.soak.schedule import PLANNED, FaultKind, Step
 from tests.soak.upstreams import ModelEngine
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
 
+    from tests.soak.upstreams import PlainReplica
     from tests.soak.vm import VmProcess
     from tests.soak.world import World
 
@@ -84,6 +85,8 @@
             FaultKind.UPSTREAM_FAULT: self._harm_upstream,
             FaultKind.UPSTREAM_CRASH: self._crash_upstream,
             FaultKind.UPSTREAM_LEAVES: self._leave,
+            FaultKind.UPSTREAM_SAYS_LEAVING: self._say_leaving,
+            FaultKind.UPSTREAM_RESTS: self._rest,
             FaultKind.HALL_COLD: self._chill_hall,
             FaultKind.EVACUATE: self._evacuate,
             FaultKind.CONFIGURE: lambda step: self._world.configure(),
@@ -258,8 +261,8 @@
         upstream.fault = UPSTREAM_FAULTS[int(step.seconds * 1000) % len(UPSTREAM_FAULTS)]
         self._later(step.seconds, self._mend_upstream, upstream)
 
-    def _mend_upstream(self, upstream: ModelEngine) -> None:
-        upstream.fault = UpstreamFault.NONE
+    def _mend_upstream(self, upstream: PlainReplica | ModelEngine) -> None:
+        upstream.fault, upstream.rest = UpstreamFault.NONE, ""
 
     def _send_deadly(self, step: Step) -> None:
         """Have a caller send one request again and again, for longer than it may arrive anywhere."""
@@ -300,6 +303,24 @@
         facts.leaves_at = self._world.now()
         self._later(LEAVE_BOUND + LINGER, self._end_upstream, name)
 
+    def _say_leaving(self, step: Step) -> None:
+        """Have an upstream say in its answers that it leaves, for longer than anything new may come."""
+        name = pick(list(self._world.placed), step)
+        placed = self._world.placed[name]
+        if placed.upstream.leaving:
+            return
+        phase = placed.upstream.phase if isinstance(placed.upstream, ModelEngine) else ""
+        self._world.add_upstream(placed.service, placed.hall, phase, cold=True)
+        placed.upstream.leaving = True
+        self._later(LEAVE_BOUND + LINGER + step.seconds, self._end_upstream, name)
+
+    def _rest(self, step: Step) -> None:
+        """Have an upstream turn requests away and ask for rest, for longer than one rest."""
+        upstream = pick(list(self._world.placed.values()), step).upstream
+        if upstream.fault is UpstreamFault.NONE:
+            upstream.fault, upstream.rest = UpstreamFault.SHED, str(REST_TIME)
+            self._later(REST_TIME + step.seconds, self._mend_upstream, upstream)
+
     def _end_upstream(self, name: str) -> None:
         if name in self._world.placed:
             self._world.remove_upstream(name)
--- a/tests/soak/mutants.py
+++ b/tests/soak/mutants.py
@@ -8,6 +8,7 @@
 
 from beamhatch.platform.run import main
 from beamhatch.relay.choosing.eligibility import Eligibility, Obstacle
+from beamhatch.relay.choosing.rests import Rests
 from beamhatch.relay.core import Core
 from beamhatch.relay.daemon import Daemon
 from beamhatch.relay.quarantine.quarantine import Quarantine
@@ -68,6 +69,14 @@
     Core.take_document = take_first  # type: ignore[method-assign]
 
 
+def _forgets_words() -> None:
+    Listing.note_leaving = lambda self, life, now: False  # type: ignore[method-assign]
+
+
+def _ignores_rests() -> None:
+    Rests.may_send = lambda self, life, now: True  # type: ignore[method-assign]
+
+
 def _stops_at_once() -> None:
     def stop(self: Daemon) -> None:
         self.clock.reactor.stop()
@@ -109,6 +118,8 @@
     "ignores-regions": Mutant(Promise.REGION, [FaultKind.CONFIGURE], _passes_obstacle(Obstacle.REGION)),
     "ignores-cold": Mutant(Promise.COLD, COLD_FAULTS, _ignores_cold),
     "uses-leaving": Mutant(Promise.LEAVING, [FaultKind.UPSTREAM_LEAVES], _uses_leaving),
+    "forgets-words": Mutant(Promise.LEAVING, [FaultKind.UPSTREAM_SAYS_LEAVING], _forgets_words),
+    "ignores-rests": Mutant(Promise.RESTING, [FaultKind.UPSTREAM_RESTS], _ignores_rests),
     "keeps-first-configuration": Mutant(Promise.IN_FORCE, [FaultKind.CONFIGURE], _keeps_first_configuration),
     "stops-at-once": Mutant(Promise.PLANNED_STOP, [FaultKind.STOP], _stops_at_once),
     "keeps-memory": Mutant(Promise.GIVEN_BACK, UPSTREAM_FAULTS, _keeps_memory),
--- a/tests/soak/promise.py
+++ b/tests/soak/promise.py
@@ -17,6 +17,7 @@
     COLD = "a cold upstream gets no more than it bears"
     REGION = "a request stays in the regions of its route"
     LEAVING = "an upstream that leaves gets nothing new"
+    RESTING = "an upstream that asked a VM for rest gets it"
     IN_FORCE = "a configuration is in force in its time"
     NO_STEP_BACK = "a VM that served by a configuration does not go back to an older one"
     PLANNED_STOP = "a planned stop cuts off nothing, and ends in its time"
@@ -52,6 +53,14 @@
 LEAVE_BOUND = 3.0
 """Seconds behind the store's answer from which on a leaving upstream gets nothing new."""
 
+WORD_BOUND = 2.0
+"""Seconds behind an answer by which an upstream says that it leaves; what that VM is sent later does not reach it."""
+
+REST_TIME = 4.0
+REST_SLACK = 0.5
+MOST_IN_REST = 2
+"""Two requests may reach an upstream from a VM between half a second behind its asking for rest and the end of it."""
+
 STEP_BACK_SLACK = 0.25
 """Seconds behind an effect of a version in which another request may still be handled by the version before."""
 
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -41,6 +41,10 @@
     """An upstream is gone, and comes back cold under another id."""
     UPSTREAM_LEAVES = "upstream_leaves"
     """An upstream says that it leaves, serves on for a while, and ends; another one comes."""
+    UPSTREAM_SAYS_LEAVING = "upstream_says_leaving"
+    """An upstream says in its answers alone that it leaves: its entry stays; it ends later, and another one comes."""
+    UPSTREAM_RESTS = "upstream_rests"
+    """An upstream turns requests away, and asks for rest."""
     HALL_COLD = "hall_cold"
     """All upstreams of a hall go down, and come back together, cold."""
     EVACUATE = "evacuate"
@@ -75,14 +79,27 @@
     FaultKind.CONFIGURE: 4,
 }
 
+OWN_WORDS = (FaultKind.UPSTREAM_SAYS_LEAVING, FaultKind.UPSTREAM_RESTS)
+"""Drawn apart, so that a seed's other faults are what they were before these came."""
+
 PLANNED = frozenset(
-    {FaultKind.STOP, FaultKind.RELOAD, FaultKind.UPSTREAM_LEAVES, FaultKind.EVACUATE, FaultKind.CONFIGURE}
+    {
+        FaultKind.STOP,
+        FaultKind.RELOAD,
+        FaultKind.UPSTREAM_LEAVES,
+        FaultKind.UPSTREAM_SAYS_LEAVING,
+        FaultKind.EVACUATE,
+        FaultKind.CONFIGURE,
+    }
 )
 """What operators do, and nothing may be lost by."""
 
 MEAN_GAP = 1.2
 """Seconds between two faults in the mean: with faults of up to 6 s, some five overlap."""
 
+WORDS_GAP = 3.0
+"""Seconds between two upstreams in the mean that leave or rest by their own word."""
+
 
 @dataclass(frozen=True, slots=True)
 class Step:
@@ -97,13 +114,23 @@
     """From 0 to 1: which of the things that it may strike."""
 
 
-def draw_steps(seed: int, seconds: float, kinds: Sequence[FaultKind] = tuple(WEIGHTS)) -> list[Step]:
-    """Return the faults of a run, of some kinds."""
-    drawn = random.Random(seed)
+def draw_steps(seed: int, seconds: float, kinds: Sequence[FaultKind] = ()) -> list[Step]:
+    """Return the faults of a run.
+
+    :param kinds: what is drawn; all that strike any run where none is named
+    """
+    if kinds:
+        return _draw(random.Random(seed), seconds, kinds, MEAN_GAP)
+    steps = _draw(random.Random(seed), seconds, tuple(WEIGHTS), MEAN_GAP)
+    words = _draw(random.Random(f"own words of {seed}"), seconds, OWN_WORDS, WORDS_GAP)
+    return sorted([*steps, *words], key=lambda step: step.at)
+
+
+def _draw(drawn: random.Random, seconds: float, kinds: Sequence[FaultKind], gap: float) -> list[Step]:
     steps = []
     at = drawn.uniform(0.5, 2.0)
     while at < seconds:
         kind = drawn.choices(kinds, [WEIGHTS.get(one, 1) for one in kinds])[0]
         steps.append(Step(at, kind, drawn.uniform(0.5, 6.0), drawn.random()))
-        at += drawn.expovariate(1 / MEAN_GAP)
+        at += drawn.expovariate(1 / gap)
     return steps
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -129,6 +129,35 @@
     assert list_broken(witness) == {Promise.DEADLY}
 
 
+def test_what_reaches_an_upstream_that_told_the_vm_that_it_leaves_is_seen(witness: Witness) -> None:
+    ask(witness, "/safe/")
+    witness.take_outcome(make_outcome("/safe/", 200, {**SIGNED, "server-leaving": "1"}, b"GET /safe/x q1"))  # at 21 s
+    ask(witness, "/safe/", 22.9, "q2")
+    witness.take_arrival("q2", "/safe/x", "i-1", 23.1)
+    assert not witness.breaches
+    ask(witness, "/safe/", 23.1, "q3")
+    witness.take_arrival("q3", "/safe/x", "i-1", 23.2)
+    assert list_broken(witness) == {Promise.LEAVING}
+
+
+@pytest.mark.parametrize("excuse", ["", "another start", "disturbed"])
+def test_a_rest_that_is_broken_is_seen(witness: Witness, excuse: str) -> None:
+    ask(witness, "/safe/")
+    witness.take_rest("q1", "i-1", 4.0, 20.0)
+    if excuse == "another start":
+        witness.asked["q1"] = Asked("/safe/", "vm0", 2, 20.0)
+    if excuse == "disturbed":
+        witness.vms["vm0"].calm.begin()
+        witness.vms["vm0"].calm.end(20.1)
+    for at in (20.1, 20.4, 20.6, 23.9):
+        witness.take_arrival("q1", "/safe/x", "i-1", at)
+    assert not witness.breaches
+    witness.take_arrival("q1", "/safe/x", "i-1", 24.0)
+    assert list_broken(witness) == (set() if excuse else {Promise.RESTING})
+    witness.take_arrival("q1", "/safe/x", "i-1", 24.1)
+    assert len(witness.breaches) == (0 if excuse else 1)
+
+
 def test_an_old_version_is_seen(witness: Witness) -> None:
     ask(witness, "/v1/")
     witness.take_arrival("q1", "/v1/x", "i-1", 20.0)
--- a/tests/soak/witness.py
+++ b/tests/soak/witness.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from tests.soak.own_words import Heard, OwnWords
 from tests.soak.promise import (
     COLD_BOUND,
     CONFIGURATION_BOUND,
@@ -126,6 +127,7 @@
     """Sends for each such target later than all VMs could know."""
     outcomes: int = 0
     served: int = 0
+    words: OwnWords = field(default_factory=OwnWords)
     _orders: int = 0
     _last_order: Order | None = None
 
@@ -151,6 +153,7 @@
         self._check_region(upstream, asked, request, now)
         if request in self.refused:
             self.break_promise(Promise.NOT_RUN, now, f"{request} reached {instance} behind its refusal")
+        self._check_words(asked, request, instance, now)
         if self.is_in_touch(asked.vm, now):
             self._check_place(upstream, request, instance, now)
         self._check_version(asked, request, path, now)
@@ -159,6 +162,18 @@
         """Take in that a request for a target has ended an upstream."""
         self.ends.setdefault(target, []).append(now)
 
+    def take_rest(self, request: str, instance: str, seconds: float, now: float) -> None:
+        """Take in that an upstream turns a request away, and asks the VM that sent it for rest."""
+        asked = self.asked.get(request)
+        if asked is not None:
+            self.words.take_rest(Heard(instance, asked.vm, asked.life), seconds, now)
+
+    def _check_words(self, asked: Asked, request: str, instance: str, now: float) -> None:
+        heard = Heard(instance, asked.vm, asked.life)
+        broken = self.words.check_arrival(heard, asked.sent_at, self.vms[asked.vm].calm.since, now)
+        if broken is not None:
+            self.break_promise(broken, now, f"{request} reached {instance} from {asked.vm} in spite of its word")
+
     def _check_deadly(self, asked: Asked, request: str, target: str, now: float) -> None:
         ends = self.ends.get(target, [])
         if len(ends) < LEAST_ENDS or now < ends[LEAST_ENDS - 1] + CONTACT_TIME:
@@ -218,6 +233,9 @@
         terms = self.find_terms(outcome.route)
         self._check_runs(outcome.request, terms, outcome.ended_at)
         signature = outcome.headers.get("response-signature")
+        if signature is not None and outcome.headers.get("server-leaving") == "1":
+            instance = signature.partition(".")[0]
+            self.words.take_leaving(Heard(instance, outcome.vm, outcome.life), outcome.ended_at)
         if outcome.status in NOT_RUN_STATUSES and signature is None:
             self.refused[outcome.request] = outcome.ended_at
             if self.ledger.runs[outcome.request]:
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -8,7 +8,7 @@
 from typing import TYPE_CHECKING
 
 from beamhatch.platform.standin.store import StandInStore
-from beamhatch.platform.standin.upstream import Ledger
+from beamhatch.platform.standin.upstream import Ledger, UpstreamFault
 from beamhatch.relay.model import Address
 from beamhatch.standin.link import Link, open_link
 from tests.soak.caller import CONNECT_TIMEOUT, HOST, PATIENCE, CallerConnection, CallerFactory, Outcome
@@ -178,7 +178,11 @@
         self.on_crash(name)
 
     def _take_arrival(self, arrival: Arrival) -> None:
-        self.witness.take_arrival(arrival.request, arrival.path, arrival.instance, self.now())
+        now = self.now()
+        self.witness.take_arrival(arrival.request, arrival.path, arrival.instance, now)
+        placed = self.placed.get(arrival.instance)
+        if placed is not None and placed.upstream.fault is UpstreamFault.SHED and placed.upstream.rest:
+            self.witness.take_rest(arrival.request, arrival.instance, float(placed.upstream.rest), now)
 
     # --- callers -----------------------------------------------------------------------------------------------------
 
