Count ends before the head of an answer, and those that new connections hid

Cause: a stream was taken as begun with the head of its answer alone, so one that ended its engine before was never held: up to 44 sends later than 3 s behind the third end, where 3 are borne (red first on the code before: 6, 10, 18, 22, 38 and 44 in six cases). And an end was told by connections left against runs that broke; those opened since hid it, and a lone idle one that lasted did not. Change: 10 ms behind its send a run may have been begun, whatever it is of. The test on connections left is replaced: it counted; now it has connections, and what was opened since, idle ones, and parts of 64 besides. The talk of quarantine takes what it needs and not the core: the circle of modules round it is seven (eight), that of the platform's interface three (five).

--- a/src/beamhatch/platform/standin/upstream.py
+++ b/src/beamhatch/platform/standin/upstream.py
@@ -312,6 +312,9 @@
         self._number = 0
         self._reads_until = 0.0
 
+    answers_before_crash = True
+    """Whether it has begun to answer a deadly request when that ends it."""
+
     def crash(self) -> None:
         """End at once, with all that it holds."""
         self.held.clear()
@@ -419,7 +422,8 @@
             first += self._take_turn(2 * prompt / self.read_rate)
         if incoming.target in self.ledger.deadly:
             run = self.begin(request)
-            responder.begin(200, [("Content-Type", "text/event-stream"), *self.sign(request)])
+            if self.answers_before_crash:
+                responder.begin(200, [("Content-Type", "text/event-stream"), *self.sign(request)])
             run.later(self.crash_delay, lambda: self.crash_by(request, incoming.target))
             return run
         return self._stream(request, prompt, output, int(headers.get("last-event-id", 0)), first, responder)
--- a/src/beamhatch/platform/store.py
+++ b/src/beamhatch/platform/store.py
@@ -20,8 +20,8 @@
     Taken,
 )
 from beamhatch.relay.fleet.evacuations import Evacuation
-from beamhatch.relay.model import UpstreamId
-from beamhatch.relay.requests.fingerprint import FINGERPRINT_BYTES, Fingerprint
+from beamhatch.relay.model import Fingerprint, UpstreamId
+from beamhatch.relay.requests.fingerprint import FINGERPRINT_BYTES
 from beamhatch.relay.upstreams.http_client import Call
 from beamhatch.relay.upstreams.http_fetch import fetch
 
--- a/src/beamhatch/relay/api.py
+++ b/src/beamhatch/relay/api.py
@@ -11,8 +11,7 @@
 
     from beamhatch.relay.choosing.standing import Load
     from beamhatch.relay.fleet.evacuations import Evacuation
-    from beamhatch.relay.model import Handle, Phase, RequestFacts, Reservation, Stage, Table, Upstream
-    from beamhatch.relay.requests.fingerprint import Fingerprint
+    from beamhatch.relay.model import Fingerprint, Handle, Phase, RequestFacts, Reservation, Stage, Table, Upstream
     from beamhatch.relay.upstreams.http_client import Call
     from beamhatch.relay.upstreams.listing import Entry
     from beamhatch.relay.workspaces.workspace import WorkspaceName
--- a/src/beamhatch/relay/core.py
+++ b/src/beamhatch/relay/core.py
@@ -25,7 +25,7 @@
 from beamhatch.relay.model import CallerLimits, Phase, Regions, ServiceName
 from beamhatch.relay.places import Places
 from beamhatch.relay.quarantine.quarantine import Quarantine
-from beamhatch.relay.quarantine.talk import QuarantineTalk
+from beamhatch.relay.quarantine.talk import QuarantineTalk, TalkNeeds
 from beamhatch.relay.requests.budget import Budget, BudgetTerms
 from beamhatch.relay.requests.exchange import HELD, REGION_RETRY, RelayExchange
 from beamhatch.relay.requests.fair_order import ArrivalOrder, FairOrder, StartTimeOrder
@@ -46,9 +46,18 @@
     from beamhatch.relay.callers.http_server import IncomingRequest, RequestHandler, Responder
     from beamhatch.relay.choosing.chooser import Chooser
     from beamhatch.relay.fleet.evacuations import Evacuation
-    from beamhatch.relay.model import ColdTerms, Life, RequestFacts, Route, Service, Table, Upstream, UpstreamId
+    from beamhatch.relay.model import (
+        ColdTerms,
+        Fingerprint,
+        Life,
+        RequestFacts,
+        Route,
+        Service,
+        Table,
+        Upstream,
+        UpstreamId,
+    )
     from beamhatch.relay.places import RegionName
-    from beamhatch.relay.requests.fingerprint import Fingerprint
     from beamhatch.relay.requests.line import Claim
     from beamhatch.relay.upstreams.http_client import HttpClient
     from beamhatch.relay.upstreams.listing import Entry
@@ -208,7 +217,9 @@
         )
         self.chooser.find_cold_cost = self.find_cold_cost
         self._orders = defaultdict(self._make_order)
-        self.quarantine_talk = QuarantineTalk(self)
+        self.quarantine_talk = QuarantineTalk(
+            TalkNeeds(self.clock, self.journal, self.tally, self.quarantine, self.client.list_open, self.end_waits)
+        )
 
     @property
     def table(self) -> Table | None:
--- a/src/beamhatch/relay/engines/leadership.py
+++ b/src/beamhatch/relay/engines/leadership.py
@@ -23,7 +23,7 @@
 
     from beamhatch.relay.api import Store
     from beamhatch.relay.core import Core
-    from beamhatch.relay.requests.fingerprint import Fingerprint
+    from beamhatch.relay.model import Fingerprint
 
 LEASE_TIME = 3.0
 """Seconds for which the lease of a leader runs."""
--- a/src/beamhatch/relay/model.py
+++ b/src/beamhatch/relay/model.py
@@ -16,6 +16,9 @@
 ServiceName = NewType("ServiceName", str)
 """Name of a service, a set of upstreams that can stand in for each other."""
 
+Fingerprint = NewType("Fingerprint", bytes)
+"""What is the same for a request that is sent again: a digest, from which neither body nor caller can be read."""
+
 Regions = frozenset[RegionName] | None
 """The regions in which something may be served, cached and kept; None where it may be in any."""
 
--- a/src/beamhatch/relay/quarantine/attribution.py
+++ b/src/beamhatch/relay/quarantine/attribution.py
@@ -14,8 +14,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
 
+    from beamhatch.relay.model import Fingerprint
     from beamhatch.relay.quarantine.ends import UpstreamEnd
-    from beamhatch.relay.requests.fingerprint import Fingerprint
 
 LEAST_ENDS = 3
 """Ends from which on a request is taken to cause them: the users bear three, and few more.
--- a/src/beamhatch/relay/quarantine/ends.py
+++ b/src/beamhatch/relay/quarantine/ends.py
@@ -11,8 +11,7 @@
 
 import msgspec
 
-from beamhatch.relay.model import UpstreamId
-from beamhatch.relay.requests.fingerprint import Fingerprint
+from beamhatch.relay.model import Fingerprint, UpstreamId
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
--- a/src/beamhatch/relay/quarantine/keeping.py
+++ b/src/beamhatch/relay/quarantine/keeping.py
@@ -16,7 +16,7 @@
 
     from beamhatch.relay.api import Store
     from beamhatch.relay.core import Core
-    from beamhatch.relay.requests.fingerprint import Fingerprint
+    from beamhatch.relay.model import Fingerprint
 
 STAND_IN_WAIT = 1.0, 2.0
 """Seconds for which VMs wait that did not see the last end: the one that did has written it down by then."""
--- a/src/beamhatch/relay/quarantine/quarantine.py
+++ b/src/beamhatch/relay/quarantine/quarantine.py
@@ -12,9 +12,9 @@
 
 import msgspec
 
+from beamhatch.relay.model import Fingerprint
 from beamhatch.relay.quarantine.attribution import LEAST_ENDS, Attribution, CoverAttribution
 from beamhatch.relay.quarantine.ends import MEMORY, EndNews, UpstreamEnds
-from beamhatch.relay.requests.fingerprint import Fingerprint
 
 if TYPE_CHECKING:
     from collections.abc import Collection
--- a/src/beamhatch/relay/quarantine/talk.py
+++ b/src/beamhatch/relay/quarantine/talk.py
@@ -18,13 +18,15 @@
 from beamhatch.relay.quarantine.quarantine import HOLD_TIME, ClearNews, HoldNews
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable, Sequence
+    from collections.abc import Callable, Iterable, Sequence, Set
 
-    from beamhatch.relay.core import Core
+    from beamhatch.clock import Clock
+    from beamhatch.observe.journal import Journal
+    from beamhatch.observe.tally import Tally
     from beamhatch.relay.fleet.peer_connection import PeerConnection
-    from beamhatch.relay.model import Upstream
-    from beamhatch.relay.quarantine.quarantine import Hold
-    from beamhatch.relay.requests.fingerprint import Fingerprint
+    from beamhatch.relay.model import Address, Fingerprint, Upstream
+    from beamhatch.relay.quarantine.quarantine import Hold, Quarantine
+    from beamhatch.relay.upstreams.http_client import Connection
 
 TELL_GAP = 0.1
 """Seconds between two words to each peer: at 300 VMs an end takes a few of them, and not one for each stream."""
@@ -59,12 +61,29 @@
     since: float
 
 
+@dataclass(frozen=True, slots=True)
+class TalkNeeds:
+    """What the talk needs of the VM."""
+
+    clock: Clock
+    journal: Journal
+    tally: Tally
+    quarantine: Quarantine
+    list_open: Callable[[Address], Set[Connection]]
+    """Returns the connections to an upstream that are open."""
+    end_waits: Callable[[Fingerprint], None]
+    """Has all who wait with a request that is held be told so."""
+
+
 class QuarantineTalk:
     """Keeps the quarantine of one VM, and what is said of it."""
 
-    def __init__(self, core: Core) -> None:
-        self.core = core
-        self.quarantine = core.quarantine
+    def __init__(self, needs: TalkNeeds) -> None:
+        self._clock = needs.clock
+        self._journal = needs.journal
+        self._tally = needs.tally
+        self.quarantine = needs.quarantine
+        self._end_waits = needs.end_waits
         self.list_connections: Callable[[], Iterable[PeerConnection]] = list
         """Returns the connections to peers that are up."""
         self.hall = ""
@@ -75,8 +94,8 @@
         """Called with a request that is held by ends that this VM saw itself, and whether it saw the last of them."""
         self.on_clear: Callable[[Fingerprint], None] = lambda fingerprint: None
         """Called with a request that came to a good end here, and whose quarantine the store keeps."""
-        self._detection = EndDetection(core.clock, core.client.count_connections, self._note_end)
-        self._words = Throttle(core.clock, TELL_GAP, self._tell)
+        self._detection = EndDetection(needs.clock, needs.list_open, self._note_end)
+        self._words = Throttle(needs.clock, TELL_GAP, self._tell)
         self._untold: list[_Untold] = []
         self._own: dict[Fingerprint, float] = {}
         """When a run of each request broke here last at an upstream's end."""
@@ -91,14 +110,14 @@
         """
         if not begun and ran < LEAST_RUN:
             return
-        if self.quarantine.is_good(fingerprint, self.core.clock.now()):
-            self.core.tally.count("quarantine_excused_total")
+        if self.quarantine.is_good(fingerprint, self._clock.now()):
+            self._tally.count("quarantine_excused_total")
             return
         self._detection.note_broken(upstream, fingerprint, ran)
 
     def note_good(self, fingerprint: Fingerprint) -> None:
         """Note that a run came to a good end."""
-        now = self.core.clock.now()
+        now = self._clock.now()
         kept = self.quarantine.is_told(fingerprint, now)
         clearing = self.quarantine.note_good(fingerprint, now)
         if clearing is None:
@@ -124,9 +143,9 @@
         self.quarantine.end_told_but(kept)
 
     def _note_end(self, news: EndNews) -> None:
-        now = self.core.clock.now()
-        self.core.tally.count("upstream_ends_total")
-        self.core.journal.write("QUARANTINE", "upstream ended", upstream=news.upstream, runs=len(news.runs))
+        now = self._clock.now()
+        self._tally.count("upstream_ends_total")
+        self._journal.write("QUARANTINE", "upstream ended", upstream=news.upstream, runs=len(news.runs))
         for run in news.runs:
             self._own[run.fingerprint] = now
         self._take_end(news, None)
@@ -144,14 +163,14 @@
 
     def tell_all(self, connection: PeerConnection) -> None:
         """Tell a peer that was met all there is."""
-        now = self.core.clock.now()
+        now = self._clock.now()
         ends = [end.tell(now) for end in list(self.quarantine.ends)[-MOST_TOLD_ENDS:]]
         holds = self.quarantine.list_told(now)
         if ends or holds:
             connection.tell(QuarantineNews(ends, [], holds))
 
     def _take_end(self, news: EndNews, source: PeerConnection | None) -> None:
-        now = self.core.clock.now()
+        now = self._clock.now()
         fresh = self.quarantine.take_end(news, now)
         if fresh is None:
             return
@@ -160,10 +179,10 @@
             self._say(cleared, None)
         if not self._pending:
             self._pending = True
-            self.core.clock.call_later(ATTRIBUTE_DELAY, self._attribute)
+            self._clock.call_later(ATTRIBUTE_DELAY, self._attribute)
 
     def _take_clear(self, news: ClearNews, source: PeerConnection) -> None:
-        now = self.core.clock.now()
+        now = self._clock.now()
         was_held = self.quarantine.find_hold(news.fingerprint, now) is not None
         if self.quarantine.clear(news.fingerprint, now - news.age):
             self._say(news, source)
@@ -171,21 +190,21 @@
             self._report_clear(news.fingerprint, f"peer {source.vm}")
 
     def _take_hold(self, news: HoldNews, source: PeerConnection | None) -> None:
-        now = self.core.clock.now()
+        now = self._clock.now()
         if self.quarantine.take_hold(news, now):
             hold = self.quarantine.find_hold(news.fingerprint, now)
             self._report_hold(news.fingerprint, hold, "the store" if source is None else f"peer {source.vm}")
-            self.core.end_waits(news.fingerprint)
+            self._end_waits(news.fingerprint)
             self._say(news, source)
 
     # --- what is made of it ------------------------------------------------------------------------------------------
 
     def _attribute(self) -> None:
         self._pending = False
-        now = self.core.clock.now()
+        now = self._clock.now()
         for fingerprint in self.quarantine.attribute(now):
             self._report_hold(fingerprint, self.quarantine.find_hold(fingerprint, now), "ends")
-            self.core.end_waits(fingerprint)
+            self._end_waits(fingerprint)
             own = self._own.get(fingerprint)
             if own is not None:
                 self.on_hold(fingerprint, now - own < 2 * ATTRIBUTE_DELAY)
@@ -193,30 +212,30 @@
 
     def _report_hold(self, fingerprint: Fingerprint, hold: Hold | None, source: str) -> None:
         upstreams = [end.upstream for end in self.quarantine.ends if fingerprint in end.runs]
-        self.core.tally.count("quarantines_total", "begun")
-        self.core.journal.write(
+        self._tally.count("quarantines_total", "begun")
+        self._journal.write(
             "QUARANTINE",
             "begun",
             fingerprint=fingerprint.hex(),
             ends=0 if hold is None else hold.ends,
             upstreams=upstreams[-MOST_LOGGED:],
-            seconds=0 if hold is None else round(hold.until - self.core.clock.now(), 1),
+            seconds=0 if hold is None else round(hold.until - self._clock.now(), 1),
             source=source,
         )
 
     def _report_clear(self, fingerprint: Fingerprint, source: str) -> None:
-        self.core.tally.count("quarantines_total", "cleared")
-        self.core.journal.write("QUARANTINE", "cleared", fingerprint=fingerprint.hex(), source=source)
+        self._tally.count("quarantines_total", "cleared")
+        self._journal.write("QUARANTINE", "cleared", fingerprint=fingerprint.hex(), source=source)
 
     # --- words -------------------------------------------------------------------------------------------------------
 
     def _say(self, item: Item, source: PeerConnection | None) -> None:
-        self._untold.append(_Untold(item, source, self.core.clock.now()))
+        self._untold.append(_Untold(item, source, self._clock.now()))
         self._words.ask()
 
     def _tell(self) -> None:
         untold, self._untold = self._untold, []
-        now = self.core.clock.now()
+        now = self._clock.now()
         hands_on = self.hands_on()
         for connection in self.list_connections():
             items = [
--- a/src/beamhatch/relay/requests/exchange.py
+++ b/src/beamhatch/relay/requests/exchange.py
@@ -32,8 +32,7 @@
     from beamhatch.relay.callers.http_server import IncomingRequest, Responder
     from beamhatch.relay.choosing.cold import Permit
     from beamhatch.relay.core import Core
-    from beamhatch.relay.model import Life, Regions, RequestFacts, Route, Service, Table, Upstream
-    from beamhatch.relay.requests.fingerprint import Fingerprint
+    from beamhatch.relay.model import Fingerprint, Life, Regions, RequestFacts, Route, Service, Table, Upstream
     from beamhatch.relay.requests.line import Line
     from beamhatch.relay.upstreams.http_client import Head
     from beamhatch.relay.workspaces.admission import Admitted
--- a/src/beamhatch/relay/requests/fingerprint.py
+++ b/src/beamhatch/relay/requests/fingerprint.py
@@ -3,15 +3,14 @@
 from __future__ import annotations
 
 import hashlib
-from typing import TYPE_CHECKING, NewType
+from typing import TYPE_CHECKING
+
+from beamhatch.relay.model import Fingerprint
 
 if TYPE_CHECKING:
     from beamhatch.relay.callers.http_server import IncomingRequest
     from beamhatch.relay.workspaces.workspace import WorkspaceName
 
-Fingerprint = NewType("Fingerprint", bytes)
-"""What is the same for a request that is sent again: a digest, from which neither body nor caller can be read."""
-
 FINGERPRINT_BYTES = 8
 """Bytes: among 18,000 requests a second, one meets any of 512 remembered fingerprints by chance in 23 million days."""
 
--- a/src/beamhatch/relay/upstreams/attempt.py
+++ b/src/beamhatch/relay/upstreams/attempt.py
@@ -184,9 +184,7 @@
         """Tell of a run whose upstream may have ended; a prompt that is only read runs nothing."""
         begun = self.head is not None
         self.core.tally.count("broken_runs_total", "begun" if begun else "unanswered")
-        if begun or not self.request.split:
-            talk = self.core.quarantine_talk
-            talk.note_broken(self.send.upstream, self.exchange.fingerprint, ran, begun=begun)
+        self.core.quarantine_talk.note_broken(self.send.upstream, self.exchange.fingerprint, ran, begun=begun)
 
     def take_not_run(self) -> None:
         """Go on elsewhere behind an upstream that turned the request away."""
--- a/src/beamhatch/relay/upstreams/http_client.py
+++ b/src/beamhatch/relay/upstreams/http_client.py
@@ -20,6 +20,8 @@
 from beamhatch.relay.model import Address
 
 if TYPE_CHECKING:
+    from collections.abc import Set
+
     from twisted.python.failure import Failure as TwistedFailure
 
     from beamhatch.clock import Clock
@@ -113,11 +115,13 @@
     def pause(self) -> None:
         """Stop reading for a while."""
         if self.connection is not None and self.connection.transport is not None:
+            self.connection.paused = True
             self.connection.transport.pauseProducing()
 
     def go_on(self) -> None:
         """Read again."""
         if self.connection is not None and self.connection.transport is not None:
+            self.connection.paused = False
             self.connection.transport.resumeProducing()
 
     def take_fault(self, fault: Fault, detail: str) -> None:
@@ -134,6 +138,8 @@
         self.address = address
         self.idle_until = 0.0
         self.idle_since = 0.0
+        self.paused = False
+        """True while nothing is read, so that its end is not seen."""
         self._client = client
         self._exchange: Exchange | None = None
         self._state = h11.Connection(h11.CLIENT, max_incomplete_event_size=MOST_HEAD_BYTES)
@@ -302,7 +308,7 @@
         self._clock = clock
         self._connect_timeout = connect_timeout
         self._idle: dict[Address, list[Connection]] = {}
-        self._counts: dict[Address, int] = {}
+        self._open: dict[Address, set[Connection]] = {}
         self.opened = 0
         """Connections opened so far."""
 
@@ -327,9 +333,9 @@
         )
         return exchange
 
-    def count_connections(self, address: Address) -> int:
-        """Return how many connections to an address are open."""
-        return self._counts.get(address, 0)
+    def list_open(self, address: Address) -> Set[Connection]:
+        """Return the connections to an address that are open."""
+        return frozenset(self._open.get(address, ()))
 
     def keep(self, connection: Connection, idle_limit: float) -> None:
         """Keep an idle connection, for less than the other side does."""
@@ -340,15 +346,14 @@
 
     def count(self, connection: Connection) -> None:
         """Count a connection that came up."""
-        self._counts[connection.address] = self._counts.get(connection.address, 0) + 1
+        self._open.setdefault(connection.address, set()).add(connection)
 
     def forget(self, connection: Connection) -> None:
         """Drop a connection that ended."""
-        left = self._counts.get(connection.address, 1) - 1
-        if left:
-            self._counts[connection.address] = left
-        else:
-            self._counts.pop(connection.address, None)
+        left = self._open.get(connection.address, set())
+        left.discard(connection)
+        if not left:
+            self._open.pop(connection.address, None)
         idle = self._idle.get(connection.address)
         if idle is not None and connection in idle:
             idle.remove(connection)
--- a/tests/platform/test_deadly.py
+++ b/tests/platform/test_deadly.py
@@ -337,3 +337,95 @@
     before = len(platform.ledger.sends)
     assert platform.finish(platform.call("/resumable/x", "late", vm="vm2")).status == 503
     assert len(platform.ledger.sends) == before
+
+
+# --- ends that show little --------------------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("gap", [0.3, 0.7, 1.1])
+@pytest.mark.parametrize("target", ["/resumable/x", "/stream/x"])
+def test_a_stream_that_ends_its_engine_before_the_head_of_its_answer_is_kept_away_too(target: str, gap: float) -> None:
+    """Its connection closes with no sign of an answer: 16 tries ended up to 16 engines, as none was taken as begun."""
+    platform = make_fleet()
+    for upstream in platform.upstreams.values():
+        if isinstance(upstream, StandInEngine):
+            upstream.answers_before_crash = False
+    callers = send_again(platform, target, times=16, gap=gap)
+    assert len(platform.ledger.crashes) >= 3
+    assert count_late_sends(platform, target) <= MOST_MORE
+    assert [caller.status for caller in callers[-4:]] == [503] * 4
+
+
+def test_streams_beside_one_that_ends_its_engines_before_the_head_stay_served() -> None:
+    platform = make_fleet()
+    for upstream in platform.upstreams.values():
+        if isinstance(upstream, StandInEngine):
+            upstream.answers_before_crash = False
+    platform.ledger.deadly.add("/resumable/x")
+    streams: list[Caller] = []
+    for number in range(200):
+        if number % 4 == 0 and number < 160:
+            platform.call("/resumable/x", f"again-{number}", vm=f"vm{number // 4 % VMS}")
+        streams.append(stream_beside(platform, number))
+        platform.network.run(0.1)
+    held = {name for vm in platform.vms.values() for name in vm.core.quarantine._attributed}
+    assert len(held) == 1
+    assert count_served(platform, streams) >= 0.9
+
+
+def count_told(platform: Platform) -> int:
+    """Return how many ends VMs told of."""
+    return sum(vm.tally.counts["upstream_ends_total", ""] for vm in platform.vms.values())
+
+
+def fill_engine(platform: Platform) -> StandInEngine:
+    """Begin 64 long streams at the only decode engine, from one VM."""
+    engine = platform.upstreams["decode-0"]
+    assert isinstance(engine, StandInEngine)
+    for number in range(64):
+        platform.call(f"/stream/s{number}", f"s{number}", headers={"Token-Count": "50,400"})
+        platform.network.run(0.01)
+    platform.network.run_until(lambda: engine.running == 64)
+    return engine
+
+
+def send_on(platform: Platform, seconds: float) -> None:
+    """Send 50 new streams a second."""
+    for number in range(round(50 * seconds)):
+        platform.call(f"/stream/n{number}", f"n{number}-{platform.clock.now():.2f}", headers={"Token-Count": "50,4"})
+        platform.network.run(0.01)
+
+
+@pytest.mark.parametrize("restart_time", [0.005, 2.5])
+def test_an_end_under_load_is_told_also_where_it_is_back_at_once(restart_time: float) -> None:
+    platform = make_fleet(decode=1)
+    engine = fill_engine(platform)
+    engine.restart_time = restart_time
+    send_on(platform, 0.5)
+    before = count_told(platform)
+    engine.crash()
+    send_on(platform, 0.5)
+    assert count_told(platform) == before + 1
+
+
+def test_an_end_behind_a_proxy_that_goes_on_accepting_is_told() -> None:
+    platform = make_fleet(decode=1)
+    engine = fill_engine(platform)
+    before = count_told(platform)
+    for run in list(engine.runs):
+        run.end()
+    engine.break_connections()
+    send_on(platform, 0.5)
+    assert count_told(platform) == before + 1
+
+
+@pytest.mark.parametrize("share", [0.02, 0.5, 0.8])
+def test_where_some_connections_are_reset_no_end_is_told(share: float) -> None:
+    platform = make_fleet(decode=1)
+    engine = fill_engine(platform)
+    before = count_told(platform)
+    connections = list(engine._server.connections)
+    for connection in connections[: round(share * len(connections))]:
+        connection.abort()
+    send_on(platform, 0.5)
+    assert count_told(platform) == before
--- a/tests/relay/quarantine/test_attribution.py
+++ b/tests/relay/quarantine/test_attribution.py
@@ -8,7 +8,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from beamhatch.relay.model import UpstreamId
+from beamhatch.relay.model import Fingerprint, UpstreamId
 from beamhatch.relay.quarantine.attribution import (
     LEAST_ENDS,
     LEAST_UNEXPLAINED,
@@ -17,7 +17,6 @@
     CoverAttribution,
 )
 from beamhatch.relay.quarantine.ends import UpstreamEnd
-from beamhatch.relay.requests.fingerprint import Fingerprint
 
 DEADLY = Fingerprint(b"deadly")
 BOTH = (CountAttribution(), CoverAttribution())
--- a/tests/relay/quarantine/test_detection.py
+++ b/tests/relay/quarantine/test_detection.py
@@ -2,31 +2,43 @@
 
 from __future__ import annotations
 
-from beamhatch.relay.model import Address, Phase, ServiceName, Upstream, UpstreamId
+import pytest
+
+from beamhatch.relay.model import Address, Fingerprint, Phase, ServiceName, Upstream, UpstreamId
 from beamhatch.relay.quarantine.detection import SETTLE_TIME, EndDetection
 from beamhatch.relay.quarantine.ends import MOST_TOLD, EndNews
-from beamhatch.relay.requests.fingerprint import Fingerprint
+from beamhatch.relay.upstreams.http_client import Connection
 from tests.support.network import Network, PausedClock
 
 ENGINE = Upstream(UpstreamId("e"), ServiceName("s"), Address("host", 1), "a", False, Phase.DECODE, 8)
 
 
+class Wire(Connection):
+    """A connection of which it matters only whether it is open and read from."""
+
+    def __init__(self, *, paused: bool = False) -> None:
+        self.paused = paused
+
+
 class Watch:
     """What a detection told."""
 
-    def __init__(self) -> None:
+    def __init__(self, connections: int = 0) -> None:
         self.network = Network()
-        self.left = 0
+        self.open = {Wire() for _ in range(connections)}
         self.told: list[EndNews] = []
-        self.detection = EndDetection(PausedClock(self.network), lambda _: self.left, self.told.append)
+        self.detection = EndDetection(PausedClock(self.network), lambda _: frozenset(self.open), self.told.append)
 
     def break_runs(self, count: int) -> None:
+        """Break the connections of some runs one after the other; more than there are open were known to nobody."""
         for number in range(count):
+            if self.open:
+                self.open.pop()
             self.detection.note_broken(ENGINE, Fingerprint(bytes([number])), 0.1 * number)
 
 
 def test_all_that_break_at_once_are_one_end_told_once() -> None:
-    watch = Watch()
+    watch = Watch(3)
     watch.break_runs(3)
     watch.network.advance(SETTLE_TIME / 2)
     assert not watch.told
@@ -36,24 +48,44 @@
     assert news.age >= SETTLE_TIME
 
 
-def test_where_most_connections_last_nothing_has_ended() -> None:
-    watch = Watch()
-    watch.left = 3
-    watch.break_runs(2)
+@pytest.mark.parametrize(("connections", "broken"), [(5, 2), (64, 1), (64, 32), (64, 48), (64, 57), (2, 1)])
+def test_where_some_connections_last_nothing_has_ended(connections: int, broken: int) -> None:
+    watch = Watch(connections)
+    watch.break_runs(broken)
     watch.network.advance(1.0)
     assert not watch.told
 
 
+@pytest.mark.parametrize("connections", [1, 3, 64])
+def test_what_was_opened_since_hides_no_end(connections: int) -> None:
+    watch = Watch(connections)
+    watch.break_runs(connections)
+    watch.open |= {Wire() for _ in range(100)}
+    watch.network.advance(1.0)
+    assert len(watch.told) == 1
+
+
+def test_idle_connections_tell_too() -> None:
+    watch = Watch(10)
+    watch.break_runs(1)
+    watch.open.clear()
+    watch.network.advance(1.0)
+    assert len(watch.told) == 1
+
+
 def test_a_connection_that_is_not_read_from_hides_no_end() -> None:
-    watch = Watch()
-    watch.left = 1
-    watch.break_runs(2)
+    watch = Watch(2)
+    read = list(watch.open)
+    watch.open.add(Wire(paused=True))
+    for number, one in enumerate(read):
+        watch.open.remove(one)
+        watch.detection.note_broken(ENGINE, Fingerprint(bytes([number])), 0.1)
     watch.network.advance(1.0)
     assert len(watch.told) == 1
 
 
 def test_of_many_runs_the_youngest_are_told() -> None:
-    watch = Watch()
+    watch = Watch(3 * MOST_TOLD)
     watch.break_runs(3 * MOST_TOLD)
     watch.network.advance(1.0)
     assert [run.fingerprint[0] for run in watch.told[0].runs] == list(range(MOST_TOLD))
--- a/tests/relay/quarantine/test_quarantine.py
+++ b/tests/relay/quarantine/test_quarantine.py
@@ -7,6 +7,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from beamhatch.relay.model import Fingerprint
 from beamhatch.relay.quarantine.ends import MEMORY, MOST_ENDS, MOST_RUNS, BrokenRun, EndNews, UpstreamEnds
 from beamhatch.relay.quarantine.quarantine import (
     GOOD_TIME,
@@ -18,7 +19,6 @@
     HoldNews,
     Quarantine,
 )
-from beamhatch.relay.requests.fingerprint import Fingerprint
 
 DEADLY = Fingerprint(b"deadly")
 OTHER = Fingerprint(b"other")
--- a/tests/relay/upstreams/test_http_client.py
+++ b/tests/relay/upstreams/test_http_client.py
@@ -120,9 +120,9 @@
 def test_an_idle_connection_is_closed_before_the_other_side_closes_it() -> None:
     bench = Bench(write(WHOLE.replace(b"\r\n\r\n", b"\r\nKeep-Alive: timeout=3\r\n\r\n")))
     bench.ask()
-    assert bench.client.count_connections(ADDRESS) == 1
+    assert len(bench.client.list_open(ADDRESS)) == 1
     bench.network.run(3.0)
-    assert bench.client.count_connections(ADDRESS) == 0
+    assert len(bench.client.list_open(ADDRESS)) == 0
 
 
 def test_bytes_behind_a_whole_answer_end_the_connection_and_belong_to_nobody() -> None:
@@ -138,7 +138,7 @@
     connection = next(iter(bench.client._idle[ADDRESS]))
     connection.transport.other.write(FOREIGN)
     bench.network.run(0.05)
-    assert bench.client.count_connections(ADDRESS) == 0
+    assert len(bench.client.list_open(ADDRESS)) == 0
 
 
 def test_an_answer_to_another_request_is_skipped() -> None:
