--- a/src/beamhatch/platform/documents.py
+++ b/src/beamhatch/platform/documents.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import re
 from enum import Enum
+from ipaddress import ip_address
 from typing import TYPE_CHECKING, Annotated
 
 import msgspec
@@ -33,6 +35,21 @@
     from beamhatch.observe.journal import Journal
 
 
+MOST_NAME = 200
+"""Characters of a name in an entry at the most: the limit that the store's pages set for keys."""
+
+MOST_SLOTS = 65_535
+"""Requests at once: one caller has no more connections to an address, by the number of its ports. Engines have 128."""
+
+LARGEST_WHOLE = 2**53 - 1
+"""The largest number that all who read JSON read alike (RFC 8259, section 6). As milliseconds it is 285,000 years."""
+
+LONGEST_HOST = 253
+"""Characters of a host's name at the most (RFC 1035, section 2.3.4, written out)."""
+
+_HOST_NAME = re.compile(r"[A-Za-z0-9]([A-Za-z0-9-]{0,61}[A-Za-z0-9])?(\.[A-Za-z0-9]([A-Za-z0-9-]{0,61}[A-Za-z0-9])?)*")
+"""Labels of letters, digits and inner hyphens (RFC 1123, section 2.1)."""
+
 LONGEST_COLD_MS = 86_400_000
 """Milliseconds: a day. Upstreams of the measured deployments are cold for 25 s at the most."""
 
@@ -118,17 +135,17 @@
 class _Server(msgspec.Struct):
     """An upstream's entry. What lacks any of these, or has them otherwise, was written by somebody else."""
 
-    service: Annotated[str, msgspec.Meta(min_length=1)]
+    service: Annotated[str, msgspec.Meta(min_length=1, max_length=MOST_NAME)]
     address: str
-    zone: str
-    version: str
-    capacity: Annotated[int, msgspec.Meta(ge=1)]
+    zone: Annotated[str, msgspec.Meta(max_length=MOST_NAME)]
+    version: Annotated[str, msgspec.Meta(max_length=MOST_NAME)]
+    capacity: Annotated[int, msgspec.Meta(ge=1, le=MOST_SLOTS)]
     state: _State
     cold_remaining_ms: Annotated[float, msgspec.Meta(le=LONGEST_COLD_MS)]
     """Below 0 where it has been warm for some time."""
-    sequence: Annotated[int, msgspec.Meta(ge=0)]
+    sequence: Annotated[int, msgspec.Meta(ge=0, le=LARGEST_WHOLE)]
     """Counts the upstream's own words; it starts anew with each life, so nothing is ordered by it."""
-    born: Annotated[int, msgspec.Meta(ge=0)] = 0
+    born: Annotated[int, msgspec.Meta(ge=0, le=LARGEST_WHOLE)] = 0
     phase: str = ""
 
 
@@ -201,11 +218,21 @@
     :raises ValueError: where it has no host or no port
     """
     host, _, port = text.rpartition(":")
-    if not host or not port.isascii() or not port.isdigit() or not 0 < int(port) < 65536:
+    if not _is_host(host) or not port.isascii() or not port.isdigit() or not 0 < int(port[:6]) < 65536:
         raise ValueError(f"{text[:100]!r} is no address")
     return Address(host, int(port))
 
 
+def _is_host(text: str) -> bool:
+    """Tell whether a text is an IP address, or may be a host's name; one that ends in a number is no name."""
+    try:
+        ip_address(text)
+    except ValueError:
+        last = text.rpartition(".")[2]
+        return len(text) <= LONGEST_HOST and _HOST_NAME.fullmatch(text) is not None and not last.isdigit()
+    return True
+
+
 def _read_regions(names: list[str] | None) -> Regions:
     """Return the regions that a document names; an empty list, as none at all, leaves all of them."""
     return frozenset(RegionName(name) for name in names) if names else None
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -77,6 +77,22 @@
     "changes",
     [
         {"state": "resting"},
+        {"address": "not a host:80"},
+        {"address": "10.0.0.256:80"},
+        {"address": "10.0.0:80"},
+        {"address": "-host:80"},
+        {"address": "host..hall:80"},
+        {"address": "host/path:80"},
+        {"address": "http://host:80"},
+        {"address": "a" * 64 + ":80"},
+        {"address": "a." * 127 + "ab:80"},
+        {"address": "host:" + "9" * 5000},
+        {"capacity": 65_536},
+        {"sequence": 2**53},
+        {"born": 2**53},
+        {"service": "s" * 201},
+        {"zone": "z" * 201},
+        {"version": "v" * 201},
         {"phase": "dreaming"},
         {"address": "10.0.0.1"},
         {"address": ":80"},
@@ -121,3 +137,10 @@
     platform.network.run(0.3)
     assert platform.finish(platform.call("/safe/x", "q1")).status == 503
     assert not platform.ledger.arrivals
+
+
+@pytest.mark.parametrize("host", ["10.0.0.1", "host-1", "a.hall-2.example", "::1", "1host"])
+def test_an_entry_names_its_host_by_address_or_name(host: str) -> None:
+    entry = read(json.dumps({**ENTRY, "address": f"{host}:80"}).encode())
+    assert entry.upstream is not None
+    assert entry.upstream.address.host == host
