--- a/src/beamhatch/relay/core.py
+++ b/src/beamhatch/relay/core.py
@@ -3,10 +3,9 @@
 from __future__ import annotations
 
 import math
-import random
 from collections import Counter, defaultdict
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING, Any, NamedTuple
+from typing import TYPE_CHECKING, Any
 
 from beamhatch.relay.api import BadRequest
 from beamhatch.relay.callers.own_answer import send_error
@@ -28,10 +27,9 @@
 from beamhatch.relay.quarantine.talk import QuarantineTalk, TalkNeeds
 from beamhatch.relay.requests.budget import Budget, BudgetTerms
 from beamhatch.relay.requests.exchange import HELD, REGION_RETRY, RelayExchange
-from beamhatch.relay.requests.fair_order import ArrivalOrder, FairOrder, StartTimeOrder
 from beamhatch.relay.requests.fingerprint import find_fingerprint
 from beamhatch.relay.requests.lengths import AnswerLengths
-from beamhatch.relay.requests.line import NO_CLAIM, Line
+from beamhatch.relay.requests.memory_lines import MemoryLines
 from beamhatch.relay.upstreams.announcements import Announcements
 from beamhatch.relay.upstreams.listing import Listing
 from beamhatch.relay.workspaces.admission import Admission, Admitted, OverQuota, Undecided
@@ -58,27 +56,10 @@
         UpstreamId,
     )
     from beamhatch.relay.places import RegionName
-    from beamhatch.relay.requests.line import Claim
     from beamhatch.relay.upstreams.http_client import HttpClient
     from beamhatch.relay.upstreams.listing import Entry
     from beamhatch.relay.workspaces.admission import Decision
 
-POLL_INTERVAL = 0.04
-"""Seconds between two times that the first in line asks for decode memory."""
-
-LATE_POLL_INTERVAL = 0.2
-"""Seconds between two such times where the first in line is late already.
-
-VMs whose first can be in time ask five times as often, and so get most of the places that come free, whichever VM's
-stream gave them back. With the order of the line it gains 0.015 (0.007) of a day's worth (20 days, and 15 others).
-"""
-
-FREED_DELAY = 0.003
-"""Seconds in which an engine gives memory back when a stream has ended."""
-
-LATE_FREED_DELAY = 0.06
-"""Seconds behind which one that is late asks for memory that was given back: more than a poll of the others."""
-
 COLD_COST = 1.0
 """Requests whose time, at the rate that a cold upstream bears, it costs more than a warm one.
 
@@ -115,22 +96,6 @@
     budget: BudgetTerms = field(default_factory=BudgetTerms)
 
 
-@dataclass(frozen=True, slots=True)
-class _Poll:
-    """The next time that those who wait in a line ask for decode memory."""
-
-    due: float
-    """Monotonic seconds."""
-    timer: Any
-
-
-class LineKey(NamedTuple):
-    """Whose line it is. Who may be served elsewhere is not held up by those for whom there is no memory."""
-
-    service: ServiceName
-    regions: Regions
-
-
 @dataclass(frozen=True, slots=True)
 class _Place:
     """Where a request is served."""
@@ -192,14 +157,10 @@
     """Called when this VM's part of what an engine has to read has changed."""
     places: Places = field(default_factory=Places)
     _budgets: dict[ServiceName, Budget] = field(default_factory=dict)
-    _lines: dict[LineKey, Line[RelayExchange]] = field(default_factory=dict)
-    _orders: defaultdict[ServiceName, FairOrder] = field(init=False)
-    """Who is next for the decode memory of each service, whatever line he waits in."""
+    lines: MemoryLines = field(init=False)
     _demands: defaultdict[ServiceName, Demand] = field(default_factory=lambda: defaultdict(Demand))
     _lengths: defaultdict[ServiceName, AnswerLengths] = field(default_factory=lambda: defaultdict(AnswerLengths))
     _read_times: defaultdict[ServiceName, ReadTimes] = field(default_factory=lambda: defaultdict(ReadTimes))
-    _polls: dict[LineKey, _Poll] = field(default_factory=dict)
-    """The next poll of each line."""
     cold_watch: ColdWatch = field(default_factory=ColdWatch)
     _cold_look: Any = None
     """The next look for upstreams that are warm again."""
@@ -216,7 +177,7 @@
             self.listing, self.places, Evacuations(self.places), rests=self.announcements.rests
         )
         self.chooser.find_cold_cost = self.find_cold_cost
-        self._orders = defaultdict(self._make_order)
+        self.lines = MemoryLines(self.clock, self.eligibility, fair=Mechanism.FAIRNESS not in self.without)
         self.quarantine_talk = QuarantineTalk(
             TalkNeeds(self.clock, self.journal, self.tally, self.quarantine, self.client.list_open, self.end_waits)
         )
@@ -438,7 +399,7 @@
 
     def _ask_waiting(self) -> None:
         """Have all who wait for decode memory plan anew: where nothing is left they are answered now."""
-        for key, line in list(self._lines.items()):
+        for key, line in self.lines.list_all():
             if self.find_lack(key.service, key.regions) is not None:
                 for waiter in line.list_all():
                     waiter.advance()
@@ -520,63 +481,6 @@
         """Return what this VM's streams ask of each service with engines."""
         return {name: self.report_demand(name) for name in self._demands}
 
-    # --- decode memory -----------------------------------------------------------------------------------------------
-
-    def find_line(self, service: ServiceName, regions: Regions = None) -> Line[RelayExchange]:
-        """Return the line for the decode memory of a service in some regions."""
-        key = LineKey(service, regions)
-        line = self._lines.get(key)
-        if line is None:
-            line = self._lines[key] = Line(self._orders[service])
-        return line
-
-    def _make_order(self) -> FairOrder:
-        return ArrivalOrder() if Mechanism.FAIRNESS in self.without else StartTimeOrder()
-
-    def wait_in_line(self, exchange: RelayExchange, late_at: float, *, owed: bool, claim: Claim = NO_CLAIM) -> None:
-        """Let a request wait; it is asked to go on when it is its turn, or when it has waited for long enough.
-
-        :param owed: whether it goes before those that came just now
-        """
-        key = LineKey(exchange.request.service.name, exchange.request.regions)
-        now = self.clock.now()
-        until = now + exchange.request.longest_wait
-        self.find_line(key.service, key.regions).join(exchange, late_at, until, now, owed=owed, claim=claim)
-        self._poll_soon(key)
-
-    def note_freed(self, service: ServiceName, hall: str = "") -> None:
-        """Note that one of this VM's streams gave memory back in a hall: who waits for that has a chance now."""
-        now = self.clock.now()
-        self.find_line(service)
-        for key, line in self._lines.items():
-            if key.service == service and (key.regions is None or self.places.lies_in(hall, key.regions)):
-                line.note_freed(now)
-                self._poll_in(FREED_DELAY if line.has_fresh(now) else LATE_FREED_DELAY, key)
-
-    def _poll(self, key: LineKey) -> None:
-        self._polls.pop(key, None)
-        for waiter in self._lines[key].list_turns(self.clock.now()):
-            waiter.advance()
-        self._poll_soon(key)
-
-    def _poll_soon(self, key: LineKey) -> None:
-        """Go on to poll as long as anybody waits, whoever leaves the line meanwhile."""
-        fresh = self._lines[key].has_fresh(self.clock.now())
-        interval = POLL_INTERVAL if fresh else LATE_POLL_INTERVAL
-        self._poll_in(interval * random.uniform(0.6, 1.4), key)
-
-    def _poll_in(self, seconds: float, key: LineKey) -> None:
-        """Poll after some seconds, unless a poll is due before."""
-        if not len(self._lines[key]):
-            return
-        due = self.clock.now() + seconds
-        pending = self._polls.get(key)
-        if pending is not None and pending.due <= due:
-            return
-        if pending is not None:
-            pending.timer.cancel()
-        self._polls[key] = _Poll(due, self.clock.call_later(seconds, self._poll, key))
-
     # --- callers -----------------------------------------------------------------------------------------------------
 
     def serve(self, incoming: IncomingRequest, responder: Responder) -> RequestHandler | None:
--- a/src/beamhatch/relay/requests/exchange.py
+++ b/src/beamhatch/relay/requests/exchange.py
@@ -19,6 +19,7 @@
 from beamhatch.relay.places import Distance
 from beamhatch.relay.requests.answer import PROMISES, WholeAnswer
 from beamhatch.relay.requests.line import Claim
+from beamhatch.relay.requests.memory_lines import LineKey, PlaceTerms, Waiter
 from beamhatch.relay.requests.request import Fail, Refuse, RelayRequest, Reserve, Send, Step, Wait
 from beamhatch.relay.upstreams.announcements import AnnouncementSink
 from beamhatch.relay.upstreams.attempt import Attempt
@@ -86,7 +87,7 @@
 """Seconds that a kept connection may have been idle for a request that may not be sent twice."""
 
 
-class RelayExchange(RequestHandler):
+class RelayExchange(RequestHandler, Waiter):
     """One request under way."""
 
     def __init__(
@@ -181,9 +182,9 @@
         return step
 
     @property
-    def _line(self) -> Line[RelayExchange]:
+    def _line(self) -> Line[Waiter]:
         """Return the line in which it waits, where it has to."""
-        return self.core.find_line(self.request.service.name, self.request.regions)
+        return self.core.lines.find(self.request.service.name, self.request.regions)
 
     def _list_usable(self) -> list[Upstream]:
         return self.core.list_usable(self.request.service.name, self.request.regions)
@@ -339,7 +340,9 @@
             self.write_log(
                 "waits", waiting=len(line), freed_per_second=line.count_rate(now), workspace=self._claim.workspace
             )
-        self.core.wait_in_line(self, self._incoming.arrived + in_time, owed=owed, claim=self._claim)
+        late_at = self._incoming.arrived + in_time
+        place = PlaceTerms(late_at, now + self.request.longest_wait, owed, self._claim)
+        self.core.lines.wait(self, LineKey(self.request.service.name, self.request.regions), place)
 
     @property
     def has_attempt(self) -> bool:
@@ -603,7 +606,7 @@
         if self._memory_since is None:
             self._memory_since = self.core.clock.now()
             self.core.find_demand(self.request.service.name).begin_stream(self._memory_since)
-            self.core.find_line(self.request.service.name).note_served(self._claim, self._memory_since)
+            self.core.lines.find(self.request.service.name).note_served(self._claim, self._memory_since)
 
     def note_first_event(self) -> None:
         """Learn how long decode memory is held before the first event."""
--- a/src/beamhatch/relay/upstreams/attempt.py
+++ b/src/beamhatch/relay/upstreams/attempt.py
@@ -293,4 +293,4 @@
             self._end_reading()
             self.standing.end(self._tokens)
             if self._sent and self.send.stage is not Stage.PREFILL and self.request.split:
-                self.core.note_freed(self.request.service.name, self.send.upstream.hall)
+                self.core.lines.note_freed(self.request.service.name, self.send.upstream.hall)
