Have the soak see an innocent request that is kept away, and count the others beside a deadly one

Cause: the promise that others are not held was checked in tests alone, and a run did not tell how many others are served. Ruled out: reading the relays' lines: callers see the refusal. Change: promise INNOCENT, its test; the run's last line has the share of the others.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -57,7 +57,10 @@
     if by_promise:
         print(", ".join(f"{name} {count}" for name, count in by_promise.items()))
     verdict = f"broken, lines in {folder}" if report.breaches else "kept"
-    counts = f"{report.faults} faults, {report.outcomes} requests, {report.served} served"
+    share = report.served / max(1, report.outcomes - report.deadly)
+    counts = (
+        f"{report.faults} faults, {report.outcomes} requests ({report.deadly} deadly), {share:.3f} of the rest served"
+    )
     print(f"seed {seed}: {counts}, promises {verdict}")
 
 
--- a/tests/soak/promise.py
+++ b/tests/soak/promise.py
@@ -24,6 +24,7 @@
     ONE_LEADER = "orders to engines come from one VM at a time"
     GIVEN_BACK = "memory of engines is given back once its callers are gone"
     DEADLY = "a request that ends upstreams is kept from the rest"
+    INNOCENT = "a request that ends nothing is not kept away as one that does"
     RECOVERY = "everything is served again once faults are over"
 
 
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -37,6 +37,7 @@
     breaches: list[Breach]
     faults: int
     outcomes: int
+    deadly: int
     served: int
 
 
@@ -126,4 +127,4 @@
         for vm in world.vms:
             vm.kill()
     witness = world.witness
-    return Report(witness.breaches, len(run.steps), witness.outcomes, witness.served)
+    return Report(witness.breaches, len(run.steps), witness.outcomes, witness.deadly, witness.served)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -158,6 +158,16 @@
     assert len(witness.breaches) == (0 if excuse else 1)
 
 
+def test_an_innocent_request_that_is_kept_away_is_seen(witness: Witness) -> None:
+    body = b'{"error": "each upstream that began to run it has ended, fingerprint 00"}'
+    witness.ledger.deadly.add("/safe/x")
+    witness.take_outcome(make_outcome("/safe/", 503, {}, body))
+    assert not witness.breaches
+    witness.ledger.deadly.clear()
+    witness.take_outcome(make_outcome("/safe/", 503, {}, body))
+    assert list_broken(witness) == {Promise.INNOCENT}
+
+
 def test_an_old_version_is_seen(witness: Witness) -> None:
     ask(witness, "/v1/")
     witness.take_arrival("q1", "/v1/x", "i-1", 20.0)
--- a/tests/soak/witness.py
+++ b/tests/soak/witness.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from beamhatch.relay.requests.exchange import HELD
 from tests.soak.own_words import Heard, OwnWords
 from tests.soak.promise import (
     COLD_BOUND,
@@ -126,6 +127,8 @@
     late_sends: Counter[str] = field(default_factory=Counter)
     """Sends for each such target later than all VMs could know."""
     outcomes: int = 0
+    deadly: int = 0
+    """Of these, requests that end upstreams; none of them is served."""
     served: int = 0
     words: OwnWords = field(default_factory=OwnWords)
     _orders: int = 0
@@ -230,6 +233,7 @@
     def take_outcome(self, outcome: Outcome) -> None:
         """Check what a caller got."""
         self.outcomes += 1
+        self.deadly += outcome.target in self.ledger.deadly
         terms = self.find_terms(outcome.route)
         self._check_runs(outcome.request, terms, outcome.ended_at)
         signature = outcome.headers.get("response-signature")
@@ -242,6 +246,8 @@
                 self.break_promise(
                     Promise.NOT_RUN, outcome.ended_at, f"{outcome.request} ran, and got {outcome.status}"
                 )
+        if outcome.status == 503 and HELD.encode() in outcome.body and outcome.target not in self.ledger.deadly:
+            self.break_promise(Promise.INNOCENT, outcome.ended_at, f"{outcome.request} for {outcome.target} was held")
         if outcome.status == 200:
             self._check_success(outcome, terms, signature)
         if outcome.status == 404:
