--- a/src/beamhatch/platform/standin/store.py
+++ b/src/beamhatch/platform/standin/store.py
@@ -4,7 +4,7 @@
 
 import base64
 import json
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum
 from typing import TYPE_CHECKING, Any
 
@@ -36,6 +36,14 @@
     lease: int
 
 
+@dataclass(frozen=True, slots=True)
+class StoreCopy:
+    """What the store had at some time."""
+
+    revision: int
+    items: dict[str, _Item]
+
+
 @dataclass(slots=True)
 class _Watch:
     prefix: str
@@ -54,6 +62,8 @@
         self.renewals = 0
         """Calls among them that renew a lease; they cost a tenth."""
         self.revision = 0
+        self.era = 1
+        """Rises each time that it comes back from a copy."""
         self._items: dict[str, _Item] = {}
         self._history: list[tuple[int, str, bytes | None]] = []
         self._history_from = 0
@@ -90,6 +100,27 @@
         for watch in watches:
             watch.responder.abort()
 
+    def make_copy(self) -> StoreCopy:
+        """Return what there is now, but for what hangs on leases."""
+        return StoreCopy(self.revision, {key: replace(item) for key, item in self._items.items() if not item.lease})
+
+    def come_back_from(self, copy: StoreCopy) -> None:
+        """Have what was there at a copy and nothing behind it: revisions are given out again, all leases are gone."""
+        for timer in self._leases.values():
+            if timer.active():
+                timer.cancel()
+        self._leases.clear()
+        self._items = {key: replace(item) for key, item in copy.items.items()}
+        self.revision = copy.revision
+        self.era += 1
+        self._history.clear()
+        self._history_from = self.revision
+        self.break_connections()
+        self._watches.clear()
+
+    def _answer(self, responder: Responder, status: int, value: object) -> None:
+        answer_json(responder, status, value, ("Store-Era", str(self.era)))
+
     def _note(self, key: str, value: bytes | None) -> None:
         self._history.append((self.revision, key, value))
         waiting, self._watches = self._watches, []
@@ -105,7 +136,7 @@
         if self.fault is StoreFault.SILENT:
             return None
         if self.fault is StoreFault.BUSY:
-            answer_json(responder, 503, {})
+            self._answer(responder, 503, {})
             return None
         name = incoming.path.split("/")[2]
         self.renewals += name == "kv-keep"
@@ -125,9 +156,9 @@
 
     def _serve_key(self, key: str, responder: Responder) -> None:
         if key in self._items:
-            answer_json(responder, 200, {**self._show(key), "at": self.revision})
+            self._answer(responder, 200, {**self._show(key), "at": self.revision})
         else:
-            answer_json(responder, 404, {"at": self.revision})
+            self._answer(responder, 404, {"at": self.revision})
 
     def _serve_range(self, query: dict[str, str], responder: Responder) -> None:
         keys = sorted(
@@ -135,12 +166,12 @@
         )
         page = keys[:50]
         items = [self._show(key) for key in page]
-        answer_json(responder, 200, {"items": items, "more": len(page) < len(keys), "at": self.revision})
+        self._answer(responder, 200, {"items": items, "more": len(page) < len(keys), "at": self.revision})
 
     def _serve_watch(self, query: dict[str, str], responder: Responder) -> None:
         watch = _Watch(query["path_prefix"], int(query["after"]), responder)
-        if watch.after < self._history_from:
-            answer_json(responder, 410, {})
+        if not self._history_from <= watch.after <= self.revision:
+            self._answer(responder, 410, {})
         elif not self._answer_watch(watch):
             self._watches.append(watch)
             self.clock.call_later(int(query["wait_ms"]) / 1000, self._end_watch, watch)
@@ -153,28 +184,28 @@
                 event |= {"gone": True} if value is None else {"value": base64.b64encode(value).decode()}
                 events.append(event)
         if events:
-            answer_json(watch.responder, 200, {"events": events, "at": self.revision})
+            self._answer(watch.responder, 200, {"events": events, "at": self.revision})
         return bool(events)
 
     def _end_watch(self, watch: _Watch) -> None:
         if watch in self._watches:
             self._watches.remove(watch)
-            answer_json(watch.responder, 200, {"events": [], "at": self.revision})
+            self._answer(watch.responder, 200, {"events": [], "at": self.revision})
 
     def _serve_change(self, asked: dict[str, Any], responder: Responder) -> None:
         conditions = asked.get("if_revision", [])
         if any(self._find_revision(row["tls_key"]) != row["revision"] for row in conditions):
             items = [self._show(row["tls_key"]) for row in conditions if row["tls_key"] in self._items]
-            answer_json(responder, 412, {"items": items})
+            self._answer(responder, 412, {"items": items})
             return
         if any(row.get("lease", 0) and row["lease"] not in self._leases for row in asked.get("put", [])):
-            answer_json(responder, 404, {})
+            self._answer(responder, 404, {})
             return
         for row in asked.get("put", []):
             self.put(row["tls_key"], base64.b64decode(row["value"]), row.get("lease", 0))
         for key in asked.get("remove", []):
             self.remove(key)
-        answer_json(responder, 200, {"revision": self.revision})
+        self._answer(responder, 200, {"revision": self.revision})
 
     def _find_revision(self, key: str) -> int:
         return self._items[key].revision if key in self._items else 0
@@ -184,17 +215,17 @@
             lease = 1000 + len(self._lease_lives)
             self._lease_lives[lease] = json.loads(incoming.body)["ttl_ms"] / 1000
             self._renew(lease)
-            answer_json(responder, 200, {"lease": lease, "ttl_ms": int(self._lease_lives[lease] * 1000)})
+            self._answer(responder, 200, {"lease": lease, "ttl_ms": int(self._lease_lives[lease] * 1000)})
             return
         lease = int(incoming.path.rpartition("/")[2])
         if lease not in self._leases:
-            answer_json(responder, 404, {})
+            self._answer(responder, 404, {})
         elif name == "kv-keep":
             self._renew(lease)
-            answer_json(responder, 200, {"ttl_ms": int(self._lease_lives[lease] * 1000)})
+            self._answer(responder, 200, {"ttl_ms": int(self._lease_lives[lease] * 1000)})
         else:
             self._end_lease(lease)
-            answer_json(responder, 200, {})
+            self._answer(responder, 200, {})
 
     def _renew(self, lease: int) -> None:
         timer = self._leases.get(lease)
