--- a/tests/platform/test_own_word.py
+++ b/tests/platform/test_own_word.py
@@ -71,17 +71,18 @@
     )
 
 
-@pytest.mark.parametrize(
-    ("target", "leaves"),
-    [
-        ("/safe/x", "plain-0"),
-        ("/unsafe/x", "plain-0"),
-        ("/stream/x", "prefill-0"),
-        ("/resumable/x", "prefill-0"),
-        ("/stream/x", "decode-0"),
-        ("/resumable/x", "decode-0"),
-    ],
-)
+KINDS = [
+    ("/safe/x", "plain-0"),
+    ("/unsafe/x", "plain-0"),
+    ("/stream/x", "prefill-0"),
+    ("/resumable/x", "prefill-0"),
+    ("/stream/x", "decode-0"),
+    ("/resumable/x", "decode-0"),
+]
+"""Each kind of route, with an upstream that its requests are sent to."""
+
+
+@pytest.mark.parametrize(("target", "leaves"), KINDS)
 def test_one_that_said_in_an_answer_that_it_leaves_gets_nothing_new(target: str, leaves: str) -> None:
     platform = make_fleet()
     platform.store.fault = StoreFault.SILENT
@@ -95,18 +96,7 @@
     assert all(caller.status == 200 for caller in callers)
 
 
-@pytest.mark.parametrize(
-    ("target", "rests"),
-    [
-        ("/safe/x", "plain-0"),
-        ("/unsafe/x", "plain-0"),
-        ("/stream/x", "prefill-0"),
-        ("/resumable/x", "prefill-0"),
-        ("/stream/x", "decode-0"),
-        ("/resumable/x", "decode-0"),
-        ("/resumable/x", "full"),
-    ],
-)
+@pytest.mark.parametrize(("target", "rests"), [*KINDS, ("/resumable/x", "full")])
 def test_one_that_asked_for_rest_gets_none_of_it_broken(target: str, rests: str) -> None:
     platform = make_fleet()
     upstream = platform.upstreams["decode-0" if rests == "full" else rests]
