--- a/tests/platform/test_deadly.py
+++ b/tests/platform/test_deadly.py
@@ -197,9 +197,8 @@
     return platform.call(target, f"own-{number}", vm=f"vm{number % VMS}", headers={"Token-Count": "5000,40"})
 
 
-def test_streams_on_the_same_engines_stay_served() -> None:
-    """Of 200 streams 0.97 to 0.99 are whole, and 3 or 4 engines end; 0.25 to 0.29 and 41 to 43 if nobody remembers."""
-    platform = make_fleet()
+def stream_beside_deadly(platform: Platform) -> list[Caller]:
+    """Ask for 200 streams in 20 s, and for 16 s send the request that ends its engines each 0.4 s."""
     platform.ledger.deadly.add("/resumable/x")
     streams: list[Caller] = []
     for number in range(200):
@@ -207,6 +206,13 @@
             platform.call("/resumable/x", f"again-{number}", vm=f"vm{number // 4 % VMS}")
         streams.append(stream_beside(platform, number))
         platform.network.run(0.1)
+    return streams
+
+
+def test_streams_on_the_same_engines_stay_served() -> None:
+    """Of 200 streams 0.97 to 0.99 are whole, and 3 or 4 engines end; 0.25 to 0.29 and 41 to 43 if nobody remembers."""
+    platform = make_fleet()
+    streams = stream_beside_deadly(platform)
     held = {name for vm in platform.vms.values() for name in vm.core.quarantine._attributed}
     assert len(held) == 1
     assert count_late_sends(platform, "/resumable/x") <= MOST_MORE
@@ -361,13 +367,7 @@
     for upstream in platform.upstreams.values():
         if isinstance(upstream, StandInEngine):
             upstream.answers_before_crash = False
-    platform.ledger.deadly.add("/resumable/x")
-    streams: list[Caller] = []
-    for number in range(200):
-        if number % 4 == 0 and number < 160:
-            platform.call("/resumable/x", f"again-{number}", vm=f"vm{number // 4 % VMS}")
-        streams.append(stream_beside(platform, number))
-        platform.network.run(0.1)
+    streams = stream_beside_deadly(platform)
     held = {name for vm in platform.vms.values() for name in vm.core.quarantine._attributed}
     assert len(held) == 1
     assert count_served(platform, streams) >= 0.9
