Seed a test of rests that failed by chance

test_machines_that_were_turned_away_at_one_moment_come_back_apart[74] failed once in a whole run and drew without a seed. Traced: of 2,000 draws by themselves, 7 have 8 or more of 74 ends in their busiest 10 ms, where the check allows 7.4, so 100 draws fail every third or fourth time. Check and bound stay; the draws are seeded by the number of VMs, as they came.

--- a/tests/relay/choosing/test_rests.py
+++ b/tests/relay/choosing/test_rests.py
@@ -113,6 +113,7 @@
 
 @pytest.mark.parametrize("vms", [8, 74, 195, 300])
 def test_machines_that_were_turned_away_at_one_moment_come_back_apart(vms: int) -> None:
+    random.seed(vms)  # by chance alone, 7 of 2,000 draws of 74 VMs have more than a tenth in one bin
     busiest = []
     for _ in range(100):
         ends = Counter[int]()
