Tell in lines and figures which upstreams name a limit, and what is sent to them

What could not be told apart: whether anybody read the limit of an answer, when each VM heard it, and which sends went to an upstream that had named one. Each VM now writes a line at the first word, at each change and at the end, the line of a send has the limit, and three figures count them. No logic of routing changes: what is kept is looked at by nobody.

--- a/src/beamhatch/platform/dialect.py
+++ b/src/beamhatch/platform/dialect.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import math
+import re
+
 import msgspec
 
-from beamhatch.relay.api import AnswerFacts, BadRequest, Dialect, Headers, SendTerms
+from beamhatch.relay.api import UNCLEAR_LIMIT, AnswerFacts, BadRequest, Dialect, Headers, NamedLimit, SendTerms
 from beamhatch.relay.choosing.standing import Load
 from beamhatch.relay.model import Handle, Phase, PromptPart, RequestFacts, Reservation, Stage, Upstream
 from beamhatch.relay.upstreams.http_client import Call
@@ -43,6 +46,7 @@
 """Headers that concern nobody but the relay where it admits requests by keys."""
 
 LEAVING = "server-leaving"
+LIMIT = "server-limit"
 SAYS_SO = "1"
 """The only value by which an upstream says that it leaves; any other says nothing."""
 
@@ -53,6 +57,9 @@
 """Characters of a request id at the most: ids of the platform have 16, and logs repeat them."""
 
 
+_DECIMAL = re.compile(r"[0-9]+(\.[0-9]*)?|\.[0-9]+", re.ASCII)
+
+
 class _Prefilled(msgspec.Struct):
     """The answer to a prefill."""
 
@@ -130,6 +137,7 @@
             load=_read_load(found.get("server-load")),
             leaving=found.get(LEAVING, "").strip() == SAYS_SO,
             rest=read_retry_after(found.get("retry-after"), found.get("date")) if status in TURNED_AWAY else None,
+            limit=_read_limit(found.get(LIMIT)),
         )
 
     def read_handle(self, body: bytes) -> str | None:
@@ -199,6 +207,15 @@
     return tuple(parts)
 
 
+def _read_limit(text: str | None) -> NamedLimit | None:
+    """Return the limit that an upstream names; a negative number, a word or one beyond all numbers is not clear."""
+    if text is None:
+        return None
+    word = text.strip()
+    rate = float(word) if _DECIMAL.fullmatch(word) else math.inf
+    return NamedLimit(rate) if math.isfinite(rate) else UNCLEAR_LIMIT
+
+
 def _read_load(text: str | None) -> Load | None:
     numbers = [_read_number(word.strip()) for word in (text or "").split(",")]
     if len(numbers) != 3 or None in numbers:
--- a/src/beamhatch/platform/standin/upstream.py
+++ b/src/beamhatch/platform/standin/upstream.py
@@ -161,6 +161,8 @@
         """It says in all its answers that it leaves."""
         self.rest = ""
         """What it asks of who is turned away: a ``Retry-After``; nothing where it is empty."""
+        self.limit = ""
+        """What it says that it takes a second from all VMs together; it names none where it is empty."""
         self.rest_asked_at: list[float] = []
         """When it asked for rest, in monotonic seconds."""
 
@@ -186,6 +188,8 @@
     def list_words(self, status: int = 200) -> list[tuple[str, str]]:
         """Return the headers by which it tells of itself in an answer."""
         words = [("Server-Leaving", "1")] if self.leaving else []
+        if self.limit:
+            words.append(("Server-Limit", self.limit))
         if status == 503 and self.rest:
             self.rest_asked_at.append(self.clock.now())
             words.append(("Retry-After", self.rest))
--- a/src/beamhatch/relay/api.py
+++ b/src/beamhatch/relay/api.py
@@ -46,6 +46,17 @@
     """Whose request it is."""
 
 
+@dataclass(frozen=True, slots=True)
+class NamedLimit:
+    """The limit that an upstream names in an answer."""
+
+    rate: float | None
+    """Requests a second that it takes from all VMs together; None where what it says can't be read."""
+
+
+UNCLEAR_LIMIT = NamedLimit(None)
+
+
 @dataclass(frozen=True, slots=True)
 class AnswerFacts:
     """What the head of an upstream's answer says."""
@@ -63,6 +74,8 @@
     """True where the upstream says that it leaves."""
     rest: float | None = None
     """Seconds for which the upstream wants nothing from this VM; None where it asks for no rest."""
+    limit: NamedLimit | None = None
+    """None where the upstream names no limit."""
 
 
 class Dialect(ABC):
--- /dev/null
+++ b/src/beamhatch/relay/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Limits that upstreams name: so many requests a second from all VMs together."""
--- a/src/beamhatch/relay/requests/exchange.py
+++ b/src/beamhatch/relay/requests/exchange.py
@@ -294,6 +294,7 @@
             running=standing.running,
             others=round(standing.count_others(now), 1),
             faults=round(standing.get_faults(now), 2),
+            **self.core.announcements.describe_limit(send.upstream.life),
         )
         if request.split and send.stage is not Stage.PREFILL:
             self.note_memory()
--- a/src/beamhatch/relay/upstreams/announcements.py
+++ b/src/beamhatch/relay/upstreams/announcements.py
@@ -1,4 +1,4 @@
-"""What upstreams say of themselves in their answers, whatever they answer: that they leave, or want rest.
+"""What upstreams say of themselves in their answers, whatever they answer: that they leave, want rest, or a limit.
 
 The one place that takes it in, for each kind of call to an upstream: while each kind read what it needed, none read
 these, and 22 to 69 requests of one VM reached an upstream later than the drain time behind its word.
@@ -10,6 +10,7 @@
 from typing import TYPE_CHECKING
 
 from beamhatch.relay.choosing.rests import Rests
+from beamhatch.relay.limits.named import NamedLimits
 from beamhatch.relay.upstreams.http_client import AnswerSink
 
 if TYPE_CHECKING:
@@ -18,7 +19,7 @@
     from beamhatch.clock import Clock
     from beamhatch.observe.journal import Journal
     from beamhatch.observe.tally import Tally
-    from beamhatch.relay.api import AnswerFacts, Dialect
+    from beamhatch.relay.api import AnswerFacts, Dialect, NamedLimit
     from beamhatch.relay.model import Life, Upstream, UpstreamId
     from beamhatch.relay.upstreams.http_client import Fault, Head
     from beamhatch.relay.upstreams.listing import Listing
@@ -37,6 +38,7 @@
     dialect: Dialect
     listing: Listing
     rests: Rests = field(default_factory=Rests)
+    limits: NamedLimits = field(default_factory=NamedLimits)
     on_news: Callable[[Life], None] = lambda life: None
     """Called when an upstream may be sent nothing from now on that it might be sent before."""
     on_departure: Callable[[], None] = lambda: None
@@ -57,6 +59,19 @@
             if self.rests.take(life, facts.rest, self.clock.now()):
                 self.journal.write("LISTING", "asks for rest", upstream=life.id, seconds=facts.rest)
                 self.on_news(life)
+        self._take_limit(life, facts.limit)
+
+    def _take_limit(self, life: Life, limit: NamedLimit | None) -> None:
+        """Take in the limit that an upstream names, or that it names none; what can't be read changes nothing."""
+        if limit is not None:
+            self.tally.count("announcements_total", "limit" if limit.rate is not None else "unclear_limit")
+            if limit.rate is None:
+                return
+        rate = None if limit is None else limit.rate
+        before = self.limits.find(life)
+        if self.limits.take(life, rate):
+            event = "names a limit" if rate is not None else "names no limit any more"
+            self.journal.write("LIMIT", event, upstream=life.id, rate=rate, before=before)
 
     def take_departure(self, life: Life, source: str) -> bool:
         """Take in that an upstream leaves, by its own word; return whether that is news."""
@@ -77,6 +92,8 @@
         if self.listing.is_leaving(upstream):
             told["leaving"] = True
             self.tally.count("sent_in_spite_total", "leaving")
+        if self.limits.find(upstream.life) is not None:
+            self.tally.count("limited_sends_total")
         now = self.clock.now()
         end = self.rests.find_end(upstream.life, now)
         if end is not None:
@@ -84,9 +101,15 @@
             self.tally.count("sent_in_spite_total", "rest")
         return told
 
+    def describe_limit(self, life: Life) -> dict[str, float]:
+        """Return what the line of a send tells of the limit that its upstream names; nothing where it names none."""
+        rate = self.limits.find(life)
+        return {} if rate is None else {"limit": rate}
+
     def forget_old(self, listed: Collection[UpstreamId]) -> None:
         """Drop what was said by upstreams that are known no longer."""
         self.rests.keep_only(listed)
+        self.limits.keep_only(listed)
 
 
 class AnnouncementSink(AnswerSink):
--- /dev/null
+++ b/tests/relay/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of named limits."""
