--- a/benchmarks/limits.py
+++ b/benchmarks/limits.py
@@ -100,7 +100,7 @@
         now = platform.clock.now()
         for _ in range(round(random.random() + max(LEAST_DEMAND, DEMAND_A_VM * vms) * STEP - 0.5)):
             one = random.choice(known)
-            if one.may_be_sent(life, now):
+            if one.may_send(life, now):
                 one.spend(life, now)
                 sent.append(now)
     told = [after - start for after, start in zip(count_bytes(platform), before, strict=True)]
--- a/src/beamhatch/relay/choosing/eligibility.py
+++ b/src/beamhatch/relay/choosing/eligibility.py
@@ -85,7 +85,7 @@
             return Obstacle.REGION
         if not self.rests.may_be_sent(upstream, now):
             return Obstacle.RESTING
-        if not self.limits.may_be_sent(upstream.life, now, owed=owed):
+        if not self.limits.may_be_sent(upstream, now, owed=owed):
             return Obstacle.LIMITED
         return Obstacle.COLD if self.is_shut(upstream, cold, now) else None
 
--- a/src/beamhatch/relay/daemon.py
+++ b/src/beamhatch/relay/daemon.py
@@ -180,6 +180,7 @@
         tally.gauges["held_requests"] = lambda: float(self.core.quarantine.count(clock.now()))
         tally.gauges["leaving_by_own_word"] = lambda: float(len(self.core.announcements.list_untold()))
         tally.gauges["resting_upstreams"] = lambda: float(self.core.announcements.rests.count(clock.now()))
+        tally.gauges["limit_share"] = lambda: self.core.announcements.limits.find_share()
         tally.gauges["limited_upstreams"] = lambda: float(self.core.announcements.limits.count())
         tally.gauges["cold_upstreams"] = lambda: float(len(self.core.cold_watch.cold))
         tally.gauges["connections_opened"] = lambda: float(client.opened)
--- a/src/beamhatch/relay/limits/limits.py
+++ b/src/beamhatch/relay/limits/limits.py
@@ -22,6 +22,7 @@
     from collections.abc import Callable, Collection, Iterable
 
     from beamhatch.relay.limits.words import LifeKey
+    from beamhatch.relay.model import Upstream
 
 LARGEST_RATE = 1000.0
 """Requests a second from which on a limit is none: more than all VMs of the size to design for send to any upstream."""
@@ -102,7 +103,7 @@
     """Called when there is something to tell other VMs."""
     _accounts: dict[Life, Account] = field(default_factory=dict)
     _ids: set[UpstreamId] = field(default_factory=set)
-    """Whose lives these are: most upstreams name no limit, and are passed by their ids; see ``Rests``."""
+    """Whose lives these are: most upstreams name no limit, and are passed by their ids."""
     _by_key: dict[LifeKey, Life] = field(default_factory=dict)
     _untold: dict[LifeKey, Spent] = field(default_factory=dict)
     _untold_words: dict[Life, LimitWord] = field(default_factory=dict)
@@ -187,13 +188,15 @@
 
     # --- what may be sent --------------------------------------------------------------------------------------------
 
-    def may_be_sent(self, life: Life, now: float, *, owed: bool = False) -> bool:
+    def may_be_sent(self, upstream: Upstream, now: float, *, owed: bool = False) -> bool:
+        """Tell whether an upstream may be sent one more request; see ``may_send``."""
+        return upstream.id not in self._ids or self.may_send(upstream.life, now, owed=owed)
+
+    def may_send(self, life: Life, now: float, *, owed: bool = False) -> bool:
         """Tell whether this VM may send one more request to an upstream. It only looks.
 
         :param owed: whether its caller was refused before
         """
-        if life.id not in self._ids:
-            return True
         account = self._accounts.get(life)
         if account is None or account.rate is None:
             return True
@@ -243,6 +246,19 @@
         if account is not None:
             account.give_back(now)
 
+    def describe(self, life: Life) -> dict[str, object]:
+        """Return what this VM's part of a limit follows from, as it is written to the log."""
+        account = self._accounts.get(life)
+        if account is None:
+            return {}
+        vms = self.count_vms()
+        return {
+            "number": account.version,
+            "vms": vms,
+            "share": round(self.find_share(), 2),
+            "sends": account.place * vms < _find_sending(account),
+        }
+
     def find_wait(self, life: Life, now: float) -> float:
         """Return the seconds until a request should find room at an upstream that names a limit, where none has now."""
         account = self._accounts.get(life)
--- a/src/beamhatch/relay/requests/exchange.py
+++ b/src/beamhatch/relay/requests/exchange.py
@@ -609,7 +609,7 @@
         resting = eligibility.rests.is_resting(upstream.life, now)
         if resting or eligibility.evacuations.is_emptied(upstream.hall):
             return
-        if not eligibility.limits.may_be_sent(upstream.life, now):
+        if not eligibility.limits.may_be_sent(upstream, now):
             return
         eligibility.limits.spend(upstream.life, now)
         self.write_log("given back", target=call.target, to=upstream.id)
--- a/src/beamhatch/relay/upstreams/announcements.py
+++ b/src/beamhatch/relay/upstreams/announcements.py
@@ -102,7 +102,8 @@
         if is_turn or now - self._limits_written.get(life, -math.inf) >= LIMIT_LINE_GAP:
             self._limits_written[life] = now
             event = "names a limit" if rate is not None else "names no limit any more"
-            self.journal.write("LIMIT", event, upstream=life.id, rate=rate, before=before, source=source)
+            part = self.limits.describe(life)
+            self.journal.write("LIMIT", event, upstream=life.id, rate=rate, before=before, source=source, **part)
         if before is None and rate is not None:
             self.on_news(life)
 
--- a/tests/relay/limits/test_limits.py
+++ b/tests/relay/limits/test_limits.py
@@ -39,21 +39,21 @@
 
 def test_nothing_is_kept_from_one_that_names_none() -> None:
     limits = make_limits()
-    assert limits.may_be_sent(Life(UpstreamId("v"), 1), NOW)
+    assert limits.may_send(Life(UpstreamId("v"), 1), NOW)
     assert limits.hold(Life(UpstreamId("v"), 1), NOW) is None
 
 
 def test_what_was_not_used_before_the_word_counts_for_nothing() -> None:
     limits = make_limits(2.0)
-    assert not limits.may_be_sent(LIFE, NOW)
-    assert not limits.may_be_sent(LIFE, NOW + 0.49)
-    assert limits.may_be_sent(LIFE, NOW + 0.51)
+    assert not limits.may_send(LIFE, NOW)
+    assert not limits.may_send(LIFE, NOW + 0.49)
+    assert limits.may_send(LIFE, NOW + 0.51)
     assert limits.find_wait(LIFE, NOW + 0.51) == 0.0
 
 
 def test_a_new_life_has_no_limit_until_it_names_one() -> None:
     limits = make_limits()
-    assert limits.may_be_sent(OTHER_LIFE, NOW)
+    assert limits.may_send(OTHER_LIFE, NOW)
     assert limits.find(OTHER_LIFE) is None
 
 
@@ -62,7 +62,7 @@
     limits = make_limits(rate)
     sent = 0
     for step in range(1000):
-        if limits.may_be_sent(LIFE, NOW + step / 10):
+        if limits.may_send(LIFE, NOW + step / 10):
             limits.spend(LIFE, NOW + step / 10)
             sent += 1
     assert sent == pytest.approx(100 * LEAST_PACE, abs=1)
@@ -71,21 +71,21 @@
 def test_a_huge_limit_is_none() -> None:
     limits = Limits()
     assert not limits.take(LIFE, LARGEST_RATE, NOW, NOW)
-    assert limits.may_be_sent(LIFE, NOW)
+    assert limits.may_send(LIFE, NOW)
 
 
 def test_a_limit_that_is_raised_to_a_huge_one_is_over() -> None:
     limits = make_limits(0.5)
     assert limits.take(LIFE, 1e9, NOW + 1, NOW + 1)
-    assert limits.may_be_sent(LIFE, NOW + 1)
+    assert limits.may_send(LIFE, NOW + 1)
 
 
 def test_a_limit_that_is_over_and_comes_again_begins_with_nothing() -> None:
     limits = make_limits()
     assert limits.take(LIFE, None, NOW + 10, NOW + 10)
-    assert limits.may_be_sent(LIFE, NOW + 10)
+    assert limits.may_send(LIFE, NOW + 10)
     assert limits.take(LIFE, 2.0, NOW + 12, NOW + 12)
-    assert not limits.may_be_sent(LIFE, NOW + 12)
+    assert not limits.may_send(LIFE, NOW + 12)
 
 
 def test_an_answer_to_a_request_from_before_the_word_neither_ends_nor_raises_it() -> None:
@@ -100,12 +100,12 @@
     limits = make_limits(2.0)
     permit = limits.hold(LIFE, NOW + 0.6)
     assert permit is not None
-    assert not limits.may_be_sent(LIFE, NOW + 0.6)
+    assert not limits.may_send(LIFE, NOW + 0.6)
     permit.drop(NOW + 0.7)
     permit.drop(NOW + 0.7)
-    assert limits.may_be_sent(LIFE, NOW + 0.7)
+    assert limits.may_send(LIFE, NOW + 0.7)
     limits.spend(LIFE, NOW + 0.7)
-    assert not limits.may_be_sent(LIFE, NOW + 0.7)
+    assert not limits.may_send(LIFE, NOW + 0.7)
 
 
 def test_room_that_nobody_uses_lapses() -> None:
@@ -113,7 +113,7 @@
     permit = limits.hold(LIFE, NOW + 2.0)
     assert permit is not None
     permit.drop(NOW + 2.0)
-    assert not limits.may_be_sent(LIFE, NOW + 2.0 + SPARE_LIFE)
+    assert not limits.may_send(LIFE, NOW + 2.0 + SPARE_LIFE)
 
 
 def test_a_permit_that_was_used_gives_nothing_back() -> None:
@@ -122,15 +122,15 @@
     assert permit is not None
     permit.use(NOW + 0.6)
     permit.drop(NOW + 0.6)
-    assert not limits.may_be_sent(LIFE, NOW + 0.6)
+    assert not limits.may_send(LIFE, NOW + 0.6)
 
 
 def test_who_was_refused_before_goes_first() -> None:
     limits = make_limits(2.0)
     limits.note_refused([LIFE], NOW + 3)
-    assert not limits.may_be_sent(LIFE, NOW + 0.55)
-    assert limits.may_be_sent(LIFE, NOW + 0.55, owed=True)
-    assert limits.may_be_sent(LIFE, NOW + 0.65)
+    assert not limits.may_send(LIFE, NOW + 0.55)
+    assert limits.may_send(LIFE, NOW + 0.55, owed=True)
+    assert limits.may_send(LIFE, NOW + 0.65)
 
 
 def test_accounts_are_bounded_and_forgotten() -> None:
--- a/tests/support/limit_fleet.py
+++ b/tests/support/limit_fleet.py
@@ -155,7 +155,7 @@
         if not vm.ready:
             return
         self.asked += 1
-        if not vm.limits.may_be_sent(LIFE, self.now):
+        if not vm.limits.may_send(LIFE, self.now):
             self.refused += 1
             return
         vm.limits.spend(LIFE, self.now)
