Have the soak's upstreams name limits, with a promise and two mutants

Upstreams name a limit (0 to 6 a second), another one later, and none at last, drawn apart so that a seed's other faults stay. The promise has the users' bound: one and a half times the limit and five requests in any 4 s, from 3 s behind the first answer, over the VMs that have passed one on half a second before; a start or a disturbance of a VM excuses it.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -35,6 +35,12 @@
 LINGER = 1.0
 """Seconds for which a leaving upstream serves on behind the time by which nothing new may come."""
 
+LIMITS = (0.0, 0.5, 1.0, 2.6, 6.0)
+"""Limits that are drawn, in requests a second."""
+
+LIMIT_TIME = 6.0
+"""Seconds for which each is named: the time until it holds, and most of a window."""
+
 EMPTY_TIME = 6.0
 """Seconds for which a hall is emptied at the least: longer than the bound within which nothing new may come."""
 
@@ -88,6 +94,7 @@
             FaultKind.UPSTREAM_LEAVES: self._leave,
             FaultKind.UPSTREAM_SAYS_LEAVING: self._say_leaving,
             FaultKind.UPSTREAM_RESTS: self._rest,
+            FaultKind.UPSTREAM_LIMITS: self._limit,
             FaultKind.HALL_COLD: self._chill_hall,
             FaultKind.EVACUATE: self._evacuate,
             FaultKind.CONFIGURE: lambda step: self._world.configure(),
@@ -324,6 +331,22 @@
             upstream.fault, upstream.rest = UpstreamFault.SHED, str(REST_TIME)
             self._later(REST_TIME + step.seconds, self._mend_upstream, upstream)
 
+    def _limit(self, step: Step) -> None:
+        """Have an upstream name a limit for longer than one window, then another one, and none at last."""
+        name = pick(list(self._world.placed), step)
+        if self._world.placed[name].upstream.limit:
+            return
+        first, second = (LIMITS[int(step.seconds * 1000 * factor) % len(LIMITS)] for factor in (1, 7))
+        self._name_limit(name, first)
+        self._later(LIMIT_TIME + step.seconds, self._name_limit, name, second)
+        self._later(2 * LIMIT_TIME + step.seconds, self._name_limit, name, None)
+
+    def _name_limit(self, name: str, rate: float | None) -> None:
+        placed = self._world.placed.get(name)
+        if placed is not None:
+            placed.upstream.limit = "" if rate is None else str(rate)
+            self._witness.limits.name(name, rate, self._world.now())
+
     def _end_upstream(self, name: str) -> None:
         if name in self._world.placed:
             self._world.remove_upstream(name)
--- a/tests/soak/mutants.py
+++ b/tests/soak/mutants.py
@@ -11,6 +11,7 @@
 from beamhatch.relay.choosing.rests import Rests
 from beamhatch.relay.core import Core
 from beamhatch.relay.daemon import Daemon
+from beamhatch.relay.limits.limits import Limits
 from beamhatch.relay.quarantine.quarantine import Quarantine
 from beamhatch.relay.requests.exchange import RelayExchange
 from beamhatch.relay.requests.request import RelayRequest
@@ -77,6 +78,14 @@
     Rests.may_send = lambda self, life, now: True  # type: ignore[method-assign]
 
 
+def _ignores_limits() -> None:
+    Limits.may_send = lambda self, life, now, **_: True  # type: ignore[method-assign]
+
+
+def _counts_alone() -> None:
+    Limits.take_spent = lambda self, spent, now: None  # type: ignore[method-assign]
+
+
 def _stops_at_once() -> None:
     def stop(self: Daemon) -> None:
         self.clock.reactor.stop()
@@ -120,6 +129,8 @@
     "uses-leaving": Mutant(Promise.LEAVING, [FaultKind.UPSTREAM_LEAVES], _uses_leaving),
     "forgets-words": Mutant(Promise.LEAVING, [FaultKind.UPSTREAM_SAYS_LEAVING], _forgets_words),
     "ignores-rests": Mutant(Promise.RESTING, [FaultKind.UPSTREAM_RESTS], _ignores_rests),
+    "ignores-limits": Mutant(Promise.LIMITED, [FaultKind.UPSTREAM_LIMITS], _ignores_limits),
+    "counts-alone": Mutant(Promise.LIMITED, [FaultKind.UPSTREAM_LIMITS], _counts_alone),
     "keeps-first-configuration": Mutant(Promise.IN_FORCE, [FaultKind.CONFIGURE], _keeps_first_configuration),
     "stops-at-once": Mutant(Promise.PLANNED_STOP, [FaultKind.STOP], _stops_at_once),
     "keeps-memory": Mutant(Promise.GIVEN_BACK, UPSTREAM_FAULTS, _keeps_memory),
--- a/tests/soak/promise.py
+++ b/tests/soak/promise.py
@@ -18,6 +18,7 @@
     REGION = "a request stays in the regions of its route"
     LEAVING = "an upstream that leaves gets nothing new"
     RESTING = "an upstream that asked a VM for rest gets it"
+    LIMITED = "an upstream that names a limit gets no more from all VMs together"
     IN_FORCE = "a configuration is in force in its time"
     NO_STEP_BACK = "a VM that served by a configuration does not go back to an older one"
     PLANNED_STOP = "a planned stop cuts off nothing, and ends in its time"
@@ -62,6 +63,17 @@
 MOST_IN_REST = 2
 """Two requests may reach an upstream from a VM between half a second behind its asking for rest and the end of it."""
 
+LIMIT_WINDOW = 4.0
+LIMIT_OVERAGE = 1.5
+LIMIT_SLACK = 5.0
+"""An upstream gets in so many seconds at the most so many times its limit, and so many requests on top."""
+
+LIMIT_CONTACT = 3.0
+"""Seconds behind the first answer with a limit from which on that holds."""
+
+LIMIT_TOLD = 0.5
+"""Seconds behind the first such answer that a VM has passed on from which on its requests count."""
+
 STEP_BACK_SLACK = 0.25
 """Seconds behind an effect of a version in which another request may still be handled by the version before."""
 
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -45,6 +45,8 @@
     """An upstream says in its answers alone that it leaves: its entry stays; it ends later, and another one comes."""
     UPSTREAM_RESTS = "upstream_rests"
     """An upstream turns requests away, and asks for rest."""
+    UPSTREAM_LIMITS = "upstream_limits"
+    """An upstream names a limit in its answers, another one later, and none at last."""
     HALL_COLD = "hall_cold"
     """All upstreams of a hall go down, and come back together, cold."""
     EVACUATE = "evacuate"
@@ -97,6 +99,12 @@
 MEAN_GAP = 1.2
 """Seconds between two faults in the mean: with faults of up to 6 s, some five overlap."""
 
+LIMITS = (FaultKind.UPSTREAM_LIMITS,)
+"""Drawn apart for the same reason."""
+
+LIMITS_GAP = 3.0
+"""Seconds between two upstreams in the mean that begin to name a limit."""
+
 WORDS_GAP = 3.0
 """Seconds between two upstreams in the mean that leave or rest by their own word."""
 
@@ -123,7 +131,8 @@
         return _draw(random.Random(seed), seconds, kinds, MEAN_GAP)
     steps = _draw(random.Random(seed), seconds, tuple(WEIGHTS), MEAN_GAP)
     words = _draw(random.Random(f"own words of {seed}"), seconds, OWN_WORDS, WORDS_GAP)
-    return sorted([*steps, *words], key=lambda step: step.at)
+    limits = _draw(random.Random(f"limits of {seed}"), seconds, LIMITS, LIMITS_GAP)
+    return sorted([*steps, *words, *limits], key=lambda step: step.at)
 
 
 def _draw(drawn: random.Random, seconds: float, kinds: Sequence[FaultKind], gap: float) -> list[Step]:
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -158,6 +158,30 @@
     assert len(witness.breaches) == (0 if excuse else 1)
 
 
+@pytest.mark.parametrize("excuse", ["", "another start", "disturbed", "not told", "a limit that is over"])
+def test_what_an_upstream_gets_beyond_its_limit_is_seen(witness: Witness, excuse: str) -> None:
+    ask(witness, "/safe/")
+    witness.limits.name("i-1", 1.0, 10.0)
+    if excuse != "not told":
+        headers = {**SIGNED, "server-limit": "1"}
+        witness.take_outcome(make_outcome("/safe/", 200, headers, b"GET /safe/x q1"))  # at 21 s
+    if excuse == "another start":
+        witness.asked["q1"] = Asked("/safe/", "vm0", 2, 20.0)
+    if excuse == "disturbed":
+        witness.vms["vm0"].calm.begin()
+        witness.vms["vm0"].calm.end(21.1)
+    if excuse == "a limit that is over":
+        witness.limits.name("i-1", None, 21.2)
+    for number in range(14):
+        witness.take_arrival("q1", "/safe/x", "i-1", 21.2 + number / 10)  # 11 of them count
+    assert not witness.breaches
+    witness.take_arrival("q1", "/safe/x", "i-1", 25.6)
+    assert not witness.breaches
+    for number in range(11):
+        witness.take_arrival("q1", "/safe/x", "i-1", 25.7 + number / 10)
+    assert list_broken(witness) == (set() if excuse else {Promise.LIMITED})
+
+
 def test_an_innocent_request_that_is_kept_away_is_seen(witness: Witness) -> None:
     body = b'{"error": "each upstream that began to run it has ended, fingerprint 00"}'
     witness.ledger.deadly.add("/safe/x")
--- a/tests/soak/witness.py
+++ b/tests/soak/witness.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 from beamhatch.relay.requests.exchange import HELD
+from tests.soak.limits import NamedLimits
 from tests.soak.own_words import Heard, OwnWords
 from tests.soak.promise import (
     COLD_BOUND,
@@ -131,6 +132,7 @@
     """Of these, requests that end upstreams; none of them is served."""
     served: int = 0
     words: OwnWords = field(default_factory=OwnWords)
+    limits: NamedLimits = field(default_factory=NamedLimits)
     _orders: int = 0
     _last_order: Order | None = None
 
@@ -176,6 +178,9 @@
         broken = self.words.check_arrival(heard, asked.sent_at, self.vms[asked.vm].calm.since, now)
         if broken is not None:
             self.break_promise(broken, now, f"{request} reached {instance} from {asked.vm} in spite of its word")
+        beyond = self.limits.check_arrival(heard, self.vms[asked.vm].calm.since, now)
+        if beyond is not None:
+            self.break_promise(Promise.LIMITED, now, beyond)
 
     def _check_deadly(self, asked: Asked, request: str, target: str, now: float) -> None:
         ends = self.ends.get(target, [])
@@ -240,6 +245,9 @@
         if signature is not None and outcome.headers.get("server-leaving") == "1":
             instance = signature.partition(".")[0]
             self.words.take_leaving(Heard(instance, outcome.vm, outcome.life), outcome.ended_at)
+        if signature is not None and "server-limit" in outcome.headers:
+            heard = Heard(signature.partition(".")[0], outcome.vm, outcome.life)
+            self.limits.take_told(heard, self.vms[outcome.vm].calm.since, outcome.ended_at)
         if outcome.status in NOT_RUN_STATUSES and signature is None:
             self.refused[outcome.request] = outcome.ended_at
             if self.ledger.runs[outcome.request]:
