Divide the slack of repeated sends by the VMs that there were of late

What callers and upstreams would see: where two halves of a fleet are cut apart for more than 60 s, each VM counts its own half alone and takes a part of the slack as if that were all: 12 VMs make 108 repeated sends in one window where 84 are borne. What longer cuts do is as for cold upstreams: behind 300 s halves forget each other.

--- a/src/beamhatch/relay/core.py
+++ b/src/beamhatch/relay/core.py
@@ -145,6 +145,8 @@
     """When the VM started, in monotonic seconds."""
     vms: int = 1
     """VMs that are known to be alive, this one among them."""
+    vms_lately: int = 1
+    """VMs that there were of late: a bound that all share is divided by them, as those out of touch use their part."""
     stopping: bool = False
     """True once a planned stop leaves no time for new requests."""
     exchanges: set[RelayExchange] = field(default_factory=set)
--- a/src/beamhatch/relay/fleet/gossip.py
+++ b/src/beamhatch/relay/fleet/gossip.py
@@ -226,6 +226,7 @@
         self._fleet.forget_old(now)
         self.core.work.forget_old(now)
         self.core.vms = self.membership.size
+        self.core.vms_lately = self.membership.count_lately(now)
         self._dial(now)
         self._adds_up = self.membership.is_watcher()
         self._say_hello(now)
--- a/src/beamhatch/relay/fleet/membership.py
+++ b/src/beamhatch/relay/fleet/membership.py
@@ -191,12 +191,16 @@
         """Return the addresses of all other VMs that were there of late, whether they are in touch or not."""
         return [address for address, heard_at in self._remembered.items() if now - heard_at <= REMEMBER_AFTER]
 
+    def count_lately(self, now: float) -> int:
+        """Return how many VMs there were of late, this one among them: those that are out of touch still count."""
+        return 1 + sum(now - heard_at <= REMEMBER_AFTER for heard_at in self._remembered.values())
+
     def find_share(self, halls: Collection[str], now: float) -> float:
         """Return the part of all VMs that hear of each other, this one among them.
 
         :param halls: those of the VMs that this one has a connection to
         """
-        vms = 1 + sum(now - heard_at <= REMEMBER_AFTER for heard_at in self._remembered.values())
+        vms = self.count_lately(now)
         if vms == 1:
             return 1.0
         if not halls:
--- a/src/beamhatch/relay/requests/exchange.py
+++ b/src/beamhatch/relay/requests/exchange.py
@@ -181,7 +181,8 @@
                 back = spread_return(lack.wait, random.random(), owed=self._returns)
             step = request.refuse_shut(f"nothing may be sent to any upstream: {lack.obstacle.value}", back)
         else:
-            step = request.plan(usable, self.core.chooser, self.core.find_budget(service), self.core.vms, now)
+            vms = max(self.core.vms, self.core.vms_lately)
+            step = request.plan(usable, self.core.chooser, self.core.find_budget(service), vms, now)
         if isinstance(step, Refuse) and not step.full and request.regions is not None:
             return self._explain_by_regions(step, request.regions)
         return step
