Find out once a beat which part of all VMs is heard, and count own requests apart from others'

The part of all VMs was worked out at each look at an upstream that names a limit, from all VMs that are known: 0.1 ms each at 300 VMs, and there may be tens of such looks a plan. It is as of the last regular beat now, as whether a VM adds up its hall. What a VM sent itself stood among the others' counts, of which the oldest is dropped behind 2,048 starts of VMs: its count would have begun anew, and its requests would have been no news to the others. By reading, with a test.

--- a/src/beamhatch/relay/fleet/gossip.py
+++ b/src/beamhatch/relay/fleet/gossip.py
@@ -124,6 +124,8 @@
         self._fleet = FleetDemand()
         self._adds_up = False
         """Whether this VM adds up what its hall tells, as of the last regular beat: it takes 0.1 ms to find out."""
+        self._share = 1.0
+        """The part of all VMs that hear of each other and of this one; it takes 0.1 ms to find out."""
         self._hello_at = 0.0
         self._hello_pause = FIRST_HELLO_PAUSE
         self._lacking: dict[str, _Lack] = {}
@@ -229,6 +231,8 @@
         self.core.vms_lately = self.membership.count_lately(now)
         self._dial(now)
         self._adds_up = self.membership.is_watcher()
+        halls = {connection.hall for connection in self.list_connections()}
+        self._share = self.membership.find_share(halls, now)
         self._say_hello(now)
         self._beats.note_done()
         self._tell_beats(regular=True)
@@ -347,9 +351,8 @@
         return self._fleet.find_pressure(service.name, service.engine, own, self.membership.size, now)
 
     def find_share(self) -> float:
-        """Return the part of all VMs that hear of each other and of this one."""
-        halls = {connection.hall for connection in self._connections if connection.vm}
-        return self.membership.find_share(halls, self.clock.now())
+        """Return the part of all VMs that hear of each other and of this one, as of the last regular beat."""
+        return self._share
 
     # --- messages ----------------------------------------------------------------------------------------------------
 
--- a/src/beamhatch/relay/limits/account.py
+++ b/src/beamhatch/relay/limits/account.py
@@ -73,7 +73,10 @@
     """Until when callers may come back that were refused."""
     _draw: float = math.inf
     _redraw_at: float = -math.inf
+    _own_count: int = 0
+    """Requests that this VM has taken room for."""
     _counts: dict[Origin, int] = field(default_factory=dict)
+    """What the others have sent, as far as they told."""
     _spares: deque[float] = field(default_factory=deque)
     """When each room lapses that was taken and not used."""
 
@@ -106,14 +109,14 @@
         wanted = self._draw if math.isfinite(self._draw) else 1.0 + self._find_span()
         return max(0.0, (wanted - self.level) / self.find_pace(share))
 
-    def take(self, origin: Origin, now: float) -> int | None:
+    def take(self, now: float) -> int | None:
         """Take room for one request of this VM; return how many it has taken so far, None where that is as before."""
         if self._has_spare(now):
             self._spares.popleft()
             return None
         self._spend(1)
-        count = self._counts[origin] = self._counts.get(origin, 0) + 1
-        return count
+        self._own_count += 1
+        return self._own_count
 
     def give_back(self, now: float) -> None:
         """Keep room that was taken and not used for the next request of this VM."""
--- a/src/beamhatch/relay/limits/limits.py
+++ b/src/beamhatch/relay/limits/limits.py
@@ -224,7 +224,7 @@
         if account is None or account.rate is None:
             return False
         account.fill(self._find_part(), now)
-        count = account.take(self.origin, now)
+        count = account.take(now)
         if self.shared and count is not None:
             key = make_key(life)
             before = self._untold.get(key)
--- a/tests/relay/fleet/test_membership.py
+++ b/tests/relay/fleet/test_membership.py
@@ -237,3 +237,43 @@
     assert len(membership.list_news(told, 64, 8, 0.0)) == 8
     membership.take(Member("late:1", "a"), 0.0, 1.0)
     assert membership.list_news(told, 64, 8, 1.0)[0].member.address == "late:1"
+
+
+def make_hall_fleet() -> Membership:
+    """Return what one of six VMs in three halls knows."""
+    membership = Membership(Member("a1:1", "a"))
+    for address, hall in (("a2:1", "a"), ("b1:1", "b"), ("b2:1", "b"), ("c1:1", "c"), ("c2:1", "c")):
+        membership.take(Member(address, hall), 0.0, 100.0)
+    return membership
+
+
+def test_a_vm_that_hears_all_halls_takes_part_for_all() -> None:
+    assert make_hall_fleet().find_share({"a", "b"}, 101.0) == 1.0
+    assert Membership(Member("a1:1", "a")).find_share(set(), 101.0) == 1.0
+
+
+def test_one_that_hears_its_own_hall_alone_takes_its_hall_s_part() -> None:
+    assert make_hall_fleet().find_share({"a"}, 101.0) == 2 / 6
+
+
+def test_one_that_hears_nobody_takes_its_own_part() -> None:
+    assert make_hall_fleet().find_share(set(), 101.0) == 1 / 6
+
+
+def test_the_others_leave_a_hall_its_part_that_they_miss_for_long() -> None:
+    membership = make_hall_fleet()
+    for address, hall in (("a2:1", "a"), ("b1:1", "b"), ("b2:1", "b")):
+        membership.take(Member(address, hall), 0.0, 120.0)
+    assert membership.find_share({"a", "b"}, 124.0) == 1.0
+    assert membership.find_share({"a", "b"}, 126.0) == 4 / 6
+
+
+def test_the_part_of_those_that_are_forgotten_is_left_to_them_for_some_time() -> None:
+    membership = make_hall_fleet()
+    membership.take(Member("a2:1", "a"), 0.0, 170.0)
+    membership.forget_old(170.0)
+    assert membership.size == 2
+    assert membership.find_share({"a"}, 170.0) == 2 / 6
+    membership.take(Member("a2:1", "a"), 0.0, 450.0)
+    membership.forget_old(450.0)
+    assert membership.find_share({"a"}, 450.0) == 1.0
--- a/tests/relay/limits/test_limits.py
+++ b/tests/relay/limits/test_limits.py
@@ -6,7 +6,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from beamhatch.relay.limits.account import LEAST_PACE, MOST_DEBT_TIME, SPARE_LIFE
+from beamhatch.relay.limits.account import LEAST_PACE, MOST_DEBT_TIME, MOST_ORIGINS, SPARE_LIFE
 from beamhatch.relay.limits.limits import ENDED_LIFE, LARGEST_RATE, MOST_LIFE_ACCOUNTS, Limits
 from beamhatch.relay.limits.words import LimitWord, Origin, Spent, make_key
 from beamhatch.relay.model import Life, UpstreamId
@@ -162,6 +162,17 @@
     assert limits.find_wait(LIFE, NOW + 1) <= 0.5
 
 
+def test_own_requests_are_counted_on_however_many_others_there_are() -> None:
+    limits = make_limits(2.0)
+    limits.spend(LIFE, NOW + 1)
+    for number in range(MOST_ORIGINS + 10):
+        limits.take_spent(Spent(KEY, Origin(number), 1, 1), NOW + 1)
+    limits.take_untold()
+    limits.spend(LIFE, NOW + 1)
+    _, spent = limits.take_untold()
+    assert [(one.count, one.new) for one in spent] == [(2, 1)]
+
+
 def test_the_debt_is_bounded_whatever_others_tell() -> None:
     limits = make_limits(2.0)
     limits.take_spent(Spent(KEY, Origin(7), 10**9, 10**9), NOW + 1)
