Order what the store tells by era and revision, so that news behind a return from a copy count

Cause: a revision alone was the order of news, and goes back with the copy. A position, the era above the revision, is made at the boundary to the store, and everything compares it as it compared revisions: so it holds for listing, evacuations, what VMs hand on, watches and tokens alike. What a list lacks stays for 4 s behind a return, as operators and upstreams write theirs again; a life that is known to be gone gets nothing for standing there; a claim holds in its era alone, as another one may have its revision.

--- a/src/beamhatch/platform/documents.py
+++ b/src/beamhatch/platform/documents.py
@@ -164,7 +164,7 @@
     """Reads the documents as the platform's pages have them; writes a line on those that can't be read."""
 
     def __init__(self, journal: Journal) -> None:
-        self._journal = journal
+        self.journal = journal
 
     def read_configuration(self, raw: bytes) -> Table | None:
         """Return the operators' configuration, or None where it can't be read."""
@@ -172,12 +172,12 @@
             read = _read_configuration(raw)
             routes = [_make_route(route) for route in read.routes]
         except _PROBLEMS as problem:
-            self._journal.write("CONFIG", "unreadable", bytes=len(raw), detail=str(problem))
+            self.journal.write("CONFIG", "unreadable", bytes=len(raw), detail=str(problem))
             return None
         unbound = [route.name for route in read.routes if route.allowed_regions == []]
         unbound += [tenant.name for tenant in read.tenants if tenant.allowed_regions == []]
         if unbound:
-            self._journal.write("CONFIG", "empty list of regions taken as none", names=unbound, version=read.version)
+            self.journal.write("CONFIG", "empty list of regions taken as none", names=unbound, version=read.version)
         services = [_make_service(service) for service in read.services]
         workspaces = tuple(_make_workspace(tenant) for tenant in read.tenants)
         return make_table(read.version, routes, services, _make_limits(read.limits), workspaces)
@@ -192,7 +192,7 @@
         try:
             found = _read_upstream(upstream, raw)
         except _PROBLEMS as problem:
-            self._journal.write("LISTING", "unreadable", upstream=upstream, revision=revision, detail=str(problem))
+            self.journal.write("LISTING", "unreadable", upstream=upstream, revision=revision, detail=str(problem))
             return Entry(upstream, revision, None, readable=False)
         return Entry(upstream, revision, found)
 
--- a/src/beamhatch/platform/store.py
+++ b/src/beamhatch/platform/store.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import base64
+from dataclasses import replace
 from typing import TYPE_CHECKING, TypeVar
 from urllib.parse import urlencode
 
 import msgspec
 
+from beamhatch.platform.eras import EraWatch, find_era, find_revision, make_position, read_era
 from beamhatch.relay.api import (
     Claimed,
     DirectiveNews,
@@ -28,6 +30,7 @@
 if TYPE_CHECKING:
     from beamhatch.clock import Clock
     from beamhatch.platform.documents import PlatformDocuments
+    from beamhatch.platform.eras import Era
     from beamhatch.relay.model import Address
     from beamhatch.relay.requests.answer import WholeAnswer
     from beamhatch.relay.upstreams.http_client import HttpClient
@@ -77,6 +80,7 @@
     items: list[_Item]
     more: bool
     at: int
+    """Behind ``_ask``, this and the items' revisions are positions."""
 
 
 class _Lease(msgspec.Struct):
@@ -92,6 +96,9 @@
     at: int
 
 
+Listed = TypeVar("Listed", _Range, _Events)
+
+
 class PlatformStore(Store):
     """Speaks to the store over HTTP."""
 
@@ -100,11 +107,16 @@
         self._clock = clock
         self._address = address
         self._documents = documents
+        self._eras = EraWatch()
+        self._unsettled: set[str] = set()
+        """Prefixes whose lists were read before they were whole again."""
 
     async def read_directives(self) -> DirectiveNews | StoreLost:
         """Return the configuration in force, and all halls that are emptied."""
         items = await self._read_all(OPERATORS)
-        return items if isinstance(items, StoreLost) else self._make_directives(items)
+        if isinstance(items, StoreLost):
+            return items
+        return replace(self._make_directives(items), settled=self._note_read(OPERATORS))
 
     async def watch_directives(self, after: int, wait: float) -> DirectiveNews | StoreLost | HistoryGone:
         """Return what the operators changed behind a revision."""
@@ -125,7 +137,17 @@
         items = await self._read_all(UPSTREAMS)
         if isinstance(items, StoreLost):
             return items
-        return ListingNews([self._make_entry(item) for item in items.events], items.at)
+        entries = [self._make_entry(item) for item in items.events]
+        return ListingNews(entries, items.at, settled=self._note_read(UPSTREAMS))
+
+    def _note_read(self, prefix: str) -> bool:
+        """Note that a whole list was read; return whether what it lacks is gone, else it is read again later."""
+        settled = self._eras.is_settled(self._clock.now())
+        if settled:
+            self._unsettled.discard(prefix)
+        else:
+            self._unsettled.add(prefix)
+        return settled
 
     async def watch_listing(self, after: int, wait: float) -> ListingNews | StoreLost | HistoryGone:
         """Return changes of upstreams behind a revision."""
@@ -140,10 +162,12 @@
         at = None
         query = {"path_prefix": prefix}
         while True:
-            page = _decode(await self._get("kv-range", query), _Range)
+            page = self._place(await self._get("kv-range", query), _Range)
             if isinstance(page, StoreLost):
                 return page
             at = page.at if at is None else at
+            if find_era(page.at) != find_era(at):
+                return StoreLost("the store came back from a copy between two pages")
             items += page.items
             if not page.more or not page.items:
                 return _Events(items, at)
@@ -169,7 +193,7 @@
 
     async def read_leadership(self) -> LeadershipNews | StoreLost:
         """Return who leads, what the last order was, and which requests are held."""
-        page = _decode(await self._get("kv-range", {"path_prefix": OWN}), _Range)
+        page = self._place(await self._get("kv-range", {"path_prefix": OWN}), _Range)
         if isinstance(page, StoreLost):
             return page
         items = {item.tls_key: item for item in page.items}
@@ -195,16 +219,21 @@
         change = {
             "if_revision": [
                 {"tls_key": LEADER, "revision": 0},
-                {"tls_key": LAST_ORDER, "revision": seen.last_order},
+                {"tls_key": LAST_ORDER, "revision": find_revision(seen.last_order)},
             ],
             "put": [{"tls_key": LEADER, "value": value, "lease": lease.lease}],
             "remove": [],
         }
         answer = await self._post("kv-txn", change)
-        if not isinstance(answer, str) and answer.head.status == 412:
+        if isinstance(answer, str):
+            return StoreLost(answer)
+        if answer.head.status == 412:
             return Taken()
         changed = _decode(answer, _Changed)
-        return changed if isinstance(changed, StoreLost) else Claimed(lease.lease, changed.revision)
+        if isinstance(changed, StoreLost):
+            return changed
+        era = self._note_era(answer)
+        return Claimed(lease.lease, make_position(era, changed.revision)) if era == find_era(seen.at) else Taken()
 
     async def keep_leadership(self, claim: Claimed, timeout: float) -> bool | StoreLost:
         """Renew the lease of a claim."""
@@ -212,13 +241,13 @@
         if isinstance(answer, str):
             return StoreLost(answer)
         if answer.head.status in (200, 404):
-            return answer.head.status == 200
+            return answer.head.status == 200 and self._note_era(answer) == find_era(claim.revision)
         return StoreLost(f"status {answer.head.status}")
 
     async def record_order(self, claim: Claimed, order: str) -> bool | StoreLost:
         """Write an order down on the condition that the claim stands."""
         change = {
-            "if_revision": [{"tls_key": LEADER, "revision": claim.revision}],
+            "if_revision": [{"tls_key": LEADER, "revision": find_revision(claim.revision)}],
             "put": [{"tls_key": LAST_ORDER, "value": base64.b64encode(order.encode()).decode(), "lease": 0}],
             "remove": [],
         }
@@ -226,15 +255,45 @@
         if isinstance(answer, str):
             return StoreLost(answer)
         if answer.head.status in (200, 412):
-            return answer.head.status == 200
+            # behind a return, the revision may be that of another VM's claim
+            return answer.head.status == 200 and self._note_era(answer) == find_era(claim.revision)
         return StoreLost(f"status {answer.head.status}")
 
     async def _watch(self, prefix: str, after: int, wait: float) -> _Events | StoreLost | HistoryGone:
-        query = {"path_prefix": prefix, "after": str(after), "wait_ms": str(int(wait * 1000))}
+        """Wait for changes behind a position: none of an era that is over, and not beyond the time to read again."""
+        now = self._clock.now()
+        if prefix in self._unsettled:
+            if self._eras.is_settled(now):
+                return HistoryGone()
+            wait = min(wait, self._eras.settled_at - now)
+        if find_era(after) != (self._eras.era or 0):
+            return HistoryGone()
+        query = {"path_prefix": prefix, "after": str(find_revision(after)), "wait_ms": str(int(wait * 1000))}
         answer = await self._get("kv-watch", query, wait + WATCH_MARGIN)
-        if not isinstance(answer, str) and answer.head.status == 410:
+        if not isinstance(answer, str) and (answer.head.status == 410 or self._note_era(answer) != find_era(after)):
             return HistoryGone()
-        return _decode(answer, _Events)
+        return self._place(answer, _Events)
+
+    def _note_era(self, answer: WholeAnswer) -> Era:
+        """Take in the era that an answer tells, and return it."""
+        era = read_era(answer.head.headers)
+        before = self._eras.era
+        if self._eras.take(era, self._clock.now()):
+            self._documents.journal.write("STORE", "came back from a copy", era=era, before=before)
+        return era
+
+    def _place(self, answer: WholeAnswer | str, wanted: type[Listed]) -> Listed | StoreLost:
+        """Return the items of an answer, with positions in place of revisions."""
+        if isinstance(answer, str):
+            return StoreLost(answer)
+        found = _decode(answer, wanted)
+        if isinstance(found, StoreLost):
+            return found
+        era = self._note_era(answer)
+        found.at = make_position(era, found.at)
+        for item in found.items if isinstance(found, _Range) else found.events:
+            item.revision = make_position(era, item.revision)
+        return found
 
     async def _post(self, name: str, body: object, timeout: float = READ_TIMEOUT) -> WholeAnswer | str:
         headers = [("Host", str(self._address)), ("Content-Type", "application/json")]
--- a/src/beamhatch/relay/api.py
+++ b/src/beamhatch/relay/api.py
@@ -149,6 +149,8 @@
     evacuations: Sequence[Evacuation]
     """Halls that are emptied, or no longer are."""
     at: int
+    settled: bool = True
+    """False where the store has just come back from a copy, so that what a whole answer lacks may be written again."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -157,6 +159,8 @@
 
     entries: Sequence[Entry]
     at: int
+    settled: bool = True
+    """False where the store has just come back from a copy, so that what a whole answer lacks may be written again."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/beamhatch/relay/core.py
+++ b/src/beamhatch/relay/core.py
@@ -251,11 +251,12 @@
         """
         now = self.clock.now()
         listing = self.listing
-        before = {entry.id: listing.find_last(entry.id) for entry in news.entries}
+        entries = news.entries if news.settled else listing.pass_over_gone(news.entries)
+        before = {entry.id: listing.find_last(entry.id) for entry in entries}
         if whole:
-            changed = listing.take_whole(news.entries, news.at, now)
+            changed = listing.take_whole(entries, news.at, now)
         else:
-            changed = [entry for entry in news.entries if listing.take(entry, now)]
+            changed = [entry for entry in entries if listing.take(entry, now)]
         for entry in changed:
             self.journal.write("LISTING", _describe(entry), upstream=entry.id, revision=entry.revision, source=source)
             self.changes.end(entry.id, None if entry.upstream is None else entry.upstream.phase)
--- a/src/beamhatch/relay/fleet/watching.py
+++ b/src/beamhatch/relay/fleet/watching.py
@@ -186,7 +186,7 @@
         news = await self.store.read_directives()
         if isinstance(news, StoreLost):
             return news
-        self._take(news, whole=True)
+        self._take(news, whole=news.settled or not self.core.eligibility.evacuations.complete)
         return news.at
 
     async def watch(self, after: int) -> int | StoreLost | HistoryGone:
@@ -218,7 +218,7 @@
         news = await self.store.read_listing()
         if isinstance(news, StoreLost):
             return news
-        self.core.take_listing(news, "store", whole=True)
+        self.core.take_listing(news, "store", whole=news.settled or not self.core.listing.complete)
         return news.at
 
     async def watch(self, after: int) -> int | StoreLost | HistoryGone:
--- a/src/beamhatch/relay/upstreams/listing.py
+++ b/src/beamhatch/relay/upstreams/listing.py
@@ -136,6 +136,16 @@
         self.complete = True
         return [entry for entry in [*listed, *gone] if self.take(entry, now)]
 
+    def pass_over_gone(self, entries: Iterable[Entry]) -> list[Entry]:
+        """Return those of some entries that a copy of the store may tell rightly: not the lives that are gone since."""
+        return [entry for entry in entries if not self._is_gone(entry)]
+
+    def _is_gone(self, entry: Entry) -> bool:
+        known = self._known.get(entry.id)
+        if known is None or known.last is None or known.entry.upstream is not None or entry.upstream is None:
+            return False
+        return known.last.is_same_life(entry.upstream)
+
     def list_since(self, revision: int, now: float) -> list[Entry]:
         """Return the news behind a revision as they are handed on now, oldest first."""
         entries = [known.show(now) for known in self._known.values() if known.entry.revision > revision]
--- a/tests/platform/test_store_copy.py
+++ b/tests/platform/test_store_copy.py
@@ -8,8 +8,23 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING, Any
+
+from twisted.internet import defer
+
+from beamhatch.platform.documents import PlatformDocuments
+from beamhatch.platform.eras import find_revision
 from beamhatch.platform.standin.store import StoreFault
-from tests.support.platform import Platform
+from beamhatch.platform.store import PlatformStore
+from beamhatch.relay.api import Claimed, LeadershipNews, StoreLost
+from beamhatch.relay.model import ServiceName
+from beamhatch.relay.upstreams.http_client import HttpClient
+from tests.support.platform import PLAIN, STORE, MemoryJournal, Platform
+
+if TYPE_CHECKING:
+    from collections.abc import Coroutine
+
+    from beamhatch.platform.standin.store import StoreCopy
 
 AWAY = 1.5
 """Seconds for which the store is silent before it is back."""
@@ -115,3 +130,121 @@
     platform.network.run(10.0)
     (token,) = list_tokens(platform)
     assert token > before
+
+
+def come_back_at_once(platform: Platform, copy: StoreCopy) -> None:
+    """Have the store be away for a moment and come back from a copy, with nothing written again yet."""
+    platform.store.fault = StoreFault.SILENT
+    platform.network.run(AWAY)
+    platform.store.fault = StoreFault.NONE
+    platform.store.come_back_from(copy)
+    platform.network.run(1.0)
+
+
+def is_used(platform: Platform, name: str) -> bool:
+    """Tell whether all VMs may send requests to a replica."""
+    usable = [vm.core.list_usable(ServiceName(PLAIN)) for vm in platform.vms.values()]
+    return all(name in [one.id for one in found] for found in usable)
+
+
+def test_an_upstream_that_the_copy_lacks_is_used_until_it_has_written_again() -> None:
+    platform = make_fleet()
+    copy = platform.store.make_copy()
+    platform.add_plain("plain-new", "hall-a")
+    platform.network.run(2.0)
+    come_back_at_once(platform, copy)
+    assert is_used(platform, "plain-new")
+    platform.list_again("plain-new")
+    platform.network.run(8.0)
+    assert is_used(platform, "plain-new")
+
+
+def test_one_that_does_not_write_again_is_gone_in_the_end() -> None:
+    platform = make_fleet()
+    copy = platform.store.make_copy()
+    platform.add_plain("plain-new", "hall-a")
+    platform.network.run(2.0)
+    come_back_at_once(platform, copy)
+    assert is_used(platform, "plain-new")
+    platform.network.run(8.0)
+    assert not is_used(platform, "plain-new")
+
+
+def test_one_that_is_gone_since_the_copy_gets_nothing_for_standing_there() -> None:
+    platform = make_fleet()
+    copy = platform.store.make_copy()
+    platform.store.remove("servers/plain-a0")
+    platform.network.run(4.0)
+    come_back_at_once(platform, copy)
+    arrived = len(platform.upstreams["plain-a0"].arrived)
+    ask_all(platform, 1.0)
+    assert len(platform.upstreams["plain-a0"].arrived) == arrived
+    assert not is_used(platform, "plain-a0")
+    platform.upstreams["plain-a0"].born += 1  # it has started again, and says so
+    platform.list_again("plain-a0")
+    platform.network.run(1.0)
+    assert is_used(platform, "plain-a0")
+
+
+def test_a_hall_that_the_copy_has_as_used_stays_emptied_until_the_operators_have_written_again() -> None:
+    platform = make_fleet()
+    copy = platform.store.make_copy()
+    platform.empty("hall-a")
+    platform.network.run(4.0)
+    come_back_at_once(platform, copy)
+    upstreams = [one for name, one in platform.upstreams.items() if platform.find_hall(name) == "hall-a"]
+    arrived = sum(len(one.arrived) for one in upstreams)
+    ask_all(platform, 1.0)
+    platform.empty("hall-a")
+    platform.network.run(8.0)
+    ask_all(platform, 1.0)
+    assert sum(len(one.arrived) for one in upstreams) == arrived
+    platform.take_back("hall-a")
+    platform.network.run(8.0)
+    ask_all(platform, 1.0)
+    assert sum(len(one.arrived) for one in upstreams) > arrived
+
+
+def test_two_returns_in_a_row_are_told_apart() -> None:
+    platform = make_fleet()
+    for _ in range(2):
+        lose_changes(platform)
+    platform.drain("plain-a0")
+    platform.network.run(KNOWN_TIME)
+    arrived = len(platform.upstreams["plain-a0"].arrived)
+    ask_all(platform, 1.0)
+    assert len(platform.upstreams["plain-a0"].arrived) == arrived
+
+
+def test_a_return_is_told_once_by_who_asks_the_store() -> None:
+    platform = make_fleet()
+    lose_changes(platform)
+    told = [line for journal in platform.journals.values() for line in journal.lines if "came back" in line["event"]]
+    assert {(line["era"], line["before"]) for line in told} == {(2, 1)}
+    assert len(told) <= len(platform.vms)
+
+
+def test_a_claim_from_before_is_no_claim_though_another_one_has_its_revision() -> None:
+    platform = Platform()
+    documents = PlatformDocuments(MemoryJournal(platform.clock))
+    store = PlatformStore(HttpClient(platform.clock), platform.clock, STORE, documents)
+    found: list[object] = []
+
+    def run(step: Coroutine[Any, Any, object]) -> object:
+        defer.ensureDeferred(step).addBoth(found.append)
+        platform.network.run(0.1)
+        return found[-1]
+
+    copy = platform.store.make_copy()
+    platform.store.put("status/x", b"")
+    seen = run(store.read_leadership())
+    assert isinstance(seen, LeadershipNews)
+    claim = run(store.claim_leadership("one", 3.0, seen))
+    assert isinstance(claim, Claimed)
+    platform.store.come_back_from(copy)
+    while platform.store.revision < find_revision(claim.revision) - 1:
+        platform.store.put("status/x", b"")
+    platform.store.put("beamhatch/leader", b"another")
+    assert platform.store.find_newest("beamhatch/leader") == find_revision(claim.revision)
+    assert isinstance(run(store.record_order(claim, "an order")), StoreLost)  # on the connection of before
+    assert run(store.record_order(claim, "an order")) is False
