--- a/src/beamhatch/relay/upstreams/announcements.py
+++ b/src/beamhatch/relay/upstreams/announcements.py
@@ -1,7 +1,7 @@
 """What upstreams say of themselves in their answers, whatever they answer: that they leave, want rest, or a limit.
 
-The one place that takes it in, for each kind of call to an upstream: what concerns all calls would be missed by kinds of
-call that each read what they need.
+The one place that takes it in, for each kind of call to an upstream: what concerns all calls would be missed by kinds
+of call that each read what they need.
 """
 
 from __future__ import annotations
