--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -10,6 +10,7 @@
 
 from beamhatch.platform.standin.upstream import Ledger, Order
 from tests.soak.caller import Outcome
+from tests.soak.net import NETS, Net
 from tests.soak.promise import COLD_BOUND, Promise
 from tests.soak.schedule import draw_steps
 from tests.soak.witness import Asked, RouteTerms, UpstreamFacts, VmFacts, Witness
@@ -207,3 +208,14 @@
     witness.ledger.orders += [Order(100.0, "vm0", 5, "decode"), Order(101.0, "vm1", 6, "decode")]
     witness.check_orders(0.0)
     assert list_broken(witness) == {Promise.ONE_LEADER}
+
+
+def test_two_runs_at_once_have_addresses_of_their_own() -> None:
+    first, second = Net(40), Net(40 + NETS)  # one network by their seeds
+    assert first.prefix != second.prefix
+    wanted = second.prefix
+    second.give_back()
+    third = Net(40)
+    assert third.prefix == wanted
+    for net in (first, third):
+        net.give_back()
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -12,6 +12,7 @@
 from beamhatch.relay.model import Address
 from beamhatch.standin.link import Link, open_link
 from tests.soak.caller import CONNECT_TIMEOUT, HOST, PATIENCE, CallerConnection, CallerFactory, Outcome
+from tests.soak.net import Net
 from tests.soak.promise import COLD_RATE, COLD_TIME, GONE_BOUND, TOUCH_TIME, Promise
 from tests.soak.upstreams import Arrival, ModelEngine, PlainReplica
 from tests.soak.vm import CALLER_PORT, PEER_PORT, READY_PORT, VmProcess
@@ -66,7 +67,8 @@
         self.clock = clock
         self.started = clock.now()
         self.random = random.Random(seed)
-        self.net = f"127.{64 + seed % 128}"
+        self._net = Net(seed)
+        self.net = self._net.prefix
         """Loopback addresses of this run alone."""
         self.ledger = Ledger()
         self.witness = Witness(self.ledger, dict(ROUTES))
