Keep room by a limit for as long as its request lasts

Found on the last reading: room at a decode engine that names a limit was taken to lapse with the time for which engines set memory aside, though nothing is set aside there. Where that is as short as a plan's margin (0.05 s), the plan took it anew without end, and the error of that ends the process. The test failed with it (RecursionError), and passes.

--- a/src/beamhatch/relay/requests/exchange.py
+++ b/src/beamhatch/relay/requests/exchange.py
@@ -369,20 +369,20 @@
         now = self.core.clock.now()
         self._permit = self.core.eligibility.take_permit(step.upstream, self.request.service.cold, now)
         if self.core.eligibility.limits.find(step.upstream.life) is not None:
-            self._rely_on_permit(step, now)
+            self._rely_on_permit(step)
             return
         attempt = ReserveAttempt(self, step)
         self._attempt = attempt
         attempt.start(self.core.dialect.make_reserve(step.upstream, step.tokens, step.lifetime))
 
-    def _rely_on_permit(self, step: Reserve, now: float) -> None:
+    def _rely_on_permit(self, step: Reserve) -> None:
         """Go on without asking an engine for memory that names a limit: the call would cost one stream of two.
 
         It gets few requests, so it mostly has memory; where it has none it turns the stream away.
         """
         self.leave_line()
         self.note_memory()
-        self.request.note_reserved(Reservation(None, step.upstream, now + step.lifetime))
+        self.request.note_reserved(Reservation(None, step.upstream, self.limit))
         self.advance()
 
     def _make_attempt(self, send: Send) -> Attempt:
--- a/tests/platform/test_limit.py
+++ b/tests/platform/test_limit.py
@@ -20,7 +20,7 @@
 from beamhatch.platform.standin.upstream import UpstreamFault
 from beamhatch.relay.model import UpstreamId
 from beamhatch.relay.upstreams.http_client import Head
-from tests.support.platform import Platform
+from tests.support.platform import ENGINE, Platform
 
 if TYPE_CHECKING:
     from beamhatch.platform.standin.upstream import StandInUpstream
@@ -351,6 +351,16 @@
     assert knows(platform, "vm0", upstream) is None
 
 
+def test_a_stream_goes_there_however_short_engines_set_memory_aside(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Room by the limit is kept here: what it lasts is no matter of the engine's; it was planned anew without end."""
+    monkeypatch.setitem(ENGINE, "hold_ms", 10)
+    platform = make_fleet(vms=1)
+    for name, upstream in platform.upstreams.items():
+        upstream.limit = "8" if name.startswith("decode") else ""
+    callers = call_for(platform, "/stream/x", 3.0, gap=0.2)
+    assert sum(caller.status == 200 for caller in callers[-8:]) >= 6
+
+
 # --- callers beside it ------------------------------------------------------------------------------------------------
 
 
