Say once which VMs send to an upstream with a limit, and count VMs of late by the list there is

Read again: whether this VM is one of those that send stood in two places of Limits; Membership counted those that were heard of of late beside list_remembered, which lists them; a set of all upstreams was made anew at each change of the listing to compare it with a few ids. Three comments told how a value came about.

--- a/src/beamhatch/relay/choosing/lack.py
+++ b/src/beamhatch/relay/choosing/lack.py
@@ -75,8 +75,7 @@
 def _find_limit(eligibility: Eligibility, answering: Sequence[Upstream], now: float) -> Lack | None:
     """Return when the first of some upstreams has room that nothing but its limit keeps shut, None where none is."""
     limits = eligibility.limits
-    others = [one for one in answering if eligibility.find_obstacle(one, None, None, now) is Obstacle.LIMITED]
-    lives = [one.life for one in others]
+    lives = [one.life for one in answering if eligibility.find_obstacle(one, None, None, now) is Obstacle.LIMITED]
     if not lives:
         return None
     return Lack(Obstacle.LIMITED, min(limits.find_wait(life, now) for life in lives), limits.find_pace(lives))
--- a/src/beamhatch/relay/fleet/gossip.py
+++ b/src/beamhatch/relay/fleet/gossip.py
@@ -125,7 +125,7 @@
         self._adds_up = False
         """Whether this VM adds up what its hall tells, as of the last regular beat: it takes 0.1 ms to find out."""
         self._share = 1.0
-        """The part of all VMs that hear of each other and of this one; it takes 0.1 ms to find out."""
+        """The part of all VMs that hear of each other and of this one; too dear to find out at each send."""
         self._hello_at = 0.0
         self._hello_pause = FIRST_HELLO_PAUSE
         self._lacking: dict[str, _Lack] = {}
--- a/src/beamhatch/relay/fleet/membership.py
+++ b/src/beamhatch/relay/fleet/membership.py
@@ -193,7 +193,7 @@
 
     def count_lately(self, now: float) -> int:
         """Return how many VMs there were of late, this one among them: those that are out of touch still count."""
-        return 1 + sum(now - heard_at <= REMEMBER_AFTER for heard_at in self._remembered.values())
+        return 1 + len(self.list_remembered(now))
 
     def find_share(self, halls: Collection[str], now: float) -> float:
         """Return the part of all VMs that hear of each other, this one among them.
--- a/src/beamhatch/relay/limits/limits.py
+++ b/src/beamhatch/relay/limits/limits.py
@@ -46,7 +46,7 @@
 """Times that number of VMs are told of requests: they may know of fewer VMs, and take themselves for one of those."""
 
 ORIGIN_BITS = 32
-"""Of 2,000 starts of VMs, two draw one number once in 2,000 times; what they sent is then counted too low at first."""
+"""Enough that two starts of VMs hardly ever draw one number; what they sent would then be counted too low at first."""
 
 
 MOST_PLACES = 65_536
@@ -182,7 +182,7 @@
 
     def keep_only(self, listed: Collection[UpstreamId]) -> None:
         """Drop those of upstreams that are not known any more."""
-        if not self._ids <= set(listed):
+        if any(known not in listed for known in self._ids):
             self._accounts = {life: account for life, account in self._accounts.items() if life.id in listed}
             self._note_dropped()
 
@@ -203,8 +203,11 @@
         account.fill(self._find_part(), now)
         if not self.shared:
             return account.has_room(1, now, owed=owed)
-        vms = self.count_vms()
-        return account.place * vms < _find_sending(account) and account.has_room(vms, now, owed=owed)
+        return self._sends(account) and account.has_room(self.count_vms(), now, owed=owed)
+
+    def _sends(self, account: Account) -> bool:
+        """Tell whether this VM is one of those that send to an upstream."""
+        return account.place * self.count_vms() < _find_sending(account)
 
     def has_part(self, key: LifeKey, vm: str) -> bool:
         """Tell whether another VM may be one of those that send to an upstream, and has to know what others sent."""
@@ -251,12 +254,11 @@
         account = self._accounts.get(life)
         if account is None:
             return {}
-        vms = self.count_vms()
         return {
             "number": account.version,
-            "vms": vms,
+            "vms": self.count_vms(),
             "share": round(self.find_share(), 2),
-            "sends": account.place * vms < _find_sending(account),
+            "sends": self._sends(account),
         }
 
     def find_wait(self, life: Life, now: float) -> float:
--- a/src/beamhatch/relay/limits/words.py
+++ b/src/beamhatch/relay/limits/words.py
@@ -13,7 +13,7 @@
 """Names one start of a VM, drawn at random: a VM that restarts counts anew, under another one."""
 
 LifeKey = NewType("LifeKey", int)
-"""Names a life that all VMs know by its word, in five bytes in place of 25."""
+"""Names a life that all VMs know by its word, in a fifth of the bytes."""
 
 
 class LimitWord(msgspec.Struct, array_like=True, frozen=True):
@@ -40,5 +40,5 @@
 
 
 def make_key(life: Life) -> LifeKey:
-    """Return what names a life, the same on all VMs; of 1,000 lives, two have one name once in 9,000 times."""
+    """Return what names a life, the same on all VMs; two lives hardly ever have one name."""
     return LifeKey(zlib.crc32(f"{life.id}/{life.born}".encode()))
