--- a/benchmarks/limits.py
+++ b/benchmarks/limits.py
@@ -13,15 +13,11 @@
 import time
 from bisect import bisect_left
 from enum import Enum
-from typing import TYPE_CHECKING
 
 from tests.support.limit_fleet import WINDOW, LimitFleet
 
 from beamhatch.relay.model import Life, UpstreamId
-from benchmarks.quarantine import make_fleet
-
-if TYPE_CHECKING:
-    from tests.support.platform import Platform
+from benchmarks.quarantine import count_bytes, make_fleet
 
 RATES = (0.2, 2.6, 20.0)
 """Limits in requests a second."""
@@ -70,14 +66,6 @@
     return {"busiest": busiest, "limit": round(rate * WINDOW, 1), "used": round(sum(used) / len(used), 2)}
 
 
-def count_bytes(platform: Platform) -> list[int]:
-    """Return the bytes on limits that each VM has sent."""
-    counts = [vm.tally.counts for vm in platform.vms.values()]
-    return [
-        sum(of for (name, kind), of in one.items() if name == "peer_bytes_total" and "limits" in kind) for one in counts
-    ]
-
-
 def play(vms: int, halls: int) -> dict[str, object]:
     """Have one VM hear of a limit, have callers ask all VMs, and have the limit change."""
     random.seed(vms)
@@ -93,7 +81,7 @@
 
     first = tell(PLAYED_RATE)
     platform.network.run(SETTLE)
-    before = count_bytes(platform)
+    before = count_bytes(platform, "limits")
     sent: list[float] = []
     for _ in range(round(PLAYED_TIME / STEP)):
         platform.network.run(STEP)
@@ -103,7 +91,7 @@
             if one.may_send(life, now):
                 one.spend(life, now)
                 sent.append(now)
-    told = [after - start for after, start in zip(count_bytes(platform), before, strict=True)]
+    told = [after - start for after, start in zip(count_bytes(platform, "limits"), before, strict=True)]
     return {
         "seconds_to_last_vm": first,
         "seconds_to_last_vm_changed": tell(1.0),
--- a/benchmarks/own_words.py
+++ b/benchmarks/own_words.py
@@ -15,7 +15,7 @@
 from beamhatch.platform.standin.store import StoreFault
 from beamhatch.relay.choosing.rests import Rests
 from beamhatch.relay.model import Life, UpstreamId
-from benchmarks.quarantine import make_fleet
+from benchmarks.quarantine import count_bytes, make_fleet
 
 REST = 3.0
 """Seconds that the resting upstream asks for."""
@@ -30,14 +30,6 @@
 """Seconds until a VM has the answer."""
 
 
-def count_bytes(vms: list[dict[tuple[str, str], int]]) -> list[int]:
-    """Return the bytes on departures that each VM has sent."""
-    return [
-        sum(of for (name, kind), of in one.items() if name == "peer_bytes_total" and "departures" in kind)
-        for one in vms
-    ]
-
-
 def play_departure(vms: int, halls: int) -> dict[str, object]:
     """Have one VM hear that an engine leaves, and wait until all know."""
     platform = make_fleet(vms, halls)
@@ -52,7 +44,7 @@
     platform.network.run_until(lambda: all(vm.core.listing.departures.has(life) for vm in daemons), 20.0)
     knows_at = platform.clock.now()
     platform.network.run(2.0)
-    sent = count_bytes([vm.tally.counts for vm in daemons])
+    sent = count_bytes(platform, "departures")
     return {
         "seconds_to_last_vm": round(knows_at - heard_at, 2),
         "bytes_a_vm": round(sum(sent) / len(sent)),
--- a/benchmarks/quarantine.py
+++ b/benchmarks/quarantine.py
@@ -44,12 +44,11 @@
     return platform
 
 
-def count_bytes(platform: Platform) -> list[int]:
-    """Return the bytes on quarantine that each VM has sent."""
+def count_bytes(platform: Platform, matter: str) -> list[int]:
+    """Return the bytes that each VM has sent to others on a matter, as the kind of its messages names it."""
     counts = [vm.tally.counts for vm in platform.vms.values()]
     return [
-        sum(of for (name, kind), of in one.items() if name == "peer_bytes_total" and "quarantine" in kind)
-        for one in counts
+        sum(of for (name, kind), of in one.items() if name == "peer_bytes_total" and matter in kind) for one in counts
     ]
 
 
@@ -73,7 +72,7 @@
     platform.network.run_until(
         lambda: all(vm.core.quarantine.count(vm.clock.now()) == 1 for vm in platform.vms.values()), 20.0
     )
-    sent = count_bytes(platform)
+    sent = count_bytes(platform, "quarantine")
     runs = [sum(len(end.runs) for end in vm.core.quarantine.ends) for vm in platform.vms.values()]
     return {
         "vms": vms,
