--- a/tests/platform/test_limit.py
+++ b/tests/platform/test_limit.py
@@ -20,7 +20,7 @@
 from beamhatch.platform.standin.upstream import UpstreamFault
 from beamhatch.relay.model import UpstreamId
 from beamhatch.relay.upstreams.http_client import Head
-from tests.support.platform import ENGINE, Platform
+from tests.support.platform import ENGINE, SENT_TO, Platform, find_answering
 
 if TYPE_CHECKING:
     from beamhatch.platform.standin.upstream import StandInUpstream
@@ -91,24 +91,8 @@
     return rate * WINDOW + BURST
 
 
-def list_behind(upstream: StandInUpstream, since: float) -> list[float]:
-    """Return when each call came, those that may be on their way as the word is new left out."""
-    return [at for at in upstream.called_at if at > since]
-
-
-KINDS = [
-    ("/safe/x", "plain-0"),
-    ("/unsafe/x", "plain-0"),
-    ("/stream/x", "prefill-0"),
-    ("/resumable/x", "prefill-0"),
-    ("/stream/x", "decode-0"),
-    ("/resumable/x", "decode-0"),
-]
-"""Each kind of route, with an upstream that its requests are sent to."""
-
-
 @pytest.mark.parametrize("rate", [0.2, 2.6, 4.5])
-@pytest.mark.parametrize(("target", "name"), KINDS)
+@pytest.mark.parametrize(("target", "name"), SENT_TO)
 def test_one_that_names_a_limit_gets_no_more_from_all_together(target: str, name: str, rate: float) -> None:
     platform = make_fleet()
     call_for(platform, target, 1.0)
@@ -122,7 +106,7 @@
     assert sum(caller.status == 200 for caller in callers) >= 0.99 * len(callers)
 
 
-@pytest.mark.parametrize(("target", "name"), KINDS)
+@pytest.mark.parametrize(("target", "name"), SENT_TO)
 def test_what_it_takes_is_used(target: str, name: str) -> None:
     platform = make_fleet()
     upstream = platform.upstreams[name]
@@ -153,7 +137,7 @@
 @pytest.mark.parametrize("target", ["/safe/x", "/unsafe/x", "/stream/x", "/resumable/x"])
 def test_all_of_a_service_limited_serves_what_it_takes_and_refuses_the_rest_at_once(target: str) -> None:
     platform = make_fleet()
-    kind = "plain" if target.startswith(("/safe", "/unsafe")) else "decode"
+    kind = find_answering(target)
     limited = [one for name, one in platform.upstreams.items() if name.startswith(kind)]
     for upstream in limited:
         upstream.limit = "2.6"
@@ -368,7 +352,7 @@
 def test_callers_beside_it_stay_served(target: str) -> None:
     """All of 400 are, where one of three upstreams names a limit."""
     platform = make_fleet()
-    kind = "plain" if target.startswith(("/safe", "/unsafe")) else "decode"
+    kind = find_answering(target)
     platform.upstreams[f"{kind}-0"].limit = "1"
     callers = call_for(platform, target, 8.0)
     assert sum(caller.status == 200 and caller.whole for caller in callers) >= 0.99 * len(callers)
--- a/tests/platform/test_own_word.py
+++ b/tests/platform/test_own_word.py
@@ -20,7 +20,7 @@
 from beamhatch.platform.standin.upstream import StandInEngine, UpstreamFault
 from beamhatch.relay.model import ServiceName
 from beamhatch.relay.upstreams.attempt import Attempt
-from tests.support.platform import Platform, make_platform
+from tests.support.platform import SENT_TO, Platform, find_answering, make_platform
 
 if TYPE_CHECKING:
     from beamhatch.platform.standin.upstream import StandInUpstream
@@ -71,18 +71,7 @@
     )
 
 
-KINDS = [
-    ("/safe/x", "plain-0"),
-    ("/unsafe/x", "plain-0"),
-    ("/stream/x", "prefill-0"),
-    ("/resumable/x", "prefill-0"),
-    ("/stream/x", "decode-0"),
-    ("/resumable/x", "decode-0"),
-]
-"""Each kind of route, with an upstream that its requests are sent to."""
-
-
-@pytest.mark.parametrize(("target", "leaves"), KINDS)
+@pytest.mark.parametrize(("target", "leaves"), SENT_TO)
 def test_one_that_said_in_an_answer_that_it_leaves_gets_nothing_new(target: str, leaves: str) -> None:
     platform = make_fleet()
     platform.store.fault = StoreFault.SILENT
@@ -96,7 +85,7 @@
     assert all(caller.status == 200 for caller in callers)
 
 
-@pytest.mark.parametrize(("target", "rests"), [*KINDS, ("/resumable/x", "full")])
+@pytest.mark.parametrize(("target", "rests"), [*SENT_TO, ("/resumable/x", "full")])
 def test_one_that_asked_for_rest_gets_none_of_it_broken(target: str, rests: str) -> None:
     platform = make_fleet()
     upstream = platform.upstreams["decode-0" if rests == "full" else rests]
@@ -124,11 +113,6 @@
     return float(line.split(":")[1])
 
 
-def is_of(name: str, target: str) -> bool:
-    """Tell whether an upstream can answer requests for a target."""
-    return name.startswith("plain" if target.startswith(("/safe", "/unsafe")) else "decode")
-
-
 TARGETS = ["/safe/x", "/unsafe/x", "/stream/x", "/resumable/x"]
 
 
@@ -137,7 +121,7 @@
     platform = make_fleet()
     platform.store.fault = StoreFault.SILENT
     for name, upstream in platform.upstreams.items():
-        upstream.leaving = is_of(name, target)
+        upstream.leaving = name.startswith(find_answering(target))
     call_for(platform, target, 2.0)
     before = len(platform.ledger.sends)
     caller = platform.call(target, "late")
@@ -152,7 +136,7 @@
 def test_where_all_rest_callers_are_refused_at_once_and_served_soon_behind_it(target: str) -> None:
     platform = make_fleet()
     call_for(platform, target, 1.0)
-    resting = [upstream for name, upstream in platform.upstreams.items() if is_of(name, target)]
+    resting = [upstream for name, upstream in platform.upstreams.items() if name.startswith(find_answering(target))]
     for upstream in resting:
         upstream.fault, upstream.rest = UpstreamFault.SHED, "3"
     call_for(platform, target, 0.5)
@@ -441,7 +425,7 @@
     """All of 160 are, where one of three leaves, or turns all away and asks for rest."""
     platform = make_fleet()
     platform.store.fault = StoreFault.SILENT
-    upstream = platform.upstreams["plain-0" if is_of("plain", target) else "decode-0"]
+    upstream = platform.upstreams[f"{find_answering(target)}-0"]
     if word == "leaves":
         upstream.leaving = True
     else:
--- a/tests/support/platform.py
+++ b/tests/support/platform.py
@@ -95,6 +95,22 @@
 SERVICES = [{"name": PLAIN, "max_conns": 100}, {"name": MODEL, "max_conns": 600, "engine": ENGINE}]
 
 
+SENT_TO = [
+    ("/safe/x", "plain-0"),
+    ("/unsafe/x", "plain-0"),
+    ("/stream/x", "prefill-0"),
+    ("/resumable/x", "prefill-0"),
+    ("/stream/x", "decode-0"),
+    ("/resumable/x", "decode-0"),
+]
+"""Each kind of route, with an upstream that its requests are sent to."""
+
+
+def find_answering(target: str) -> str:
+    """Return how the names of the upstreams begin that answer requests for a target."""
+    return "plain" if target.startswith(("/safe", "/unsafe")) else "decode"
+
+
 def make_workspace(name: str, *keys: str, rate: float = 0, burst: float = 0, **changes: object) -> dict[str, object]:
     """Return a workspace of the operators' configuration, with a quota in tokens where there is a rate."""
     return {
