Take a watch that is turned away as lost, and not as a sign that the store came back

Found on reading the change again: the watch compared the era of any answer, so one that tells none, a 503 of what stands before the store, counted as another era: history gone, and everything was read again at once in place of a pause. The era is compared where there are events now, as it is at reads. The test failed before (HistoryGone) and passes.

--- a/src/beamhatch/platform/store.py
+++ b/src/beamhatch/platform/store.py
@@ -270,9 +270,10 @@
             return HistoryGone()
         query = {"path_prefix": prefix, "after": str(find_revision(after)), "wait_ms": str(int(wait * 1000))}
         answer = await self._get("kv-watch", query, wait + WATCH_MARGIN)
-        if not isinstance(answer, str) and (answer.head.status == 410 or self._note_era(answer) != find_era(after)):
+        if not isinstance(answer, str) and answer.head.status == 410:
             return HistoryGone()
-        return self._place(answer, _Events)
+        events = self._place(answer, _Events)
+        return HistoryGone() if isinstance(events, _Events) and find_era(events.at) != find_era(after) else events
 
     def _note_era(self, answer: WholeAnswer) -> Era:
         """Take in the era that an answer tells, and return it."""
--- a/tests/platform/test_store_copy.py
+++ b/tests/platform/test_store_copy.py
@@ -16,10 +16,10 @@
 from beamhatch.platform.eras import find_revision
 from beamhatch.platform.standin.store import StoreFault
 from beamhatch.platform.store import PlatformStore
-from beamhatch.relay.api import Claimed, LeadershipNews, StoreLost
+from beamhatch.relay.api import Claimed, LeadershipNews, ListingNews, StoreLost
 from beamhatch.relay.model import ServiceName
 from beamhatch.relay.upstreams.http_client import HttpClient
-from tests.support.platform import PLAIN, STORE, MemoryJournal, Platform
+from tests.support.platform import OTHER_DOOR, PLAIN, STORE, MemoryJournal, Platform
 
 if TYPE_CHECKING:
     from collections.abc import Coroutine
@@ -248,3 +248,19 @@
     assert platform.store.find_newest("beamhatch/leader") == find_revision(claim.revision)
     assert isinstance(run(store.record_order(claim, "an order")), StoreLost)  # on the connection of before
     assert run(store.record_order(claim, "an order")) is False
+
+
+def test_a_watch_that_is_turned_away_is_lost_and_no_sign_of_a_return() -> None:
+    """What stands before the store may tell no era: with that taken for another one, all was read again at once."""
+    platform = Platform()
+    documents = PlatformDocuments(MemoryJournal(platform.clock))
+    store = PlatformStore(HttpClient(platform.clock), platform.clock, OTHER_DOOR, documents)
+    found: list[object] = []
+    defer.ensureDeferred(store.read_listing()).addBoth(found.append)
+    platform.network.run(0.1)
+    (news,) = found
+    assert isinstance(news, ListingNews)
+    platform.door.shut = True
+    defer.ensureDeferred(store.watch_listing(news.at, 1.0)).addBoth(found.append)
+    platform.network.run(0.1)
+    assert found[-1] == StoreLost("status 503")
