Take no list as whole that a VM reads within 4 s of a restore it did not see itself

What callers saw: behind a restore of the store from an older backup, one VM that started sent all VMs' requests into a hall that the operators had emptied, and had upstreams dropped that had not written their entries again yet.

Cause: a VM knows of a restore by the epoch of the answer before. One that asks the store first has none, so it took the list as whole, and told its peers in the order of the new epoch that nothing else is there; these took its word.

Change: what peers told bears the epoch in which it was written. Where the oldest of it is older than the store's, the first list is settled 4 s later, as for those who saw the rise: it adds, and ends nothing. A VM that nobody told anything takes the list for itself, and does not say up to which position it knows all until 4 s have passed.

Ruled out: to read twice at each start.

--- a/src/beamhatch/platform/eras.py
+++ b/src/beamhatch/platform/eras.py
@@ -59,6 +59,8 @@
     """None before the first answer."""
     settled_at: float = float("-inf")
     """From when on lists are whole again, in monotonic seconds."""
+    first_at: float = float("inf")
+    """When the store told its era first."""
 
     def take(self, era: Era, now: float) -> bool:
         """Take in the era of an answer; return whether the store has come back since the last one."""
@@ -67,10 +69,24 @@
             return False
         self.era = era
         if before is None:
+            self.first_at = now
             return False
         self.settled_at = now + SETTLE_TIME
         return True
 
+    def note_known(self, era: Era, now: float) -> None:
+        """Take in the era of what peers told.
+
+        Where it is older, the store came back a moment before this VM first asked it. A list that is taken as whole
+        then would end evacuations, and drop upstreams, that are still to be written again.
+        """
+        if self.era is not None and era < self.era and self.settled_at < self.first_at:
+            self.settled_at = now + SETTLE_TIME
+
+    def may_have_come_back(self, now: float) -> bool:
+        """Tell whether the store may have come back a moment before its first answer, as far as it knows of itself."""
+        return bool(self.era) and now < self.first_at + SETTLE_TIME
+
     def is_settled(self, now: float) -> bool:
         """Tell whether what a list lacks is gone."""
         return now >= self.settled_at
--- a/src/beamhatch/platform/store.py
+++ b/src/beamhatch/platform/store.py
@@ -110,18 +110,23 @@
         self._eras = EraWatch()
         self._unsettled: set[str] = set()
         """Prefixes whose lists were read before they were whole again."""
+        self._read: set[str] = set()
+        """Prefixes whose lists were read at all."""
 
-    async def read_directives(self) -> DirectiveNews | StoreLost:
+    async def read_directives(self, known: int) -> DirectiveNews | StoreLost:
         """Return the configuration in force, and all halls that are emptied."""
         items = await self._read_all(OPERATORS)
         if isinstance(items, StoreLost):
             return items
-        return replace(self._make_directives(items), settled=self._note_read(OPERATORS))
+        return replace(self._make_directives(items), settled=self._note_read(OPERATORS, known))
 
     async def watch_directives(self, after: int, wait: float) -> DirectiveNews | StoreLost | HistoryGone:
         """Return what the operators changed behind a revision."""
         events = await self._watch(OPERATORS, after, wait)
-        return self._make_directives(events) if isinstance(events, _Events) else events
+        if not isinstance(events, _Events):
+            return events
+        settled = OPERATORS not in self._unsettled and not self._eras.may_have_come_back(self._clock.now())
+        return replace(self._make_directives(events), settled=settled)
 
     def _make_directives(self, events: _Events) -> DirectiveNews:
         documents = [item for item in events.events if item.tls_key == CONFIGURATION and not item.gone]
@@ -132,22 +137,30 @@
         ]
         return DirectiveNews(self._read_document(documents[-1]) if documents else None, evacuations, events.at)
 
-    async def read_listing(self) -> ListingNews | StoreLost:
+    async def read_listing(self, known: int) -> ListingNews | StoreLost:
         """Return all upstreams."""
         items = await self._read_all(UPSTREAMS)
         if isinstance(items, StoreLost):
             return items
         entries = [self._make_entry(item) for item in items.events]
-        return ListingNews(entries, items.at, settled=self._note_read(UPSTREAMS))
+        return ListingNews(entries, items.at, settled=self._note_read(UPSTREAMS, known))
 
-    def _note_read(self, prefix: str) -> bool:
-        """Note that a whole list was read; return whether what it lacks is gone, else it is read again later."""
-        settled = self._eras.is_settled(self._clock.now())
+    def _note_read(self, prefix: str, known: int) -> bool:
+        """Note that a whole list was read; return whether what it lacks is gone, else it is read again later.
+
+        :param known: the position of the oldest news that are believed; 0 where there are none, and nothing to drop
+        """
+        now = self._clock.now()
+        if known:
+            self._eras.note_known(find_era(known), now)
+        settled = self._eras.is_settled(now)
         if settled:
             self._unsettled.discard(prefix)
         else:
             self._unsettled.add(prefix)
-        return settled
+        is_sure = known > 0 or prefix in self._read or not self._eras.may_have_come_back(now)
+        self._read.add(prefix)
+        return settled and is_sure
 
     async def watch_listing(self, after: int, wait: float) -> ListingNews | StoreLost | HistoryGone:
         """Return changes of upstreams behind a revision."""
--- a/src/beamhatch/relay/api.py
+++ b/src/beamhatch/relay/api.py
@@ -150,7 +150,7 @@
     """Halls that are emptied, or no longer are."""
     at: int
     settled: bool = True
-    """False where the store has just come back from a copy, so that what a whole answer lacks may be written again."""
+    """False where the store has just come back from a copy, or may have: what it lacks may be written again."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -160,7 +160,7 @@
     entries: Sequence[Entry]
     at: int
     settled: bool = True
-    """False where the store has just come back from a copy, so that what a whole answer lacks may be written again."""
+    """False where the store has just come back from a copy, or may have: what it lacks may be written again."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -194,16 +194,22 @@
     """The platform's store, read linearizably. Each call is paid for; a waiting watch is one call."""
 
     @abstractmethod
-    async def read_directives(self) -> DirectiveNews | StoreLost:
-        """Return the configuration in force, and all halls that are emptied."""
+    async def read_directives(self, known: int) -> DirectiveNews | StoreLost:
+        """Return the configuration in force, and all halls that are emptied.
+
+        :param known: the revision up to which all evacuations are known by now, 0 where nobody has told
+        """
 
     @abstractmethod
     async def watch_directives(self, after: int, wait: float) -> DirectiveNews | StoreLost | HistoryGone:
         """Return what the operators changed behind a revision as soon as they do, or nothing after some seconds."""
 
     @abstractmethod
-    async def read_listing(self) -> ListingNews | StoreLost:
-        """Return all upstreams."""
+    async def read_listing(self, known: int) -> ListingNews | StoreLost:
+        """Return all upstreams.
+
+        :param known: the lowest revision among the entries that are known by now, 0 where there are none
+        """
 
     @abstractmethod
     async def watch_listing(self, after: int, wait: float) -> ListingNews | StoreLost | HistoryGone:
--- a/src/beamhatch/relay/fleet/watching.py
+++ b/src/beamhatch/relay/fleet/watching.py
@@ -4,6 +4,7 @@
 
 import random
 from abc import ABC, abstractmethod
+from dataclasses import replace
 from typing import TYPE_CHECKING, Any
 
 from twisted.internet import defer
@@ -183,7 +184,7 @@
 
     async def read(self) -> int | StoreLost:
         """Read all of it."""
-        news = await self.store.read_directives()
+        news = await self.store.read_directives(self.core.eligibility.evacuations.as_of)
         if isinstance(news, StoreLost):
             return news
         self._take(news, whole=news.settled or not self.core.eligibility.evacuations.complete)
@@ -200,7 +201,9 @@
     def _take(self, news: DirectiveNews, *, whole: bool) -> None:
         if news.document is not None:
             self.core.take_document(news.document, "store")
-        self.core.take_evacuations(news.evacuations, "store", as_of=news.at, whole=whole)
+        # an unsettled list ends nothing: peers may know of evacuations that the operators still have to write again
+        as_of = news.at if news.settled else 0
+        self.core.take_evacuations(news.evacuations, "store", as_of=as_of, whole=whole)
 
 
 class ListingWatcher(Watcher):
@@ -215,10 +218,12 @@
 
     async def read(self) -> int | StoreLost:
         """Read the list."""
-        news = await self.store.read_listing()
+        news = await self.store.read_listing(self.core.listing.find_oldest())
         if isinstance(news, StoreLost):
             return news
-        self.core.take_listing(news, "store", whole=news.settled or not self.core.listing.complete)
+        # an unsettled list drops nothing: peers may know of upstreams that still have to write their entries again
+        known = news if news.settled else replace(news, at=0)
+        self.core.take_listing(known, "store", whole=news.settled or not self.core.listing.complete)
         return news.at
 
     async def watch(self, after: int) -> int | StoreLost | HistoryGone:
--- a/src/beamhatch/relay/upstreams/listing.py
+++ b/src/beamhatch/relay/upstreams/listing.py
@@ -226,6 +226,12 @@
         known = self._known.get(upstream)
         return None if known is None else known.entry.upstream
 
+    def find_oldest(self) -> int:
+        """Return the lowest revision among the entries that are listed, 0 where none is."""
+        return min(
+            (known.entry.revision for known in self._known.values() if known.entry.upstream is not None), default=0
+        )
+
     def list_ids(self) -> set[UpstreamId]:
         """Return the ids of all upstreams, gone ones as long as they are remembered."""
         return set(self._known)
--- a/tests/platform/test_eras.py
+++ b/tests/platform/test_eras.py
@@ -40,3 +40,23 @@
     assert not eras.take(Era(3), 12.1)  # an answer from before that comes late
     assert not eras.is_settled(12.0)
     assert eras.is_settled(12.0 + SETTLE_TIME)
+
+
+def test_lists_settle_too_where_peers_know_an_older_era_than_the_first_answer_tells() -> None:
+    eras = EraWatch()
+    assert not eras.take(Era(3), 10.0)
+    assert eras.may_have_come_back(10.0)
+    assert not eras.may_have_come_back(10.0 + SETTLE_TIME)
+    eras.note_known(Era(3), 10.1)
+    assert eras.is_settled(10.1)
+    eras.note_known(Era(2), 10.2)
+    assert not eras.is_settled(10.2)
+    assert eras.is_settled(10.2 + SETTLE_TIME)
+    eras.note_known(Era(2), 15.0)  # what is believed since the last return was read once it had settled
+    assert eras.is_settled(15.0)
+
+
+def test_a_store_that_tells_no_era_never_comes_back() -> None:
+    eras = EraWatch()
+    assert not eras.take(Era(0), 10.0)
+    assert not eras.may_have_come_back(10.0)
--- a/tests/platform/test_store_copy.py
+++ b/tests/platform/test_store_copy.py
@@ -256,7 +256,7 @@
     documents = PlatformDocuments(MemoryJournal(platform.clock))
     store = PlatformStore(HttpClient(platform.clock), platform.clock, OTHER_DOOR, documents)
     found: list[object] = []
-    defer.ensureDeferred(store.read_listing()).addBoth(found.append)
+    defer.ensureDeferred(store.read_listing(0)).addBoth(found.append)
     platform.network.run(0.1)
     (news,) = found
     assert isinstance(news, ListingNews)
