Wait a turn before the first order where the store may have lost the last one

What upstreams saw: orders of two holders 1.1 to 2.9 s apart, where 3 s have to pass between two turns.

Cause: a store without an order meant that none was ever given. One that was restored from an older backup has none either, so whoever claimed the lease ordered at once, within the turn of the leader before.

Change: where the store has come back (the VM saw the era rise, or it is above the first), a missing order counts as one that was given when it was seen to be missing. Ruled out: to wait on every store that tells an era: two tests of calm starts order within 6 s of theirs, and rightly so.

Before: 3 of 3 cases fail. Now: none; the tests of orders and leadership as before.

--- a/src/beamhatch/platform/eras.py
+++ b/src/beamhatch/platform/eras.py
@@ -19,6 +19,9 @@
 ERA_STEP = 1 << 32
 """Revisions of one era at the most. With it, a position is exact in a number of 53 bits up to era 2,000,000."""
 
+FIRST_ERA = 1
+"""The era of a store that has never come back from a copy."""
+
 SETTLE_TIME = 4.0
 """Seconds behind a return in which nobody is taken as gone for standing in no list.
 
@@ -62,6 +65,11 @@
     first_at: float = float("inf")
     """When the store told its era first."""
 
+    @property
+    def has_come_back(self) -> bool:
+        """Tell whether the store has come back from a copy at any time, so that what it lacks may have been there."""
+        return (self.era or 0) > FIRST_ERA or self.settled_at > float("-inf")
+
     def take(self, era: Era, now: float) -> bool:
         """Take in the era of an answer; return whether the store has come back since the last one."""
         before = self.era
--- a/src/beamhatch/platform/store.py
+++ b/src/beamhatch/platform/store.py
@@ -213,7 +213,7 @@
         order = items.get(LAST_ORDER)
         held = [found for found in map(_read_fingerprint, items) if found is not None]
         if order is None:
-            return LeadershipNews(LEADER in items, 0, page.at, held=held)
+            return LeadershipNews(LEADER in items, 0, page.at, held=held, order_may_be_lost=self._eras.has_come_back)
         return LeadershipNews(LEADER in items, order.revision, page.at, (order.raw or b"").decode(), held)
 
     async def watch_leadership(self, after: int, wait: float) -> bool | StoreLost:
--- a/src/beamhatch/relay/engines/leadership.py
+++ b/src/beamhatch/relay/engines/leadership.py
@@ -70,11 +70,14 @@
     seen_at: float = -1e9
     """When this VM first saw it, so it is no younger."""
 
-    def take(self, revision: int, now: float) -> None:
-        """Take in the revision of the last order, 0 where none was ever given."""
+    def take(self, revision: int, now: float, *, may_be_lost: bool = False) -> None:
+        """Take in the revision of the last order, 0 where the store has none.
+
+        :param may_be_lost: whether the store may have had one before it came back; it is taken as given now
+        """
         if revision != self.revision:
             self.revision = revision
-            self.seen_at = now if revision else -1e9
+            self.seen_at = now if revision or may_be_lost else -1e9
 
     def find_turn(self, turn_time: float) -> float:
         """Return when another VM may give orders, if it claimed the lease with nothing written down behind this."""
@@ -173,7 +176,7 @@
             if isinstance(seen, StoreLost):
                 await sleep(self.core.clock, LOST_PAUSE * random.uniform(0.7, 1.3))
                 continue
-            self._last_order.take(seen.last_order, self.core.clock.now())
+            self._last_order.take(seen.last_order, self.core.clock.now(), may_be_lost=seen.order_may_be_lost)
             self.on_quarantine(seen.held)
             if not recalled:
                 recalled = True
