Have a restored store keep again the quarantines that the backup lacks, and no cleared ones

What callers saw: a request that ends each upstream that runs it was held by VMs alone once the store was restored from an older backup. Behind a restart of all VMs it was sent again, and its streams' neighbours broke off. One that had been cleared was held again by each VM that started, for as long as the key of the backup stood.

Cause: what the store acknowledged was taken as there to stay. A key that was missing meant that its lease was over, and one that was there that it holds.

Change: the few VMs that read who leads learn with it that the store came back. Nobody else writes, so 300 VMs make no more calls than 8.

--- a/src/beamhatch/platform/store.py
+++ b/src/beamhatch/platform/store.py
@@ -108,6 +108,8 @@
         self._address = address
         self._documents = documents
         self._eras = EraWatch()
+        self._leadership_at = 0
+        """The position of the last look at who leads, 0 before the first."""
         self._unsettled: set[str] = set()
         """Prefixes whose lists were read before they were whole again."""
         self._read: set[str] = set()
@@ -209,12 +211,18 @@
         page = self._place(await self._get("kv-range", {"path_prefix": OWN}), _Range)
         if isinstance(page, StoreLost):
             return page
+        before, self._leadership_at = self._leadership_at, page.at
         items = {item.tls_key: item for item in page.items}
         order = items.get(LAST_ORDER)
-        held = [found for found in map(_read_fingerprint, items) if found is not None]
-        if order is None:
-            return LeadershipNews(LEADER in items, 0, page.at, held=held, order_may_be_lost=self._eras.has_come_back)
-        return LeadershipNews(LEADER in items, order.revision, page.at, (order.raw or b"").decode(), held)
+        return LeadershipNews(
+            taken=LEADER in items,
+            last_order=0 if order is None else order.revision,
+            at=page.at,
+            order="" if order is None else (order.raw or b"").decode(),
+            held=[found for found in map(_read_fingerprint, items) if found is not None],
+            restored=0 < find_era(before) < find_era(page.at) or not self._eras.is_settled(self._clock.now()),
+            order_may_be_lost=order is None and self._eras.has_come_back,
+        )
 
     async def watch_leadership(self, after: int, wait: float) -> bool | StoreLost:
         """Return True as soon as something changed behind a revision."""
--- a/src/beamhatch/relay/api.py
+++ b/src/beamhatch/relay/api.py
@@ -175,6 +175,8 @@
     """The last order, as it was written down."""
     held: Sequence[Fingerprint] = ()
     """Requests whose quarantine is kept: they are read with what a few VMs watch anyway, and cost no call."""
+    restored: bool = False
+    """True where the store has come back from a copy since it was read last, or a moment ago."""
     order_may_be_lost: bool = False
     """True where the store has no order, and may have had one before it came back from a copy."""
 
--- a/src/beamhatch/relay/daemon.py
+++ b/src/beamhatch/relay/daemon.py
@@ -168,6 +168,7 @@
             self.leadership.tenure.turn_time = settings.turn_time
             self.leadership.on_regained = self._renew_watches
             self.leadership.on_quarantine = self.core.quarantine_talk.take_kept
+            self.leadership.on_restored_quarantine = self.core.quarantine_talk.restore_kept
             self._ordering = Ordering(self.core, self.leadership, settings.vm, self._gossip.find_pressure)
         self._ports: list[Any] = []
         self._caller_port: Any = None
--- a/src/beamhatch/relay/engines/leadership.py
+++ b/src/beamhatch/relay/engines/leadership.py
@@ -135,6 +135,8 @@
         """Called when the store answers again."""
         self.on_quarantine: Callable[[Sequence[Fingerprint]], None] = lambda _: None
         """Called with the requests whose quarantine the store keeps, each time it is read."""
+        self.on_restored_quarantine: Callable[[Sequence[Fingerprint], bool], None] = lambda kept, first: None
+        """Called in place of it where the store came back from a copy, and whether this VM is the first of its rank."""
         self._lost = False
         self._running: defer.Deferred[None] | None = None
 
@@ -177,7 +179,10 @@
                 await sleep(self.core.clock, LOST_PAUSE * random.uniform(0.7, 1.3))
                 continue
             self._last_order.take(seen.last_order, self.core.clock.now(), may_be_lost=seen.order_may_be_lost)
-            self.on_quarantine(seen.held)
+            if seen.restored:
+                self.on_restored_quarantine(seen.held, self._find_rank() == 0)
+            else:
+                self.on_quarantine(seen.held)
             if not recalled:
                 recalled = True
                 self.on_recall(seen.order)
--- a/src/beamhatch/relay/quarantine/keeping.py
+++ b/src/beamhatch/relay/quarantine/keeping.py
@@ -34,12 +34,17 @@
     def __init__(self, core: Core, store: Store) -> None:
         self.core = core
         self._store = store
+        self._keeping: set[Fingerprint] = set()
+        """Those that are being written, or wait for it: a store that came back is read several times meanwhile."""
 
     def keep(self, fingerprint: Fingerprint, first: bool) -> None:
         """Have a quarantine kept, unless another VM has.
 
         :param first: whether this VM is the one to begin with
         """
+        if fingerprint in self._keeping:
+            return
+        self._keeping.add(fingerprint)
         wait = 0.0 if first else random.uniform(*STAND_IN_WAIT)
         self.core.clock.call_later(wait, self._run, self._keep, fingerprint)
 
@@ -52,6 +57,12 @@
         running.addErrback(self._report_failure)
 
     async def _keep(self, fingerprint: Fingerprint) -> None:
+        try:
+            await self._write(fingerprint)
+        finally:
+            self._keeping.discard(fingerprint)
+
+    async def _write(self, fingerprint: Fingerprint) -> None:
         quarantine = self.core.quarantine
         pause = FIRST_PAUSE
         while not quarantine.is_told(fingerprint, now := self.core.clock.now()):
--- a/src/beamhatch/relay/quarantine/quarantine.py
+++ b/src/beamhatch/relay/quarantine/quarantine.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -85,6 +85,8 @@
 class _Told:
     begun_at: float
     until: float
+    is_kept: bool = True
+    """False where the store has come back without it."""
 
 
 @dataclass(slots=True)
@@ -110,7 +112,7 @@
     def is_told(self, fingerprint: Fingerprint, now: float) -> bool:
         """Tell whether the store keeps the quarantine of a request, as far as this VM knows."""
         told = self._told.get(fingerprint)
-        return told is not None and now < told.until
+        return told is not None and told.is_kept and now < told.until
 
     def count(self, now: float) -> int:
         """Return how many requests are in quarantine."""
@@ -190,6 +192,7 @@
         if news.left <= 0 or self._cleared.get(fingerprint, float("-inf")) >= begun_at:
             return False
         if known is not None and now < known.until:
+            self._told[fingerprint] = replace(known, is_kept=True)
             return False
         if len(self._told) >= MOST_TOLD:
             self._told = {found: told for found, told in self._told.items() if now < told.until}
@@ -198,6 +201,19 @@
         self._told[fingerprint] = _Told(begun_at, now + min(news.left, HOLD_TIME))
         return True
 
+    def note_missing(self, kept: Collection[Fingerprint], now: float) -> list[Fingerprint]:
+        """Take in that a store that came back keeps these alone; return the requests in quarantine that it lacks."""
+        held = [one for one in {*self._attributed, *self._told} if self.find_hold(one, now) is not None]
+        missing = [one for one in held if one not in kept]
+        for fingerprint in missing:
+            if fingerprint in self._told:
+                self._told[fingerprint] = replace(self._told[fingerprint], is_kept=False)
+        return missing
+
+    def list_cleared_among(self, kept: Collection[Fingerprint], now: float) -> list[Fingerprint]:
+        """Return the requests that the store keeps though they were cleared, and not held again since."""
+        return [one for one in kept if one in self._cleared and self.find_hold(one, now) is None]
+
     def end_told_but(self, kept: Collection[Fingerprint]) -> None:
         """Take in that the store keeps the quarantine of no other requests."""
         self._told = {found: told for found, told in self._told.items() if found in kept}
--- a/src/beamhatch/relay/quarantine/talk.py
+++ b/src/beamhatch/relay/quarantine/talk.py
@@ -142,6 +142,21 @@
             self._take_hold(HoldNews(fingerprint, HOLD_TIME, HOLD_TIME), None)
         self.quarantine.end_told_but(kept)
 
+    def restore_kept(self, kept: Sequence[Fingerprint], first: bool) -> None:
+        """Take in what a store keeps that came back from a copy: have it keep again what the copy lacks, and no more.
+
+        The copy tells nothing of quarantines that began or ended behind it, so none ends for want of a key.
+
+        :param first: whether this VM is the one to begin with
+        """
+        now = self._clock.now()
+        for fingerprint in self.quarantine.note_missing(kept, now):
+            self.on_hold(fingerprint, first)
+        for fingerprint in self.quarantine.list_cleared_among(kept, now):
+            self.on_clear(fingerprint)
+        for fingerprint in kept:
+            self._take_hold(HoldNews(fingerprint, HOLD_TIME, HOLD_TIME), None)
+
     def _note_end(self, news: EndNews) -> None:
         now = self._clock.now()
         self._tally.count("upstream_ends_total")
