--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -11,10 +11,12 @@
 from tests.soak.promise import GRACE, LEAVE_BOUND, REST_TIME, Promise
 from tests.soak.schedule import PLANNED, FaultKind, Step
 from tests.soak.upstreams import ModelEngine
+from tests.soak.world import HALLS
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
 
+    from beamhatch.platform.standin.store import StoreCopy
     from tests.soak.upstreams import PlainReplica
     from tests.soak.vm import VmProcess
     from tests.soak.world import World
@@ -44,6 +46,24 @@
 EMPTY_TIME = 6.0
 """Seconds for which a hall is emptied at the least: longer than the bound within which nothing new may come."""
 
+BACKUP_AGE = 0.5
+"""Seconds for which the store goes on behind a backup at the least: VMs read what it is going to lose."""
+
+RESTORE_TIME = 1.0
+"""Seconds for which the store is silent before it is restored."""
+
+RESTORE_GAP = 12.0
+"""Seconds between two restores at the least: the time in which VMs are held to no bound, and as much again."""
+
+LOST_CHANGES = 400
+"""Changes that a restore loses, beside the entries that upstreams write behind them."""
+
+HEARTBEAT = 1.2
+"""Seconds in which all upstreams have written their entries again."""
+
+ENTRY_LIFE = 3.6
+"""Seconds behind a restore in which the entry of an upstream that is gone lapses: three heartbeats."""
+
 SLOW = 0.15
 """Seconds by which bytes come late on a slow link."""
 
@@ -86,6 +106,7 @@
             FaultKind.STORE_BUSY: lambda step: self._harm_store(step, StoreFault.BUSY),
             FaultKind.STORE_LOST: lambda step: self._harm_store(step, StoreFault.LOST),
             FaultKind.STORE_FORGETS: self._forget,
+            FaultKind.STORE_RESTORED: self._restore_store,
             FaultKind.LINK_SILENT: self._silence_link,
             FaultKind.LINK_SLOW: self._slow_links,
             FaultKind.LINK_BREAKS: self._break_links,
@@ -101,6 +122,7 @@
             FaultKind.DEADLY: self._send_deadly,
         }
         self._deadly = 0
+        self._next_restore = 0.0
         world.on_crash = lambda name: self._crash(name, DEADLY_RESTART)
 
     def plan(self, steps: Sequence[Step]) -> None:
@@ -236,6 +258,54 @@
         self._world.store.forget_history()
         self._witness.store.end(self._world.now())
 
+    def _restore_store(self, step: Step) -> None:
+        """Have the store lose what was written for a moment, and all but the relays write theirs again behind it."""
+        now = self._world.now()
+        if self._world.store.fault is not StoreFault.NONE or now < self._next_restore:
+            return
+        self._next_restore = now + RESTORE_GAP
+        self._witness.store.begin()
+        backup = self._world.store.make_copy()
+        for _ in range(LOST_CHANGES):
+            self._world.store.put("status/x", b"")
+        for name in list(self._world.placed):
+            self._write_again(name)
+        self._later(BACKUP_AGE + step.seconds / 3, self._silence_store, backup)
+
+    def _silence_store(self, backup: StoreCopy) -> None:
+        self._world.store.fault = StoreFault.SILENT
+        self._later(RESTORE_TIME, self._bring_back, backup)
+
+    def _bring_back(self, backup: StoreCopy) -> None:
+        self._world.store.fault = StoreFault.NONE
+        self._world.store.come_back_from(backup)
+        names = list(self._world.placed)
+        for number, name in enumerate(names):
+            self._later(HEARTBEAT * number / len(names), self._write_again, name)
+        self._later(HEARTBEAT / 2, self._direct_again)
+        self._later(HEARTBEAT, self._witness.store.end, None)
+        self._later(ENTRY_LIFE, self._drop_entries, backup)
+
+    def _write_again(self, name: str) -> None:
+        if name in self._world.placed:
+            leaves = self._witness.upstreams[name].leaves_at < float("inf")
+            self._world.list_upstream(name, state="draining" if leaves else "ready")
+
+    def _direct_again(self) -> None:
+        """Have the operators write again what is in force: the configuration, and which halls are emptied."""
+        self._world.write_configuration()
+        for hall in HALLS:
+            if hall in self._witness.emptied:
+                self._world.store.put(f"op/evacuate/{hall}", {})
+            else:
+                self._world.store.remove(f"op/evacuate/{hall}")
+
+    def _drop_entries(self, backup: StoreCopy) -> None:
+        """Have the entries of the backup lapse that nobody writes again."""
+        for key in backup.items:
+            if key.startswith("servers/") and key.removeprefix("servers/") not in self._world.placed:
+                self._world.store.remove(key)
+
     def _silence_link(self, step: Step) -> None:
         vm = pick(self._world.vms, step)
         link = self._world.store_links[vm.name]
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -29,6 +29,8 @@
     STORE_LOST = "store_lost"
     """The store does what is asked, and gives no answer."""
     STORE_FORGETS = "store_forgets"
+    STORE_RESTORED = "store_restored"
+    """The store is away for a moment and is restored from an older backup, which lacks much of what was written."""
     LINK_SILENT = "link_silent"
     """What one relay and the store say to each other is lost."""
     LINK_SLOW = "link_slow"
@@ -105,6 +107,12 @@
 LIMITS_GAP = 3.0
 """Seconds between two upstreams in the mean that begin to name a limit."""
 
+RESTORES = (FaultKind.STORE_RESTORED,)
+"""Drawn apart for the same reason."""
+
+RESTORES_GAP = 10.0
+"""Seconds between two restores in the mean."""
+
 WORDS_GAP = 3.0
 """Seconds between two upstreams in the mean that leave or rest by their own word."""
 
@@ -132,7 +140,8 @@
     steps = _draw(random.Random(seed), seconds, tuple(WEIGHTS), MEAN_GAP)
     words = _draw(random.Random(f"own words of {seed}"), seconds, OWN_WORDS, WORDS_GAP)
     limits = _draw(random.Random(f"limits of {seed}"), seconds, LIMITS, LIMITS_GAP)
-    return sorted([*steps, *words, *limits], key=lambda step: step.at)
+    restores = _draw(random.Random(f"restores of {seed}"), seconds, RESTORES, RESTORES_GAP)
+    return sorted([*steps, *words, *limits, *restores], key=lambda step: step.at)
 
 
 def _draw(drawn: random.Random, seconds: float, kinds: Sequence[FaultKind], gap: float) -> list[Step]:
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -160,6 +160,11 @@
     def configure(self) -> None:
         """Write the next configuration: with a route of its own, and without that of the one before."""
         self.version += 1
+        self.write_configuration()
+        self.witness.acknowledged[self.version] = self.now()
+
+    def write_configuration(self) -> None:
+        """Write the newest configuration, again where it was written before."""
         routes = [
             _make_route("/safe/", "safe", PLAIN),
             _make_route("/unsafe/", "unsafe", PLAIN),
@@ -173,7 +178,6 @@
         services = [{"name": PLAIN, **cold}, {"name": MODEL, "engine": engine, **cold}]
         document = {"version": self.version, "routes": routes, "services": services, "limits": {}}
         self.store.put("op/config", document)
-        self.witness.acknowledged[self.version] = self.now()
 
     def _take_crash(self, name: str) -> None:
         self.witness.take_crash(self.ledger.crashes[-1].target, self.now())
