Name the store's epochs and restores by the field's terms

No change of behaviour: eras become epochs, a return from a copy a restore from a backup, in code, tests and the one log line that tells of it ("restored from a backup", with epoch and the one before). The header that the platform sends keeps its name. One test reads that line and its fields by their new names; its check is as strict.

--- a/src/beamhatch/platform/standin/store.py
+++ b/src/beamhatch/platform/standin/store.py
@@ -62,8 +62,8 @@
         self.renewals = 0
         """Calls among them that renew a lease; they cost a tenth."""
         self.revision = 0
-        self.era = 1
-        """Rises each time that it comes back from a copy."""
+        self.epoch = 1
+        """Rises each time that it is restored from a backup."""
         self._items: dict[str, _Item] = {}
         self._history: list[tuple[int, str, bytes | None]] = []
         self._history_from = 0
@@ -112,14 +112,14 @@
         self._leases.clear()
         self._items = {key: replace(item) for key, item in copy.items.items()}
         self.revision = copy.revision
-        self.era += 1
+        self.epoch += 1
         self._history.clear()
         self._history_from = self.revision
         self.break_connections()
         self._watches.clear()
 
     def _answer(self, responder: Responder, status: int, value: object) -> None:
-        answer_json(responder, status, value, ("Store-Era", str(self.era)))
+        answer_json(responder, status, value, ("Store-Era", str(self.epoch)))
 
     def _note(self, key: str, value: bytes | None) -> None:
         self._history.append((self.revision, key, value))
--- a/src/beamhatch/platform/store.py
+++ b/src/beamhatch/platform/store.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from beamhatch.platform.eras import EraWatch, find_era, find_revision, make_position, read_era
+from beamhatch.platform.epochs import EpochWatch, find_epoch, find_revision, make_position, read_epoch
 from beamhatch.relay.api import (
     Claimed,
     DirectiveNews,
@@ -30,7 +30,7 @@
 if TYPE_CHECKING:
     from beamhatch.clock import Clock
     from beamhatch.platform.documents import PlatformDocuments
-    from beamhatch.platform.eras import Era
+    from beamhatch.platform.epochs import Epoch
     from beamhatch.relay.model import Address
     from beamhatch.relay.requests.answer import WholeAnswer
     from beamhatch.relay.upstreams.http_client import HttpClient
@@ -107,11 +107,11 @@
         self._clock = clock
         self._address = address
         self._documents = documents
-        self._eras = EraWatch()
+        self._epochs = EpochWatch()
         self._leadership_at = 0
         """The position of the last look at who leads, 0 before the first."""
         self._unsettled: set[str] = set()
-        """Prefixes whose lists were read before they were whole again."""
+        """Prefixes whose lists were read before they were complete again."""
         self._read: set[str] = set()
         """Prefixes whose lists were read at all."""
 
@@ -127,7 +127,7 @@
         events = await self._watch(OPERATORS, after, wait)
         if not isinstance(events, _Events):
             return events
-        settled = OPERATORS not in self._unsettled and not self._eras.may_have_come_back(self._clock.now())
+        settled = OPERATORS not in self._unsettled and not self._epochs.may_be_restored(self._clock.now())
         return replace(self._make_directives(events), settled=settled)
 
     def _make_directives(self, events: _Events) -> DirectiveNews:
@@ -148,21 +148,21 @@
         return ListingNews(entries, items.at, settled=self._note_read(UPSTREAMS, known))
 
     def _note_read(self, prefix: str, known: int) -> bool:
-        """Note that a whole list was read; return whether what it lacks is gone, else it is read again later.
+        """Note that a list was read; return whether what it lacks is gone, else it is read again later.
 
-        :param known: the position of the oldest news that are believed; 0 where there are none, and nothing to drop
+        :param known: the position of the oldest news that this VM has from peers, 0 where there are none
         """
         now = self._clock.now()
         if known:
-            self._eras.note_known(find_era(known), now)
-        settled = self._eras.is_settled(now)
+            self._epochs.note_known(find_epoch(known), now)
+        settled = self._epochs.is_settled(now)
         if settled:
             self._unsettled.discard(prefix)
         else:
             self._unsettled.add(prefix)
-        is_sure = known > 0 or prefix in self._read or not self._eras.may_have_come_back(now)
+        is_complete = known > 0 or prefix in self._read or not self._epochs.may_be_restored(now)
         self._read.add(prefix)
-        return settled and is_sure
+        return settled and is_complete
 
     async def watch_listing(self, after: int, wait: float) -> ListingNews | StoreLost | HistoryGone:
         """Return changes of upstreams behind a revision."""
@@ -181,8 +181,8 @@
             if isinstance(page, StoreLost):
                 return page
             at = page.at if at is None else at
-            if find_era(page.at) != find_era(at):
-                return StoreLost("the store came back from a copy between two pages")
+            if find_epoch(page.at) != find_epoch(at):
+                return StoreLost("the store was restored between two pages")
             items += page.items
             if not page.more or not page.items:
                 return _Events(items, at)
@@ -220,8 +220,8 @@
             at=page.at,
             order="" if order is None else (order.raw or b"").decode(),
             held=[found for found in map(_read_fingerprint, items) if found is not None],
-            restored=0 < find_era(before) < find_era(page.at) or not self._eras.is_settled(self._clock.now()),
-            order_may_be_lost=order is None and self._eras.has_come_back,
+            restored=0 < find_epoch(before) < find_epoch(page.at) or not self._epochs.is_settled(self._clock.now()),
+            order_may_be_lost=order is None and self._epochs.was_restored,
         )
 
     async def watch_leadership(self, after: int, wait: float) -> bool | StoreLost:
@@ -253,8 +253,8 @@
         changed = _decode(answer, _Changed)
         if isinstance(changed, StoreLost):
             return changed
-        era = self._note_era(answer)
-        return Claimed(lease.lease, make_position(era, changed.revision)) if era == find_era(seen.at) else Taken()
+        epoch = self._note_epoch(answer)
+        return Claimed(lease.lease, make_position(epoch, changed.revision)) if epoch == find_epoch(seen.at) else Taken()
 
     async def keep_leadership(self, claim: Claimed, timeout: float) -> bool | StoreLost:
         """Renew the lease of a claim."""
@@ -262,7 +262,7 @@
         if isinstance(answer, str):
             return StoreLost(answer)
         if answer.head.status in (200, 404):
-            return answer.head.status == 200 and self._note_era(answer) == find_era(claim.revision)
+            return answer.head.status == 200 and self._note_epoch(answer) == find_epoch(claim.revision)
         return StoreLost(f"status {answer.head.status}")
 
     async def record_order(self, claim: Claimed, order: str) -> bool | StoreLost:
@@ -276,33 +276,33 @@
         if isinstance(answer, str):
             return StoreLost(answer)
         if answer.head.status in (200, 412):
-            # behind a return, the revision may be that of another VM's claim
-            return answer.head.status == 200 and self._note_era(answer) == find_era(claim.revision)
+            # after a restore, the revision may be that of another VM's claim
+            return answer.head.status == 200 and self._note_epoch(answer) == find_epoch(claim.revision)
         return StoreLost(f"status {answer.head.status}")
 
     async def _watch(self, prefix: str, after: int, wait: float) -> _Events | StoreLost | HistoryGone:
-        """Wait for changes behind a position: none of an era that is over, and not beyond the time to read again."""
+        """Wait for changes behind a position: none of an earlier epoch, and not beyond the time to read again."""
         now = self._clock.now()
         if prefix in self._unsettled:
-            if self._eras.is_settled(now):
+            if self._epochs.is_settled(now):
                 return HistoryGone()
-            wait = min(wait, self._eras.settled_at - now)
-        if find_era(after) != (self._eras.era or 0):
+            wait = min(wait, self._epochs.settled_at - now)
+        if find_epoch(after) != (self._epochs.epoch or 0):
             return HistoryGone()
         query = {"path_prefix": prefix, "after": str(find_revision(after)), "wait_ms": str(int(wait * 1000))}
         answer = await self._get("kv-watch", query, wait + WATCH_MARGIN)
         if not isinstance(answer, str) and answer.head.status == 410:
             return HistoryGone()
         events = self._place(answer, _Events)
-        return HistoryGone() if isinstance(events, _Events) and find_era(events.at) != find_era(after) else events
+        return HistoryGone() if isinstance(events, _Events) and find_epoch(events.at) != find_epoch(after) else events
 
-    def _note_era(self, answer: WholeAnswer) -> Era:
-        """Take in the era that an answer tells, and return it."""
-        era = read_era(answer.head.headers)
-        before = self._eras.era
-        if self._eras.take(era, self._clock.now()):
-            self._documents.journal.write("STORE", "came back from a copy", era=era, before=before)
-        return era
+    def _note_epoch(self, answer: WholeAnswer) -> Epoch:
+        """Take in the epoch that an answer tells, and return it."""
+        epoch = read_epoch(answer.head.headers)
+        before = self._epochs.epoch
+        if self._epochs.take(epoch, self._clock.now()):
+            self._documents.journal.write("STORE", "restored from a backup", epoch=epoch, before=before)
+        return epoch
 
     def _place(self, answer: WholeAnswer | str, wanted: type[Listed]) -> Listed | StoreLost:
         """Return the items of an answer, with positions in place of revisions."""
@@ -311,10 +311,10 @@
         found = _decode(answer, wanted)
         if isinstance(found, StoreLost):
             return found
-        era = self._note_era(answer)
-        found.at = make_position(era, found.at)
+        epoch = self._note_epoch(answer)
+        found.at = make_position(epoch, found.at)
         for item in found.items if isinstance(found, _Range) else found.events:
-            item.revision = make_position(era, item.revision)
+            item.revision = make_position(epoch, item.revision)
         return found
 
     async def _post(self, name: str, body: object, timeout: float = READ_TIMEOUT) -> WholeAnswer | str:
--- a/src/beamhatch/relay/api.py
+++ b/src/beamhatch/relay/api.py
@@ -150,7 +150,7 @@
     """Halls that are emptied, or no longer are."""
     at: int
     settled: bool = True
-    """False where the store has just come back from a copy, or may have: what it lacks may be written again."""
+    """False where the store was just restored, or may have been: what a list lacks may be written again."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -160,7 +160,7 @@
     entries: Sequence[Entry]
     at: int
     settled: bool = True
-    """False where the store has just come back from a copy, or may have: what it lacks may be written again."""
+    """False where the store was just restored, or may have been: what a list lacks may be written again."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -176,9 +176,9 @@
     held: Sequence[Fingerprint] = ()
     """Requests whose quarantine is kept: they are read with what a few VMs watch anyway, and cost no call."""
     restored: bool = False
-    """True where the store has come back from a copy since it was read last, or a moment ago."""
+    """True where the store was restored since it was read last, or within seconds before."""
     order_may_be_lost: bool = False
-    """True where the store has no order, and may have had one before it came back from a copy."""
+    """True where the store has no order, and may have lost one in a restore."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/beamhatch/relay/engines/leadership.py
+++ b/src/beamhatch/relay/engines/leadership.py
@@ -73,7 +73,7 @@
     def take(self, revision: int, now: float, *, may_be_lost: bool = False) -> None:
         """Take in the revision of the last order, 0 where the store has none.
 
-        :param may_be_lost: whether the store may have had one before it came back; it is taken as given now
+        :param may_be_lost: whether the store may have lost one in a restore; it counts as given now
         """
         if revision != self.revision:
             self.revision = revision
@@ -136,7 +136,7 @@
         self.on_quarantine: Callable[[Sequence[Fingerprint]], None] = lambda _: None
         """Called with the requests whose quarantine the store keeps, each time it is read."""
         self.on_restored_quarantine: Callable[[Sequence[Fingerprint], bool], None] = lambda kept, first: None
-        """Called in place of it where the store came back from a copy, and whether this VM is the first of its rank."""
+        """Called in place of it after a restore, also with whether this VM is the first in rank."""
         self._lost = False
         self._running: defer.Deferred[None] | None = None
 
--- a/src/beamhatch/relay/quarantine/keeping.py
+++ b/src/beamhatch/relay/quarantine/keeping.py
@@ -35,7 +35,7 @@
         self.core = core
         self._store = store
         self._keeping: set[Fingerprint] = set()
-        """Those that are being written, or wait for it: a store that came back is read several times meanwhile."""
+        """Those that are being written, or wait for it: a restored store is read several times meanwhile."""
 
     def keep(self, fingerprint: Fingerprint, first: bool) -> None:
         """Have a quarantine kept, unless another VM has.
--- a/src/beamhatch/relay/quarantine/quarantine.py
+++ b/src/beamhatch/relay/quarantine/quarantine.py
@@ -86,7 +86,7 @@
     begun_at: float
     until: float
     is_kept: bool = True
-    """False where the store has come back without it."""
+    """False where a restored store lacks it."""
 
 
 @dataclass(slots=True)
@@ -202,7 +202,7 @@
         return True
 
     def note_missing(self, kept: Collection[Fingerprint], now: float) -> list[Fingerprint]:
-        """Take in that a store that came back keeps these alone; return the requests in quarantine that it lacks."""
+        """Take in that a restored store keeps these alone; return the requests in quarantine that it lacks."""
         held = [one for one in {*self._attributed, *self._told} if self.find_hold(one, now) is not None]
         missing = [one for one in held if one not in kept]
         for fingerprint in missing:
--- a/src/beamhatch/relay/quarantine/talk.py
+++ b/src/beamhatch/relay/quarantine/talk.py
@@ -143,11 +143,11 @@
         self.quarantine.end_told_but(kept)
 
     def restore_kept(self, kept: Sequence[Fingerprint], first: bool) -> None:
-        """Take in what a store keeps that came back from a copy: have it keep again what the copy lacks, and no more.
+        """Take in which quarantines a restored store keeps, and have it keep those in force.
 
-        The copy tells nothing of quarantines that began or ended behind it, so none ends for want of a key.
+        The backup tells nothing of quarantines that began or ended after it, so a missing key ends none.
 
-        :param first: whether this VM is the one to begin with
+        :param first: whether this VM writes at once, and not only where others have not
         """
         now = self._clock.now()
         for fingerprint in self.quarantine.note_missing(kept, now):
--- a/src/beamhatch/relay/workspaces/usage_talk.py
+++ b/src/beamhatch/relay/workspaces/usage_talk.py
@@ -26,16 +26,16 @@
 """
 
 LOOK_INTERVAL = 0.1
-"""Seconds between two looks whether a workspace asks much more than was told, which is told at once."""
+"""Seconds between two checks for a surge."""
 
 SURGE = 1.5
-"""Times what was told of a workspace from which on its demand is told at once, where it is above its part of the quota.
+"""Growth of a workspace's demand, as a factor since it was told last, from which on peers are told at once.
 
-Until the others know, all of a surge is taken.
+Until they know, they take all of a surge; only demand above these VMs' part of the quota counts.
 """
 
 SURGE_DELAY = 0.01
-"""Seconds from a surge until peers are told: what others tell of the same surge meanwhile is handed on with it."""
+"""Seconds from a surge until peers are told, so that reports of several VMs go out in one message."""
 
 NEAR_SHARE = 0.6
 """Share of a hall's part of a quota from which on its use is told: as long as all halls are below, none is at its
@@ -86,7 +86,7 @@
         self._told_own = False
         """Whether the last word had rates of this VM's callers."""
         self._told_rates: RatesByWorkspace = {}
-        """What was known as this VM told last: of its hall where it adds up, else of its own callers."""
+        """The rates that peers were told last: of the hall where this VM adds up, else of its own callers."""
         self._covered_vms = 1
         """The VMs that these are of."""
         self._stopped = False
@@ -136,7 +136,7 @@
         return peer
 
     def _tell_soon(self) -> None:
-        """Tell peers at once in place of at the next regular time, and what arrives together with one word."""
+        """Bring the next message to peers forward to now."""
         if self._timer is None or self._soon:
             return
         self._soon = True
@@ -155,7 +155,7 @@
         self._timer = self.core.clock.call_later(BUSY_INTERVAL if busy else CALM_INTERVAL, self._tick)
 
     def _look(self) -> None:
-        """Tell at once of a workspace that begins to ask much more."""
+        """Check for a surge."""
         if self._stopped:
             return
         table = self.core.table
--- a/tests/platform/test_evacuation.py
+++ b/tests/platform/test_evacuation.py
@@ -7,7 +7,7 @@
 import pytest
 from twisted.internet import defer
 
-from beamhatch.platform.eras import Era, make_position
+from beamhatch.platform.epochs import Epoch, make_position
 from beamhatch.platform.standin.store import StoreFault
 from beamhatch.platform.standin.upstream import StandInEngine
 from beamhatch.relay.engines.balancing import PhaseChange, Pressure
@@ -433,7 +433,7 @@
     assert vm._ordering is not None
     pressure = Pressure(0.0, 0.0, EngineFigures(60_000, 5000.0, 600.0, 3.0))
     defer.ensureDeferred(vm._ordering._order_all([PhaseChange(engine, Phase.PREFILL)], pressure))
-    revision = make_position(Era(platform.store.era), platform.store.revision + 100)
+    revision = make_position(Epoch(platform.store.epoch), platform.store.revision + 100)
     vm.core.take_evacuations([Evacuation("hall-b", revision, True)], "test", as_of=revision, whole=False)
     platform.network.run(0.3)
     assert vm.leadership is not None
--- a/tests/platform/test_interleavings.py
+++ b/tests/platform/test_interleavings.py
@@ -10,7 +10,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
-from beamhatch.platform.eras import Era, make_position
+from beamhatch.platform.epochs import Epoch, make_position
 from beamhatch.platform.standin.store import StoreFault
 from beamhatch.platform.standin.upstream import UpstreamFault
 from beamhatch.relay.model import ServiceName
@@ -135,7 +135,7 @@
             assert usable == names
 
     def agree(self) -> bool:
-        newest = make_position(Era(self.platform.store.era), self.platform.store.find_newest("servers/"))
+        newest = make_position(Epoch(self.platform.store.epoch), self.platform.store.find_newest("servers/"))
         return all(
             vm.core.table is not None and vm.core.table.version == self.version and vm.core.listing.newest == newest
             for vm in self.platform.vms.values()
--- a/tests/platform/test_store_copy.py
+++ b/tests/platform/test_store_copy.py
@@ -1,4 +1,4 @@
-"""The store is away for a moment, and comes back from a copy some seconds old.
+"""The store is away for a moment, and is restored from a backup some seconds old.
 
 What users will see: revisions go back and are given out again, and what the system wrote since is gone, its leases too;
 operators and upstreams write theirs again. Whatever a VM orders by revisions, the higher for the newer, takes what is
@@ -13,7 +13,7 @@
 from twisted.internet import defer
 
 from beamhatch.platform.documents import PlatformDocuments
-from beamhatch.platform.eras import find_revision
+from beamhatch.platform.epochs import find_revision
 from beamhatch.platform.standin.store import StoreFault
 from beamhatch.platform.store import PlatformStore
 from beamhatch.relay.api import Claimed, LeadershipNews, ListingNews, StoreLost
@@ -53,7 +53,7 @@
 
 
 def lose_changes(platform: Platform) -> int:
-    """Have much changed, then have the store come back from a copy of before, and all but the system write again.
+    """Have much changed, then have the store restored from a backup of before, and all but the system write again.
 
     Return the highest token of any leader before.
     """
@@ -133,7 +133,7 @@
 
 
 def come_back_at_once(platform: Platform, copy: StoreCopy) -> None:
-    """Have the store be away for a moment and come back from a copy, with nothing written again yet."""
+    """Have the store be away for a moment and restored from a backup, with nothing written again yet."""
     platform.store.fault = StoreFault.SILENT
     platform.network.run(AWAY)
     platform.store.fault = StoreFault.NONE
@@ -219,8 +219,8 @@
 def test_a_return_is_told_once_by_who_asks_the_store() -> None:
     platform = make_fleet()
     lose_changes(platform)
-    told = [line for journal in platform.journals.values() for line in journal.lines if "came back" in line["event"]]
-    assert {(line["era"], line["before"]) for line in told} == {(2, 1)}
+    told = [line for journal in platform.journals.values() for line in journal.lines if "restored" in line["event"]]
+    assert {(line["epoch"], line["before"]) for line in told} == {(2, 1)}
     assert len(told) <= len(platform.vms)
 
 
@@ -251,7 +251,7 @@
 
 
 def test_a_watch_that_is_turned_away_is_lost_and_no_sign_of_a_return() -> None:
-    """What stands before the store may tell no era: with that taken for another one, all was read again at once."""
+    """What stands before the store may tell no epoch: with that taken for another one, all was read again at once."""
     platform = Platform()
     documents = PlatformDocuments(MemoryJournal(platform.clock))
     store = PlatformStore(HttpClient(platform.clock), platform.clock, OTHER_DOOR, documents)
--- a/tests/soak/mutants.py
+++ b/tests/soak/mutants.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING, Any
 
 from beamhatch.platform import store as platform_store
-from beamhatch.platform.eras import Era
+from beamhatch.platform.epochs import Epoch
 from beamhatch.platform.run import main
 from beamhatch.relay.choosing.eligibility import Eligibility, Obstacle
 from beamhatch.relay.choosing.rests import Rests
@@ -88,8 +88,8 @@
     Limits.take_spent = lambda self, spent, now: None  # type: ignore[method-assign]
 
 
-def _ignores_eras() -> None:
-    platform_store.read_era = lambda headers: Era(0)  # type: ignore[attr-defined]
+def _ignores_epochs() -> None:
+    platform_store.read_epoch = lambda headers: Epoch(0)  # type: ignore[attr-defined]
 
 
 def _stops_at_once() -> None:
@@ -137,7 +137,7 @@
     "ignores-rests": Mutant(Promise.RESTING, [FaultKind.UPSTREAM_RESTS], _ignores_rests),
     "ignores-limits": Mutant(Promise.LIMITED, [FaultKind.UPSTREAM_LIMITS], _ignores_limits),
     "counts-alone": Mutant(Promise.LIMITED, [FaultKind.UPSTREAM_LIMITS], _counts_alone),
-    "ignores-eras": Mutant(Promise.LEAVING, [FaultKind.STORE_RESTORED, FaultKind.UPSTREAM_LEAVES], _ignores_eras),
+    "ignores-epochs": Mutant(Promise.LEAVING, [FaultKind.STORE_RESTORED, FaultKind.UPSTREAM_LEAVES], _ignores_epochs),
     "keeps-first-configuration": Mutant(Promise.IN_FORCE, [FaultKind.CONFIGURE], _keeps_first_configuration),
     "stops-at-once": Mutant(Promise.PLANNED_STOP, [FaultKind.STOP], _stops_at_once),
     "keeps-memory": Mutant(Promise.GIVEN_BACK, UPSTREAM_FAULTS, _keeps_memory),
