--- a/tests/platform/test_restore.py
+++ b/tests/platform/test_restore.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import itertools
+import random
 from typing import TYPE_CHECKING
 
 import pytest
@@ -207,3 +208,73 @@
         assert after[2] >= before[2]
         if after[1] != before[1]:
             assert after[0] - before[0] >= TURN_TIME
+
+
+HALLS = ("hall-a", "hall-b", "hall-c")
+
+
+def make_drawn_fleet(draw: random.Random) -> Platform:
+    """Return some VMs in three halls, with upstreams in each."""
+    platform = Platform(names_hosts=True)
+    platform.configure(1)
+    for hall in HALLS:
+        for number in range(2):
+            platform.add_plain(f"plain-{hall}-{number}", hall)
+    for number in range(draw.choice([3, 6, 12])):
+        platform.add_vm(f"vm{number}", ["vm0:8002", "vm1:8002"], HALLS[number % 3])
+    platform.network.run_until(lambda: all(vm.core.ready for vm in platform.vms.values()))
+    platform.network.run(draw.uniform(2.0, 8.0))
+    return platform
+
+
+def restore_as_drawn(platform: Platform, draw: random.Random) -> None:
+    """Lose up to 400 changes and a whole round of entries, while VMs crash, start, and are cut off from the store."""
+    backup = platform.store.make_copy()
+    for number in range(draw.randrange(400)):
+        platform.store.put(f"status/{number % 7}", b"")
+    for name in platform.upstreams:
+        platform.list_again(name)
+    platform.network.run(draw.uniform(0.1, 3.0))
+    platform.store.fault = draw.choice([StoreFault.SILENT, StoreFault.BUSY])
+    for name in draw.sample(list(platform.vms), len(platform.vms) // 3):
+        platform.network.cut_between(name, "store")
+    platform.network.run(draw.uniform(0.2, 4.0))
+    platform.store.fault = StoreFault.NONE
+    platform.store.come_back_from(backup)
+    for number in range(draw.randrange(3)):
+        name = f"vm-new-{len(platform.vms)}"
+        platform.add_vm(name, ["vm0:8002", "vm1:8002"], HALLS[number])
+
+
+def write_again(platform: Platform, draw: random.Random, version: int) -> None:
+    """Have operators and upstreams write theirs again within a heartbeat, in any order."""
+    names = list(platform.upstreams)
+    draw.shuffle(names)
+    configured = draw.randrange(len(names))
+    for number, name in enumerate(names):
+        if number == configured:
+            platform.configure(version)
+        platform.list_again(name)
+        platform.network.run(1.2 / len(names))
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_what_is_written_after_a_restore_counts_whatever_the_moment(seed: int) -> None:
+    """The three faults of the first restores together, at other sizes and moments, once or twice in a row."""
+    draw = random.Random(seed)
+    random.seed(seed)
+    platform = make_drawn_fleet(draw)
+    for number in range(draw.choice([1, 2])):
+        restore_as_drawn(platform, draw)
+        write_again(platform, draw, 2 + number)
+    platform.network.run(draw.uniform(0.0, 2.0))
+    platform.drain("plain-hall-a-0")
+    platform.empty("hall-b")
+    platform.configure(9)
+    platform.network.run(3.0)
+    drained = platform.upstreams["plain-hall-a-0"]
+    before = len(drained.arrived), count_arrived(platform, "hall-b")
+    statuses = ask_all(platform, 2.0)
+    assert (len(drained.arrived), count_arrived(platform, "hall-b")) == before
+    assert {vm.core.version for vm in platform.vms.values()} == {9}
+    assert statuses.count(200) >= 0.95 * len(statuses)
