Count a lost order as given also where the VM had seen none before

Found by reading the repair of the last order again: a VM that looked before any order was given, and again when a restore had lost it, saw no order both times, and took nothing for changed. It would order within the turn.

A missing order that a restore may have lost is taken as given at each look within the restore's 4 s, so the first order comes up to 4 s later. The test fails without it.

--- a/src/beamhatch/platform/store.py
+++ b/src/beamhatch/platform/store.py
@@ -214,14 +214,15 @@
         before, self._leadership_at = self._leadership_at, page.at
         items = {item.tls_key: item for item in page.items}
         order = items.get(LAST_ORDER)
+        restored = 0 < find_epoch(before) < find_epoch(page.at) or not self._epochs.is_settled(self._clock.now())
         return LeadershipNews(
             taken=LEADER in items,
             last_order=0 if order is None else order.revision,
             at=page.at,
             order="" if order is None else (order.raw or b"").decode(),
             held=[found for found in map(_read_fingerprint, items) if found is not None],
-            restored=0 < find_epoch(before) < find_epoch(page.at) or not self._epochs.is_settled(self._clock.now()),
-            order_may_be_lost=order is None and self._epochs.was_restored,
+            restored=restored,
+            order_may_be_lost=order is None and (restored or (not before and self._epochs.was_restored)),
         )
 
     async def watch_leadership(self, after: int, wait: float) -> bool | StoreLost:
--- a/src/beamhatch/relay/engines/leadership.py
+++ b/src/beamhatch/relay/engines/leadership.py
@@ -75,7 +75,7 @@
 
         :param may_be_lost: whether the store may have lost one in a restore; it counts as given now
         """
-        if revision != self.revision:
+        if may_be_lost or revision != self.revision:
             self.revision = revision
             self.seen_at = now if revision or may_be_lost else -1e9
 
--- a/tests/relay/engines/test_leadership.py
+++ b/tests/relay/engines/test_leadership.py
@@ -181,3 +181,14 @@
     assert last.find_turn(TURN) == 100.0 + LEASE_TIME + TURN + 0.5
     last.take(8, 120.0)
     assert last.find_turn(TURN) == 120.0 + LEASE_TIME + TURN + 0.5
+
+
+def test_an_order_that_a_restore_lost_counts_as_given_when_that_is_seen() -> None:
+    """The VM may have looked before any order was given, and again when the store had lost it: both times none."""
+    last = LastOrder()
+    last.take(0, 100.0)
+    assert last.find_turn(TURN) < 100.0
+    last.take(0, 200.0, may_be_lost=True)
+    assert last.find_turn(TURN) >= 200.0 + LEASE_TIME + TURN
+    last.take(0, 203.0)
+    assert last.find_turn(TURN) >= 200.0 + LEASE_TIME + TURN
