Have the soak's upstreams tell how long they are still cold, whenever they write their entries

Traced: an upstream that had just come back cold wrote its entry again behind a restore, and there said nothing of being cold, while the witness held VMs to the bound. The relays did as they were told. An entry has the time that is left now, in each writing; the bound and the check are as they were.

--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -145,9 +145,11 @@
         if placed is None:
             return
         entry = placed.upstream.describe(placed.service, placed.hall, state)
+        facts = self.witness.upstreams[name]
         if cold:
-            entry["cold_remaining_ms"] = COLD_TIME * 1000
-            self.witness.upstreams[name].cold_until = self.now() + COLD_TIME
+            facts.cold_until = self.now() + COLD_TIME
+        if facts.cold_until > self.now():
+            entry["cold_remaining_ms"] = round((facts.cold_until - self.now()) * 1000)
         self.store.put(f"servers/{name}", entry)
 
     def remove_upstream(self, name: str) -> Placed:
