Tell the holders of a key of an answer before its caller

What callers saw: 502 unknown for a key whose first request had been answered with 200, as the VM that answered was killed within milliseconds. Nothing ran twice.

Cause: the answer and the words to the holders went out at one moment, the caller's first; nobody waited for a holder. Why it holds: most of three holders have the answer before the caller does, so a repeat meets one that knows; a silent holder costs 0.1 s at the most. Requests without a key go out as before.

Not in the relay of the platform, which loads nothing of this.

--- a/src/beamhatch/task/exchange.py
+++ b/src/beamhatch/task/exchange.py
@@ -252,8 +252,11 @@
         self._drop_stream()
         if self._waiting is not None:
             self._waiting.cancel()
+        # a VM that is lost right after its answer would else leave a key whose repeats are told that nobody knows
+        self._close_record(outcome).addCallback(lambda _: self._end(outcome))
+
+    def _end(self, outcome: Outcome) -> None:
         self._tell_caller(outcome)
-        self._close_record(outcome)
         self._count(outcome)
         self._root.attributes.update(outcome=name_outcome(outcome))
         self._router.tracer.finish(self.trace)
@@ -402,18 +405,21 @@
         else:
             self._answer.end_stream()
 
-    def _close_record(self, outcome: Outcome) -> None:
+    def _close_record(self, outcome: Outcome) -> defer.Deferred[None]:
+        """Settle the key; return what fires once the caller may be told."""
+        records = self._router.records
         if self.call.key is None or self._kept is not None:
-            return
+            return defer.succeed(None)
         if isinstance(outcome, Answered) and isinstance(self._whole, Whole):
-            self._router.records.keep(self.call, outcome, self._whole.headers, self._whole.body)
-        elif isinstance(outcome, Answered) and self._whole is None:
+            return records.keep(self.call, outcome, self._whole.headers, self._whole.body)
+        if isinstance(outcome, Answered) and self._whole is None:
             body = self._sent.join() if self._sent.complete else None
-            self._router.records.keep(self.call, outcome, _STREAM, body)
-        elif isinstance(self._whole, Rejection):
-            self._router.records.drop(self.call)
+            return records.keep(self.call, outcome, _STREAM, body)
+        if isinstance(self._whole, Rejection):
+            records.drop(self.call)
         else:
-            self._router.records.close(self.call, outcome)
+            records.close(self.call, outcome)
+        return defer.succeed(None)
 
     def _count(self, outcome: Outcome) -> None:
         self._router.count(self, outcome, self._first_frame_at)
--- a/src/beamhatch/task/hall_records.py
+++ b/src/beamhatch/task/hall_records.py
@@ -45,6 +45,9 @@
 MIN_COPIES = 2
 """A record needs a second VM, unless the hall is said to have one only."""
 TELL_PAUSE = 0.2
+KEEP_LIMIT = 0.1
+"""Seconds for which an answer waits at the most until the holders of its key have it."""
+
 TELL_TRIES = 20
 JOIN_LIMIT = 60.0
 """Seconds for which a repeat waits for the first request, where its caller gave no deadline."""
@@ -187,26 +190,48 @@
         else:
             self._tell_end(call, make_kept(outcome, (), None, 0))
 
-    def keep(self, call: Call, outcome: Answered, headers: Sequence[tuple[str, str]], body: bytes | None) -> None:
-        """Keep an answer for repeats of its key."""
-        self._tell_end(call, make_kept(outcome, headers, body, self._settings.limits.answer_bytes))
+    def keep(
+        self, call: Call, outcome: Answered, headers: Sequence[tuple[str, str]], body: bytes | None
+    ) -> defer.Deferred[None]:
+        """Keep an answer for repeats of its key; fires once most holders have it, or after ``KEEP_LIMIT``."""
+        return self._tell_end(call, make_kept(outcome, headers, body, self._settings.limits.answer_bytes))
 
     def drop(self, call: Call) -> None:
         """Free a key, because its request is proved not to have run."""
         self._tell_end(call, None)
 
-    def _tell_end(self, call: Call, answer: KeptAnswer | None) -> None:
+    def _tell_end(self, call: Call, answer: KeptAnswer | None) -> defer.Deferred[None]:
         assert call.key is not None
         wire = write_answer(answer) if answer is not None else None
         home = self.find_home(call.key)
         if home == self._mesh.hall:
-            self._tell_holders(RecordEnd(call.key, call.request, wire))
-        else:
-            defer.ensureDeferred(self._tell_home(home, RemoteEnd(call.key, call.request, wire)))
+            return self._tell_holders(RecordEnd(call.key, call.request, wire))
+        return self._await_most([defer.ensureDeferred(self._tell_home(home, RemoteEnd(call.key, call.request, wire)))])
+
+    def _tell_holders(self, end: RecordEnd) -> defer.Deferred[None]:
+        told = [defer.ensureDeferred(self._tell(holder, end)) for holder in self._holder.list_holders(end.key)]
+        return self._await_most(told)
+
+    def _await_most(self, told: list[defer.Deferred[None]]) -> defer.Deferred[None]:
+        """Return what fires once most of some have ended, or after ``KEEP_LIMIT``."""
+        done: defer.Deferred[None] = defer.Deferred()
+        left = len(told) // 2 + 1
+
+        def fire() -> None:
+            if not done.called:
+                done.callback(None)
+
+        def note_end(_: None) -> None:
+            nonlocal left
+            left -= 1
+            if left <= 0:
+                fire()
 
-    def _tell_holders(self, end: RecordEnd) -> None:
-        for holder in self._holder.list_holders(end.key):
-            defer.ensureDeferred(self._tell(holder, end))
+        for one in told:
+            one.addCallback(note_end)
+        if not done.called:
+            self._clock.call_later(KEEP_LIMIT, fire)
+        return done
 
     async def _tell(self, holder: VmName, end: RecordEnd) -> None:
         """Tell a holder until it says that it knows; a holder that never does answers ``Unknown``, which is safe."""
@@ -246,6 +271,5 @@
     async def _take_remote_watch(self, _: Hello, watch: RemoteWatch) -> RecordAnswer | None:
         return await self._wait_for(RecordWatch(watch.key, watch.request), min(watch.seconds, WATCH_LIMIT))
 
-    def _take_remote_end(self, _: Hello, end: RemoteEnd) -> Done:
-        self._tell_holders(RecordEnd(end.key, end.request, end.answer))
-        return Done()
+    def _take_remote_end(self, _: Hello, end: RemoteEnd) -> defer.Deferred[Done]:
+        return self._tell_holders(RecordEnd(end.key, end.request, end.answer)).addCallback(lambda _: Done())
--- a/src/beamhatch/task/records.py
+++ b/src/beamhatch/task/records.py
@@ -11,6 +11,8 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+    from twisted.internet.defer import Deferred
+
     from beamhatch.decide.call import Call
 
 RETRY_SOON = 1.0
@@ -29,8 +31,10 @@
         """Note how a request ended without an answer; what is proved not to have run frees its key."""
 
     @abstractmethod
-    def keep(self, call: Call, outcome: Answered, headers: Sequence[tuple[str, str]], body: bytes | None) -> None:
-        """Keep an answer for repeats of its key."""
+    def keep(
+        self, call: Call, outcome: Answered, headers: Sequence[tuple[str, str]], body: bytes | None
+    ) -> Deferred[None]:
+        """Keep an answer for repeats of its key; fires once it outlasts this VM, or after a short time."""
 
     @abstractmethod
     def drop(self, call: Call) -> None:
