Look up no quotas for messages that bear no rates

Found by reading the change again: each message on usage, also those that bear none, had a table of all workspaces' quotas made to find out that nothing has surged. The result is the same; only the work goes.

--- a/src/beamhatch/relay/workspaces/usage_talk.py
+++ b/src/beamhatch/relay/workspaces/usage_talk.py
@@ -172,7 +172,7 @@
     def _has_surged(self, rates: RatesByWorkspace, before: RatesByWorkspace, vms: int) -> bool:
         """Tell whether any workspace asks much more of some VMs than before, and more than their part of its quota."""
         table = self.core.table
-        if table is None:
+        if table is None or not rates:  # most messages on a calm day bear none
             return False
         part = vms / max(1, self._share.count_vms())
         quotas = {workspace.name: workspace.quota for workspace in table.workspaces}
