Log what tells the reasons of a late configuration apart

Hypotheses on a late VM (docs/incidents/late-configuration.md): the watch is deaf, the peers are, or the start took an older version. No line told them apart: a VM said nothing on newer versions that it had heard of, nor for how long the store had been silent, and dropped an older version without a line.

Added: CONFIG behind (own and newer version, the peer that announced it), CONFIG older, CONFIG unreadable from a peer, silent_s in STORE lost; gauges of the newest announced version and of the store's silence. No decision changes.

--- a/src/beamhatch/relay/core.py
+++ b/src/beamhatch/relay/core.py
@@ -219,6 +219,8 @@
         """Put a configuration in force and return True, unless its version is not newer than the current one."""
         version = document.table.version
         if self.table is not None and self.table.version >= version:
+            if self.table.version > version:
+                self.journal.write("CONFIG", "older", version=version, in_force=self.version, source=source)
             return False
         before = self.version
         self.document = document
--- a/src/beamhatch/relay/daemon.py
+++ b/src/beamhatch/relay/daemon.py
@@ -178,6 +178,8 @@
         tally.gauges["emptied_halls"] = lambda: float(len(self.core.eligibility.evacuations.list_evacuated()))
         tally.gauges["requests_in_emptied_halls"] = lambda: float(self.core.count_requests_in_evacuated())
         tally.gauges["configuration_version"] = lambda: float(self.core.version)
+        tally.gauges["configuration_newest_announced"] = lambda: float(self._get_newest_version())
+        tally.gauges["store_silence_seconds"] = lambda: max(watcher.get_silence() for watcher in self._watchers)
         tally.gauges["known_vms"] = lambda: float(self.core.vm_count)
         tally.gauges["held_requests"] = lambda: float(self.core.quarantine.count(clock.now()))
         tally.gauges["leaving_by_own_word"] = lambda: float(len(self.core.announcements.list_unstored()))
@@ -332,11 +334,15 @@
             vms=change.vms,
         )
 
+    def _get_newest_version(self) -> int:
+        """Return the newest configuration version that this VM knows to exist."""
+        return max(self.core.version, 0 if self._gossip is None else self._gossip.newest_version)
+
     def _may_be_outdated(self) -> bool:
         """Return whether a peer announced a newer configuration, or one may exist as no peer or store is connected."""
         has_peers = False
         if self._gossip is not None:
-            if self._gossip.newest_version > self.core.version:
+            if self._get_newest_version() > self.core.version:
                 return True
             has_peers = self._gossip.has_peers()
         return not has_peers and not all(watcher.connected for watcher in self._watchers)
--- a/src/beamhatch/relay/fleet/gossip.py
+++ b/src/beamhatch/relay/fleet/gossip.py
@@ -402,7 +402,9 @@
             case PackedConfiguration():
                 raw = unpack_configuration(message)
                 table = self._documents.read_configuration(raw)
-                if table is not None:
+                if table is None:
+                    self.journal.write("CONFIG", "unreadable from a peer", source=f"peer {connection.vm}")
+                else:
                     self.core.apply_document(Document(raw, table), f"peer {connection.vm}")
             case ListingRequest():
                 if self.core.listing.complete:
@@ -464,6 +466,10 @@
                 connection.sent.reset_evacuations()  # an outdated peer may not know that an evacuation has ended
             source = f"peer {connection.vm}"
             self.core.apply_evacuations(message.evacuations, source, as_of=message.evacuations_as_of, is_snapshot=True)
+        if received.version > max(self.newest_version, self.core.version):
+            self.journal.write(
+                "CONFIG", "behind", version=self.core.version, newer=received.version, source=f"peer {connection.vm}"
+            )
         self.newest_version = max(self.newest_version, received.version)
         if self._should_request("configuration", self.core.version, received.version):
             connection.send(ConfigurationRequest())
--- a/src/beamhatch/relay/fleet/watching.py
+++ b/src/beamhatch/relay/fleet/watching.py
@@ -69,6 +69,8 @@
         self.connected = True
         """Whether the store answered the last call; True before the first one."""
         self._lost_at = 0.0
+        self._answered_at: float | None = None
+        """When the store last answered, or the first call since was sent; None while this VM does not watch."""
         self._retry_delay = MIN_RETRY_DELAY_S
 
     def start(self) -> None:
@@ -88,6 +90,10 @@
             self._renewing = True
             self._waiting.cancel()
 
+    def get_silence(self) -> float:
+        """Return the seconds for which the store has not answered, 0 while this VM does not watch it."""
+        return 0.0 if self._answered_at is None else self.core.clock.now() - self._answered_at
+
     def is_store_unreachable(self) -> bool:
         """Return whether the store has not answered for so long that another VM should watch it."""
         return not self.connected and self.core.clock.now() - self._lost_at > UNREACHABLE_AFTER_S
@@ -109,8 +115,11 @@
         has_read = False
         while True:
             if not self._should_watch() and (has_read or self.has_data() or self._has_peers()):
+                self._answered_at = None
                 await sleep(self.core.clock, IDLE_INTERVAL_S * random.uniform(0.7, 1.3))
                 continue
+            if self._answered_at is None:
+                self._answered_at = self.core.clock.now()
             at = await self.read()
             if isinstance(at, StoreUnavailable):
                 await self._wait_before_retry(at)
@@ -161,12 +170,15 @@
         if self.connected:
             self.connected = False
             self._lost_at = self.core.clock.now()
-            self.core.journal.write("STORE", "lost", watch=self.name, detail=lost.detail)
+            self.core.journal.write(
+                "STORE", "lost", watch=self.name, detail=lost.detail, silent_s=round(self.get_silence(), 2)
+            )
         self.core.tally.count("store_failures_total", self.name)
         await sleep(self.core.clock, self._retry_delay * random.uniform(0.5, 1.0))
         self._retry_delay = min(MAX_RETRY_DELAY_S, self._retry_delay * 2)
 
     def _record_connected(self, at: int) -> None:
+        self._answered_at = self.core.clock.now()
         self._retry_delay = MIN_RETRY_DELAY_S
         if not self.connected:
             self.connected = True
