--- a/tests/support/network.py
+++ b/tests/support/network.py
@@ -138,10 +138,10 @@
     def take(self, kind: str, value: Any) -> None:
         """Take in what the other end sent."""
         self._inbox.append((kind, value))
-        self._drain()
+        self.network.run_on(self.host, self._drain)
 
     def _drain(self) -> None:
-        while self._inbox and self._reading and self.connected:
+        while self._inbox and self._reading and self.connected and self.protocol is not None:
             kind, value = self._inbox.pop(0)
             if kind == "end":
                 self._lose(value)
@@ -158,6 +158,16 @@
         self.connected = False
         self.protocol.connectionLost(Failure(reason))
 
+    def end_process(self, *, resets: bool) -> None:
+        """End the connection with the process at this end, which is told nothing.
+
+        :param resets: whether the other end is told, as by the kernel of a machine that goes on
+        """
+        if self.connected:
+            self.connected = False
+            if resets:
+                self._send("end", error.ConnectionLost())
+
 
 class _Port:
     def __init__(self, network: Network, key: tuple[str, int]) -> None:
@@ -212,18 +222,22 @@
         near.protocol = self.factory.buildProtocol(None)
         if near.protocol is None:
             return
-        far.protocol = server.buildProtocol(None)
         self._transport = near
         near.protocol.transport = near
+        self.network.run_on(far.host, self._accept, server, far)
+        self.network.run_on(self.here, near.protocol.connectionMade)
+
+    def _accept(self, server: Any, far: Transport) -> None:
+        far.protocol = server.buildProtocol(None)
         far.protocol.transport = far
         far.protocol.connectionMade()
-        near.protocol.connectionMade()
+        far.resumeProducing()
 
     def _fail(self, reason: Exception) -> None:
         if not self._over:
             self._over = True
             self._stop_timer()
-            self.factory.clientConnectionFailed(self, Failure(reason))
+            self.network.run_on(self.here, self.factory.clientConnectionFailed, self, Failure(reason))
 
     def _stop_timer(self) -> None:
         if self._timeout.active():
@@ -247,6 +261,9 @@
         """Returns the seconds that a message takes from one host to another."""
         self.carried: Counter[tuple[str, str]] = Counter()
         """Bytes from one host to another."""
+        self._held: dict[str, list[tuple[Callable[..., Any], tuple[Any, ...]]]] = {}
+        """What each frozen host is to do once it goes on."""
+        self._hosts: dict[str, HostNetwork] = {}
         self._cut: set[str] = set()
         self._cut_pairs: set[frozenset[str]] = set()
         self._sent = 0
@@ -262,8 +279,9 @@
         return _Connector(self, host, port, factory, timeout)
 
     def at(self, host: str) -> HostNetwork:
-        """Return the network as a host sees it, whose own connections are known as its."""
-        return HostNetwork(self, host)
+        """Return the network as a new process on a host sees it, whose own connections are known as its."""
+        self._hosts[host] = HostNetwork(self, host)
+        return self._hosts[host]
 
     def callFromThread(self, function: Callable[..., Any], *arguments: Any) -> None:
         """Call soon."""
@@ -287,12 +305,53 @@
         """Let messages through again; those sent meanwhile are lost."""
         self._cut.discard(host)
 
-    def silence_connections(self) -> None:
-        """Let nothing through on all connections that are open; new ones work."""
-        for transport in self.transports:
-            if transport.connected:
+    def heal_between(self, host: str, other: str) -> None:
+        """Let messages between two hosts through again; those sent meanwhile are lost."""
+        self._cut_pairs.discard(frozenset((host, other)))
+
+    def silence_connections(self, concerns: Callable[[Transport], bool] = lambda _: True) -> None:
+        """Let nothing through on all connections that are open; new ones work.
+
+        :param concerns: whether a connection is among them, by either of its ends
+        """
+        open_ends = [transport for transport in self.transports if transport.connected]
+        for transport in open_ends:
+            if concerns(transport) or concerns(transport.other):
                 transport.silent = True
 
+    def freeze(self, host: str) -> None:
+        """Have a host stand still: its timers and what reaches it wait, its kernel accepts connections."""
+        self._held.setdefault(host, [])
+
+    def thaw(self, host: str) -> None:
+        """Have a host go on, with all that came due meanwhile at once."""
+        for function, arguments in self._held.pop(host, []):
+            self.callLater(0, self.run_on, host, function, *arguments)
+
+    def run_on(self, host: str, function: Callable[..., Any], *arguments: Any) -> None:
+        """Call a function for a host, once it goes on where it stands still."""
+        if host in self._held:
+            self._held[host].append((function, arguments))
+        else:
+            function(*arguments)
+
+    def kill(self, host: str, *, resets: bool = True) -> None:
+        """End the process on a host, which must have been made by ``at``.
+
+        :param resets: whether the other ends of its connections are told, as they are not where power is lost
+        """
+        process = self._hosts.pop(host)
+        process.ended = True
+        self._held.pop(host, None)
+        for key in [key for key in self.ports if key[0] == host]:
+            del self.ports[key]
+        for transport in self.transports:
+            if transport.host == host:
+                transport.end_process(resets=resets)
+        for connector in process.connectors:
+            connector.disconnect()
+        self.transports = [one for one in self.transports if one.connected or one.other.connected]
+
     def is_cut(self, *hosts: str) -> bool:
         """Tell whether any of some hosts is cut off, or two of them from each other."""
         return any(host in self._cut for host in hosts) or frozenset(hosts) in self._cut_pairs
@@ -327,17 +386,51 @@
         return value
 
 
-class HostNetwork:
-    """The network with the name of who dials, so that a cut or a distance holds for connections both ways."""
+class _HostTimer:
+    """A timer of a process, which waits while its host stands still."""
 
-    def __init__(self, network: Network, host: str) -> None:
-        self._network = network
+    def __init__(self, host: HostNetwork, seconds: float, function: Callable[..., Any], arguments: Any) -> None:
         self._host = host
+        self._function = function
+        self._arguments = arguments
+        self._over = False
+        self._timer = host.network.callLater(seconds, host.network.run_on, host.name, self._call)
+
+    def active(self) -> bool:
+        """Return whether it is still to be called."""
+        return not self._over
+
+    def cancel(self) -> None:
+        """Have it never called."""
+        self._over = True
+        if self._timer.active():
+            self._timer.cancel()
+
+    def _call(self) -> None:
+        if not self._over and not self._host.ended:
+            self._over = True
+            self._function(*self._arguments)
+
+
+class HostNetwork:
+    """The network as one process sees it: a cut, a distance or a freeze of its host holds for its connections."""
+
+    def __init__(self, network: Network, name: str) -> None:
+        self.network = network
+        self.name = name
+        self.ended = False
+        self.connectors: list[_Connector] = []
 
     def __getattr__(self, name: str) -> Any:
         """Return what the network has."""
-        return getattr(self._network, name)
+        return getattr(self.network, name)
+
+    def callLater(self, seconds: float, function: Callable[..., Any], *arguments: Any) -> _HostTimer:
+        """Call a function after some seconds, and once the host goes on."""
+        return _HostTimer(self, seconds, function, arguments)
 
     def connectTCP(self, host: str, port: int, factory: Any, timeout: float = 30) -> _Connector:
         """Connect."""
-        return _Connector(self._network, host, port, factory, timeout, here=self._host)
+        connector = _Connector(self.network, host, port, factory, timeout, here=self.name)
+        self.connectors.append(connector)
+        return connector
