--- a/tests/support/configuration_fleet.py
+++ b/tests/support/configuration_fleet.py
@@ -108,6 +108,14 @@
         """Have the operators write the newest version again, at a store that may have lost it."""
         self.platform.store.put("op/config", self.make_document(self.newest))
 
+    def write_invalid(self, body: bytes | dict[str, object]) -> None:
+        """Have the store hold a document that no VM may put in force, with a version above all others."""
+        self._version += 7
+        self.invalid.add(self._version)
+        if isinstance(body, dict):
+            body = {**body, "version": self._version}
+        self.platform.store.put("op/config", body)
+
     # --- disruptions -------------------------------------------------------------------------------------------------
 
     def begin(self, *names: str) -> None:
