End watches on the store within the delivery time, so that a silent connection is noticed

What callers saw: requests handled by a configuration up to 22 s old, and 404 on added routes, on all VMs at once.

Cause: a watch waits for 20 s, and its silence counted as a failure after 22 s only. A connection that lets nothing through any more, without a reset, looks as if nothing had changed. What had watches made anew sooner was a failed call of the leadership, on the VMs that make such calls, if their connection went silent as well. The class: a belief that is kept up by silence.

Why this works: the store now ends each watch after half of the delivery time that the settings demand (config_apply_ms, drain_timeout_ms), and a quarter more without an answer is a failure, after which all is read on a new connection. Each watcher finds out alone, with nothing to agree on. The leadership's watch is bounded by the lease's 3 s. The special case, watches that are made anew when a leadership call is answered, is gone.

Four tests bounded the calls by what watches of 20 s cost, which is what hid this.

--- a/src/beamhatch/platform/settings.py
+++ b/src/beamhatch/platform/settings.py
@@ -40,6 +40,7 @@
     retry_slack: float = 50
     lease_ms: float = 3000
     drain_timeout_ms: float = 2000
+    config_apply_ms: float = 2000
     quota_window_s: float = 8
     quota_overage: float = 0.1
     quota_slack: float = 0
@@ -99,6 +100,7 @@
         cold_slack=bounds.cold_slack,
         handover_time=bounds.lease_ms / 1000,
         drain_time=bounds.drain_timeout_ms / 1000,
+        apply_time=bounds.config_apply_ms / 1000,
         link_mbit_per_s=config.limits.link_mbps,
         disabled=without,
         metrics_address=Address(config.ip, METRICS_PORT),
--- a/src/beamhatch/platform/standin/store.py
+++ b/src/beamhatch/platform/standin/store.py
@@ -61,6 +61,8 @@
         """Number of requests so far, including rejected ones."""
         self.renewals = 0
         """Number of requests among ``calls`` that renew a lease."""
+        self.quiet_watches = 0
+        """Number of watches among ``calls`` that ended as nothing had changed."""
         self.revision = 0
         self.epoch = 1
         """Incremented by each restore from a backup."""
@@ -190,6 +192,7 @@
     def _end_watch(self, watch: _Watch) -> None:
         if watch in self._watches:
             self._watches.remove(watch)
+            self.quiet_watches += 1
             self._send_response(watch.responder, 200, {"events": [], "at": self.revision})
 
     def _serve_transaction(self, transaction: dict[str, Any], responder: Responder) -> None:
--- a/src/beamhatch/platform/store.py
+++ b/src/beamhatch/platform/store.py
@@ -57,10 +57,6 @@
 HEX_DIGITS = frozenset("0123456789abcdef")
 
 CALL_TIMEOUT_S = 2.0
-WATCH_MARGIN_S = 2.0
-"""Time that a watch may take to respond after its wait."""
-
-
 Decoded = TypeVar("Decoded", bound=msgspec.Struct)
 
 
@@ -123,9 +119,11 @@
             return items
         return replace(self._make_directives(items), authoritative=self._record_list_read(OPERATOR_PREFIX, known))
 
-    async def watch_directives(self, after: int, wait: float) -> DirectiveUpdate | StoreUnavailable | RevisionExpired:
+    async def watch_directives(
+        self, after: int, wait: float, margin: float
+    ) -> DirectiveUpdate | StoreUnavailable | RevisionExpired:
         """Return the operators' changes after a position."""
-        events = await self._watch_prefix(OPERATOR_PREFIX, after, wait)
+        events = await self._watch_prefix(OPERATOR_PREFIX, after, wait, margin)
         if not isinstance(events, _EventsResponse):
             return events
         settled = OPERATOR_PREFIX not in self._unsettled_prefixes and not self._epochs.may_have_been_restored(
@@ -170,9 +168,11 @@
         self._read_prefixes.add(prefix)
         return settled and is_complete
 
-    async def watch_listing(self, after: int, wait: float) -> ListingUpdate | StoreUnavailable | RevisionExpired:
+    async def watch_listing(
+        self, after: int, wait: float, margin: float
+    ) -> ListingUpdate | StoreUnavailable | RevisionExpired:
         """Return changes of upstreams' entries after a position."""
-        events = await self._watch_prefix(UPSTREAM_PREFIX, after, wait)
+        events = await self._watch_prefix(UPSTREAM_PREFIX, after, wait, margin)
         if not isinstance(events, _EventsResponse):
             return events
         return ListingUpdate([self._make_entry(item) for item in events.events], events.at)
@@ -231,9 +231,9 @@
             order_may_be_lost=order is None and (restored or (not before and self._epochs.was_restored)),
         )
 
-    async def watch_leadership(self, after: int, wait: float) -> bool | StoreUnavailable:
+    async def watch_leadership(self, after: int, wait: float, margin: float) -> bool | StoreUnavailable:
         """Wait for a change after a position; return False if there was none within ``wait`` seconds."""
-        events = await self._watch_prefix(ROUTER_PREFIX, after, wait)
+        events = await self._watch_prefix(ROUTER_PREFIX, after, wait, margin)
         if isinstance(events, StoreUnavailable):
             return events
         return isinstance(events, RevisionExpired) or bool(events.events)
@@ -294,7 +294,7 @@
         return StoreUnavailable(f"status {response.head.status}")
 
     async def _watch_prefix(
-        self, prefix: str, after: int, wait: float
+        self, prefix: str, after: int, wait: float, margin: float
     ) -> _EventsResponse | StoreUnavailable | RevisionExpired:
         """Wait for changes after a position.
 
@@ -309,7 +309,7 @@
         if get_epoch(after) != (self._epochs.epoch or 0):
             return RevisionExpired()
         query = {"path_prefix": prefix, "after": str(get_revision(after)), "wait_ms": str(int(wait * 1000))}
-        response = await self._get("kv-watch", query, wait + WATCH_MARGIN_S)
+        response = await self._get("kv-watch", query, wait + margin)
         if not isinstance(response, str) and response.head.status == 410:
             return RevisionExpired()
         events = self._decode_items(response, _EventsResponse)
--- a/src/beamhatch/relay/api.py
+++ b/src/beamhatch/relay/api.py
@@ -217,8 +217,13 @@
         """
 
     @abstractmethod
-    async def watch_directives(self, after: int, wait: float) -> DirectiveUpdate | StoreUnavailable | RevisionExpired:
-        """Return the operators' changes after a revision as soon as there are any, or none after ``wait`` seconds."""
+    async def watch_directives(
+        self, after: int, wait: float, margin: float
+    ) -> DirectiveUpdate | StoreUnavailable | RevisionExpired:
+        """Return the operators' changes after a revision as soon as there are any, or none after ``wait`` seconds.
+
+        :param margin: seconds after ``wait`` within which the answer must arrive
+        """
 
     @abstractmethod
     async def read_listing(self, known: int) -> ListingUpdate | StoreUnavailable:
@@ -228,8 +233,13 @@
         """
 
     @abstractmethod
-    async def watch_listing(self, after: int, wait: float) -> ListingUpdate | StoreUnavailable | RevisionExpired:
-        """Return changes of upstreams after a revision as soon as there are any, or none after ``wait`` seconds."""
+    async def watch_listing(
+        self, after: int, wait: float, margin: float
+    ) -> ListingUpdate | StoreUnavailable | RevisionExpired:
+        """Return changes of upstreams after a revision as soon as there are any, or none after ``wait`` seconds.
+
+        :param margin: seconds after ``wait`` within which the answer must arrive
+        """
 
     @abstractmethod
     async def store_quarantine(self, fingerprint: Fingerprint, seconds: float) -> StoreUnavailable | None:
@@ -244,8 +254,11 @@
         """Return whether a VM leads, the last order, and the requests whose quarantine is stored."""
 
     @abstractmethod
-    async def watch_leadership(self, after: int, wait: float) -> bool | StoreUnavailable:
-        """Return True once the state changes after a revision or the revision expired; False after ``wait`` seconds."""
+    async def watch_leadership(self, after: int, wait: float, margin: float) -> bool | StoreUnavailable:
+        """Return True once the state changes after a revision or the revision expired; False after ``wait`` seconds.
+
+        :param margin: seconds after ``wait`` within which the answer must arrive
+        """
 
     @abstractmethod
     async def claim_leadership(
--- a/src/beamhatch/relay/daemon.py
+++ b/src/beamhatch/relay/daemon.py
@@ -63,6 +63,9 @@
 MAX_LISTEN_S = 3.2
 """Time for which a stopping VM accepts connections."""
 
+DEFAULT_APPLY_S = 2.0
+"""Time within which a configuration must be in force if the settings give none."""
+
 
 @dataclass(frozen=True, slots=True)
 class RelaySettings:
@@ -89,6 +92,8 @@
     """Requests per second in addition to that."""
     drain_time: float = DEFAULT_DRAIN_S
     """Seconds after the end of its entry for which an upstream may still be sent requests."""
+    apply_time: float = DEFAULT_APPLY_S
+    """Seconds after its acknowledgement within which a configuration must be in force."""
     link_mbit_per_s: float = 0.0
     """Bandwidth of the VM's link; the VMs of a hall with the highest one watch the store for the others."""
     disabled: DisabledMechanisms = NONE_DISABLED
@@ -165,7 +170,6 @@
         if self._gossip is not None:
             self.leadership = Leadership(self.core, store, settings.vm, self._gossip.membership.count_higher_ranked)
             self.leadership.lease.handover_time = settings.handover_time
-            self.leadership.on_store_recovered = self._restart_watches
             self.leadership.on_quarantines = self.core.quarantine_gossip.apply_stored
             self.leadership.on_quarantines_restored = self.core.quarantine_gossip.apply_restored
             self._phase_controller = PhaseController(
@@ -214,10 +218,6 @@
         gc.freeze()  # objects that live as long as the process are exempt from later collections
         self.journal.write("MAIN", "started", store=str(settings.store_address), seeds=settings.seeds)
 
-    def _restart_watches(self) -> None:
-        for watcher in self._watchers:
-            watcher.restart_watch()
-
     @property
     def caller_port(self) -> int:
         """Return the port on which callers are served."""
@@ -353,8 +353,13 @@
         has_peers = _has_no_peers if self._gossip is None else self._gossip.has_peers
         is_seed = self.settings.peer_address is None or str(self.settings.peer_address) in self.settings.seeds
         peer_timeout = 0.0 if is_seed or not self.settings.seeds else STARTUP_PEER_TIMEOUT_S
-        watcher_types = (DirectivesWatcher, ListingWatcher)
-        return [watcher(self.core, store, should_watch, has_peers, peer_timeout) for watcher in watcher_types]
+        return [
+            watcher(self.core, store, should_watch, has_peers, peer_timeout, delivery_time)
+            for watcher, delivery_time in (
+                (DirectivesWatcher, self.settings.apply_time),
+                (ListingWatcher, self.settings.drain_time),
+            )
+        ]
 
     def _is_store_unreachable(self) -> bool:
         return any(watcher.is_store_unreachable() for watcher in self._watchers)
--- a/src/beamhatch/relay/engines/leadership.py
+++ b/src/beamhatch/relay/engines/leadership.py
@@ -40,8 +40,14 @@
 FIRST_POLL_DELAY_S = 1.0, 1.6
 """Range of the delay from start to the first read of the leadership state, in seconds; ranks are known by then."""
 
-WATCH_TIMEOUT_S = 20.0
-"""Timeout of a watch of the lease, in seconds; below the platform's limit of 30 s."""
+WATCH_WAIT_S = LEASE_TTL_S
+"""Time for which the store holds a watch of the lease open, in seconds.
+
+A watch whose connection no longer delivers must not keep a candidate from noticing for long that the lease expired.
+"""
+
+WATCH_MARGIN_S = 1.0
+"""Time by which the answer to a watch may exceed that, in seconds."""
 
 RETRY_DELAY_S = 1.0
 """Delay after a failed call to the store, in seconds."""
@@ -128,13 +134,10 @@
         self._last_order = LastOrder()
         self.on_last_order: Callable[[str], None] = lambda _: None
         """Called once after start with the last order recorded by any VM."""
-        self.on_store_recovered: Callable[[], None] = lambda: None
-        """Called when the store answers again."""
         self.on_quarantines: Callable[[Sequence[Fingerprint]], None] = lambda _: None
         """Called with the requests whose quarantine is stored, each time they are read."""
         self.on_quarantines_restored: Callable[[Sequence[Fingerprint], bool], None] = lambda stored, has_rank_zero: None
         """Called instead of ``on_quarantines`` if the store was restored, also with whether this VM has rank 0."""
-        self._store_lost = False
         self._running: defer.Deferred[None] | None = None
 
     def start(self) -> None:
@@ -171,7 +174,6 @@
         last_order_reported = False
         while True:
             state = await self._store.read_leadership()
-            self._track_store(state)
             if isinstance(state, StoreUnavailable):
                 await sleep(self.core.clock, RETRY_DELAY_S * random.uniform(0.7, 1.3))
                 continue
@@ -194,7 +196,7 @@
         if rank >= CANDIDATE_COUNT:
             await self._sleep_by_rank()
             return
-        answer = await self._store.watch_leadership(state.revision, WATCH_TIMEOUT_S)
+        answer = await self._store.watch_leadership(state.revision, WATCH_WAIT_S, WATCH_MARGIN_S)
         delay = RETRY_DELAY_S if isinstance(answer, StoreUnavailable) else CANDIDATE_STAGGER_S * rank
         await sleep(self.core.clock, delay * random.uniform(0.7, 1.3))
 
@@ -215,7 +217,6 @@
             await sleep(self.core.clock, RENEW_INTERVAL_S)
             sent_at = self.core.clock.now()
             renewed = await self._store.renew_leadership(claim, RENEW_TIMEOUT_S)
-            self._track_store(renewed)
             if renewed is True:
                 self.lease.renew(sent_at)
             elif not isinstance(renewed, StoreUnavailable):
@@ -225,13 +226,6 @@
         self.core.journal.write("LEADER", "lost", token=claim.revision)
         return True
 
-    def _track_store(self, answer: object) -> None:
-        """Call ``on_store_recovered`` at the first answer after a failed call."""
-        lost = isinstance(answer, StoreUnavailable)
-        if self._store_lost and not lost:
-            self.on_store_recovered()
-        self._store_lost = lost
-
     def _handle_exit(self, failure: Any) -> None:
         self.lease.end()
         if not failure.check(defer.CancelledError):
--- a/src/beamhatch/relay/fleet/watching.py
+++ b/src/beamhatch/relay/fleet/watching.py
@@ -1,4 +1,9 @@
-"""Watchers that read the operators' directives and the upstream listing from the store, then wait for changes."""
+"""Watchers that read the operators' directives and the upstream listing from the store, then wait for changes.
+
+A connection may stop delivering without being closed, and a watch on it looks as if nothing had changed. The store
+therefore ends each watch after a part of the delivery time, and a watch whose answer is overdue has failed: everything
+is read again on a new connection.
+"""
 
 from __future__ import annotations
 
@@ -18,8 +23,11 @@
     from beamhatch.relay.api import Store
     from beamhatch.relay.core import Core
 
-WATCH_TIMEOUT_S = 20.0
-"""Seconds for which the store holds a watch open when nothing changes."""
+WATCH_SHARE = 0.5
+"""Share of the delivery time for which the store holds a watch open when nothing changes."""
+
+ANSWER_SHARE = 0.25
+"""Share of the delivery time by which the answer to a watch may exceed that; the rest is left for a new connection."""
 
 IDLE_INTERVAL_S = 0.25
 """Interval in seconds at which a VM that is not watching checks whether it should."""
@@ -51,21 +59,22 @@
         should_watch: Callable[[], bool],
         has_peers: Callable[[], bool],
         peer_timeout: float,
+        delivery_time: float,
     ) -> None:
         """Create a watcher.
 
         :param should_watch: returns whether this VM watches the store instead of relying on its peers
         :param has_peers: returns whether any peer is connected
         :param peer_timeout: seconds to wait at the start for peers to send the data
+        :param delivery_time: seconds after a change within which all VMs must know it
         """
         self.core = core
         self.store = store
         self._should_watch = should_watch
         self._has_peers = has_peers
         self._peer_timeout = peer_timeout
+        self.delivery_time = delivery_time
         self._running: defer.Deferred[None] | None = None
-        self._waiting: defer.Deferred[int | StoreUnavailable | RevisionExpired] | None = None
-        self._renewing = False
         self.connected = True
         """Whether the store answered the last call; True before the first one."""
         self._lost_at = 0.0
@@ -84,12 +93,6 @@
         if running is not None:
             running.cancel()
 
-    def restart_watch(self) -> None:
-        """Cancel the pending watch and start a new one, because its response may have been lost during an outage."""
-        if self._waiting is not None and not self._waiting.called:
-            self._renewing = True
-            self._waiting.cancel()
-
     def get_silence(self) -> float:
         """Return the seconds for which the store has not answered, 0 while this VM does not watch it."""
         return 0.0 if self._answered_at is None else self.core.clock.now() - self._answered_at
@@ -107,8 +110,12 @@
         """Read and apply all data; return the revision at which it was read."""
 
     @abstractmethod
-    async def watch(self, after: int) -> int | StoreUnavailable | RevisionExpired:
-        """Wait for changes after a revision and apply them; return the revision up to which they were read."""
+    async def watch(self, after: int, wait: float, margin: float) -> int | StoreUnavailable | RevisionExpired:
+        """Wait for changes after a revision and apply them; return the revision up to which they were read.
+
+        :param wait: seconds after which the store answers that there were none
+        :param margin: seconds by which its answer may be late
+        """
 
     async def _run(self) -> None:
         await self._await_peers()
@@ -137,13 +144,11 @@
     async def _watch_from(self, at: int) -> None:
         """Watch from a revision on until the store fails, no longer has its history, or other VMs watch instead.
 
-        After a failure the caller reads everything again: a read fails within seconds if the store still does not
-        answer, whereas a new watch would fail only after its long timeout.
+        After a failure the caller reads everything again: a store that answers no watches may still answer reads.
         """
         while self._should_watch():
-            result = await self._watch_once(at)
-            if result is None:
-                continue
+            wait, margin = self.delivery_time * WATCH_SHARE, self.delivery_time * ANSWER_SHARE
+            result = await self.watch(at, wait, margin)
             if isinstance(result, RevisionExpired):
                 self.core.journal.write("STORE", "history gone", watch=self.name, after=at)
                 return
@@ -155,17 +160,6 @@
                 await sleep(self.core.clock, self.batch_delay_s)
             at = result
 
-    async def _watch_once(self, at: int) -> int | StoreUnavailable | RevisionExpired | None:
-        """Watch for changes after a revision; return None if the watch was cancelled to be restarted."""
-        self._waiting = defer.ensureDeferred(self.watch(at))
-        try:
-            return await self._waiting
-        except defer.CancelledError:
-            if not self._renewing:
-                raise
-            self._renewing = False
-            return None
-
     async def _wait_before_retry(self, lost: StoreUnavailable) -> None:
         if self.connected:
             self.connected = False
@@ -207,9 +201,9 @@
         self._apply(directives, whole=directives.authoritative or not self.core.eligibility.evacuations.complete)
         return directives.revision
 
-    async def watch(self, after: int) -> int | StoreUnavailable | RevisionExpired:
+    async def watch(self, after: int, wait: float, margin: float) -> int | StoreUnavailable | RevisionExpired:
         """Wait for changed directives and apply them."""
-        directives = await self.store.watch_directives(after, WATCH_TIMEOUT_S)
+        directives = await self.store.watch_directives(after, wait, margin)
         if not isinstance(directives, DirectiveUpdate):
             return directives
         self._apply(directives, whole=False)
@@ -243,9 +237,9 @@
         self.core.apply_listing(applied, "store", is_snapshot=listing.authoritative or not self.core.listing.complete)
         return listing.revision
 
-    async def watch(self, after: int) -> int | StoreUnavailable | RevisionExpired:
+    async def watch(self, after: int, wait: float, margin: float) -> int | StoreUnavailable | RevisionExpired:
         """Wait for changes of the listing and apply them."""
-        listing = await self.store.watch_listing(after, WATCH_TIMEOUT_S)
+        listing = await self.store.watch_listing(after, wait, margin)
         if isinstance(listing, ListingUpdate):
             self.core.apply_listing(listing, "store", is_snapshot=False)
             return listing.revision
--- a/tests/platform/test_beliefs.py
+++ b/tests/platform/test_beliefs.py
@@ -93,10 +93,13 @@
 def test_the_store_is_asked_rarely_on_a_calm_day() -> None:
     platform = make_platform()
     store = platform.store
-    before = store.calls - 0.9 * store.renewals
+    before, quiet = store.calls - 0.9 * store.renewals, store.quiet_watches
     platform.network.run(60.0)
-    # Two watches of 20 s, the looks and the claim of a leader, and its renewals, which cost a tenth.
-    assert store.calls - 0.9 * store.renewals - before <= 16
+    # Two watches, which the store ends after half of the 2 s in which a change has to be known.
+    quiet = store.quiet_watches - quiet
+    assert quiet <= 2 * 60 / 1.0
+    # The looks and the claim of a leader, and its renewals, which cost a tenth.
+    assert store.calls - 0.9 * store.renewals - before - quiet <= 12
 
 
 def test_a_store_that_is_down_is_not_stormed() -> None:
--- a/tests/platform/test_fleet.py
+++ b/tests/platform/test_fleet.py
@@ -11,6 +11,8 @@
 
 NEW_ROUTE = make_route("/new/", "safe", PLAIN)
 HALLS = ["hall-a", "hall-b", "hall-c"]
+QUIET_WATCHES_PER_S = 6 * 2 / 1.0
+"""Two watches of each of six VMs, which the store ends after half of the 2 s in which a change has to be known."""
 
 
 def make_fleet(vms: int) -> Platform:
@@ -52,11 +54,13 @@
 
 def test_changes_of_the_list_cost_calls_of_the_watchers_only() -> None:
     platform = make_fleet(24)
-    before = platform.store.calls
+    before, quiet = platform.store.calls, platform.store.quiet_watches
     for number in range(10):
         platform.add_plain(f"late-{number}")
         platform.network.run(1.0)
-    assert platform.store.calls - before <= 10 * 6 + 40
+    quiet = platform.store.quiet_watches - quiet
+    assert quiet <= QUIET_WATCHES_PER_S * 10
+    assert platform.store.calls - before - quiet <= 10 * 6 + 40
     names = {one.id for vm in platform.vms.values() for one in vm.core.list_usable(ROUTES[0]["service"])}  # type: ignore[arg-type]
     assert len(names) == 12
 
@@ -146,7 +150,8 @@
     platform.add_plain("plain-0")
     start_together(platform, 30)
     platform.network.run(6.0)
-    assert platform.store.calls <= 60
+    assert platform.store.quiet_watches <= QUIET_WATCHES_PER_S * 6.0
+    assert platform.store.calls - platform.store.quiet_watches <= 60
     platform.configure(1)
     platform.network.run(0.3)
     assert know_version(platform, 1)
@@ -161,7 +166,8 @@
     platform.network.run(0.6)
     assert all(vm.core.ready for vm in platform.vms.values())
     platform.network.run(3.0)
-    assert platform.store.calls <= 45
+    assert platform.store.quiet_watches <= QUIET_WATCHES_PER_S * 3.6
+    assert platform.store.calls - platform.store.quiet_watches <= 45
 
 
 @pytest.mark.parametrize("after", [0.1, 0.9, 1.1])
--- a/tests/platform/test_store_copy.py
+++ b/tests/platform/test_store_copy.py
@@ -264,6 +264,6 @@
     (news,) = found
     assert isinstance(news, ListingUpdate)
     platform.door.shut = True
-    defer.ensureDeferred(store.watch_listing(news.revision, 1.0)).addBoth(found.append)
+    defer.ensureDeferred(store.watch_listing(news.revision, 1.0, 1.0)).addBoth(found.append)
     platform.network.run(0.1)
     assert found[-1] == StoreUnavailable("status 503")
