Close the idle connections to an address whose answer did not come

What callers saw: a leader's renewals fail one after the other, each on another connection that is silent, until its lease is over; reads of the store fail twice in a row.

Evidence: with three idle connections silent, the call behind the one that timed out got no answer either (the test, which failed before: [False] instead of [False, True]). Each took its whole time-out, 0.7 s of a lease of 3 s, 2 s of a read.

Now a call without an answer in time closes the others that are idle, and the next call opens a new one.

--- a/src/beamhatch/relay/upstreams/http_fetch.py
+++ b/src/beamhatch/relay/upstreams/http_fetch.py
@@ -10,6 +10,8 @@
 from beamhatch.relay.upstreams.http_client import CallFailure, ResponseSink
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from beamhatch.clock import Clock
     from beamhatch.relay.model import Address
     from beamhatch.relay.upstreams.http_client import Call, HttpClient, HttpExchange, ResponseHead
@@ -19,7 +21,12 @@
 
 
 class _Fetch(ResponseSink):
-    def __init__(self, clock: Clock, timeout: float) -> None:
+    def __init__(self, clock: Clock, timeout: float, handle_silence: Callable[[], None]) -> None:
+        """Create a sink.
+
+        :param handle_silence: called if there is no response in time
+        """
+        self._handle_silence = handle_silence
         self.done: defer.Deferred[BufferedResponse | str] = defer.Deferred(self._handle_cancel)
         self.exchange: HttpExchange | None = None
         self._head: ResponseHead | None = None
@@ -44,6 +51,7 @@
 
     def _handle_timeout(self) -> None:
         self._cancel()
+        self._handle_silence()
         self._finish("no answer in time")
 
     def _handle_cancel(self, _: Any) -> None:
@@ -67,10 +75,11 @@
 ) -> defer.Deferred[BufferedResponse | str]:
     """Send a call; the deferred fires with the response, or with the error as text.
 
-    Cancelling the deferred closes the connection.
+    Cancelling the deferred closes the connection. If there is no response in time, the idle connections to the address
+    are closed as well: they may have stopped delivering together with this one.
 
     :param timeout: seconds
     """
-    sink = _Fetch(clock, timeout)
+    sink = _Fetch(clock, timeout, lambda: client.close_idle(address))
     sink.exchange = client.open(address, call, sink)
     return sink.done
