Count a VM as alive by its messages, and dial it at once where its connection went silent

What callers saw: none of a hall's VMs watches the store while its two watchers stand still, so that the hall learns of changes by other halls alone: 0 of 80 looks in 8 s found a standby watching. VMs whose connections all went silent had no peer for another half second (1.41 s of three VMs together).

Cause: a connection that the kernel of a VM had taken counted as a sign of life, and a VM that had been silent was dialled only with the next regular heartbeat, though a new connection may work at once.

Now a VM is reachable again with its first message, and an address whose connection was silent is dialled in the same step. Both tests failed before.

--- a/src/beamhatch/relay/fleet/gossip.py
+++ b/src/beamhatch/relay/fleet/gossip.py
@@ -184,7 +184,6 @@
         if connection.dialled_address is not None:
             self._dialled_addresses[connection.dialled_address] = connection
             connection.hall = self.membership.get_hall(connection.dialled_address)
-            self.membership.record_reachable(connection.dialled_address)
         if connection.dialled_address is None:
             connection.send(Hello(self._vm, self.membership.own, []))  # the members follow once its hall is known
         else:
@@ -196,8 +195,8 @@
         self._connections.discard(connection)
         if self.usage is not None:
             self.usage.forget_peer(connection)
-        if connection.dialled_address is not None:
-            self._dialled_addresses.pop(connection.dialled_address, None)
+        if self._dialled_addresses.get(connection.dialled_address or "") is connection:
+            self._dialled_addresses.pop(connection.dialled_address or "")
         if connection.vm and not self._stopped:
             self.journal.write("PEER", "lost", vm=connection.vm, connections=len(self._connections))
 
@@ -232,7 +231,8 @@
     def _close_unresponsive(self, now: float) -> None:
         for connection in [one for one in self._connections if now - one.last_received_at > PEER_TIMEOUT_S]:
             if connection.dialled_address is not None:
-                self.membership.record_unreachable(connection.dialled_address, now)
+                self._dialled_addresses.pop(connection.dialled_address, None)
+                self.membership.record_silent(connection.dialled_address, now)
             connection.transport.abortConnection()
 
     def _dial(self, now: float) -> None:
--- a/src/beamhatch/relay/fleet/membership.py
+++ b/src/beamhatch/relay/fleet/membership.py
@@ -134,7 +134,7 @@
         return "" if known is None else known.member.hall
 
     def record_reachable(self, address: str) -> None:
-        """Record that an address answered."""
+        """Record that the VM at an address sent a message; an accepted connection does not show that it runs."""
         self._unreachable.pop(address, None)
 
     def record_unreachable(self, address: str, now: float) -> None:
@@ -147,6 +147,14 @@
             delay = min(MAX_RETRY_DELAY_S, max(FIRST_RETRY_DELAY_S, 2 * previous.delay))
         self._unreachable[address] = _UnreachableAddress(now + delay * random.uniform(0.7, 1.3), delay, failures)
 
+    def record_silent(self, address: str, now: float) -> None:
+        """Record that nothing arrived on a connection to an address for too long.
+
+        The VM counts as unreachable until it answers, but may be dialled at once: a new connection may work.
+        """
+        previous = self._unreachable.get(address)
+        self._unreachable[address] = _UnreachableAddress(now, 0.0, 0 if previous is None else previous.failures)
+
     def record_store_access(self, address: str, *, store_unreachable: bool) -> None:
         """Record whether a member can reach the store."""
         if store_unreachable:
--- a/tests/platform/test_fleet.py
+++ b/tests/platform/test_fleet.py
@@ -200,3 +200,34 @@
     assert {vm.core.vm_count for vm in platform.vms.values()} == {1}
     platform.add_vm("late", ["vm1:8002"])
     platform.network.run_until(lambda: {vm.core.vm_count for vm in platform.vms.values()} == {6}, 60.0)
+
+
+def test_peers_that_went_silent_are_dialled_half_a_second_late() -> None:
+    platform = make_fleet(3)
+    platform.network.silence_connections()
+    alone = 0
+    for _ in range(300):
+        platform.network.run(0.01)
+        alone += sum(vm._gossip is not None and not vm._gossip.has_peers() for vm in platform.vms.values())
+    assert alone * 0.01 <= 3 * 0.1
+
+
+def test_vms_that_stand_still_count_as_alive_as_their_kernels_take_connections() -> None:
+    platform = Platform(names_hosts=True)
+    platform.configure(1)
+    platform.add_plain("plain-0")
+    for number in range(8):
+        platform.add_vm(f"vm{number}", ["vm0:8002", "vm1:8002"], HALLS[number % 2])
+    platform.network.run(12.0)
+    hall = {name: vm._gossip for name, vm in platform.vms.items() if vm.settings.hall == HALLS[0]}
+    watchers = {name for name, gossip in hall.items() if gossip is not None and gossip.should_watch_store()}
+    assert len(watchers) == 2
+    for name in watchers:
+        platform.network.freeze(name)
+    platform.network.run(3.0)
+    watching = []
+    for _ in range(80):
+        platform.network.run(0.1)
+        others = [gossip for name, gossip in hall.items() if name not in watchers]
+        watching.append(sum(gossip is not None and gossip.should_watch_store() for gossip in others))
+    assert watching == [2] * 80
