Answer 503 and not 404 on an unknown path where a newer configuration is known of

What callers saw: a VM that had heard of a newer version, and did not have it yet, refused requests on an added route with 404, which callers take for final, while the same VM answers 503 on a key or a region that the newer version may allow.

Cause: the route was the one belief on the configuration that was not asked whether it may be outdated. The test failed before (404).

--- a/src/beamhatch/relay/core.py
+++ b/src/beamhatch/relay/core.py
@@ -559,7 +559,7 @@
             return _Refusal(503, "no configuration is known yet", UNREADY_RETRY_S)
         route = table.find_route(incoming.host, incoming.path)
         if route is None:
-            return _Refusal(404, f"no route, by version {table.version}")
+            return self._refuse_unknown_route(table.version)
         service = table.services.get(route.choose_service(facts.identity))
         if service is None:
             return _Refusal(503, "the route's service is not configured", UNREADY_RETRY_S)
@@ -574,6 +574,12 @@
             self.admission.refund(decision, self.clock.now())
         return refusal or _Destination(route, service, decision, regions, fingerprint)
 
+    def _refuse_unknown_route(self, version: int) -> _Refusal:
+        """Return the refusal of a request without a route, which a caller may retry if a newer version may have one."""
+        if self.admission.may_be_outdated():
+            return _Refusal(503, f"no route, by version {version}, and there may be a newer one", OUTDATED_RETRY_S)
+        return _Refusal(404, f"no route, by version {version}")
+
     def _refuse_quarantined(self, fingerprint: Fingerprint) -> _Refusal | None:
         """Return the refusal of a request in quarantine, or None if it is not in quarantine."""
         hold = self.quarantine.get_entry(fingerprint, self.clock.now())
--- a/tests/platform/test_configuration_lines.py
+++ b/tests/platform/test_configuration_lines.py
@@ -70,3 +70,16 @@
     lines = list_lines(platform.journals["vm1"], "CONFIG", "unreadable from a peer")
     assert {line["source"] for line in lines} == {"peer vm0"}
     assert platform.vms["vm1"].core.version == 7
+
+
+def test_a_route_that_a_newer_version_adds_is_answered_with_404_for_good() -> None:
+    platform = make_pair()
+    platform.network.cut_between("vm1", OTHER_DOOR.host)
+    gossip = platform.vms["vm1"]._gossip
+    assert gossip is not None
+    gossip.newest_version = 9
+    caller = platform.finish(platform.call("/added/x", "q1", vm="vm1"))
+    assert caller.status == 503
+    assert "Retry-After" in caller.head
+    gossip.newest_version = 7
+    assert platform.finish(platform.call("/added/x", "q2", vm="vm1")).status == 404
