--- a/src/beamhatch/standin/link.py
+++ b/src/beamhatch/standin/link.py
@@ -41,7 +41,7 @@
     def carry(self, way: str, side: _Side, data: bytes) -> None:
         """Carry bytes to the other side, late or not at all."""
         other = side.other
-        if other is None or self._is_dropped(side, way):
+        if other is None or side.silent or self._is_dropped(side, way):
             return
         if self.delay:
             self.reactor.callLater(self.delay, other.send, data)
@@ -54,6 +54,11 @@
             drop.source in ("*", side.source) and drop.target in targets and drop.way == way for drop in self.drops
         )
 
+    def silence_all(self) -> None:
+        """Have all open connections let nothing through for good, while new ones work."""
+        for side in self.sides:
+            side.silent = True
+
     def close_all(self) -> None:
         """Break all connections."""
         for side in list(self.sides):
@@ -72,6 +77,8 @@
         self.other = other
         self.source: str = other.source if other is not None else ""
         self.waiting: list[bytes] = []
+        self.silent = False
+        """Whether what arrives from this end is lost."""
 
     def connectionMade(self) -> None:
         self.link.sides.add(self)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -110,6 +110,7 @@
             FaultKind.LINK_SILENT: self._silence_link,
             FaultKind.LINK_SLOW: self._slow_links,
             FaultKind.LINK_BREAKS: self._break_links,
+            FaultKind.CONNECTIONS_SILENT: self._silence_connections,
             FaultKind.UPSTREAM_FAULT: self._harm_upstream,
             FaultKind.UPSTREAM_CRASH: self._crash_upstream,
             FaultKind.UPSTREAM_LEAVES: self._leave,
@@ -334,6 +335,12 @@
             self._disturb(vm, 0.0)
         self._world.upstream_link.close_all()
 
+    def _silence_connections(self, step: Step) -> None:
+        for vm in self._world.vms:
+            self._disturb(vm, 0.0)
+            self._world.store_links[vm.name].silence_all()
+        self._world.upstream_link.silence_all()
+
     # --- upstreams ---------------------------------------------------------------------------------------------------
 
     def _harm_upstream(self, step: Step) -> None:
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -37,6 +37,11 @@
     """All that relays and upstreams say to each other comes late."""
     LINK_BREAKS = "link_breaks"
     """All connections between relays and upstreams break."""
+    CONNECTIONS_SILENT = "connections_silent"
+    """All open connections of relays to the store and to upstreams let nothing through any more, while new ones work.
+
+    It is drawn only where it is asked for, so that a seed's other faults are what they were before it came.
+    """
     UPSTREAM_FAULT = "upstream_fault"
     """An upstream sheds, fails, hangs, breaks off, or sends what is no answer."""
     UPSTREAM_CRASH = "upstream_crash"
