Watch the lease again without a read while nothing changed

Behind a candidate read the leadership each time its watch of 3 s ended, two calls each 3 s where one shows as much. Now it watches on, and reads after 18 s, about as often as before.

--- a/src/beamhatch/relay/engines/leadership.py
+++ b/src/beamhatch/relay/engines/leadership.py
@@ -49,6 +49,9 @@
 WATCH_MARGIN_S = 1.0
 """Time by which the answer to a watch may exceed that, in seconds."""
 
+MAX_STATE_AGE_S = 18.0
+"""Time after which a candidate reads the leadership state again although it did not change, in seconds."""
+
 RETRY_DELAY_S = 1.0
 """Delay after a failed call to the store, in seconds."""
 
@@ -196,7 +199,10 @@
         if rank >= CANDIDATE_COUNT:
             await self._sleep_by_rank()
             return
-        answer = await self._store.watch_leadership(state.revision, WATCH_WAIT_S, WATCH_MARGIN_S)
+        read_again_at = self.core.clock.now() + MAX_STATE_AGE_S
+        answer: bool | StoreUnavailable = False
+        while answer is False and self.core.clock.now() < read_again_at:
+            answer = await self._store.watch_leadership(state.revision, WATCH_WAIT_S, WATCH_MARGIN_S)
         delay = RETRY_DELAY_S if isinstance(answer, StoreUnavailable) else CANDIDATE_STAGGER_S * rank
         await sleep(self.core.clock, delay * random.uniform(0.7, 1.3))
 
--- a/src/beamhatch/relay/fleet/gossip.py
+++ b/src/beamhatch/relay/fleet/gossip.py
@@ -195,8 +195,9 @@
         self._connections.discard(connection)
         if self.usage is not None:
             self.usage.forget_peer(connection)
-        if self._dialled_addresses.get(connection.dialled_address or "") is connection:
-            self._dialled_addresses.pop(connection.dialled_address or "")
+        address = connection.dialled_address
+        if address is not None and self._dialled_addresses.get(address) is connection:
+            del self._dialled_addresses[address]
         if connection.vm and not self._stopped:
             self.journal.write("PEER", "lost", vm=connection.vm, connections=len(self._connections))
 
--- a/tests/platform/test_configuration_reach.py
+++ b/tests/platform/test_configuration_reach.py
@@ -73,3 +73,25 @@
             fleet.run(gap)
         fleet.run(3.0 - gap)
         assert wait_for_newest(fleet) < 2.0
+
+
+class LeaseWatchSilence(WatchSilence):
+    """Only connections on which a watch of the leadership waits go silent."""
+
+    prefix = "beamhatch%2F"
+
+
+def list_leaders(fleet: ConfigurationFleet) -> list[str]:
+    now = fleet.now
+    return [name for name, vm in fleet.platform.vms.items() if vm.leadership and vm.leadership.lease.holds(now)]
+
+
+def test_a_leader_is_missing_for_up_to_20_s_as_the_watches_of_its_lease_are_silent() -> None:
+    fleet = ConfigurationFleet(size=3)
+    fleet.run(2.0)
+    (leader,) = list_leaders(fleet)
+    LeaseWatchSilence(random.Random(0)).strike(fleet)
+    fleet.platform.network.kill(leader, resets=False)
+    del fleet.platform.vms[leader]
+    fleet.platform.network.run(3.0 + 3.0 + 1.0 + 2.0)  # the lease, the watch, its margin, reads and claims
+    assert len(list_leaders(fleet)) == 1
--- a/tests/support/configuration_troubles.py
+++ b/tests/support/configuration_troubles.py
@@ -69,11 +69,14 @@
 class WatchSilence(Silence):
     """Only connections on which a watch of the directives waits go silent."""
 
+    prefix = "op%2F"
+    """Of the watched keys, as in the query."""
+
     def concerns(self, transport: Transport) -> bool:
-        """Return whether a watch of the directives waits on the connection."""
+        """Return whether a watch of the keys waits on the connection."""
         exchange = getattr(transport.protocol, "_exchange", None)
         target = "" if exchange is None else exchange.call.target
-        return "kv-watch" in target and "op%2F" in target
+        return "kv-watch" in target and self.prefix in target
 
 
 class PeerSilence(Silence):
