--- a/src/beamhatch/decide/pool.py
+++ b/src/beamhatch/decide/pool.py
@@ -22,6 +22,7 @@
     from beamhatch.ids import RequestId, UpstreamName
 
 MAX_WAIT_S = 2.0
+"""Seconds that an export may wait for decode memory; engines keep exports for a few seconds only."""
 
 HANDOFF_TIMEOUT_S = 2.0
 """Time that an exported KV cache may wait for decode memory; prefill engines drop exports after a few seconds."""
--- a/src/beamhatch/platform/documents.py
+++ b/src/beamhatch/platform/documents.py
@@ -51,7 +51,10 @@
 """Labels of letters, digits and inner hyphens (RFC 1123, section 2.1)."""
 
 MAX_COLD_MS = 86_400_000
-"""One day."""
+"""One day.
+
+Far more than upstreams stay cold.
+"""
 
 
 class _TrafficSplit(msgspec.Struct):
--- a/src/beamhatch/platform/epochs.py
+++ b/src/beamhatch/platform/epochs.py
@@ -24,7 +24,10 @@
 """The epoch of a store that has never been restored."""
 
 SETTLE_TIME_S = 4.0
-"""Period after a restore in which a list may lack keys that upstreams and operators have yet to write again."""
+"""Period after a restore in which a list may lack keys that upstreams and operators have yet to write again.
+
+Upstreams write at every heartbeat, or within 2 s if their lease expired.
+"""
 
 EPOCH_HEADER = "store-era"
 
--- a/src/beamhatch/platform/store.py
+++ b/src/beamhatch/platform/store.py
@@ -57,6 +57,7 @@
 HEX_DIGITS = frozenset("0123456789abcdef")
 
 CALL_TIMEOUT_S = 2.0
+"""500 times the store's usual latency."""
 
 Decoded = TypeVar("Decoded", bound=msgspec.Struct)
 
--- a/src/beamhatch/relay/callers/http_server.py
+++ b/src/beamhatch/relay/callers/http_server.py
@@ -34,7 +34,10 @@
 """Bytes of a head that are always parsed, even if the configured limit is lower, so that an error can be sent."""
 
 MAX_TOTAL_BODY_BYTES = 32 * 1024 * 1024
-"""Bytes of request bodies held in memory for all callers together."""
+"""Bytes of request bodies held in memory for all callers together.
+
+The smallest VMs have 128 MB of memory in all.
+"""
 
 BODY_LIMIT_RETRY_AFTER_S = 1.0
 """Seconds in ``Retry-After`` when the limit on held bodies is reached."""
--- a/src/beamhatch/relay/choosing/chooser.py
+++ b/src/beamhatch/relay/choosing/chooser.py
@@ -49,7 +49,10 @@
 """Number of upstreams whose costs are compared for one choice; larger sets are sampled."""
 
 NEAR_CANDIDATES = {Distance.SAME_HALL: 4, Distance.SAME_REGION: 8}
-"""Number of sampled candidates that are at most this far away, if there are enough of them."""
+"""Number of sampled candidates that are at most this far away, if there are enough of them.
+
+A sample of all engines alone would often contain none of the own hall where there are many halls.
+"""
 
 FULL_COST_S = 5.0
 """Cost of a decode engine whose KV memory would exceed ``MAX_KV_FILL``; more than the duration of a typical stream."""
--- a/src/beamhatch/relay/choosing/distance.py
+++ b/src/beamhatch/relay/choosing/distance.py
@@ -14,7 +14,10 @@
     from beamhatch.relay.model import EngineSpec
 
 ROUND_TRIP_S = {Distance.SAME_HALL: 0.0005, Distance.SAME_REGION: 0.001, Distance.OTHER_REGION: 0.025}
-"""Seconds of a network round trip."""
+"""Seconds of a network round trip.
+
+Typical of machines in one building, in one city, and in cities some hundred kilometres apart.
+"""
 
 TRANSFER_FACTORS = {Distance.SAME_HALL: 1.0, Distance.SAME_REGION: 2.0, Distance.OTHER_REGION: 10.0}
 """Transfer time of a KV cache relative to a transfer within a hall, as specified by the platform."""
@@ -23,12 +26,15 @@
 """Cost of a byte relative to one sent between two halls of a region, as the platform specifies for KV caches."""
 
 KV_BYTE_COST_S = 0.02e-9
-"""Cost in seconds per byte of a KV cache sent between halls, in addition to the transfer time."""
+"""Cost in seconds per byte of a KV cache sent between halls, in addition to the transfer time.
+
+A cache of 0.8 GB thus costs 16 ms, about as much as one more stream at its engine.
+"""
 
 CALLER_BYTE_COST_S = 1.5e-6
 """Cost in seconds per byte of a request or response sent between halls.
 
-Much higher than ``KV_BYTE_COST_S``, since KV caches have dedicated links.
+Much higher than ``KV_BYTE_COST_S``, since KV caches have dedicated links. A plain response of 2 kB thus costs 3 ms.
 """
 
 PLAIN_REQUEST_BYTES = 2_000
--- a/src/beamhatch/relay/choosing/lack.py
+++ b/src/beamhatch/relay/choosing/lack.py
@@ -20,7 +20,10 @@
 """Seconds until a retry if all halls are evacuated, which an operator has to end."""
 
 LEAVING_RETRY_S = 1.0
-"""Seconds until a retry if all upstreams are leaving, since replacements usually start in that time."""
+"""Seconds until a retry if all upstreams are leaving, since replacements usually start in that time.
+
+An upstream that is replaced is back within 2 s.
+"""
 
 PROBE_RETRY_S = 0.1
 """Seconds until a retry if back-offs are over and the first probes are in flight."""
--- a/src/beamhatch/relay/choosing/pace.py
+++ b/src/beamhatch/relay/choosing/pace.py
@@ -26,7 +26,8 @@
 DECODE_RATE_FACTOR = 0.375
 """Prefill rate of a decode engine relative to a prefill engine, assumed before the model is fitted.
 
-Decode engines prefill in chunks between decode steps.
+Decode engines prefill in chunks between decode steps. The platform's decode engines prefill at half the rate, and
+their streams take a part of that.
 """
 
 MAX_SAMPLES = 24
--- a/src/beamhatch/relay/choosing/rests.py
+++ b/src/beamhatch/relay/choosing/rests.py
@@ -23,10 +23,16 @@
 """Requests that may be in flight after a back-off until the first response."""
 
 RECOVERY_RESPONSES = 16
-"""Responses after which an upstream is used without this limit again."""
+"""Responses after which an upstream is used without this limit again.
+
+Each response admits two more requests, so they arrive within five round trips.
+"""
 
 PROBE_TIMEOUT_S = 1.0
-"""Seconds after which a probe without a result no longer counts as in flight."""
+"""Seconds after which a probe without a result no longer counts as in flight.
+
+Longer than the usual target latencies, within which a plain response or the first event arrives.
+"""
 
 
 @dataclass(slots=True)
--- a/src/beamhatch/relay/choosing/standing.py
+++ b/src/beamhatch/relay/choosing/standing.py
@@ -24,7 +24,10 @@
 """Consecutive requests without a response after which an upstream counts as unreachable."""
 
 PROBE_INTERVAL_S = 0.4
-"""Seconds between two requests that probe an unreachable upstream."""
+"""Seconds between two requests that probe an unreachable upstream.
+
+About as long as a request waits there, so that callers are refused for no longer than that once it responds again.
+"""
 
 MIN_MISDIRECTED_PAUSE_S = 2.0
 """First pause after a misdirected request; each further pause is twice as long."""
@@ -45,7 +48,10 @@
 """Seconds over which the weight of a reported load falls to 0."""
 
 LATENCY_WEIGHT = 0.15
-"""Weight of a new result in the moving average of the latency."""
+"""Weight of a new result in the moving average of the latency.
+
+The average covers about the last ten results.
+"""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/beamhatch/relay/engines/balancing.py
+++ b/src/beamhatch/relay/engines/balancing.py
@@ -28,7 +28,10 @@
 """Minimum gain of a change, as a share of the prompt tokens expected within ``HORIZON_S``."""
 
 MAX_CHANGING_SHARE = 0.15
-"""Maximum share of a service's engines that change at a time."""
+"""Maximum share of a service's engines that change at a time.
+
+The estimates that a change is based on are never exact; up to this share, engines may follow the first one at once.
+"""
 
 REVERSAL_DELAY_S = 9.0
 """Minimum time between two changes in opposite directions, in seconds.
--- a/src/beamhatch/relay/engines/changing.py
+++ b/src/beamhatch/relay/engines/changing.py
@@ -23,7 +23,10 @@
 """Maximum duration of a change, in seconds; after it, the engine is used again in any case."""
 
 MIN_REMAINING_S = 0.5
-"""Updates with fewer seconds remaining than this are ignored."""
+"""Updates with fewer seconds remaining than this are ignored.
+
+The change has then ended for the VM that announced it.
+"""
 
 
 class PhaseChangeUpdate(msgspec.Struct, array_like=True, frozen=True):
--- a/src/beamhatch/relay/engines/demand.py
+++ b/src/beamhatch/relay/engines/demand.py
@@ -23,10 +23,16 @@
 """Minimum window of the prompt rate soon after the first prompt, in seconds."""
 
 DECAY_TIME_S = 20.0
-"""Time constant of the exponential decay of token sums, in seconds."""
+"""Time constant of the exponential decay of token sums, in seconds.
+
+Long enough for a mean on a VM that gets one stream a second.
+"""
 
 MIN_PROMPT_WEIGHT = 0.05
-"""Minimum weight of a new prompt in the running means."""
+"""Minimum weight of a new prompt in the running means.
+
+The means cover about the last 20 prompts.
+"""
 
 PRIOR_TOKEN_TIME_S = 0.005
 """Assumed seconds per token before any token was recorded."""
@@ -38,7 +44,10 @@
 """Assumed seconds from the reservation of decode memory to a stream's first event."""
 
 FIRST_EVENT_WEIGHT = 0.1
-"""Weight of a new first-event time in the running mean."""
+"""Weight of a new first-event time in the running mean.
+
+The mean covers about the last ten.
+"""
 
 PRIOR_PROMPT_TOKENS = 3000.0
 """Assumed tokens of a prompt before the first request was recorded."""
--- a/src/beamhatch/relay/engines/leadership.py
+++ b/src/beamhatch/relay/engines/leadership.py
@@ -65,7 +65,10 @@
 """Additional time that a new leader waits, to allow for clock drift and orders in transit, in seconds."""
 
 CANDIDATE_COUNT = 3
-"""Number of VMs that watch the lease; others poll it at an interval that grows with their rank."""
+"""Number of VMs that watch the lease; others poll it at an interval that grows with their rank.
+
+The calls of a fleet thus grow with the logarithm of its size, and a VM takes over even if all candidates are gone.
+"""
 
 
 @dataclass(slots=True)
--- a/src/beamhatch/relay/engines/ordering.py
+++ b/src/beamhatch/relay/engines/ordering.py
@@ -33,7 +33,10 @@
 """Minimum interval between log entries of an unchanged decision, in seconds."""
 
 ORDER_TIMEOUT_S = 0.8
-"""Timeout of an order, in seconds."""
+"""Timeout of an order, in seconds.
+
+Many times what a healthy engine takes.
+"""
 
 RESUMED_ORDER_TTL_S = 10.0
 """Time for which an order recorded before the start of this VM counts as pending, in seconds."""
--- a/src/beamhatch/relay/fleet/gossip.py
+++ b/src/beamhatch/relay/fleet/gossip.py
@@ -51,7 +51,10 @@
     from beamhatch.relay.workspaces.usage_talk import UsageGossip
 
 HEARTBEAT_INTERVAL_S = 0.5
-"""Seconds between two regular heartbeats."""
+"""Seconds between two regular heartbeats.
+
+``PEER_TIMEOUT_S`` covers three of them.
+"""
 
 MIN_HEARTBEAT_INTERVAL_S = 0.03
 """Minimum seconds between a heartbeat and the next one that is sent early because of a change."""
@@ -87,7 +90,10 @@
 """
 
 MAX_REPEATED_MENTIONS = 8
-"""Maximum number of members, drawn at random, that a hello to another hall repeats although the peer knows them."""
+"""Maximum number of members, drawn at random, that a hello to another hall repeats although the peer knows them.
+
+Several VMs of a hall send them, so each member is mentioned far more often than ``MEMBER_TTL_S`` requires.
+"""
 
 MIN_FAILURE_RATE = 0.2
 """Minimum failure rate at which an upstream is reported to peers."""
--- a/src/beamhatch/relay/fleet/gossip_message.py
+++ b/src/beamhatch/relay/fleet/gossip_message.py
@@ -18,10 +18,16 @@
 from beamhatch.relay.workspaces.usage import HallUsage, RatesByWorkspace
 
 MAX_MESSAGE_BYTES = 4 * 1024 * 1024
-"""Maximum size of an encoded message."""
+"""Maximum size of an encoded message.
+
+A compressed configuration of the largest fleet to design for has 0.2 MB.
+"""
 
 MAX_CONFIGURATION_BYTES = 16 * 1024 * 1024
-"""Maximum size of a decompressed configuration."""
+"""Maximum size of a decompressed configuration.
+
+20 times that of the largest fleet to design for.
+"""
 
 MAX_MENTIONS = 64
 """Maximum number of members mentioned in one message."""
--- a/src/beamhatch/relay/fleet/peer_words.py
+++ b/src/beamhatch/relay/fleet/peer_words.py
@@ -11,7 +11,10 @@
 Value = TypeVar("Value")
 
 VALUE_TTL_S = 1.8
-"""Seconds after which a value is ignored unless it was sent again."""
+"""Seconds after which a value is ignored unless it was sent again.
+
+Covers three regular heartbeats.
+"""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/beamhatch/relay/limits/account.py
+++ b/src/beamhatch/relay/limits/account.py
@@ -52,7 +52,10 @@
 """Seconds for which a released permit can be reused by this VM; other VMs have already deducted it."""
 
 MAX_ORIGINS = 2048
-"""Number of origins whose totals a bucket keeps."""
+"""Number of origins whose totals a bucket keeps.
+
+Three times the VMs of the largest fleet to design for.
+"""
 
 
 @dataclass(slots=True)
--- a/src/beamhatch/relay/limits/limits.py
+++ b/src/beamhatch/relay/limits/limits.py
@@ -24,7 +24,10 @@
     from beamhatch.relay.model import Upstream
 
 UNLIMITED_RATE_PER_S = 1000.0
-"""Limits at or above this rate are treated as no limit."""
+"""Limits at or above this rate are treated as no limit.
+
+All VMs of the largest fleet to design for send less than that to any upstream.
+"""
 
 WITHDRAWN_LIMIT_RETENTION_S = 30.0
 """Seconds for which a withdrawn limit is kept, so that older states that arrive late are ignored."""
--- a/src/beamhatch/relay/limits/returns.py
+++ b/src/beamhatch/relay/limits/returns.py
@@ -10,7 +10,10 @@
 from dataclasses import dataclass
 
 MAX_RETRY_DELAY_S = 3.0
-"""Longest delay that a caller is given; slots further ahead are not reserved."""
+"""Longest delay that a caller is given; slots further ahead are not reserved.
+
+Callers wait for up to a third of the time they have left.
+"""
 
 RETRY_JITTER = 0.3
 """Relative jitter of the delay if no slot is reserved."""
--- a/src/beamhatch/relay/limits/talk.py
+++ b/src/beamhatch/relay/limits/talk.py
@@ -20,7 +20,10 @@
     from beamhatch.relay.upstreams.announcements import Announcements
 
 MIN_BATCH_DELAY_S = 0.005
-"""Minimum seconds for which updates are collected into one message."""
+"""Minimum seconds for which updates are collected into one message.
+
+Less than the delay of a message between regions.
+"""
 
 MAX_BATCH_DELAY_S = 0.25
 """Maximum seconds for which updates are collected into one message."""
--- a/src/beamhatch/relay/quarantine/attribution.py
+++ b/src/beamhatch/relay/quarantine/attribution.py
@@ -32,6 +32,7 @@
 """Crashes within this time of the first one, in seconds, count as one.
 
 They have a common cause such as a power loss. A retried request takes longer than this to crash the next upstream.
+Upstreams that lose power together crash within milliseconds; a retry takes 0.1 s or more.
 """
 
 Causes = dict["Fingerprint", int]
--- a/src/beamhatch/relay/quarantine/detection.py
+++ b/src/beamhatch/relay/quarantine/detection.py
@@ -21,7 +21,8 @@
 """Minimum share of the connections open at the first broken run that must be closed for a crash.
 
 Paused connections and those opened later are not counted. A network failure closes a smaller share. The minimum is
-below 1 as this VM may not have processed all closed connections yet.
+below 1 as this VM may not have processed all closed connections yet. A restarted upstream, or a proxy in front of it,
+may have as many new connections again within milliseconds.
 """
 
 MIN_RUN_S = 0.01
--- a/src/beamhatch/relay/quarantine/ends.py
+++ b/src/beamhatch/relay/quarantine/ends.py
@@ -20,16 +20,28 @@
 """Updates on an upstream whose crash times differ by less than this, in seconds, belong to one crash."""
 
 RETENTION_S = 3600.0
-"""Time for which a crash is kept, in seconds; also the maximum duration of a quarantine."""
+"""Time for which a crash is kept, in seconds; also the maximum duration of a quarantine.
+
+Longer than two quarantines, so that crashes before the first one still count.
+"""
 
 MAX_CRASHES = 256
-"""Maximum number of crashes kept; the oldest are dropped first."""
+"""Maximum number of crashes kept; the oldest are dropped first.
+
+Ten times an hour's crashes in the largest fleet to design for.
+"""
 
 MAX_RUNS = 64
-"""Maximum number of runs kept per crash."""
+"""Maximum number of runs kept per crash.
+
+The streams that an engine of the largest fleet to design for has.
+"""
 
 MAX_ANNOUNCED_RUNS = 8
-"""Maximum number of runs that a VM announces per crash; the shortest are chosen."""
+"""Maximum number of runs that a VM announces per crash; the shortest are chosen.
+
+In the largest fleet to design for, a VM has one or two there.
+"""
 
 
 class BrokenRun(msgspec.Struct, frozen=True, array_like=True):
--- a/src/beamhatch/relay/quarantine/quarantine.py
+++ b/src/beamhatch/relay/quarantine/quarantine.py
@@ -30,8 +30,9 @@
 SUCCESS_GRACE_S = 60.0
 """Time after a success in which a broken run does not count against the request, in seconds.
 
-A request that many callers send runs on most upstreams that crash, without being the cause. The time is short because a
-request that succeeded on one version of an upstream may crash the next version.
+A request that many callers send runs on most upstreams that crash, without being the cause. The time is short because
+a request that succeeded on one version of an upstream may crash the next version. It exceeds the usual duration of a
+partition, so that the request is still protected when the upstreams are back.
 """
 
 MAX_SUCCESSES = 1024
--- a/src/beamhatch/relay/quarantine/talk.py
+++ b/src/beamhatch/relay/quarantine/talk.py
@@ -29,10 +29,16 @@
     from beamhatch.relay.upstreams.http_client import Connection
 
 SEND_INTERVAL_S = 0.1
-"""Minimum interval between two messages to each peer, in seconds."""
+"""Minimum interval between two messages to each peer, in seconds.
+
+A crash in a large fleet thus takes a few messages, and not one for each stream.
+"""
 
 ATTRIBUTION_DELAY_S = 0.3
-"""Delay from the first update on a crash to its attribution, in seconds, for updates of other VMs to arrive."""
+"""Delay from the first update on a crash to its attribution, in seconds, for updates of other VMs to arrive.
+
+Updates cross at most four VMs.
+"""
 
 ANNOUNCE_SUCCESS_MIN_CRASHES = 2
 """Minimum number of crashes of a request for its success to be announced at once.
--- a/src/beamhatch/relay/requests/exchange.py
+++ b/src/beamhatch/relay/requests/exchange.py
@@ -66,7 +66,10 @@
 """Relative jitter of the retry-after time, so that callers refused together do not retry together."""
 
 MAX_RETRY_AFTER_SHARE = 0.33
-"""Maximum retry-after time, as a share of the time left until the caller's deadline."""
+"""Maximum retry-after time, as a share of the time left until the caller's deadline.
+
+Callers do not wait for longer.
+"""
 
 MIN_RETRY_AFTER_S = 0.15
 """Minimum retry-after time, long enough for other VMs to receive updates from this one."""
@@ -84,7 +87,10 @@
 """Status of a request that timed out and may have run."""
 
 REGION_RETRY_AFTER_S = 1.0
-"""Retry-after time if no upstream in an allowed region can serve the request."""
+"""Retry-after time if no upstream in an allowed region can serve the request.
+
+An upstream restarts in about 2 s.
+"""
 
 QUARANTINE_REASON = "each upstream that began to run it has ended"
 """Reason sent to the caller of a request in quarantine."""
--- a/src/beamhatch/relay/requests/fair_order.py
+++ b/src/beamhatch/relay/requests/fair_order.py
@@ -16,13 +16,22 @@
     from beamhatch.relay.workspaces.workspace import WorkspaceName
 
 ACCOUNT_RETENTION_S = 4.0
-"""Seconds after a workspace was last served at which its account is deleted."""
+"""Seconds after a workspace was last served at which its account is deleted.
+
+About as long as a stream holds decode memory.
+"""
 
 MAX_LEAD_TOKENS = 30_000.0
-"""Maximum number of tokens by which a workspace's account is ahead; bounds how long a past burst delays it."""
+"""Maximum number of tokens by which a workspace's account is ahead; bounds how long a past burst delays it.
+
+Some six prompts.
+"""
 
 QUANTUM_TOKENS = 3000.0
-"""Tokens that each workspace is credited in one round."""
+"""Tokens that each workspace is credited in one round.
+
+About one prompt.
+"""
 
 
 class WorkspaceScheduler(ABC):
--- a/src/beamhatch/relay/requests/lengths.py
+++ b/src/beamhatch/relay/requests/lengths.py
@@ -22,7 +22,11 @@
 """Expected output tokens if the request has no limit, until enough outputs have completed."""
 
 ESTIMATE_WEIGHT = 0.64
-"""Weight of a caller's estimate in the weighted geometric mean of it and the recent mean."""
+"""Weight of a caller's estimate in the weighted geometric mean of it and the recent mean.
+
+The variance of the logarithms of lengths, divided by the sum of it and that of the estimates' errors: 0.67² / (0.67² +
+0.5²).
+"""
 
 COVERED_SHARE = 0.75
 """Share of the outputs that should fit into the reserved tokens.
--- a/src/beamhatch/relay/requests/request.py
+++ b/src/beamhatch/relay/requests/request.py
@@ -22,7 +22,10 @@
 """Maximum number of sends of one request, which bounds the load that one caller can cause."""
 
 MAX_PREFILLS = 2
-"""Maximum number of times that a prompt is sent to a prefill engine."""
+"""Maximum number of times that a prompt is sent to a prefill engine.
+
+Each one costs as much as hundreds of output tokens.
+"""
 
 MAX_HANDOFFS = 2
 """Maximum number of decode engines that one KV cache handle is sent to."""
--- a/src/beamhatch/relay/upstreams/departures.py
+++ b/src/beamhatch/relay/upstreams/departures.py
@@ -14,7 +14,10 @@
     from beamhatch.relay.model import Incarnation, UpstreamId
 
 MAX_DEPARTURES = 4096
-"""Incarnations kept; the oldest is dropped when there are more."""
+"""Incarnations kept; the oldest is dropped when there are more.
+
+Over half of the upstreams of the largest fleet to design for; 0.5 MB.
+"""
 
 
 @dataclass(slots=True)
--- a/src/beamhatch/relay/upstreams/plain_attempt.py
+++ b/src/beamhatch/relay/upstreams/plain_attempt.py
@@ -10,7 +10,10 @@
 """Maximum size of the body of a buffered response."""
 
 MIN_TIMEOUT_S = 0.25
-"""Lower bound of the timeout."""
+"""Lower bound of the timeout.
+
+Four times the mean latency of typical plain services.
+"""
 
 TIMEOUT_FACTOR = 4.0
 """Timeout as a multiple of the upstream's mean latency."""
--- a/src/beamhatch/relay/upstreams/prefill_attempt.py
+++ b/src/beamhatch/relay/upstreams/prefill_attempt.py
@@ -8,10 +8,16 @@
 from beamhatch.relay.upstreams.http_client import CallFailure
 
 MAX_BODY_BYTES = 64 * 1024
-"""Maximum size of the body of a response."""
+"""Maximum size of the body of a response.
+
+Usual ones have less than a hundred.
+"""
 
 MIN_TIMEOUT_S = 0.6
-"""Lower bound of the timeout."""
+"""Lower bound of the timeout.
+
+Four times what a prompt takes at an engine that is not busy.
+"""
 
 TIMEOUT_FACTOR = 4.0
 """Timeout as a multiple of the engine's mean latency."""
--- a/src/beamhatch/relay/upstreams/retry_after.py
+++ b/src/beamhatch/relay/upstreams/retry_after.py
@@ -10,7 +10,10 @@
     from datetime import datetime
 
 MAX_RETRY_AFTER_S = 600.0
-"""Upper bound of the returned time, so that a mistaken long time does not exclude an upstream until a restart."""
+"""Upper bound of the returned time, so that a mistaken long time does not exclude an upstream until a restart.
+
+After it, one request tests whether the back-off still holds.
+"""
 
 _SECONDS = re.compile(r"[0-9]+(\.[0-9]+)?")
 """Fractions of a second are an extension of the standard that the platform uses."""
--- a/src/beamhatch/relay/workspaces/quota.py
+++ b/src/beamhatch/relay/workspaces/quota.py
@@ -36,8 +36,10 @@
 """Decrease of ``STEADY_RATE_SHARE`` per share of VMs not in contact, down to ``CAUTIOUS_RATE_SHARE``."""
 
 BURST_SHARE = 0.03
-"""Share of the window bound that may be granted at once on top of the steady rate. The rest is a reserve for grants of
-other VMs that are not known yet.
+"""Share of the window bound that may be granted at once on top of the steady rate.
+
+The rest is a reserve for grants of other VMs that are not known yet. Reports of what other VMs grant are up to a
+second old.
 """
 
 CORRECTION_TIME_S = 1.5
@@ -46,7 +48,10 @@
 """
 
 MAX_DEBT_S = 4.0
-"""Largest excess that is compensated, as the seconds in which it accrues at the steady rate."""
+"""Largest excess that is compensated, as the seconds in which it accrues at the steady rate.
+
+A sudden surge is granted in full until the reports arrive, which makes about that much.
+"""
 
 SETTLE_TIME_S = 1.0
 """Seconds after the start of a VM during which it grants no more than its equal part, as it has not yet received the
--- a/src/beamhatch/relay/workspaces/usage.py
+++ b/src/beamhatch/relay/workspaces/usage.py
@@ -19,13 +19,19 @@
     from collections.abc import Iterable, Mapping
 
 RATE_TIME_CONSTANT_S = 0.5
-"""Time constant of the exponential decay of rates."""
+"""Time constant of the exponential decay of rates.
+
+A shorter one is noisy in a hall with few requests a second; a longer one reveals a surge too late.
+"""
 
 TRANSIT_JITTER_S = 0.1
 """Seconds by which the apparent age of a sum may differ by route; less than the interval between two sums."""
 
 HALL_USAGE_TTL_S = 0.9
-"""Seconds for which a sum is used; covers two idle sending intervals and the delay over four VMs."""
+"""Seconds for which a sum is used; covers two idle sending intervals and the delay over four VMs.
+
+The shorter it is, the sooner a VM that is cut off keeps to its own part.
+"""
 
 MIN_REPORTED_RATE_PER_S = 1.0
 """Rates below this many units per second are not reported."""
--- a/src/beamhatch/relay/workspaces/usage_talk.py
+++ b/src/beamhatch/relay/workspaces/usage_talk.py
@@ -30,15 +30,17 @@
 SURGE_FACTOR = 1.5
 """Growth of a workspace's demand since the last message that triggers a message at once.
 
-Only demand above the covered VMs' part of the quota counts.
+Only demand above the covered VMs' part of the quota counts. Until they know, the other VMs grant the surge in full.
 """
 
 SURGE_DELAY_S = 0.01
 """Delay of a message after a surge, so that reports of several VMs are combined."""
 
 REPORTING_SHARE = 0.6
-"""Share of a hall's part of a quota from which its usage is reported. While all halls are below it, no workspace is at
-its quota.
+"""Share of a hall's part of a quota from which its usage is reported.
+
+While all halls are below it, no workspace is at its quota. Reporting usual demand would take a watcher several times
+the bandwidth that control traffic may have.
 """
 
 
