--- a/src/beamhatch/platform/store.py
+++ b/src/beamhatch/platform/store.py
@@ -57,7 +57,7 @@
 HEX_DIGITS = frozenset("0123456789abcdef")
 
 CALL_TIMEOUT_S = 2.0
-"""500 times the store's usual latency."""
+"""Far more than the few milliseconds in which the store usually answers."""
 
 Decoded = TypeVar("Decoded", bound=msgspec.Struct)
 
