Log which upstreams a VM does not reach, and whether it reaches none

Connection attempts are now observed: REACH lost, regained, cut off and reconnected, out_of_reach and cut_off in 'given up', two gauges and a counter. No decision uses them yet. A dial whose request was cancelled goes on until it fails or is established and closed, as its outcome would be missing otherwise.

--- a/src/beamhatch/relay/core.py
+++ b/src/beamhatch/relay/core.py
@@ -57,6 +57,7 @@
         UpstreamId,
     )
     from beamhatch.relay.topology import RegionName
+    from beamhatch.relay.tunnels.monitor import ReachMonitor
     from beamhatch.relay.upstreams.http_client import HttpClient
     from beamhatch.relay.upstreams.listing import Entry
     from beamhatch.relay.workspaces.admission import Decision
@@ -126,6 +127,7 @@
     chooser: Chooser
     stats: UpstreamStatsRegistry
     settings: ReloadableSettings
+    reach: ReachMonitor
     admission: Admission = field(default_factory=Admission)
     disabled: DisabledMechanisms = NONE_DISABLED
     listing: Listing = field(default_factory=Listing)
--- a/src/beamhatch/relay/daemon.py
+++ b/src/beamhatch/relay/daemon.py
@@ -27,6 +27,8 @@
 from beamhatch.relay.model import Address, CallerLimits
 from beamhatch.relay.quarantine.persistence import QuarantinePersistence
 from beamhatch.relay.topology import Topology
+from beamhatch.relay.tunnels.direct import DirectDialer
+from beamhatch.relay.tunnels.monitor import ReachMonitor
 from beamhatch.relay.upstreams.http_client import HttpClient
 from beamhatch.relay.upstreams.listing import DEFAULT_DRAIN_S, GONE_GRACE_SHARE, Listing
 from beamhatch.relay.workspaces.quota import DemandAllocator, EqualAllocator, QuotaTerms
@@ -119,7 +121,8 @@
         self.clock = clock
         self.journal = journal
         self.tally = tally
-        client = HttpClient(clock)
+        self.reach = ReachMonitor(clock, journal, tally)
+        client = HttpClient(clock, DirectDialer(clock, self.reach))
         stats = UpstreamStatsRegistry()
         prefill_models = PrefillEstimators(enabled=Mechanism.LEARNED_PREFILL_RATES not in settings.disabled)
         peer_backlog = PeerBacklog()
@@ -137,6 +140,7 @@
             disabled=settings.disabled,
             peer_backlog=peer_backlog,
             settings=ReloadableSettings(settings.retry_budget),
+            reach=self.reach,
             listing=Listing(gone_grace_s=GONE_GRACE_SHARE * settings.drain_time),
             started_at=clock.now(),
             topology=settings.topology,
--- a/src/beamhatch/relay/requests/exchange.py
+++ b/src/beamhatch/relay/requests/exchange.py
@@ -588,6 +588,7 @@
             doubt=self.request.may_have_run,
             sends=self.request.sends,
             seconds=self.compute_elapsed_s(),
+            **self.core.reach.describe(),
         )
         self._record_outcome(f"own_{status}")
         self._stop_attempt()
--- /dev/null
+++ b/src/beamhatch/relay/tunnels/direct.py
@@ -0,0 +1,53 @@
+"""Direct connections to upstreams."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from twisted.internet.protocol import ClientFactory
+
+from beamhatch.relay.tunnels.api import Dialer
+
+if TYPE_CHECKING:
+    from twisted.internet.protocol import Protocol
+    from twisted.python.failure import Failure
+
+    from beamhatch.clock import Clock
+    from beamhatch.relay.model import Address
+    from beamhatch.relay.tunnels.api import DialObserver, DialReceiver
+
+
+class DirectFactory(ClientFactory):
+    """Factory of one direct connection."""
+
+    noisy = False
+
+    def __init__(self, address: Address, receiver: DialReceiver, observer: DialObserver | None) -> None:
+        self._address = address
+        self._receiver = receiver
+        self._observer = observer
+
+    def buildProtocol(self, _: Any) -> Protocol | None:
+        """Record the success, and return the receiver's protocol."""
+        if self._observer is not None:
+            self._observer.record_connected(self._address)
+        return self._receiver.build_protocol(None)
+
+    def clientConnectionFailed(self, _: Any, reason: Failure) -> None:
+        """Record the failure, and report it."""
+        if self._observer is not None:
+            self._observer.record_unreachable(self._address)
+        self._receiver.handle_failure(reason.getErrorMessage())
+
+
+class DirectDialer(Dialer):
+    """Strategy that connects without peers."""
+
+    def __init__(self, clock: Clock, observer: DialObserver | None = None) -> None:
+        self._clock = clock
+        self._observer = observer
+
+    def connect(self, address: Address, receiver: DialReceiver, timeout: float, *, direct_only: bool = False) -> None:
+        """Connect to an address directly."""
+        factory = DirectFactory(address, receiver, self._observer)
+        self._clock.reactor.connectTCP(address.host, address.port, factory, timeout=timeout)
--- a/src/beamhatch/relay/upstreams/http_client.py
+++ b/src/beamhatch/relay/upstreams/http_client.py
@@ -14,10 +14,12 @@
 
 import h11
 from twisted.internet import error
-from twisted.internet.protocol import ClientFactory, Protocol, connectionDone
+from twisted.internet.protocol import Protocol, connectionDone
 
 from beamhatch.relay.callers.headers import decode_headers, parse_keep_alive_timeout, wants_close
 from beamhatch.relay.model import Address
+from beamhatch.relay.tunnels.api import DialReceiver
+from beamhatch.relay.tunnels.direct import DirectDialer
 
 if TYPE_CHECKING:
     from collections.abc import Set
@@ -26,6 +28,7 @@
 
     from beamhatch.clock import Clock
     from beamhatch.relay.api import Headers
+    from beamhatch.relay.tunnels.api import Dialer
 
 MAX_HEAD_BYTES = 64 * 1024
 """Maximum size of the head of a response."""
@@ -102,15 +105,12 @@
         self.call = call
         self.sink: ResponseSink | None = sink
         self.connection: Connection | None = None
-        self.connector: Any = None
 
     def cancel(self) -> None:
         """Close the connection without notifying the sink."""
         self.sink = None
         if self.connection is not None:
             self.connection.abort()
-        elif self.connector is not None:
-            self.connector.disconnect()
 
     def pause(self) -> None:
         """Stop reading the response."""
@@ -261,17 +261,20 @@
         return b"".join(part for part in parts if part)
 
 
-class _Connector(ClientFactory):
-    """Factory of the connection for one exchange."""
-
-    noisy = False
+class _Dial(DialReceiver):
+    """Opening of the connection for one exchange."""
 
     def __init__(self, client: HttpClient, address: Address, exchange: HttpExchange) -> None:
         self._client = client
         self._address = address
         self._exchange = exchange
 
-    def buildProtocol(self, _: Any) -> Connection | None:
+    @property
+    def is_wanted(self) -> bool:
+        """Return whether the exchange was not cancelled."""
+        return self._exchange.sink is not None
+
+    def build_protocol(self, proxy: Address | None) -> Connection | None:
         """Create the protocol, unless the exchange was cancelled."""
         if self._exchange.sink is None:
             return None
@@ -279,9 +282,9 @@
         self._client.add_open(connection)
         return connection
 
-    def clientConnectionFailed(self, _: Any, reason: TwistedFailure) -> None:
+    def handle_failure(self, detail: str) -> None:
         """Report that nothing was sent."""
-        self._exchange.report_failure(CallFailure.UNREACHED, reason.getErrorMessage())
+        self._exchange.report_failure(CallFailure.UNREACHED, detail)
 
 
 class _NewConnection(Connection):
@@ -304,8 +307,9 @@
 class HttpClient:
     """HTTP client with a pool of connections per address."""
 
-    def __init__(self, clock: Clock, *, connect_timeout: float = 0.5) -> None:
+    def __init__(self, clock: Clock, dialer: Dialer | None = None, *, connect_timeout: float = 0.5) -> None:
         self._clock = clock
+        self._dialer = dialer or DirectDialer(clock)
         self._connect_timeout = connect_timeout
         self._idle: dict[Address, list[Connection]] = {}
         self._open: dict[Address, set[Connection]] = {}
@@ -327,10 +331,7 @@
             connection.send(exchange)
             return exchange
         self.opened_count += 1
-        connector = _Connector(self, address, exchange)
-        exchange.connector = self._clock.reactor.connectTCP(
-            address.host, address.port, connector, timeout=self._connect_timeout
-        )
+        self._dialer.connect(address, _Dial(self, address, exchange), self._connect_timeout)
         return exchange
 
     def list_open(self, address: Address) -> Set[Connection]:
--- /dev/null
+++ b/tests/relay/tunnels/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the tunnels package."""
