--- a/tests/support/network.py
+++ b/tests/support/network.py
@@ -208,7 +208,7 @@
         if self._over or self.network.is_cut(self.here, self.key[0]):
             return
         server = self.network.ports.get(self.key)
-        if server is None:
+        if server is None or self.network.refuses(self.here, self.key[0]):
             self._fail(error.ConnectionRefusedError())
             return
         self._stop_timer()
@@ -266,6 +266,7 @@
         self._hosts: dict[str, HostNetwork] = {}
         self._cut: set[str] = set()
         self._cut_pairs: set[frozenset[str]] = set()
+        self._refusing_pairs: set[frozenset[str]] = set()
         self._sent = 0
 
     def listenTCP(self, port: int, factory: Any, backlog: int = 50, interface: str = "") -> _Port:
@@ -309,6 +310,29 @@
         """Let messages between two hosts through again; those sent meanwhile are lost."""
         self._cut_pairs.discard(frozenset((host, other)))
 
+    def refuse_between(self, host: str, other: str) -> None:
+        """Refuse new connections between two hosts; open ones live on."""
+        self._refusing_pairs.add(frozenset((host, other)))
+
+    def accept_between(self, host: str, other: str) -> None:
+        """Accept new connections between two hosts again."""
+        self._refusing_pairs.discard(frozenset((host, other)))
+
+    def refuses(self, host: str, other: str) -> bool:
+        """Tell whether new connections between two hosts are refused."""
+        return frozenset((host, other)) in self._refusing_pairs
+
+    def reset_connections(self, concerns: Callable[[Transport], bool]) -> None:
+        """Reset open connections at both ends.
+
+        :param concerns: whether a connection is among them, by either of its ends
+        """
+        open_ends = [transport for transport in self.transports if transport.connected]
+        for transport in open_ends:
+            if transport.connected and (concerns(transport) or concerns(transport.other)):
+                transport.abortConnection()
+                transport.other.abortConnection()
+
     def silence_connections(self, concerns: Callable[[Transport], bool] = lambda _: True) -> None:
         """Let nothing through on all connections that are open; new ones work.
 
