Connect to upstreams by way of a peer where a VM's own links are lost

Cause: a VM took its own way to an upstream for the upstream. Each connection attempt was refused or not answered, the upstream counted as unresponsive, and when all did, requests were refused; nobody asked the peers, which reached every one.

Ruled out as the cause: late notice. Each attempt failed for as long as the loss lasted, and behind it callers were served at once.

The request's VM keeps every decision, so that attempts, budgets, time left, quota, regions and at-most-once stay at one VM; nothing is written before the peer has connected. Idle direct connections are closed, failures that were the link's forgotten, and probes without a request find out when it is back. Orders are never sent through a peer, and runs that break on a tunnel count for no crash. A VM with neither link nor peer refuses at once.

Why it works: the peer has a link whenever others are served.

--- a/src/beamhatch/platform/settings.py
+++ b/src/beamhatch/platform/settings.py
@@ -67,6 +67,8 @@
     zones: dict[str, str] = {}
     """Regions by hall."""
     limits: _Limits = msgspec.field(default_factory=_Limits)
+    port_range: list[int] = []
+    """First and last of the ports that are free for what VMs say to each other."""
 
 
 def read_settings(path: str, without: DisabledMechanisms = NONE_DISABLED) -> RelaySettings:
@@ -94,6 +96,7 @@
         retry_budget=RetryBudgetLimits(bounds.retry_budget_ratio, bounds.retry_slack, bounds.budget_window_s),
         quota=QuotaTerms(bounds.quota_window_s, bounds.quota_overage, bounds.quota_slack),
         peer_address=_parse_address(config.listen.control) if config.listen.control else None,
+        tunnel_address=Address(config.ip, config.port_range[0]) if config.port_range else None,
         seeds=config.seeds,
         topology=Topology({hall: RegionName(region) for hall, region in config.zones.items()}),
         cold_overage=bounds.cold_overage,
--- a/src/beamhatch/relay/choosing/standing.py
+++ b/src/beamhatch/relay/choosing/standing.py
@@ -6,6 +6,8 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from beamhatch.relay.model import UpstreamId
 
 FAILURE_HALF_LIFE_S = 4.0
@@ -108,6 +110,12 @@
         for each in fields(self):
             setattr(self, each.name, getattr(fresh, each.name))
 
+    def forget_failures(self) -> None:
+        """Forget failures that were due to this VM's own links."""
+        self.unresponsive_count = 0
+        self.unresponsive_until = -1e9
+        self._failure_rate = self._own_failure_rate = 0.0
+
     def should_skip(self, now: float) -> bool:
         """Return whether it is unreachable and not due for another probe."""
         unreachable = self.unresponsive_count >= UNREACHABLE_THRESHOLD and now < self.unresponsive_until
@@ -206,6 +214,11 @@
         rates = {str(name): round(one.get_own_failure_rate(now), 2) for name, one in self._stats.items()}
         return {name: rate for name, rate in rates.items() if rate >= min_rate}
 
+    def forget_failures(self, upstreams: Iterable[UpstreamId] | None = None) -> None:
+        """Forget the failures of some upstreams, or of all, that were due to this VM's own links."""
+        for name in list(self._stats) if upstreams is None else upstreams:
+            self.get(name).forget_failures()
+
     def list_unresponsive(self, now: float) -> set[UpstreamId]:
         """Return the upstreams that are unresponsive according to own requests or reports of other VMs."""
         return {
--- a/src/beamhatch/relay/daemon.py
+++ b/src/beamhatch/relay/daemon.py
@@ -29,6 +29,7 @@
 from beamhatch.relay.topology import Topology
 from beamhatch.relay.tunnels.direct import DirectDialer
 from beamhatch.relay.tunnels.monitor import ReachMonitor
+from beamhatch.relay.tunnels.service import Tunnels
 from beamhatch.relay.upstreams.http_client import HttpClient
 from beamhatch.relay.upstreams.listing import DEFAULT_DRAIN_S, GONE_GRACE_SHARE, Listing
 from beamhatch.relay.workspaces.quota import DemandAllocator, EqualAllocator, QuotaTerms
@@ -84,6 +85,8 @@
     retry_budget: RetryBudgetLimits
     quota: QuotaTerms = field(default_factory=QuotaTerms)
     peer_address: Address | None = None
+    tunnel_address: Address | None = None
+    """Where peers ask for tunnels to upstreams; None if this VM carries none."""
     seeds: list[str] = field(default_factory=list)
     handover_time: float = 3.0
     """Minimum seconds between orders of two different VMs."""
@@ -122,7 +125,9 @@
         self.journal = journal
         self.tally = tally
         self.reach = ReachMonitor(clock, journal, tally)
-        client = HttpClient(clock, DirectDialer(clock, self.reach))
+        self.tunnels = Tunnels(clock, journal, tally, settings.vm, settings.hall, settings.topology, self.reach)
+        uses_tunnels = settings.peer_address is not None and Mechanism.TUNNELS not in settings.disabled
+        client = HttpClient(clock, self.tunnels.dialer if uses_tunnels else DirectDialer(clock, self.reach))
         stats = UpstreamStatsRegistry()
         prefill_models = PrefillEstimators(enabled=Mechanism.LEARNED_PREFILL_RATES not in settings.disabled)
         peer_backlog = PeerBacklog()
@@ -150,6 +155,11 @@
         self._watchers = self._make_watchers(store)
         if self._gossip is not None:
             self._gossip.is_store_unreachable = self._is_store_unreachable
+        if self._gossip is not None and uses_tunnels:
+            self.tunnels.start(self.core, self._gossip.membership)
+            self.tunnels.list_connections = self._gossip.list_connections
+            self.tunnels.on_state_change = self._gossip.send_heartbeats_soon
+            self._gossip.tunnels = self.tunnels
         persistence = QuarantinePersistence(self.core, store)
         self.core.quarantine_gossip.on_quarantined = persistence.add
         self.core.quarantine_gossip.on_clear = persistence.remove
@@ -205,6 +215,8 @@
         self._ports.append(self._listen(settings.ready_address, self._make_status_server(settings.ready_path)))
         if settings.metrics_address is not None:
             self._ports.append(self._listen(settings.metrics_address, self._make_status_server("")))
+        if settings.tunnel_address is not None:
+            self._ports.append(self._listen(settings.tunnel_address, self.tunnels.server))
         self.core.client.start()
         if self._gossip is not None:
             self.core.on_change = self._gossip.send_heartbeats_soon
@@ -231,6 +243,7 @@
         """Apply the settings that can change at runtime: limits, quota terms, topology, seeds and grace period."""
         self.core.settings.retry_budget = settings.retry_budget
         self.core.apply_topology(settings.topology)
+        self.tunnels.set_places(settings.topology)
         if self.core.admission.allocator is not None:
             self.core.admission.allocator.set_terms(settings.quota)
         if isinstance(self.core.eligibility.gate, CountingGate):
@@ -248,6 +261,7 @@
             return
         self._stopping_since = self.clock.now()
         self.callers.closing = True
+        self.tunnels.accepting = False
         if self.leadership is not None:
             self.leadership.stop()
         self.journal.write("STOP", "begun", open_requests=len(self.core.exchanges))
@@ -268,7 +282,7 @@
                 port, self._caller_port = self._caller_port, None
                 port.stopListening()
             self.callers.close_idle()
-            if not self.core.exchanges and not self.callers.connections:
+            if not self.core.exchanges and not self.callers.connections and not self.tunnels.server.tunnels:
                 self._finish_stop(elapsed)
                 return
         self.clock.call_later(STOP_CHECK_INTERVAL_S, self._continue_stop)
@@ -278,6 +292,7 @@
         for watcher in self._watchers:
             watcher.stop()
         self._usage_gossip.stop()
+        self.tunnels.stop()
         if self._gossip is not None:
             self._gossip.stop()
         self.journal.flush()
@@ -289,7 +304,8 @@
         settings = self.settings
         if settings.peer_address is None:
             return None
-        own = Member(str(settings.peer_address), settings.hall, settings.link_mbit_per_s)
+        tunnel_port = 0 if settings.tunnel_address is None else settings.tunnel_address.port
+        own = Member(str(settings.peer_address), settings.hall, settings.link_mbit_per_s, tunnel_port)
         return Gossip(self.core, documents, settings.vm, Membership(own, settings.seeds))
 
     def _make_usage_gossip(self) -> UsageGossip:
--- a/src/beamhatch/relay/engines/ordering.py
+++ b/src/beamhatch/relay/engines/ordering.py
@@ -188,7 +188,10 @@
         call = self.core.dialect.make_phase_change_call(upstream, change.phase, self._vm, token)
         ordered_at = self.core.clock.now()
         self.core.eligibility.limits.record_request(upstream.incarnation, ordered_at)
-        answer = await fetch(self.core.client, self.core.clock, upstream.address, call, ORDER_TIMEOUT_S)
+        # an order that came from a peer's address would be taken for that of another holder
+        answer = await fetch(
+            self.core.client, self.core.clock, upstream.address, call, ORDER_TIMEOUT_S, direct_only=True
+        )
         answered = not isinstance(answer, str)
         if not isinstance(answer, str):
             self.core.announcements.handle_head(upstream, answer.head, ordered_at)
--- a/src/beamhatch/relay/fleet/far_words.py
+++ b/src/beamhatch/relay/fleet/far_words.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from beamhatch.relay.fleet.gossip_message import DemandReport, Heartbeat
+from beamhatch.relay.fleet.gossip_message import CarryingState, DemandReport, Heartbeat
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
@@ -53,6 +53,7 @@
     """Whether the peer aggregates the reports of its hall."""
     demands: dict[str, DemandReport] = field(default_factory=dict)
     prefill_backlog: dict[str, int] = field(default_factory=dict)
+    carrying: CarryingState = field(default_factory=CarryingState)
 
     def apply(self, heartbeat: Heartbeat) -> None:
         """Apply the changes in a heartbeat."""
@@ -64,6 +65,8 @@
             self.is_aggregator = heartbeat.adds_up
         if heartbeat.reading is not None:
             self.prefill_backlog = heartbeat.reading
+        if heartbeat.carrying is not None:
+            self.carrying = heartbeat.carrying
         self.demands.update(heartbeat.demands)
 
 
@@ -74,6 +77,7 @@
     _version: int | None = None
     _revision: int | None = None
     _is_aggregator: bool | None = None
+    _carrying: CarryingState | None = None
     _prefill_backlog: dict[str, int] | None = None
     _demands: dict[str, DemandReport] = field(default_factory=dict)
     _failure_rates: dict[str, tuple[float, float]] = field(default_factory=dict)
@@ -108,7 +112,9 @@
             evacuations,
             0 if evacuations is None else heartbeat.evacuations_as_of,
             adds_up=None if heartbeat.adds_up == self._is_aggregator else heartbeat.adds_up,
+            carrying=None if heartbeat.carrying == self._carrying else heartbeat.carrying,
         )
+        self._carrying = heartbeat.carrying
         self._version, self._revision, self._is_aggregator = heartbeat.version, heartbeat.revision, heartbeat.adds_up
         self._demands.update(changes.demands)
         self._failure_rates = {
--- a/src/beamhatch/relay/fleet/gossip.py
+++ b/src/beamhatch/relay/fleet/gossip.py
@@ -48,6 +48,7 @@
     from beamhatch.relay.fleet.membership import Membership, Mention
     from beamhatch.relay.limits.talk import LimitGossip
     from beamhatch.relay.model import Service
+    from beamhatch.relay.tunnels.service import Tunnels
     from beamhatch.relay.workspaces.usage_talk import UsageGossip
 
 HEARTBEAT_INTERVAL_S = 0.5
@@ -131,6 +132,8 @@
         self._heartbeat_throttle = Throttle(core.clock, MIN_HEARTBEAT_INTERVAL_S, self._send_early_heartbeats)
         self._backlog_throttle = Throttle(core.clock, MIN_BACKLOG_INTERVAL_S, self._send_backlog)
         self._sent_backlog: dict[str, int] = {}
+        self.tunnels: Tunnels | None = None
+        """Tunnels to upstreams by way of peers; None if disabled."""
         self._port: Any = None
         self._stopped = False
         self.newest_version = 0
@@ -201,6 +204,8 @@
         self._connections.discard(connection)
         if self.usage is not None:
             self.usage.forget_peer(connection)
+        if self.tunnels is not None and all(one.address != connection.address for one in self._connections):
+            self.tunnels.forget_peer(connection)
         address = connection.dialled_address
         if address is not None and self._dialled_addresses.get(address) is connection:
             del self._dialled_addresses[address]
@@ -458,6 +463,8 @@
         if connection.hall == self.membership.own.hall:
             self.membership.record_store_access(connection.address, store_unreachable=message.turned_away)
         self._apply_backlog(connection)
+        if self.tunnels is not None:
+            self.tunnels.handle_heartbeat(connection, message)
         faulty = {} if Mechanism.PEER_FAILURES in self.core.disabled else message.faulty
         for upstream, rate in faulty.items():
             self.core.stats.get(UpstreamId(upstream)).apply_peer_failure_rate(rate, now)
@@ -529,4 +536,5 @@
             evacuations.as_of,
             self.is_store_unreachable(),
             self._is_aggregator,
+            None if self.tunnels is None else self.tunnels.state,
         )
--- a/src/beamhatch/relay/fleet/gossip_message.py
+++ b/src/beamhatch/relay/fleet/gossip_message.py
@@ -71,6 +71,17 @@
     known: list[Mention]
 
 
+class CarryingState(msgspec.Struct, array_like=True, frozen=True):
+    """Whether the sender reaches upstreams itself, and carries tunnels to them for peers."""
+
+    accepts: bool = False
+    """Whether it accepts tunnels."""
+    cut_off: bool = False
+    """Whether it believes that its own links lead to no upstream."""
+    tunnels: int = 0
+    """Number of tunnels that it carries, rounded so that small changes are not sent."""
+
+
 class Heartbeat(msgspec.Struct, tag="beat", frozen=True, omit_defaults=True):
     """The sender's state. None in a field means unchanged since the last heartbeat on the connection."""
 
@@ -99,6 +110,7 @@
     """Whether the sender considers the store unreachable."""
     adds_up: bool | None = None
     """Whether the sender aggregates the reports of its hall."""
+    carrying: CarryingState | None = None
 
 
 class PrefillBacklog(msgspec.Struct, tag="work", frozen=True):
--- a/src/beamhatch/relay/fleet/membership.py
+++ b/src/beamhatch/relay/fleet/membership.py
@@ -68,6 +68,8 @@
     hall: str
     link_mbps: float = 0.0
     """Speed of the VM's network link in Mbit/s; faster members rank higher."""
+    tunnel_port: int = 0
+    """Where it listens for tunnels to upstreams; 0 if it carries none."""
 
 
 class Mention(msgspec.Struct, frozen=True, array_like=True):
@@ -128,6 +130,15 @@
         self._known[member.address] = _KnownMember(member, seen_at)
         self._last_seen_at[member.address] = max(seen_at, self._last_seen_at.get(member.address, seen_at))
 
+    def list_others(self) -> list[Member]:
+        """Return the other members."""
+        return self._list_members()
+
+    def get_member(self, address: str) -> Member | None:
+        """Return the member that listens for peers at an address, or None."""
+        known = self._known.get(address)
+        return None if known is None else known.member
+
     def get_hall(self, address: str) -> str:
         """Return the hall of a member, or an empty string if it is unknown."""
         known = self._known.get(address)
--- a/src/beamhatch/relay/mechanism.py
+++ b/src/beamhatch/relay/mechanism.py
@@ -48,6 +48,8 @@
     """VMs send each other departures that upstreams announce; otherwise each VM learns them from the upstream."""
     SHARED_LIMITS = "shared-limits"
     """VMs count requests to an upstream with a rate limit together; otherwise each has an equal share of the limit."""
+    TUNNELS = "tunnels"
+    """VMs that lost their own links to upstreams connect to them by way of peers."""
     FEW_WATCHERS = "few-watchers"
     """A few VMs of each hall watch the store for the others; otherwise each VM watches it."""
 
--- a/src/beamhatch/relay/tunnels/api.py
+++ b/src/beamhatch/relay/tunnels/api.py
@@ -42,6 +42,10 @@
         :param direct_only: whether the connection must not go through a peer
         """
 
+    def should_keep(self, address: Address, proxy: Address | None) -> bool:
+        """Return whether a connection is kept for later calls."""
+        return True
+
 
 class DialObserver(ABC):
     """Observer of the outcome of direct connection attempts."""
--- a/src/beamhatch/relay/tunnels/monitor.py
+++ b/src/beamhatch/relay/tunnels/monitor.py
@@ -26,6 +26,8 @@
         self.reachability = Reachability()
         self.on_change: Callable[[ReachChange, Address], None] = lambda change, address: None
         """Called with a change, and the address whose attempt caused it."""
+        self.count_listed: Callable[[], int] = lambda: 0
+        """Returns the number of upstreams that are listed."""
         tally.gauges["upstreams_out_of_reach"] = lambda: float(len(self.reachability.list_blocked()))
         tally.gauges["cut_off_from_upstreams"] = lambda: float(self.reachability.is_cut_off)
 
@@ -35,7 +37,7 @@
 
     def record_unreachable(self, address: Address) -> None:
         """Record a direct attempt that was refused or not answered in time."""
-        self._report(self.reachability.record_unreachable(address, self._clock.now()), address)
+        self._report(self.reachability.record_unreachable(address, self.count_listed(), self._clock.now()), address)
 
     def describe(self) -> dict[str, object]:
         """Return the log fields of a request that failed: empty while all links work."""
--- a/src/beamhatch/relay/tunnels/reachability.py
+++ b/src/beamhatch/relay/tunnels/reachability.py
@@ -20,8 +20,11 @@
 FAILURES_TO_SUSPECT = 2
 """Different addresses that failed in a row after which this VM's own links are suspected."""
 
-FAILURES_TO_CUT_OFF = 3
-"""Different addresses that failed in a row after which this VM counts as cut off."""
+FAILURES_TO_CHECK = 3
+"""Different addresses that failed in a row after which others are probed, to tell a lost service from lost links."""
+
+FAILURES_TO_CUT_OFF = 5
+"""Different addresses that failed in a row after which this VM counts as cut off; fewer if fewer are listed."""
 
 FAILURE_TTL_S = 5.0
 """Seconds after which a failed attempt is no longer part of a row."""
@@ -31,6 +34,8 @@
     """What an attempt changed in the belief about this VM's links."""
 
     NONE = "none"
+    CHECK = "check"
+    """This VM's own links are suspected, and other upstreams are to be probed."""
     LOST = "lost"
     """One more address is out of reach."""
     REGAINED = "regained"
@@ -47,6 +52,8 @@
 
     is_cut_off: bool = False
     """Whether no upstream is believed to accept connections of this VM."""
+    _checks: bool = False
+    """Whether other upstreams were to be probed since any attempt succeeded."""
     _failures: dict[Address, int] = field(default_factory=dict)
     """Consecutive failed attempts, by address."""
     _row: dict[Address, float] = field(default_factory=dict)
@@ -58,18 +65,25 @@
         was_cut_off, self.is_cut_off = self.is_cut_off, False
         self._failures.pop(address, None)
         self._row.clear()
+        self._checks = False
         if was_cut_off:
             return ReachChange.RECONNECTED
         return ReachChange.REGAINED if was_blocked else ReachChange.NONE
 
-    def record_unreachable(self, address: Address, now: float) -> ReachChange:
-        """Record an attempt that was refused or not answered in time."""
+    def record_unreachable(self, address: Address, listed: int, now: float) -> ReachChange:
+        """Record an attempt that was refused or not answered in time.
+
+        :param listed: number of upstreams that are listed
+        """
         self._failures[address] = self._failures.get(address, 0) + 1
         self._drop_old(now)
         self._row[address] = now
-        if not self.is_cut_off and len(self._row) >= FAILURES_TO_CUT_OFF:
+        if not self.is_cut_off and len(self._row) >= min(FAILURES_TO_CUT_OFF, max(FAILURES_TO_SUSPECT, listed)):
             self.is_cut_off = True
             return ReachChange.CUT_OFF
+        if not self.is_cut_off and not self._checks and len(self._row) >= FAILURES_TO_CHECK:
+            self._checks = True
+            return ReachChange.CHECK
         return ReachChange.LOST if self._failures[address] == FAILURES_TO_BLOCK else ReachChange.NONE
 
     def is_blocked(self, address: Address) -> bool:
@@ -78,7 +92,7 @@
 
     def is_out_of_reach(self, address: Address) -> bool:
         """Return whether this VM's own links are believed not to lead to an address."""
-        return self.is_cut_off or self.is_blocked(address)
+        return self.is_cut_off or self._checks or self.is_blocked(address)
 
     def is_suspect(self, address: Address, now: float) -> bool:
         """Return whether the last failure at an address may be due to this VM's own links."""
@@ -89,6 +103,10 @@
         """Return the addresses that did not accept the last connections of this VM."""
         return [address for address in self._failures if self.is_blocked(address)]
 
+    def list_failed(self) -> list[Address]:
+        """Return the addresses whose last connection attempt failed."""
+        return list(self._failures)
+
     def keep_only(self, wanted: Collection[Address]) -> None:
         """Forget other addresses."""
         self._failures = {address: count for address, count in self._failures.items() if address in wanted}
@@ -96,4 +114,5 @@
 
     def _drop_old(self, now: float) -> None:
         if not self.is_cut_off:
+            self._checks = self._checks and any(now - at < FAILURE_TTL_S for at in self._row.values())
             self._row = {address: at for address, at in self._row.items() if now - at < FAILURE_TTL_S}
--- a/src/beamhatch/relay/upstreams/attempt.py
+++ b/src/beamhatch/relay/upstreams/attempt.py
@@ -14,7 +14,7 @@
     from beamhatch.relay.choosing.eligibility import SendPermit
     from beamhatch.relay.choosing.pace import PrefillEstimator
     from beamhatch.relay.choosing.rests import BackoffProbe
-    from beamhatch.relay.model import Upstream
+    from beamhatch.relay.model import Address, Upstream
     from beamhatch.relay.requests.exchange import RelayExchange
     from beamhatch.relay.requests.request import Send
     from beamhatch.relay.upstreams.http_client import Call, HttpExchange, ResponseHead
@@ -38,6 +38,8 @@
         """Probe of an upstream after its back-off, if this attempt is one."""
         self._http: HttpExchange | None = None
         self._sent = False
+        self._proxy: Address | None = None
+        """Peer that the request was sent through; None if it was sent directly."""
         self._ended = False
         self._timer: Any = None
         self._started_at = self.core.clock.now()
@@ -117,9 +119,12 @@
 
     # --- response ----------------------------------------------------------------------------------------------------
 
-    def handle_sent(self) -> None:
+    def handle_sent(self, proxy: Address | None) -> None:
         """Record that the request is being sent."""
         self._sent = True
+        self._proxy = proxy
+        if proxy is not None:
+            self.exchange.write_log("sent by way of a peer", to=self.send.upstream.id, proxy=str(proxy))
         now = self.core.clock.now()
         fields = self.core.announcements.record_send(self.send.upstream)
         if fields:
@@ -174,7 +179,8 @@
             fingerprint=self.exchange.fingerprint.hex(),
         )
         self.core.tally.count("send_faults_total", failure.value)
-        if failure is CallFailure.BROKEN and self._sent and self.send.stage is not Stage.PREFILL:
+        may_be_crash = failure is CallFailure.BROKEN and self._sent and self._proxy is None
+        if may_be_crash and self.send.stage is not Stage.PREFILL:
             self._report_broken_run(now - self._started_at)
         if self._sent:
             self.request.record_failed(self.send)
--- a/src/beamhatch/relay/upstreams/http_client.py
+++ b/src/beamhatch/relay/upstreams/http_client.py
@@ -16,7 +16,12 @@
 from twisted.internet import error
 from twisted.internet.protocol import Protocol, connectionDone
 
-from beamhatch.relay.callers.headers import decode_headers, parse_keep_alive_timeout, wants_close
+from beamhatch.relay.callers.headers import (
+    DEFAULT_KEEP_ALIVE_S,
+    decode_headers,
+    parse_keep_alive_timeout,
+    wants_close,
+)
 from beamhatch.relay.model import Address
 from beamhatch.relay.tunnels.api import DialReceiver
 from beamhatch.relay.tunnels.direct import DirectDialer
@@ -74,8 +79,11 @@
 class ResponseSink(ABC):
     """Receiver of the response to one call; ``handle_end`` or ``handle_failure`` is the last call to it."""
 
-    def handle_sent(self) -> None:  # noqa: B027 - most sinks need not know
-        """Handle the start of writing the request."""
+    def handle_sent(self, proxy: Address | None) -> None:  # noqa: B027 - most sinks need not know
+        """Handle the start of writing the request.
+
+        :param proxy: the peer that the connection goes through; None for a direct one
+        """
 
     def matches(self, head: ResponseHead) -> bool:
         """Return whether a response is to this call, not a late one to another call."""
@@ -101,9 +109,9 @@
 class HttpExchange:
     """Call in progress."""
 
-    def __init__(self, call: Call, sink: ResponseSink) -> None:
+    def __init__(self, call: Call, sink: ResponseSink | None) -> None:
         self.call = call
-        self.sink: ResponseSink | None = sink
+        self.sink = sink
         self.connection: Connection | None = None
 
     def cancel(self) -> None:
@@ -134,8 +142,10 @@
 class Connection(Protocol):
     """Connection that carries one call at a time."""
 
-    def __init__(self, client: HttpClient, address: Address) -> None:
+    def __init__(self, client: HttpClient, address: Address, proxy: Address | None = None) -> None:
         self.address = address
+        self.proxy = proxy
+        """Peer that the connection goes through; None for a direct one."""
         self.idle_until = 0.0
         self.idle_since = 0.0
         self.paused = False
@@ -156,7 +166,7 @@
         self._exchange = exchange
         exchange.connection = self
         if exchange.sink is not None:
-            exchange.sink.handle_sent()
+            exchange.sink.handle_sent(self.proxy)
         self.transport.write(self._encode(exchange.call))
 
     def abort(self) -> None:
@@ -261,6 +271,10 @@
         return b"".join(part for part in parts if part)
 
 
+_NO_CALL = Call("", "", [])
+"""Placeholder for the call of a connection that is opened for later ones."""
+
+
 class _Dial(DialReceiver):
     """Opening of the connection for one exchange."""
 
@@ -274,11 +288,9 @@
         """Return whether the exchange was not cancelled."""
         return self._exchange.sink is not None
 
-    def build_protocol(self, proxy: Address | None) -> Connection | None:
-        """Create the protocol, unless the exchange was cancelled."""
-        if self._exchange.sink is None:
-            return None
-        connection = _NewConnection(self._client, self._address, self._exchange)
+    def build_protocol(self, proxy: Address | None) -> Connection:
+        """Create the protocol; if the exchange was cancelled, the connection is kept for another one."""
+        connection = _NewConnection(self._client, self._address, proxy, self._exchange)
         self._client.add_open(connection)
         return connection
 
@@ -290,18 +302,18 @@
 class _NewConnection(Connection):
     """Connection that sends its first call as soon as it is established."""
 
-    def __init__(self, client: HttpClient, address: Address, exchange: HttpExchange) -> None:
-        super().__init__(client, address)
+    def __init__(self, client: HttpClient, address: Address, proxy: Address | None, exchange: HttpExchange) -> None:
+        super().__init__(client, address, proxy)
         self._first_exchange: HttpExchange | None = exchange
 
     def connectionMade(self) -> None:
-        """Send the first call, unless it was cancelled."""
+        """Send the first call, or keep the connection if that was cancelled."""
         super().connectionMade()
         exchange, self._first_exchange = self._first_exchange, None
         if exchange is not None and exchange.sink is not None:
             self.send(exchange)
         else:
-            self.abort()
+            self._client.add_idle(self, DEFAULT_KEEP_ALIVE_S)
 
 
 class HttpClient:
@@ -320,26 +332,47 @@
         """Start the periodic sweep of idle connections."""
         self._clock.call_later(SWEEP_INTERVAL_S, self._sweep)
 
-    def open(self, address: Address, call: Call, sink: ResponseSink, *, max_idle_s: float = 1e9) -> HttpExchange:
+    def open(
+        self,
+        address: Address,
+        call: Call,
+        sink: ResponseSink,
+        *,
+        max_idle_s: float = 1e9,
+        direct_only: bool = False,
+    ) -> HttpExchange:
         """Send a call on the last used idle connection if it is recent enough, otherwise on a new one.
 
         :param max_idle_s: limit on the idle time; low for calls that must not be retried after a stale connection
+        :param direct_only: whether the call must not go through a peer
         """
         exchange = HttpExchange(call, sink)
-        connection = self._pop_idle(address, max_idle_s)
+        connection = self._pop_idle(address, max_idle_s, direct_only=direct_only)
         if connection is not None:
             connection.send(exchange)
             return exchange
-        self.opened_count += 1
-        self._dialer.connect(address, _Dial(self, address, exchange), self._connect_timeout)
+        self._dial(address, exchange, direct_only=direct_only)
         return exchange
 
+    def warm(self, address: Address) -> None:
+        """Open a direct connection without a call, and keep it for later ones."""
+        exchange = HttpExchange(_NO_CALL, None)
+        self._dial(address, exchange, direct_only=True)
+
+    def _dial(self, address: Address, exchange: HttpExchange, *, direct_only: bool) -> None:
+        self.opened_count += 1
+        dial = _Dial(self, address, exchange)
+        self._dialer.connect(address, dial, self._connect_timeout, direct_only=direct_only)
+
     def list_open(self, address: Address) -> Set[Connection]:
-        """Return the open connections to an address."""
-        return frozenset(self._open.get(address, ()))
+        """Return the open direct connections to an address."""
+        return frozenset(one for one in self._open.get(address, ()) if one.proxy is None)
 
     def add_idle(self, connection: Connection, idle_timeout: float) -> None:
-        """Add an idle connection to the pool, to expire before the peer closes it."""
+        """Add an idle connection to the pool, to expire before the peer closes it; close it if it is not kept."""
+        if not self._dialer.should_keep(connection.address, connection.proxy):
+            connection.transport.loseConnection()
+            return
         now = self._clock.now()
         connection.idle_since = now
         connection.idle_until = now + max(0.0, min(idle_timeout - 1.0, idle_timeout * 0.7))
@@ -355,28 +388,45 @@
         left.discard(connection)
         if not left:
             self._open.pop(connection.address, None)
-        idle = self._idle.get(connection.address)
-        if idle is not None and connection in idle:
-            idle.remove(connection)
-            if not idle:
-                del self._idle[connection.address]
+        self._remove_idle(connection)
 
     def close_idle(self, address: Address) -> None:
         """Close the idle connections to an address."""
         for connection in self._idle.pop(address, []):
             connection.transport.loseConnection()
 
-    def _pop_idle(self, address: Address, max_idle_s: float) -> Connection | None:
+    def close_idle_by_way(self, proxy: Address | None, address: Address | None = None) -> None:
+        """Close the idle connections that go through a peer, or the direct ones if ``proxy`` is None.
+
+        :param address: the upstream whose connections are closed; None for all
+        """
+        for found in list(self._idle) if address is None else [address]:
+            for connection in [one for one in self._idle.get(found, ()) if one.proxy == proxy]:
+                self._remove_idle(connection)
+                connection.transport.loseConnection()
+
+    def close_idle_tunnels(self) -> None:
+        """Close the idle connections that go through peers."""
+        proxies = {one.proxy for idle in self._idle.values() for one in idle if one.proxy is not None}
+        for proxy in proxies:
+            self.close_idle_by_way(proxy)
+
+    def _remove_idle(self, connection: Connection) -> None:
+        idle = self._idle.get(connection.address)
+        if idle is not None and connection in idle:
+            idle.remove(connection)
+            if not idle:
+                del self._idle[connection.address]
+
+    def _pop_idle(self, address: Address, max_idle_s: float, *, direct_only: bool) -> Connection | None:
         now = self._clock.now()
-        idle = self._idle.get(address)
+        idle = [one for one in self._idle.get(address, ()) if one.proxy is None or not direct_only]
         if not idle:
             return None
         newest = idle[-1]
         if now >= newest.idle_until or now - newest.idle_since > max_idle_s:
             return None
-        idle.pop()
-        if not idle:
-            del self._idle[address]
+        self._remove_idle(newest)
         return newest
 
     def _sweep(self) -> None:
--- a/src/beamhatch/relay/upstreams/http_fetch.py
+++ b/src/beamhatch/relay/upstreams/http_fetch.py
@@ -71,7 +71,7 @@
 
 
 def fetch(
-    client: HttpClient, clock: Clock, address: Address, call: Call, timeout: float
+    client: HttpClient, clock: Clock, address: Address, call: Call, timeout: float, *, direct_only: bool = False
 ) -> defer.Deferred[BufferedResponse | str]:
     """Send a call; the deferred fires with the response, or with the error as text.
 
@@ -79,7 +79,8 @@
     are closed as well: they may have stopped delivering together with this one.
 
     :param timeout: seconds
+    :param direct_only: whether the call must not go through a peer
     """
     sink = _Fetch(clock, timeout, lambda: client.close_idle(address))
-    sink.exchange = client.open(address, call, sink)
+    sink.exchange = client.open(address, call, sink, direct_only=direct_only)
     return sink.done
--- a/src/beamhatch/relay/upstreams/listing.py
+++ b/src/beamhatch/relay/upstreams/listing.py
@@ -15,7 +15,7 @@
 if TYPE_CHECKING:
     from collections.abc import Collection, Iterable
 
-    from beamhatch.relay.model import Incarnation
+    from beamhatch.relay.model import Address, Incarnation
 
 GONE_GRACE_SHARE = 0.85
 """Share of the drain time for which an upstream whose entry was removed is still used."""
@@ -92,6 +92,10 @@
     departures: Departures = field(default_factory=Departures)
     """Departing incarnations, which are never used again, whatever their entries say."""
     _records: dict[UpstreamId, _Record] = field(default_factory=dict)
+    _by_address: dict[Address, Upstream] | None = None
+    """Index for ``find_at``, built when it is needed; None after each change."""
+    _addresses: list[Address] | None = None
+    """Cached result of ``list_addresses``; None after each change."""
     _listed: dict[ServiceName, list[Upstream]] = field(default_factory=dict)
     """Cached results of ``list_usable`` that do not depend on the time; cleared by each change."""
 
@@ -102,6 +106,7 @@
             return False
         self.newest_revision = max(self.newest_revision, entry.revision)
         self._listed.clear()
+        self._by_address = self._addresses = None
         if known is None:
             known = self._records[entry.id] = _Record(entry, entry.upstream, now, now)
         else:
@@ -227,6 +232,23 @@
         known = self._records.get(upstream)
         return None if known is None else known.last_upstream
 
+    def find_at(self, address: Address) -> Upstream | None:
+        """Return the upstream last listed at an address, also after its entry was removed; None if there is none."""
+        return self._index_addresses().get(address)
+
+    def list_addresses(self) -> Collection[Address]:
+        """Return the addresses of the upstreams that are listed."""
+        if self._addresses is None:
+            listed = (known.entry.upstream for known in self._records.values())
+            self._addresses = [one.address for one in listed if one is not None]
+        return self._addresses
+
+    def _index_addresses(self) -> dict[Address, Upstream]:
+        if self._by_address is None:
+            known = sorted(self._records.values(), key=lambda one: one.entry.revision)
+            self._by_address = {one.last_upstream.address: one.last_upstream for one in known if one.last_upstream}
+        return self._by_address
+
     def get(self, upstream: UpstreamId) -> Upstream | None:
         """Return an upstream, or None if it is not listed."""
         known = self._records.get(upstream)
@@ -251,6 +273,7 @@
         ]
         for name in old:
             del self._records[name]
+            self._by_address = None
         self.departures.drop_expired(self._records, now - TOMBSTONE_TTL_S)
 
 
--- /dev/null
+++ b/tests/platform/test_tunnels.py
@@ -0,0 +1,198 @@
+"""What must hold for requests that reach upstreams by way of a peer."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+import pytest
+from twisted.internet import defer
+
+from beamhatch.relay.engines.balancing import PhaseChange
+from beamhatch.relay.mechanism import Mechanism
+from beamhatch.relay.model import Phase, ServiceName, UpstreamId
+from tests.support.platform import MODEL, SENT_TO
+from tests.support.reach_fleet import CALLER_PATIENCE_S, Loss, ReachFleet
+from tests.support.reach_spell import ReachSpell, find_answer_fault
+
+LOST = "vm0"
+PEERS = ("vm1", "vm2")
+MAY_HAVE_RUN = {0, 200, 502, 504}
+"""Statuses that promise nothing; 0 is a closed connection."""
+
+SPELLS = 5
+"""Drawn spells that are played each time; ``python -m tests.soak.reach`` plays more."""
+
+
+def make_fleet(how: Loss = Loss.RESET, *, lost: tuple[str, ...] = (LOST,), size: int = 3) -> ReachFleet:
+    """Return a fleet some of whose VMs have lost their links, and know it."""
+    fleet = ReachFleet(size=size, per_hall=2)
+    fleet.run(1.0)
+    fleet.lose(lost, how)
+    fleet.run(3.0)
+    fleet.finish()
+    return fleet
+
+
+def find_carriers(fleet: ReachFleet) -> list[str]:
+    """Return the VMs that carry tunnels."""
+    return [name for name, vm in fleet.platform.vms.items() if vm.tunnels.server.tunnels]
+
+
+def list_busy(fleet: ReachFleet, request: str) -> list[str]:
+    """Return the upstreams at which a request runs."""
+    found = fleet.platform.upstreams.items()
+    return [name for name, one in found if any(run.request == request for run in one.runs)]
+
+
+@pytest.mark.parametrize("power", [False, True], ids=["killed", "power lost"])
+@pytest.mark.parametrize("path", ["/unsafe/x", "/stream/x"])
+def test_a_request_runs_twice_or_is_denied_as_the_peer_that_carries_it_dies(path: str, power: bool) -> None:
+    """At each moment from the dial to the end of the answer."""
+    for step in range(0, 130, 10):
+        fleet = make_fleet()
+        call = fleet.send(LOST, path)
+        fleet.platform.network.run(step / 1000)
+        for peer in find_carriers(fleet):
+            fleet.platform.network.kill(peer, resets=not power)
+        fleet.finish()
+        runs = fleet.platform.ledger.runs[call.request]
+        assert runs <= 1
+        assert not runs or call.caller.status in MAY_HAVE_RUN
+        assert not find_answer_fault(call)
+
+
+def test_a_resumable_stream_breaks_off_as_the_peer_that_carries_it_dies() -> None:
+    served = 0
+    for step in range(60, 200, 20):
+        fleet = make_fleet()
+        call = fleet.send(LOST, "/resumable/x")
+        fleet.platform.network.run(step / 1000)
+        for peer in find_carriers(fleet)[:1]:
+            fleet.platform.network.kill(peer)
+        fleet.finish()
+        assert not find_answer_fault(call)
+        served += call.is_served
+    assert served == len(range(60, 200, 20))
+
+
+@pytest.mark.parametrize(("path", "upstream"), SENT_TO)
+def test_a_run_goes_on_for_a_caller_that_left_a_vm_without_links(path: str, upstream: str) -> None:
+    fleet = make_fleet()
+    call = fleet.send(LOST, path)
+    kind = upstream.partition("-")[0]
+    busy = fleet.platform.network.run_until(
+        lambda: [one for one in list_busy(fleet, call.request) if one.startswith(kind)], 2.0
+    )
+    assert busy
+    call.caller.leave()
+    fleet.platform.network.run(0.5)
+    assert not list_busy(fleet, call.request)
+
+
+def test_an_answer_is_cut_off_as_the_peer_that_carries_it_is_told_to_stop() -> None:
+    fleet = make_fleet()
+    calls = [fleet.send(LOST, path) for path in ("/stream/x", "/unsafe/x", "/resumable/x")]
+    fleet.platform.network.run(0.05)
+    stopping = find_carriers(fleet)[0]
+    fleet.platform.vms[stopping].stop()
+    fleet.platform.network.run(1.0)
+    assert all(call.is_served for call in calls)
+    opened = fleet.platform.vms[stopping].tally.counts["tunnels_requested_total", "opened"]
+    later = [fleet.send(LOST) for _ in range(10)]
+    fleet.finish()
+    assert all(call.is_served for call in later)
+    assert fleet.platform.vms[stopping].tally.counts["tunnels_requested_total", "opened"] == opened
+    assert not fleet.platform.vms[stopping].tunnels.server.tunnels
+
+
+@pytest.mark.parametrize("how", Loss, ids=lambda how: how.value)
+def test_a_caller_waits_for_nothing_as_no_vm_has_a_link(how: Loss) -> None:
+    """What can't be served is refused at once, with a time to come back."""
+    fleet = make_fleet(how, lost=(LOST, *PEERS))
+    assert all(vm.core.reach.reachability.is_cut_off for vm in fleet.platform.vms.values())
+    calls = [fleet.send(vm, path) for vm in (LOST, *PEERS) for path in ("/safe/x", "/unsafe/x", "/stream/x")]
+    fleet.platform.network.run(0.1)
+    assert Counter(call.caller.status for call in calls) == {503: len(calls)}
+    assert all("Retry-After" in call.caller.head for call in calls)
+    fleet.heal((LOST, *PEERS))
+    fleet.platform.network.run(2.0)
+    calls = [fleet.send(vm, path) for vm in (LOST, *PEERS) for path in ("/safe/x", "/unsafe/x", "/stream/x")]
+    fleet.finish()
+    assert all(call.is_served for call in calls)
+
+
+@pytest.mark.parametrize("kind", ["plain", "decode", "prefill"])
+@pytest.mark.parametrize("how", Loss, ids=lambda how: how.value)
+def test_a_service_is_refused_as_the_links_to_its_upstreams_alone_are_lost(kind: str, how: Loss) -> None:
+    fleet = ReachFleet(size=3, per_hall=2)
+    fleet.run(1.0)
+    fleet.lose((LOST,), how, fleet.list_upstream_hosts(kind))
+    fleet.run(3.0)
+    began = fleet.now
+    fleet.run(4.0)
+    fleet.finish()
+    served, sent = fleet.count((LOST,), began)
+    assert served >= sent - 1
+    assert not fleet.platform.vms[LOST].core.reach.reachability.is_cut_off
+
+
+def test_healed_links_stay_unused_while_peers_carry_on() -> None:
+    fleet = make_fleet(Loss.SILENT)
+    fleet.run(1.0)
+    fleet.heal((LOST,))
+    fleet.run(2.0)
+    assert not fleet.platform.vms[LOST].core.reach.describe()
+    carried = fleet.platform.vms[LOST].tally.counts["connections_by_way_total", "tunnel"]
+    fleet.run(5.0)
+    assert fleet.platform.vms[LOST].tally.counts["connections_by_way_total", "tunnel"] == carried
+    assert not find_carriers(fleet)
+
+
+def test_an_order_reaches_an_engine_from_another_vm_than_the_leader() -> None:
+    fleet = make_fleet()
+    vm = fleet.platform.vms[LOST]
+    engine = vm.core.listing.get_last_listed(UpstreamId("prefill-0"))
+    assert engine is not None
+    assert vm._phase_controller is not None
+    demand = vm._phase_controller._compute_demand(vm.core.table.services[ServiceName(MODEL)])  # type: ignore[union-attr]
+    defer.ensureDeferred(vm._phase_controller._order(PhaseChange(engine, Phase.DECODE), demand))
+    fleet.platform.network.run(2.0)
+    assert not [order for order in fleet.platform.ledger.orders if order.holder == LOST]
+
+
+def test_a_vm_that_tells_no_longer_that_it_carries_tunnels_is_asked() -> None:
+    fleet = make_fleet()
+    fleet.lose((PEERS[0],), Loss.RESET)
+    fleet.run(3.0)
+    fleet.finish()
+    opened = fleet.platform.vms[PEERS[0]].tally.counts["tunnels_requested_total", "opened"]
+    began = fleet.now
+    fleet.run(3.0)
+    fleet.finish()
+    served, sent = fleet.count(fleet.platform.vms, began)
+    assert served == sent
+    assert fleet.platform.vms[PEERS[0]].tally.counts["tunnels_requested_total", "opened"] == opened
+
+
+def test_upstreams_get_more_time_than_callers_have_by_way_of_a_peer() -> None:
+    fleet = make_fleet()
+    fleet.run(2.0)
+    assert max(fleet.platform.ledger.deadlines) <= CALLER_PATIENCE_S * 1000
+
+
+def test_without_tunnels_a_vm_without_links_serves_nothing() -> None:
+    fleet = ReachFleet(size=3, per_hall=2, without=frozenset({Mechanism.TUNNELS}))
+    fleet.lose((LOST,), Loss.RESET)
+    fleet.run(3.0)
+    began = fleet.now
+    fleet.run(3.0)
+    fleet.finish()
+    served, sent = fleet.count((LOST,), began)
+    assert served < sent / 10
+
+
+@pytest.mark.parametrize("seed", range(SPELLS))
+def test_promises_are_broken_as_links_are_lost_beside_other_disruptions(seed: int) -> None:
+    spell = ReachSpell(seed)
+    broken = spell.play()
+    assert not broken, "\n".join([*broken, *spell.lines])
--- a/tests/relay/upstreams/test_http_client.py
+++ b/tests/relay/upstreams/test_http_client.py
@@ -47,7 +47,7 @@
         self.outcome: str | CallFailure = ""
         self.sent = False
 
-    def handle_sent(self) -> None:
+    def handle_sent(self, proxy: Address | None) -> None:
         self.sent = True
 
     def matches(self, head: ResponseHead) -> bool:
--- a/tests/support/network.py
+++ b/tests/support/network.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 from collections import Counter
 from typing import TYPE_CHECKING, Any
 
@@ -18,6 +19,9 @@
 """Seconds that a message takes."""
 
 STEP = 0.005
+PROBE_INTERVAL = 1.0
+"""Seconds between two keep-alive probes."""
+
 WINDOW = 256 * 1024
 """Bytes that wait for a reader before the writer is asked to pause."""
 
@@ -50,10 +54,17 @@
 
 
 class _Handle:
-    """Takes socket options and ignores them."""
+    """Takes socket options; only keep-alive and the user timeout have an effect."""
+
+    def __init__(self, transport: Transport) -> None:
+        self._transport = transport
 
-    def setsockopt(self, *_: int) -> None:
-        """Ignore an option."""
+    def setsockopt(self, level: int, option: int, value: int) -> None:
+        """Set an option."""
+        if (level, option) == (socket.SOL_SOCKET, socket.SO_KEEPALIVE):
+            self._transport.keep_alive()
+        elif (level, option) == (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT):
+            self._transport.user_timeout_s = value / 1000
 
     def getsockopt(self, *_: int) -> int:
         """Return nothing of use."""
@@ -76,6 +87,9 @@
         self.disconnecting = False
         self.silent = False
         """True once nothing gets through any more, in either direction, and nobody is told."""
+        self.user_timeout_s = 8.0
+        """Seconds without an answer to keep-alive probes after which the connection is lost."""
+        self._unanswered_s = 0.0
         self._reading = True
         self._inbox: list[tuple[str, Any]] = []
         self.waiting = 0
@@ -128,7 +142,24 @@
 
     def getHandle(self) -> _Handle:
         """Return something that takes socket options."""
-        return _Handle()
+        return _Handle(self)
+
+    def keep_alive(self) -> None:
+        """Probe the other end as a kernel does, which goes on while the process stands still."""
+        self.network.callLater(PROBE_INTERVAL, self._probe)
+
+    def _probe(self) -> None:
+        if not self.connected:
+            return
+        answered = not self.silent and not self.network.is_cut(self.host, self.peer_host)
+        if answered and not self.other.connected:
+            self.network.run_on(self.host, self._lose, error.ConnectionLost())
+            return
+        self._unanswered_s = 0.0 if answered else self._unanswered_s + PROBE_INTERVAL
+        if self._unanswered_s >= self.user_timeout_s:
+            self.network.run_on(self.host, self._lose, error.ConnectionLost())
+        else:
+            self.network.callLater(PROBE_INTERVAL, self._probe)
 
     # --- delivery ----------------------------------------------------------------------------------------------------
 
--- a/tests/support/platform.py
+++ b/tests/support/platform.py
@@ -346,6 +346,7 @@
             retry_budget=RetryBudgetLimits(0.2, 56, 10),
             quota=quota or QuotaTerms(),
             peer_address=Address(name, 8002),
+            tunnel_address=Address(name, 8003),
             seeds=seeds or [],
             topology=places or self.places,
             disabled=without,
--- a/tests/support/reach_fleet.py
+++ b/tests/support/reach_fleet.py
@@ -144,7 +144,8 @@
         path = path or self.rng.choice(PATHS)
         request = f"r{len(self.calls)}"
         caller = self.platform.connect(vm)
-        caller.send(make_request(path, request, headers={"Deadline-Ms": f"{CALLER_PATIENCE_S * 1000:.0f}"}))
+        if caller.transport is not None:  # the VM accepted the connection
+            caller.send(make_request(path, request, headers={"Deadline-Ms": f"{CALLER_PATIENCE_S * 1000:.0f}"}))
         call = Call(request, vm, path, self.now, caller)
         self.calls.append(call)
         return call
