Take back failure rates that came from a VM without links

Cause: a VM tells its peers the failure rates of its own requests, and those of one that is cut off are its links'.

Change: a VM that is cut off tells none, and says that it is; its peers then go back to the rates of their own requests. Rates that another VM told are lost with them, and are told again with its next failure.

--- a/src/beamhatch/relay/choosing/standing.py
+++ b/src/beamhatch/relay/choosing/standing.py
@@ -116,6 +116,10 @@
         self.unresponsive_until = -1e9
         self._failure_rate = self._own_failure_rate = 0.0
 
+    def drop_peer_failure_rate(self) -> None:
+        """Go back to the failure rate of this VM's own requests."""
+        self._failure_rate = self._own_failure_rate
+
     def should_skip(self, now: float) -> bool:
         """Return whether it is unreachable and not due for another probe."""
         unreachable = self.unresponsive_count >= UNREACHABLE_THRESHOLD and now < self.unresponsive_until
@@ -219,6 +223,11 @@
         for name in list(self._stats) if upstreams is None else upstreams:
             self.get(name).forget_failures()
 
+    def drop_peer_failure_rates(self) -> None:
+        """Go back to the failure rates of this VM's own requests."""
+        for one in self._stats.values():
+            one.drop_peer_failure_rate()
+
     def list_unresponsive(self, now: float) -> set[UpstreamId]:
         """Return the upstreams that are unresponsive according to own requests or reports of other VMs."""
         return {
--- a/src/beamhatch/relay/fleet/gossip.py
+++ b/src/beamhatch/relay/fleet/gossip.py
@@ -528,7 +528,7 @@
             core.version,
             core.revision,
             core.make_demand_reports(),
-            core.stats.get_own_failure_rates(MIN_FAILURE_RATE, now),
+            {} if core.reach.reachability.is_cut_off else core.stats.get_own_failure_rates(MIN_FAILURE_RATE, now),
             core.phase_changes.list_updates(now),
             core.stats.get_pending_prefill_tokens(),
             list(readings),
--- a/src/beamhatch/relay/tunnels/service.py
+++ b/src/beamhatch/relay/tunnels/service.py
@@ -126,6 +126,8 @@
         state = heartbeat.carrying
         if state is None or self._core is None:
             return
+        if state.cut_off:
+            self._core.stats.drop_peer_failure_rates()  # its failures may have been due to its own links
         if not state.accepts:
             self.forget_peer(connection)
 
--- a/tests/platform/test_tunnels.py
+++ b/tests/platform/test_tunnels.py
@@ -148,6 +148,20 @@
     assert not find_carriers(fleet)
 
 
+@pytest.mark.parametrize("how", Loss, ids=lambda how: how.value)
+def test_failures_of_a_vm_without_links_are_held_against_upstreams_by_others(how: Loss) -> None:
+    fleet = ReachFleet(size=3, per_hall=2)
+    fleet.run(1.0)
+    fleet.lose((LOST,), how)
+    while not fleet.platform.vms[LOST].core.reach.reachability.is_cut_off:
+        fleet.run(0.05)
+    fleet.run(0.1)
+    for vm in PEERS:
+        core = fleet.platform.vms[vm].core
+        rates = {one: core.stats.get(one).get_failure_rate(fleet.now) for one in core.listing.list_ids()}
+        assert not {one: rate for one, rate in rates.items() if rate >= 0.2}
+
+
 def test_an_order_reaches_an_engine_from_another_vm_than_the_leader() -> None:
     fleet = make_fleet()
     vm = fleet.platform.vms[LOST]
