Have a leader that is cut off from upstreams order no phase changes

An order that it decides on can't arrive, and marks the engine as changing on all VMs.

The leader counts upstreams that its own links do not lead to as unresponsive.

Change: it evaluates nothing while it is cut off. The lease is kept: phase changes wait for its links.

--- a/src/beamhatch/relay/engines/ordering.py
+++ b/src/beamhatch/relay/engines/ordering.py
@@ -105,7 +105,7 @@
     def _evaluate_all(self) -> None:
         now = self.core.clock.now()
         table = self.core.table
-        if table is None or not self._leadership.lease.may_order(now):
+        if table is None or not self._leadership.lease.may_order(now) or self.core.reach.reachability.is_cut_off:
             return
         for service in table.services.values():
             if service.engine is not None:
--- a/tests/platform/test_tunnels.py
+++ b/tests/platform/test_tunnels.py
@@ -174,6 +174,20 @@
     assert not [order for order in fleet.platform.ledger.orders if order.holder == LOST]
 
 
+def test_a_leader_without_links_decides_on_phases_by_what_it_does_not_reach() -> None:
+    fleet = ReachFleet(size=3, per_hall=2)
+    fleet.run(6.0)
+    leader = next(
+        vm for vm in fleet.platform.vms.values() if vm.leadership and vm.leadership.lease.may_order(fleet.now)
+    )
+    fleet.lose((leader.settings.vm,), Loss.SILENT)
+    fleet.run(2.0)
+    lines = fleet.platform.journals[leader.settings.vm].lines
+    before = len([line for line in lines if line["event"] in ("weighed", "orders")])
+    fleet.run(10.0)
+    assert len([line for line in lines if line["event"] in ("weighed", "orders")]) == before
+
+
 def test_a_vm_that_tells_no_longer_that_it_carries_tunnels_is_asked() -> None:
     fleet = make_fleet()
     fleet.lose((PEERS[0],), Loss.RESET)
