Tell peers which upstreams a VM does not reach, and ask none that told so

Cause: a peer that serves other upstreams is not cut off, so it accepted tunnels, and the word of its failure lasted for 1 s.

Change: heartbeats list up to 32 upstreams that are out of reach; such peers are not asked for them, and refuse at once.

--- a/src/beamhatch/relay/fleet/gossip_message.py
+++ b/src/beamhatch/relay/fleet/gossip_message.py
@@ -35,6 +35,9 @@
 MAX_DEPARTURES = 256
 """Maximum number of departures in one message."""
 
+MAX_OUT_OF_REACH = 32
+"""Maximum number of upstreams out of reach in one message; a VM that has more accepts no tunnels."""
+
 MAX_LIMITS = 256
 """Maximum number of limits, and of request counts, in one message."""
 
@@ -80,6 +83,8 @@
     """Whether it believes that its own links lead to no upstream."""
     tunnels: int = 0
     """Number of tunnels that it carries, rounded so that small changes are not sent."""
+    out_of_reach: tuple[str, ...] = ()
+    """Addresses of upstreams that its own links do not lead to, at most ``MAX_OUT_OF_REACH``."""
 
 
 class Heartbeat(msgspec.Struct, tag="beat", frozen=True, omit_defaults=True):
--- a/src/beamhatch/relay/tunnels/message.py
+++ b/src/beamhatch/relay/tunnels/message.py
@@ -35,6 +35,8 @@
     """Its listing has no upstream at the address."""
     UNREACHABLE = "unreachable"
     """The upstream did not accept its connection."""
+    OUT_OF_REACH = "out of reach"
+    """It made no attempt, as the last ones failed."""
 
 
 class OpenTunnel(msgspec.Struct, tag="open", frozen=True):
--- a/src/beamhatch/relay/tunnels/proxies.py
+++ b/src/beamhatch/relay/tunnels/proxies.py
@@ -42,6 +42,8 @@
     """Tunnels that it carried when it last told."""
     is_confirmed: bool = True
     """Whether it told that it accepts tunnels; otherwise nothing is known."""
+    out_of_reach: frozenset[str] = frozenset()
+    """Addresses of upstreams that it told it does not reach, as text."""
 
 
 @dataclass(slots=True)
@@ -65,13 +67,15 @@
         :param hall: hall of the upstream
         :param tried: peers that failed for the same connection
         """
-        usable = [one for one in offered if one.address not in tried and self._may_ask(one.address, upstream, now)]
+        name = str(upstream)
+        untried = (one for one in offered if one.address not in tried and name not in one.out_of_reach)
+        usable = [one for one in untried if self._may_ask(one.address, upstream, now)]
         confirmed = [one for one in usable if one.is_confirmed]
         return min(confirmed or usable, key=lambda one: self._compute_cost(one, hall) + random.random(), default=None)
 
     def record_refused(self, proxy: Address, upstream: Address, reason: Refusal, now: float) -> None:
         """Record that a peer opened no tunnel."""
-        if reason in (Refusal.UNREACHABLE, Refusal.UNKNOWN_UPSTREAM):
+        if reason in (Refusal.UNREACHABLE, Refusal.OUT_OF_REACH, Refusal.UNKNOWN_UPSTREAM):
             self._unreachable_until[proxy, upstream] = now + UNREACHABLE_PAUSE_S
         else:
             self._paused_until[proxy] = now + REFUSED_PAUSE_S
--- a/src/beamhatch/relay/tunnels/service.py
+++ b/src/beamhatch/relay/tunnels/service.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from beamhatch.relay.fleet.gossip_message import CarryingState
+from beamhatch.relay.fleet.gossip_message import MAX_OUT_OF_REACH, CarryingState
 from beamhatch.relay.model import Address
 from beamhatch.relay.tunnels.dialer import PathDialer
 from beamhatch.relay.tunnels.message import Refusal
@@ -92,9 +92,10 @@
             core.client.close_idle_by_way(None)
         elif change is not ReachChange.CHECK:
             core.client.close_idle_tunnels()
+        if change is not ReachChange.CHECK:
+            self.on_state_change()
         if change in (ReachChange.CUT_OFF, ReachChange.RECONNECTED):
             core.stats.forget_failures()
-            self.on_state_change()
         elif change is ReachChange.REGAINED and found is not None:
             core.stats.forget_failures([found.id])
         prober.handle_change(change)
@@ -110,12 +111,12 @@
             member = self._membership.get_member(connection.address)
             state = connection.received.carrying
             if member is not None and state.accepts and now - connection.last_received_at < MAX_STATE_AGE_S:
-                accepting[member.address] = _make_proxy(member, state.tunnels)
+                accepting[member.address] = _make_proxy(member, state)
         if accepting:
             return [one for one in accepting.values() if one.address.port]
         connected = {connection.address for connection in connections}
         others = [one for one in self._membership.list_others() if one.address not in connected and one.tunnel_port]
-        return [_make_proxy(one, 0, is_confirmed=False) for one in others]
+        return [_make_proxy(one) for one in others]
 
     def _find_hall(self, address: Address) -> str:
         found = None if self._core is None else self._core.listing.find_at(address)
@@ -135,7 +136,7 @@
         """Close the idle tunnels through a peer that carries none any longer, or is lost."""
         member = None if self._membership is None else self._membership.get_member(connection.address)
         if member is not None and self._core is not None:
-            self._core.client.close_idle_by_way(_make_proxy(member, 0).address)
+            self._core.client.close_idle_by_way(_make_proxy(member).address)
 
     # --- tunnels that this VM carries --------------------------------------------------------------------------------
 
@@ -143,10 +144,12 @@
     def state(self) -> CarryingState:
         """Return what peers are told."""
         count = len(self.server.tunnels)
+        blocked = sorted(str(address) for address in self._reach.reachability.list_blocked())
         return CarryingState(
-            self._may_carry and count < MAX_TUNNELS,
+            self._may_carry and count < MAX_TUNNELS and len(blocked) <= MAX_OUT_OF_REACH,
             self._reach.reachability.is_cut_off,
             count - count % COUNT_STEP,
+            tuple(blocked[:MAX_OUT_OF_REACH]),
         )
 
     @property
@@ -163,6 +166,8 @@
             return Refusal.FULL
         if self._core.listing.find_at(get_address(request)) is None:
             return Refusal.UNKNOWN_UPSTREAM
+        if self._reach.reachability.is_blocked(get_address(request)):
+            return Refusal.OUT_OF_REACH
         return None
 
     def record_result(self, request: OpenTunnel, refusal: Refusal | None) -> None:
@@ -181,6 +186,8 @@
         """Do nothing: the number of tunnels is told with the next regular heartbeat."""
 
 
-def _make_proxy(member: Member, tunnels: int, *, is_confirmed: bool = True) -> Proxy:
-    host = member.address.rpartition(":")[0]
-    return Proxy(Address(host, member.tunnel_port), member.hall, tunnels, is_confirmed)
+def _make_proxy(member: Member, state: CarryingState | None = None) -> Proxy:
+    address = Address(member.address.rpartition(":")[0], member.tunnel_port)
+    if state is None:
+        return Proxy(address, member.hall, is_confirmed=False)
+    return Proxy(address, member.hall, state.tunnels, out_of_reach=frozenset(state.out_of_reach))
--- a/tests/platform/test_tunnels.py
+++ b/tests/platform/test_tunnels.py
@@ -11,7 +11,7 @@
 from beamhatch.relay.mechanism import Mechanism
 from beamhatch.relay.model import Phase, ServiceName, UpstreamId
 from tests.support.platform import MODEL, SENT_TO
-from tests.support.reach_fleet import CALLER_PATIENCE_S, Loss, ReachFleet
+from tests.support.reach_fleet import CALLER_PATIENCE_S, CONTACT_S, Loss, ReachFleet
 from tests.support.reach_spell import ReachSpell, find_answer_fault
 
 LOST = "vm0"
@@ -136,6 +136,33 @@
     assert not fleet.platform.vms[LOST].core.reach.reachability.is_cut_off
 
 
+@pytest.mark.parametrize("seed", range(3))
+def test_a_vm_is_asked_for_upstreams_that_it_told_it_does_not_reach(seed: int) -> None:
+    """Half of the VMs lose the links to one service, and serve others; one request may cross the word."""
+    fleet = ReachFleet(size=6, per_hall=2, seed=seed)
+    lost = ("vm0", "vm2", "vm4")
+    fleet.run(1.0)
+    fleet.lose(lost, Loss.SILENT, fleet.list_upstream_hosts("decode", "prefill"))
+    began = fleet.now
+    fleet.run(10.0)
+    fleet.finish()
+    assert max(count_asked_in_vain(fleet, vm) for vm in lost) <= 1
+    served, sent = fleet.count(lost, began + CONTACT_S)
+    assert served == sent
+
+
+def count_asked_in_vain(fleet: ReachFleet, vm: str) -> int:
+    """Return how often a VM was asked for the same upstream while that was out of its reach, at most."""
+    asked: Counter[str] = Counter()
+    blocked = set()
+    for line in fleet.platform.journals[vm].lines:
+        if line["part"] == "REACH" and line["event"] == "lost":
+            blocked.add(line["address"])
+        elif line["part"] == "TUNNEL" and line["event"] == "requested" and line["address"] in blocked:
+            asked[line["address"]] += 1
+    return max(asked.values(), default=0)
+
+
 def test_healed_links_stay_unused_while_peers_carry_on() -> None:
     fleet = make_fleet(Loss.SILENT)
     fleet.run(1.0)
