--- a/src/beamhatch/relay/core.py
+++ b/src/beamhatch/relay/core.py
@@ -5,11 +5,11 @@
 import math
 from collections import Counter, defaultdict
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 from beamhatch.relay.api import BadRequest
 from beamhatch.relay.callers.error_response import send_error
-from beamhatch.relay.choosing.cold_transitions import ColdTransitions
+from beamhatch.relay.choosing.cold_transitions import ColdLog
 from beamhatch.relay.choosing.eligibility import Eligibility, Obstacle
 from beamhatch.relay.choosing.lack import Shortage, detect_shortage
 from beamhatch.relay.choosing.pace import PrefillEstimators, PrefillModel
@@ -68,12 +68,6 @@
 Without it, all VMs would prefer an upstream that has just started, since it is empty, although it is slow.
 """
 
-COLD_CHECK_INTERVAL_S = 1.0
-"""Interval of checks for upstreams that are no longer cold, for the log; runs only while some are cold."""
-
-MAX_LOGGED_UPSTREAMS = 8
-"""Maximum number of upstreams listed in one log line; the line has the total count too."""
-
 RETRY_TIME_LEFT_SHARE = 0.9
 """A caller with less than this share of the route's longest time left is taken for one that retries."""
 
@@ -165,9 +159,7 @@
     _retry_schedules: defaultdict[ServiceName, RetrySchedule] = field(
         default_factory=lambda: defaultdict(RetrySchedule)
     )
-    cold_transitions: ColdTransitions = field(default_factory=ColdTransitions)
-    _cold_check: Any = None
-    """Timer of the next check for upstreams that are no longer cold."""
+    cold_log: ColdLog = field(init=False)
     _longest_time_left: dict[str, float] = field(default_factory=dict)
     """Longest time until a caller's deadline on each route, in seconds."""
     _unknown_halls: set[str] = field(default_factory=set)
@@ -185,6 +177,7 @@
             limits=self.announcements.limits,
         )
         self.announcements.limits.count_vms = lambda: self.vm_count
+        self.cold_log = ColdLog(self.clock, self.journal, self.listing.get_cold_until)
         self.chooser.compute_cold_cost = self.compute_cold_cost
         self.memory_queues = MemoryQueues(self.clock, self.eligibility, fair=Mechanism.FAIRNESS not in self.disabled)
         self.quarantine_gossip = QuarantineGossip(
@@ -267,8 +260,8 @@
             last = before.get(entry.id)
             if entry.upstream is not None and last is not None and not entry.upstream.is_same_incarnation(last):
                 self._handle_restart(entry.upstream, last)
-        self._record_cold(
-            [entry for entry in changed if entry.upstream is not None and entry.upstream.cold_left], source
+        self.cold_log.record_cold(
+            [entry.id for entry in changed if entry.upstream is not None and entry.upstream.cold_left], source
         )
         if changed:
             listing.drop_expired(now)
@@ -302,26 +295,6 @@
         """Return the listed upstreams of a service that are not changing their phase."""
         return self.phase_changes.exclude_changing(self.listing.list_usable(service, now), now)
 
-    def _record_cold(self, entries: Sequence[Entry], source: str) -> None:
-        """Log the upstreams that became cold, and schedule the check for those that no longer are."""
-        became_cold = self.cold_transitions.record_cold([entry.id for entry in entries])
-        if became_cold:
-            self.journal.write(
-                "COLD", "cold", count=len(became_cold), upstreams=became_cold[:MAX_LOGGED_UPSTREAMS], source=source
-            )
-            self._schedule_cold_check()
-
-    def _schedule_cold_check(self) -> None:
-        if self._cold_check is None and self.cold_transitions.cold:
-            self._cold_check = self.clock.call_later(COLD_CHECK_INTERVAL_S, self._check_cold)
-
-    def _check_cold(self) -> None:
-        self._cold_check = None
-        warm = self.cold_transitions.pop_warm(self.listing.get_cold_until, self.clock.now())
-        if warm:
-            self.journal.write("COLD", "warm", count=len(warm), upstreams=warm[:MAX_LOGGED_UPSTREAMS])
-        self._schedule_cold_check()
-
     def compute_cold_wait(
         self, service: ServiceName, regions: Regions = None, tried: Collection[UpstreamId] = ()
     ) -> float | None:
--- a/src/beamhatch/relay/daemon.py
+++ b/src/beamhatch/relay/daemon.py
@@ -204,7 +204,7 @@
         tally.gauges["resting_upstreams"] = lambda: float(self.core.announcements.backoffs.count_active(clock.now()))
         tally.gauges["limit_share"] = lambda: self.core.announcements.limits.get_reachable_share()
         tally.gauges["limited_upstreams"] = lambda: float(self.core.announcements.limits.count_limited())
-        tally.gauges["cold_upstreams"] = lambda: float(len(self.core.cold_transitions.cold))
+        tally.gauges["cold_upstreams"] = lambda: float(len(self.core.cold_log.transitions.cold))
         tally.gauges["connections_opened"] = lambda: float(client.opened_count)
         tally.gauges["log_lines_left_out"] = lambda: float(journal.left_out)
 
--- a/src/beamhatch/relay/fleet/gossip.py
+++ b/src/beamhatch/relay/fleet/gossip.py
@@ -30,10 +30,10 @@
     pack_configuration,
     unpack_configuration,
 )
-from beamhatch.relay.fleet.lag import Offer, VersionLag
 from beamhatch.relay.fleet.peer_connection import PeerClientFactory, PeerConnection, PeerHandler, PeerServerFactory
 from beamhatch.relay.fleet.peer_traffic import PeerTraffic
 from beamhatch.relay.fleet.throttle import Throttle
+from beamhatch.relay.fleet.version_requests import VersionRequests
 from beamhatch.relay.mechanism import Mechanism
 from beamhatch.relay.model import UpstreamId
 
@@ -66,9 +66,6 @@
 PEER_TIMEOUT_S = 1.8
 """Seconds without a message after which a connection is closed."""
 
-LAG_CHECK_INTERVAL_S = 0.1
-"""Seconds between checks for another peer to ask, while a peer has a newer version."""
-
 EARLY_DIAL_DELAYS_S = 0.15, 0.3
 """Seconds after the start at which peers are dialled again.
 
@@ -124,9 +121,7 @@
         """Share of all recent VMs that this one can reach; cached at each regular heartbeat."""
         self._last_hello_at = 0.0
         self._hello_interval = MIN_HELLO_INTERVAL_S
-        self._configuration_lag = VersionLag[PeerConnection]()
-        self._listing_lag = VersionLag[PeerConnection]()
-        self._lag_check_pending = False
+        self._version_requests = VersionRequests(core, self.list_connections, self._may_store_send)
         self._packed: tuple[int, PackedConfiguration] | None = None
         """Version and compressed form of the configuration that was last sent."""
         self._heartbeat_throttle = Throttle(core.clock, MIN_HEARTBEAT_INTERVAL_S, self._send_early_heartbeats)
@@ -162,6 +157,7 @@
     def stop(self) -> None:
         """Close all connections."""
         self._stopped = True
+        self._version_requests.stop()
         if self._port is not None:
             self._port.stopListening()
         for connection in list(self._connections):
@@ -480,7 +476,11 @@
             )
         self.newest_version = max(self.newest_version, received.version)
         if received.version > self.core.version or received.revision > self.core.revision:
-            self._request_newer_versions()
+            self._version_requests.update()
+
+    def _may_store_send(self) -> bool:
+        """Return whether the store is expected to send newer versions to this VM, before peers are asked."""
+        return self._is_aggregator and not self.is_store_unreachable()
 
     def _apply_backlog(self, connection: PeerConnection) -> None:
         if connection.vm and Mechanism.PEER_BACKLOG not in self.core.disabled:
@@ -490,36 +490,6 @@
         for upstream, change in message.changing.items():
             self.core.apply_phase_change(UpstreamId(upstream), change, f"peer {connection.vm}")
 
-    def _request_newer_versions(self) -> None:
-        """Request what peers have newer versions of, and check again soon for as long as one has."""
-        if self._stopped:
-            return
-        core = self.core
-        # a watcher first waits for the store to send it
-        store_may_send = self._is_aggregator and not self.is_store_unreachable()
-        connections = self.list_connections()
-        configurations = [Offer(one, one.received.version, one.last_received_at) for one in connections]
-        listings = [Offer(one, one.received.revision, one.last_received_at) for one in connections]
-        now = self.clock.now()
-        peer = self._configuration_lag.choose_peer(
-            core.version, configurations, now, store_may_send=store_may_send and core.version != 0
-        )
-        if peer is not None:
-            peer.send(ConfigurationRequest())
-        peer = self._listing_lag.choose_peer(
-            core.revision, listings, now, store_may_send=store_may_send and core.revision != 0
-        )
-        if peer is not None:
-            peer.send(ListingRequest(core.revision))
-        is_behind = self._configuration_lag.is_behind or self._listing_lag.is_behind
-        if is_behind and not self._lag_check_pending:
-            self._lag_check_pending = True
-            self.clock.call_later(LAG_CHECK_INTERVAL_S, self._check_lag)
-
-    def _check_lag(self) -> None:
-        self._lag_check_pending = False
-        self._request_newer_versions()
-
     def _make_heartbeat(self, readings: Sequence[PrefillSample] = ()) -> Heartbeat:
         core = self.core
         now = core.clock.now()
--- a/src/beamhatch/relay/requests/exchange.py
+++ b/src/beamhatch/relay/requests/exchange.py
@@ -18,10 +18,10 @@
 from beamhatch.relay.model import Phase, Reservation, RouteKind, Stage
 from beamhatch.relay.requests.line import Claim
 from beamhatch.relay.requests.memory_lines import QueuedRequest, QueueKey, QueueOptions
+from beamhatch.relay.requests.release import send_release
 from beamhatch.relay.requests.request import Fail, Refuse, RelayRequest, Reserve, Send, Step, Wait
 from beamhatch.relay.requests.response import NOT_RUN_STATUSES, BufferedResponse
 from beamhatch.relay.topology import Distance
-from beamhatch.relay.upstreams.announcements import AnnouncementSink
 from beamhatch.relay.upstreams.attempt import Attempt
 from beamhatch.relay.upstreams.http_client import Call
 from beamhatch.relay.upstreams.plain_attempt import PlainAttempt
@@ -243,7 +243,7 @@
         if handle is not None and self.core.has_restarted(handle.upstream):
             request.drop_handle()
         elif handle is not None and not self.core.eligibility.is_in_regions(handle.upstream, request.regions):
-            self._send_release(handle.upstream, self.core.dialect.make_release_call(handle))
+            send_release(self.core, handle.upstream, self.core.dialect.make_release_call(handle), self.write_log)
             request.drop_handle()
         if reservation is None:
             self._drop_permit()
@@ -632,7 +632,8 @@
         """Release the KV cache and the reservation of a request that has ended."""
         request = self.request
         if request.handle is not None:
-            self._send_release(request.handle.upstream, self.core.dialect.make_release_call(request.handle))
+            call = self.core.dialect.make_release_call(request.handle)
+            send_release(self.core, request.handle.upstream, call, self.write_log)
             request.drop_handle()
         if request.reservation is not None:
             self._release_reservation(request.reservation)
@@ -640,24 +641,8 @@
 
     def _release_reservation(self, reservation: Reservation) -> None:
         if reservation.id is not None:
-            self._send_release(reservation.upstream, self.core.dialect.make_unreserve_call(reservation))
-
-    def _send_release(self, upstream: Upstream, call: Call) -> None:
-        """Send a release to an upstream if it may receive calls now; otherwise let the held memory expire there.
-
-        Nothing is sent if the upstream's hall is evacuated, or if the upstream backs off or is at its limit. A release
-        counts against the limit like any other call.
-        """
-        eligibility = self.core.eligibility
-        now = self.core.clock.now()
-        backs_off = eligibility.backoffs.is_active(upstream.incarnation, now)
-        if backs_off or eligibility.evacuations.is_evacuated(upstream.hall):
-            return
-        if not eligibility.limits.may_send_to(upstream, now):
-            return
-        eligibility.limits.record_request(upstream.incarnation, now)
-        self.write_log("given back", target=call.target, to=upstream.id)
-        self.core.client.open(upstream.address, call, AnnouncementSink(self.core.announcements, upstream))
+            call = self.core.dialect.make_unreserve_call(reservation)
+            send_release(self.core, reservation.upstream, call, self.write_log)
 
     # --- callbacks of attempts ---------------------------------------------------------------------------------------
 
