Send requests that are kept in some regions through peers there only

What callers would have seen: where a VM lost its links, the body of a request whose route or workspace allows the west alone went through a peer in the east. The promise is that no body goes through a VM outside its regions (HOME).

Cause: the choice of a peer knew nothing of the request.

Change: a call says which halls it may pass, for new connections and for those in the pool; a call that must not go through a peer allows none, in place of a flag of its own.

The four cases of the test failed before.

--- a/src/beamhatch/relay/core.py
+++ b/src/beamhatch/relay/core.py
@@ -31,6 +31,7 @@
 from beamhatch.relay.requests.lengths import OutputLengths
 from beamhatch.relay.requests.memory_lines import MemoryQueues
 from beamhatch.relay.topology import Topology
+from beamhatch.relay.tunnels.api import allow_any_hall
 from beamhatch.relay.upstreams.announcements import Announcements
 from beamhatch.relay.upstreams.listing import Listing
 from beamhatch.relay.workspaces.admission import Admission, Admitted, OverQuota, Undecided
@@ -57,6 +58,7 @@
         UpstreamId,
     )
     from beamhatch.relay.topology import RegionName
+    from beamhatch.relay.tunnels.api import HallFilter
     from beamhatch.relay.tunnels.monitor import ReachMonitor
     from beamhatch.relay.upstreams.http_client import HttpClient
     from beamhatch.relay.upstreams.listing import Entry
@@ -234,6 +236,12 @@
         if unknown:
             self.journal.write("CONFIG", "regions without halls", regions=unknown, version=table.version)
 
+    def make_hall_filter(self, regions: Regions) -> HallFilter:
+        """Return which peers a request that is limited to some regions may go through."""
+        if regions is None:
+            return allow_any_hall
+        return lambda hall: self.topology.is_in_regions(hall, regions)
+
     def apply_topology(self, topology: Topology) -> None:
         """Apply changed settings of halls and regions."""
         if topology != self.topology:
--- a/src/beamhatch/relay/engines/ordering.py
+++ b/src/beamhatch/relay/engines/ordering.py
@@ -17,6 +17,7 @@
 )
 from beamhatch.relay.engines.changing import MAX_CHANGE_S, PhaseChangeUpdate
 from beamhatch.relay.model import Phase, UpstreamId
+from beamhatch.relay.tunnels.api import allow_no_hall
 from beamhatch.relay.upstreams.http_fetch import fetch
 
 if TYPE_CHECKING:
@@ -189,9 +190,7 @@
         ordered_at = self.core.clock.now()
         self.core.eligibility.limits.record_request(upstream.incarnation, ordered_at)
         # an order that came from a peer's address would be taken for that of another holder
-        answer = await fetch(
-            self.core.client, self.core.clock, upstream.address, call, ORDER_TIMEOUT_S, direct_only=True
-        )
+        answer = await fetch(self.core.client, self.core.clock, upstream.address, call, ORDER_TIMEOUT_S, allow_no_hall)
         answered = not isinstance(answer, str)
         if not isinstance(answer, str):
             self.core.announcements.handle_head(upstream, answer.head, ordered_at)
--- a/src/beamhatch/relay/tunnels/api.py
+++ b/src/beamhatch/relay/tunnels/api.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
+from collections.abc import Callable
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -11,6 +13,33 @@
     from beamhatch.relay.model import Address
 
 
+HallFilter = Callable[[str], bool]
+"""Returns whether a connection may go through a peer in a hall."""
+
+
+def allow_any_hall(_: str) -> bool:
+    """Allow peers in any hall."""
+    return True
+
+
+def allow_no_hall(_: str) -> bool:
+    """Allow direct connections only."""
+    return False
+
+
+@dataclass(frozen=True, slots=True)
+class Via:
+    """Peer that a connection goes through."""
+
+    address: Address
+    """Where it listens for tunnels."""
+    hall: str
+
+    def __str__(self) -> str:
+        """Return the form ``HOST:PORT``."""
+        return str(self.address)
+
+
 class DialReceiver(ABC):
     """Receiver of the result of one dial; exactly one of its methods is called last."""
 
@@ -20,10 +49,10 @@
         """Return whether anybody waits for the connection."""
 
     @abstractmethod
-    def build_protocol(self, proxy: Address | None) -> Protocol | None:
+    def build_protocol(self, via: Via | None) -> Protocol | None:
         """Return the protocol of the established connection, or None to close it.
 
-        :param proxy: the peer that the connection goes through; None for a direct one
+        :param via: the peer that the connection goes through; None for a direct one
         """
 
     @abstractmethod
@@ -35,14 +64,16 @@
     """Strategy to connect to upstreams."""
 
     @abstractmethod
-    def connect(self, address: Address, receiver: DialReceiver, timeout: float, *, direct_only: bool = False) -> None:
+    def connect(
+        self, address: Address, receiver: DialReceiver, timeout: float, may_pass: HallFilter = allow_any_hall
+    ) -> None:
         """Connect to an address.
 
         :param timeout: seconds for a direct attempt
-        :param direct_only: whether the connection must not go through a peer
+        :param may_pass: returns whether the connection may go through a peer in a hall
         """
 
-    def should_keep(self, address: Address, proxy: Address | None) -> bool:
+    def should_keep(self, address: Address, via: Via | None) -> bool:
         """Return whether a connection is kept for later calls."""
         return True
 
--- a/src/beamhatch/relay/tunnels/dialer.py
+++ b/src/beamhatch/relay/tunnels/dialer.py
@@ -6,7 +6,7 @@
 from enum import Enum
 from typing import TYPE_CHECKING
 
-from beamhatch.relay.tunnels.api import Dialer, DialReceiver
+from beamhatch.relay.tunnels.api import Dialer, DialReceiver, Via, allow_any_hall, allow_no_hall
 from beamhatch.relay.tunnels.client import TunnelHandler, open_tunnel
 from beamhatch.relay.tunnels.direct import DirectFactory
 
@@ -19,6 +19,7 @@
     from beamhatch.observe.journal import Journal
     from beamhatch.observe.tally import Tally
     from beamhatch.relay.model import Address
+    from beamhatch.relay.tunnels.api import HallFilter
     from beamhatch.relay.tunnels.message import Refusal
     from beamhatch.relay.tunnels.monitor import ReachMonitor
     from beamhatch.relay.tunnels.proxies import Proxy, ProxyChooser
@@ -38,22 +39,23 @@
 class WayPlan:
     """Ways that were tried for one connection."""
 
-    direct_only: bool = False
     direct_tried: bool = False
     tunnels_tried: int = 0
 
-    def choose_next(self, *, out_of_reach: bool, cut_off: bool, is_suspect: bool, has_proxy: bool) -> Way | None:
+    def choose_next(
+        self, *, out_of_reach: bool, is_suspect: bool, has_proxy: bool, try_direct: bool = True
+    ) -> Way | None:
         """Return the way to try next, or None if there is none left.
 
         :param out_of_reach: whether this VM's own links are believed not to lead to the upstream
-        :param cut_off: whether they are believed to lead to no upstream; probes find out when they do again
         :param is_suspect: whether a direct failure may be due to this VM's own links
         :param has_proxy: whether there is a peer to ask
+        :param try_direct: whether a direct attempt is made if there is no peer to ask
         """
-        may_tunnel = has_proxy and not self.direct_only and self.tunnels_tried < MAX_TUNNEL_ATTEMPTS
+        may_tunnel = has_proxy and self.tunnels_tried < MAX_TUNNEL_ATTEMPTS
         if may_tunnel and (out_of_reach or (self.direct_tried and is_suspect)):
             return Way.TUNNEL
-        return None if self.direct_tried or (cut_off and not self.direct_only) else Way.DIRECT
+        return Way.DIRECT if try_direct and not self.direct_tried else None
 
 
 class PathDialer(Dialer):
@@ -73,26 +75,29 @@
         self.find_hall: Callable[[Address], str] = lambda address: ""
         """Returns the hall of the upstream at an address, empty if there is none."""
 
-    def connect(self, address: Address, receiver: DialReceiver, timeout: float, *, direct_only: bool = False) -> None:
+    def connect(
+        self, address: Address, receiver: DialReceiver, timeout: float, may_pass: HallFilter = allow_any_hall
+    ) -> None:
         """Connect to an address, by way of a peer if that is necessary and allowed."""
-        _Dial(self, address, receiver, timeout, direct_only=direct_only).start()
+        _Dial(self, address, receiver, timeout, may_pass).start()
 
-    def should_keep(self, address: Address, proxy: Address | None) -> bool:
+    def should_keep(self, address: Address, via: Via | None) -> bool:
         """Return whether a connection is kept for later calls: not a tunnel that is no longer necessary."""
-        return proxy is None or self.reach.reachability.is_out_of_reach(address)
+        return via is None or self.reach.reachability.is_out_of_reach(address)
 
 
 class _Dial(DialReceiver):
     """The attempts to establish one connection, one after the other."""
 
     def __init__(
-        self, dialer: PathDialer, address: Address, receiver: DialReceiver, timeout: float, *, direct_only: bool
+        self, dialer: PathDialer, address: Address, receiver: DialReceiver, timeout: float, may_pass: HallFilter
     ) -> None:
         self.dialer = dialer
         self.address = address
         self.receiver = receiver
         self._timeout = timeout
-        self._plan = WayPlan(direct_only)
+        self._may_pass = may_pass
+        self._plan = WayPlan()
         self._tried: set[Address] = set()
 
     def start(self) -> None:
@@ -104,10 +109,10 @@
         """Return whether anybody waits for the connection."""
         return self.receiver.is_wanted
 
-    def build_protocol(self, proxy: Address | None) -> Protocol | None:
+    def build_protocol(self, via: Via | None) -> Protocol | None:
         """Return the protocol of the established connection."""
-        self.dialer.tally.count("connections_by_way_total", (Way.TUNNEL if proxy else Way.DIRECT).value)
-        return self.receiver.build_protocol(proxy)
+        self.dialer.tally.count("connections_by_way_total", (Way.TUNNEL if via else Way.DIRECT).value)
+        return self.receiver.build_protocol(via)
 
     def handle_failure(self, detail: str) -> None:
         """Try the next way, unless nobody waits any longer."""
@@ -124,9 +129,9 @@
         out_of_reach = reachability.is_out_of_reach(self.address)
         way = self._plan.choose_next(
             out_of_reach=out_of_reach,
-            cut_off=reachability.is_cut_off,
             is_suspect=is_suspect,
             has_proxy=proxy is not None,
+            try_direct=not reachability.is_cut_off or self._may_pass is allow_no_hall,
         )
         if way is Way.DIRECT:
             self._plan.direct_tried = True
@@ -135,43 +140,42 @@
         elif way is Way.TUNNEL and proxy is not None:
             self._plan.tunnels_tried += 1
             self._tried.add(proxy.address)
-            open_tunnel(
-                self.dialer.clock, self.dialer.vm, proxy.address, self.address, _TunnelAttempt(self, proxy.address)
-            )
+            open_tunnel(self.dialer.clock, self.dialer.vm, proxy.address, self.address, _TunnelAttempt(self, proxy))
         else:
             self.receiver.handle_failure(detail)
 
     def _choose_proxy(self, now: float) -> Proxy | None:
         dialer = self.dialer
         hall = dialer.find_hall(self.address)
-        return dialer.chooser.choose(dialer.list_proxies(), self.address, hall, self._tried, now)
+        allowed = [one for one in dialer.list_proxies() if self._may_pass(one.hall)]
+        return dialer.chooser.choose(allowed, self.address, hall, self._tried, now)
 
 
 class _TunnelAttempt(TunnelHandler):
     """Attempt to reach the upstream by way of one peer."""
 
-    def __init__(self, dial: _Dial, proxy: Address) -> None:
+    def __init__(self, dial: _Dial, proxy: Proxy) -> None:
         self._dial = dial
         self._dialer = dial.dialer
-        self._proxy = proxy
+        self._via = Via(proxy.address, proxy.hall)
 
     def build_protocol(self) -> Protocol | None:
         """Return the protocol of the established connection."""
         self._write_log("opened")
-        return self._dial.build_protocol(self._proxy)
+        return self._dial.build_protocol(self._via)
 
     def handle_refusal(self, reason: Refusal) -> None:
         """Record the refusal, and try the next way."""
         self._write_log("refused", reason=reason.value)
-        self._dialer.chooser.record_refused(self._proxy, self._dial.address, reason, self._dialer.clock.now())
+        self._dialer.chooser.record_refused(self._via.address, self._dial.address, reason, self._dialer.clock.now())
         self._dial.handle_failure(f"refused by the proxy: {reason.value}")
 
     def handle_unresponsive(self, detail: str) -> None:
         """Record that the peer did not answer, and try the next way."""
         self._write_log("proxy unresponsive", detail=detail)
-        self._dialer.chooser.record_unresponsive(self._proxy, self._dialer.clock.now())
+        self._dialer.chooser.record_unresponsive(self._via.address, self._dialer.clock.now())
         self._dial.handle_failure(detail)
 
     def _write_log(self, event: str, **fields: object) -> None:
         self._dialer.tally.count("tunnels_asked_total", event.replace(" ", "_"))
-        self._dialer.journal.write("TUNNEL", event, address=str(self._dial.address), proxy=str(self._proxy), **fields)
+        self._dialer.journal.write("TUNNEL", event, address=str(self._dial.address), proxy=str(self._via), **fields)
--- a/src/beamhatch/relay/tunnels/direct.py
+++ b/src/beamhatch/relay/tunnels/direct.py
@@ -6,7 +6,7 @@
 
 from twisted.internet.protocol import ClientFactory
 
-from beamhatch.relay.tunnels.api import Dialer
+from beamhatch.relay.tunnels.api import Dialer, allow_any_hall
 
 if TYPE_CHECKING:
     from twisted.internet.protocol import Protocol
@@ -14,7 +14,7 @@
 
     from beamhatch.clock import Clock
     from beamhatch.relay.model import Address
-    from beamhatch.relay.tunnels.api import DialObserver, DialReceiver
+    from beamhatch.relay.tunnels.api import DialObserver, DialReceiver, HallFilter
 
 
 class DirectFactory(ClientFactory):
@@ -47,7 +47,9 @@
         self._clock = clock
         self._observer = observer
 
-    def connect(self, address: Address, receiver: DialReceiver, timeout: float, *, direct_only: bool = False) -> None:
+    def connect(
+        self, address: Address, receiver: DialReceiver, timeout: float, may_pass: HallFilter = allow_any_hall
+    ) -> None:
         """Connect to an address directly."""
         factory = DirectFactory(address, receiver, self._observer)
         self._clock.reactor.connectTCP(address.host, address.port, factory, timeout=timeout)
--- a/src/beamhatch/relay/tunnels/service.py
+++ b/src/beamhatch/relay/tunnels/service.py
@@ -87,9 +87,9 @@
         assert prober is not None
         found = core.listing.find_at(address)
         if change is ReachChange.LOST:
-            core.client.close_idle_by_way(None, address)
+            core.client.close_idle_direct(address)
         elif change is ReachChange.CUT_OFF:
-            core.client.close_idle_by_way(None)
+            core.client.close_idle_direct()
         elif change is not ReachChange.CHECK:
             core.client.close_idle_tunnels()
         if change is not ReachChange.CHECK:
@@ -136,7 +136,7 @@
         """Close the idle tunnels through a peer that carries none any longer, or is lost."""
         member = None if self._membership is None else self._membership.get_member(connection.address)
         if member is not None and self._core is not None:
-            self._core.client.close_idle_by_way(_make_proxy(member).address)
+            self._core.client.close_idle_tunnels(_make_proxy(member).address)
 
     # --- tunnels that this VM carries --------------------------------------------------------------------------------
 
--- a/src/beamhatch/relay/upstreams/attempt.py
+++ b/src/beamhatch/relay/upstreams/attempt.py
@@ -14,9 +14,10 @@
     from beamhatch.relay.choosing.eligibility import SendPermit
     from beamhatch.relay.choosing.pace import PrefillEstimator
     from beamhatch.relay.choosing.rests import BackoffProbe
-    from beamhatch.relay.model import Address, Upstream
+    from beamhatch.relay.model import Upstream
     from beamhatch.relay.requests.exchange import RelayExchange
     from beamhatch.relay.requests.request import Send
+    from beamhatch.relay.tunnels.api import Via
     from beamhatch.relay.upstreams.http_client import Call, HttpExchange, ResponseHead
 
 
@@ -38,7 +39,7 @@
         """Probe of an upstream after its back-off, if this attempt is one."""
         self._http: HttpExchange | None = None
         self._sent = False
-        self._proxy: Address | None = None
+        self._via: Via | None = None
         """Peer that the request was sent through; None if it was sent directly."""
         self._ended = False
         self._timer: Any = None
@@ -63,7 +64,8 @@
         if self._needs_prefill:
             self._start_prefill()
         self._restart_timer(self.get_timeout())
-        http = self.core.client.open(self.send.upstream.address, call, self, max_idle_s=max_idle_s)
+        may_pass = self.core.make_hall_filter(self.request.regions)
+        http = self.core.client.open(self.send.upstream.address, call, self, max_idle_s=max_idle_s, may_pass=may_pass)
         if not self._ended:
             self._http = http
 
@@ -119,12 +121,12 @@
 
     # --- response ----------------------------------------------------------------------------------------------------
 
-    def handle_sent(self, proxy: Address | None) -> None:
+    def handle_sent(self, via: Via | None) -> None:
         """Record that the request is being sent."""
         self._sent = True
-        self._proxy = proxy
-        if proxy is not None:
-            self.exchange.write_log("sent by way of a peer", to=self.send.upstream.id, proxy=str(proxy))
+        self._via = via
+        if via is not None:
+            self.exchange.write_log("sent by way of a peer", to=self.send.upstream.id, proxy=str(via))
         now = self.core.clock.now()
         fields = self.core.announcements.record_send(self.send.upstream)
         if fields:
@@ -179,7 +181,7 @@
             fingerprint=self.exchange.fingerprint.hex(),
         )
         self.core.tally.count("send_faults_total", failure.value)
-        may_be_crash = failure is CallFailure.BROKEN and self._sent and self._proxy is None
+        may_be_crash = failure is CallFailure.BROKEN and self._sent and self._via is None
         if may_be_crash and self.send.stage is not Stage.PREFILL:
             self._report_broken_run(now - self._started_at)
         if self._sent:
--- a/src/beamhatch/relay/upstreams/http_client.py
+++ b/src/beamhatch/relay/upstreams/http_client.py
@@ -23,17 +23,17 @@
     wants_close,
 )
 from beamhatch.relay.model import Address
-from beamhatch.relay.tunnels.api import DialReceiver
+from beamhatch.relay.tunnels.api import DialReceiver, allow_any_hall, allow_no_hall
 from beamhatch.relay.tunnels.direct import DirectDialer
 
 if TYPE_CHECKING:
-    from collections.abc import Set
+    from collections.abc import Callable, Set
 
     from twisted.python.failure import Failure as TwistedFailure
 
     from beamhatch.clock import Clock
     from beamhatch.relay.api import Headers
-    from beamhatch.relay.tunnels.api import Dialer
+    from beamhatch.relay.tunnels.api import Dialer, HallFilter, Via
 
 MAX_HEAD_BYTES = 64 * 1024
 """Maximum size of the head of a response."""
@@ -79,10 +79,10 @@
 class ResponseSink(ABC):
     """Receiver of the response to one call; ``handle_end`` or ``handle_failure`` is the last call to it."""
 
-    def handle_sent(self, proxy: Address | None) -> None:  # noqa: B027 - most sinks need not know
+    def handle_sent(self, via: Via | None) -> None:  # noqa: B027 - most sinks need not know
         """Handle the start of writing the request.
 
-        :param proxy: the peer that the connection goes through; None for a direct one
+        :param via: the peer that the connection goes through; None for a direct one
         """
 
     def matches(self, head: ResponseHead) -> bool:
@@ -142,9 +142,9 @@
 class Connection(Protocol):
     """Connection that carries one call at a time."""
 
-    def __init__(self, client: HttpClient, address: Address, proxy: Address | None = None) -> None:
+    def __init__(self, client: HttpClient, address: Address, via: Via | None = None) -> None:
         self.address = address
-        self.proxy = proxy
+        self.via = via
         """Peer that the connection goes through; None for a direct one."""
         self.idle_until = 0.0
         self.idle_since = 0.0
@@ -166,7 +166,7 @@
         self._exchange = exchange
         exchange.connection = self
         if exchange.sink is not None:
-            exchange.sink.handle_sent(self.proxy)
+            exchange.sink.handle_sent(self.via)
         self.transport.write(self._encode(exchange.call))
 
     def abort(self) -> None:
@@ -288,9 +288,9 @@
         """Return whether the exchange was not cancelled."""
         return self._exchange.sink is not None
 
-    def build_protocol(self, proxy: Address | None) -> Connection:
+    def build_protocol(self, via: Via | None) -> Connection:
         """Create the protocol; if the exchange was cancelled, the connection is kept for another one."""
-        connection = _NewConnection(self._client, self._address, proxy, self._exchange)
+        connection = _NewConnection(self._client, self._address, via, self._exchange)
         self._client.add_open(connection)
         return connection
 
@@ -302,8 +302,8 @@
 class _NewConnection(Connection):
     """Connection that sends its first call as soon as it is established."""
 
-    def __init__(self, client: HttpClient, address: Address, proxy: Address | None, exchange: HttpExchange) -> None:
-        super().__init__(client, address, proxy)
+    def __init__(self, client: HttpClient, address: Address, via: Via | None, exchange: HttpExchange) -> None:
+        super().__init__(client, address, via)
         self._first_exchange: HttpExchange | None = exchange
 
     def connectionMade(self) -> None:
@@ -339,38 +339,38 @@
         sink: ResponseSink,
         *,
         max_idle_s: float = 1e9,
-        direct_only: bool = False,
+        may_pass: HallFilter = allow_any_hall,
     ) -> HttpExchange:
         """Send a call on the last used idle connection if it is recent enough, otherwise on a new one.
 
         :param max_idle_s: limit on the idle time; low for calls that must not be retried after a stale connection
-        :param direct_only: whether the call must not go through a peer
+        :param may_pass: returns whether the call may go through a peer in a hall
         """
         exchange = HttpExchange(call, sink)
-        connection = self._pop_idle(address, max_idle_s, direct_only=direct_only)
+        connection = self._pop_idle(address, max_idle_s, may_pass)
         if connection is not None:
             connection.send(exchange)
             return exchange
-        self._dial(address, exchange, direct_only=direct_only)
+        self._dial(address, exchange, may_pass)
         return exchange
 
     def warm(self, address: Address) -> None:
         """Open a direct connection without a call, and keep it for later ones."""
         exchange = HttpExchange(_NO_CALL, None)
-        self._dial(address, exchange, direct_only=True)
+        self._dial(address, exchange, allow_no_hall)
 
-    def _dial(self, address: Address, exchange: HttpExchange, *, direct_only: bool) -> None:
+    def _dial(self, address: Address, exchange: HttpExchange, may_pass: HallFilter) -> None:
         self.opened_count += 1
         dial = _Dial(self, address, exchange)
-        self._dialer.connect(address, dial, self._connect_timeout, direct_only=direct_only)
+        self._dialer.connect(address, dial, self._connect_timeout, may_pass)
 
     def list_open(self, address: Address) -> Set[Connection]:
         """Return the open direct connections to an address."""
-        return frozenset(one for one in self._open.get(address, ()) if one.proxy is None)
+        return frozenset(one for one in self._open.get(address, ()) if one.via is None)
 
     def add_idle(self, connection: Connection, idle_timeout: float) -> None:
         """Add an idle connection to the pool, to expire before the peer closes it; close it if it is not kept."""
-        if not self._dialer.should_keep(connection.address, connection.proxy):
+        if not self._dialer.should_keep(connection.address, connection.via):
             connection.transport.loseConnection()
             return
         now = self._clock.now()
@@ -395,21 +395,24 @@
         for connection in self._idle.pop(address, []):
             connection.transport.loseConnection()
 
-    def close_idle_by_way(self, proxy: Address | None, address: Address | None = None) -> None:
-        """Close the idle connections that go through a peer, or the direct ones if ``proxy`` is None.
+    def close_idle_direct(self, address: Address | None = None) -> None:
+        """Close the idle direct connections.
 
         :param address: the upstream whose connections are closed; None for all
         """
-        for found in list(self._idle) if address is None else [address]:
-            for connection in [one for one in self._idle.get(found, ()) if one.proxy == proxy]:
-                self._remove_idle(connection)
-                connection.transport.loseConnection()
+        self._close_idle_if(lambda one: one.via is None and address in (None, one.address))
+
+    def close_idle_tunnels(self, proxy: Address | None = None) -> None:
+        """Close the idle connections that go through peers.
 
-    def close_idle_tunnels(self) -> None:
-        """Close the idle connections that go through peers."""
-        proxies = {one.proxy for idle in self._idle.values() for one in idle if one.proxy is not None}
-        for proxy in proxies:
-            self.close_idle_by_way(proxy)
+        :param proxy: the peer whose tunnels are closed, by where it listens for them; None for all
+        """
+        self._close_idle_if(lambda one: one.via is not None and proxy in (None, one.via.address))
+
+    def _close_idle_if(self, concerns: Callable[[Connection], bool]) -> None:
+        for connection in [one for idle in self._idle.values() for one in idle if concerns(one)]:
+            self._remove_idle(connection)
+            connection.transport.loseConnection()
 
     def _remove_idle(self, connection: Connection) -> None:
         idle = self._idle.get(connection.address)
@@ -418,9 +421,9 @@
             if not idle:
                 del self._idle[connection.address]
 
-    def _pop_idle(self, address: Address, max_idle_s: float, *, direct_only: bool) -> Connection | None:
+    def _pop_idle(self, address: Address, max_idle_s: float, may_pass: HallFilter) -> Connection | None:
         now = self._clock.now()
-        idle = [one for one in self._idle.get(address, ()) if one.proxy is None or not direct_only]
+        idle = [one for one in self._idle.get(address, ()) if one.via is None or may_pass(one.via.hall)]
         if not idle:
             return None
         newest = idle[-1]
--- a/src/beamhatch/relay/upstreams/http_fetch.py
+++ b/src/beamhatch/relay/upstreams/http_fetch.py
@@ -7,6 +7,7 @@
 from twisted.internet import defer
 
 from beamhatch.relay.requests.response import BufferedResponse
+from beamhatch.relay.tunnels.api import allow_any_hall
 from beamhatch.relay.upstreams.http_client import CallFailure, ResponseSink
 
 if TYPE_CHECKING:
@@ -14,6 +15,7 @@
 
     from beamhatch.clock import Clock
     from beamhatch.relay.model import Address
+    from beamhatch.relay.tunnels.api import HallFilter
     from beamhatch.relay.upstreams.http_client import Call, HttpClient, HttpExchange, ResponseHead
 
 MAX_BODY_BYTES = 8 * 1024 * 1024
@@ -71,7 +73,12 @@
 
 
 def fetch(
-    client: HttpClient, clock: Clock, address: Address, call: Call, timeout: float, *, direct_only: bool = False
+    client: HttpClient,
+    clock: Clock,
+    address: Address,
+    call: Call,
+    timeout: float,
+    may_pass: HallFilter = allow_any_hall,
 ) -> defer.Deferred[BufferedResponse | str]:
     """Send a call; the deferred fires with the response, or with the error as text.
 
@@ -79,8 +86,8 @@
     are closed as well: they may have stopped delivering together with this one.
 
     :param timeout: seconds
-    :param direct_only: whether the call must not go through a peer
+    :param may_pass: returns whether the call may go through a peer in a hall
     """
     sink = _Fetch(clock, timeout, lambda: client.close_idle(address))
-    sink.exchange = client.open(address, call, sink, direct_only=direct_only)
+    sink.exchange = client.open(address, call, sink, may_pass=may_pass)
     return sink.done
--- a/src/beamhatch/relay/upstreams/reserve_attempt.py
+++ b/src/beamhatch/relay/upstreams/reserve_attempt.py
@@ -10,9 +10,10 @@
 
 if TYPE_CHECKING:
     from beamhatch.relay.choosing.rests import BackoffProbe
-    from beamhatch.relay.model import Address, Upstream
+    from beamhatch.relay.model import Upstream
     from beamhatch.relay.requests.exchange import RelayExchange
     from beamhatch.relay.requests.request import Reserve
+    from beamhatch.relay.tunnels.api import Via
     from beamhatch.relay.upstreams.http_client import Call, HttpExchange, ResponseHead
 
 MAX_BODY_BYTES = 64 * 1024
@@ -70,7 +71,7 @@
     def resume(self) -> None:
         """Do nothing."""
 
-    def handle_sent(self, proxy: Address | None) -> None:
+    def handle_sent(self, via: Via | None) -> None:
         """Record the send, and log it if it goes against the engine's announcements."""
         self.sent = True
         fields = self.core.announcements.record_send(self._step.upstream)
--- a/tests/platform/test_residency.py
+++ b/tests/platform/test_residency.py
@@ -355,3 +355,30 @@
     assert platform.vms["vm1"].core.chooser.distances.get_distance("hall-b") is Distance.OTHER_REGION
     reload(platform.vms["vm1"], Topology({"hall-a": WEST, "hall-b": WEST}))
     assert platform.vms["vm1"].core.chooser.distances.get_distance("hall-b") is Distance.SAME_REGION
+
+
+@pytest.mark.parametrize("path", ["/safe/x", "/unsafe/x", "/stream/x", "/resumable/x"])
+def test_a_body_goes_through_a_vm_outside_its_regions_as_links_are_lost(path: str) -> None:
+    """The VM in the west lost its links, its only peer is in the east, and the route allows the west alone."""
+    platform = Platform(names_hosts=True)
+    platform.configure(1, list_routes(["west"]))
+    for name, hall in (("west", "hall-a"), ("east", "hall-b")):
+        platform.add_plain(f"plain-{name}", hall=hall)
+        platform.add_engine(f"prefill-{name}", "prefill", hall=hall)
+        platform.add_engine(f"decode-{name}", "decode", hall=hall)
+    platform.add_vm(places=PLACES, seeds=["vm2:8002"])
+    platform.add_vm("vm2", seeds=["vm1:8002"], hall="hall-b", places=PLACES)
+    platform.network.run(6.0)
+    for name in platform.upstreams:
+        platform.network.refuse_between("vm1", f"host-{name}")
+    received = record_deliveries(platform)
+    for number in range(12):
+        platform.finish(platform.call(path, f"q{number}", body=BODY))
+        platform.network.run(0.3)
+    assert {host for host, data in received if BODY in data} <= {
+        "vm1",
+        *(f"host-{name}" for name in platform.upstreams if name.endswith("west")),
+    }
+    terms = {"Token-Count": "5000,10", "Prompt-Prefix": "aa:200,bb:4800"}
+    free = [platform.finish(platform.call("/free/x", f"f{number}", headers=terms)) for number in range(4)]
+    assert [caller.status for caller in free] == [200] * 4
--- a/tests/relay/tunnels/test_dialer.py
+++ b/tests/relay/tunnels/test_dialer.py
@@ -9,7 +9,10 @@
     plan: WayPlan, *, reach: bool = True, cut_off: bool = False, suspect: bool = False, proxy: bool = True
 ) -> Way | None:
     return plan.choose_next(
-        out_of_reach=not reach or cut_off, cut_off=cut_off, is_suspect=suspect or not reach or cut_off, has_proxy=proxy
+        out_of_reach=not reach or cut_off,
+        is_suspect=suspect or not reach or cut_off,
+        has_proxy=proxy,
+        try_direct=not cut_off,
     )
 
 
@@ -37,8 +40,3 @@
 
 def test_a_vm_that_is_cut_off_and_has_no_peer_fails_at_once() -> None:
     assert choose(WayPlan(), cut_off=True, proxy=False) is None
-
-
-def test_a_call_that_must_be_direct_never_goes_through_a_peer() -> None:
-    assert choose(WayPlan(direct_only=True), cut_off=True) is Way.DIRECT
-    assert choose(WayPlan(direct_only=True, direct_tried=True), cut_off=True) is None
--- a/tests/relay/upstreams/test_http_client.py
+++ b/tests/relay/upstreams/test_http_client.py
@@ -14,6 +14,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from beamhatch.relay.tunnels.api import Via
+
 ADDRESS = Address("up", 1)
 WHOLE = b"HTTP/1.1 200 OK\r\nRequest-Id: q\r\nContent-Length: 2\r\n\r\nok"
 UNFRAMED = b"HTTP/1.1 200 OK\r\nRequest-Id: q\r\n\r\nok"
@@ -47,7 +49,7 @@
         self.outcome: str | CallFailure = ""
         self.sent = False
 
-    def handle_sent(self, proxy: Address | None) -> None:
+    def handle_sent(self, via: Via | None) -> None:
         self.sent = True
 
     def matches(self, head: ResponseHead) -> bool:
