Refuse a request after eight upstreams that it could not reach

What callers would have seen: at a VM with 300 upstreams, no links and no peer, the process raised RecursionError while it served a request (both cases of the test, before).

Cause: a dial without any way failed while it was being started, so the request tried the next upstream within it, and so on for all. Dials that are refused in milliseconds went through all upstreams too, one after the other.

Change: the failure is reported in the next turn of the reactor, and a request gives up after eight upstreams that could not be reached. Spells and fleets of the tests seed the relay's random numbers too.

--- a/src/beamhatch/relay/requests/request.py
+++ b/src/beamhatch/relay/requests/request.py
@@ -21,6 +21,9 @@
 MAX_SENDS = 6
 """Maximum number of sends of one request, which bounds the load that one caller can cause."""
 
+MAX_UNREACHED = 8
+"""Maximum number of upstreams that a request fails to reach, so that it is refused soon where no link works."""
+
 MAX_PREFILLS = 2
 """Maximum number of times that a prompt is sent to a prefill engine.
 
@@ -135,6 +138,8 @@
     """Decode engines found without free memory; cleared when the request waits for memory or gets it."""
     _waiting_since: float | None = None
     _prefill_failures: int = 0
+    _unreached: int = 0
+    """Number of attempts at which an upstream could not be reached."""
 
     def __post_init__(self) -> None:
         """Start after the last event that the caller has received."""
@@ -192,6 +197,8 @@
             return Fail("it may have run, and may not run again")
         if self.sends >= MAX_SENDS:
             return self._give_up("too many upstreams turned it away")
+        if self._unreached >= MAX_UNREACHED:
+            return self._give_up("too many upstreams could not be reached", no_upstream=True)
         step = self._choose(usable, chooser, now)
         if step is None:
             return self._give_up("no upstream can take it", no_upstream=True)
@@ -333,6 +340,7 @@
 
     def record_unreachable(self, send: Send) -> None:
         """Record that the upstream could not be reached, so that nothing was sent."""
+        self._unreached += 1
         self._failed_upstreams.add(send.upstream.id)
         if send.stage is Stage.PREFILL:
             self._prefill_sends += 1
@@ -380,6 +388,7 @@
 
     def record_reserve_failed(self, upstream: UpstreamId) -> None:
         """Record that a call to reserve memory at a decode engine failed."""
+        self._unreached += 1
         self._failed_upstreams.add(upstream)
 
     def apply_route(self, route: Route) -> None:
--- a/src/beamhatch/relay/tunnels/dialer.py
+++ b/src/beamhatch/relay/tunnels/dialer.py
@@ -142,7 +142,8 @@
             self._tried.add(proxy.address)
             open_tunnel(self.dialer.clock, self.dialer.vm, proxy.address, self.address, _TunnelAttempt(self, proxy))
         else:
-            self.receiver.handle_failure(detail)
+            # the caller of connect() may not be ready for the result yet, and may connect again at once
+            self.dialer.clock.call_later(0.0, self.receiver.handle_failure, detail)
 
     def _choose_proxy(self, now: float) -> Proxy | None:
         dialer = self.dialer
--- a/tests/platform/test_tunnels.py
+++ b/tests/platform/test_tunnels.py
@@ -10,6 +10,7 @@
 from beamhatch.relay.engines.balancing import PhaseChange
 from beamhatch.relay.mechanism import Mechanism
 from beamhatch.relay.model import Phase, ServiceName, UpstreamId
+from beamhatch.relay.requests.request import MAX_UNREACHED
 from tests.support.platform import MODEL, SENT_TO
 from tests.support.reach_fleet import CALLER_PATIENCE_S, CONTACT_S, Loss, ReachFleet
 from tests.support.reach_spell import ReachSpell, find_answer_fault
@@ -251,3 +252,33 @@
     spell = ReachSpell(seed)
     broken = spell.play()
     assert not broken, "\n".join([*broken, *spell.lines])
+
+
+@pytest.mark.parametrize("how", [Loss.RESET, Loss.SILENT], ids=lambda how: how.value)
+def test_a_request_tries_hundreds_of_upstreams_as_no_link_leads_to_any(how: Loss) -> None:
+    fleet = ReachFleet(size=1, per_hall=100)
+    fleet.run(1.0)
+    fleet.lose((LOST,), how)
+    fleet.run(3.0)
+    fleet.finish()
+    lines = fleet.platform.journals[LOST].lines
+    for path in ("/safe/x", "/stream/x"):
+        call = fleet.send(LOST, path)
+        fleet.platform.network.run(0.1)
+        assert call.caller.status == 503
+        tried = [line for line in lines if line.get("request") == call.request and line.get("fault") == "unreached"]
+        assert len(tried) <= MAX_UNREACHED
+
+
+def test_a_member_that_could_carry_is_not_asked_as_all_connected_peers_lost_the_same_link() -> None:
+    """Twelve VMs in three halls are connected to a few others each; those of one hall have links."""
+    fleet = ReachFleet(size=12, per_hall=2)
+    fleet.run(1.0)
+    lost = [*fleet.list_hall("hall-a"), *fleet.list_hall("hall-b")]
+    fleet.lose(lost, Loss.SILENT, fleet.list_upstream_hosts("plain"))
+    fleet.run(CONTACT_S)
+    began = fleet.now
+    fleet.run(4.0)
+    fleet.finish()
+    served, sent = fleet.count(lost, began)
+    assert served == sent
--- a/tests/support/reach_fleet.py
+++ b/tests/support/reach_fleet.py
@@ -74,6 +74,7 @@
 
     def __post_init__(self) -> None:
         """Start the VMs and have them meet."""
+        random.seed(self.seed)  # the relay draws from the module's generator
         self.rng = random.Random(self.seed)
         platform = self.platform
         platform.configure(1)
--- a/tests/support/reach_spell.py
+++ b/tests/support/reach_spell.py
@@ -37,7 +37,6 @@
 
     def __post_init__(self) -> None:
         """Start a fleet."""
-        random.seed(self.seed)  # the relay draws from the module's generator
         self.rng = random.Random(self.seed)
         self.fleet = ReachFleet(self.size, self.seed, per_hall=2)
         self.network = self.fleet.platform.network
