Use direct connections that live on, though their address is out of reach

Cause: idle direct connections were closed as soon as an address was out of reach, although they were all that was left. They can't be told from silent ones then.

Change: none is closed. Within a second of its last response one is used first; an older one is the last resort, where no new connection can be opened either directly or by way of a peer.

Why it works: in a silence none gets a response, so after a second none of them comes first; where they live on, traffic keeps them young.

--- a/src/beamhatch/relay/tunnels/api.py
+++ b/src/beamhatch/relay/tunnels/api.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from abc import ABC, abstractmethod
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -73,6 +74,10 @@
         :param may_pass: returns whether the connection may go through a peer in a hall
         """
 
+    def get_max_idle_s(self, address: Address) -> float:
+        """Return the idle time in seconds up to which a direct connection is used before a new one is dialled."""
+        return math.inf
+
     def should_keep(self, address: Address, via: Via | None) -> bool:
         """Return whether a connection is kept for later calls."""
         return True
--- a/src/beamhatch/relay/tunnels/dialer.py
+++ b/src/beamhatch/relay/tunnels/dialer.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from enum import Enum
 from typing import TYPE_CHECKING
@@ -24,6 +25,9 @@
     from beamhatch.relay.tunnels.monitor import ReachMonitor
     from beamhatch.relay.tunnels.proxies import Proxy, ProxyChooser
 
+PROVEN_IDLE_S = 1.0
+"""Seconds after a response for which a direct connection is taken to work although the address is out of reach."""
+
 MAX_TUNNEL_ATTEMPTS = 2
 """Maximum number of peers asked for one connection."""
 
@@ -81,6 +85,10 @@
         """Connect to an address, by way of a peer if that is necessary and allowed."""
         _Dial(self, address, receiver, timeout, may_pass).start()
 
+    def get_max_idle_s(self, address: Address) -> float:
+        """Return the idle time in seconds up to which a direct connection is used before a new one is dialled."""
+        return PROVEN_IDLE_S if self.reach.reachability.is_out_of_reach(address) else math.inf
+
     def should_keep(self, address: Address, via: Via | None) -> bool:
         """Return whether a connection is kept for later calls: not a tunnel that is no longer necessary."""
         return via is None or self.reach.reachability.is_out_of_reach(address)
--- a/src/beamhatch/relay/tunnels/service.py
+++ b/src/beamhatch/relay/tunnels/service.py
@@ -86,11 +86,7 @@
         assert core is not None
         assert prober is not None
         found = core.listing.find_at(address)
-        if change is ReachChange.LOST:
-            core.client.close_idle_direct(address)
-        elif change is ReachChange.CUT_OFF:
-            core.client.close_idle_direct()
-        elif change is not ReachChange.CHECK:
+        if change in (ReachChange.REGAINED, ReachChange.RECONNECTED):
             core.client.close_idle_tunnels()
         if change is not ReachChange.CHECK:
             self.on_state_change()
--- a/src/beamhatch/relay/upstreams/http_client.py
+++ b/src/beamhatch/relay/upstreams/http_client.py
@@ -278,10 +278,11 @@
 class _Dial(DialReceiver):
     """Opening of the connection for one exchange."""
 
-    def __init__(self, client: HttpClient, address: Address, exchange: HttpExchange) -> None:
+    def __init__(self, client: HttpClient, address: Address, exchange: HttpExchange, max_idle_s: float) -> None:
         self._client = client
         self._address = address
         self._exchange = exchange
+        self._max_idle_s = max_idle_s
 
     @property
     def is_wanted(self) -> bool:
@@ -295,8 +296,12 @@
         return connection
 
     def handle_failure(self, detail: str) -> None:
-        """Report that nothing was sent."""
-        self._exchange.report_failure(CallFailure.UNREACHED, detail)
+        """Send on an idle direct connection if there is one, or report that nothing was sent."""
+        connection = self._client.pop_idle_direct(self._address, self._max_idle_s) if self.is_wanted else None
+        if connection is not None:
+            connection.send(self._exchange)
+        else:
+            self._exchange.report_failure(CallFailure.UNREACHED, detail)
 
 
 class _NewConnection(Connection):
@@ -351,17 +356,17 @@
         if connection is not None:
             connection.send(exchange)
             return exchange
-        self._dial(address, exchange, may_pass)
+        self._dial(address, exchange, max_idle_s, may_pass)
         return exchange
 
     def warm(self, address: Address) -> None:
         """Open a direct connection without a call, and keep it for later ones."""
         exchange = HttpExchange(_NO_CALL, None)
-        self._dial(address, exchange, allow_no_hall)
+        self._dial(address, exchange, 0.0, allow_no_hall)
 
-    def _dial(self, address: Address, exchange: HttpExchange, may_pass: HallFilter) -> None:
+    def _dial(self, address: Address, exchange: HttpExchange, max_idle_s: float, may_pass: HallFilter) -> None:
         self.opened_count += 1
-        dial = _Dial(self, address, exchange)
+        dial = _Dial(self, address, exchange, max_idle_s)
         self._dialer.connect(address, dial, self._connect_timeout, may_pass)
 
     def list_open(self, address: Address) -> Set[Connection]:
@@ -395,13 +400,6 @@
         for connection in self._idle.pop(address, []):
             connection.transport.loseConnection()
 
-    def close_idle_direct(self, address: Address | None = None) -> None:
-        """Close the idle direct connections.
-
-        :param address: the upstream whose connections are closed; None for all
-        """
-        self._close_idle_if(lambda one: one.via is None and address in (None, one.address))
-
     def close_idle_tunnels(self, proxy: Address | None = None) -> None:
         """Close the idle connections that go through peers.
 
@@ -422,12 +420,22 @@
                 del self._idle[connection.address]
 
     def _pop_idle(self, address: Address, max_idle_s: float, may_pass: HallFilter) -> Connection | None:
+        max_direct_idle_s = min(max_idle_s, self._dialer.get_max_idle_s(address))
+        direct = self.pop_idle_direct(address, max_direct_idle_s)
+        if direct is not None:
+            return direct
+        return self._pop_newest(address, max_idle_s, lambda one: one.via is not None and may_pass(one.via.hall))
+
+    def pop_idle_direct(self, address: Address, max_idle_s: float) -> Connection | None:
+        """Return the direct connection to an address that was used last, or None if it is idle for too long."""
+        return self._pop_newest(address, max_idle_s, lambda one: one.via is None)
+
+    def _pop_newest(
+        self, address: Address, max_idle_s: float, concerns: Callable[[Connection], bool]
+    ) -> Connection | None:
         now = self._clock.now()
-        idle = [one for one in self._idle.get(address, ()) if one.via is None or may_pass(one.via.hall)]
-        if not idle:
-            return None
-        newest = idle[-1]
-        if now >= newest.idle_until or now - newest.idle_since > max_idle_s:
+        newest = next((one for one in reversed(self._idle.get(address, ())) if concerns(one)), None)
+        if newest is None or now >= newest.idle_until or now - newest.idle_since > max_idle_s:
             return None
         self._remove_idle(newest)
         return newest
--- a/tests/platform/test_tunnels.py
+++ b/tests/platform/test_tunnels.py
@@ -270,6 +270,21 @@
         assert len(tried) <= MAX_UNREACHED
 
 
+def test_connections_that_live_on_are_closed_as_no_peer_has_a_link() -> None:
+    """All VMs lose their links, and open connections are all that is left; as many are served as without tunnels."""
+    served = {}
+    for without in (frozenset(), frozenset({Mechanism.TUNNELS})):
+        fleet = ReachFleet(size=3, per_hall=2, without=without)
+        fleet.run(2.0)
+        vms = list(fleet.platform.vms)
+        fleet.lose(vms, Loss.LIVING)
+        began = fleet.now
+        fleet.run(4.0)
+        fleet.finish()
+        served[without], sent = fleet.count(vms, began)
+    assert served[frozenset()] >= 0.9 * served[frozenset({Mechanism.TUNNELS})], sent
+
+
 def test_a_member_that_could_carry_is_not_asked_as_all_connected_peers_lost_the_same_link() -> None:
     """Twelve VMs in three halls are connected to a few others each; those of one hall have links."""
     fleet = ReachFleet(size=12, per_hall=2)
--- a/tests/relay/upstreams/test_http_client.py
+++ b/tests/relay/upstreams/test_http_client.py
@@ -8,13 +8,14 @@
 from twisted.internet.protocol import Factory, Protocol
 
 from beamhatch.relay.model import Address
+from beamhatch.relay.tunnels.api import Dialer, allow_any_hall
 from beamhatch.relay.upstreams.http_client import Call, CallFailure, HttpClient, ResponseHead, ResponseSink
 from tests.support.network import Network, PausedClock
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from beamhatch.relay.tunnels.api import Via
+    from beamhatch.relay.tunnels.api import DialReceiver, HallFilter, Via
 
 ADDRESS = Address("up", 1)
 WHOLE = b"HTTP/1.1 200 OK\r\nRequest-Id: q\r\nContent-Length: 2\r\n\r\nok"
@@ -178,3 +179,25 @@
     sink = bench.ask()
     bench.network.run(0.6)
     assert sink.outcome is CallFailure.UNREACHED
+
+
+class RefusingDialer(Dialer):
+    """Fails each dial, and takes direct connections for proven for a second."""
+
+    def connect(
+        self, address: Address, receiver: DialReceiver, timeout: float, may_pass: HallFilter = allow_any_hall
+    ) -> None:
+        receiver.handle_failure("no way")
+
+    def get_max_idle_s(self, address: Address) -> float:
+        return 1.0
+
+
+def test_an_idle_connection_is_the_last_resort_where_no_other_can_be_opened() -> None:
+    bench = ClientBench(write(WHOLE), write(WHOLE))
+    assert bench.ask().outcome == "whole"
+    bench.client._dialer = RefusingDialer()
+    bench.network.run(2.0)
+    assert bench.ask(max_idle_s=1.0).outcome is CallFailure.UNREACHED
+    assert bench.ask().outcome == "whole"
+    assert bench.server.connections == 1
