Count an attempt's time-out from when the request is sent

What callers saw: at VMs that lost the links to the engines, on the paused network, a prompt whose connection had taken 0.5 s was taken back 0.08 s after it was sent, as its engine 'was silent' for 0.6 s.

Cause: the timer ran from the dial.

Change: the timer starts anew when the request is written.

--- a/src/beamhatch/relay/upstreams/attempt.py
+++ b/src/beamhatch/relay/upstreams/attempt.py
@@ -122,8 +122,9 @@
     # --- response ----------------------------------------------------------------------------------------------------
 
     def handle_sent(self, via: Via | None) -> None:
-        """Record that the request is being sent."""
+        """Record that the request is being sent, and give the upstream its whole time to respond."""
         self._sent = True
+        self._restart_timer(self.get_timeout())
         self._via = via
         if via is not None:
             self.exchange.write_log("sent by way of a peer", to=self.send.upstream.id, proxy=str(via))
--- a/tests/platform/test_tunnels.py
+++ b/tests/platform/test_tunnels.py
@@ -297,3 +297,17 @@
     fleet.finish()
     served, sent = fleet.count(lost, began)
     assert served == sent
+
+
+@pytest.mark.parametrize("seed", [21, 61, 69])
+def test_a_prompt_is_taken_back_as_its_connection_took_most_of_the_time(seed: int) -> None:
+    """Retries that are made for no reason spend the budget for retries, and callers are refused."""
+    fleet = ReachFleet(size=6, per_hall=2, seed=seed)
+    lost = ("vm0", "vm2", "vm4")
+    fleet.run(1.0)
+    fleet.lose(lost, Loss.SILENT, fleet.list_upstream_hosts("decode", "prefill"))
+    began = fleet.now
+    fleet.run(10.0)
+    fleet.finish()
+    served, sent = fleet.count(lost, began + CONTACT_S)
+    assert served == sent
