--- a/src/beamhatch/relay/daemon.py
+++ b/src/beamhatch/relay/daemon.py
@@ -124,10 +124,10 @@
         self.clock = clock
         self.journal = journal
         self.tally = tally
-        self.reach = ReachMonitor(clock, journal, tally)
-        self.tunnels = Tunnels(clock, journal, tally, settings.vm, settings.hall, settings.topology, self.reach)
+        reach = ReachMonitor(clock, journal, tally)
+        self.tunnels = Tunnels(clock, journal, tally, settings.vm, settings.hall, settings.topology, reach)
         uses_tunnels = settings.peer_address is not None and Mechanism.TUNNELS not in settings.disabled
-        client = HttpClient(clock, self.tunnels.dialer if uses_tunnels else DirectDialer(clock, self.reach))
+        client = HttpClient(clock, self.tunnels.dialer if uses_tunnels else DirectDialer(clock, reach))
         stats = UpstreamStatsRegistry()
         prefill_models = PrefillEstimators(enabled=Mechanism.LEARNED_PREFILL_RATES not in settings.disabled)
         peer_backlog = PeerBacklog()
@@ -145,7 +145,7 @@
             disabled=settings.disabled,
             peer_backlog=peer_backlog,
             settings=ReloadableSettings(settings.retry_budget),
-            reach=self.reach,
+            reach=reach,
             listing=Listing(gone_grace_s=GONE_GRACE_SHARE * settings.drain_time),
             started_at=clock.now(),
             topology=settings.topology,
--- a/src/beamhatch/relay/tunnels/dialer.py
+++ b/src/beamhatch/relay/tunnels/dialer.py
@@ -134,12 +134,12 @@
         reachability = self.dialer.reach.reachability
         is_suspect = reachability.is_suspect(self.address, now)
         proxy = self._choose_proxy(now) if is_suspect else None
-        out_of_reach = reachability.is_out_of_reach(self.address)
+        must_be_direct = self._may_pass is allow_no_hall
         way = self._plan.choose_next(
-            out_of_reach=out_of_reach,
+            out_of_reach=reachability.is_out_of_reach(self.address),
             is_suspect=is_suspect,
             has_proxy=proxy is not None,
-            try_direct=not reachability.is_cut_off or self._may_pass is allow_no_hall,
+            try_direct=must_be_direct or not reachability.is_cut_off,  # the prober tries links that are lost
         )
         if way is Way.DIRECT:
             self._plan.direct_tried = True
--- a/src/beamhatch/relay/tunnels/server.py
+++ b/src/beamhatch/relay/tunnels/server.py
@@ -67,10 +67,6 @@
     def record_result(self, request: OpenTunnel, refusal: Refusal | None) -> None:
         """Record what became of a request; of its own connection attempt, if that was made."""
 
-    @abstractmethod
-    def handle_count_change(self) -> None:
-        """Handle a change of the number of tunnels."""
-
 
 class TunnelServer(Factory):
     """Server of the tunnels of one VM."""
@@ -86,17 +82,6 @@
         """Return the protocol of a client's connection."""
         return ClientSide(self)
 
-    def add(self, tunnel: ClientSide) -> None:
-        """Count a tunnel."""
-        self.tunnels.add(tunnel)
-        self.host.handle_count_change()
-
-    def remove(self, tunnel: ClientSide) -> None:
-        """Stop counting a tunnel."""
-        if tunnel in self.tunnels:
-            self.tunnels.discard(tunnel)
-            self.host.handle_count_change()
-
     def abort_all(self) -> None:
         """Reset all tunnels."""
         for tunnel in list(self.tunnels):
@@ -138,7 +123,7 @@
         """Close the connection to the upstream: the client needs it no longer."""
         self._is_open = False
         self._stop_timer()
-        self._server.remove(self)
+        self._server.tunnels.discard(self)
         upstream, self._upstream = self._upstream, None
         if upstream is not None:
             upstream.close()
@@ -165,7 +150,7 @@
         if refusal is not None:
             self._refuse(request, refusal)
             return
-        self._server.add(self)
+        self._server.tunnels.add(self)
         self._server.host.clock.reactor.connectTCP(
             request.host, request.port, _UpstreamFactory(self), timeout=CONNECT_TIMEOUT_S
         )
@@ -185,7 +170,7 @@
     def handle_unreachable(self) -> None:
         """Refuse the tunnel, as the upstream accepts no connection."""
         assert self._request is not None
-        self._server.remove(self)
+        self._server.tunnels.discard(self)
         self._refuse(self._request, Refusal.UNREACHABLE)
 
     def _refuse(self, request: OpenTunnel, refusal: Refusal) -> None:
--- a/src/beamhatch/relay/tunnels/service.py
+++ b/src/beamhatch/relay/tunnels/service.py
@@ -178,9 +178,6 @@
         elif refusal is Refusal.UNREACHABLE:
             self._reach.record_unreachable(get_address(request))
 
-    def handle_count_change(self) -> None:
-        """Do nothing: the number of tunnels is told with the next regular heartbeat."""
-
 
 def _make_proxy(member: Member, state: CarryingState | None = None) -> Proxy:
     address = Address(member.address.rpartition(":")[0], member.tunnel_port)
--- a/tests/relay/tunnels/test_tunnel.py
+++ b/tests/relay/tunnels/test_tunnel.py
@@ -73,9 +73,6 @@
     def record_result(self, request: OpenTunnel, refusal: Refusal | None) -> None:
         self.results.append(refusal)
 
-    def handle_count_change(self) -> None:
-        pass
-
 
 class Bench:
     """A client, a proxy and an upstream."""
--- a/tests/soak/vm.py
+++ b/tests/soak/vm.py
@@ -20,6 +20,7 @@
 node_name = "{name}"
 ip = "{ip}"
 zone = "{hall}"
+port_range = [8003, 8010]
 seeds = {seeds}
 [zones]
 {regions}
