Take back a cut-off peer's failure rates once, not with each heartbeat

What callers would have seen: for as long as one VM is cut off from upstreams, all others forget what sound VMs tell them of faulty ones, twice a second.

Cause: the peer's state is repeated in each heartbeat within a hall, and each repeat counted as a change.

Change: rates are dropped when a peer begins to be cut off. The test failed before (0.0 where 0.8 had been told 2 s ago).

--- a/src/beamhatch/relay/tunnels/service.py
+++ b/src/beamhatch/relay/tunnels/service.py
@@ -53,6 +53,8 @@
         """Returns the connections to peers."""
         self.on_state_change: Callable[[], None] = lambda: None
         """Called when peers should be told of a change soon."""
+        self._cut_off_peers: set[str] = set()
+        """Peers that told that they are cut off."""
         self._core: Core | None = None
         self._membership: Membership | None = None
         self._prober: LinkProber | None = None
@@ -123,13 +125,20 @@
         state = heartbeat.carrying
         if state is None or self._core is None:
             return
-        if state.cut_off:
+        if not state.cut_off:
+            self._cut_off_peers.discard(connection.vm)
+        elif connection.vm not in self._cut_off_peers:
+            self._cut_off_peers.add(connection.vm)
             self._core.stats.drop_peer_failure_rates()  # its failures may have been due to its own links
         if not state.accepts:
-            self.forget_peer(connection)
+            self._close_idle_through(connection)
 
     def forget_peer(self, connection: PeerConnection) -> None:
-        """Close the idle tunnels through a peer that carries none any longer, or is lost."""
+        """Forget what a peer told that is no longer connected."""
+        self._cut_off_peers.discard(connection.vm)
+        self._close_idle_through(connection)
+
+    def _close_idle_through(self, connection: PeerConnection) -> None:
         member = None if self._membership is None else self._membership.get_member(connection.address)
         if member is not None and self._core is not None:
             self._core.client.close_idle_tunnels(_make_proxy(member).address)
--- a/tests/platform/test_tunnels.py
+++ b/tests/platform/test_tunnels.py
@@ -190,6 +190,16 @@
         assert not {one: rate for one, rate in rates.items() if rate >= 0.2}
 
 
+def test_what_sound_vms_tell_each_other_is_dropped_for_as_long_as_another_has_no_links() -> None:
+    fleet = make_fleet()
+    core = fleet.platform.vms[PEERS[0]].core
+    stats = core.stats.get(UpstreamId("plain-0"))
+    stats.apply_peer_failure_rate(0.8, fleet.now)
+    fleet.platform.network.run(2.0)
+    assert fleet.platform.vms[LOST].core.reach.reachability.is_cut_off
+    assert stats.get_failure_rate(fleet.now) > 0.3
+
+
 def test_an_order_reaches_an_engine_from_another_vm_than_the_leader() -> None:
     fleet = make_fleet()
     vm = fleet.platform.vms[LOST]
