--- a/src/beamhatch/relay/upstreams/http_client.py
+++ b/src/beamhatch/relay/upstreams/http_client.py
@@ -434,7 +434,8 @@
         self, address: Address, max_idle_s: float, concerns: Callable[[Connection], bool]
     ) -> Connection | None:
         now = self._clock.now()
-        newest = next((one for one in reversed(self._idle.get(address, ())) if concerns(one)), None)
+        idle: list[Connection] = self._idle.get(address, [])
+        newest = next((one for one in reversed(idle) if concerns(one)), None)
         if newest is None or now >= newest.idle_until or now - newest.idle_since > max_idle_s:
             return None
         self._remove_idle(newest)
