Remove what the repair of lost links wrote twice

No change of behaviour, found by reading the diff. PathDialer connects by the DirectDialer that was there; the number of peers tried is the size of the set beside it, so WayPlan is a function; an attempt on a pooled connection sets its timer once, not twice; the user timeout has one definition; Membership.get_hall calls get_member, and list_others takes the place of the method that it wrapped. Tests: halls, seeds and the bound of contact come from where they stood, and two tests share their scenario; assertions are the same.

--- a/src/beamhatch/relay/daemon.py
+++ b/src/beamhatch/relay/daemon.py
@@ -27,7 +27,6 @@
 from beamhatch.relay.model import Address, CallerLimits
 from beamhatch.relay.quarantine.persistence import QuarantinePersistence
 from beamhatch.relay.topology import Topology
-from beamhatch.relay.tunnels.direct import DirectDialer
 from beamhatch.relay.tunnels.monitor import ReachMonitor
 from beamhatch.relay.tunnels.service import Tunnels
 from beamhatch.relay.upstreams.http_client import HttpClient
@@ -127,7 +126,7 @@
         reach = ReachMonitor(clock, journal, tally)
         self.tunnels = Tunnels(clock, journal, tally, settings.vm, settings.hall, settings.topology, reach)
         uses_tunnels = settings.peer_address is not None and Mechanism.TUNNELS not in settings.disabled
-        client = HttpClient(clock, self.tunnels.dialer if uses_tunnels else DirectDialer(clock, reach))
+        client = HttpClient(clock, self.tunnels.dialer if uses_tunnels else self.tunnels.dialer.direct)
         stats = UpstreamStatsRegistry()
         prefill_models = PrefillEstimators(enabled=Mechanism.LEARNED_PREFILL_RATES not in settings.disabled)
         peer_backlog = PeerBacklog()
--- a/src/beamhatch/relay/fleet/membership.py
+++ b/src/beamhatch/relay/fleet/membership.py
@@ -130,10 +130,6 @@
         self._known[member.address] = _KnownMember(member, seen_at)
         self._last_seen_at[member.address] = max(seen_at, self._last_seen_at.get(member.address, seen_at))
 
-    def list_others(self) -> list[Member]:
-        """Return the other members."""
-        return self._list_members()
-
     def get_member(self, address: str) -> Member | None:
         """Return the member that listens for peers at an address, or None."""
         known = self._known.get(address)
@@ -141,8 +137,8 @@
 
     def get_hall(self, address: str) -> str:
         """Return the hall of a member, or an empty string if it is unknown."""
-        known = self._known.get(address)
-        return "" if known is None else known.member.hall
+        member = self.get_member(address)
+        return "" if member is None else member.hall
 
     def record_reachable(self, address: str) -> None:
         """Record that the VM at an address sent a message; an accepted connection does not show that it runs."""
@@ -241,7 +237,7 @@
 
     def is_watcher(self) -> bool:
         """Return whether this VM watches the store for its hall, as one of its watchers or as a standby."""
-        higher = [one for one in self._list_members() if one.hall == self.own.hall and self._ranks_higher(one)]
+        higher = [one for one in self.list_others() if one.hall == self.own.hall and self._ranks_higher(one)]
         if len(higher) < WATCHERS_PER_HALL:
             return True
         first = sorted(higher, key=_rank)[:WATCHERS_PER_HALL]
@@ -252,16 +248,17 @@
     def _list_watchers(self) -> list[Member]:
         """Return the watchers of all halls among the other members."""
         by_hall: defaultdict[str, list[Member]] = defaultdict(list)
-        for member in self._list_members():
+        for member in self.list_others():
             if member.address not in self._unreachable:
                 by_hall[member.hall].append(member)
         return [member for members in by_hall.values() for member in sorted(members, key=_rank)[:WATCHERS_PER_HALL]]
 
     def count_higher_ranked(self) -> int:
         """Return the number of members of all halls that rank higher than this VM, without unreachable ones."""
-        return sum(self._ranks_higher(one) for one in self._list_members())
+        return sum(self._ranks_higher(one) for one in self.list_others())
 
-    def _list_members(self) -> list[Member]:
+    def list_others(self) -> list[Member]:
+        """Return the other members."""
         return [one.member for one in self._known.values()]
 
     def _ranks_higher(self, member: Member) -> bool:
@@ -271,10 +268,10 @@
 
     def list_targets(self, now: float) -> list[str]:
         """Return the addresses that this VM should be connected to, in order of priority."""
-        here = [one for one in self._list_members() if one.hall == self.own.hall]
+        here = [one for one in self.list_others() if one.hall == self.own.hall]
         alive = [one for one in here if one.address not in self._unreachable]
         targets = [one.address for one in sorted(alive, key=_rank)[:WATCHERS_PER_HALL]]
-        elsewhere = [one for one in self._list_members() if one.hall != self.own.hall]
+        elsewhere = [one for one in self.list_others() if one.hall != self.own.hall]
         others = [one.address for one in elsewhere or here if one.address not in targets]
         free = [address for address in others if self._may_dial(address, now)]
         free.sort(key=lambda address: hash_to_fraction(f"{self.own.address}/{address}"))
@@ -289,7 +286,7 @@
         and aggregates of one hall reach the aggregators of another without an intermediate VM.
         """
         by_hall: defaultdict[str, list[Member]] = defaultdict(list)
-        for member in self._list_members():
+        for member in self.list_others():
             if member.hall == self.own.hall or self._may_dial(member.address, now):
                 by_hall[member.hall].append(member)
         rank = sum(self._ranks_higher(member) for member in by_hall.pop(self.own.hall, []))
--- a/src/beamhatch/relay/tunnels/dialer.py
+++ b/src/beamhatch/relay/tunnels/dialer.py
@@ -3,13 +3,12 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass
 from enum import Enum
 from typing import TYPE_CHECKING
 
 from beamhatch.relay.tunnels.api import Dialer, DialReceiver, Via, allow_any_hall, allow_no_hall
 from beamhatch.relay.tunnels.client import TunnelHandler, open_tunnel
-from beamhatch.relay.tunnels.direct import DirectFactory
+from beamhatch.relay.tunnels.direct import DirectDialer
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -39,27 +38,28 @@
     TUNNEL = "tunnel"
 
 
-@dataclass(slots=True)
-class WayPlan:
-    """Ways that were tried for one connection."""
-
-    direct_tried: bool = False
-    tunnels_tried: int = 0
-
-    def choose_next(
-        self, *, out_of_reach: bool, is_suspect: bool, has_proxy: bool, try_direct: bool = True
-    ) -> Way | None:
-        """Return the way to try next, or None if there is none left.
-
-        :param out_of_reach: whether this VM's own links are believed not to lead to the upstream
-        :param is_suspect: whether a direct failure may be due to this VM's own links
-        :param has_proxy: whether there is a peer to ask
-        :param try_direct: whether a direct attempt is made if there is no peer to ask
-        """
-        may_tunnel = has_proxy and self.tunnels_tried < MAX_TUNNEL_ATTEMPTS
-        if may_tunnel and (out_of_reach or (self.direct_tried and is_suspect)):
-            return Way.TUNNEL
-        return Way.DIRECT if try_direct and not self.direct_tried else None
+def choose_way(
+    *,
+    direct_tried: bool,
+    tunnels_tried: int,
+    out_of_reach: bool,
+    is_suspect: bool,
+    has_proxy: bool,
+    try_direct: bool = True,
+) -> Way | None:
+    """Return the way to try next for a connection, or None if there is none left.
+
+    :param direct_tried: whether a direct attempt has failed
+    :param tunnels_tried: number of peers that have failed
+    :param out_of_reach: whether this VM's own links are believed not to lead to the upstream
+    :param is_suspect: whether a direct failure may be due to this VM's own links
+    :param has_proxy: whether there is a peer to ask
+    :param try_direct: whether a direct attempt is made if there is no peer to ask
+    """
+    may_tunnel = has_proxy and tunnels_tried < MAX_TUNNEL_ATTEMPTS
+    if may_tunnel and (out_of_reach or (direct_tried and is_suspect)):
+        return Way.TUNNEL
+    return Way.DIRECT if try_direct and not direct_tried else None
 
 
 class PathDialer(Dialer):
@@ -74,6 +74,7 @@
         self.vm = vm
         self.reach = reach
         self.chooser = chooser
+        self.direct = DirectDialer(clock, reach)
         self.list_proxies: Callable[[], Iterable[Proxy]] = list
         """Returns the peers that may carry tunnels."""
         self.find_hall: Callable[[Address], str] = lambda address: ""
@@ -105,8 +106,9 @@
         self.receiver = receiver
         self._timeout = timeout
         self._may_pass = may_pass
-        self._plan = WayPlan()
+        self._direct_tried = False
         self._tried: set[Address] = set()
+        """Peers that were asked."""
 
     def start(self) -> None:
         """Make the first attempt."""
@@ -135,18 +137,18 @@
         is_suspect = reachability.is_suspect(self.address, now)
         proxy = self._choose_proxy(now) if is_suspect else None
         must_be_direct = self._may_pass is allow_no_hall
-        way = self._plan.choose_next(
+        way = choose_way(
+            direct_tried=self._direct_tried,
+            tunnels_tried=len(self._tried),
             out_of_reach=reachability.is_out_of_reach(self.address),
             is_suspect=is_suspect,
             has_proxy=proxy is not None,
             try_direct=must_be_direct or not reachability.is_cut_off,  # the prober tries links that are lost
         )
         if way is Way.DIRECT:
-            self._plan.direct_tried = True
-            factory = DirectFactory(self.address, self, self.dialer.reach)
-            self.dialer.clock.reactor.connectTCP(self.address.host, self.address.port, factory, timeout=self._timeout)
+            self._direct_tried = True
+            self.dialer.direct.connect(self.address, self, self._timeout)
         elif way is Way.TUNNEL and proxy is not None:
-            self._plan.tunnels_tried += 1
             self._tried.add(proxy.address)
             open_tunnel(self.dialer.clock, self.dialer.vm, proxy.address, self.address, _TunnelAttempt(self, proxy))
         else:
--- a/src/beamhatch/relay/tunnels/direct.py
+++ b/src/beamhatch/relay/tunnels/direct.py
@@ -17,7 +17,7 @@
     from beamhatch.relay.tunnels.api import DialObserver, DialReceiver, HallFilter
 
 
-class DirectFactory(ClientFactory):
+class _DirectFactory(ClientFactory):
     """Factory of one direct connection."""
 
     noisy = False
@@ -51,5 +51,5 @@
         self, address: Address, receiver: DialReceiver, timeout: float, may_pass: HallFilter = allow_any_hall
     ) -> None:
         """Connect to an address directly."""
-        factory = DirectFactory(address, receiver, self._observer)
+        factory = _DirectFactory(address, receiver, self._observer)
         self._clock.reactor.connectTCP(address.host, address.port, factory, timeout=timeout)
--- a/src/beamhatch/relay/tunnels/server.py
+++ b/src/beamhatch/relay/tunnels/server.py
@@ -22,6 +22,7 @@
     encode,
     frame,
 )
+from beamhatch.relay.upstreams.http_client import TCP_USER_TIMEOUT, USER_TIMEOUT_MS
 
 if TYPE_CHECKING:
     from twisted.python.failure import Failure
@@ -47,9 +48,6 @@
 KEEPALIVE_COUNT = 3
 """Unanswered probes after which the connection is closed, unless the user timeout ends it first."""
 
-USER_TIMEOUT_MS = 5000
-"""Milliseconds after which unacknowledged data, or unanswered probes, close the connection."""
-
 
 class TunnelHost(ABC):
     """The VM that carries tunnels."""
@@ -107,7 +105,7 @@
         handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
         handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
         handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_COUNT)
-        handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+        handle.setsockopt(socket.IPPROTO_TCP, TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
 
     def dataReceived(self, data: bytes) -> None:
         """Read the request, or pass data on to the upstream."""
@@ -213,7 +211,7 @@
 
     def connectionMade(self) -> None:
         self.transport.setTcpNoDelay(True)
-        self.transport.getHandle().setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+        self.transport.getHandle().setsockopt(socket.IPPROTO_TCP, TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
         if self._client is not None:
             self._client.attach(self)
 
--- a/src/beamhatch/relay/upstreams/attempt.py
+++ b/src/beamhatch/relay/upstreams/attempt.py
@@ -63,9 +63,10 @@
         self._probe = self.core.eligibility.backoffs.begin_request(self.send.upstream.incarnation, now)
         if self._needs_prefill:
             self._start_prefill()
-        self._restart_timer(self.get_timeout())
         may_pass = self.core.make_hall_filter(self.request.regions)
         http = self.core.client.open(self.send.upstream.address, call, self, max_idle_s=max_idle_s, may_pass=may_pass)
+        if not self._sent and not self._ended:
+            self._restart_timer(self.get_timeout())
         if not self._ended:
             self._http = http
 
--- a/tests/platform/test_tunnels.py
+++ b/tests/platform/test_tunnels.py
@@ -11,12 +11,14 @@
 from beamhatch.relay.mechanism import Mechanism
 from beamhatch.relay.model import Phase, ServiceName, UpstreamId
 from beamhatch.relay.requests.request import MAX_UNREACHED
+from tests.support.configuration_fleet import CONTACT_S
 from tests.support.platform import MODEL, SENT_TO
-from tests.support.reach_fleet import CALLER_PATIENCE_S, CONTACT_S, Loss, ReachFleet
+from tests.support.reach_fleet import CALLER_PATIENCE_S, Loss, ReachFleet
 from tests.support.reach_spell import ReachSpell, find_answer_fault
 
 LOST = "vm0"
 PEERS = ("vm1", "vm2")
+HALF = ("vm0", "vm2", "vm4")
 MAY_HAVE_RUN = {0, 200, 502, 504}
 """Statuses that promise nothing; 0 is a closed connection."""
 
@@ -34,6 +36,17 @@
     return fleet
 
 
+def play_without_engines(seed: int) -> tuple[ReachFleet, float]:
+    """Have ``HALF`` of six VMs lose the links to engines, and serve others; return the fleet and when that began."""
+    fleet = ReachFleet(size=6, per_hall=2, seed=seed)
+    fleet.run(1.0)
+    fleet.lose(HALF, Loss.SILENT, fleet.list_upstream_hosts("decode", "prefill"))
+    began = fleet.now
+    fleet.run(10.0)
+    fleet.finish()
+    return fleet, began
+
+
 def find_carriers(fleet: ReachFleet) -> list[str]:
     """Return the VMs that carry tunnels."""
     return [name for name, vm in fleet.platform.vms.items() if vm.tunnels.server.tunnels]
@@ -140,15 +153,9 @@
 @pytest.mark.parametrize("seed", range(3))
 def test_a_vm_is_asked_for_upstreams_that_it_told_it_does_not_reach(seed: int) -> None:
     """Half of the VMs lose the links to one service, and serve others; one request may cross the word."""
-    fleet = ReachFleet(size=6, per_hall=2, seed=seed)
-    lost = ("vm0", "vm2", "vm4")
-    fleet.run(1.0)
-    fleet.lose(lost, Loss.SILENT, fleet.list_upstream_hosts("decode", "prefill"))
-    began = fleet.now
-    fleet.run(10.0)
-    fleet.finish()
-    assert max(count_asked_in_vain(fleet, vm) for vm in lost) <= 1
-    served, sent = fleet.count(lost, began + CONTACT_S)
+    fleet, began = play_without_engines(seed)
+    assert max(count_asked_in_vain(fleet, vm) for vm in HALF) <= 1
+    served, sent = fleet.count(HALF, began + CONTACT_S)
     assert served == sent
 
 
@@ -312,12 +319,6 @@
 @pytest.mark.parametrize("seed", [21, 61, 69])
 def test_a_prompt_is_taken_back_as_its_connection_took_most_of_the_time(seed: int) -> None:
     """Retries that are made for no reason spend the budget for retries, and callers are refused."""
-    fleet = ReachFleet(size=6, per_hall=2, seed=seed)
-    lost = ("vm0", "vm2", "vm4")
-    fleet.run(1.0)
-    fleet.lose(lost, Loss.SILENT, fleet.list_upstream_hosts("decode", "prefill"))
-    began = fleet.now
-    fleet.run(10.0)
-    fleet.finish()
-    served, sent = fleet.count(lost, began + CONTACT_S)
+    fleet, began = play_without_engines(seed)
+    served, sent = fleet.count(HALF, began + CONTACT_S)
     assert served == sent
--- a/tests/platform/test_upstream_reach.py
+++ b/tests/platform/test_upstream_reach.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from tests.support.reach_fleet import CONTACT_S, Loss, ReachFleet
+from tests.support.configuration_fleet import CONTACT_S
+from tests.support.reach_fleet import Loss, ReachFleet
 
 LOSS_S = 12.0
 """Seconds for which the links are lost."""
--- a/tests/relay/tunnels/test_dialer.py
+++ b/tests/relay/tunnels/test_dialer.py
@@ -2,13 +2,21 @@
 
 from __future__ import annotations
 
-from beamhatch.relay.tunnels.dialer import MAX_TUNNEL_ATTEMPTS, Way, WayPlan
+from beamhatch.relay.tunnels.dialer import MAX_TUNNEL_ATTEMPTS, Way, choose_way
 
 
 def choose(
-    plan: WayPlan, *, reach: bool = True, cut_off: bool = False, suspect: bool = False, proxy: bool = True
+    *,
+    direct_tried: bool = False,
+    tunnels_tried: int = 0,
+    reach: bool = True,
+    cut_off: bool = False,
+    suspect: bool = False,
+    proxy: bool = True,
 ) -> Way | None:
-    return plan.choose_next(
+    return choose_way(
+        direct_tried=direct_tried,
+        tunnels_tried=tunnels_tried,
         out_of_reach=not reach or cut_off,
         is_suspect=suspect or not reach or cut_off,
         has_proxy=proxy,
@@ -17,26 +25,23 @@
 
 
 def test_the_direct_way_comes_first_while_links_are_believed_to_work() -> None:
-    assert choose(WayPlan()) is Way.DIRECT
-    assert choose(WayPlan(), suspect=True) is Way.DIRECT
+    assert choose() is Way.DIRECT
+    assert choose(suspect=True) is Way.DIRECT
 
 
 def test_an_upstream_that_refuses_alone_is_not_asked_by_way_of_a_peer() -> None:
-    assert choose(WayPlan(direct_tried=True)) is None
+    assert choose(direct_tried=True) is None
 
 
 def test_a_peer_follows_a_direct_failure_where_links_are_suspected() -> None:
-    assert choose(WayPlan(direct_tried=True), suspect=True) is Way.TUNNEL
+    assert choose(direct_tried=True, suspect=True) is Way.TUNNEL
 
 
 def test_a_peer_comes_first_where_the_address_is_out_of_reach_and_the_direct_way_last() -> None:
-    plan = WayPlan()
-    assert choose(plan, reach=False) is Way.TUNNEL
-    plan.tunnels_tried = MAX_TUNNEL_ATTEMPTS
-    assert choose(plan, reach=False) is Way.DIRECT
-    plan.direct_tried = True
-    assert choose(plan, reach=False) is None
+    assert choose(reach=False) is Way.TUNNEL
+    assert choose(reach=False, tunnels_tried=MAX_TUNNEL_ATTEMPTS) is Way.DIRECT
+    assert choose(reach=False, tunnels_tried=MAX_TUNNEL_ATTEMPTS, direct_tried=True) is None
 
 
 def test_a_vm_that_is_cut_off_and_has_no_peer_fails_at_once() -> None:
-    assert choose(WayPlan(), cut_off=True, proxy=False) is None
+    assert choose(cut_off=True, proxy=False) is None
--- a/tests/support/reach_fleet.py
+++ b/tests/support/reach_fleet.py
@@ -8,6 +8,7 @@
 from enum import Enum
 from typing import TYPE_CHECKING
 
+from tests.support.configuration_fleet import HALLS, SEEDS
 from tests.support.platform import Caller, Platform, make_request
 
 if TYPE_CHECKING:
@@ -16,12 +17,6 @@
     from beamhatch.relay.mechanism import DisabledMechanisms
     from tests.support.network import Transport
 
-HALLS = ["hall-a", "hall-b", "hall-c"]
-SEEDS = ["vm0:8002", "vm1:8002", "vm2:8002"]
-
-CONTACT_S = 3.0
-"""Seconds after the start of a partition from which its VMs are held to the bound."""
-
 CALLER_PATIENCE_S = 5.0
 """Seconds until a caller's deadline."""
 
--- a/tests/support/reach_spell.py
+++ b/tests/support/reach_spell.py
@@ -7,7 +7,8 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from tests.support.reach_fleet import SEEDS, Call, Loss, ReachFleet
+from tests.support.configuration_fleet import SEEDS
+from tests.support.reach_fleet import Call, Loss, ReachFleet
 
 if TYPE_CHECKING:
     from collections.abc import Callable
