Log the software version of upstreams, and streams that callers take up again

The version of an upstream's entry was checked and dropped, and the Resumes header was read by nobody, so no line told which version sent or continued a stream. The listing keeps the version, sent lines have it and the one that began the stream, a line says that a caller takes a stream up, and a counter tells continued sends by their version. No decision depends on it yet. Stand-ins of upstreams have a version too.

--- a/src/beamhatch/platform/dialect.py
+++ b/src/beamhatch/platform/dialect.py
@@ -25,6 +25,7 @@
 REQUEST_ID_HEADER = "request-id"
 DEADLINE_HEADER = "deadline-ms"
 LAST_EVENT_HEADER = "last-event-id"
+RESUMES_HEADER = "resumes"
 PROMPT_PREFIX_HEADER = "prompt-prefix"
 TOKEN_COUNT_HEADER = "token-count"
 LENGTH_HINT_HEADER = "length-hint"
@@ -107,6 +108,7 @@
             id=request_id,
             time_left=None if deadline is None else deadline / 1000,
             last_event=_parse_number(values.get(LAST_EVENT_HEADER)),
+            resumed_request=_parse_id(values.get(RESUMES_HEADER)),
             prompt_tokens=prompt,
             output_tokens=output,
             parts=_parse_prompt_parts(values.get(PROMPT_PREFIX_HEADER)),
@@ -194,6 +196,11 @@
     return int(text) if text is not None and text.isascii() and text.isdigit() else None
 
 
+def _parse_id(text: str | None) -> str | None:
+    """Return the id of another request, limited to the length that ids may have; None if there is none."""
+    return (text or "").strip()[:MAX_REQUEST_ID_LENGTH] or None
+
+
 def _parse_key(values: list[str]) -> KeyDigest | None:
     """Return the digest of the API key; None if there are several keys or the scheme is not "bearer"."""
     if len(values) != 1:
--- a/src/beamhatch/platform/documents.py
+++ b/src/beamhatch/platform/documents.py
@@ -22,6 +22,7 @@
     RoutingTable,
     Service,
     ServiceName,
+    SoftwareVersion,
     Upstream,
     UpstreamId,
     WeightedService,
@@ -216,6 +217,7 @@
         slots=entry.capacity,
         cold_left=max(0.0, entry.cold_remaining_ms / 1000),
         born=entry.born,
+        version=SoftwareVersion(entry.version),
     )
 
 
--- a/src/beamhatch/platform/standin/upstream.py
+++ b/src/beamhatch/platform/standin/upstream.py
@@ -83,6 +83,8 @@
     crash_inducing: set[str] = field(default_factory=set)
     """Targets of requests that crash each upstream that runs them."""
     crashes: list[Crash] = field(default_factory=list)
+    event_versions: dict[str, dict[int, str]] = field(default_factory=dict)
+    """Software version that last sent each event, by request ID and event number."""
     sends: list[tuple[float, str]] = field(default_factory=list)
     """Arrival time in monotonic seconds and target of each send."""
 
@@ -143,6 +145,8 @@
         self.instance = instance
         self.born = int(1000 * clock.now())
         """Start time in milliseconds of the upstream's own clock, whose epoch is arbitrary."""
+        self.version = "v1"
+        """Software version in its entry."""
         self.runs: set[Run] = set()
         self.on_restart: Callable[[], None] = lambda: None
         """Called after a restart, to register the new incarnation."""
@@ -172,7 +176,7 @@
             "service": service,
             "address": str(self.address),
             "zone": hall,
-            "version": "v1",
+            "version": self.version,
             "capacity": 6,
             "state": state,
             "cold_remaining_ms": 1000 * self.cold_left_s,
@@ -486,6 +490,7 @@
                 run.end()
                 responder.abort()
                 return
+            self.ledger.event_versions.setdefault(request, {})[number] = self.version
             padding = "." * self.padding_bytes
             responder.write(f"id: {number}\ndata: {request}-{number}{padding}\n\n".encode())
             if number >= events:
--- a/src/beamhatch/relay/core.py
+++ b/src/beamhatch/relay/core.py
@@ -263,7 +263,14 @@
         else:
             changed = [entry for entry in entries if listing.apply(entry, now)]
         for entry in changed:
-            self.journal.write("LISTING", _describe(entry), upstream=entry.id, revision=entry.revision, source=source)
+            self.journal.write(
+                "LISTING",
+                _describe(entry),
+                upstream=entry.id,
+                revision=entry.revision,
+                source=source,
+                **_describe_software(entry),
+            )
             self.phase_changes.record_listed_phase(entry.id, None if entry.upstream is None else entry.upstream.phase)
             last = before.get(entry.id)
             if entry.upstream is not None and last is not None and not entry.upstream.is_same_incarnation(last):
@@ -633,6 +640,12 @@
             return _Refusal(401, f"the API key is missing or unknown, by version {version}")
 
 
+def _describe_software(entry: Entry) -> dict[str, str]:
+    """Return the log fields that tell which software answers where."""
+    found = entry.upstream
+    return {} if found is None else {"software": found.version, "address": str(found.address)}
+
+
 def _describe(entry: Entry) -> str:
     if entry.upstream is None:
         return "gone"
--- a/src/beamhatch/relay/model.py
+++ b/src/beamhatch/relay/model.py
@@ -16,6 +16,9 @@
 ServiceName = NewType("ServiceName", str)
 """Name of a service, a set of interchangeable upstreams."""
 
+SoftwareVersion = NewType("SoftwareVersion", str)
+"""Version of an upstream's software, an opaque text without an order."""
+
 Fingerprint = NewType("Fingerprint", bytes)
 """Digest of a request that stays the same on retries; it reveals neither body nor caller."""
 
@@ -262,6 +265,8 @@
     """Seconds for which it stays cold, counted from when this was received."""
     born: int = 0
     """See ``Incarnation``."""
+    version: SoftwareVersion = SoftwareVersion("")
+    """Upstreams of a service may run several versions of the software, which can't continue each other's streams."""
 
     @property
     def incarnation(self) -> Incarnation:
@@ -319,6 +324,13 @@
     """Number of output tokens that the caller expects; 0 if unknown."""
     key: KeyDigest | None = field(default=None, repr=False)
     """Digest of the caller's API key; None if it sent no readable one."""
+    resumed_request: str | None = None
+    """Id of the request with which the caller received the first event of the stream that it takes up now."""
+
+    @property
+    def takes_up_stream(self) -> bool:
+        """Return whether the caller already has a part of the stream."""
+        return self.resumed_request is not None or bool(self.last_event)
 
     @property
     def identity(self) -> str:
--- a/src/beamhatch/relay/requests/exchange.py
+++ b/src/beamhatch/relay/requests/exchange.py
@@ -163,6 +163,9 @@
         self._start_deadline_timer()
         if self._ended:
             return
+        facts = self.request.facts
+        if facts.takes_up_stream:
+            self.write_log("takes up a stream", began_as=facts.resumed_request, last_event=facts.last_event)
         if self.request.split and self._queue.has_on_time(self.core.clock.now()) and self._list_usable():
             self._wait_for_memory()
         else:
@@ -319,12 +322,14 @@
             fingerprint=self.fingerprint.hex(),
             stage=send.stage.value,
             to=send.upstream.id,
+            software=send.upstream.version,
             revision=self.core.listing.newest_revision,
             version=self.core.version,
             running=standing.running,
             others=round(standing.estimate_other_requests(now), 1),
             faults=round(standing.get_failure_rate(now), 2),
             **self.core.announcements.describe_limit(send.upstream.incarnation),
+            **self._describe_continuation(send),
         )
         if request.split and send.stage is not Stage.PREFILL:
             self.record_memory_acquired()
@@ -338,6 +343,18 @@
         max_idle_s = 1e9 if request.route.idempotent or send.stage is Stage.PREFILL else MAX_IDLE_S
         attempt.start(self._make_call(send, now), max_idle_s)
 
+    def _describe_continuation(self, send: Send) -> dict[str, object]:
+        """Count a send that continues a stream, and return the log fields for it."""
+        request = self.request
+        if send.stage is Stage.PREFILL or not (request.response_begun or request.facts.takes_up_stream):
+            return {}
+        if request.version is None:
+            relation = "unknown"
+        else:
+            relation = "same" if request.version == send.upstream.version else "other"
+        self.core.tally.count("streams_continued_total", relation)
+        return {"after_event": request.last_event, "begun_by": request.version}
+
     def _wait_for_memory(self) -> None:
         """Queue for decode memory, or refuse the request at once if the queue is full."""
         now = self.core.clock.now()
--- a/src/beamhatch/relay/requests/request.py
+++ b/src/beamhatch/relay/requests/request.py
@@ -15,7 +15,7 @@
 
 if TYPE_CHECKING:
     from beamhatch.relay.choosing.chooser import Chooser
-    from beamhatch.relay.model import Regions, RequestFacts, Route, Service
+    from beamhatch.relay.model import Regions, RequestFacts, Route, Service, SoftwareVersion
     from beamhatch.relay.requests.budget import RetryBudget
 
 MAX_SENDS = 6
@@ -124,6 +124,8 @@
     """Whether to reserve decode memory before the prefill."""
     on_time_until: float = float("inf")
     """Monotonic time in seconds after which the first event of the response is late."""
+    version: SoftwareVersion | None = None
+    """Software version of the upstream that sent the first event of the response; None before that event."""
     _prefill_sends: int = 0
     _handoffs: int = 0
     _refused_by: set[UpstreamId] = field(default_factory=set)
@@ -404,7 +406,12 @@
         self.regions = regions
         self._full_upstreams.clear()
 
-    def record_event(self, event: int | None) -> None:
-        """Record that the caller has received the stream up to an event."""
+    def record_event(self, event: int | None, version: SoftwareVersion) -> None:
+        """Record that the caller has received the stream up to an event.
+
+        :param version: software version of the upstream that sent the event
+        """
         self.last_event = event
+        if self.version is None:
+            self.version = version
         self.response_begun = True
--- a/src/beamhatch/relay/upstreams/stream_attempt.py
+++ b/src/beamhatch/relay/upstreams/stream_attempt.py
@@ -111,7 +111,7 @@
         if not self.request.response_begun:
             self.exchange.begin_stream(self.head)
         self._record_token_rate(last)
-        self.request.record_event(last)
+        self.request.record_event(last, self.send.upstream.version)
         self.exchange.send_events(data)
         self._restart_timer(self.get_timeout())
 
--- a/tests/relay/requests/test_request.py
+++ b/tests/relay/requests/test_request.py
@@ -105,7 +105,7 @@
         if send.stage is not Stage.PREFILL:
             self.possible_runs += 1
             if events and self.request.route.kind is RouteKind.STREAMING:
-                self.request.record_event((self.request.last_event or 0) + events)
+                self.request.record_event((self.request.last_event or 0) + events, send.upstream.version)
         self.request.record_failed(send)
 
     @precondition(lambda self: self.under_way is not None and self.under_way.stage is Stage.PREFILL)
