--- a/src/beamhatch/platform/standin/upstream.py
+++ b/src/beamhatch/platform/standin/upstream.py
@@ -203,11 +203,15 @@
         """Send a JSON response with the state headers."""
         send_json(responder, status, value, *headers, *self.make_state_headers(status))
 
-    def crash(self) -> None:
-        """Crash, ending all runs, and restart after ``restart_time_s``."""
+    def end(self) -> None:
+        """End the process with all its runs."""
         self.stop()
         for run in list(self.runs):
             run.end()
+
+    def crash(self) -> None:
+        """Crash, ending all runs, and restart after ``restart_time_s``."""
+        self.end()
         self.clock.call_later(self.restart_time_s, self._restart)
 
     def _restart(self) -> None:
--- /dev/null
+++ b/tests/platform/test_order.py
@@ -0,0 +1,82 @@
+"""Streams that break while the engines of their service run several versions of the software."""
+
+from __future__ import annotations
+
+import pytest
+
+from tests.support.version_disturbances import Disturbance
+from tests.support.version_fleet import VersionFleet
+
+MIXED_ALLOWED = 2
+"""Streams that may hold events from two versions, over a whole day and all VMs."""
+
+FEWEST_TAKEN_UP = 12
+"""Streams taken up again below which the share of those that went on is not judged."""
+
+GOES_ON_SHARE = 0.5
+"""Smallest share of the streams taken up that must go on, relative to the share of new streams that begin."""
+
+PROMPT_END_S = 0.2
+"""Seconds within which a response that can't go on has to end."""
+
+STILL_GONE_S = 1.0
+"""Seconds after a crash in which the engine is not back yet."""
+
+
+def keeps_bounds(fleet: VersionFleet) -> bool:
+    """Return whether streams were kept apart by version, and enough of them went on."""
+    went_on, taken_up = fleet.count_taken_up()
+    begun, asked = fleet.count_begun()
+    goes_on = taken_up < FEWEST_TAKEN_UP or went_on * asked >= GOES_ON_SHARE * begun * taken_up
+    return len(fleet.list_mixed()) <= MIXED_ALLOWED and goes_on
+
+
+def describe(fleet: VersionFleet) -> str:
+    return f"mixed {fleet.list_mixed()}, taken up {fleet.count_taken_up()}, begun {fleet.count_begun()}"
+
+
+def test_a_stream_goes_on_at_another_version_within_one_answer() -> None:
+    fleet = VersionFleet(size=1, engines=4)
+    for _ in range(4):
+        fleet.begin_streams(6, "vm0")
+        max(fleet.list_decode_engines(), key=lambda one: len(one.runs)).crash()
+        fleet.run(8.0)
+    assert not fleet.list_mixed()
+    assert all(one.is_complete and len(one.tries) == 1 for one in fleet.streams)
+
+
+def test_a_stream_waits_for_an_engine_of_a_version_that_none_runs_any_more() -> None:
+    fleet = VersionFleet(size=1, engines=2)
+    (stream,) = fleet.begin_streams(1, "vm0")
+    max(fleet.list_decode_engines(), key=lambda one: len(one.runs)).crash()
+    began = fleet.now
+    fleet.platform.network.run_until(lambda: stream.tries[0].caller.closed)
+    assert fleet.now - began < PROMPT_END_S
+    fleet.run(STILL_GONE_S)
+    refused = stream.tries[1]
+    assert refused.caller.status == 503
+    assert refused.caller.received.endswith(b"\r\n\r\n") or refused.caller.whole
+    assert not fleet.list_mixed()
+
+
+def test_a_stream_goes_on_at_another_version_at_a_vm_that_did_not_see_it_begin() -> None:
+    fleet = VersionFleet()
+    fleet.begin_streams(24, "vm0", "vm1")
+    fleet.kill("vm0", None)
+    fleet.kill("vm1", None)
+    fleet.run(8.0)
+    assert not fleet.list_mixed()
+    went_on, taken_up = fleet.count_taken_up()
+    assert taken_up >= FEWEST_TAKEN_UP
+    assert went_on >= 0.9 * taken_up, describe(fleet)
+
+
+@pytest.mark.parametrize(
+    ("disturbance", "size"),
+    [*((one, 6) for one in Disturbance), (Disturbance.HALVES, 9), (Disturbance.HALLS, 9)],
+    ids=lambda one: one.value if isinstance(one, Disturbance) else str(one),
+)
+def test_streams_go_on_at_another_version_or_not_at_all(disturbance: Disturbance, size: int) -> None:
+    fleet = VersionFleet(size)
+    disturbance.play(fleet)
+    assert keeps_bounds(fleet), describe(fleet)
--- a/tests/support/platform.py
+++ b/tests/support/platform.py
@@ -287,9 +287,12 @@
         self._add(name, upstream, PLAIN, hall)
         return upstream
 
-    def add_engine(self, name: str, phase: str, kv_tokens: int = 60_000, hall: str = "hall-a") -> StandInEngine:
+    def add_engine(
+        self, name: str, phase: str, kv_tokens: int = 60_000, hall: str = "hall-a", version: str = "v1"
+    ) -> StandInEngine:
         """Start and list an engine."""
         engine = StandInEngine(self.clock, Address(f"host-{name}", 80), name, self.ledger, phase, kv_tokens)
+        engine.version = version
         self._add(name, engine, MODEL, hall)
         engine.on_phase_change = lambda: self.list_again(name)
         return engine
@@ -308,6 +311,11 @@
         self.upstreams[name].cold_left_s = seconds
         self.list_again(name)
 
+    def remove(self, name: str) -> None:
+        """End an upstream for good, and remove its entry."""
+        self.upstreams.pop(name).end()
+        self.store.remove(f"servers/{name}")
+
     def _add(self, name: str, upstream: StandInUpstream, service: str, hall: str) -> None:
         self.halls.setdefault(name, hall)
         upstream.start()
