Continue a stream only at the version that began it, within one answer

Callers got events of two versions in one answer: an engine crashed, fell silent or was reset behind the first event, and the request went on at any decode engine of its service, since nothing that chooses an engine knew of versions.

A request keeps the version of the engine that sent its first event. Behind it, only decode engines of that version are usable, have a shortage, count as cold or are waited for; queues for decode memory are kept by version, so that one that is full does not block the others. If none is left the answer ends at once. Prefill engines send no events, so any may read the prompt again.

--- a/src/beamhatch/relay/choosing/eligibility.py
+++ b/src/beamhatch/relay/choosing/eligibility.py
@@ -33,6 +33,7 @@
     RESTING = "it has asked for rest"
     LIMITED = "it takes no more now, by the limit that it names"
     COLD = "it is cold, and bears no more now"
+    VERSION = "it runs another version of the software than the one that began the stream"
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/beamhatch/relay/choosing/lack.py
+++ b/src/beamhatch/relay/choosing/lack.py
@@ -25,6 +25,9 @@
 An upstream that is replaced is back within 2 s.
 """
 
+VERSION_RETRY_S = 2.0
+"""Seconds until a retry if no upstream runs the version that began a stream; one that crashed is back in that time."""
+
 PROBE_RETRY_S = 0.1
 """Seconds until a retry if back-offs are over and the first probes are in flight."""
 
--- a/src/beamhatch/relay/core.py
+++ b/src/beamhatch/relay/core.py
@@ -11,7 +11,7 @@
 from beamhatch.relay.callers.error_response import send_error
 from beamhatch.relay.choosing.cold_transitions import ColdLog
 from beamhatch.relay.choosing.eligibility import Eligibility, Obstacle
-from beamhatch.relay.choosing.lack import Shortage, detect_shortage
+from beamhatch.relay.choosing.lack import VERSION_RETRY_S, Shortage, detect_shortage
 from beamhatch.relay.choosing.pace import PrefillEstimators, PrefillModel
 from beamhatch.relay.choosing.peer_backlog import PeerBacklog
 from beamhatch.relay.choosing.prefill_times import PrefillTimes
@@ -54,6 +54,7 @@
         Route,
         RoutingTable,
         Service,
+        SoftwareVersion,
         Upstream,
         UpstreamId,
     )
@@ -283,6 +284,7 @@
             self.stats.keep_only(listing.list_ids())
             self.announcements.drop_unlisted(listing.list_ids())
             self.on_change()
+            self._advance_queued_streams()
 
     def _handle_restart(self, upstream: Upstream, before: Upstream) -> None:
         """Reset the state of an upstream that has restarted under the same id."""
@@ -295,26 +297,38 @@
         newest = self.listing.get_last_listed(upstream.id)
         return newest is not None and not newest.is_same_incarnation(upstream)
 
-    def list_usable(self, service: ServiceName, regions: Regions = None, *, is_retry: bool = False) -> list[Upstream]:
+    def list_usable(
+        self,
+        service: ServiceName,
+        regions: Regions = None,
+        version: SoftwareVersion | None = None,
+        *,
+        is_retry: bool = False,
+    ) -> list[Upstream]:
         """Return the upstreams of a service that may be sent a request.
 
         :param regions: regions that the request may be served in; None for any
+        :param version: version that began the stream that the request continues; None for any
         :param is_retry: whether its caller was refused before
         """
         now = self.clock.now()
-        return self.eligibility.list_eligible(
-            self._list_not_changing(service, now), regions, self.get_cold_terms(service), now, is_retry=is_retry
-        )
+        listed = [one for one in self._list_not_changing(service, now) if one.may_serve(version)]
+        return self.eligibility.list_eligible(listed, regions, self.get_cold_terms(service), now, is_retry=is_retry)
 
     def _list_not_changing(self, service: ServiceName, now: float) -> list[Upstream]:
         """Return the listed upstreams of a service that are not changing their phase."""
         return self.phase_changes.exclude_changing(self.listing.list_usable(service, now), now)
 
     def compute_cold_wait(
-        self, service: ServiceName, regions: Regions = None, tried: Collection[UpstreamId] = ()
+        self,
+        service: ServiceName,
+        regions: Regions = None,
+        version: SoftwareVersion | None = None,
+        tried: Collection[UpstreamId] = (),
     ) -> float | None:
         """Return the seconds until this VM may send to a cold upstream again, None if no cold upstream is exhausted.
 
+        :param version: version that began the stream that the request continues; None for any
         :param tried: upstreams that are excluded
         """
         terms = self.get_cold_terms(service)
@@ -322,7 +336,8 @@
             return None
         now = self.clock.now()
         find_obstacle = self.eligibility.get_obstacle
-        candidates = (one for one in self._list_not_changing(service, now) if one.id not in tried)
+        listed = self._list_not_changing(service, now)
+        candidates = (one for one in listed if one.may_serve(version) and one.id not in tried)
         exhausted = (one for one in candidates if find_obstacle(one, regions, terms, now) is Obstacle.COLD)
         return min((self.eligibility.get_cold_wait(one, terms, now) for one in exhausted), default=None)
 
@@ -348,18 +363,25 @@
         """Return why an upstream may not be sent a request of a service, or None if it may."""
         return self.eligibility.get_obstacle(upstream, regions, self.get_cold_terms(service), self.clock.now())
 
-    def detect_shortage(self, service: ServiceName, regions: Regions = None) -> Shortage | None:
+    def detect_shortage(
+        self, service: ServiceName, regions: Regions = None, version: SoftwareVersion | None = None
+    ) -> Shortage | None:
         """Return why no upstream of a service can respond to a request, or None if one can.
 
         Prefill engines are ignored, since a decode engine can process prompts itself but not the reverse. Upstreams
         in other regions and engines that are changing their phase are ignored too.
+
+        :param version: version that began the stream that the request continues; None for any
         """
         now = self.clock.now()
         listed = [*self._list_not_changing(service, now), *self.listing.list_leaving(service)]
         answering = [
             one for one in listed if one.phase is not Phase.PREFILL and self.eligibility.is_in_regions(one, regions)
         ]
-        return detect_shortage(self.eligibility, answering, regions, self.get_cold_terms(service), now)
+        suited = [one for one in answering if one.may_serve(version)]
+        if answering and not suited:
+            return Shortage(Obstacle.VERSION, VERSION_RETRY_S)
+        return detect_shortage(self.eligibility, suited, regions, self.get_cold_terms(service), now)
 
     def reserve_retry_slot(self, service: ServiceName, shortage: Shortage) -> float:
         """Return the seconds after which a caller may retry while all upstreams of a service are at their limit."""
@@ -421,7 +443,14 @@
     def _advance_queued(self) -> None:
         """Advance the requests that queue for decode memory of a service with a shortage, to respond to them now."""
         for key, queue in self.memory_queues.list_all():
-            if self.detect_shortage(key.service, key.regions) is not None:
+            if self.detect_shortage(*key) is not None:
+                for waiter in queue.list_all():
+                    waiter.advance()
+
+    def _advance_queued_streams(self) -> None:
+        """Advance queued requests that continue a stream whose version no upstream runs any more."""
+        for key, queue in self.memory_queues.list_all():
+            if key.version is not None and len(queue) and self.detect_shortage(*key) is not None:
                 for waiter in queue.list_all():
                     waiter.advance()
 
--- a/src/beamhatch/relay/model.py
+++ b/src/beamhatch/relay/model.py
@@ -273,6 +273,13 @@
         """Return the incarnation of the upstream."""
         return Incarnation(self.id, self.born)
 
+    def may_serve(self, version: SoftwareVersion | None) -> bool:
+        """Return whether it may serve a stream that a version has begun; None for a stream that has not begun.
+
+        Prefill engines may serve any stream, as they send no events.
+        """
+        return version is None or self.phase is Phase.PREFILL or self.version == version
+
     def is_same_incarnation(self, other: Upstream) -> bool:
         """Return whether another entry is of the same incarnation."""
         return self.incarnation == other.incarnation
--- a/src/beamhatch/relay/requests/exchange.py
+++ b/src/beamhatch/relay/requests/exchange.py
@@ -194,7 +194,7 @@
         usable = self._list_usable()
         can_respond = any(one.phase is not Phase.PREFILL for one in usable)
         can_proceed = can_respond or request.reservation is not None
-        shortage = None if can_proceed else self.core.detect_shortage(service, request.regions)
+        shortage = None if can_proceed else self.core.detect_shortage(service, request.regions, request.version)
         if shortage is not None:
             self.core.tally.count("shut_total", shortage.obstacle.name.lower())
             self.core.get_demand(service).discard_last_prompt(request.facts.prompt_tokens)
@@ -215,11 +215,16 @@
     @property
     def _queue(self) -> MemoryQueue[QueuedRequest]:
         """Return the queue for decode memory that this request uses."""
-        return self.core.memory_queues.get(self.request.service.name, self.request.regions)
+        return self.core.memory_queues.get(*self._queue_key)
+
+    @property
+    def _queue_key(self) -> QueueKey:
+        return QueueKey(self.request.service.name, self.request.regions, self.request.version)
 
     def _list_usable(self) -> list[Upstream]:
-        is_retry = self._is_caller_retry or self.request.may_have_run
-        return self.core.list_usable(self.request.service.name, self.request.regions, is_retry=is_retry)
+        request = self.request
+        is_retry = self._is_caller_retry or request.may_have_run
+        return self.core.list_usable(request.service.name, request.regions, request.version, is_retry=is_retry)
 
     def _refuse_in_regions(self, step: Refuse, regions: Regions) -> Refuse:
         """Return the refusal, with another reason and retry-after time if the allowed regions exclude upstreams."""
@@ -393,7 +398,7 @@
             )
         on_time_until = self._incoming.arrived_at + max_wait_s
         options = QueueOptions(on_time_until, now + self.request.max_memory_wait_s, late_with_precedence, self._claim)
-        self.core.memory_queues.enqueue(self, QueueKey(self.request.service.name, self.request.regions), options)
+        self.core.memory_queues.enqueue(self, self._queue_key, options)
 
     @property
     def has_attempt(self) -> bool:
@@ -540,7 +545,8 @@
         """Return the seconds until a cold upstream has room, or None if none could serve the request."""
         if not step.no_upstream or (isinstance(step, Refuse) and step.retry_after_s is not None):
             return None
-        return self.core.compute_cold_wait(self.request.service.name, self.request.regions, self.request.tried)
+        request = self.request
+        return self.core.compute_cold_wait(request.service.name, request.regions, request.version, request.tried)
 
     def _give_up(self, step: Refuse | Fail) -> None:
         if isinstance(step, Fail):
--- a/src/beamhatch/relay/requests/memory_lines.py
+++ b/src/beamhatch/relay/requests/memory_lines.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any, NamedTuple
 
-from beamhatch.relay.model import Regions, ServiceName
+from beamhatch.relay.model import Regions, ServiceName, SoftwareVersion
 from beamhatch.relay.requests.fair_order import FifoScheduler, StartTimeFairScheduler, WorkspaceScheduler
 from beamhatch.relay.requests.line import DEFAULT_CLAIM, Claim, MemoryQueue
 
@@ -66,12 +66,14 @@
 class QueueKey(NamedTuple):
     """The key of a queue.
 
-    Requests restricted to different regions wait in separate queues, so that a region without free memory does not
-    block the others.
+    Requests restricted to different regions or versions wait in separate queues, so that one without free memory does
+    not block the others.
     """
 
     service: ServiceName
     regions: Regions
+    version: SoftwareVersion | None = None
+    """Version that began the streams that the requests continue; None for streams that have not begun."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -109,9 +111,11 @@
         """Return all queues with their keys."""
         return list(self._queues.items())
 
-    def get(self, service: ServiceName, regions: Regions = None) -> MemoryQueue[QueuedRequest]:
-        """Return the queue for the decode memory of a service in the given regions; create it if needed."""
-        key = QueueKey(service, regions)
+    def get(
+        self, service: ServiceName, regions: Regions = None, version: SoftwareVersion | None = None
+    ) -> MemoryQueue[QueuedRequest]:
+        """Return the queue for the decode memory of a service's engines of some regions and version."""
+        key = QueueKey(service, regions, version)
         queue = self._queues.get(key)
         if queue is None:
             queue = self._queues[key] = MemoryQueue(self._schedulers[service])
@@ -120,7 +124,7 @@
     def enqueue(self, waiter: QueuedRequest, key: QueueKey, options: QueueOptions) -> None:
         """Queue a request; its ``advance`` is called when it is next, or when its waiting time is over."""
         now = self._clock.now()
-        queue = self.get(key.service, key.regions)
+        queue = self.get(*key)
         queue.add(
             waiter,
             options.on_time_until,
@@ -146,6 +150,9 @@
         self._pending_polls.pop(key, None)
         for waiter in self._queues[key].list_due(self._clock.now()):
             waiter.advance()
+        if key.version is not None and not len(self._queues[key]):
+            del self._queues[key]
+            return
         self._schedule_poll(key)
 
     def _schedule_poll(self, key: QueueKey) -> None:
