Move retry delays, refusals and two kinds of log lines out of large modules

No change of behaviour. exchange.py and core.py shrink before they take the origin of streams: the delays told to refused callers are functions of numbers, a refusal without an exchange has a module, entries of the listing say how they are logged, and the distance of the chosen upstream is recorded by a function.

--- a/src/beamhatch/relay/core.py
+++ b/src/beamhatch/relay/core.py
@@ -26,15 +26,17 @@
 from beamhatch.relay.quarantine.quarantine import Quarantine
 from beamhatch.relay.quarantine.talk import QuarantineGossip, QuarantineGossipDependencies
 from beamhatch.relay.requests.budget import RetryBudget, RetryBudgetLimits
-from beamhatch.relay.requests.exchange import QUARANTINE_REASON, REGION_RETRY_AFTER_S, RelayExchange
+from beamhatch.relay.requests.exchange import QUARANTINE_REASON, RelayExchange
 from beamhatch.relay.requests.fingerprint import compute_fingerprint
 from beamhatch.relay.requests.lengths import OutputLengths
 from beamhatch.relay.requests.memory_lines import MemoryQueues
+from beamhatch.relay.requests.refusal import OUTDATED_RETRY_S, Refusal, make_admission_refusal
+from beamhatch.relay.requests.retry_times import REGION_RETRY_AFTER_S
 from beamhatch.relay.topology import Topology
 from beamhatch.relay.tunnels.api import allow_any_hall
 from beamhatch.relay.upstreams.announcements import Announcements
 from beamhatch.relay.upstreams.listing import Listing
-from beamhatch.relay.workspaces.admission import Admission, Admitted, OverQuota, Undecided
+from beamhatch.relay.workspaces.admission import Admission, Admitted
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection, Mapping, Sequence
@@ -62,8 +64,6 @@
     from beamhatch.relay.tunnels.api import HallFilter
     from beamhatch.relay.tunnels.monitor import ReachMonitor
     from beamhatch.relay.upstreams.http_client import HttpClient
-    from beamhatch.relay.upstreams.listing import Entry
-    from beamhatch.relay.workspaces.admission import Decision
 
 COLD_PENALTY_REQUESTS = 1.0
 """Extra cost of a cold upstream, as the time that it needs for this many requests at its cold rate.
@@ -80,9 +80,6 @@
 UNREADY_RETRY_S = 1.0
 """Retry-After of a VM that has no usable configuration yet."""
 
-OUTDATED_RETRY_S = 0.3
-"""Retry-After of a VM that may lack the newest configuration; peers send it within three round trips."""
-
 
 @dataclass(slots=True)
 class ReloadableSettings:
@@ -102,16 +99,6 @@
     fingerprint: Fingerprint
 
 
-@dataclass(frozen=True, slots=True)
-class _Refusal:
-    """Reason why a request is refused, with the status of the response."""
-
-    status: int
-    detail: str
-    retry_after: float | None = None
-    """Seconds after which the caller may retry."""
-
-
 @dataclass(slots=True)
 class Core:
     """State of the relay on one VM."""
@@ -264,14 +251,7 @@
         else:
             changed = [entry for entry in entries if listing.apply(entry, now)]
         for entry in changed:
-            self.journal.write(
-                "LISTING",
-                _describe(entry),
-                upstream=entry.id,
-                revision=entry.revision,
-                source=source,
-                **_describe_software(entry),
-            )
+            self.journal.write("LISTING", entry.describe(), source=source, **entry.get_log_fields())
             self.phase_changes.record_listed_phase(entry.id, None if entry.upstream is None else entry.upstream.phase)
             last = before.get(entry.id)
             if entry.upstream is not None and last is not None and not entry.upstream.is_same_incarnation(last):
@@ -544,10 +524,10 @@
         """Start the exchange of a caller's request, or refuse it and return None."""
         facts = self.dialect.read_request(incoming.headers)
         if isinstance(facts, BadRequest):
-            self._refuse(responder, _Refusal(facts.status, facts.detail), "")
+            self._refuse(responder, Refusal(facts.status, facts.detail), "")
             return None
         destination = self._find_destination(incoming, facts)
-        if isinstance(destination, _Refusal):
+        if isinstance(destination, Refusal):
             self._refuse(responder, destination, facts.id)
             return None
         self.get_retry_budget(destination.service.name).record_request(self.clock.now())
@@ -569,22 +549,22 @@
         exchange.start()
         return exchange
 
-    def _find_destination(self, incoming: IncomingRequest, facts: RequestFacts) -> _Destination | _Refusal:
+    def _find_destination(self, incoming: IncomingRequest, facts: RequestFacts) -> _Destination | Refusal:
         """Return the destination of a request, or why it is refused."""
         if self.stopping:
-            return _Refusal(503, "this VM stops", STOPPING_RETRY_S)
+            return Refusal(503, "this VM stops", STOPPING_RETRY_S)
         table = self.table
         if table is None or not self.ready:
-            return _Refusal(503, "no configuration is known yet", UNREADY_RETRY_S)
+            return Refusal(503, "no configuration is known yet", UNREADY_RETRY_S)
         route = table.find_route(incoming.host, incoming.path)
         if route is None:
             return self._refuse_unknown_route(table.version)
         service = table.services.get(route.choose_service(facts.identity))
         if service is None:
-            return _Refusal(503, "the route's service is not configured", UNREADY_RETRY_S)
+            return Refusal(503, "the route's service is not configured", UNREADY_RETRY_S)
         decision = self.admission.decide(facts, route, table, self.clock.now())
         if not isinstance(decision, Admitted):
-            return _make_refusal(decision, table.version)
+            return make_admission_refusal(decision, table.version)
         regions = table.get_allowed_regions(route, decision.workspace)
         refusal = None if regions is None else self._refuse_by_regions(regions, table.version)
         fingerprint = compute_fingerprint(incoming, decision.workspace)
@@ -593,23 +573,23 @@
             self.admission.refund(decision, self.clock.now())
         return refusal or _Destination(route, service, decision, regions, fingerprint)
 
-    def _refuse_unknown_route(self, version: int) -> _Refusal:
+    def _refuse_unknown_route(self, version: int) -> Refusal:
         """Return the refusal of a request without a route, which a caller may retry if a newer version may have one."""
         if self.admission.may_be_outdated():
-            return _Refusal(503, f"no route, by version {version}, and there may be a newer one", OUTDATED_RETRY_S)
-        return _Refusal(404, f"no route, by version {version}")
+            return Refusal(503, f"no route, by version {version}, and there may be a newer one", OUTDATED_RETRY_S)
+        return Refusal(404, f"no route, by version {version}")
 
-    def _refuse_quarantined(self, fingerprint: Fingerprint) -> _Refusal | None:
+    def _refuse_quarantined(self, fingerprint: Fingerprint) -> Refusal | None:
         """Return the refusal of a request in quarantine, or None if it is not in quarantine."""
         hold = self.quarantine.get_entry(fingerprint, self.clock.now())
         if hold is None:
             return None
         self.tally.count("quarantine_refusals_total")
-        return _Refusal(
+        return Refusal(
             503, f"{QUARANTINE_REASON}, fingerprint {fingerprint.hex()}", math.ceil(hold.until - self.clock.now())
         )
 
-    def _refuse_by_regions(self, regions: frozenset[RegionName], version: int) -> _Refusal | None:
+    def _refuse_by_regions(self, regions: frozenset[RegionName], version: int) -> Refusal | None:
         """Return the refusal of a request that no hall may serve, or None if one may.
 
         Responds with 403 only if this VM certainly has the newest configuration and only a change of it would help;
@@ -620,13 +600,13 @@
         if regions:
             self.tally.count("residency_refusals_total", "no_hall")
             named = ", ".join(sorted(regions))
-            return _Refusal(503, f"the settings place no hall in an allowed region ({named})", REGION_RETRY_AFTER_S)
+            return Refusal(503, f"the settings place no hall in an allowed region ({named})", REGION_RETRY_AFTER_S)
         detail = f"route and workspace allow no region in common, by version {version}"
         if self.admission.may_be_outdated():
             self.tally.count("residency_refusals_total", "maybe_never")
-            return _Refusal(503, f"{detail}, and there may be a newer one", OUTDATED_RETRY_S)
+            return Refusal(503, f"{detail}, and there may be a newer one", OUTDATED_RETRY_S)
         self.tally.count("residency_refusals_total", "never")
-        return _Refusal(403, detail)
+        return Refusal(403, detail)
 
     def advance_waiting(self, fingerprint: Fingerprint) -> None:
         """Advance the exchanges of a request that has been put in quarantine, to respond to them now."""
@@ -646,36 +626,10 @@
         self.tally.count("requests_total", f"bad_{status}")
         self.journal.write("CALLER", "bad request", status=status, detail=detail)
 
-    def _refuse(self, responder: Responder, refusal: _Refusal, request: str) -> None:
+    def _refuse(self, responder: Responder, refusal: Refusal, request: str) -> None:
         version = None if self.table is None else self.table.version
         self.tally.count("requests_total", f"own_{refusal.status}")
         self.journal.write(
             "RELAY", "refused", request=request, status=refusal.status, reason=refusal.detail, version=version
         )
         send_error(responder, refusal.status, refusal.detail, refusal.retry_after)
-
-
-def _make_refusal(decision: Decision, version: int) -> _Refusal:
-    match decision:
-        case OverQuota():
-            return _Refusal(429, f"the quota of workspace {decision.workspace} is spent", decision.retry_after)
-        case Undecided():
-            return _Refusal(
-                503,
-                f"the API key is not in version {version}, and there may be a newer one",
-                OUTDATED_RETRY_S,
-            )
-        case _:
-            return _Refusal(401, f"the API key is missing or unknown, by version {version}")
-
-
-def _describe_software(entry: Entry) -> dict[str, str]:
-    """Return the log fields that tell which software answers where."""
-    found = entry.upstream
-    return {} if found is None else {"software": found.version, "address": str(found.address)}
-
-
-def _describe(entry: Entry) -> str:
-    if entry.upstream is None:
-        return "gone"
-    return "draining" if entry.upstream.draining else "listed"
--- a/src/beamhatch/relay/requests/exchange.py
+++ b/src/beamhatch/relay/requests/exchange.py
@@ -13,15 +13,21 @@
 from beamhatch.relay.callers.http_server import RequestHandler
 from beamhatch.relay.choosing.eligibility import Obstacle
 from beamhatch.relay.choosing.lack import compute_retry_delay
-from beamhatch.relay.choosing.spill import SpillReason, get_spill_reason
 from beamhatch.relay.mechanism import Mechanism
 from beamhatch.relay.model import Phase, Reservation, RouteKind, Stage
+from beamhatch.relay.requests.distance_log import record_distance
 from beamhatch.relay.requests.line import Claim
 from beamhatch.relay.requests.memory_lines import QueuedRequest, QueueKey, QueueOptions
 from beamhatch.relay.requests.release import send_release
 from beamhatch.relay.requests.request import Fail, Refuse, RelayRequest, Reserve, Send, Step, Wait
 from beamhatch.relay.requests.response import NOT_RUN_STATUSES, BufferedResponse
-from beamhatch.relay.topology import Distance
+from beamhatch.relay.requests.retry_times import (
+    REGION_RETRY_AFTER_S,
+    compute_memory_delay,
+    compute_usual_delay,
+    limit_delay,
+    round_delay,
+)
 from beamhatch.relay.upstreams.attempt import Attempt
 from beamhatch.relay.upstreams.http_client import Call
 from beamhatch.relay.upstreams.plain_attempt import PlainAttempt
@@ -53,27 +59,12 @@
 MIN_SEND_TIME_S = 0.02
 """Minimum time before the deadline for a send to start; with less, the request times out."""
 
-RETRY_AFTER_SHARE = 0.5
-"""Share of the target latency after which a refused caller may retry."""
-
 ON_TIME_SHARE = 0.55
 """Share of the target latency within which decode memory has to be free for the response to be on time."""
 
 FIRST_EVENT_SHARE = 0.9
 """Share of the target latency up to which a predicted first event is on time; the rest is a margin for errors."""
 
-RETRY_JITTER = 0.3
-"""Relative jitter of the retry-after time, so that callers refused together do not retry together."""
-
-MAX_RETRY_AFTER_SHARE = 0.33
-"""Maximum retry-after time, as a share of the time left until the caller's deadline.
-
-Callers do not wait for longer.
-"""
-
-MIN_RETRY_AFTER_S = 0.15
-"""Minimum retry-after time, long enough for other VMs to receive updates from this one."""
-
 MIN_COLD_WAIT_S = 0.02
 """Minimum wait for a cold upstream, which bounds how often a waiting request is planned again."""
 
@@ -86,12 +77,6 @@
 TIMEOUT_STATUS = 504
 """Status of a request that timed out and may have run."""
 
-REGION_RETRY_AFTER_S = 1.0
-"""Retry-after time if no upstream in an allowed region can serve the request.
-
-An upstream restarts in about 2 s.
-"""
-
 QUARANTINE_REASON = "each upstream that began to run it has ended"
 """Reason sent to the caller of a request in quarantine."""
 
@@ -287,35 +272,16 @@
     def _execute(self, step: Step) -> None:
         if isinstance(step, Send):
             if step.reservation is None:
-                self._record_distance(step.upstream)
+                record_distance(self.core, self.request, step.upstream, self._list_usable, self.write_log)
             self._send(step, self.core.clock.now())
         elif isinstance(step, Reserve):
-            self._record_distance(step.upstream)
+            record_distance(self.core, self.request, step.upstream, self._list_usable, self.write_log)
             self._reserve(step)
         elif isinstance(step, Wait):
             self._wait_for_memory()
         else:
             self._wait_or_end(step)
 
-    def _record_distance(self, upstream: Upstream) -> None:
-        """Count the distance of the chosen upstream, and log why one in another region was chosen."""
-        distances = self.core.chooser.distances
-        distance = distances.get_distance(upstream.hall)
-        self.core.tally.count("choices_by_distance_total", distance.name.lower())
-        if distance is not Distance.OTHER_REGION:
-            return
-
-        def is_near(hall: str) -> bool:
-            return distances.get_distance(hall) is not Distance.OTHER_REGION
-
-        reservation = self.request.reservation
-        if upstream.phase is Phase.PREFILL and reservation is not None and not is_near(reservation.upstream.hall):
-            reason = SpillReason.PAIR
-        else:
-            reason = get_spill_reason(self._list_usable(), upstream.phase, self.request.list_full_upstreams(), is_near)
-        self.core.tally.count("spills_total", reason.name.lower())
-        self.write_log("spilled", to=upstream.id, hall=upstream.hall, phase=upstream.phase.value, reason=reason.value)
-
     def _send(self, send: Send, now: float) -> None:
         if self.deadline - now < MIN_SEND_TIME_S:
             self._handle_timeout()
@@ -531,15 +497,10 @@
         if isinstance(step, Fail):
             self._fail(step)
             return
-        max_retry_after_s = MAX_RETRY_AFTER_SHARE * max(0.0, self.deadline - now)
-        usual_retry_s = RETRY_AFTER_SHARE * self.request.route.target_latency if self.core.vm_count > 1 else wait
+        usual_delay = compute_usual_delay(self.request.route.target_latency) if self.core.vm_count > 1 else wait
         # The retry may reach another VM, which may have room earlier.
-        retry_after_s = min(wait, max_retry_after_s, usual_retry_s)
-        self._end_with_error(
-            503,
-            "its upstreams are cold",
-            round(max(MIN_RETRY_AFTER_S, retry_after_s), 2),
-        )
+        delay = limit_delay(min(wait, usual_delay), self.deadline - now)
+        self._end_with_error(503, "its upstreams are cold", round_delay(delay))
 
     def _get_cold_wait(self, step: Refuse | Fail) -> float | None:
         """Return the seconds until a cold upstream has room, or None if none could serve the request."""
@@ -568,25 +529,15 @@
             timer.cancel()
 
     def _refuse(self, reason: str, *, memory_full: bool = False, retry_after_s: float | None = None) -> None:
-        if retry_after_s is not None:
-            retry_after_s = min(retry_after_s, MAX_RETRY_AFTER_SHARE * max(0.0, self.deadline - self.core.clock.now()))
-        else:
-            retry_after_s = (
-                self._compute_memory_retry_after()
-                if memory_full
-                else RETRY_AFTER_SHARE * self.request.route.target_latency
-            )
-        self._end_with_error(503, reason, round(max(MIN_RETRY_AFTER_S, retry_after_s), 2))
-
-    def _compute_memory_retry_after(self) -> float:
-        """Return the retry-after time when decode memory is full.
-
-        This is the mean time for which streams hold memory, with jitter, limited by the time left to the deadline.
-        """
         now = self.core.clock.now()
-        residence_s = self.core.get_demand(self.request.service.name).estimate_residence(now)
-        time_left = self.deadline - now
-        return min(residence_s * random.uniform(1 - RETRY_JITTER, 1 + RETRY_JITTER), MAX_RETRY_AFTER_SHARE * time_left)
+        if memory_full and retry_after_s is None:
+            residence_s = self.core.get_demand(self.request.service.name).estimate_residence(now)
+            retry_after_s = compute_memory_delay(residence_s, random.uniform(-1.0, 1.0))
+        if retry_after_s is None:
+            delay = compute_usual_delay(self.request.route.target_latency)
+        else:
+            delay = limit_delay(retry_after_s, self.deadline - now)
+        self._end_with_error(503, reason, round_delay(delay))
 
     def _fail(self, step: Fail) -> None:
         if self._upstream_failure is not None and not self._responder.started:
--- a/src/beamhatch/relay/upstreams/listing.py
+++ b/src/beamhatch/relay/upstreams/listing.py
@@ -44,6 +44,19 @@
     readable: bool = True
     """False if the stored entry can't be parsed; the upstream is then not expected back."""
 
+    def describe(self) -> str:
+        """Return the log event for a change to this state."""
+        if self.upstream is None:
+            return "gone"
+        return "draining" if self.upstream.draining else "listed"
+
+    def get_log_fields(self) -> dict[str, object]:
+        """Return the log fields that tell which upstream it is, and which software answers where."""
+        fields: dict[str, object] = {"upstream": self.id, "revision": self.revision}
+        if self.upstream is not None:
+            fields |= {"software": self.upstream.version, "address": str(self.upstream.address)}
+        return fields
+
 
 @dataclass(slots=True)
 class _Record:
