Continue a stream that its caller takes up only at the version that began it

Callers whose VM was killed, or whose connection broke, came back at another VM with Resumes and Last-Event-Id, and got the rest of their stream from any version: Resumes was read by nobody, and no VM knew what began a stream of another one. In the users' case a stream that began at v1.1 by one request went on at v1.2 by another.

The VM where a stream begins tells some peers the version with the first event, while it knows of several versions of the service: all of them in fleets of up to 13 VMs, else two of its hall and one of another, by a hash of the request's id. It tells them of open streams when a second version appears. A VM at which a caller takes a stream up looks among its own records and asks the VMs that may hold it. A record decides. Without one the stream goes on if just one version is known to it and to those that answered; with several it is refused at once, as it is where no upstream of the version is left. A VM that has just started, and may not have met its peers, does not take one version for the only one. Datagrams are used, as holders are any VM; they are not acknowledged but sent to several.

The stand-in network has datagrams. Two of its faults came up: a reset reached a connection that a frozen host had not accepted, and a removed engine started again.

--- a/src/beamhatch/platform/settings.py
+++ b/src/beamhatch/platform/settings.py
@@ -97,6 +97,7 @@
         quota=QuotaTerms(bounds.quota_window_s, bounds.quota_overage, bounds.quota_slack),
         peer_address=_parse_address(config.listen.control) if config.listen.control else None,
         tunnel_address=Address(config.ip, config.port_range[0]) if config.port_range else None,
+        record_address=Address(config.ip, config.port_range[0]) if config.port_range else None,
         seeds=config.seeds,
         topology=Topology({hall: RegionName(region) for hall, region in config.zones.items()}),
         cold_overage=bounds.cold_overage,
--- a/src/beamhatch/platform/standin/base.py
+++ b/src/beamhatch/platform/standin/base.py
@@ -30,6 +30,11 @@
         self._port = self.clock.reactor.listenTCP(self.address.port, self._server, interface=self.address.host)
         self.address = Address(self.address.host, self._port.getHost().port)
 
+    @property
+    def listening(self) -> bool:
+        """Return whether it accepts connections."""
+        return self._port is not None
+
     def stop(self) -> None:
         """Stop listening and abort all connections, as in a crash."""
         if self._port is not None:
--- a/src/beamhatch/platform/standin/upstream.py
+++ b/src/beamhatch/platform/standin/upstream.py
@@ -148,6 +148,7 @@
         self.version = "v1"
         """Software version in its entry."""
         self.runs: set[Run] = set()
+        self._restart_timer: Any = None
         self.on_restart: Callable[[], None] = lambda: None
         """Called after a restart, to register the new incarnation."""
         self.ledger = ledger
@@ -204,7 +205,9 @@
         send_json(responder, status, value, *headers, *self.make_state_headers(status))
 
     def end(self) -> None:
-        """End the process with all its runs."""
+        """End the process with all its runs, and do not restart it."""
+        if self._restart_timer is not None and self._restart_timer.active():
+            self._restart_timer.cancel()
         self.stop()
         for run in list(self.runs):
             run.end()
@@ -212,7 +215,7 @@
     def crash(self) -> None:
         """Crash, ending all runs, and restart after ``restart_time_s``."""
         self.end()
-        self.clock.call_later(self.restart_time_s, self._restart)
+        self._restart_timer = self.clock.call_later(self.restart_time_s, self._restart)
 
     def _restart(self) -> None:
         self.born = int(1000 * self.clock.now())
--- a/src/beamhatch/relay/core.py
+++ b/src/beamhatch/relay/core.py
@@ -32,6 +32,7 @@
 from beamhatch.relay.requests.memory_lines import MemoryQueues
 from beamhatch.relay.requests.refusal import OUTDATED_RETRY_S, Refusal, make_admission_refusal
 from beamhatch.relay.requests.retry_times import REGION_RETRY_AFTER_S
+from beamhatch.relay.streams.origins import StreamOrigins
 from beamhatch.relay.topology import Topology
 from beamhatch.relay.tunnels.api import allow_any_hall
 from beamhatch.relay.upstreams.announcements import Announcements
@@ -150,6 +151,7 @@
         default_factory=lambda: defaultdict(RetrySchedule)
     )
     cold_log: ColdLog = field(init=False)
+    origins: StreamOrigins = field(init=False)
     _longest_time_left: dict[str, float] = field(default_factory=dict)
     """Longest time until a caller's deadline on each route, in seconds."""
     _unknown_halls: set[str] = field(default_factory=set)
@@ -167,6 +169,7 @@
             limits=self.announcements.limits,
         )
         self.announcements.limits.count_vms = lambda: self.vm_count
+        self.origins = StreamOrigins(self.clock, self.journal, self.tally, self.listing.versions)
         self.cold_log = ColdLog(self.clock, self.journal, self.listing.get_cold_until)
         self.chooser.compute_cold_cost = self.compute_cold_cost
         self.memory_queues = MemoryQueues(self.clock, self.eligibility, fair=Mechanism.FAIRNESS not in self.disabled)
--- a/src/beamhatch/relay/daemon.py
+++ b/src/beamhatch/relay/daemon.py
@@ -86,6 +86,8 @@
     peer_address: Address | None = None
     tunnel_address: Address | None = None
     """Where peers ask for tunnels to upstreams; None if this VM carries none."""
+    record_address: Address | None = None
+    """Where peers send records of streams by UDP; None if this VM takes none."""
     seeds: list[str] = field(default_factory=list)
     handover_time: float = 3.0
     """Minimum seconds between orders of two different VMs."""
@@ -218,6 +220,8 @@
             self._ports.append(self._listen(settings.tunnel_address, self.tunnels.server))
         self.core.client.start()
         if self._gossip is not None:
+            if settings.record_address is not None:
+                self.core.origins.start(self._gossip.membership, settings.record_address)
             self.core.on_change = self._gossip.send_heartbeats_soon
             self.core.on_failure = self._gossip.send_heartbeats_soon
             self.core.on_backlog_change = self._gossip.send_backlog_soon
@@ -292,6 +296,7 @@
             watcher.stop()
         self._usage_gossip.stop()
         self.tunnels.stop()
+        self.core.origins.stop()
         if self._gossip is not None:
             self._gossip.stop()
         self.journal.flush()
@@ -304,7 +309,8 @@
         if settings.peer_address is None:
             return None
         tunnel_port = 0 if settings.tunnel_address is None else settings.tunnel_address.port
-        own = Member(str(settings.peer_address), settings.hall, settings.link_mbit_per_s, tunnel_port)
+        record_port = 0 if settings.record_address is None else settings.record_address.port
+        own = Member(str(settings.peer_address), settings.hall, settings.link_mbit_per_s, tunnel_port, record_port)
         return Gossip(self.core, documents, settings.vm, Membership(own, settings.seeds))
 
     def _make_usage_gossip(self) -> UsageGossip:
--- a/src/beamhatch/relay/fleet/membership.py
+++ b/src/beamhatch/relay/fleet/membership.py
@@ -70,6 +70,8 @@
     """Speed of the VM's network link in Mbit/s; faster members rank higher."""
     tunnel_port: int = 0
     """Where it listens for tunnels to upstreams; 0 if it carries none."""
+    record_port: int = 0
+    """UDP port on which it takes records of streams; 0 if it takes none."""
 
 
 class Mention(msgspec.Struct, frozen=True, array_like=True):
--- a/src/beamhatch/relay/model.py
+++ b/src/beamhatch/relay/model.py
@@ -339,6 +339,11 @@
         """Return whether the caller already has a part of the stream."""
         return self.resumed_request is not None or bool(self.last_event)
 
+    @property
+    def stream_id(self) -> str:
+        """Return the id of the request that began the stream, which is this one unless it takes a stream up."""
+        return self.resumed_request or self.id
+
     @property
     def identity(self) -> str:
         """Return a text that stays the same on retries: the id of the prompt's last part, else the request's id."""
--- a/src/beamhatch/relay/requests/exchange.py
+++ b/src/beamhatch/relay/requests/exchange.py
@@ -4,7 +4,7 @@
 
 import math
 import random
-from dataclasses import replace
+from dataclasses import asdict, replace
 from typing import TYPE_CHECKING, Any
 
 from beamhatch.relay.api import SendOptions
@@ -20,7 +20,7 @@
 from beamhatch.relay.requests.memory_lines import QueuedRequest, QueueKey, QueueOptions
 from beamhatch.relay.requests.release import send_release
 from beamhatch.relay.requests.request import Fail, Refuse, RelayRequest, Reserve, Send, Step, Wait
-from beamhatch.relay.requests.response import NOT_RUN_STATUSES, BufferedResponse
+from beamhatch.relay.requests.response import MAY_HAVE_RUN_STATUS, NOT_RUN_STATUSES, TIMEOUT_STATUS, BufferedResponse
 from beamhatch.relay.requests.retry_times import (
     REGION_RETRY_AFTER_S,
     compute_memory_delay,
@@ -28,6 +28,7 @@
     limit_delay,
     round_delay,
 )
+from beamhatch.relay.streams.origins import PendingLookup
 from beamhatch.relay.upstreams.attempt import Attempt
 from beamhatch.relay.upstreams.http_client import Call
 from beamhatch.relay.upstreams.plain_attempt import PlainAttempt
@@ -47,9 +48,11 @@
         Route,
         RoutingTable,
         Service,
+        SoftwareVersion,
         Upstream,
     )
     from beamhatch.relay.requests.line import MemoryQueue
+    from beamhatch.relay.streams.lookup import Origin
     from beamhatch.relay.upstreams.http_client import ResponseHead
     from beamhatch.relay.workspaces.admission import Admitted
 
@@ -71,12 +74,6 @@
 COLD_MARGIN_S = 0.002
 """Delay added to the wait for a cold upstream, since timers may fire slightly early."""
 
-MAY_HAVE_RUN_STATUS = 502
-"""Status of an error response of the relay if the request may have run."""
-
-TIMEOUT_STATUS = 504
-"""Status of a request that timed out and may have run."""
-
 QUARANTINE_REASON = "each upstream that began to run it has ended"
 """Reason sent to the caller of a request in quarantine."""
 
@@ -124,6 +121,8 @@
         self._responder = responder
         self._forwarded_headers = strip_hop_by_hop(incoming.headers)
         self._attempt: Attempt | ReserveAttempt | None = None
+        self._lookup: PendingLookup | None = None
+        """Search for the version that began the stream, if the caller takes one up."""
         self._in_queue = False
         self._permit: SendPermit | None = None
         """Permit to send to the cold or limited engine that has reserved, or is asked to reserve, memory."""
@@ -148,9 +147,33 @@
         self._start_deadline_timer()
         if self._ended:
             return
+        if self.request.facts.takes_up_stream and self.request.route.kind is RouteKind.STREAMING:
+            self._find_origin()
+        else:
+            self._begin()
+
+    def _find_origin(self) -> None:
+        """Find out which version began the stream that the caller takes up."""
         facts = self.request.facts
-        if facts.takes_up_stream:
-            self.write_log("takes up a stream", began_as=facts.resumed_request, last_event=facts.last_event)
+        self.write_log("takes up a stream", began_as=facts.resumed_request, last_event=facts.last_event)
+        found = self.core.origins.look_up(facts.resumed_request, self.request.service.name, self._apply_origin)
+        if isinstance(found, PendingLookup):
+            self._lookup = found
+        else:
+            self._apply_origin(found)
+
+    def _apply_origin(self, origin: Origin) -> None:
+        """Continue the stream at the version that began it, or refuse the request if that can't be."""
+        self._lookup = None
+        self.core.tally.count("stream_origins_total", origin.label)
+        self.write_log("origin", found=origin.label, seconds=self.compute_elapsed_s(), **asdict(origin))
+        refusal = self.request.apply_origin(origin)
+        if refusal is None:
+            self._begin()
+        else:
+            self._give_up(refusal)
+
+    def _begin(self) -> None:
         if self.request.split and self._queue.has_on_time(self.core.clock.now()) and self._list_usable():
             self._wait_for_memory()
         else:
@@ -158,7 +181,7 @@
 
     def advance(self) -> None:
         """Carry out the next step, unless one is under way."""
-        if self._ended or self._attempt is not None:
+        if self._ended or self._attempt is not None or self._lookup is not None:
             return
         self._stop_cold_timer()
         self._execute(self._plan(self.core.clock.now()))
@@ -300,8 +323,11 @@
             others=round(standing.estimate_other_requests(now), 1),
             faults=round(standing.get_failure_rate(now), 2),
             **self.core.announcements.describe_limit(send.upstream.incarnation),
-            **self._describe_continuation(send),
+            **request.describe_continuation(send),
         )
+        relation = request.get_continuation(send)
+        if relation is not None:
+            self.core.tally.count("streams_continued_total", relation)
         if request.split and send.stage is not Stage.PREFILL:
             self.record_memory_acquired()
         self._cold_wait_began_at = None
@@ -314,18 +340,6 @@
         max_idle_s = 1e9 if request.route.idempotent or send.stage is Stage.PREFILL else MAX_IDLE_S
         attempt.start(self._make_call(send, now), max_idle_s)
 
-    def _describe_continuation(self, send: Send) -> dict[str, object]:
-        """Count a send that continues a stream, and return the log fields for it."""
-        request = self.request
-        if send.stage is Stage.PREFILL or not (request.response_begun or request.facts.takes_up_stream):
-            return {}
-        if request.version is None:
-            relation = "unknown"
-        else:
-            relation = "same" if request.version == send.upstream.version else "other"
-        self.core.tally.count("streams_continued_total", relation)
-        return {"after_event": request.last_event, "begun_by": request.version}
-
     def _wait_for_memory(self) -> None:
         """Queue for decode memory, or refuse the request at once if the queue is full."""
         now = self.core.clock.now()
@@ -438,8 +452,15 @@
         self._responder.send_response(response.head.status, strip_hop_by_hop(response.head.headers), response.body)
         self._end()
 
-    def begin_stream(self, head: ResponseHead) -> None:
-        """Send the status and headers of a stream to the caller."""
+    def begin_stream(self, head: ResponseHead, version: SoftwareVersion) -> None:
+        """Send the status and headers of a stream to the caller.
+
+        :param version: software version of the upstream that sends the stream
+        """
+        lifetime_s = self.request.lifetime_s - self.compute_elapsed_s()
+        self.core.origins.record_begun(
+            self.request.facts.stream_id, self.request.service.name, version, max(0.0, lifetime_s)
+        )
         self._first_event_s = self.compute_elapsed_s()
         self.core.tally.note_latency("first_event", self.request.route.kind.value, self._first_event_s)
         self._responder.send_head(head.status, strip_hop_by_hop(head.headers))
@@ -463,6 +484,7 @@
             longest_gap=round(self._max_event_gap_s, 3),
         )
         self._record_outcome("upstream_2xx")
+        self.core.origins.discard(self.request.facts.stream_id)
         self._responder.end()
         self._end()
 
@@ -512,6 +534,8 @@
     def _give_up(self, step: Refuse | Fail) -> None:
         if isinstance(step, Fail):
             self._fail(step)
+        elif step.is_final:
+            self._end_with_error(503, step.reason, None)
         elif step.retry_after_is_minimum:
             self._end_with_error(503, step.reason, step.retry_after_s)
         else:
@@ -584,6 +608,8 @@
         self._stop_deadline_timer()
         self._stop_cold_timer()
         self._stop_attempt()
+        if self._lookup is not None:
+            self.core.origins.cancel(self._lookup)
         self._drop_permit()
         self.leave_queue()
         if self._memory_acquired_at is not None:
--- a/src/beamhatch/relay/requests/request.py
+++ b/src/beamhatch/relay/requests/request.py
@@ -12,11 +12,13 @@
 from beamhatch.relay.choosing.chooser import RequestRequirements
 from beamhatch.relay.choosing.distance import EVENT_BYTES, compute_cache_transfer
 from beamhatch.relay.model import Handle, Reservation, RouteKind, Stage, Upstream, UpstreamId
+from beamhatch.relay.streams.lookup import Begun, UnknownVersion
 
 if TYPE_CHECKING:
     from beamhatch.relay.choosing.chooser import Chooser
     from beamhatch.relay.model import Regions, RequestFacts, Route, Service, SoftwareVersion
     from beamhatch.relay.requests.budget import RetryBudget
+    from beamhatch.relay.streams.lookup import Origin
 
 MAX_SENDS = 6
 """Maximum number of sends of one request, which bounds the load that one caller can cause."""
@@ -42,6 +44,9 @@
 MAX_RESERVE_ATTEMPTS = 4
 """Number of decode engines found without free memory after which the request waits in the queue."""
 
+RETURN_MARGIN_S = 1.0
+"""Time after its deadline for which a caller may still come back, as its clock and transfers differ."""
+
 MAX_WAIT_SHARE = 0.8
 """Maximum wait for decode memory, as a share of the time without events after which callers disconnect."""
 
@@ -83,6 +88,8 @@
     """True if an earlier retry cannot succeed, so that the time is not limited by the caller's deadline."""
     no_upstream: bool = False
     """True if the request was refused only because no upstream is available."""
+    is_final: bool = False
+    """True if a retry would be refused too, so that no time is told."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -125,7 +132,7 @@
     on_time_until: float = float("inf")
     """Monotonic time in seconds after which the first event of the response is late."""
     version: SoftwareVersion | None = None
-    """Software version of the upstream that sent the first event of the response; None before that event."""
+    """Software version that began the stream; None if it has not begun, or only one version is known."""
     _prefill_sends: int = 0
     _handoffs: int = 0
     _refused_by: set[UpstreamId] = field(default_factory=set)
@@ -171,6 +178,11 @@
             decode_hall="" if self.reservation is None else self.reservation.upstream.hall,
         )
 
+    @property
+    def lifetime_s(self) -> float:
+        """Return the seconds from the request's arrival for which its caller may take the stream up."""
+        return (self.route.timeout if self.facts.time_left is None else self.facts.time_left) + RETURN_MARGIN_S
+
     @property
     def tried(self) -> set[UpstreamId]:
         """Return the upstreams that refused the request, failed or could not be reached."""
@@ -322,6 +334,32 @@
             return Fail(reason, no_upstream=no_upstream)
         return Refuse(reason, no_upstream=no_upstream)
 
+    def apply_origin(self, origin: Origin) -> Refuse | None:
+        """Continue a stream that the caller takes up only where it may go on; return the refusal if it may nowhere."""
+        match origin:
+            case Begun(service=self.service.name):
+                self.version = origin.version
+            case Begun():
+                return Refuse("another service began the stream", is_final=True)
+            case UnknownVersion():
+                reason = "it is not known which version began the stream"
+                return Refuse(reason, retry_after_s=origin.wait_s or None, is_final=origin.is_final)
+        return None
+
+    def get_continuation(self, send: Send) -> str | None:
+        """Return how the version of a send relates to the one that began the stream, None if it continues no stream."""
+        if send.stage is Stage.PREFILL or not (self.response_begun or self.facts.takes_up_stream):
+            return None
+        if self.version is None:
+            return "unknown"
+        return "same" if self.version == send.upstream.version else "other"
+
+    def describe_continuation(self, send: Send) -> dict[str, object]:
+        """Return the log fields of a send that continues a stream."""
+        if self.get_continuation(send) is None:
+            return {}
+        return {"after_event": self.last_event, "begun_by": self.version}
+
     # --- outcomes of sends -------------------------------------------------------------------------------------------
 
     def record_sent(self, send: Send, budget: RetryBudget, now: float) -> None:
--- a/src/beamhatch/relay/requests/response.py
+++ b/src/beamhatch/relay/requests/response.py
@@ -8,6 +8,12 @@
 if TYPE_CHECKING:
     from beamhatch.relay.upstreams.http_client import ResponseHead
 
+MAY_HAVE_RUN_STATUS = 502
+"""Status of an error response of the relay if the request may have run."""
+
+TIMEOUT_STATUS = 504
+"""Status of a request that timed out and may have run."""
+
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 """Statuses of responses which guarantee that the request has not run."""
 
--- /dev/null
+++ b/src/beamhatch/relay/streams/lookup.py
@@ -0,0 +1,103 @@
+"""Decide at which version a stream that a caller takes up may go on, from what this VM and its peers know."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, ClassVar
+
+if TYPE_CHECKING:
+    from beamhatch.relay.model import ServiceName, SoftwareVersion
+
+
+@dataclass(frozen=True, slots=True)
+class Begun:
+    """A version of a service began the stream."""
+
+    label: ClassVar[str] = "known"
+    service: ServiceName
+    version: SoftwareVersion
+
+
+@dataclass(frozen=True, slots=True)
+class OnlyVersion:
+    """It is not recorded what began the stream, but nobody knows of more than one version of the service."""
+
+    label: ClassVar[str] = "only_version"
+
+
+@dataclass(frozen=True, slots=True)
+class UnknownVersion:
+    """It is not known which of several versions began the stream, or whether there are several."""
+
+    label: ClassVar[str] = "unknown"
+    silent: int = 0
+    """Number of VMs that did not answer and may know it."""
+    wait_s: float = 0.0
+    """Seconds until this VM may know more because it has met its peers, 0 if it has met them."""
+
+    @property
+    def is_final(self) -> bool:
+        """Return whether a later attempt would find out no more."""
+        return not self.silent and not self.wait_s
+
+
+Origin = Begun | OnlyVersion | UnknownVersion
+
+
+@dataclass(slots=True)
+class Knowledge:
+    """What one VM knows of the versions of a service."""
+
+    versions: set[SoftwareVersion] = field(default_factory=set)
+    """Versions that are listed, or were until recently."""
+    has_several: bool = False
+    """Whether there are several, by its listing or a peer's."""
+    is_experienced: bool = False
+    """Whether it has run for so long that it lists, or listed, the version of any stream."""
+
+
+@dataclass(slots=True)
+class Lookup:
+    """The answers to one query. A record decides; without one the stream goes on only if there is just one version."""
+
+    known: Knowledge
+    """What this VM and those that answered know."""
+    unanswered: set[str]
+    """Addresses of the VMs that were asked and have not answered."""
+    wait_s: float = 0.0
+    """Seconds until this VM has met its peers, 0 if it has."""
+    asked: int = field(init=False)
+    _half_suffices: bool = field(init=False)
+    """Whether this VM itself would know of a second version."""
+
+    def __post_init__(self) -> None:
+        """Count the VMs that were asked."""
+        self.asked = len(self.unanswered)
+        self._half_suffices = self.known.is_experienced
+
+    def add_answer(self, address: str, record: Begun | None, knowledge: Knowledge) -> Origin | None:
+        """Add a VM's answer; return the origin once it is certain enough.
+
+        All VMs are waited for, since any may hold the record; but if only one version is known, also to this VM, which
+        has run for long, the answers of half of them suffice.
+        """
+        self.unanswered.discard(address)
+        if record is not None:
+            return record
+        known = self.known
+        known.versions |= knowledge.versions
+        known.has_several = known.has_several or knowledge.has_several or len(known.versions) > 1
+        known.is_experienced = known.is_experienced or knowledge.is_experienced
+        answered = self.asked - len(self.unanswered)
+        if not self.unanswered or (self._half_suffices and not known.has_several and 2 * answered >= self.asked):
+            return self.conclude()
+        return None
+
+    def conclude(self) -> Origin:
+        """Return the origin of a stream of which no record was found, after the time for answers is over.
+
+        A VM that has just started may not have met the peers that know of a second version.
+        """
+        if self.known.has_several or (self.wait_s and not self.known.is_experienced):
+            return UnknownVersion(len(self.unanswered), self.wait_s)
+        return OnlyVersion()
--- /dev/null
+++ b/src/beamhatch/relay/streams/origins.py
@@ -0,0 +1,323 @@
+"""Keep the versions that began this VM's streams, tell some peers, and find out what began a stream of another VM.
+
+Peers are told only while a service has several versions, so a service with one version costs no messages. When a
+second version appears, the streams that are open already are told as well.
+"""
+
+from __future__ import annotations
+
+import itertools
+import random
+from typing import TYPE_CHECKING, Any
+
+from twisted.internet.protocol import DatagramProtocol
+
+from beamhatch.relay.model import ServiceName, SoftwareVersion
+from beamhatch.relay.streams.holders import HolderChooser
+from beamhatch.relay.streams.lookup import Begun, Knowledge, Lookup, Origin
+from beamhatch.relay.streams.message import (
+    MAX_DATAGRAM_BYTES,
+    MAX_VERSIONS,
+    BegunStream,
+    Datagram,
+    DatagramError,
+    OriginAnswer,
+    OriginQuery,
+    RecordPut,
+    decode,
+    encode,
+)
+from beamhatch.relay.streams.records import (
+    MAX_LIFETIME_S,
+    STREAM_KEY_BYTES,
+    StreamKey,
+    StreamRecord,
+    StreamRecords,
+    compute_stream_key,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from beamhatch.clock import Clock
+    from beamhatch.observe.journal import Journal
+    from beamhatch.observe.tally import Tally
+    from beamhatch.relay.fleet.membership import Member, Membership
+    from beamhatch.relay.model import Address
+    from beamhatch.relay.streams.versions import VersionHistory
+
+LOOKUP_TIMEOUT_S = 0.3
+"""Seconds for which answers are awaited; callers of broken streams notice a longer pause."""
+
+LOOKUP_RETRY_INTERVAL_S = 0.06
+"""Seconds after which VMs that have not answered are asked again, since datagrams may be lost."""
+
+JOIN_TIME_S = 2.0
+"""Seconds after its start in which a VM may not know all of its peers."""
+
+EXPERIENCE_S = 15.0
+"""Seconds after its start from which a VM lists, or listed, the version that began any stream that still goes on."""
+
+MEMBERS_MAX_AGE_S = 0.5
+"""Seconds for which the placement of members is reused."""
+
+BACKLOG_BATCH = 32
+"""Open streams that are told at once when a second version appears."""
+
+BACKLOG_INTERVAL_S = 0.01
+"""Seconds between two batches of them."""
+
+SEND_ERRORS = (OSError, ValueError)
+"""Errors of a datagram that the system does not send, which counts as lost."""
+
+
+class PendingLookup:
+    """A lookup that waits for answers of peers."""
+
+    def __init__(self, key: StreamKey, lookup: Lookup, on_origin: Callable[[Origin], None]) -> None:
+        self.key = key
+        self.lookup = lookup
+        self.on_origin = on_origin
+        self.timer: Any = None
+
+    def cancel(self) -> None:
+        """Wait no longer; answers that still arrive are ignored."""
+        if self.timer is not None and self.timer.active():
+            self.timer.cancel()
+        self.timer = None
+
+
+class StreamOrigins(DatagramProtocol):
+    """The versions that began streams, as one VM knows them."""
+
+    def __init__(self, clock: Clock, journal: Journal, tally: Tally, versions: VersionHistory) -> None:
+        self._clock = clock
+        self._journal = journal
+        self._tally = tally
+        self._versions = versions
+        self._records = StreamRecords()
+        self._membership: Membership | None = None
+        self._started_at = clock.now()
+        self._holders: HolderChooser | None = None
+        self._placed_at = float("-inf")
+        self._pending: dict[int, PendingLookup] = {}
+        self._numbers = itertools.count(random.getrandbits(32))
+        self._port: Any = None
+        versions.on_several = self._send_backlog
+        tally.gauges["stream_records"] = lambda: float(len(self._records))
+
+    def start(self, membership: Membership, address: Address) -> None:
+        """Listen for datagrams of peers."""
+        self._membership = membership
+        self._started_at = self._clock.now()
+        self._port = self._clock.reactor.listenUDP(address.port, self, interface=address.host)
+
+    def stop(self) -> None:
+        """Close the socket."""
+        port, self._port = self._port, None
+        if port is not None:
+            port.stopListening()
+
+    # --- streams of this VM ------------------------------------------------------------------------------------------
+
+    def record_begun(self, request_id: str, service: ServiceName, version: SoftwareVersion, lifetime_s: float) -> None:
+        """Record which version began a stream, before its first event is sent to the caller.
+
+        :param request_id: id of the request that brought the first event to the caller
+        :param lifetime_s: seconds for which the caller may take the stream up
+        """
+        now = self._clock.now()
+        key = compute_stream_key(request_id)
+        record = StreamRecord(service, version, now + min(lifetime_s, MAX_LIFETIME_S), is_own=True)
+        self._records.put(key, record, now)
+        if self._versions.has_several(service, now):
+            self._send_records([(key, record)])
+
+    def discard(self, request_id: str) -> None:
+        """Forget a stream that its caller has received completely."""
+        self._records.discard(compute_stream_key(request_id))
+
+    def _send_backlog(self, service: ServiceName) -> None:
+        """Tell peers of the streams that began while only one version of the service was known."""
+        pending = self._records.list_own(service, self._clock.now())
+        for number, start in enumerate(range(0, len(pending), BACKLOG_BATCH)):
+            batch = pending[start : start + BACKLOG_BATCH]
+            self._clock.call_later(number * BACKLOG_INTERVAL_S, self._send_records, batch)
+
+    def _send_records(self, records: Iterable[tuple[StreamKey, StreamRecord]]) -> None:
+        """Send records to their holders, as few datagrams to each."""
+        now = self._clock.now()
+        chooser = self._place_members(now)
+        if chooser is None:
+            return
+        by_holder: dict[str, tuple[Member, list[BegunStream]]] = {}
+        for key, one in records:
+            stream = BegunStream(key, one.service, one.version, round(one.expires_at - now, 1))
+            for member in chooser.list_holders(key):
+                by_holder.setdefault(member.address, (member, []))[1].append(stream)
+        for member, streams in by_holder.values():
+            self._send_streams(member, streams, now)
+
+    def _send_streams(self, member: Member, streams: list[BegunStream], now: float) -> None:
+        part: list[BegunStream] = []
+        size = 0
+        for stream in streams:
+            stream_size = STREAM_KEY_BYTES + len(stream.service.encode()) + len(stream.version.encode()) + 20
+            if part and size + stream_size > MAX_DATAGRAM_BYTES:
+                self._send_put(member, part, now)
+                part, size = [], 0
+            part.append(stream)
+            size += stream_size
+        self._send_put(member, part, now)
+
+    def _send_put(self, member: Member, streams: list[BegunStream], now: float) -> None:
+        lists_several = any(self._versions.lists_several(ServiceName(one.service), now) for one in streams)
+        self._send(RecordPut(streams, lists_several), _get_datagram_address(member))
+
+    # --- streams that callers take up --------------------------------------------------------------------------------
+
+    def look_up(
+        self, request_id: str | None, service: ServiceName, on_origin: Callable[[Origin], None]
+    ) -> Origin | PendingLookup:
+        """Return which version began a stream, or a lookup that calls ``on_origin`` once it is known.
+
+        :param request_id: id of the request that brought the first event to the caller, None if the caller names none
+        :param service: service that is to continue the stream
+        """
+        now = self._clock.now()
+        if request_id is None:
+            return Lookup(self._get_knowledge(service, now), set()).conclude()
+        key = compute_stream_key(request_id)
+        own = self._records.get(key, now)
+        if own is not None:
+            return Begun(own.service, own.version)
+        chooser = self._place_members(now)
+        asked = [] if chooser is None else chooser.list_asked(key)
+        hosts = {_get_datagram_host(one) for one in asked}
+        lookup = Lookup(self._get_knowledge(service, now), hosts, self._compute_join_wait(now))
+        if not asked:
+            return lookup.conclude()
+        pending = PendingLookup(key, lookup, on_origin)
+        number = next(self._numbers) % 2**32
+        self._pending[number] = pending
+        addresses = [_get_datagram_address(one) for one in asked]
+        self._ask(number, pending, service, addresses, now + LOOKUP_TIMEOUT_S)
+        return pending
+
+    def _ask(
+        self, number: int, pending: PendingLookup, service: ServiceName, addresses: list[tuple[str, int]], until: float
+    ) -> None:
+        """Ask the VMs that have not answered, until the time for answers is over."""
+        now = self._clock.now()
+        if self._pending.get(number) is not pending:
+            return
+        if now >= until - 1e-6:
+            self._finish(number, pending.lookup.conclude())
+            return
+        query = OriginQuery(number, pending.key, service)
+        for address in addresses:
+            if address[0] in pending.lookup.unanswered:
+                self._send(query, address)
+        wait = min(LOOKUP_RETRY_INTERVAL_S, until - now)
+        pending.timer = self._clock.call_later(wait, self._ask, number, pending, service, addresses, until)
+
+    def _finish(self, number: int, origin: Origin) -> None:
+        pending = self._pending.pop(number, None)
+        if pending is not None:
+            pending.cancel()
+            pending.on_origin(origin)
+
+    def cancel(self, pending: PendingLookup) -> None:
+        """End a lookup whose caller has left."""
+        pending.cancel()
+        self._pending = {number: one for number, one in self._pending.items() if one is not pending}
+
+    # --- datagrams ---------------------------------------------------------------------------------------------------
+
+    def datagramReceived(self, datagram: bytes, addr: tuple[str, int]) -> None:
+        """Handle a datagram of a peer; one that can't be read is counted."""
+        try:
+            message = decode(datagram)
+        except DatagramError:
+            self._tally.count("stream_datagrams_unreadable_total")
+            return
+        match message:
+            case RecordPut():
+                self._handle_put(message)
+            case OriginQuery():
+                self._send(self._make_answer(message), addr)
+            case OriginAnswer():
+                self._handle_answer(message, addr[0])
+
+    def _handle_put(self, message: RecordPut) -> None:
+        now = self._clock.now()
+        for stream in message.streams:
+            service = ServiceName(stream.service)
+            lifetime_s = min(max(0.0, stream.lifetime_s), MAX_LIFETIME_S)
+            record = StreamRecord(service, SoftwareVersion(stream.version), now + lifetime_s)
+            self._records.put(StreamKey(stream.key[:STREAM_KEY_BYTES]), record, now)
+            if message.lists_several:
+                self._versions.record_reported(service, now)
+
+    def _make_answer(self, query: OriginQuery) -> OriginAnswer:
+        now = self._clock.now()
+        known = self._get_knowledge(ServiceName(query.service), now)
+        versions: list[str] = [*sorted(known.versions)[:MAX_VERSIONS]]
+        found = self._records.get(StreamKey(query.key), now)
+        service, version = (None, None) if found is None else (found.service, found.version)
+        return OriginAnswer(query.number, service, version, versions, known.has_several, known.is_experienced)
+
+    def _handle_answer(self, message: OriginAnswer, host: str) -> None:
+        pending = self._pending.get(message.number)
+        if pending is None or host not in pending.lookup.unanswered:
+            return
+        record = None
+        if message.service is not None and message.version is not None:
+            record = Begun(ServiceName(message.service), SoftwareVersion(message.version))
+        versions = {SoftwareVersion(one) for one in message.versions}
+        knowledge = Knowledge(versions, message.has_several, message.is_experienced)
+        origin = pending.lookup.add_answer(host, record, knowledge)
+        if origin is not None:
+            self._finish(message.number, origin)
+
+    def _send(self, message: Datagram, address: tuple[str, int]) -> None:
+        if self._port is None:
+            return
+        self._tally.count("stream_datagrams_sent_total", type(message).__name__)
+        try:
+            self.transport.write(encode(message), address)
+        except SEND_ERRORS as problem:
+            self._tally.count("stream_datagrams_lost_total")
+            self._journal.write("STREAM", "datagram not sent", to=address[0], detail=str(problem))
+
+    def _get_knowledge(self, service: ServiceName, now: float) -> Knowledge:
+        return Knowledge(
+            self._versions.list_recent(service, now),
+            self._versions.has_several(service, now),
+            now - self._started_at >= EXPERIENCE_S,
+        )
+
+    def _compute_join_wait(self, now: float) -> float:
+        """Return the seconds until this VM has met its peers, 0 if it has, or has none."""
+        if self._membership is None or not self._membership.may_have_peers:
+            return 0.0
+        return max(0.0, self._started_at + JOIN_TIME_S - now)
+
+    def _place_members(self, now: float) -> HolderChooser | None:
+        if self._membership is None or self._port is None:
+            return None
+        if self._holders is not None and now - self._placed_at < MEMBERS_MAX_AGE_S:
+            return self._holders
+        self._placed_at = now
+        members = [one for one in self._membership.list_others() if one.record_port]
+        if self._holders is None or members != self._holders.members:
+            self._holders = HolderChooser(members, self._membership.own.hall)
+        return self._holders
+
+
+def _get_datagram_host(member: Member) -> str:
+    return member.address.rpartition(":")[0]
+
+
+def _get_datagram_address(member: Member) -> tuple[str, int]:
+    return _get_datagram_host(member), member.record_port
--- /dev/null
+++ b/src/beamhatch/relay/streams/versions.py
@@ -0,0 +1,86 @@
+"""Software versions that the upstreams of each service run, or ran until recently."""
+
+from __future__ import annotations
+
+from collections import Counter, defaultdict
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from beamhatch.relay.model import ServiceName, SoftwareVersion, Upstream, UpstreamId
+
+VERSION_RETENTION_S = 120.0
+"""Seconds for which a version counts after its last upstream was removed; streams that it began end within them."""
+
+
+def _ignore(service: ServiceName) -> None:
+    """Do nothing."""
+
+
+@dataclass(slots=True)
+class VersionHistory:
+    """The versions of each service that this VM knows of."""
+
+    on_several: Callable[[ServiceName], None] = _ignore
+    """Called when a service is found to have more than one version."""
+    _listed: dict[UpstreamId, tuple[ServiceName, SoftwareVersion]] = field(default_factory=dict)
+    _counts: defaultdict[ServiceName, Counter[SoftwareVersion]] = field(default_factory=lambda: defaultdict(Counter))
+    """Number of listed upstreams of each version."""
+    _ended_at: defaultdict[ServiceName, dict[SoftwareVersion, float]] = field(default_factory=lambda: defaultdict(dict))
+    """Monotonic seconds at which the last upstream of a version was removed."""
+    _reported_at: dict[ServiceName, float] = field(default_factory=dict)
+    """Monotonic seconds at which a peer last reported that a service has several versions."""
+
+    def record(self, upstream: UpstreamId, listed: Upstream | None, now: float) -> None:
+        """Record the newest listed state of an upstream, None once its entry was removed."""
+        before = self._listed.get(upstream)
+        after = None if listed is None else (listed.service, listed.version)
+        if before == after:
+            return
+        service = after[0] if after is not None else None
+        had_several = service is not None and self.has_several(service, now)
+        if before is not None:
+            self._remove(before, now)
+            del self._listed[upstream]
+        if after is not None:
+            self._listed[upstream] = after
+            self._counts[after[0]][after[1]] += 1
+            if not had_several and self.has_several(after[0], now):
+                self.on_several(after[0])
+
+    def _remove(self, before: tuple[ServiceName, SoftwareVersion], now: float) -> None:
+        service, version = before
+        counts = self._counts[service]
+        counts[version] -= 1
+        if not counts[version]:
+            del counts[version]
+            self._ended_at[service][version] = now
+
+    def record_reported(self, service: ServiceName, now: float) -> None:
+        """Record that a peer lists several versions of a service."""
+        had_several = self.has_several(service, now)
+        self._reported_at[service] = now
+        if not had_several:
+            self.on_several(service)
+
+    def list_recent(self, service: ServiceName, now: float) -> set[SoftwareVersion]:
+        """Return the versions of a service that are listed, or were within the retention time."""
+        ended = self._ended_at.get(service)
+        recent = set(self._counts[service]) if service in self._counts else set()
+        if ended:
+            for version in [one for one, at in ended.items() if now - at > VERSION_RETENTION_S]:
+                del ended[version]
+            recent.update(ended)
+        return recent
+
+    def lists_several(self, service: ServiceName, now: float) -> bool:
+        """Return whether this VM's own listing has several versions of a service, or had until recently."""
+        return len(self.list_recent(service, now)) > 1
+
+    def has_several(self, service: ServiceName, now: float) -> bool:
+        """Return whether a service has several versions, by this VM's listing or by a peer's."""
+        reported_at = self._reported_at.get(service)
+        is_reported = reported_at is not None and now - reported_at <= VERSION_RETENTION_S
+        return is_reported or self.lists_several(service, now)
--- a/src/beamhatch/relay/upstreams/listing.py
+++ b/src/beamhatch/relay/upstreams/listing.py
@@ -10,6 +10,7 @@
 from typing import TYPE_CHECKING
 
 from beamhatch.relay.model import ServiceName, Upstream, UpstreamId
+from beamhatch.relay.streams.versions import VersionHistory
 from beamhatch.relay.upstreams.departures import Departures
 
 if TYPE_CHECKING:
@@ -104,6 +105,8 @@
     """Monotonic seconds until which any upstream may be cold."""
     departures: Departures = field(default_factory=Departures)
     """Departing incarnations, which are never used again, whatever their entries say."""
+    versions: VersionHistory = field(default_factory=VersionHistory)
+    """Software versions of the upstreams."""
     _records: dict[UpstreamId, _Record] = field(default_factory=dict)
     _by_address: dict[Address, Upstream] | None = None
     """Index for ``find_at``, built when it is needed; None after each change."""
@@ -120,6 +123,7 @@
         self.newest_revision = max(self.newest_revision, entry.revision)
         self._listed.clear()
         self._by_address = self._addresses = None
+        self.versions.record(entry.id, entry.upstream, now)
         if known is None:
             known = self._records[entry.id] = _Record(entry, entry.upstream, now, now)
         else:
--- a/src/beamhatch/relay/upstreams/stream_attempt.py
+++ b/src/beamhatch/relay/upstreams/stream_attempt.py
@@ -109,7 +109,7 @@
             self._record_prefill(self.core.prefill_models.get_decode(self.request.service.name))
             self._end_prefill()
         if not self.request.response_begun:
-            self.exchange.begin_stream(self.head)
+            self.exchange.begin_stream(self.head, self.send.upstream.version)
         self._record_token_rate(last)
         self.request.record_event(last, self.send.upstream.version)
         self.exchange.send_events(data)
--- a/tests/platform/test_order.py
+++ b/tests/platform/test_order.py
@@ -6,6 +6,7 @@
 
 from tests.support.version_disturbances import Disturbance
 from tests.support.version_fleet import VersionFleet
+from tests.support.version_spell import VersionSpell
 
 MIXED_ALLOWED = 2
 """Streams that may hold events from two versions, over a whole day and all VMs."""
@@ -82,3 +83,24 @@
     fleet = VersionFleet(size)
     disturbance.play(fleet)
     assert keeps_bounds(fleet), describe(fleet)
+
+
+def test_a_stream_goes_on_at_another_version_as_its_caller_crosses_a_cut_between_halls() -> None:
+    fleet = VersionFleet()
+    fleet.begin_streams(12, "vm0", "vm3")
+    for vm in ("vm1", "vm2", "vm4", "vm5"):
+        fleet.platform.network.cut_between("vm0", vm)
+        fleet.platform.network.cut_between("vm3", vm)
+    fleet.begin_streams(12, "vm0", "vm3")
+    fleet.kill("vm0", None)
+    fleet.kill("vm3", None)
+    fleet.run(8.0)
+    assert not fleet.list_mixed()
+    assert fleet.count_taken_up()[0] >= 12  # streams that began before the cut
+
+
+@pytest.mark.parametrize("seed", [0, 1])
+def test_streams_go_on_at_another_version_as_disruptions_overlap(seed: int) -> None:
+    spell = VersionSpell(seed)
+    broken = spell.play()
+    assert not broken, "\n".join([*broken, *spell.lines])
--- /dev/null
+++ b/tests/soak/order.py
@@ -0,0 +1,36 @@
+"""Play spells in which streams break while several software versions serve: ``python -m tests.soak.order``."""
+
+from __future__ import annotations
+
+import argparse
+import sys
+
+from tests.support.version_spell import VersionSpell
+
+
+def main() -> int:
+    """Play spells, print those that broke a promise, and return how many did, 100 at most."""
+    parser = argparse.ArgumentParser(prog="python -m tests.soak.order", description=__doc__)
+    parser.add_argument("--seed", type=int, default=0, help="seed of the first spell")
+    parser.add_argument("--count", type=int, default=10)
+    parser.add_argument("--vms", type=int, default=6)
+    arguments = parser.parse_args()
+    failed = mixed = taken_up = went_on = 0
+    for seed in range(arguments.seed, arguments.seed + arguments.count):
+        spell = VersionSpell(seed, arguments.vms)
+        broken = spell.play()
+        found = spell.fleet.list_mixed()
+        mixed += len(found)
+        went_on += spell.fleet.count_taken_up()[0]
+        taken_up += spell.fleet.count_taken_up()[1]
+        failed += bool(broken)
+        if found:
+            sys.stdout.write("\n".join([f"seed {seed}: {len(found)} streams", *found[:8], *spell.lines, ""]))
+            sys.stdout.flush()
+    sys.stdout.write(f"{arguments.count} spells, {failed} broken, {mixed} streams of two versions, ")
+    sys.stdout.write(f"{went_on} of {taken_up} went on while two engines of their version served\n")
+    return min(100, failed)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/support/network.py
+++ b/tests/support/network.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 import socket
 from collections import Counter
 from typing import TYPE_CHECKING, Any
@@ -187,7 +188,8 @@
         if not self.connected:
             return
         self.connected = False
-        self.protocol.connectionLost(Failure(reason))
+        if self.protocol is not None:  # else the host stood still and has not accepted the connection
+            self.protocol.connectionLost(Failure(reason))
 
     def end_process(self, *, resets: bool) -> None:
         """End the connection with the process at this end, which is told nothing.
@@ -214,6 +216,23 @@
         self._network.ports.pop(self._key, None)
 
 
+class _DatagramPort:
+    """A socket for datagrams, some of which are lost without anybody being told."""
+
+    def __init__(self, network: Network, key: tuple[str, int], protocol: Any) -> None:
+        self._network = network
+        self._key = key
+        self.protocol = protocol
+
+    def write(self, data: bytes, address: tuple[str, int]) -> None:
+        """Send a datagram."""
+        self._network.deliver_datagram(self._key, address, data)
+
+    def stopListening(self) -> None:
+        """Receive no more."""
+        self._network.datagram_ports.pop(self._key, None)
+
+
 class _Connector:
     def __init__(
         self, network: Network, host: str, port: int, factory: Any, timeout: float, here: str | None = None
@@ -259,6 +278,8 @@
         self.network.run_on(self.here, near.protocol.connectionMade)
 
     def _accept(self, server: Any, far: Transport) -> None:
+        if not far.connected:
+            return
         far.protocol = server.buildProtocol(None)
         far.protocol.transport = far
         far.protocol.connectionMade()
@@ -284,6 +305,10 @@
         super().__init__()
         self.rightNow = 1000.0
         self.ports: dict[tuple[str, int], Any] = {}
+        self.datagram_ports: dict[tuple[str, int], _DatagramPort] = {}
+        self.datagram_loss = 0.0
+        """Share of the datagrams that are lost."""
+        self._random = random.Random(0)
         self.transports: list[Transport] = []
         self.stopped = False
         self.held_up = 0.0
@@ -306,6 +331,13 @@
         self.ports[interface, port] = factory
         return _Port(self, (interface, port))
 
+    def listenUDP(self, port: int, protocol: Any, interface: str = "", maxPacketSize: int = 8192) -> _DatagramPort:
+        """Receive datagrams."""
+        assert (interface, port) not in self.datagram_ports
+        found = self.datagram_ports[interface, port] = _DatagramPort(self, (interface, port), protocol)
+        protocol.transport = found
+        return found
+
     def connectTCP(self, host: str, port: int, factory: Any, timeout: float = 30) -> _Connector:
         """Connect."""
         return _Connector(self, host, port, factory, timeout)
@@ -400,6 +432,8 @@
         self._held.pop(host, None)
         for key in [key for key in self.ports if key[0] == host]:
             del self.ports[key]
+        for key in [key for key in self.datagram_ports if key[0] == host]:
+            del self.datagram_ports[key]
         for transport in self.transports:
             if transport.host == host:
                 transport.end_process(resets=resets)
@@ -424,6 +458,18 @@
         )
         self.callLater(sender.arrives_at - self.rightNow, sender.other.take, kind, value)
 
+    def deliver_datagram(self, sender: tuple[str, int], receiver: tuple[str, int], data: bytes) -> None:
+        """Bring a datagram to a host, unless it is lost."""
+        if self.is_cut(sender[0], receiver[0]) or self._random.random() < self.datagram_loss:
+            return
+        self.carried[sender[0], receiver[0]] += len(data)
+        self.callLater(self.find_delay(sender[0], receiver[0]), self._take_datagram, sender, receiver, data)
+
+    def _take_datagram(self, sender: tuple[str, int], receiver: tuple[str, int], data: bytes) -> None:
+        found = self.datagram_ports.get(receiver)
+        if found is not None:
+            self.run_on(receiver[0], found.protocol.datagramReceived, data, sender)
+
     # --- the test's time ---------------------------------------------------------------------------------------------
 
     def run(self, seconds: float) -> None:
