Continue a stream at the only version known when it was taken up

A stream without a record, taken up while one version was known, could wait for memory and go on at a second version that appeared in the meantime. Found by reading; the test of the request fails without it. The version is kept as if it had been recorded. Reports of peers on services that a VM does not list are ignored, so that they take no memory.

--- a/src/beamhatch/relay/requests/request.py
+++ b/src/beamhatch/relay/requests/request.py
@@ -12,7 +12,7 @@
 from beamhatch.relay.choosing.chooser import RequestRequirements
 from beamhatch.relay.choosing.distance import EVENT_BYTES, compute_cache_transfer
 from beamhatch.relay.model import Handle, Reservation, RouteKind, Stage, Upstream, UpstreamId
-from beamhatch.relay.streams.lookup import Begun, UnknownVersion
+from beamhatch.relay.streams.lookup import Begun, OnlyVersion, UnknownVersion
 
 if TYPE_CHECKING:
     from beamhatch.relay.choosing.chooser import Chooser
@@ -132,7 +132,7 @@
     on_time_until: float = float("inf")
     """Monotonic time in seconds after which the first event of the response is late."""
     version: SoftwareVersion | None = None
-    """Software version that began the stream; None if it has not begun, or only one version is known."""
+    """Software version that began the stream; None if it has not begun."""
     _prefill_sends: int = 0
     _handoffs: int = 0
     _refused_by: set[UpstreamId] = field(default_factory=set)
@@ -337,7 +337,7 @@
     def apply_origin(self, origin: Origin) -> Refuse | None:
         """Continue a stream that the caller takes up only where it may go on; return the refusal if it may nowhere."""
         match origin:
-            case Begun(service=self.service.name):
+            case Begun(service=self.service.name) | OnlyVersion():
                 self.version = origin.version
             case Begun():
                 return Refuse("another service began the stream", is_final=True)
--- a/src/beamhatch/relay/streams/lookup.py
+++ b/src/beamhatch/relay/streams/lookup.py
@@ -23,6 +23,8 @@
     """It is not recorded what began the stream, but nobody knows of more than one version of the service."""
 
     label: ClassVar[str] = "only_version"
+    version: SoftwareVersion | None
+    """The one version; None if none is known."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -100,4 +102,4 @@
         """
         if self.known.has_several or (self.wait_s and not self.known.is_experienced):
             return UnknownVersion(len(self.unanswered), self.wait_s)
-        return OnlyVersion()
+        return OnlyVersion(next(iter(self.known.versions), None))
--- a/src/beamhatch/relay/streams/versions.py
+++ b/src/beamhatch/relay/streams/versions.py
@@ -59,7 +59,9 @@
             self._ended_at[service][version] = now
 
     def record_reported(self, service: ServiceName, now: float) -> None:
-        """Record that a peer lists several versions of a service."""
+        """Record that a peer lists several versions of a service that this VM lists too."""
+        if service not in self._counts:
+            return
         had_several = self.has_several(service, now)
         self._reported_at[service] = now
         if not had_several:
--- a/tests/relay/requests/test_request.py
+++ b/tests/relay/requests/test_request.py
@@ -18,6 +18,7 @@
     RouteKind,
     Service,
     ServiceName,
+    SoftwareVersion,
     Stage,
     Upstream,
     UpstreamId,
@@ -25,6 +26,7 @@
 )
 from beamhatch.relay.requests.budget import RetryBudget, RetryBudgetLimits
 from beamhatch.relay.requests.request import Fail, Refuse, RelayRequest, Reserve, Send, Step, Wait
+from beamhatch.relay.streams.lookup import Begun, OnlyVersion, UnknownVersion
 from beamhatch.relay.upstreams.listing import Entry, Listing
 
 SERVICE = ServiceName("s")
@@ -253,3 +255,32 @@
                 budget.record_retry(1.5)
                 sent += 1
     assert sent <= 56
+
+
+def make_request() -> RelayRequest:
+    route = Route("r", "h", "/", RouteKind.STREAMING, (WeightedService(SERVICE, 1.0),), 5.0, 0.9, 2, resumable=True)
+    return RelayRequest(RequestFacts("q2", 9.0, last_event=3, resumed_request="q1"), route, Service(SERVICE))
+
+
+def test_a_stream_goes_on_at_a_version_that_appeared_while_it_waited() -> None:
+    request = make_request()
+    assert request.apply_origin(OnlyVersion(SoftwareVersion("v1"))) is None
+    assert request.version == "v1"
+
+
+def test_a_stream_of_another_service_goes_on_at_a_version_of_the_same_name() -> None:
+    request = make_request()
+    refusal = request.apply_origin(Begun(ServiceName("other"), SoftwareVersion("v1")))
+    assert refusal is not None
+    assert refusal.is_final
+
+
+def test_a_stream_of_unknown_origin_is_refused_for_good_only_if_all_were_asked() -> None:
+    silent = make_request().apply_origin(UnknownVersion(silent=1))
+    joining = make_request().apply_origin(UnknownVersion(wait_s=1.5))
+    final = make_request().apply_origin(UnknownVersion())
+    assert silent is not None
+    assert joining is not None
+    assert final is not None
+    assert (silent.is_final, joining.is_final, final.is_final) == (False, False, True)
+    assert joining.retry_after_s == 1.5
--- a/tests/relay/streams/test_lookup.py
+++ b/tests/relay/streams/test_lookup.py
@@ -44,7 +44,7 @@
 def test_with_one_version_the_answers_of_half_suffice() -> None:
     lookup = make_lookup()
     assert lookup.add_answer("vm0", None, ONE) is None
-    assert lookup.add_answer("vm1", None, ONE) == OnlyVersion()
+    assert lookup.add_answer("vm1", None, ONE) == OnlyVersion(V1)
 
 
 def test_a_vm_that_has_not_run_for_long_waits_for_all_answers() -> None:
@@ -65,12 +65,12 @@
 
 
 def test_without_any_answer_one_known_version_goes_on() -> None:
-    assert make_lookup().conclude() == OnlyVersion()
-    assert make_lookup(NEW, asked=0).conclude() == OnlyVersion()
+    assert make_lookup().conclude() == OnlyVersion(V1)
+    assert make_lookup(NEW, asked=0).conclude() == OnlyVersion(V1)
 
 
 def test_a_vm_that_has_not_met_its_peers_goes_on_only_if_one_that_ran_for_long_knows_one_version() -> None:
     assert make_lookup(NEW, asked=0, wait_s=1.5).conclude() == UnknownVersion(wait_s=1.5)
     assert not UnknownVersion(wait_s=1.5).is_final
     assert make_lookup(NEW, asked=1, wait_s=1.5).add_answer("vm0", None, NEW) == UnknownVersion(wait_s=1.5)
-    assert make_lookup(NEW, asked=1, wait_s=1.5).add_answer("vm0", None, ONE) == OnlyVersion()
+    assert make_lookup(NEW, asked=1, wait_s=1.5).add_answer("vm0", None, ONE) == OnlyVersion(V1)
--- a/tests/relay/streams/test_versions.py
+++ b/tests/relay/streams/test_versions.py
@@ -65,3 +65,9 @@
     assert history.has_several(SERVICE, 1.0 + VERSION_RETENTION_S)
     assert not history.lists_several(SERVICE, 1.0)
     assert not history.has_several(SERVICE, 1.1 + VERSION_RETENTION_S)
+
+
+def test_a_report_on_a_service_that_is_not_listed_takes_no_memory() -> None:
+    history = VersionHistory()
+    history.record_reported(OTHER, 1.0)
+    assert not history.has_several(OTHER, 1.0)
