Have the soak's upstreams run two versions, and its callers take up streams

Callers whose resumable stream breaks come back at any VM with Resumes and Last-Event-Id, and the witness checks that the events that they received come from one version.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -59,7 +59,8 @@
     verdict = f"broken, lines in {folder}" if report.breaches else "kept"
     share = report.served / max(1, report.outcomes - report.deadly)
     counts = (
-        f"{report.faults} faults, {report.outcomes} requests ({report.deadly} deadly), {share:.3f} of the rest served"
+        f"{report.faults} faults, {report.outcomes} requests ({report.deadly} deadly), {share:.3f} of the rest served, "
+        f"{report.taken_up} streams taken up"
     )
     print(f"seed {seed}: {counts}, promises {verdict}")
 
--- a/tests/soak/caller.py
+++ b/tests/soak/caller.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
@@ -40,6 +41,15 @@
     whole: bool = False
     left: bool = False
     """True where the caller left before the end."""
+    began_as: str = ""
+    """The request that brought the first event of the stream, where this one takes it up."""
+    last_event: int = 0
+    """Number of the last event that the caller had before."""
+
+    @property
+    def events(self) -> list[int]:
+        """Return the numbers of the events that came, in order."""
+        return [int(number) for number in re.findall(rb"^id: (\d+)\n", self.body, re.MULTILINE)]
 
 
 class CallerConnection(Protocol):
--- a/tests/soak/mutants.py
+++ b/tests/soak/mutants.py
@@ -14,6 +14,7 @@
 from beamhatch.relay.core import Core
 from beamhatch.relay.daemon import Daemon
 from beamhatch.relay.limits.limits import Limits
+from beamhatch.relay.model import Upstream
 from beamhatch.relay.quarantine.quarantine import Quarantine
 from beamhatch.relay.requests.exchange import RelayExchange
 from beamhatch.relay.requests.request import RelayRequest
@@ -123,6 +124,10 @@
     Quarantine.get_entry = lambda self, fingerprint, now: None  # type: ignore[method-assign]
 
 
+def _ignores_versions() -> None:
+    Upstream.may_serve = lambda self, version: True  # type: ignore[method-assign]
+
+
 UPSTREAM_FAULTS = [FaultKind.UPSTREAM_FAULT]
 COLD_FAULTS = [FaultKind.HALL_COLD, FaultKind.UPSTREAM_CRASH]
 
@@ -142,6 +147,7 @@
     "stops-at-once": Mutant(Promise.PLANNED_STOP, [FaultKind.STOP], _stops_at_once),
     "keeps-memory": Mutant(Promise.GIVEN_BACK, UPSTREAM_FAULTS, _keeps_memory),
     "sends-deadly": Mutant(Promise.DEADLY, [FaultKind.DEADLY], _sends_deadly),
+    "ignores-versions": Mutant(Promise.VERSION, [FaultKind.UPSTREAM_CRASH, *UPSTREAM_FAULTS], _ignores_versions),
     "passes-any-event": Mutant(Promise.ORDER, UPSTREAM_FAULTS, _passes_any_event),
 }
 """By name."""
--- a/tests/soak/promise.py
+++ b/tests/soak/promise.py
@@ -13,6 +13,7 @@
     NOT_RUN = "what is said not to have run has not, and never does"
     OWN_ANSWER = "an answer is whole, an upstream's, and to the own request"
     ORDER = "a stream's events come in order, none left out, none twice"
+    VERSION = "a stream's events come from one version of its upstreams' software, over all tries of its caller"
     EMPTIED = "nothing new reaches an emptied hall"
     COLD = "a cold upstream gets no more than it bears"
     REGION = "a request stays in the regions of its route"
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -219,3 +219,21 @@
     assert third.prefix == wanted
     for net in (first, third):
         net.give_back()
+
+
+def test_the_witness_sees_a_stream_of_two_versions_in_one_answer_and_over_tries(witness: Witness) -> None:
+    witness.ledger.event_versions["q1"] = {1: "v1", 2: "v2"}
+    witness.take_outcome(make_outcome("/stream/", 200, SIGNED, make_events(1), whole=False))
+    assert not list_broken(witness)
+    witness.take_outcome(make_outcome("/stream/", 200, SIGNED, make_events(1, 2), whole=False))
+    assert list_broken(witness) == {Promise.VERSION}
+    witness.breaches.clear()
+    witness.ledger.event_versions["q2"] = {2: "v2"}
+    again = Outcome(
+        "q2", "/stream/", "/stream/x", "vm0", 1, 22.0, 23.0, 200, {"request-id": "q2"}, b"id: 2\ndata: q2-2\n\n"
+    )
+    again.headers["response-signature"] = "i-1.q2"
+    again.began_as, again.last_event = "q1", 1
+    witness.versions["q1"] = {"v1"}
+    witness.take_outcome(again)
+    assert list_broken(witness) == {Promise.VERSION}
--- a/tests/soak/witness.py
+++ b/tests/soak/witness.py
@@ -127,6 +127,10 @@
     """When upstreams were ended by the requests for a target."""
     late_sends: Counter[str] = field(default_factory=Counter)
     """Sends for each such target later than all VMs could know."""
+    versions: dict[str, set[str]] = field(default_factory=dict)
+    """Software versions whose events the caller of each stream received, by the request that began it."""
+    taken_up: int = 0
+    """Streams that callers took up again."""
     outcomes: int = 0
     deadly: int = 0
     """Of these, requests that end upstreams; none of them is served."""
@@ -283,13 +287,22 @@
         self.served += outcome.whole
 
     def _check_stream(self, outcome: Outcome) -> None:
-        ids = [int(number) for number in re.findall(rb"^id: (\d+)\n", outcome.body, re.M)]
+        ids = outcome.events
         texts = [int(number) for number in re.findall(rb"-(\d+)\n\n", outcome.body)]
-        wanted = list(range(1, len(ids) + 1))
+        wanted = list(range(outcome.last_event + 1, outcome.last_event + len(ids) + 1))
         if ids != wanted or texts[: len(ids)] != wanted[: len(texts)]:
             self.break_promise(Promise.ORDER, outcome.ended_at, f"{outcome.request} got the events {ids}")
-        if outcome.whole and len(ids) != STREAM_EVENTS:
+        if outcome.whole and outcome.last_event + len(ids) != STREAM_EVENTS:
             self.break_promise(Promise.ORDER, outcome.ended_at, f"{outcome.request} ended with {len(ids)} events")
+        self._check_software(outcome, ids)
+
+    def _check_software(self, outcome: Outcome, ids: list[int]) -> None:
+        sent = self.ledger.event_versions.get(outcome.request, {})
+        versions = self.versions.setdefault(outcome.began_as or outcome.request, set())
+        versions.update(sent[number] for number in ids if number in sent)
+        if len(versions) > 1:
+            detail = f"{outcome.request} ({outcome.began_as}) holds events of {sorted(versions)}"
+            self.break_promise(Promise.VERSION, outcome.ended_at, detail)
 
     def _check_missing(self, outcome: Outcome) -> None:
         found = VERSIONED.match(outcome.target)
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -29,6 +29,9 @@
 
 PLAIN = "accounts"
 MODEL = "models"
+VERSIONS = "v1", "v2"
+"""Software versions of the upstreams, in turn."""
+
 ENGINES_A_HALL = ("prefill", "decode", "decode")
 CALLERS_A_VM = 6
 PAUSE = 0.03, 0.25
@@ -130,6 +133,7 @@
         else:
             upstream = ModelEngine(self.clock, address, name, self.ledger, phase)
             upstream.on_phase_change = lambda: self.list_upstream(name)
+        upstream.version = VERSIONS[self._number % len(VERSIONS)]
         upstream.observe(self._take_arrival, self._take_crash, self.active)
         upstream.start()
         host = f"{self.net}.4.1"
@@ -252,6 +256,8 @@
             self._note_stop(vm, outcome)
             if outcome.left:
                 self.clock.call_later(GONE_BOUND, self._check_gone, outcome)
+            elif outcome.route == "/resumable/" and not outcome.whole and outcome.events:
+                self.clock.call_later(self.random.uniform(*PAUSE), self._take_up, outcome)
 
         def fail() -> None:
             self.clock.call_later(0.2, self._connect)
@@ -284,8 +290,25 @@
         vm = self._choose_vm()
         self.asked_count += 1
         outcome = Outcome(f"once-{self.asked_count}", route, target, vm.name, vm.life, self.now())
-        self.witness.asked[outcome.request] = Asked(route, vm.name, vm.life, outcome.sent_at)
-        headers = [("Token-Count", f"4000,{STREAM_EVENTS}"), ("Prompt-Prefix", f"aa:200,{self.asked_count:x}:3800")]
+        self._ask_alone(vm, outcome, [])
+
+    def _take_up(self, broken: Outcome) -> None:
+        """Have a caller take its stream up again at any VM, behind the last event that it has."""
+        if self.stopping:
+            return
+        vm = self._choose_vm()
+        self.asked_count += 1
+        self.witness.taken_up += 1
+        outcome = Outcome(f"again-{self.asked_count}", broken.route, broken.target, vm.name, vm.life, self.now())
+        outcome.began_as = broken.began_as or broken.request
+        outcome.last_event = broken.events[-1]
+        self._ask_alone(vm, outcome, [("Resumes", outcome.began_as), ("Last-Event-Id", str(outcome.last_event))])
+
+    def _ask_alone(self, vm: VmProcess, outcome: Outcome, extra: list[tuple[str, str]]) -> None:
+        """Send a request on a connection of its own."""
+        self.witness.asked[outcome.request] = Asked(outcome.route, vm.name, vm.life, outcome.sent_at)
+        prompt = f"aa:200,{self.asked_count:x}:3800"
+        headers = [("Token-Count", f"4000,{STREAM_EVENTS}"), ("Prompt-Prefix", prompt), *extra]
 
         def ask(connection: CallerConnection) -> None:
             connection.ask(outcome, headers, b"")
