Ask for the origin of a stream in rounds, and name the sizes of records

No change of behaviour but for a margin: the time-out is a number of rounds, and a record's overhead in a datagram is 28 bytes, as its key counts too.

--- a/src/beamhatch/relay/streams/origins.py
+++ b/src/beamhatch/relay/streams/origins.py
@@ -46,11 +46,11 @@
     from beamhatch.relay.model import Address
     from beamhatch.relay.streams.versions import VersionHistory
 
-LOOKUP_TIMEOUT_S = 0.3
-"""Seconds for which answers are awaited; callers of broken streams notice a longer pause."""
+LOOKUP_ROUNDS = 5
+"""Number of times that VMs are asked which have not answered, since datagrams may be lost."""
 
-LOOKUP_RETRY_INTERVAL_S = 0.06
-"""Seconds after which VMs that have not answered are asked again, since datagrams may be lost."""
+LOOKUP_INTERVAL_S = 0.06
+"""Seconds for which answers are awaited in each round; callers notice if all take more than 0.3 s."""
 
 JOIN_TIME_S = 2.0
 """Seconds after its start in which a VM may not know all of its peers."""
@@ -67,6 +67,9 @@
 BACKLOG_INTERVAL_S = 0.01
 """Seconds between two batches of them."""
 
+RECORD_OVERHEAD_BYTES = 28
+"""Bytes of a record in a datagram beside its names, with a margin."""
+
 SEND_ERRORS = (OSError, ValueError)
 """Errors of a datagram that the system does not send, which counts as lost."""
 
@@ -145,7 +148,7 @@
             self._clock.call_later(number * BACKLOG_INTERVAL_S, self._send_records, batch)
 
     def _send_records(self, records: Iterable[tuple[StreamKey, StreamRecord]]) -> None:
-        """Send records to their holders, as few datagrams to each."""
+        """Send records to their holders, in as few datagrams to each as possible."""
         now = self._clock.now()
         chooser = self._place_members(now)
         if chooser is None:
@@ -162,7 +165,7 @@
         part: list[BegunStream] = []
         size = 0
         for stream in streams:
-            stream_size = STREAM_KEY_BYTES + len(stream.service.encode()) + len(stream.version.encode()) + 20
+            stream_size = RECORD_OVERHEAD_BYTES + len(stream.service.encode()) + len(stream.version.encode())
             if part and size + stream_size > MAX_DATAGRAM_BYTES:
                 self._send_put(member, part, now)
                 part, size = [], 0
@@ -198,34 +201,29 @@
         if not asked:
             return lookup.conclude()
         pending = PendingLookup(key, lookup, on_origin)
-        number = next(self._numbers) % 2**32
+        number = next(self._numbers)
         self._pending[number] = pending
-        addresses = [_get_datagram_address(one) for one in asked]
-        self._ask(number, pending, service, addresses, now + LOOKUP_TIMEOUT_S)
+        self._ask(number, service, [_get_datagram_address(one) for one in asked], LOOKUP_ROUNDS)
         return pending
 
-    def _ask(
-        self, number: int, pending: PendingLookup, service: ServiceName, addresses: list[tuple[str, int]], until: float
-    ) -> None:
-        """Ask the VMs that have not answered, until the time for answers is over."""
-        now = self._clock.now()
-        if self._pending.get(number) is not pending:
-            return
-        if now >= until - 1e-6:
+    def _ask(self, number: int, service: ServiceName, addresses: list[tuple[str, int]], rounds_left: int) -> None:
+        """Ask the VMs that have not answered, and again after some time, until no round is left."""
+        pending = self._pending[number]
+        if not rounds_left:
             self._finish(number, pending.lookup.conclude())
             return
         query = OriginQuery(number, pending.key, service)
         for address in addresses:
             if address[0] in pending.lookup.unanswered:
                 self._send(query, address)
-        wait = min(LOOKUP_RETRY_INTERVAL_S, until - now)
-        pending.timer = self._clock.call_later(wait, self._ask, number, pending, service, addresses, until)
+        pending.timer = self._clock.call_later(
+            LOOKUP_INTERVAL_S, self._ask, number, service, addresses, rounds_left - 1
+        )
 
     def _finish(self, number: int, origin: Origin) -> None:
-        pending = self._pending.pop(number, None)
-        if pending is not None:
-            pending.cancel()
-            pending.on_origin(origin)
+        pending = self._pending.pop(number)
+        pending.cancel()
+        pending.on_origin(origin)
 
     def cancel(self, pending: PendingLookup) -> None:
         """End a lookup whose caller has left."""
--- a/tests/support/network.py
+++ b/tests/support/network.py
@@ -308,6 +308,8 @@
         self.datagram_ports: dict[tuple[str, int], _DatagramPort] = {}
         self.datagram_loss = 0.0
         """Share of the datagrams that are lost."""
+        self.largest_datagram = 0
+        """Bytes of the largest datagram that was sent."""
         self._random = random.Random(0)
         self.transports: list[Transport] = []
         self.stopped = False
@@ -460,6 +462,7 @@
 
     def deliver_datagram(self, sender: tuple[str, int], receiver: tuple[str, int], data: bytes) -> None:
         """Bring a datagram to a host, unless it is lost."""
+        self.largest_datagram = max(self.largest_datagram, len(data))
         if self.is_cut(sender[0], receiver[0]) or self._random.random() < self.datagram_loss:
             return
         self.carried[sender[0], receiver[0]] += len(data)
