Count no engine outside a request's regions as full

A request whose regions were narrowed to none with engines, while an engine was asked for decode memory, was told 0.06 s and more later than one in line: the refusal of that engine counted as memory that is full, so the request waited for the next poll of a line in which nobody can serve it. A refusal outside the regions is not counted: the request is planned again and told at once.

--- a/src/beamhatch/relay/upstreams/reserve_attempt.py
+++ b/src/beamhatch/relay/upstreams/reserve_attempt.py
@@ -106,7 +106,7 @@
         elif self._head.status == MISDIRECTED:
             stats.record_misdirected(now)
             self._exchange.request.record_reserve_failed(upstream.id)
-        else:
+        elif self.core.eligibility.is_in_regions(upstream, self._exchange.request.regions):
             self._exchange.request.record_full(upstream.id)
         self._exchange.write_log("reserved" if found else "not reserved", to=upstream.id, status=self._head.status)
         self._exchange.replan_after(self)
--- a/tests/platform/test_residency.py
+++ b/tests/platform/test_residency.py
@@ -222,6 +222,17 @@
     assert platform.clock.now() - begun < 0.011
 
 
+def test_who_asks_for_memory_as_its_regions_change_is_told_late() -> None:
+    platform = make_world()
+    fill_memory(platform, "decode-west", "decode-east")
+    platform.network.find_delay = lambda here, there: 0.02 if "decode" in here + there else 0.001
+    caller = platform.call("/stream/x", "q")
+    narrow(platform, ["south"])
+    narrowed = platform.clock.now()
+    assert platform.finish(caller).status == 503
+    assert platform.clock.now() - narrowed < 0.07  # connecting, asking and the answer take 0.02 s each
+
+
 def test_a_running_stream_ends_in_place() -> None:
     platform = make_world()
     caller = platform.call("/stream/x", "q", headers={"Token-Count": "5000,40"})
