--- a/src/beamhatch/relay/model.py
+++ b/src/beamhatch/relay/model.py
@@ -332,16 +332,16 @@
     key: KeyDigest | None = field(default=None, repr=False)
     """Digest of the caller's API key; None if it sent no readable one."""
     resumed_request: str | None = None
-    """Id of the request with which the caller received the first event of the stream that it takes up now."""
+    """Id of the request with which the caller received the first event of the stream that it resumes now."""
 
     @property
-    def takes_up_stream(self) -> bool:
+    def resumes_stream(self) -> bool:
         """Return whether the caller already has a part of the stream."""
         return self.resumed_request is not None or bool(self.last_event)
 
     @property
     def stream_id(self) -> str:
-        """Return the id of the request that began the stream, which is this one unless it takes a stream up."""
+        """Return the id of the request that began the stream, which is this one unless it resumes a stream."""
         return self.resumed_request or self.id
 
     @property
--- a/src/beamhatch/relay/requests/exchange.py
+++ b/src/beamhatch/relay/requests/exchange.py
@@ -122,7 +122,7 @@
         self._forwarded_headers = strip_hop_by_hop(incoming.headers)
         self._attempt: Attempt | ReserveAttempt | None = None
         self._lookup: PendingLookup | None = None
-        """Search for the version that began the stream, if the caller takes one up."""
+        """Search for the version that began the stream, if the caller resumes one."""
         self._in_queue = False
         self._permit: SendPermit | None = None
         """Permit to send to the cold or limited engine that has reserved, or is asked to reserve, memory."""
@@ -147,15 +147,15 @@
         self._start_deadline_timer()
         if self._ended:
             return
-        if self.request.facts.takes_up_stream and self.request.route.kind is RouteKind.STREAMING:
+        if self.request.facts.resumes_stream and self.request.route.kind is RouteKind.STREAMING:
             self._find_origin()
         else:
             self._begin()
 
     def _find_origin(self) -> None:
-        """Find out which version began the stream that the caller takes up."""
+        """Find out which version began the stream that the caller resumes."""
         facts = self.request.facts
-        self.write_log("takes up a stream", began_as=facts.resumed_request, last_event=facts.last_event)
+        self.write_log("resumes a stream", began_as=facts.resumed_request, last_event=facts.last_event)
         found = self.core.origins.look_up(facts.resumed_request, self.request.service.name, self._apply_origin)
         if isinstance(found, PendingLookup):
             self._lookup = found
--- a/src/beamhatch/relay/requests/request.py
+++ b/src/beamhatch/relay/requests/request.py
@@ -180,7 +180,7 @@
 
     @property
     def lifetime_s(self) -> float:
-        """Return the seconds from the request's arrival for which its caller may take the stream up."""
+        """Return the seconds from the request's arrival for which its caller may resume the stream."""
         return (self.route.timeout if self.facts.time_left is None else self.facts.time_left) + RETURN_MARGIN_S
 
     @property
@@ -335,7 +335,7 @@
         return Refuse(reason, no_upstream=no_upstream)
 
     def apply_origin(self, origin: Origin) -> Refuse | None:
-        """Continue a stream that the caller takes up only where it may go on; return the refusal if it may nowhere."""
+        """Continue a stream that the caller resumes only where it may go on; return the refusal if it may nowhere."""
         match origin:
             case Begun(service=self.service.name) | OnlyVersion():
                 self.version = origin.version
@@ -348,7 +348,7 @@
 
     def get_continuation(self, send: Send) -> str | None:
         """Return how the version of a send relates to the one that began the stream, None if it continues no stream."""
-        if send.stage is Stage.PREFILL or not (self.response_begun or self.facts.takes_up_stream):
+        if send.stage is Stage.PREFILL or not (self.response_begun or self.facts.resumes_stream):
             return None
         if self.version is None:
             return "unknown"
--- a/src/beamhatch/relay/streams/lookup.py
+++ b/src/beamhatch/relay/streams/lookup.py
@@ -1,4 +1,4 @@
-"""Decide at which version a stream that a caller takes up may go on, from what this VM and its peers know."""
+"""Decide at which version a stream that a caller resumes may go on, from what this VM and its peers know."""
 
 from __future__ import annotations
 
--- a/src/beamhatch/relay/streams/message.py
+++ b/src/beamhatch/relay/streams/message.py
@@ -25,7 +25,7 @@
     service: Name
     version: Name
     lifetime_s: float
-    """Seconds for which its caller may still take it up."""
+    """Seconds for which its caller may still resume it."""
 
 
 class RecordPut(msgspec.Struct, tag="begun", array_like=True, frozen=True):
--- a/src/beamhatch/relay/streams/origins.py
+++ b/src/beamhatch/relay/streams/origins.py
@@ -127,7 +127,7 @@
         """Record which version began a stream, before its first event is sent to the caller.
 
         :param request_id: id of the request that brought the first event to the caller
-        :param lifetime_s: seconds for which the caller may take the stream up
+        :param lifetime_s: seconds for which the caller may resume the stream
         """
         now = self._clock.now()
         key = compute_stream_key(request_id)
@@ -177,7 +177,7 @@
         lists_several = any(self._versions.lists_several(ServiceName(one.service), now) for one in streams)
         self._send(RecordPut(streams, lists_several), _get_datagram_address(member))
 
-    # --- streams that callers take up --------------------------------------------------------------------------------
+    # --- streams that callers resume --------------------------------------------------------------------------------
 
     def look_up(
         self, request_id: str | None, service: ServiceName, on_origin: Callable[[Origin], None]
--- a/src/beamhatch/relay/streams/records.py
+++ b/src/beamhatch/relay/streams/records.py
@@ -33,7 +33,7 @@
     service: ServiceName
     version: SoftwareVersion
     expires_at: float
-    """Monotonic seconds after which the caller can no longer take the stream up."""
+    """Monotonic seconds after which the caller can no longer resume the stream."""
     is_own: bool = False
     """Whether the stream began at this VM."""
 
--- a/tests/platform/test_order.py
+++ b/tests/platform/test_order.py
@@ -11,11 +11,11 @@
 MIXED_ALLOWED = 2
 """Streams that may hold events from two versions, over a whole day and all VMs."""
 
-FEWEST_TAKEN_UP = 12
-"""Streams taken up again below which the share of those that went on is not judged."""
+FEWEST_RESUMED = 12
+"""Resumed streams below which the share of those that went on is not judged."""
 
 GOES_ON_SHARE = 0.5
-"""Smallest share of the streams taken up that must go on, relative to the share of new streams that begin."""
+"""Smallest share of the streams resumed that must go on, relative to the share of new streams that begin."""
 
 PROMPT_END_S = 0.2
 """Seconds within which a response that can't go on has to end."""
@@ -26,14 +26,14 @@
 
 def keeps_bounds(fleet: VersionFleet) -> bool:
     """Return whether streams were kept apart by version, and enough of them went on."""
-    went_on, taken_up = fleet.count_taken_up()
+    went_on, resumed = fleet.count_resumed()
     begun, asked = fleet.count_begun()
-    goes_on = taken_up < FEWEST_TAKEN_UP or went_on * asked >= GOES_ON_SHARE * begun * taken_up
+    goes_on = resumed < FEWEST_RESUMED or went_on * asked >= GOES_ON_SHARE * begun * resumed
     return len(fleet.list_mixed()) <= MIXED_ALLOWED and goes_on
 
 
 def describe(fleet: VersionFleet) -> str:
-    return f"mixed {fleet.list_mixed()}, taken up {fleet.count_taken_up()}, begun {fleet.count_begun()}"
+    return f"mixed {fleet.list_mixed()}, resumed {fleet.count_resumed()}, begun {fleet.count_begun()}"
 
 
 def test_a_stream_goes_on_at_another_version_within_one_answer() -> None:
@@ -69,9 +69,9 @@
     fleet.kill("vm1", None)
     fleet.run(8.0)
     assert not fleet.list_mixed()
-    went_on, taken_up = fleet.count_taken_up()
-    assert taken_up >= FEWEST_TAKEN_UP
-    assert went_on >= 0.9 * taken_up, describe(fleet)
+    went_on, resumed = fleet.count_resumed()
+    assert resumed >= FEWEST_RESUMED
+    assert went_on >= 0.9 * resumed, describe(fleet)
 
 
 @pytest.mark.parametrize(
@@ -96,7 +96,7 @@
     fleet.kill("vm3", None)
     fleet.run(8.0)
     assert not fleet.list_mixed()
-    assert fleet.count_taken_up()[0] >= 12  # streams that began before the cut
+    assert fleet.count_resumed()[0] >= 12  # streams that began before the cut
 
 
 @pytest.mark.parametrize("seed", [0, 1])
--- a/tests/platform/test_stream_versions.py
+++ b/tests/platform/test_stream_versions.py
@@ -28,10 +28,10 @@
     assert tally.counts["streams_continued_total", "same"] == 1
 
 
-def test_log_lines_tell_that_a_caller_takes_a_stream_up_and_where_it_began() -> None:
+def test_log_lines_tell_that_a_caller_resumes_a_stream_and_where_it_began() -> None:
     platform = make_platform()
     platform.finish(platform.call("/resumable/x", "q2", headers={"Last-Event-Id": "3", "Resumes": "q1"}))
-    line = next(line for line in platform.journals["vm1"].lines if line["event"] == "takes up a stream")
+    line = next(line for line in platform.journals["vm1"].lines if line["event"] == "resumes a stream")
     assert (line["request"], line["began_as"], line["last_event"]) == ("q2", "q1", 3)
 
 
@@ -41,8 +41,8 @@
     fleet.kill("vm1", None)
     fleet.run(8.0)
     assert not fleet.list_mixed()
-    went_on, taken_up = fleet.count_taken_up()
-    assert went_on >= 0.9 * taken_up > 0
+    went_on, resumed = fleet.count_resumed()
+    assert went_on >= 0.9 * resumed > 0
 
 
 def count_records_sent(fleet: VersionFleet) -> int:
@@ -57,8 +57,8 @@
     fleet.kill("vm1", None)
     fleet.run(8.0)
     assert count_records_sent(fleet) == 0
-    went_on, taken_up = fleet.count_taken_up()
-    assert taken_up == 24
+    went_on, resumed = fleet.count_resumed()
+    assert resumed == 24
     assert went_on == 24
 
 
@@ -84,8 +84,8 @@
     fleet.kill("vm0", None)
     fleet.run(8.0)
     assert not fleet.list_mixed()
-    went_on, taken_up = fleet.count_taken_up()
-    assert went_on == taken_up > 50
+    went_on, resumed = fleet.count_resumed()
+    assert went_on == resumed > 50
 
 
 def test_a_vm_that_lists_one_version_goes_on_with_a_stream_of_one_that_is_gone() -> None:
--- a/tests/relay/streams/test_lookup.py
+++ b/tests/relay/streams/test_lookup.py
@@ -1,4 +1,4 @@
-"""What follows from the answers of peers for a stream that a caller takes up."""
+"""What follows from the answers of peers for a stream that a caller resumes."""
 
 from __future__ import annotations
 
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -60,7 +60,7 @@
     share = report.served / max(1, report.outcomes - report.deadly)
     counts = (
         f"{report.faults} faults, {report.outcomes} requests ({report.deadly} deadly), {share:.3f} of the rest served, "
-        f"{report.taken_up} streams taken up"
+        f"{report.resumed} streams resumed"
     )
     print(f"seed {seed}: {counts}, promises {verdict}")
 
--- a/tests/soak/caller.py
+++ b/tests/soak/caller.py
@@ -42,7 +42,7 @@
     left: bool = False
     """True where the caller left before the end."""
     began_as: str = ""
-    """The request that brought the first event of the stream, where this one takes it up."""
+    """The request that brought the first event of the stream, where this one resumes it."""
     last_event: int = 0
     """Number of the last event that the caller had before."""
 
--- a/tests/soak/order.py
+++ b/tests/soak/order.py
@@ -15,20 +15,20 @@
     parser.add_argument("--count", type=int, default=10)
     parser.add_argument("--vms", type=int, default=6)
     arguments = parser.parse_args()
-    failed = mixed = taken_up = went_on = 0
+    failed = mixed = resumed = went_on = 0
     for seed in range(arguments.seed, arguments.seed + arguments.count):
         spell = VersionSpell(seed, arguments.vms)
         broken = spell.play()
         found = spell.fleet.list_mixed()
         mixed += len(found)
-        went_on += spell.fleet.count_taken_up()[0]
-        taken_up += spell.fleet.count_taken_up()[1]
+        went_on += spell.fleet.count_resumed()[0]
+        resumed += spell.fleet.count_resumed()[1]
         failed += bool(broken)
         if found:
             sys.stdout.write("\n".join([f"seed {seed}: {len(found)} streams", *found[:8], *spell.lines, ""]))
             sys.stdout.flush()
     sys.stdout.write(f"{arguments.count} spells, {failed} broken, {mixed} streams of two versions, ")
-    sys.stdout.write(f"{went_on} of {taken_up} went on while two engines of their version served\n")
+    sys.stdout.write(f"{went_on} of {resumed} went on while two engines of their version served\n")
     return min(100, failed)
 
 
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -39,8 +39,8 @@
     outcomes: int
     deadly: int
     served: int
-    taken_up: int
-    """Streams that callers took up again."""
+    resumed: int
+    """Streams that callers resumed."""
 
 
 class _Run:
@@ -129,4 +129,4 @@
         for vm in world.vms:
             vm.kill()
     witness = world.witness
-    return Report(witness.breaches, len(run.steps), witness.outcomes, witness.deadly, witness.served, witness.taken_up)
+    return Report(witness.breaches, len(run.steps), witness.outcomes, witness.deadly, witness.served, witness.resumed)
--- a/tests/soak/witness.py
+++ b/tests/soak/witness.py
@@ -129,8 +129,8 @@
     """Sends for each such target later than all VMs could know."""
     versions: dict[str, set[str]] = field(default_factory=dict)
     """Software versions whose events the caller of each stream received, by the request that began it."""
-    taken_up: int = 0
-    """Streams that callers took up again."""
+    resumed: int = 0
+    """Streams that callers resumed."""
     outcomes: int = 0
     deadly: int = 0
     """Of these, requests that end upstreams; none of them is served."""
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -257,7 +257,7 @@
             if outcome.left:
                 self.clock.call_later(GONE_BOUND, self._check_gone, outcome)
             elif outcome.route == "/resumable/" and not outcome.whole and outcome.events:
-                self.clock.call_later(self.random.uniform(*PAUSE), self._take_up, outcome)
+                self.clock.call_later(self.random.uniform(*PAUSE), self._resume_stream, outcome)
 
         def fail() -> None:
             self.clock.call_later(0.2, self._connect)
@@ -292,13 +292,13 @@
         outcome = Outcome(f"once-{self.asked_count}", route, target, vm.name, vm.life, self.now())
         self._ask_alone(vm, outcome, [])
 
-    def _take_up(self, broken: Outcome) -> None:
-        """Have a caller take its stream up again at any VM, behind the last event that it has."""
+    def _resume_stream(self, broken: Outcome) -> None:
+        """Have a caller resume its stream at any VM, behind the last event that it has."""
         if self.stopping:
             return
         vm = self._choose_vm()
         self.asked_count += 1
-        self.witness.taken_up += 1
+        self.witness.resumed += 1
         outcome = Outcome(f"again-{self.asked_count}", broken.route, broken.target, vm.name, vm.life, self.now())
         outcome.began_as = broken.began_as or broken.request
         outcome.last_event = broken.events[-1]
--- a/tests/support/version_fleet.py
+++ b/tests/support/version_fleet.py
@@ -1,4 +1,4 @@
-"""A fleet in front of engines of several software versions, and callers that take up streams which broke."""
+"""A fleet in front of engines of several software versions, and callers that resume streams which broke."""
 
 from __future__ import annotations
 
@@ -286,13 +286,13 @@
         mixed = [one for one in self.streams if len(self.list_versions(one)) > 1]
         return [" ".join(f"{one.request}@{one.vm}" for one in stream.tries) for stream in mixed]
 
-    def count_taken_up(self) -> tuple[int, int]:
-        """Return how many tries that took a stream up brought further events, and how many there were.
+    def count_resumed(self) -> tuple[int, int]:
+        """Return how many tries that resumed a stream brought further events, and how many there were.
 
         Tries are counted that begin while at least two engines of the stream's version serve.
         """
-        taken_up = [one for stream in self.streams for one in stream.tries if one.last_event and one.serving > 1]
-        return sum(bool(one.events) for one in taken_up), len(taken_up)
+        resumed = [one for stream in self.streams for one in stream.tries if one.last_event and one.serving > 1]
+        return sum(bool(one.events) for one in resumed), len(resumed)
 
     def count_begun(self) -> tuple[int, int]:
         """Return how many tries that began a stream brought an event, and how many there were."""
--- a/tests/support/version_spell.py
+++ b/tests/support/version_spell.py
@@ -1,4 +1,4 @@
-"""Spells of overlapping disruptions while engines are replaced by other versions and callers take up streams."""
+"""Spells of overlapping disruptions while engines are replaced by other versions and callers resume streams."""
 
 from __future__ import annotations
 
