Log the parts of prompts with sends and broken runs

The lines of the incident can't tell whether requests that crash engines share a part of their prompts: no line names parts. sent and send failed have digests of the first eight parts without the last one, bound to the service; the digests of a request move into a type that the quarantine can use. The log of a send is built outside the exchange, which shrinks by 13 lines. Stand-in engines can be crashed by a part of a prompt.

--- a/src/beamhatch/platform/standin/upstream.py
+++ b/src/beamhatch/platform/standin/upstream.py
@@ -58,6 +58,8 @@
     upstream: str
     request: str
     target: str
+    part: str = ""
+    """The prompt part that caused it, if any."""
 
 
 @dataclass(slots=True)
@@ -82,6 +84,10 @@
     """Request ID of each KV cache by ``ADDRESS/ID``."""
     crash_inducing: set[str] = field(default_factory=set)
     """Targets of requests that crash each upstream that runs them."""
+    crash_inducing_parts: dict[str, str | None] = field(default_factory=dict)
+    """Prompt parts that crash each engine that starts a stream with them, with the version concerned; None for all."""
+    part_sends: list[tuple[float, str]] = field(default_factory=list)
+    """Arrival time in monotonic seconds of each request with a crash-inducing part, and the part."""
     crashes: list[Crash] = field(default_factory=list)
     event_versions: dict[str, dict[int, str]] = field(default_factory=dict)
     """Software version that last sent each event, by request ID and event number."""
@@ -222,11 +228,17 @@
         self.start()
         self.on_restart()
 
-    def crash_on_request(self, request: str, target: str) -> None:
+    def crash_on_request(self, request: str, target: str, part: str = "") -> None:
         """Crash and record the request that caused it."""
-        self.ledger.crashes.append(Crash(self.clock.now(), self.instance, request, target))
+        self.ledger.crashes.append(Crash(self.clock.now(), self.instance, request, target, part))
         self.crash()
 
+    def find_crash_inducing_part(self, headers: dict[str, str]) -> str:
+        """Return the part of a prompt that crashes this upstream, or an empty text; the last part never does."""
+        parts = [part.strip().partition(":")[0] for part in headers.get("prompt-prefix", "").split(",")[:-1]]
+        deadly = self.ledger.crash_inducing_parts
+        return next((part for part in parts if part in deadly and deadly[part] in (None, self.version)), "")
+
     def serve(self, incoming: IncomingRequest, responder: Responder) -> RequestHandler | None:
         """Handle one request."""
         self.call_times.append(self.clock.now())
@@ -242,6 +254,8 @@
             self.ledger.bodies[request] = incoming.body
             self.ledger.headers[request] = headers
             self.ledger.deadlines.append(int(headers.get("deadline-ms", 0)))
+            if part := self.find_crash_inducing_part(headers):
+                self.ledger.part_sends.append((self.clock.now(), part))
         if self.fault is UpstreamFault.SHED:
             self.send_response(responder, 503, {}, ("Not-Executed", "1"))
             return None
@@ -438,11 +452,12 @@
         first = self.event_interval_s if source is None else self.event_interval_s + self.transfer_time_s
         if source is None and self.prefills_serially:
             first += self._schedule_prefill(2 * prompt / self.prefill_rate)
-        if incoming.target in self.ledger.crash_inducing:
+        part = self.find_crash_inducing_part(headers)
+        if part or incoming.target in self.ledger.crash_inducing:
             run = self.start_run(request)
             if self.responds_before_crash:
                 responder.send_head(200, [("Content-Type", "text/event-stream"), *self.make_response_headers(request)])
-            run.schedule(self.crash_delay_s, lambda: self.crash_on_request(request, incoming.target))
+            run.schedule(self.crash_delay_s, lambda: self.crash_on_request(request, incoming.target, part))
             return run
         return self._stream(request, prompt, output, int(headers.get("last-event-id", 0)), first, responder)
 
--- a/src/beamhatch/platform/store.py
+++ b/src/beamhatch/platform/store.py
@@ -26,7 +26,7 @@
 )
 from beamhatch.relay.fleet.evacuations import Evacuation
 from beamhatch.relay.model import Fingerprint, UpstreamId
-from beamhatch.relay.requests.fingerprint import FINGERPRINT_BYTES
+from beamhatch.relay.quarantine.digests import DIGEST_BYTES
 from beamhatch.relay.upstreams.http_client import Call
 from beamhatch.relay.upstreams.http_fetch import fetch
 
@@ -367,7 +367,7 @@
 def _parse_quarantine_key(key: str) -> Fingerprint | None:
     """Return the quarantined fingerprint of a key, or None for other keys."""
     name = key.removeprefix(QUARANTINE_PREFIX)
-    if len(name) != 2 * FINGERPRINT_BYTES or not set(name) <= HEX_DIGITS:
+    if len(name) != 2 * DIGEST_BYTES or not set(name) <= HEX_DIGITS:
         return None
     return Fingerprint(bytes.fromhex(name))
 
--- a/src/beamhatch/relay/core.py
+++ b/src/beamhatch/relay/core.py
@@ -23,6 +23,7 @@
 from beamhatch.relay.limits.returns import RetrySchedule
 from beamhatch.relay.mechanism import NONE_DISABLED, DisabledMechanisms, Mechanism
 from beamhatch.relay.model import CallerLimits, Phase, Regions, ServiceName
+from beamhatch.relay.quarantine.digests import RequestDigests, compute_digests
 from beamhatch.relay.quarantine.quarantine import Quarantine
 from beamhatch.relay.quarantine.talk import QuarantineGossip, QuarantineGossipDependencies
 from beamhatch.relay.requests.budget import RetryBudget, RetryBudgetLimits
@@ -97,7 +98,7 @@
     service: Service
     admitted: Admitted
     regions: Regions
-    fingerprint: Fingerprint
+    digests: RequestDigests
 
 
 @dataclass(slots=True)
@@ -545,7 +546,7 @@
             destination.route,
             destination.service,
             destination.admitted,
-            destination.fingerprint,
+            destination.digests,
             destination.regions,
         )
         self.exchanges.add(exchange)
@@ -571,10 +572,11 @@
         regions = table.get_allowed_regions(route, decision.workspace)
         refusal = None if regions is None else self._refuse_by_regions(regions, table.version)
         fingerprint = compute_fingerprint(incoming, decision.workspace)
+        digests = compute_digests(fingerprint, facts, service.name, decision.workspace)
         refusal = refusal or self._refuse_quarantined(fingerprint)
         if refusal is not None:
             self.admission.refund(decision, self.clock.now())
-        return refusal or _Destination(route, service, decision, regions, fingerprint)
+        return refusal or _Destination(route, service, decision, regions, digests)
 
     def _refuse_unknown_route(self, version: int) -> Refusal:
         """Return the refusal of a request without a route, which a caller may retry if a newer version may have one."""
@@ -614,7 +616,7 @@
     def advance_waiting(self, fingerprint: Fingerprint) -> None:
         """Advance the exchanges of a request that has been put in quarantine, to respond to them now."""
         for exchange in list(self.exchanges):
-            if exchange.fingerprint == fingerprint:
+            if exchange.digests.request == fingerprint:
                 exchange.advance()
 
     def is_caller_retry(self, route: Route, time_left: float | None) -> bool:
--- a/src/beamhatch/relay/requests/exchange.py
+++ b/src/beamhatch/relay/requests/exchange.py
@@ -28,6 +28,7 @@
     limit_delay,
     round_delay,
 )
+from beamhatch.relay.requests.send_log import describe_send
 from beamhatch.relay.streams.origins import PendingLookup
 from beamhatch.relay.upstreams.attempt import Attempt
 from beamhatch.relay.upstreams.http_client import Call
@@ -41,7 +42,6 @@
     from beamhatch.relay.choosing.eligibility import SendPermit
     from beamhatch.relay.core import Core
     from beamhatch.relay.model import (
-        Fingerprint,
         Incarnation,
         Regions,
         RequestFacts,
@@ -51,6 +51,7 @@
         SoftwareVersion,
         Upstream,
     )
+    from beamhatch.relay.quarantine.digests import RequestDigests
     from beamhatch.relay.requests.line import MemoryQueue
     from beamhatch.relay.streams.lookup import Origin
     from beamhatch.relay.upstreams.http_client import ResponseHead
@@ -93,7 +94,7 @@
         route: Route,
         service: Service,
         admitted: Admitted,
-        fingerprint: Fingerprint,
+        digests: RequestDigests,
         regions: Regions = None,
     ) -> None:
         self.core = core
@@ -116,7 +117,7 @@
         self._claim = Claim(
             admitted.workspace, admitted.priority, facts.prompt_tokens + self.request.reserved_output_tokens
         )
-        self.fingerprint = fingerprint
+        self.digests = digests
         self._incoming = incoming
         self._responder = responder
         self._forwarded_headers = strip_hop_by_hop(incoming.headers)
@@ -189,7 +190,7 @@
     def _plan(self, now: float) -> Step:
         request = self.request
         service = request.service.name
-        hold = self.core.quarantine.get_entry(self.fingerprint, now)
+        hold = self.core.quarantine.get_entry(self.digests.request, now)
         if hold is not None:  # an attempt under way continues: if it succeeds, the request leaves quarantine
             self.core.tally.count("quarantine_refusals_total")
             wait = math.ceil(hold.until - now)
@@ -310,21 +311,7 @@
             self._handle_timeout()
             return
         request = self.request
-        standing = self.core.stats.get(send.upstream.id)
-        self.write_log(
-            "sent",
-            fingerprint=self.fingerprint.hex(),
-            stage=send.stage.value,
-            to=send.upstream.id,
-            software=send.upstream.version,
-            revision=self.core.listing.newest_revision,
-            version=self.core.version,
-            running=standing.running,
-            others=round(standing.estimate_other_requests(now), 1),
-            faults=round(standing.get_failure_rate(now), 2),
-            **self.core.announcements.describe_limit(send.upstream.incarnation),
-            **request.describe_continuation(send),
-        )
+        self.write_log("sent", **describe_send(self.core, request, self.digests, send, now))
         relation = request.get_continuation(send)
         if relation is not None:
             self.core.tally.count("streams_continued_total", relation)
--- a/src/beamhatch/relay/requests/fingerprint.py
+++ b/src/beamhatch/relay/requests/fingerprint.py
@@ -6,14 +6,12 @@
 from typing import TYPE_CHECKING
 
 from beamhatch.relay.model import Fingerprint
+from beamhatch.relay.quarantine.digests import DIGEST_BYTES
 
 if TYPE_CHECKING:
     from beamhatch.relay.callers.http_server import IncomingRequest
     from beamhatch.relay.workspaces.workspace import WorkspaceName
 
-FINGERPRINT_BYTES = 8
-"""Digest size; 64 bits make a collision with a quarantined fingerprint improbable."""
-
 
 def compute_fingerprint(incoming: IncomingRequest, workspace: WorkspaceName | None) -> Fingerprint:
     """Return the digest of a request's method, host, target, workspace and body.
@@ -21,7 +19,7 @@
     The workspace identifies the caller, because API keys change and must not be exposed. The request id is excluded,
     because each retry has its own.
     """
-    digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
+    digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
     for part in (incoming.method, incoming.host, incoming.target, workspace or ""):
         digest.update(f"{len(part)}:{part}".encode())
     digest.update(incoming.body)
--- a/src/beamhatch/relay/upstreams/attempt.py
+++ b/src/beamhatch/relay/upstreams/attempt.py
@@ -180,7 +180,7 @@
             stage=self.send.stage.value,
             begun=self.head is not None,
             ran=round(now - self._started_at, 4),
-            fingerprint=self.exchange.fingerprint.hex(),
+            **self.exchange.digests.describe(),
         )
         self.core.tally.count("send_faults_total", failure.value)
         may_be_crash = failure is CallFailure.BROKEN and self._sent and self._via is None
@@ -197,7 +197,7 @@
         begun = self.head is not None
         self.core.tally.count("broken_runs_total", "begun" if begun else "unanswered")
         self.core.quarantine_gossip.record_broken_run(
-            self.send.upstream, self.exchange.fingerprint, ran, answering=begun
+            self.send.upstream, self.exchange.digests.request, ran, answering=begun
         )
 
     def handle_not_run(self) -> None:
@@ -239,7 +239,7 @@
         now = self.core.clock.now()
         self.stats.record_success(now - self._started_at, now)
         if self.send.stage is not Stage.PREFILL:
-            self.core.quarantine_gossip.record_success(self.exchange.fingerprint)
+            self.core.quarantine_gossip.record_success(self.exchange.digests.request)
         self.core.tally.note_latency("send", self.send.stage.value, now - self._started_at)
 
     def fail(self, detail: str) -> None:
--- a/tests/platform/test_deadly.py
+++ b/tests/platform/test_deadly.py
@@ -139,7 +139,7 @@
     assert waiting.status == 0
     core = platform.vms["vm1"].core
     (exchange,) = core.exchanges
-    core.quarantine_gossip.apply_stored([exchange.fingerprint])
+    core.quarantine_gossip.apply_stored([exchange.digests.request])
     platform.network.run(0.02)
     assert waiting.status == 503
     (retry,) = [line for line in waiting.head.splitlines() if line.lower().startswith("retry-after")]
@@ -153,7 +153,7 @@
     platform.network.run_until(lambda: platform.ledger.runs["long"])
     core = platform.vms["vm1"].core
     (exchange,) = core.exchanges
-    core.quarantine_gossip.apply_stored([exchange.fingerprint])
+    core.quarantine_gossip.apply_stored([exchange.digests.request])
     platform.network.run(0.5)
     assert platform.finish(platform.call("/resumable/x", "second", vm="vm2")).status == 503
     assert platform.finish(caller).status == 200
@@ -314,7 +314,7 @@
     caller = platform.call("/resumable/x", "long", vm="vm1", headers={"Token-Count": "5000,100"})
     platform.network.run_until(lambda: platform.ledger.runs["long"])
     (exchange,) = platform.vms["vm1"].core.exchanges
-    key = f"beamhatch/quarantine/{exchange.fingerprint.hex()}"
+    key = f"beamhatch/quarantine/{exchange.digests.request.hex()}"
     platform.store.put(key, b"")
     platform.network.run(2.0)
     assert [vm.core.quarantine.count(vm.clock.now()) for vm in platform.vms.values()] == [1] * VMS
--- a/tests/platform/test_restore.py
+++ b/tests/platform/test_restore.py
@@ -147,7 +147,7 @@
     caller = platform.call(DEADLY, "long", vm="vm1", headers={"Token-Count": "5000,100"})
     platform.network.run_until(lambda: platform.ledger.runs["long"])
     (exchange,) = platform.vms["vm1"].core.exchanges
-    key = f"{QUARANTINES}{exchange.fingerprint.hex()}"
+    key = f"{QUARANTINES}{exchange.digests.request.hex()}"
     platform.store.put(key, b"")
     platform.network.run(2.0)
     backup = platform.store.make_backup()
--- a/tests/relay/requests/test_fingerprint.py
+++ b/tests/relay/requests/test_fingerprint.py
@@ -5,7 +5,8 @@
 import pytest
 
 from beamhatch.relay.callers.http_server import IncomingRequest
-from beamhatch.relay.requests.fingerprint import FINGERPRINT_BYTES, compute_fingerprint
+from beamhatch.relay.quarantine.digests import DIGEST_BYTES
+from beamhatch.relay.requests.fingerprint import compute_fingerprint
 from beamhatch.relay.workspaces.workspace import WorkspaceName
 
 ALPHA = WorkspaceName("alpha")
@@ -27,7 +28,7 @@
         headers=[("host", "DESK.example"), ("Request-Id", "q2"), ("Deadline-Ms", "9000")], arrived_at=7.0
     )
     assert compute_fingerprint(make_incoming(), ALPHA) == compute_fingerprint(retry, ALPHA)
-    assert len(compute_fingerprint(make_incoming(), ALPHA)) == FINGERPRINT_BYTES
+    assert len(compute_fingerprint(make_incoming(), ALPHA)) == DIGEST_BYTES
 
 
 @pytest.mark.parametrize(
