--- a/src/beamhatch/platform/store.py
+++ b/src/beamhatch/platform/store.py
@@ -367,7 +367,7 @@
 def _parse_quarantine_key(key: str) -> Fingerprint | None:
     """Return the quarantined fingerprint of a key, or None for other keys."""
     name = key.removeprefix(QUARANTINE_PREFIX)
-    if len(name) != 2 * DIGEST_BYTES or not set(name) <= HEX_DIGITS:
+    if not name or len(name) % (2 * DIGEST_BYTES) or not set(name) <= HEX_DIGITS:
         return None
     return Fingerprint(bytes.fromhex(name))
 
--- a/src/beamhatch/relay/core.py
+++ b/src/beamhatch/relay/core.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 from collections import Counter, defaultdict
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
@@ -27,11 +26,17 @@
 from beamhatch.relay.quarantine.quarantine import Quarantine
 from beamhatch.relay.quarantine.talk import QuarantineGossip, QuarantineGossipDependencies
 from beamhatch.relay.requests.budget import RetryBudget, RetryBudgetLimits
-from beamhatch.relay.requests.exchange import QUARANTINE_REASON, RelayExchange
+from beamhatch.relay.requests.caller_retries import CallerRetries
+from beamhatch.relay.requests.exchange import RelayExchange
 from beamhatch.relay.requests.fingerprint import compute_fingerprint
 from beamhatch.relay.requests.lengths import OutputLengths
 from beamhatch.relay.requests.memory_lines import MemoryQueues
-from beamhatch.relay.requests.refusal import OUTDATED_RETRY_S, Refusal, make_admission_refusal
+from beamhatch.relay.requests.refusal import (
+    OUTDATED_RETRY_S,
+    Refusal,
+    make_admission_refusal,
+    make_quarantine_refusal,
+)
 from beamhatch.relay.requests.retry_times import REGION_RETRY_AFTER_S
 from beamhatch.relay.streams.origins import StreamOrigins
 from beamhatch.relay.topology import Topology
@@ -73,9 +78,6 @@
 Without it, all VMs would prefer an upstream that has just started, since it is empty, although it is slow.
 """
 
-RETRY_TIME_LEFT_SHARE = 0.9
-"""A caller with less than this share of the route's longest time left is taken for one that retries."""
-
 STOPPING_RETRY_S = 0.15
 """Retry-After of a VM that is shutting down; the caller reaches another one."""
 
@@ -153,13 +155,13 @@
     )
     cold_log: ColdLog = field(init=False)
     origins: StreamOrigins = field(init=False)
-    _longest_time_left: dict[str, float] = field(default_factory=dict)
-    """Longest time until a caller's deadline on each route, in seconds."""
+    caller_retries: CallerRetries = field(init=False)
     _unknown_halls: set[str] = field(default_factory=set)
     """Evacuated halls that the settings do not assign to a region and that have been logged."""
 
     def __post_init__(self) -> None:
         """Create and connect the parts that depend on other fields."""
+        self.caller_retries = CallerRetries(enabled=Mechanism.CALLER_RETRIES not in self.disabled)
         self.announcements = Announcements(self.clock, self.journal, self.tally, self.dialect, self.listing)
         self.announcements.on_restriction = self._schedule_withdrawal
         self.eligibility = Eligibility(
@@ -573,7 +575,7 @@
         refusal = None if regions is None else self._refuse_by_regions(regions, table.version)
         fingerprint = compute_fingerprint(incoming, decision.workspace)
         digests = compute_digests(fingerprint, facts, service.name, decision.workspace)
-        refusal = refusal or self._refuse_quarantined(fingerprint)
+        refusal = refusal or self._refuse_quarantined(digests)
         if refusal is not None:
             self.admission.refund(decision, self.clock.now())
         return refusal or _Destination(route, service, decision, regions, digests)
@@ -584,15 +586,14 @@
             return Refusal(503, f"no route, by version {version}, and there may be a newer one", OUTDATED_RETRY_S)
         return Refusal(404, f"no route, by version {version}")
 
-    def _refuse_quarantined(self, fingerprint: Fingerprint) -> Refusal | None:
+    def _refuse_quarantined(self, digests: RequestDigests) -> Refusal | None:
         """Return the refusal of a request in quarantine, or None if it is not in quarantine."""
-        hold = self.quarantine.get_entry(fingerprint, self.clock.now())
-        if hold is None:
+        now = self.clock.now()
+        entry = self.quarantine.find_entry(digests, now)
+        if entry is None:
             return None
         self.tally.count("quarantine_refusals_total")
-        return Refusal(
-            503, f"{QUARANTINE_REASON}, fingerprint {fingerprint.hex()}", math.ceil(hold.until - self.clock.now())
-        )
+        return make_quarantine_refusal(entry, now)
 
     def _refuse_by_regions(self, regions: frozenset[RegionName], version: int) -> Refusal | None:
         """Return the refusal of a request that no hall may serve, or None if one may.
@@ -614,17 +615,10 @@
         return Refusal(403, detail)
 
     def advance_waiting(self, fingerprint: Fingerprint) -> None:
-        """Advance the exchanges of a request that has been put in quarantine, to respond to them now."""
+        """Respond now to requests that have been put in quarantine and are not at an upstream."""
         for exchange in list(self.exchanges):
-            if exchange.digests.request == fingerprint:
-                exchange.advance()
-
-    def is_caller_retry(self, route: Route, time_left: float | None) -> bool:
-        """Return whether a request is probably a retry: its deadline is clearly shorter than others on its route."""
-        if time_left is None or Mechanism.CALLER_RETRIES in self.disabled:
-            return False
-        longest = self._longest_time_left[route.name] = max(time_left, self._longest_time_left.get(route.name, 0.0))
-        return time_left < RETRY_TIME_LEFT_SHARE * longest
+            if exchange.digests.match(fingerprint):
+                exchange.replan_unless_sent()
 
     def record_bad_request(self, status: int, detail: str) -> None:
         """Count and log a malformed request."""
--- a/src/beamhatch/relay/daemon.py
+++ b/src/beamhatch/relay/daemon.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import gc
+import random
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
@@ -26,6 +27,7 @@
 from beamhatch.relay.mechanism import NONE_DISABLED, DisabledMechanisms, Mechanism
 from beamhatch.relay.model import Address, CallerLimits
 from beamhatch.relay.quarantine.persistence import QuarantinePersistence
+from beamhatch.relay.quarantine.quarantine import MAX_RELEASE_DELAY_S
 from beamhatch.relay.topology import Topology
 from beamhatch.relay.tunnels.monitor import ReachMonitor
 from beamhatch.relay.tunnels.service import Tunnels
@@ -162,6 +164,7 @@
             self.tunnels.on_state_change = self._gossip.send_heartbeats_soon
             self._gossip.tunnels = self.tunnels
         persistence = QuarantinePersistence(self.core, store)
+        self.core.quarantine.release_delay_s = random.uniform(0.0, MAX_RELEASE_DELAY_S)
         self.core.quarantine_gossip.on_quarantined = persistence.add
         self.core.quarantine_gossip.on_clear = persistence.remove
         self._usage_gossip = self._make_usage_gossip()
--- a/src/beamhatch/relay/fleet/gossip_message.py
+++ b/src/beamhatch/relay/fleet/gossip_message.py
@@ -13,6 +13,7 @@
 from beamhatch.relay.limits.words import LimitState, RequestCount
 from beamhatch.relay.model import Incarnation
 from beamhatch.relay.quarantine.ends import CrashUpdate
+from beamhatch.relay.quarantine.part_successes import PartSuccessUpdate
 from beamhatch.relay.quarantine.quarantine import ClearUpdate, StoredQuarantineUpdate
 from beamhatch.relay.upstreams.listing import Entry
 from beamhatch.relay.workspaces.usage import HallUsage, RatesByWorkspace
@@ -144,6 +145,8 @@
     """Requests that completed without a crash."""
     holds: list[StoredQuarantineUpdate]
     """Requests whose quarantine is recorded in the store."""
+    parts: list[PartSuccessUpdate] = []
+    """Parts of prompts that were used without a crash."""
 
 
 class DepartureUpdate(msgspec.Struct, tag="departures", frozen=True):
--- a/src/beamhatch/relay/model.py
+++ b/src/beamhatch/relay/model.py
@@ -20,7 +20,7 @@
 """Version of an upstream's software, an opaque text without an order."""
 
 Fingerprint = NewType("Fingerprint", bytes)
-"""Digest of a request that stays the same on retries; it reveals neither body nor caller."""
+"""Digest of a request that stays the same on retries, or of properties that requests share; it reveals neither."""
 
 Regions = frozenset[RegionName] | None
 """Regions in which requests may be served and their data cached and stored; None for any region."""
--- a/src/beamhatch/relay/quarantine/attribution.py
+++ b/src/beamhatch/relay/quarantine/attribution.py
@@ -11,7 +11,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Mapping
+    from collections.abc import Iterable, Mapping, Sequence, Set
 
     from beamhatch.relay.model import Fingerprint
     from beamhatch.relay.quarantine.ends import UpstreamCrash
@@ -43,14 +43,17 @@
     """Algorithm that finds the requests that caused a sequence of crashes."""
 
     @abstractmethod
-    def find_causes(self, crashes: Iterable[UpstreamCrash]) -> Causes:
-        """Return the requests that caused the crashes, which must be ordered by time."""
+    def find_causes(self, crashes: Sequence[UpstreamCrash], explained: Set[int] = frozenset()) -> Causes:
+        """Return the requests that caused the crashes, which must be ordered by time.
+
+        :param explained: indices of crashes that have another cause
+        """
 
 
 class CountAttribution(Attribution):
     """Attribution to every request that was part of enough crashes, whether or not another request explains them."""
 
-    def find_causes(self, crashes: Iterable[UpstreamCrash]) -> Causes:
+    def find_causes(self, crashes: Sequence[UpstreamCrash], explained: Set[int] = frozenset()) -> Causes:
         """Return all requests that were part of at least ``MIN_CRASHES`` crashes."""
         groups, _ = _group_crashes(crashes)
         return {fingerprint: len(indices) for fingerprint, indices in groups.items() if len(indices) >= MIN_CRASHES}
@@ -63,10 +66,16 @@
     so on. A crash of a selected request no longer counts in the selection of others.
     """
 
-    def find_causes(self, crashes: Iterable[UpstreamCrash]) -> Causes:
+    def find_causes(self, crashes: Sequence[UpstreamCrash], explained: Set[int] = frozenset()) -> Causes:
         """Return the requests that the greedy cover selects."""
         groups, total_durations = _group_crashes(crashes)
-        unexplained = {one: set(indices) for one, indices in groups.items() if len(indices) >= MIN_CRASHES}
+        moments = number_moments(crashes)
+        explained_moments = {moments[index] for index in explained}
+        min_unexplained = MIN_UNEXPLAINED_CRASHES if explained else MIN_CRASHES
+        unexplained = {
+            one: set(indices) - explained_moments for one, indices in groups.items() if len(indices) >= MIN_CRASHES
+        }
+        unexplained = {one: indices for one, indices in unexplained.items() if len(indices) >= min_unexplained}
         causes: Causes = {}
         while unexplained:
             # On a tie, prefer the shortest mean run: a crash-inducing request has short runs.
@@ -83,22 +92,27 @@
         return causes
 
 
+def number_moments(crashes: Iterable[UpstreamCrash]) -> list[int]:
+    """Return the number of each crash's moment; those within ``SAME_CAUSE_WINDOW_S`` after a first one share it."""
+    moments: list[int] = []
+    moment = -1
+    moment_start = float("-inf")
+    for crash in crashes:
+        if crash.at - moment_start >= SAME_CAUSE_WINDOW_S:
+            moment += 1
+            moment_start = crash.at
+        moments.append(moment)
+    return moments
+
+
 def _group_crashes(
-    crashes: Iterable[UpstreamCrash],
+    crashes: Sequence[UpstreamCrash],
 ) -> tuple[Mapping[Fingerprint, set[int]], Mapping[Fingerprint, float]]:
-    """Return the indices of the crash groups that each request was part of, and the total seconds that it ran in them.
-
-    A group consists of a crash and those within ``SAME_CAUSE_WINDOW_S`` after it.
-    """
+    """Return the moments of the crashes that each request was part of, and the total seconds that it ran in them."""
     groups: defaultdict[Fingerprint, set[int]] = defaultdict(set)
     total_durations: defaultdict[Fingerprint, float] = defaultdict(float)
-    group = -1
-    group_start = float("-inf")
-    for crash in crashes:
-        if crash.at - group_start >= SAME_CAUSE_WINDOW_S:
-            group += 1
-            group_start = crash.at
+    for crash, moment in zip(crashes, number_moments(crashes), strict=True):
         for fingerprint, seconds in crash.run_durations.items():
-            groups[fingerprint].add(group)
+            groups[fingerprint].add(moment)
             total_durations[fingerprint] += seconds
     return groups, total_durations
--- a/src/beamhatch/relay/quarantine/detection.py
+++ b/src/beamhatch/relay/quarantine/detection.py
@@ -11,7 +11,7 @@
     from collections.abc import Callable, Set
 
     from beamhatch.clock import Clock
-    from beamhatch.relay.model import Address, Fingerprint, Upstream, UpstreamId
+    from beamhatch.relay.model import Address, SoftwareVersion, Upstream, UpstreamId
     from beamhatch.relay.upstreams.http_client import Connection
 
 SETTLE_S = 0.02
@@ -35,6 +35,7 @@
 @dataclass(slots=True)
 class _PendingCrash:
     address: Address
+    version: SoftwareVersion
     since: float
     open_before: Set[Connection]
     """Connections that were open and not paused when the first run broke, without that run's own."""
@@ -55,17 +56,16 @@
         self._on_crash = on_crash
         self._pending: dict[UpstreamId, _PendingCrash] = {}
 
-    def record_broken_run(self, upstream: Upstream, fingerprint: Fingerprint, duration: float) -> None:
-        """Record a run whose connection closed before the response was complete.
-
-        :param duration: seconds from the start of the run to the close
-        """
+    def record_broken_run(self, upstream: Upstream, run: BrokenRun) -> None:
+        """Record a run whose connection closed before the response was complete."""
         pending = self._pending.get(upstream.id)
         if pending is None:
             open_before = {one for one in self._list_open_connections(upstream.address) if not one.paused}
-            pending = self._pending[upstream.id] = _PendingCrash(upstream.address, self._clock.now(), open_before)
+            pending = self._pending[upstream.id] = _PendingCrash(
+                upstream.address, upstream.version, self._clock.now(), open_before
+            )
             self._clock.call_later(SETTLE_S, self._report_if_crashed, upstream.id)
-        pending.runs.append(BrokenRun(fingerprint, round(1000 * duration)))
+        pending.runs.append(run)
 
     def _report_if_crashed(self, upstream: UpstreamId) -> None:
         pending = self._pending.pop(upstream)
@@ -74,4 +74,4 @@
         if open_count - len(still_open) < MIN_CLOSED_SHARE * open_count:
             return
         shortest = sorted(pending.runs, key=lambda run: run.duration_ms)[:MAX_ANNOUNCED_RUNS]
-        self._on_crash(CrashUpdate(upstream, round(self._clock.now() - pending.since, 3), shortest))
+        self._on_crash(CrashUpdate(upstream, round(self._clock.now() - pending.since, 3), shortest, pending.version))
--- a/src/beamhatch/relay/quarantine/digests.py
+++ b/src/beamhatch/relay/quarantine/digests.py
@@ -10,6 +10,8 @@
 from beamhatch.relay.model import Fingerprint, ServiceName
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable, Set
+
     from beamhatch.relay.model import RequestFacts
     from beamhatch.relay.workspaces.workspace import WorkspaceName
 
@@ -19,6 +21,9 @@
 MAX_PARTS = 256
 """Maximum number of prompt parts considered per request."""
 
+MAX_COMBINED = 4
+"""Maximum number of digests in a combination."""
+
 MAX_LOGGED_PARTS = 8
 """Maximum number of prompt parts in one log line."""
 
@@ -38,6 +43,15 @@
     workspace: Fingerprint | None = None
     """None if requests need no API key."""
 
+    def list_members(self) -> Set[Fingerprint]:
+        """Return the digests that fingerprints of quarantines may consist of."""
+        own = {self.request, *self.parts}
+        return own if self.workspace is None else own | {self.workspace}
+
+    def match(self, fingerprint: Fingerprint) -> bool:
+        """Return whether this is the request, or has all properties of the combination, that a fingerprint denotes."""
+        return is_combined_of(fingerprint, self.list_members())
+
     def describe(self) -> dict[str, object]:
         """Return the fields for log lines."""
         fields: dict[str, object] = {"fingerprint": self.request.hex()}
@@ -62,6 +76,23 @@
     )
 
 
+def combine(members: Iterable[Fingerprint]) -> Fingerprint:
+    """Return the fingerprint of a combination of properties: their sorted digests, joined."""
+    return Fingerprint(b"".join(sorted(members)))
+
+
+def split_combination(fingerprint: Fingerprint) -> list[Fingerprint]:
+    """Return the digests in a fingerprint, which is a single one for a request."""
+    return [
+        Fingerprint(fingerprint[start : start + DIGEST_BYTES]) for start in range(0, len(fingerprint), DIGEST_BYTES)
+    ]
+
+
+def is_combined_of(fingerprint: Fingerprint, members: Set[Fingerprint]) -> bool:
+    """Return whether all digests in a fingerprint are among some members."""
+    return all(member in members for member in split_combination(fingerprint))
+
+
 @lru_cache(CACHE_SIZE)
 def _digest(kind: str, value: str) -> Fingerprint:
     return Fingerprint(hashlib.blake2b(f"{kind}:{value}".encode(), digest_size=DIGEST_BYTES).digest())
--- a/src/beamhatch/relay/quarantine/ends.py
+++ b/src/beamhatch/relay/quarantine/ends.py
@@ -12,9 +12,10 @@
 import msgspec
 
 from beamhatch.relay.model import Fingerprint, UpstreamId
+from beamhatch.relay.quarantine.digests import split_combination
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Iterator, Sequence
 
 SAME_CRASH_WINDOW_S = 1.0
 """Updates on an upstream whose crash times differ by less than this, in seconds, belong to one crash."""
@@ -44,12 +45,53 @@
 """
 
 
+MAX_CRASH_PARTS = 1024
+"""Maximum number of prompt parts kept per crash, over all its runs."""
+
+
+class Prompt(msgspec.Struct, frozen=True, array_like=True):
+    """Properties of a run that it may share with others, as digests."""
+
+    service: Fingerprint
+    proven: tuple[Fingerprint, ...] = ()
+    """Parts that the VM knows to have been used without a crash."""
+    unproven: tuple[Fingerprint, ...] = ()
+    undecided: tuple[Fingerprint, ...] = ()
+    """Parts of which the VM can't tell, as nothing of the service has succeeded there."""
+    workspace: Fingerprint | None = None
+
+    @property
+    def parts(self) -> tuple[Fingerprint, ...]:
+        """Return all parts, unproven ones first."""
+        return self.unproven + self.undecided + self.proven
+
+    def list_members(self) -> list[Fingerprint]:
+        """Return the digests that fingerprints of quarantines may consist of."""
+        return [*self.parts] if self.workspace is None else [*self.parts, self.workspace]
+
+    def limit_parts(self, count: int) -> Prompt:
+        """Return the prompt with at most ``count`` parts, unproven ones first."""
+        if len(self.parts) <= count:
+            return self
+        kept = set(self.parts[: max(0, count)])
+        return msgspec.structs.replace(
+            self,
+            proven=tuple(part for part in self.proven if part in kept),
+            unproven=tuple(part for part in self.unproven if part in kept),
+            undecided=tuple(part for part in self.undecided if part in kept),
+        )
+
+
 class BrokenRun(msgspec.Struct, frozen=True, array_like=True):
     """A run that broke when its upstream crashed."""
 
     fingerprint: Fingerprint
     duration_ms: int
     """Milliseconds from the start of the run to the crash."""
+    prompt: Prompt | None = None
+    """None if the prompt has no parts that other requests may share."""
+    excused: bool = False
+    """Whether the crash is not attributed to this request as a whole, since it succeeded shortly before."""
 
 
 class CrashUpdate(msgspec.Struct, frozen=True, array_like=True):
@@ -59,6 +101,8 @@
     age: float
     """Seconds since the crash."""
     runs: list[BrokenRun]
+    version: str = ""
+    """Software version of the upstream."""
 
 
 @dataclass(slots=True)
@@ -69,14 +113,49 @@
     at: float
     """Time of the crash on this VM's monotonic clock."""
     run_durations: dict[Fingerprint, float] = field(default_factory=dict)
-    """Seconds for which each request had run."""
+    """Seconds for which each request had run, without those that are excused."""
+    version: str = ""
+    """Software version of the upstream."""
+    runs: dict[Fingerprint, BrokenRun] = field(default_factory=dict)
+    """Runs whose prompt has parts, including excused ones."""
 
     def to_update(self, now: float) -> CrashUpdate:
         """Return the update that peers are sent."""
         broken = [
-            BrokenRun(fingerprint, round(1000 * duration)) for fingerprint, duration in self.run_durations.items()
+            BrokenRun(fingerprint, round(1000 * duration))
+            for fingerprint, duration in self.run_durations.items()
+            if fingerprint not in self.runs
         ]
-        return CrashUpdate(self.upstream, round(max(0.0, now - self.at), 3), broken)
+        age = round(max(0.0, now - self.at), 3)
+        return CrashUpdate(self.upstream, age, [*self.runs.values(), *broken], self.version)
+
+    def add(self, run: BrokenRun) -> bool:
+        """Add a run; return False if it is known or there are too many."""
+        count = len(self.run_durations.keys() | self.runs.keys())
+        if run.fingerprint in self.run_durations or run.fingerprint in self.runs or count >= MAX_RUNS:
+            return False
+        if not run.excused:
+            self.run_durations[run.fingerprint] = max(0, run.duration_ms) / 1000
+        if run.prompt is not None:
+            room = MAX_CRASH_PARTS - sum(len(one.prompt.parts) for one in self.runs.values() if one.prompt is not None)
+            self.runs[run.fingerprint] = msgspec.structs.replace(run, prompt=run.prompt.limit_parts(room))
+        return True
+
+    def list_runs_with_prompt(self) -> list[tuple[BrokenRun, Prompt]]:
+        """Return the runs whose prompt has parts, with the prompt."""
+        return [(run, run.prompt) for run in self.runs.values() if run.prompt is not None]
+
+    def list_prompts(self) -> list[Prompt]:
+        """Return the prompts of the runs."""
+        return [run.prompt for run in self.runs.values() if run.prompt is not None]
+
+    def has_run_with(self, members: Sequence[Fingerprint]) -> bool:
+        """Return whether one of the runs has all of these digests."""
+        return any(
+            all(member in run.prompt.list_members() for member in members)
+            for run in self.runs.values()
+            if run.prompt is not None
+        )
 
 
 @dataclass(slots=True)
@@ -99,28 +178,33 @@
         if update.age > RETENTION_S:
             return None
         crash = self._get_or_add(UpstreamId(update.upstream), at)
-        added = []
-        for run in update.runs:
-            if run.fingerprint not in crash.run_durations and len(crash.run_durations) < MAX_RUNS:
-                crash.run_durations[run.fingerprint] = max(0, run.duration_ms) / 1000
-                added.append(run)
-        return CrashUpdate(update.upstream, update.age, added) if added else None
+        crash.version = crash.version or update.version
+        added = [run for run in update.runs if crash.add(run)]
+        return CrashUpdate(update.upstream, update.age, added, update.version) if added else None
 
     def forget(self, fingerprint: Fingerprint, until: float) -> bool:
         """Remove a request from all crashes up to ``until``; return whether it was part of any."""
         found = False
         for crash in self._crashes:
-            if crash.at <= until and crash.run_durations.pop(fingerprint, None) is not None:
-                found = True
+            if crash.at <= until:
+                crash.runs.pop(fingerprint, None)
+                found = crash.run_durations.pop(fingerprint, None) is not None or found
         return found
 
     def count(self, fingerprint: Fingerprint) -> int:
         """Return the number of crashes that a request was part of."""
         return sum(fingerprint in crash.run_durations for crash in self._crashes)
 
+    def list_with(self, fingerprint: Fingerprint) -> list[UpstreamCrash]:
+        """Return the crashes that a request, or a run with all digests of a combination, was part of."""
+        members = split_combination(fingerprint)
+        return [crash for crash in self._crashes if fingerprint in crash.run_durations or crash.has_run_with(members)]
+
     def remove_expired(self, now: float) -> None:
         """Remove crashes older than ``RETENTION_S`` and those without runs."""
-        self._crashes = [crash for crash in self._crashes if now - crash.at <= RETENTION_S and crash.run_durations]
+        self._crashes = [
+            crash for crash in self._crashes if now - crash.at <= RETENTION_S and (crash.run_durations or crash.runs)
+        ]
 
     def _get_or_add(self, upstream: UpstreamId, at: float) -> UpstreamCrash:
         for crash in reversed(self._crashes):
--- a/src/beamhatch/relay/quarantine/quarantine.py
+++ b/src/beamhatch/relay/quarantine/quarantine.py
@@ -1,4 +1,4 @@
-"""Quarantine of requests that crash upstreams.
+"""Quarantine of requests that crash upstreams, each alone or by a combination of properties that several share.
 
 Quarantines are recomputed from the known crashes on each change, so VMs that know the same crashes quarantine the same
 requests. A request that only ran at the same time is released when later crashes show another cause.
@@ -13,13 +13,25 @@
 import msgspec
 
 from beamhatch.relay.model import Fingerprint
-from beamhatch.relay.quarantine.attribution import MIN_CRASHES, Attribution, CoverAttribution
-from beamhatch.relay.quarantine.ends import RETENTION_S, CrashUpdate, UpstreamCrashes
+from beamhatch.relay.quarantine.attribution import (
+    MIN_CRASHES,
+    MIN_UNEXPLAINED_CRASHES,
+    Attribution,
+    CoverAttribution,
+)
+from beamhatch.relay.quarantine.digests import is_combined_of, split_combination
+from beamhatch.relay.quarantine.ends import RETENTION_S, CrashUpdate, Prompt, UpstreamCrashes
+from beamhatch.relay.quarantine.part_attribution import PartAttribution
+from beamhatch.relay.quarantine.part_successes import PartSuccesses
 
 if TYPE_CHECKING:
-    from collections.abc import Collection
+    from collections.abc import Collection, Sequence, Set
 
     from beamhatch.relay.quarantine.attribution import Causes
+    from beamhatch.relay.quarantine.digests import RequestDigests
+    from beamhatch.relay.quarantine.ends import UpstreamCrash
+    from beamhatch.relay.quarantine.part_attribution import PartCauses
+    from beamhatch.relay.quarantine.part_successes import PartSuccessUpdate
 
 BASE_QUARANTINE_S = 600.0
 """Base duration of a quarantine from the last crash of the request, in seconds; also the longest lease in the store.
@@ -27,6 +39,12 @@
 Doubled for each crash beyond ``MIN_CRASHES``, up to ``RETENTION_S``.
 """
 
+MAX_RELEASE_DELAY_S = 300.0
+"""Maximum time that a VM adds to quarantines, in seconds, which each VM draws for itself.
+
+Otherwise all VMs would send the requests again at the same time, before the first crash could be reported.
+"""
+
 SUCCESS_GRACE_S = 60.0
 """Time after a success in which a broken run does not count against the request, in seconds.
 
@@ -65,8 +83,9 @@
 
 @dataclass(frozen=True, slots=True)
 class QuarantineEntry:
-    """The quarantine of a request."""
+    """The quarantine of a request, or of all requests with a combination of properties."""
 
+    fingerprint: Fingerprint
     until: float
     """Time of expiry on the monotonic clock."""
     crash_count: int
@@ -96,8 +115,13 @@
 
     crashes: UpstreamCrashes = field(default_factory=UpstreamCrashes)
     attribution: Attribution = field(default_factory=CoverAttribution)
+    part_successes: PartSuccesses = field(default_factory=PartSuccesses)
+    release_delay_s: float = 0.0
+    """Time that this VM adds to quarantines, in seconds."""
     _attributed: dict[Fingerprint, QuarantineEntry] = field(default_factory=dict)
     """Quarantines computed from the known crashes."""
+    _overruled: set[Fingerprint] = field(default_factory=set)
+    """Stored quarantines that the crashes known to this VM don't support."""
     _stored: dict[Fingerprint, _ReportedQuarantine] = field(default_factory=dict)
     """Quarantines that the store or peers reported."""
     _successes: OrderedDict[Fingerprint, float] = field(default_factory=OrderedDict)
@@ -106,9 +130,19 @@
     def get_entry(self, fingerprint: Fingerprint, now: float) -> QuarantineEntry | None:
         """Return the quarantine of a request, or None if it may be sent."""
         attributed = self._attributed.get(fingerprint)
-        stored = self._stored.get(fingerprint)
+        stored = None if fingerprint in self._overruled else self._stored.get(fingerprint)
         until = max(0.0 if attributed is None else attributed.until, 0.0 if stored is None else stored.until)
-        return QuarantineEntry(until, 0 if attributed is None else attributed.crash_count) if now < until else None
+        count = 0 if attributed is None else attributed.crash_count
+        return QuarantineEntry(fingerprint, until, count) if now < until else None
+
+    def find_entry(self, digests: RequestDigests, now: float) -> QuarantineEntry | None:
+        """Return the quarantine that applies to a request the longest, or None if it may be sent."""
+        if not self._attributed and not self._stored:
+            return None
+        members = digests.list_members()
+        matching = [one for one in {*self._attributed, *self._stored} if is_combined_of(one, members)]
+        found = (self.get_entry(one, now) for one in matching)
+        return max((one for one in found if one is not None), key=lambda one: one.until, default=None)
 
     def is_stored(self, fingerprint: Fingerprint, now: float) -> bool:
         """Return whether the store is known to contain the quarantine of a request."""
@@ -125,25 +159,86 @@
         """Merge an update on a crash; return the part that was not known, or None."""
         at = now - update.age
         runs = [run for run in update.runs if self._cleared.get(run.fingerprint, float("-inf")) < at]
-        return self.crashes.apply_update(CrashUpdate(update.upstream, update.age, runs), now) if runs else None
+        return self.crashes.apply_update(msgspec.structs.replace(update, runs=runs), now) if runs else None
 
     def attribute(self, now: float) -> Causes:
-        """Recompute the quarantines; return the requests that are new or have more crashes than before."""
+        """Recompute the quarantines; return the fingerprints that are new or have more crashes than before."""
         self.crashes.remove_expired(now)
         before = self._attributed
-        causes = self.attribution.find_causes(self.crashes)
+        crashes = list(self.crashes)
+        parts = PartAttribution(self.part_successes)
+        found = parts.find_causes(crashes, now)
+        requests = self.attribution.find_causes(crashes, found.explained)
         self._attributed = {
-            one: QuarantineEntry(self._compute_expiry(one, count), count) for one, count in causes.items()
+            one: QuarantineEntry(one, self._compute_expiry(cause.last_at, cause.crash_count), cause.crash_count)
+            for one, cause in found.causes.items()
+        }
+        for one, count in requests.items():
+            last_at = max(crash.at for crash in crashes if one in crash.run_durations)
+            self._attributed[one] = QuarantineEntry(one, self._compute_expiry(last_at, count), count)
+        self._overruled = {
+            one for one in self._stored if one not in self._attributed and _is_overruled(one, crashes, found, parts)
         }
         return {
-            one: count
-            for one, count in causes.items()
-            if now < self._attributed[one].until and (one not in before or before[one].crash_count < count)
+            one: entry.crash_count
+            for one, entry in self._attributed.items()
+            if now < entry.until and (one not in before or before[one].crash_count < entry.crash_count)
         }
 
-    def _compute_expiry(self, fingerprint: Fingerprint, crash_count: int) -> float:
-        last = max(crash.at for crash in self.crashes if fingerprint in crash.run_durations)
-        return last + min(RETENTION_S, BASE_QUARANTINE_S * 2.0 ** min(8, crash_count - MIN_CRASHES))
+    # --- parts of prompts ---------------------------------------------------------------------------------------------
+
+    def describe_prompt(self, digests: RequestDigests) -> Prompt | None:
+        """Return the properties that a request may share with others, None without any."""
+        if not digests.parts:
+            return None
+        is_known = self.part_successes.has_any
+        if not is_known(digests.service):
+            return Prompt(digests.service, undecided=digests.parts, workspace=digests.workspace)
+        proven = tuple(part for part in digests.parts if is_known(part))
+        unproven = tuple(part for part in digests.parts if not is_known(part))
+        return Prompt(digests.service, proven, unproven, workspace=digests.workspace)
+
+    def record_part_success(self, part: Fingerprint, version: str, began_at: float) -> bool:
+        """Record a success of a part or service; return whether it refutes crashes, or is the first one known."""
+        successes = self.part_successes
+        related = [
+            crash
+            for crash in self.crashes
+            if crash.version == version and any(part in (one.service, *one.parts) for one in crash.list_prompts())
+        ]
+        before = sum(successes.has_since(part, version, crash.at) for crash in related)
+        is_first = not successes.has_any(part)
+        successes.record(part, version, began_at)
+        return is_first or sum(successes.has_since(part, version, crash.at) for crash in related) > before
+
+    def list_suspicious_parts(self) -> set[Fingerprint]:
+        """Return the parts and services whose next success is news to peers."""
+        return PartAttribution(self.part_successes).list_suspicious(list(self.crashes))
+
+    def list_contradicting_successes(
+        self, update: CrashUpdate, suspicious: Set[Fingerprint], now: float
+    ) -> list[PartSuccessUpdate]:
+        """Return this VM's successes of suspicious parts that the sender of a crash update did not know of."""
+        unproven = {part for run in update.runs if run.prompt is not None for part in run.prompt.unproven}
+        return self.part_successes.list_updates(sorted(unproven & suspicious), now)
+
+    def list_part_successes(self, max_count: int, now: float) -> list[PartSuccessUpdate]:
+        """Return the successes of the parts and services that known crashes name, those of the newest crashes first."""
+        prompts = [prompt for crash in reversed(list(self.crashes)) for prompt in crash.list_prompts()]
+        parts = dict.fromkeys(part for prompt in prompts for part in (prompt.service, *prompt.parts))
+        return self.part_successes.list_updates(parts, now)[:max_count]
+
+    def is_attributed(self, fingerprint: Fingerprint) -> bool:
+        """Return whether crashes known to this VM are attributed to a fingerprint."""
+        return fingerprint in self._attributed
+
+    def list_attributed(self) -> list[Fingerprint]:
+        """Return the fingerprints that crashes known to this VM are attributed to."""
+        return list(self._attributed)
+
+    def _compute_expiry(self, last_at: float, crash_count: int) -> float:
+        duration = min(RETENTION_S, BASE_QUARANTINE_S * 2.0 ** min(8, crash_count - MIN_CRASHES))
+        return last_at + duration + self.release_delay_s
 
     # --- successes ----------------------------------------------------------------------------------------------------
 
@@ -230,6 +325,17 @@
         ]
 
 
+def _is_overruled(
+    fingerprint: Fingerprint, crashes: Sequence[UpstreamCrash], found: PartCauses, parts: PartAttribution
+) -> bool:
+    """Return whether enough crashes with a fingerprint are known to judge it, and too few of them speak against it."""
+    members = split_combination(fingerprint)
+    seen = {index for index, crash in enumerate(crashes) if crash.has_run_with(members)}
+    if len(seen) < MIN_CRASHES:
+        return False
+    return len((seen & parts.list_unrefuted(members, crashes)) - found.explained) < MIN_UNEXPLAINED_CRASHES
+
+
 def _put_newest(
     entries: OrderedDict[Fingerprint, float], fingerprint: Fingerprint, at: float, max_entries: int
 ) -> None:
--- a/src/beamhatch/relay/quarantine/talk.py
+++ b/src/beamhatch/relay/quarantine/talk.py
@@ -14,7 +14,10 @@
 from beamhatch.relay.fleet.gossip_message import QuarantineUpdate
 from beamhatch.relay.fleet.throttle import Throttle
 from beamhatch.relay.quarantine.detection import MIN_RUN_S, CrashDetector
-from beamhatch.relay.quarantine.ends import SAME_CRASH_WINDOW_S, CrashUpdate
+from beamhatch.relay.quarantine.digests import split_combination
+from beamhatch.relay.quarantine.ends import SAME_CRASH_WINDOW_S, BrokenRun, CrashUpdate
+from beamhatch.relay.quarantine.part_attribution import OBSERVATION_S
+from beamhatch.relay.quarantine.part_successes import PartSuccessUpdate
 from beamhatch.relay.quarantine.quarantine import BASE_QUARANTINE_S, ClearUpdate, StoredQuarantineUpdate
 
 if TYPE_CHECKING:
@@ -25,6 +28,7 @@
     from beamhatch.observe.tally import Tally
     from beamhatch.relay.fleet.peer_connection import PeerConnection
     from beamhatch.relay.model import Address, Fingerprint, Upstream
+    from beamhatch.relay.quarantine.digests import RequestDigests
     from beamhatch.relay.quarantine.quarantine import Quarantine, QuarantineEntry
     from beamhatch.relay.upstreams.http_client import Connection
 
@@ -50,10 +54,13 @@
 MAX_ANNOUNCED_CRASHES = 64
 """Maximum number of crashes sent to a newly connected peer; the newest are chosen."""
 
+MAX_ANNOUNCED_SUCCESSES = 512
+"""Maximum number of successes of parts sent to a newly connected peer."""
+
 MAX_LOGGED_UPSTREAMS = 8
 """Maximum number of upstreams in one log line."""
 
-Update = CrashUpdate | ClearUpdate | StoredQuarantineUpdate
+Update = CrashUpdate | ClearUpdate | StoredQuarantineUpdate | PartSuccessUpdate
 
 
 @dataclass(frozen=True, slots=True)
@@ -103,22 +110,47 @@
         self._last_local_crash: dict[Fingerprint, float] = {}
         """Time of the last crash detected by this VM that each request was part of, on the monotonic clock."""
         self._attribution_scheduled = False
+        self._observation_scheduled = False
+        self._suspicious: Set[Fingerprint] = frozenset()
+        """Parts and services whose next success is sent to peers."""
 
     # --- local events -------------------------------------------------------------------------------------------------
 
     def record_broken_run(
-        self, upstream: Upstream, fingerprint: Fingerprint, duration: float, *, answering: bool
+        self, upstream: Upstream, digests: RequestDigests, duration: float, *, answering: bool
     ) -> None:
         """Record that a run's connection closed before its response was complete.
 
+        :param duration: seconds from the start of the run to the close
         :param answering: whether the upstream had started to respond; if not, runs below ``MIN_RUN_S`` are ignored
         """
         if not answering and duration < MIN_RUN_S:
             return
-        if self.quarantine.succeeded_recently(fingerprint, self._clock.now()):
+        excused = self.quarantine.succeeded_recently(digests.request, self._clock.now())
+        if excused:
             self._tally.count("quarantine_excused_total")
+            if not digests.parts:
+                return
+        prompt = self.quarantine.describe_prompt(digests)
+        self._detector.record_broken_run(upstream, BrokenRun(digests.request, round(1000 * duration), prompt, excused))
+
+    def record_parts_success(self, upstream: Upstream, digests: RequestDigests, began_at: float) -> None:
+        """Record that a run has responded for long enough to show that its parts don't crash the upstream.
+
+        :param began_at: monotonic seconds at which the upstream began to respond
+        """
+        if not digests.parts:
             return
-        self._detector.record_broken_run(upstream, fingerprint, duration)
+        news = []
+        for part in (digests.service, *digests.parts):
+            if part not in self._suspicious:
+                self.quarantine.part_successes.record(part, upstream.version, began_at)
+            elif self.quarantine.record_part_success(part, upstream.version, began_at):
+                news.append(part)
+        if news:
+            for update in self.quarantine.part_successes.list_updates(news, self._clock.now()):
+                self._enqueue(update, None)
+            self._handle_part_success()
 
     def record_success(self, fingerprint: Fingerprint) -> None:
         """Record a success, and announce it if it clears a quarantine or several crashes."""
@@ -169,6 +201,8 @@
         self._journal.write("QUARANTINE", "upstream ended", upstream=update.upstream, runs=len(update.runs))
         for run in update.runs:
             self._last_local_crash[run.fingerprint] = now
+            if run.prompt is not None:
+                self._last_local_crash.update(dict.fromkeys(run.prompt.list_members(), now))
         self._apply_crash(update, None)
 
     # --- messages of peers --------------------------------------------------------------------------------------------
@@ -177,6 +211,8 @@
         """Apply a message of a peer."""
         for cleared in message.cleared:
             self._apply_clear(cleared, connection)
+        for success in message.parts:
+            self._apply_part_success(success, connection)
         for stored in message.holds:
             self._apply_stored_update(stored, connection)
         for crash in message.ends:
@@ -187,8 +223,9 @@
         now = self._clock.now()
         crashes = [crash.to_update(now) for crash in list(self.quarantine.crashes)[-MAX_ANNOUNCED_CRASHES:]]
         stored = self.quarantine.list_stored(now)
+        successes = self.quarantine.list_part_successes(MAX_ANNOUNCED_SUCCESSES, now)
         if crashes or stored:
-            connection.send(QuarantineUpdate(crashes, [], stored))
+            connection.send(QuarantineUpdate(crashes, [], stored, successes))
 
     def _apply_crash(self, update: CrashUpdate, source: PeerConnection | None) -> None:
         now = self._clock.now()
@@ -198,9 +235,26 @@
         self._enqueue(added, source)
         for cleared in self.quarantine.list_clear_updates(added, now):
             self._enqueue(cleared, None)
-        if not self._attribution_scheduled:
-            self._attribution_scheduled = True
-            self._clock.call_later(ATTRIBUTION_DELAY_S, self._attribute)
+        self._suspicious = self.quarantine.list_suspicious_parts()
+        if source is not None:
+            for success in self.quarantine.list_contradicting_successes(added, self._suspicious, now):
+                self._enqueue(success, None)
+        self._schedule_attribution()
+        if not self._observation_scheduled:
+            self._observation_scheduled = True
+            self._clock.call_later(OBSERVATION_S + ATTRIBUTION_DELAY_S, self._attribute_observed)
+
+    def _apply_part_success(self, update: PartSuccessUpdate, source: PeerConnection) -> None:
+        began_at = self._clock.now() - update.age
+        if update.part not in self._suspicious:
+            self.quarantine.part_successes.record(update.part, update.version, began_at)
+        elif self.quarantine.record_part_success(update.part, update.version, began_at):
+            self._enqueue(update, source)
+            self._handle_part_success()
+
+    def _handle_part_success(self) -> None:
+        self._suspicious = self.quarantine.list_suspicious_parts()
+        self._schedule_attribution()
 
     def _apply_clear(self, update: ClearUpdate, source: PeerConnection) -> None:
         now = self._clock.now()
@@ -220,21 +274,54 @@
 
     # --- attribution --------------------------------------------------------------------------------------------------
 
+    def _schedule_attribution(self) -> None:
+        if not self._attribution_scheduled:
+            self._attribution_scheduled = True
+            self._clock.call_later(ATTRIBUTION_DELAY_S, self._attribute)
+
+    def _attribute_observed(self) -> None:
+        """Attribute again once successes after the latest crashes would be known."""
+        self._observation_scheduled = False
+        self._attribute()
+        newest = max((crash.at for crash in self.quarantine.crashes), default=float("-inf"))
+        wait = newest + OBSERVATION_S + ATTRIBUTION_DELAY_S - self._clock.now()
+        if wait > 0:
+            self._observation_scheduled = True
+            self._clock.call_later(wait, self._attribute_observed)
+
     def _attribute(self) -> None:
         self._attribution_scheduled = False
         now = self._clock.now()
-        for fingerprint in self.quarantine.attribute(now):
+        before = self.quarantine.list_attributed()
+        new = self.quarantine.attribute(now)
+        self._retract([one for one in before if not self.quarantine.is_attributed(one)], now)
+        for fingerprint in new:
             self._report_quarantine(fingerprint, self.quarantine.get_entry(fingerprint, now), "ends")
             self._reject_waiting(fingerprint)
-            last_local_crash = self._last_local_crash.get(fingerprint)
+            last_local_crash = self._get_last_local_crash(fingerprint)
             if last_local_crash is not None:
                 self.on_quarantined(fingerprint, now - last_local_crash < 2 * ATTRIBUTION_DELAY_S)
-        self._last_local_crash = {
-            one: at for one, at in self._last_local_crash.items() if self.quarantine.crashes.count(one)
-        }
+        self._last_local_crash = {one: at for one, at in self._last_local_crash.items() if now - at < BASE_QUARANTINE_S}
+
+    def _retract(self, fingerprints: Iterable[Fingerprint], now: float) -> None:
+        """Withdraw quarantines that this VM had a part in and that newer updates have shown to be wrong."""
+        for fingerprint in fingerprints:
+            if self._get_last_local_crash(fingerprint) is None:
+                continue
+            self._report_clear(fingerprint, "the crashes have another cause")
+            if self.quarantine.is_stored(fingerprint, now):
+                self.on_clear(fingerprint)
+                self.quarantine.clear(fingerprint, now)
+                self._enqueue(ClearUpdate(fingerprint, 0.0), None)
+
+    def _get_last_local_crash(self, fingerprint: Fingerprint) -> float | None:
+        """Return when this VM last detected a crash with a request, or with all digests of a combination."""
+        times = [self._last_local_crash.get(member) for member in split_combination(fingerprint)]
+        known = [at for at in times if at is not None]
+        return min(known) if len(known) == len(times) else None
 
     def _report_quarantine(self, fingerprint: Fingerprint, entry: QuarantineEntry | None, source: str) -> None:
-        upstreams = [crash.upstream for crash in self.quarantine.crashes if fingerprint in crash.run_durations]
+        upstreams = [crash.upstream for crash in self.quarantine.crashes.list_with(fingerprint)]
         self._tally.count("quarantines_total", "begun")
         self._journal.write(
             "QUARANTINE",
@@ -292,6 +379,7 @@
         _merge_crashes(update for update in updates if isinstance(update, CrashUpdate)),
         [update for update in updates if isinstance(update, ClearUpdate)],
         [update for update in updates if isinstance(update, StoredQuarantineUpdate)],
+        [update for update in updates if isinstance(update, PartSuccessUpdate)],
     )
 
 
@@ -304,5 +392,5 @@
         if abs(first.age - one.age) >= SAME_CRASH_WINDOW_S:
             separate.append(one)
         elif first is not one:
-            merged[one.upstream] = CrashUpdate(first.upstream, first.age, [*first.runs, *one.runs])
+            merged[one.upstream] = msgspec.structs.replace(first, runs=[*first.runs, *one.runs])
     return [*merged.values(), *separate]
--- a/src/beamhatch/relay/requests/exchange.py
+++ b/src/beamhatch/relay/requests/exchange.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 import random
 from dataclasses import asdict, replace
 from typing import TYPE_CHECKING, Any
@@ -18,6 +17,7 @@
 from beamhatch.relay.requests.distance_log import record_distance
 from beamhatch.relay.requests.line import Claim
 from beamhatch.relay.requests.memory_lines import QueuedRequest, QueueKey, QueueOptions
+from beamhatch.relay.requests.refusal import make_quarantine_refusal
 from beamhatch.relay.requests.release import send_release
 from beamhatch.relay.requests.request import Fail, Refuse, RelayRequest, Reserve, Send, Step, Wait
 from beamhatch.relay.requests.response import MAY_HAVE_RUN_STATUS, NOT_RUN_STATUSES, TIMEOUT_STATUS, BufferedResponse
@@ -75,9 +75,6 @@
 COLD_MARGIN_S = 0.002
 """Delay added to the wait for a cold upstream, since timers may fire slightly early."""
 
-QUARANTINE_REASON = "each upstream that began to run it has ended"
-"""Reason sent to the caller of a request in quarantine."""
-
 MAX_IDLE_S = 1.0
 """Maximum idle time of a reused connection for a send that may not be repeated."""
 
@@ -132,7 +129,10 @@
         self._cold_timer: Any = None
         self._memory_acquired_at: float | None = None
         """Monotonic time in seconds at which the request got decode memory."""
-        self._is_caller_retry = core.is_caller_retry(route, facts.time_left)
+        is_retry = Mechanism.CALLER_RETRIES not in core.disabled and core.caller_retries.is_retry(
+            route, facts.time_left
+        )
+        self._is_caller_retry = is_retry
         self._deadline_timer: Any = None
         self._upstream_failure: BufferedResponse | None = None
         self._first_event_s = 0.0
@@ -190,15 +190,10 @@
     def _plan(self, now: float) -> Step:
         request = self.request
         service = request.service.name
-        hold = self.core.quarantine.get_entry(self.digests.request, now)
-        if hold is not None:  # an attempt under way continues: if it succeeds, the request leaves quarantine
+        entry = self.core.quarantine.find_entry(self.digests, now)
+        if entry is not None:  # an attempt under way continues: if it succeeds, the request leaves quarantine
             self.core.tally.count("quarantine_refusals_total")
-            wait = math.ceil(hold.until - now)
-            return (
-                Fail(QUARANTINE_REASON)
-                if request.may_have_run
-                else Refuse(QUARANTINE_REASON, retry_after_s=wait, retry_after_is_minimum=True)
-            )
+            return request.refuse_quarantined(make_quarantine_refusal(entry, now))
         self._release_unusable()
         usable = self._list_usable()
         can_respond = any(one.phase is not Phase.PREFILL for one in usable)
@@ -281,11 +276,15 @@
 
     def withdraw_from(self, incarnation: Incarnation) -> None:
         """Cancel an attempt at an upstream that accepts no more requests, if it is not sent yet, and plan again."""
+        if self._attempt is not None and self._attempt.upstream.incarnation == incarnation:
+            self.replan_unless_sent()
+
+    def replan_unless_sent(self) -> None:
+        """Plan again, cancelling an attempt that is not sent yet."""
         attempt = self._attempt
-        if attempt is None or attempt.sent or attempt.upstream.incarnation != incarnation:
-            return
-        self.write_log("taken back", to=incarnation.id)
-        self._stop_attempt()
+        if attempt is not None and not attempt.sent:
+            self.write_log("taken back", to=attempt.upstream.id)
+            self._stop_attempt()
         self.advance()
 
     def _drop_permit(self) -> None:
--- a/src/beamhatch/relay/requests/refusal.py
+++ b/src/beamhatch/relay/requests/refusal.py
@@ -2,17 +2,22 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from beamhatch.relay.workspaces.admission import OverQuota, Undecided
 
 if TYPE_CHECKING:
+    from beamhatch.relay.quarantine.quarantine import QuarantineEntry
     from beamhatch.relay.workspaces.admission import Decision
 
 OUTDATED_RETRY_S = 0.3
 """Retry-After of a VM that may lack the newest configuration; peers send it within three round trips."""
 
+QUARANTINE_REASON = "each upstream that began to run it, or others with the same prompt parts, has ended"
+"""Reason sent to the callers of requests in quarantine."""
+
 
 @dataclass(frozen=True, slots=True)
 class Refusal:
@@ -37,3 +42,8 @@
             return Refusal(503, detail, OUTDATED_RETRY_S)
         case _:
             return Refusal(401, f"the API key is missing or unknown, by version {version}")
+
+
+def make_quarantine_refusal(entry: QuarantineEntry, now: float) -> Refusal:
+    """Return the refusal of a request in quarantine."""
+    return Refusal(503, f"{QUARANTINE_REASON}, fingerprint {entry.fingerprint.hex()}", math.ceil(entry.until - now))
--- a/src/beamhatch/relay/requests/request.py
+++ b/src/beamhatch/relay/requests/request.py
@@ -18,6 +18,7 @@
     from beamhatch.relay.choosing.chooser import Chooser
     from beamhatch.relay.model import Regions, RequestFacts, Route, Service, SoftwareVersion
     from beamhatch.relay.requests.budget import RetryBudget
+    from beamhatch.relay.requests.refusal import Refusal
     from beamhatch.relay.streams.lookup import Origin
 
 MAX_SENDS = 6
@@ -266,6 +267,12 @@
         """Return the final step if the request may not be sent to any upstream."""
         return Fail(reason) if self.may_have_run else Refuse(reason, retry_after_s=retry_after_s)
 
+    def refuse_quarantined(self, refusal: Refusal) -> Step:
+        """Return the final step if the request is in quarantine."""
+        if self.may_have_run:
+            return Fail(refusal.detail)
+        return Refuse(refusal.detail, retry_after_s=refusal.retry_after, retry_after_is_minimum=True)
+
     def refuse_memory_full(self) -> Step:
         """Return the final step if decode memory is full."""
         return Fail("decode memory is full") if self.may_have_run else Refuse("decode memory is full", memory_full=True)
--- a/src/beamhatch/relay/upstreams/attempt.py
+++ b/src/beamhatch/relay/upstreams/attempt.py
@@ -44,6 +44,8 @@
         self._ended = False
         self._timer: Any = None
         self._started_at = self.core.clock.now()
+        self._responded_at: float | None = None
+        """Monotonic time in seconds at which a successful response began."""
         need = self.request.need
         self._tokens = need.prompt_tokens if send.stage is Stage.PREFILL else need.total_tokens
         self._pending_prefill_tokens = 0
@@ -196,9 +198,7 @@
         """Report a run that may have ended with a crash of the upstream."""
         begun = self.head is not None
         self.core.tally.count("broken_runs_total", "begun" if begun else "unanswered")
-        self.core.quarantine_gossip.record_broken_run(
-            self.send.upstream, self.exchange.digests.request, ran, answering=begun
-        )
+        self.core.quarantine_gossip.record_broken_run(self.send.upstream, self.exchange.digests, ran, answering=begun)
 
     def handle_not_run(self) -> None:
         """Record that the upstream rejected the request, and let the exchange try another."""
@@ -240,8 +240,15 @@
         self.stats.record_success(now - self._started_at, now)
         if self.send.stage is not Stage.PREFILL:
             self.core.quarantine_gossip.record_success(self.exchange.digests.request)
+            self._record_parts_success()
         self.core.tally.note_latency("send", self.send.stage.value, now - self._started_at)
 
+    def _record_parts_success(self) -> None:
+        """Record that the parts of the prompt do not crash the upstream, if it responded to them."""
+        if self._responded_at is not None:
+            gossip = self.core.quarantine_gossip
+            gossip.record_parts_success(self.send.upstream, self.exchange.digests, self._responded_at)
+
     def fail(self, detail: str) -> None:
         """Treat the response as malformed, and close the connection."""
         if self._http is not None:
--- a/src/beamhatch/relay/upstreams/plain_attempt.py
+++ b/src/beamhatch/relay/upstreams/plain_attempt.py
@@ -43,6 +43,8 @@
             self.exchange.keep_upstream_failure(answer)
             self.handle_failure(CallFailure.MALFORMED, f"upstream failed with status {status}")
         else:
+            if status < 300:
+                self._responded_at = self._started_at
             self.succeed()
             self.exchange.send_response(answer)
 
--- a/src/beamhatch/relay/upstreams/stream_attempt.py
+++ b/src/beamhatch/relay/upstreams/stream_attempt.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from beamhatch.relay.model import Stage
+from beamhatch.relay.quarantine.part_successes import MIN_RESPONSE_S
 from beamhatch.relay.requests.response import BufferedResponse
 from beamhatch.relay.upstreams.attempt import Attempt
 from beamhatch.relay.upstreams.events import EventChecker, StreamError
@@ -39,6 +40,7 @@
         self._events = EventChecker(self.request.last_event)
         self._last_event_at: float | None = None
         """Monotonic seconds of the last events from this engine."""
+        self._parts_succeeded = False
 
     def handle_head(self, head: ResponseHead) -> None:
         """Apply the head; that of a stream is forwarded with the first event."""
@@ -114,6 +116,16 @@
         self.request.record_event(last, self.send.upstream.version)
         self.exchange.send_events(data)
         self._restart_timer(self.get_timeout())
+        self._record_progress()
+
+    def _record_progress(self) -> None:
+        """Record once that the engine goes on responding, which shows that the prompt does not crash it."""
+        now = self.core.clock.now()
+        if self._responded_at is None:
+            self._responded_at = now
+        elif not self._parts_succeeded and now - self._responded_at >= MIN_RESPONSE_S:
+            self._parts_succeeded = True
+            self._record_parts_success()
 
     def _record_token_rate(self, last: int | None) -> None:
         """Record the token rate, from each event after the engine's first."""
--- a/tests/platform/test_deadly_part.py
+++ b/tests/platform/test_deadly_part.py
@@ -101,7 +101,8 @@
 def test_a_part_that_crashes_one_version_only_is_kept_away() -> None:
     fleet = PartFleet(versions=("v1", "v2"), crash_inducing=())
     fleet.platform.ledger.crash_inducing_parts["dead"] = "v2"
-    fleet.run(QUIET_S + 24.0, Deadly())
+    fleet.run(QUIET_S)
+    fleet.run(24.0, Deadly())
     check(fleet)
 
 
--- a/tests/relay/quarantine/test_detection.py
+++ b/tests/relay/quarantine/test_detection.py
@@ -6,7 +6,7 @@
 
 from beamhatch.relay.model import Address, Fingerprint, Phase, ServiceName, Upstream, UpstreamId
 from beamhatch.relay.quarantine.detection import SETTLE_S, CrashDetector
-from beamhatch.relay.quarantine.ends import MAX_ANNOUNCED_RUNS, CrashUpdate
+from beamhatch.relay.quarantine.ends import MAX_ANNOUNCED_RUNS, BrokenRun, CrashUpdate
 from beamhatch.relay.upstreams.http_client import Connection
 from tests.support.network import Network, PausedClock
 
@@ -34,7 +34,7 @@
         for number in range(count):
             if self.open:
                 self.open.pop()
-            self.detector.record_broken_run(ENGINE, Fingerprint(bytes([number])), 0.1 * number)
+            self.detector.record_broken_run(ENGINE, BrokenRun(Fingerprint(bytes([number])), 100 * number))
 
 
 def test_runs_that_break_at_once_are_reported_as_one_crash() -> None:
@@ -79,7 +79,7 @@
     harness.open.add(FakeConnection(paused=True))
     for number, one in enumerate(active):
         harness.open.remove(one)
-        harness.detector.record_broken_run(ENGINE, Fingerprint(bytes([number])), 0.1)
+        harness.detector.record_broken_run(ENGINE, BrokenRun(Fingerprint(bytes([number])), 100))
     harness.network.advance(1.0)
     assert len(harness.reported) == 1
 
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -9,6 +9,7 @@
 import pytest
 
 from beamhatch.platform.standin.upstream import Ledger, Order
+from beamhatch.relay.requests.refusal import QUARANTINE_REASON
 from tests.soak.caller import Outcome
 from tests.soak.net import NETS, Net
 from tests.soak.promise import COLD_BOUND, Promise
@@ -184,7 +185,7 @@
 
 
 def test_an_innocent_request_that_is_kept_away_is_seen(witness: Witness) -> None:
-    body = b'{"error": "each upstream that began to run it has ended, fingerprint 00"}'
+    body = b'{"error": "' + QUARANTINE_REASON.encode() + b', fingerprint 00"}'
     witness.ledger.crash_inducing.add("/safe/x")
     witness.take_outcome(make_outcome("/safe/", 503, {}, body))
     assert not witness.breaches
--- a/tests/soak/witness.py
+++ b/tests/soak/witness.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from beamhatch.relay.requests.exchange import QUARANTINE_REASON
+from beamhatch.relay.requests.refusal import QUARANTINE_REASON
 from tests.soak.limits import NamedLimits
 from tests.soak.own_words import Heard, OwnWords
 from tests.soak.promise import (
--- a/tests/support/part_fleet.py
+++ b/tests/support/part_fleet.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from beamhatch.relay.requests.refusal import QUARANTINE_REASON
 from tests.support.configuration_fleet import CONTACT_S, HALLS, SEEDS
 from tests.support.platform import Platform
 
@@ -29,9 +30,6 @@
 
 FIRST_PARTS = ("f0", "f1")
 OTHER_PARTS = tuple(f"0{number}" for number in range(1, 7))
-HELD = b"each upstream that began to run"
-"""Text in the body of a response to a request in quarantine."""
-
 RESTART_S = 3.0
 CRASH_DELAY_S = 0.05
 
@@ -52,7 +50,7 @@
     @property
     def held(self) -> bool:
         """Return whether it was refused as one in quarantine."""
-        return HELD in self.caller.received
+        return QUARANTINE_REASON.encode() in self.caller.received
 
 
 @dataclass
