Tell a crash from the end of a response that has neither a length nor chunks

Such a response ends with its connection, so a crash between two events looked like its good end. Callers got a truncated stream as a complete one, and the request that had crashed the engine counted as sound: its earlier crashes were forgotten.

When such a response ends, the connections of the VM to that upstream decide 20 ms later: if nine tenths of those that tell anything are gone, the upstream crashed. Connections that closed at the end of such a response tell nothing. A request that may run again waits for this and goes on elsewhere after a crash; others are delivered at once, as the protocol takes them for complete. Without a connection that tells, the response is delivered and counts as neither good nor broken, unless another VM reports the crash.

Detection can tell runs through a peer, too, which nothing reports yet.

--- a/src/beamhatch/platform/standin/base.py
+++ b/src/beamhatch/platform/standin/base.py
@@ -7,7 +7,8 @@
 from typing import TYPE_CHECKING, Any
 from urllib.parse import parse_qsl
 
-from beamhatch.relay.callers.http_server import CallerServer, IncomingRequest, RequestHandler, Responder
+from beamhatch.platform.standin.unframed import UnframedServer
+from beamhatch.relay.callers.http_server import IncomingRequest, RequestHandler, Responder
 from beamhatch.relay.model import Address, CallerLimits
 
 if TYPE_CHECKING:
@@ -19,10 +20,15 @@
 class StandIn(ABC):
     """An HTTP server at one address."""
 
+    resets_on_stop = True
+    """Whether connections are reset when the process ends; otherwise they are closed like complete ones."""
+    ends_inside_event = True
+    """Whether unframed streams that are closed when the process ends break inside an event."""
+
     def __init__(self, clock: Clock, address: Address) -> None:
         self.clock = clock
         self.address = address
-        self._server = CallerServer(clock, self.serve, lambda: CALLER_LIMITS, lambda status, detail: None)
+        self._server = UnframedServer(clock, self.serve, lambda: CALLER_LIMITS, lambda status, detail: None)
         self._port: Any = None
 
     def start(self) -> None:
@@ -30,18 +36,32 @@
         self._port = self.clock.reactor.listenTCP(self.address.port, self._server, interface=self.address.host)
         self.address = Address(self.address.host, self._port.getHost().port)
 
+    @property
+    def unframed(self) -> bool:
+        """Return whether responses have neither a length nor chunks, and end with their connection."""
+        return self._server.unframed
+
+    @unframed.setter
+    def unframed(self, value: bool) -> None:
+        self._server.unframed = value
+
     @property
     def listening(self) -> bool:
         """Return whether it accepts connections."""
         return self._port is not None
 
     def stop(self) -> None:
-        """Stop listening and abort all connections, as in a crash."""
+        """Stop listening and end all connections, as in a crash."""
         if self._port is not None:
             self._port.stopListening()
             self._port = None
         for connection in list(self._server.connections):
-            connection.abort()
+            if self.resets_on_stop:
+                connection.abort()
+                continue
+            if self.unframed and self.ends_inside_event and not connection.is_idle:
+                connection.transport.write(b"id: ")
+            connection.transport.loseConnection()
 
     def abort_connections(self) -> None:
         """Abort all connections, but keep listening."""
--- a/src/beamhatch/platform/standin/upstream.py
+++ b/src/beamhatch/platform/standin/upstream.py
@@ -344,6 +344,8 @@
         self._last_id = 0
         self._prefill_end = 0.0
 
+    events_before_crash = 0
+    """Number of events of a crash-inducing request that are sent before the crash."""
     responds_before_crash = True
     """Whether the response to a crash-inducing request starts before the crash."""
 
@@ -457,6 +459,9 @@
             run = self.start_run(request)
             if self.responds_before_crash:
                 responder.send_head(200, [("Content-Type", "text/event-stream"), *self.make_response_headers(request)])
+                begun = int(headers.get("last-event-id", 0)) + 1
+                for number in range(begun, begun + self.events_before_crash):
+                    responder.write(f"id: {number}\ndata: {request}-{number}\n\n".encode())
             run.schedule(self.crash_delay_s, lambda: self.crash_on_request(request, incoming.target, part))
             return run
         return self._stream(request, prompt, output, int(headers.get("last-event-id", 0)), first, responder)
--- a/src/beamhatch/relay/core.py
+++ b/src/beamhatch/relay/core.py
@@ -178,7 +178,7 @@
         self.memory_queues = MemoryQueues(self.clock, self.eligibility, fair=Mechanism.FAIRNESS not in self.disabled)
         self.quarantine_gossip = QuarantineGossip(
             QuarantineGossipDependencies(
-                self.clock, self.journal, self.tally, self.quarantine, self.client.list_open, self.advance_waiting
+                self.clock, self.journal, self.tally, self.quarantine, self.client, self.advance_waiting
             )
         )
 
--- a/src/beamhatch/relay/quarantine/talk.py
+++ b/src/beamhatch/relay/quarantine/talk.py
@@ -13,6 +13,7 @@
 
 from beamhatch.relay.fleet.gossip_message import QuarantineUpdate
 from beamhatch.relay.fleet.throttle import Throttle
+from beamhatch.relay.model import UpstreamId
 from beamhatch.relay.quarantine.detection import MIN_RUN_S, CrashDetector
 from beamhatch.relay.quarantine.digests import split_combination
 from beamhatch.relay.quarantine.ends import SAME_CRASH_WINDOW_S, BrokenRun, CrashUpdate
@@ -27,10 +28,12 @@
     from beamhatch.observe.journal import Journal
     from beamhatch.observe.tally import Tally
     from beamhatch.relay.fleet.peer_connection import PeerConnection
-    from beamhatch.relay.model import Address, Fingerprint, Upstream
+    from beamhatch.relay.model import Fingerprint, Upstream
+    from beamhatch.relay.quarantine.detection import VerdictHandler
     from beamhatch.relay.quarantine.digests import RequestDigests
     from beamhatch.relay.quarantine.quarantine import Quarantine, QuarantineEntry
-    from beamhatch.relay.upstreams.http_client import Connection
+    from beamhatch.relay.tunnels.api import Via
+    from beamhatch.relay.upstreams.http_client import Connection, ConnectionTracker
 
 SEND_INTERVAL_S = 0.1
 """Minimum interval between two messages to each peer, in seconds.
@@ -79,8 +82,7 @@
     journal: Journal
     tally: Tally
     quarantine: Quarantine
-    list_open_connections: Callable[[Address], Set[Connection]]
-    """Returns the open connections to an upstream."""
+    connections: ConnectionTracker
     reject_waiting: Callable[[Fingerprint], None]
     """Rejects all waiting calls of a quarantined request."""
 
@@ -104,7 +106,7 @@
         """Called with a quarantined request to be stored, and whether this VM should store it without delay."""
         self.on_clear: Callable[[Fingerprint], None] = lambda fingerprint: None
         """Called with a cleared request whose quarantine must be removed from the store."""
-        self._detector = CrashDetector(dependencies.clock, dependencies.list_open_connections, self._handle_crash)
+        self._detector = CrashDetector(dependencies.clock, dependencies.connections, self._handle_crash)
         self._throttle = Throttle(dependencies.clock, SEND_INTERVAL_S, self._send_pending)
         self._unsent: list[_Unsent] = []
         self._last_local_crash: dict[Fingerprint, float] = {}
@@ -117,22 +119,40 @@
     # --- local events -------------------------------------------------------------------------------------------------
 
     def record_broken_run(
-        self, upstream: Upstream, digests: RequestDigests, duration: float, *, answering: bool
+        self, upstream: Upstream, digests: RequestDigests, duration: float, *, answering: bool, via: Via | None = None
     ) -> None:
         """Record that a run's connection closed before its response was complete.
 
         :param duration: seconds from the start of the run to the close
         :param answering: whether the upstream had started to respond; if not, runs below ``MIN_RUN_S`` are ignored
+        :param via: the peer that the connection went through; None for a direct one
         """
         if not answering and duration < MIN_RUN_S:
             return
-        excused = self.quarantine.succeeded_recently(digests.request, self._clock.now())
-        if excused:
+        run = self._describe_run(digests, duration)
+        if run.excused:
             self._tally.count("quarantine_excused_total")
-            if not digests.parts:
-                return
+        if not run.excused or run.prompt is not None:
+            self._detector.record_broken_run(upstream, run, via)
+
+    def check_end(
+        self,
+        upstream: Upstream,
+        digests: RequestDigests,
+        duration: float,
+        connection: Connection | None,
+        on_verdict: VerdictHandler,
+    ) -> None:
+        """Determine whether an upstream crashed when a response ended that has neither a length nor chunks.
+
+        :param connection: the connection that ended with the response
+        """
+        self._detector.record_closed_run(upstream, self._describe_run(digests, duration), connection, on_verdict)
+
+    def _describe_run(self, digests: RequestDigests, duration: float) -> BrokenRun:
+        excused = self.quarantine.succeeded_recently(digests.request, self._clock.now())
         prompt = self.quarantine.describe_prompt(digests)
-        self._detector.record_broken_run(upstream, BrokenRun(digests.request, round(1000 * duration), prompt, excused))
+        return BrokenRun(digests.request, round(1000 * duration), prompt, excused)
 
     def record_parts_success(self, upstream: Upstream, digests: RequestDigests, began_at: float) -> None:
         """Record that a run has responded for long enough to show that its parts don't crash the upstream.
@@ -217,6 +237,7 @@
             self._apply_stored_update(stored, connection)
         for crash in message.ends:
             self._apply_crash(crash, connection)
+            self._detector.confirm(UpstreamId(crash.upstream), self._clock.now() - crash.age)
 
     def send_all(self, connection: PeerConnection) -> None:
         """Send a newly connected peer the known crashes and stored quarantines."""
--- a/src/beamhatch/relay/requests/exchange.py
+++ b/src/beamhatch/relay/requests/exchange.py
@@ -14,7 +14,6 @@
 from beamhatch.relay.choosing.lack import compute_retry_delay
 from beamhatch.relay.mechanism import Mechanism
 from beamhatch.relay.model import Phase, Reservation, RouteKind, Stage
-from beamhatch.relay.requests.distance_log import record_distance
 from beamhatch.relay.requests.line import Claim
 from beamhatch.relay.requests.memory_lines import QueuedRequest, QueueKey, QueueOptions
 from beamhatch.relay.requests.refusal import make_quarantine_refusal
@@ -28,7 +27,7 @@
     limit_delay,
     round_delay,
 )
-from beamhatch.relay.requests.send_log import describe_send
+from beamhatch.relay.requests.send_log import describe_send, record_distance
 from beamhatch.relay.streams.origins import PendingLookup
 from beamhatch.relay.upstreams.attempt import Attempt
 from beamhatch.relay.upstreams.http_client import Call
@@ -295,22 +294,33 @@
     def _execute(self, step: Step) -> None:
         if isinstance(step, Send):
             if step.reservation is None:
-                record_distance(self.core, self.request, step.upstream, self._list_usable, self.write_log)
+                self._record_distance(step.upstream)
             self._send(step, self.core.clock.now())
         elif isinstance(step, Reserve):
-            record_distance(self.core, self.request, step.upstream, self._list_usable, self.write_log)
+            self._record_distance(step.upstream)
             self._reserve(step)
         elif isinstance(step, Wait):
             self._wait_for_memory()
         else:
             self._wait_or_end(step)
 
+    def _record_distance(self, upstream: Upstream) -> None:
+        distances = self.core.chooser.distances
+        record_distance(distances, self.core.tally, self.request, upstream, self._list_usable, self.write_log)
+
     def _send(self, send: Send, now: float) -> None:
         if self.deadline - now < MIN_SEND_TIME_S:
             self._handle_timeout()
             return
         request = self.request
-        self.write_log("sent", **describe_send(self.core, request, self.digests, send, now))
+        stats = self.core.stats.get(send.upstream.id)
+        self.write_log(
+            "sent",
+            revision=self.core.listing.newest_revision,
+            version=self.core.version,
+            **describe_send(request, self.digests, send, stats, now),
+            **self.core.announcements.describe_limit(send.upstream.incarnation),
+        )
         relation = request.get_continuation(send)
         if relation is not None:
             self.core.tally.count("streams_continued_total", relation)
--- a/src/beamhatch/relay/upstreams/attempt.py
+++ b/src/beamhatch/relay/upstreams/attempt.py
@@ -6,10 +6,13 @@
 from typing import TYPE_CHECKING, Any
 
 from beamhatch.relay.model import Stage
+from beamhatch.relay.quarantine.detection import EndVerdict
 from beamhatch.relay.upstreams.announcements import MISDIRECTED
 from beamhatch.relay.upstreams.http_client import CallFailure, ResponseSink
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from beamhatch.relay.api import ResponseFacts
     from beamhatch.relay.choosing.eligibility import SendPermit
     from beamhatch.relay.choosing.pace import PrefillEstimator
@@ -42,6 +45,7 @@
         self._via: Via | None = None
         """Peer that the request was sent through; None if it was sent directly."""
         self._ended = False
+        self._crash_reported = False
         self._timer: Any = None
         self._started_at = self.core.clock.now()
         self._responded_at: float | None = None
@@ -185,7 +189,7 @@
             **self.exchange.digests.describe(),
         )
         self.core.tally.count("send_faults_total", failure.value)
-        may_be_crash = failure is CallFailure.BROKEN and self._sent and self._via is None
+        may_be_crash = failure is CallFailure.BROKEN and self._sent and self._via is None and not self._crash_reported
         if may_be_crash and self.send.stage is not Stage.PREFILL:
             self._report_broken_run(now - self._started_at)
         if self._sent:
@@ -233,16 +237,66 @@
         assert self.facts is not None
         return self.facts.not_run or self.head.status == MISDIRECTED
 
+    def conclude(self, deliver: Callable[[], None]) -> None:
+        """Record the success of the attempt, and deliver the response.
+
+        If only the close of the connection marks the end of the response, a crash of the upstream may have truncated
+        it. If the request may run again, this is determined first.
+        """
+        assert self.head is not None
+        if not self.head.ends_with_connection:
+            self.succeed()
+            deliver()
+            return
+        must_wait = self.may_abandon() and self._via is None
+        if not must_wait:
+            self._end_successfully()
+            deliver()
+        if self._via is None:
+            self._stop_timer()
+            ran = self.core.clock.now() - self._started_at
+            gossip = self.core.quarantine_gossip
+            gossip.check_end(
+                self.upstream,
+                self.exchange.digests,
+                ran,
+                None if self._http is None else self._http.connection,
+                lambda verdict: self._handle_verdict(verdict, deliver if must_wait else None),
+            )
+
+    def _handle_verdict(self, verdict: EndVerdict, deliver: Callable[[], None] | None) -> None:
+        """Handle what is known about the end of a response.
+
+        :param deliver: delivers the response; None if it is delivered already
+        """
+        if verdict is EndVerdict.COMPLETE:
+            self._record_good_end()
+        if deliver is None or self._ended:
+            return
+        if verdict is EndVerdict.CRASHED:
+            self._crash_reported = True
+            self.handle_failure(CallFailure.BROKEN, "the upstream crashed as the response ended with its connection")
+        else:
+            self._end_successfully()
+            deliver()
+
     def succeed(self) -> None:
         """Record the success of the attempt."""
+        self._end_successfully()
+        if self.send.stage is not Stage.PREFILL:
+            self._record_good_end()
+
+    def _end_successfully(self) -> None:
         self._end()
         now = self.core.clock.now()
         self.stats.record_success(now - self._started_at, now)
-        if self.send.stage is not Stage.PREFILL:
-            self.core.quarantine_gossip.record_success(self.exchange.digests.request)
-            self._record_parts_success()
         self.core.tally.note_latency("send", self.send.stage.value, now - self._started_at)
 
+    def _record_good_end(self) -> None:
+        """Record that neither the request nor the parts of its prompt crashed the upstream."""
+        self.core.quarantine_gossip.record_success(self.exchange.digests.request)
+        self._record_parts_success()
+
     def _record_parts_success(self) -> None:
         """Record that the parts of the prompt do not crash the upstream, if it responded to them."""
         if self._responded_at is not None:
--- a/src/beamhatch/relay/upstreams/http_client.py
+++ b/src/beamhatch/relay/upstreams/http_client.py
@@ -75,6 +75,13 @@
     status: int
     headers: Headers
 
+    @property
+    def ends_with_connection(self) -> bool:
+        """Return whether only the close of the connection marks the end of the body."""
+        if self.status in (204, 304):
+            return False
+        return not any(name.lower() in ("content-length", "transfer-encoding") for name, _ in self.headers)
+
 
 class ResponseSink(ABC):
     """Receiver of the response to one call; ``handle_end`` or ``handle_failure`` is the last call to it."""
@@ -321,7 +328,19 @@
             self._client.add_idle(self, DEFAULT_KEEP_ALIVE_S)
 
 
-class HttpClient:
+class ConnectionTracker(ABC):
+    """Source of the open connections to upstreams."""
+
+    @abstractmethod
+    def list_open(self, address: Address, via: Via | None) -> Set[Connection]:
+        """Return the open connections to an address that go through a peer, or the direct ones."""
+
+    @abstractmethod
+    def has_other_tunnel(self, via: Via, address: Address) -> bool:
+        """Return whether a connection to another address is open through a peer."""
+
+
+class HttpClient(ConnectionTracker):
     """HTTP client with a pool of connections per address."""
 
     def __init__(self, clock: Clock, dialer: Dialer | None = None, *, connect_timeout: float = 0.5) -> None:
@@ -369,9 +388,13 @@
         dial = _Dial(self, address, exchange, max_idle_s)
         self._dialer.connect(address, dial, self._connect_timeout, may_pass)
 
-    def list_open(self, address: Address) -> Set[Connection]:
-        """Return the open direct connections to an address."""
-        return frozenset(one for one in self._open.get(address, ()) if one.via is None)
+    def list_open(self, address: Address, via: Via | None) -> Set[Connection]:
+        """Return the open connections to an address that go through a peer, or the direct ones."""
+        return frozenset(one for one in self._open.get(address, ()) if one.via == via)
+
+    def has_other_tunnel(self, via: Via, address: Address) -> bool:
+        """Return whether a connection to another address is open through a peer."""
+        return any(one.via == via for other, found in self._open.items() if other != address for one in found)
 
     def add_idle(self, connection: Connection, idle_timeout: float) -> None:
         """Add an idle connection to the pool, to expire before the peer closes it; close it if it is not kept."""
--- a/src/beamhatch/relay/upstreams/plain_attempt.py
+++ b/src/beamhatch/relay/upstreams/plain_attempt.py
@@ -45,8 +45,7 @@
         else:
             if status < 300:
                 self._responded_at = self._started_at
-            self.succeed()
-            self.exchange.send_response(answer)
+            self.conclude(lambda: self.exchange.send_response(answer))
 
     def get_timeout(self) -> float:
         """Return the timeout: a multiple of the upstream's mean latency."""
--- a/src/beamhatch/relay/upstreams/stream_attempt.py
+++ b/src/beamhatch/relay/upstreams/stream_attempt.py
@@ -70,9 +70,11 @@
         elif not self._events.is_complete or not self.exchange.request.response_begun:
             self.handle_failure(CallFailure.BROKEN, "stream ended inside an event or before the first one")
         else:
-            self.succeed()
-            self._record_output_length()
-            self.exchange.end_stream()
+            self.conclude(self._end_stream)
+
+    def _end_stream(self) -> None:
+        self._record_output_length()
+        self.exchange.end_stream()
 
     def _record_output_length(self) -> None:
         """Record the length of the output."""
--- a/tests/relay/upstreams/test_http_client.py
+++ b/tests/relay/upstreams/test_http_client.py
@@ -123,9 +123,9 @@
 def test_an_idle_connection_is_closed_before_the_other_side_closes_it() -> None:
     bench = ClientBench(write(WHOLE.replace(b"\r\n\r\n", b"\r\nKeep-Alive: timeout=3\r\n\r\n")))
     bench.ask()
-    assert len(bench.client.list_open(ADDRESS)) == 1
+    assert len(bench.client.list_open(ADDRESS, None)) == 1
     bench.network.run(3.0)
-    assert len(bench.client.list_open(ADDRESS)) == 0
+    assert len(bench.client.list_open(ADDRESS, None)) == 0
 
 
 def test_bytes_after_a_complete_response_close_the_connection() -> None:
@@ -141,7 +141,7 @@
     connection = next(iter(bench.client._idle[ADDRESS]))
     connection.transport.other.write(FOREIGN)
     bench.network.run(0.05)
-    assert len(bench.client.list_open(ADDRESS)) == 0
+    assert len(bench.client.list_open(ADDRESS, None)) == 0
 
 
 def test_response_to_another_request_is_skipped() -> None:
