--- a/src/beamhatch/relay/upstreams/attempt.py
+++ b/src/beamhatch/relay/upstreams/attempt.py
@@ -189,7 +189,7 @@
             **self.exchange.digests.describe(),
         )
         self.core.tally.count("send_faults_total", failure.value)
-        may_be_crash = failure is CallFailure.BROKEN and self._sent and self._via is None and not self._crash_reported
+        may_be_crash = failure is CallFailure.BROKEN and self._sent and not self._crash_reported
         if may_be_crash and self.send.stage is not Stage.PREFILL:
             self._report_broken_run(now - self._started_at)
         if self._sent:
--- a/tests/platform/test_deadly_part.py
+++ b/tests/platform/test_deadly_part.py
@@ -153,6 +153,18 @@
     assert len(fleet.platform.ledger.part_sends) - before <= MAX_MORE_SENDS
 
 
+def test_it_is_kept_away_by_vms_that_reach_engines_through_a_peer_only() -> None:
+    fleet = PartFleet(6)
+    fleet.run(QUIET_S)
+    lost = ("vm0", "vm1", "vm2", "vm3")
+    fleet.cut_from_engines(lost)
+    fleet.run(4.0)
+    assert not fleet.platform.ledger.crashes
+    fleet.run(20.0, Deadly(vms=lost))
+    assert fleet.count_late_sends() <= MAX_MORE_SENDS
+    assert fleet.count_held(fleet.platform.ledger.crashes[-1].at + 2 * CONTACT_S) == 0
+
+
 # --- sound requests ---------------------------------------------------------------------------------------------------
 
 
--- a/tests/support/part_fleet.py
+++ b/tests/support/part_fleet.py
@@ -70,6 +70,8 @@
     companions: Sequence[str] = ()
     """Parts that stand in each of these prompts and in no sound one."""
     headers: Callable[[int], dict[str, str]] = lambda number: {}
+    vms: Sequence[str] = ()
+    """VMs that they come at; any if empty."""
 
 
 @dataclass
@@ -163,16 +165,25 @@
             parts[0] = deadly.part
         else:
             parts.insert(min(deadly.position, len(parts)), deadly.part)
-        caller = self._call(deadly.path, parts, deadly.headers(len(self.deadly)))
+        caller = self._call(deadly.path, parts, deadly.headers(len(self.deadly)), deadly.vms)
         self.deadly.append((self.now, caller))
 
-    def _call(self, path: str, parts: list[str], headers: dict[str, str]) -> Caller:
+    def _call(self, path: str, parts: list[str], headers: dict[str, str], vms: Sequence[str] = ()) -> Caller:
         request = f"{self.rng.randrange(2**63):016x}"
         prompt = ",".join([*(f"{part}:100" for part in parts), f"{request}:600"])
-        vm = self.rng.choice(list(self.platform.vms))
+        vm = self.rng.choice(list(vms or self.platform.vms))
         terms = {"Token-Count": "1000,30", "Prompt-Prefix": prompt, **headers}
         return self.platform.call(f"{path}{request}", request, vm=vm, headers=terms)
 
+    def cut_from_engines(self, vms: Sequence[str]) -> None:
+        """Take the links of some VMs to decode engines: open connections are reset, new ones are refused."""
+        network = self.platform.network
+        hosts = {engine.address.host for engine in self.list_engines()}
+        for vm in vms:
+            for host in hosts:
+                network.refuse_between(vm, host)
+        network.reset_connections(lambda transport: transport.host in vms and transport.peer_host in hosts)
+
     def kill_vm(self, name: str) -> None:
         """Kill a VM, and start it again with no memory."""
         hall = self.platform.vms[name].settings.hall
