--- a/src/beamhatch/relay/upstreams/listing.py
+++ b/src/beamhatch/relay/upstreams/listing.py
@@ -107,6 +107,8 @@
     """Departing incarnations, which are never used again, whatever their entries say."""
     versions: VersionHistory = field(default_factory=VersionHistory)
     """Software versions of the upstreams."""
+    _complete_as_of: int = 0
+    """The highest revision of a snapshot; upstreams that were not listed as of then do not exist."""
     _records: dict[UpstreamId, _Record] = field(default_factory=dict)
     _by_address: dict[Address, Upstream] | None = None
     """Index for ``find_at``, built when it is needed; None after each change."""
@@ -116,7 +118,12 @@
     """Cached results of ``list_usable`` that do not depend on the time; cleared by each change."""
 
     def apply(self, entry: Entry, now: float) -> bool:
-        """Apply an update of one upstream; return False if it is not newer than the known entry."""
+        """Apply an update of one upstream; return False if it is not newer than what is known of the upstream."""
+        if entry.revision <= self._complete_as_of and self.get(entry.id) is None:
+            return False  # removed before the last snapshot
+        return self._apply(entry, now)
+
+    def _apply(self, entry: Entry, now: float) -> bool:
         known = self._records.get(entry.id)
         if known is not None and known.entry.revision >= entry.revision:
             return False
@@ -160,7 +167,8 @@
             if known.entry.upstream is not None and known.entry.id not in names and known.entry.revision <= revision
         ]
         self.complete = True
-        return [entry for entry in [*listed, *gone] if self.apply(entry, now)]
+        self._complete_as_of = max(self._complete_as_of, revision)
+        return [entry for entry in [*listed, *gone] if self._apply(entry, now)]
 
     def exclude_gone(self, entries: Iterable[Entry]) -> list[Entry]:
         """Return the entries without incarnations that are known as removed, which an outdated copy may still list."""
--- a/tests/relay/upstreams/test_listing.py
+++ b/tests/relay/upstreams/test_listing.py
@@ -72,3 +72,28 @@
 def test_unresponsive_upstream_is_expected_back_until_it_is_replaced() -> None:
     listing = make_listing("abc")
     assert {one.id for one in listing.list_expected(SERVICE, NOW + 9.0, {UpstreamId("a")})} == {"a", "b", "c"}
+
+
+def test_late_update_does_not_list_an_upstream_that_was_removed_before_the_snapshot() -> None:
+    listing = Listing()
+    listing.apply_snapshot([Entry(UpstreamId("b"), 3, make("b"))], 5, NOW)
+    assert not listing.apply(Entry(UpstreamId("a"), 4, make("a")), NOW + 1.0)
+    assert listing.apply(Entry(UpstreamId("a"), 6, make("a")), NOW + 1.0)
+    assert list_names(listing, NOW + 1.0) == "ab"
+
+
+def test_late_update_does_not_list_an_upstream_again_that_was_removed_twice_before_the_snapshot() -> None:
+    listing = make_listing("b")
+    listing.apply(Entry(UpstreamId("a"), 10, make("a")), NOW)
+    listing.apply(Entry(UpstreamId("a"), 11, None), NOW)
+    listing.apply_snapshot([Entry(UpstreamId("b"), 3, make("b"))], 13, NOW)
+    assert not listing.apply(Entry(UpstreamId("a"), 12, make("a")), NOW + 1.0)
+    assert listing.get(UpstreamId("a")) is None
+
+
+def test_snapshot_lists_an_upstream_whose_entry_is_older_than_the_snapshot_before() -> None:
+    listing = Listing()
+    listing.apply_snapshot([Entry(UpstreamId("b"), 3, make("b"))], 5, NOW)
+    entries = [Entry(UpstreamId("b"), 3, make("b")), Entry(UpstreamId("a"), 4, make("a"))]
+    listing.apply_snapshot(entries, 7, NOW + 1.0)
+    assert list_names(listing, NOW + 1.0) == "ab"
