Have two tests wait for the state that they are about

While an engine is asked for memory for a waiting request, that one keeps its place, as it should; the test asked at any moment of that.

--- a/tests/platform/test_fair_line.py
+++ b/tests/platform/test_fair_line.py
@@ -28,9 +28,16 @@
     platform.network.run(0.1)
     waiting = ask(platform, "desk", "waits")
     platform.network.run(0.05)
+    refused = count_refused_reservations(platform)
+    # While an engine is asked for memory for a request, the request keeps its place in line.
+    platform.network.run_until(lambda: count_refused_reservations(platform) > refused)
     return platform, waiting
 
 
+def count_refused_reservations(platform: Platform) -> int:
+    return platform.journals["vm1"].list_events("waits").count("not reserved")
+
+
 @pytest.mark.parametrize(("without", "displaced"), [(NONE_DISABLED, True), (frozenset({Mechanism.FAIRNESS}), False)])
 def test_a_workspace_that_was_served_little_takes_the_place_in_line(
     without: DisabledMechanisms, *, displaced: bool
--- a/tests/platform/test_unframed.py
+++ b/tests/platform/test_unframed.py
@@ -131,10 +131,11 @@
 
 
 def test_a_crash_between_two_events_is_no_good_end_of_the_request_that_caused_it() -> None:
-    platform = make_fleet()
+    platform = make_fleet(decode=2)
     platform.ledger.crash_inducing.add("/stream/x")
     engines = list_decode_engines(platform)
     for engine in engines:
+        engine.restart_time_s = 0.5
         engine.resets_on_stop, engine.ends_inside_event, engine.events_before_crash = False, False, 2
     for number in range(12):
         for engine in engines:
