Compare a part only with successes after its crash at the same version

Others fared better by a success at the other version, which the part had, too. Now a success counts that is behind a crash of the part, at its version, where the part has none: one of a request without it.

--- a/src/beamhatch/relay/quarantine/part_attribution.py
+++ b/src/beamhatch/relay/quarantine/part_attribution.py
@@ -153,12 +153,12 @@
         """
         if len(suspect.crashes) < MIN_CRASHES_OF_PROVEN or not _is_observed(suspect, crashes, now):
             return False
-        first_at = min(crashes[index].at for index in suspect.crashes)
+        # A success of the service after a crash that no success of the part refutes was one without the part.
         others_succeeded = any(
-            self._successes.has_since(prompt.service, crashes[index].version, first_at)
+            self._successes.has_since(prompt.service, crashes[index].version, crashes[index].at)
             for index, _, prompt in suspect.runs
         )
-        return others_succeeded or _has_shorter_runs(suspect, crashes, first_at)
+        return others_succeeded or _has_shorter_runs(suspect, crashes)
 
     def _cover(
         self, suspects: list[_Suspect], crashes: Sequence[UpstreamCrash], result: PartCauses, min_unexplained: int
@@ -200,11 +200,12 @@
     return now - min(crashes[index].at for index in suspect.crashes) >= OBSERVATION_S
 
 
-def _has_shorter_runs(suspect: _Suspect, crashes: Sequence[UpstreamCrash], since: float) -> bool:
+def _has_shorter_runs(suspect: _Suspect, crashes: Sequence[UpstreamCrash]) -> bool:
     """Return whether upstreams crash soon after any run with a part begins, and run others for longer before.
 
-    :param since: time from which on runs that begin are considered
+    Runs that began before the first crash of the part are left out.
     """
+    since = min(crashes[index].at for index in suspect.crashes)
     longest_ms = 0
     with_part: set[int] = set()
     others: list[tuple[int, int]] = []
--- a/tests/relay/quarantine/test_part_attribution.py
+++ b/tests/relay/quarantine/test_part_attribution.py
@@ -119,6 +119,16 @@
     assert crashes.find(40.0) == {}
 
 
+def test_success_at_another_version_tells_nothing_of_a_part_that_all_requests_share() -> None:
+    crashes = Crashes()
+    for number in range(8):
+        crashes.add(10.0 + 0.5 * number, make_run(f"r{number}", proven=("shared",)), version=f"v{1 + number % 2}")
+        for part in ("shared", "service"):
+            crashes.succeed(part, 10.1 + 0.5 * number, "v2")
+    crashes.add(14.5, make_run("last", proven=("shared",)), version="v2")
+    assert crashes.find(20.0) == {}
+
+
 def test_short_runs_tell_the_cause_where_no_run_lives_long_enough_to_succeed() -> None:
     crashes = Crashes()
     for number in range(8):
