Soak with parts of prompts that crash engines, and count bytes of their quarantine

The soak sends requests that share only a part of their prompts, at any VM, which crashes each engine that begins to write on it; more than three arrivals later than 3 s behind the fifth crash break the promise, and so does any other request that is held. The benchmark plays prompts with shared parts.

--- a/benchmarks/quarantine.py
+++ b/benchmarks/quarantine.py
@@ -1,4 +1,7 @@
-"""Count what it takes a fleet to keep away a request that ends engines: seconds to the last VM, and bytes.
+"""Count what it takes a fleet to keep away requests that crash engines: seconds to the last VM, and bytes.
+
+With ``--parts``, prompts have that many shared parts, and requests that differ otherwise share the part that crashes
+engines; without, one request is sent again.
 
 ``python -m benchmarks.quarantine --vms 74`` plays relays, stand-ins and callers on a paused network. Each engine that
 ends has streams of as many VMs as there are, up to 64, as at the size to design for. One JSON object is printed.
@@ -15,6 +18,9 @@
 from beamhatch.relay.topology import RegionName, Topology
 
 TARGET = "/resumable/x"
+PART = "dead"
+SHARED_PARTS = 30
+"""Number of parts that prompts are made of."""
 STREAMS = 64
 ENDS = 3
 REGION_DELAY = 0.012
@@ -52,25 +58,57 @@
     ]
 
 
-def play(vms: int, halls: int) -> dict[str, object]:
-    """End three engines with full streams, and wait until all VMs keep the request away."""
+def make_prompt(request: str, parts: int, number: int, *, deadly: bool) -> dict[str, str]:
+    """Return the headers of a prompt with some of the parts that many requests share.
+
+    :param parts: number of shared parts; 0 for the default of stand-in callers
+    """
+    if not parts:
+        return {}
+    shared = [f"{(number * 7 + one * 13) % SHARED_PARTS:04x}" for one in range(parts)]
+    if deadly:
+        shared[-1] = PART
+    return {"Prompt-Prefix": ",".join([*(f"{one}:5" for one in shared), f"{request}:10"])}
+
+
+def play(vms: int, halls: int, parts: int) -> dict[str, object]:
+    """Crash three engines with full streams, and wait until all VMs keep the requests away."""
     platform = make_fleet(vms, halls)
     names = list(platform.vms)
-    platform.ledger.crash_inducing.add(TARGET)
+    if parts:
+        platform.ledger.crash_inducing_parts[PART] = None
+    else:
+        platform.ledger.crash_inducing.add(TARGET)
+    for one, vm in enumerate(names):  # each VM has used the shared parts
+        warm = f"warm-{one}"
+        terms = {"Token-Count": "50,50", **make_prompt(warm, parts, one, deadly=False)}
+        platform.call(f"/resumable/{warm}", warm, vm=vm, headers=terms)
+    platform.network.run(4.0)
     number = 0
     while len(platform.ledger.crashes) < ENDS:
         number += 1
         for stream in range(STREAMS):
             name = f"own-{number}-{stream}"
             vm = names[stream * 7 % len(names)]
-            platform.call(f"/resumable/{name}", name, vm=vm, headers={"Token-Count": "50,400"})
-        platform.network.run(1.0)
+            platform.call(
+                f"/resumable/{name}",
+                name,
+                vm=vm,
+                headers={
+                    "Token-Count": "50,400",
+                    **make_prompt(name, parts, stream, deadly=False),
+                },
+            )
+        platform.network.run(1.5)
         vm = names[number * 31 % len(names)]
-        platform.call(TARGET, f"again-{number}", vm=vm, headers={"Token-Count": "50,40"})
+        again = f"again-{number}"
+        target = f"{TARGET}{number}" if parts else TARGET
+        terms = {"Token-Count": "50,40", **make_prompt(again, parts, number, deadly=True)}
+        platform.call(target, again, vm=vm, headers=terms)
         platform.network.run(1.0)
     third = sorted(crash.at for crash in platform.ledger.crashes)[ENDS - 1]
     platform.network.run_until(
-        lambda: all(vm.core.quarantine.count(vm.clock.now()) == 1 for vm in platform.vms.values()), 20.0
+        lambda: all(vm.core.quarantine.count(vm.clock.now()) for vm in platform.vms.values()), 20.0
     )
     sent = count_bytes(platform, "quarantine")
     runs = [sum(len(end.run_durations) for end in vm.core.quarantine.crashes) for vm in platform.vms.values()]
@@ -89,10 +127,11 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--vms", type=int, default=74)
     parser.add_argument("--halls", type=int, default=6)
+    parser.add_argument("--parts", type=int, default=0)
     chosen = parser.parse_args()
     begun = time.monotonic()
-    found = play(chosen.vms, chosen.halls)
-    print(json.dumps({**found, "seconds_played_in": round(time.monotonic() - begun)}))
+    found = play(chosen.vms, chosen.halls, chosen.parts)
+    print(json.dumps({"parts": chosen.parts, **found, "seconds_played_in": round(time.monotonic() - begun)}))
 
 
 if __name__ == "__main__":
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -71,6 +71,9 @@
 DEADLY_GAP = 0.3
 """Seconds between two tries of a request that ends what runs it."""
 
+RESUMABLE_SHARE = 0.5
+"""Share of the parts that crash engines whose requests may be resumed."""
+
 DEADLY_TIME = 8.0
 """Seconds for which it is tried at the least: longer than three ends and the time in which all learn of them."""
 
@@ -121,6 +124,7 @@
             FaultKind.EVACUATE: self._evacuate,
             FaultKind.CONFIGURE: lambda step: self._world.configure(),
             FaultKind.DEADLY: self._send_deadly,
+            FaultKind.DEADLY_PART: self._send_deadly_part,
         }
         self._deadly = 0
         self._next_restore = 0.0
@@ -361,6 +365,18 @@
         for number in range(sends):
             self._later(number * DEADLY_GAP, self._world.ask_once, route, target)
 
+    def _send_deadly_part(self, step: Step) -> None:
+        """Have callers send requests with one part in common, for longer than they may arrive anywhere."""
+        self._deadly += 1
+        part = f"dead{self._deadly}"
+        self._world.ledger.crash_inducing_parts[part] = None
+        route = "/resumable/" if step.pick < RESUMABLE_SHARE else "/stream/"
+        gap = 2.0 * DEADLY_GAP
+        for number in range(int((step.seconds + DEADLY_TIME) / gap)):
+            target = f"{route}{part}-{number}"
+            self._witness.deadly_parts[target] = part
+            self._later(number * gap, self._world.ask_once, route, target, part)
+
     def _crash_upstream(self, step: Step) -> None:
         name = pick(list(self._world.placed), step)
         self._crash(name, step.seconds / 2)
--- a/tests/soak/mutants.py
+++ b/tests/soak/mutants.py
@@ -15,6 +15,7 @@
 from beamhatch.relay.daemon import Daemon
 from beamhatch.relay.limits.limits import Limits
 from beamhatch.relay.model import Upstream
+from beamhatch.relay.quarantine.part_attribution import PartAttribution, PartCauses
 from beamhatch.relay.quarantine.quarantine import Quarantine
 from beamhatch.relay.requests.exchange import RelayExchange
 from beamhatch.relay.requests.request import RelayRequest
@@ -124,6 +125,10 @@
     Quarantine.get_entry = lambda self, fingerprint, now: None  # type: ignore[method-assign]
 
 
+def _ignores_parts() -> None:
+    PartAttribution.find_causes = lambda self, crashes, now: PartCauses()  # type: ignore[method-assign]
+
+
 def _ignores_versions() -> None:
     Upstream.may_serve = lambda self, version: True  # type: ignore[method-assign]
 
@@ -147,6 +152,7 @@
     "stops-at-once": Mutant(Promise.PLANNED_STOP, [FaultKind.STOP], _stops_at_once),
     "keeps-memory": Mutant(Promise.GIVEN_BACK, UPSTREAM_FAULTS, _keeps_memory),
     "sends-deadly": Mutant(Promise.DEADLY, [FaultKind.DEADLY], _sends_deadly),
+    "ignores-parts": Mutant(Promise.DEADLY, [FaultKind.DEADLY_PART], _ignores_parts),
     "ignores-versions": Mutant(Promise.VERSION, [FaultKind.UPSTREAM_CRASH, *UPSTREAM_FAULTS], _ignores_versions),
     "passes-any-event": Mutant(Promise.ORDER, UPSTREAM_FAULTS, _passes_any_event),
 }
--- a/tests/soak/promise.py
+++ b/tests/soak/promise.py
@@ -88,9 +88,10 @@
 """Requests that reach a cold upstream in any second at the most."""
 
 LEAST_ENDS = 3
+LEAST_ENDS_OF_PART = 5
 MOST_LATE_SENDS = 3
 CONTACT_TIME = 3.0
-"""Three sends may arrive later than these seconds behind the third end that a request caused."""
+"""Three sends may arrive later than these seconds behind the third end of a request, or the fifth of a part."""
 
 GRACE = 8.0
 """Seconds that a planned stop may take."""
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -65,6 +65,11 @@
 
     It is drawn only where it is asked for: with it, there are few upstreams left for other faults to show on.
     """
+    DEADLY_PART = "deadly_part"
+    """Callers send requests that share only a part of their prompts, which crashes each engine that begins to write.
+
+    It is drawn only where it is asked for, for the same reason.
+    """
 
 
 WEIGHTS = {
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -131,6 +131,19 @@
     assert list_broken(witness) == {Promise.DEADLY}
 
 
+def test_requests_with_a_deadly_part_that_arrive_too_often_too_late_are_seen(witness: Witness) -> None:
+    ask(witness, "/safe/")
+    for number in range(10):
+        witness.deadly_parts[f"/stream/dead-{number}"] = "dead"
+    for at in (20.0, 20.5, 21.0, 21.1, 21.2):
+        witness.take_crash("dead", at)
+    for number, at in enumerate((24.1, 24.25, 24.3, 24.4)):
+        witness.take_arrival("q1", f"/stream/dead-{number}", "i-1", at)
+    assert not witness.breaches
+    witness.take_arrival("q1", "/stream/dead-9", "i-1", 24.5)
+    assert list_broken(witness) == {Promise.DEADLY}
+
+
 def test_what_reaches_an_upstream_that_told_the_vm_that_it_leaves_is_seen(witness: Witness) -> None:
     ask(witness, "/safe/")
     witness.take_outcome(make_outcome("/safe/", 200, {**SIGNED, "server-leaving": "1"}, b"GET /safe/x q1"))  # at 21 s
--- a/tests/soak/witness.py
+++ b/tests/soak/witness.py
@@ -16,6 +16,7 @@
     CONTACT_TIME,
     EMPTY_BOUND,
     LEAST_ENDS,
+    LEAST_ENDS_OF_PART,
     LEAVE_BOUND,
     MOST_LATE_SENDS,
     STEP_BACK_SLACK,
@@ -134,6 +135,8 @@
     outcomes: int = 0
     deadly: int = 0
     """Of these, requests that end upstreams; none of them is served."""
+    deadly_parts: dict[str, str] = field(default_factory=dict)
+    """Targets of requests with a part in their prompts that crashes engines, and the part."""
     served: int = 0
     words: OwnWords = field(default_factory=OwnWords)
     limits: NamedLimits = field(default_factory=NamedLimits)
@@ -186,13 +189,18 @@
         if beyond is not None:
             self.break_promise(Promise.LIMITED, now, beyond)
 
+    def _is_deadly(self, target: str) -> bool:
+        return target in self.ledger.crash_inducing or target in self.deadly_parts
+
     def _check_deadly(self, asked: Asked, request: str, target: str, now: float) -> None:
-        ends = self.ends.get(target, [])
-        if len(ends) < LEAST_ENDS or now < ends[LEAST_ENDS - 1] + CONTACT_TIME:
+        cause = self.deadly_parts.get(target, target)
+        least = LEAST_ENDS if cause == target else LEAST_ENDS_OF_PART
+        ends = self.ends.get(cause, [])
+        if len(ends) < least or now < ends[least - 1] + CONTACT_TIME:
             return
         if self.is_in_touch(asked.vm, now):
-            self.late_sends[target] += 1
-            if self.late_sends[target] > MOST_LATE_SENDS:
+            self.late_sends[cause] += 1
+            if self.late_sends[cause] > MOST_LATE_SENDS:
                 self.break_promise(Promise.DEADLY, now, f"{request} for {target}, which ended {len(ends)} upstreams")
 
     def _check_cold(self, upstream: UpstreamFacts, instance: str, now: float) -> None:
@@ -242,7 +250,7 @@
     def take_outcome(self, outcome: Outcome) -> None:
         """Check what a caller got."""
         self.outcomes += 1
-        self.deadly += outcome.target in self.ledger.crash_inducing
+        self.deadly += self._is_deadly(outcome.target)
         terms = self.find_terms(outcome.route)
         self._check_runs(outcome.request, terms, outcome.ended_at)
         signature = outcome.headers.get("response-signature")
@@ -258,11 +266,7 @@
                 self.break_promise(
                     Promise.NOT_RUN, outcome.ended_at, f"{outcome.request} ran, and got {outcome.status}"
                 )
-        if (
-            outcome.status == 503
-            and QUARANTINE_REASON.encode() in outcome.body
-            and outcome.target not in self.ledger.crash_inducing
-        ):
+        if outcome.status == 503 and QUARANTINE_REASON.encode() in outcome.body and not self._is_deadly(outcome.target):
             self.break_promise(Promise.INNOCENT, outcome.ended_at, f"{outcome.request} for {outcome.target} was held")
         if outcome.status == 200:
             self._check_success(outcome, terms, signature)
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -186,7 +186,8 @@
         self.store.put("op/config", document)
 
     def _take_crash(self, name: str) -> None:
-        self.witness.take_crash(self.ledger.crashes[-1].target, self.now())
+        crash = self.ledger.crashes[-1]
+        self.witness.take_crash(crash.part or crash.target, self.now())
         self.on_crash(name)
 
     def _take_arrival(self, arrival: Arrival) -> None:
@@ -285,12 +286,15 @@
         self.clock.call_later(PATIENCE, self._leave, connection, outcome)
         self._go_on(vm, connection, outcome)
 
-    def ask_once(self, route: str, target: str) -> None:
-        """Send one request to any VM, on a connection of its own."""
+    def ask_once(self, route: str, target: str, part: str = "") -> None:
+        """Send one request to any VM, on a connection of its own.
+
+        :param part: another part of its prompt
+        """
         vm = self._choose_vm()
         self.asked_count += 1
         outcome = Outcome(f"once-{self.asked_count}", route, target, vm.name, vm.life, self.now())
-        self._ask_alone(vm, outcome, [])
+        self._ask_alone(vm, outcome, [], f"{part}:100," if part else "")
 
     def _resume_stream(self, broken: Outcome) -> None:
         """Have a caller resume its stream at any VM, behind the last event that it has."""
@@ -304,10 +308,10 @@
         outcome.last_event = broken.events[-1]
         self._ask_alone(vm, outcome, [("Resumes", outcome.began_as), ("Last-Event-Id", str(outcome.last_event))])
 
-    def _ask_alone(self, vm: VmProcess, outcome: Outcome, extra: list[tuple[str, str]]) -> None:
+    def _ask_alone(self, vm: VmProcess, outcome: Outcome, extra: list[tuple[str, str]], parts: str = "") -> None:
         """Send a request on a connection of its own."""
         self.witness.asked[outcome.request] = Asked(outcome.route, vm.name, vm.life, outcome.sent_at)
-        prompt = f"aa:200,{self.asked_count:x}:3800"
+        prompt = f"aa:200,{parts}{self.asked_count:x}:3800"
         headers = [("Token-Count", f"4000,{STREAM_EVENTS}"), ("Prompt-Prefix", prompt), *extra]
 
         def ask(connection: CallerConnection) -> None:
