--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -53,6 +53,12 @@
     return b"".join(b"id: %d\ndata: q1-%d\n\n" % (number, number) for number in numbers)
 
 
+def test_requests_are_served_while_most_new_connections_go_to_one_vm(tmp_path: Path) -> None:
+    command = [sys.executable, "-m", "tests.soak.skew", "--vms", "3", "--rate", "30", "--factor", "1.5"]
+    done = subprocess.run([*command, "--logs", str(tmp_path)], capture_output=True, text=True, timeout=110)
+    assert done.returncode == 0, done.stdout + done.stderr
+
+
 def test_a_run_keeps_all_promises(tmp_path: Path) -> None:
     command = [sys.executable, "-m", "tests.soak", "--seed", "7", "--seconds", "6", "--vms", "3"]
     done = subprocess.run([*command, "--logs", str(tmp_path)], capture_output=True, text=True, timeout=110)
