Test that a part that succeeds is released on all VMs and in the store

One success behind the last crash releases it on the other VMs, the store's key is deleted by a VM that saw a crash, and nothing more is told afterwards.

--- a/tests/platform/test_deadly_part.py
+++ b/tests/platform/test_deadly_part.py
@@ -6,8 +6,11 @@
 
 import pytest
 
+from beamhatch.relay.model import Fingerprint, ServiceName
+from beamhatch.relay.quarantine.digests import RequestDigests, split_combination
 from tests.support.configuration_fleet import CONTACT_S
 from tests.support.part_fleet import MAX_MORE_SENDS, MIN_BEGUN_SHARE, Deadly, PartFleet
+from tests.support.platform import MODEL
 
 QUIET_S = 4.0
 """Seconds of sound requests only, before the first deadly one."""
@@ -165,6 +168,36 @@
     assert fleet.count_held(fleet.platform.ledger.crashes[-1].at + 2 * CONTACT_S) == 0
 
 
+def count_gossip_bytes(fleet: PartFleet) -> int:
+    """Return the bytes that VMs sent each other on quarantines."""
+    counts = [vm.tally.counts for vm in fleet.platform.vms.values()]
+    return sum(
+        size for one in counts for (name, kind), size in one.items() if name == "peer_bytes_total" and "quaran" in kind
+    )
+
+
+def test_a_part_that_succeeds_is_released_on_all_vms_and_in_the_store() -> None:
+    fleet = PartFleet()
+    fleet.run(QUIET_S)
+    fleet.run(8.0, Deadly())
+    (held,) = {one for vm in fleet.platform.vms.values() for one in vm.core.quarantine.list_attributed()}
+    keys = "beamhatch/quarantine/"
+    assert fleet.platform.store.get_newest_revision(f"{keys}{held.hex()}")
+    core = fleet.platform.vms["vm1"].core
+    digests = RequestDigests(Fingerprint(b"request."), Fingerprint(b"service."), tuple(split_combination(held)))
+    upstream = core.listing.list_usable(ServiceName(MODEL), fleet.now)[0]
+    core.quarantine_gossip.record_parts_success(upstream, digests, fleet.now)
+    fleet.platform.network.run(2.0)
+    assert not any(vm.core.quarantine.count(fleet.now) for vm in fleet.platform.vms.values())
+    assert not fleet.platform.store.get_newest_revision(f"{keys}{held.hex()}")
+    before = count_gossip_bytes(fleet)
+    assert before > 0
+    fleet.platform.ledger.crash_inducing_parts.clear()
+    fleet.run(8.0, Deadly())
+    assert count_gossip_bytes(fleet) == before
+    assert fleet.deadly[-6][1].status == 200
+
+
 # --- sound requests ---------------------------------------------------------------------------------------------------
 
 
