--- a/src/beamhatch/relay/quarantine/ends.py
+++ b/src/beamhatch/relay/quarantine/ends.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from beamhatch.relay.model import Fingerprint, UpstreamId
+from beamhatch.relay.quarantine.crash_index import CrashIndex
 from beamhatch.relay.quarantine.digests import split_combination
 
 if TYPE_CHECKING:
@@ -45,7 +46,7 @@
 """
 
 
-MAX_CRASH_PARTS = 1024
+MAX_CRASH_PARTS = 512
 """Maximum number of prompt parts kept per crash, over all its runs."""
 
 
@@ -145,9 +146,15 @@
         """Return the runs whose prompt has parts, with the prompt."""
         return [(run, run.prompt) for run in self.runs.values() if run.prompt is not None]
 
-    def list_prompts(self) -> list[Prompt]:
-        """Return the prompts of the runs."""
-        return [run.prompt for run in self.runs.values() if run.prompt is not None]
+    def list_parts_of(self, request: Fingerprint) -> tuple[Fingerprint, ...]:
+        """Return the service and the parts of a request's run, none without a prompt."""
+        run = self.runs.get(request)
+        return () if run is None or run.prompt is None else (run.prompt.service, *run.prompt.parts)
+
+    @property
+    def is_needed(self) -> bool:
+        """Return whether any run is known."""
+        return bool(self.run_durations or self.runs)
 
     def has_run_with(self, members: Sequence[Fingerprint]) -> bool:
         """Return whether one of the runs has all of these digests."""
@@ -162,6 +169,7 @@
 class UpstreamCrashes:
     """The known crashes, oldest first."""
 
+    index: CrashIndex = field(default_factory=CrashIndex)
     _crashes: list[UpstreamCrash] = field(default_factory=list)
 
     def __iter__(self) -> Iterator[UpstreamCrash]:
@@ -180,6 +188,8 @@
         crash = self._get_or_add(UpstreamId(update.upstream), at)
         crash.version = crash.version or update.version
         added = [run for run in update.runs if crash.add(run)]
+        for run in added:
+            self.index.add(crash, crash.list_parts_of(run.fingerprint))
         return CrashUpdate(update.upstream, update.age, added, update.version) if added else None
 
     def forget(self, fingerprint: Fingerprint, until: float) -> bool:
@@ -187,24 +197,36 @@
         found = False
         for crash in self._crashes:
             if crash.at <= until:
-                crash.runs.pop(fingerprint, None)
+                self._forget_run(crash, fingerprint)
                 found = crash.run_durations.pop(fingerprint, None) is not None or found
         return found
 
+    def _forget_run(self, crash: UpstreamCrash, fingerprint: Fingerprint) -> None:
+        parts = set(crash.list_parts_of(fingerprint))
+        crash.runs.pop(fingerprint, None)
+        self.index.discard(crash, parts.difference(*(crash.list_parts_of(other) for other in crash.runs)))
+
     def count(self, fingerprint: Fingerprint) -> int:
         """Return the number of crashes that a request was part of."""
         return sum(fingerprint in crash.run_durations for crash in self._crashes)
 
     def list_with(self, fingerprint: Fingerprint) -> list[UpstreamCrash]:
         """Return the crashes that a request, or a run with all digests of a combination, was part of."""
-        members = split_combination(fingerprint)
-        return [crash for crash in self._crashes if fingerprint in crash.run_durations or crash.has_run_with(members)]
+        own = [crash for crash in self._crashes if fingerprint in crash.run_durations]
+        return own or self.index.list_with(split_combination(fingerprint))
 
     def remove_expired(self, now: float) -> None:
         """Remove crashes older than ``RETENTION_S`` and those without runs."""
-        self._crashes = [
-            crash for crash in self._crashes if now - crash.at <= RETENTION_S and (crash.run_durations or crash.runs)
-        ]
+        self._keep([crash for crash in self._crashes if now - crash.at <= RETENTION_S and crash.is_needed])
+
+    def _keep(self, kept: list[UpstreamCrash]) -> None:
+        """Drop all other crashes."""
+        if len(kept) < len(self._crashes):
+            ids = {id(crash) for crash in kept}
+            for crash in self._crashes:
+                if id(crash) not in ids:
+                    self.index.discard(crash, {part for one in crash.runs for part in crash.list_parts_of(one)})
+            self._crashes = kept
 
     def _get_or_add(self, upstream: UpstreamId, at: float) -> UpstreamCrash:
         for crash in reversed(self._crashes):
@@ -213,5 +235,5 @@
         crash = UpstreamCrash(upstream, at)
         self._crashes.append(crash)
         self._crashes.sort(key=lambda one: one.at)
-        del self._crashes[:-MAX_CRASHES]
+        self._keep(self._crashes[-MAX_CRASHES:])
         return crash
--- a/src/beamhatch/relay/quarantine/part_attribution.py
+++ b/src/beamhatch/relay/quarantine/part_attribution.py
@@ -18,6 +18,7 @@
     from collections.abc import Sequence
 
     from beamhatch.relay.model import Fingerprint
+    from beamhatch.relay.quarantine.crash_index import CrashIndex
     from beamhatch.relay.quarantine.ends import BrokenRun, Prompt, UpstreamCrash
     from beamhatch.relay.quarantine.part_successes import PartSuccesses
 
@@ -37,6 +38,9 @@
 LONGER_RUN_FACTOR = 2.0
 """Factor by which a run without a part must last longer than all runs with it to suggest that the part is the cause."""
 
+MAX_COMPARED_CRASHES = 32
+"""Maximum number of crashes whose runs are compared."""
+
 
 @dataclass(frozen=True, slots=True)
 class PartCause:
@@ -89,13 +93,16 @@
 class PartAttribution:
     """Attribution by a greedy set cover of the crashes, with unproven parts before others."""
 
-    def __init__(self, successes: PartSuccesses) -> None:
+    def __init__(self, successes: PartSuccesses, index: CrashIndex) -> None:
         self._successes = successes
+        self._index = index
 
     def find_causes(self, crashes: Sequence[UpstreamCrash], now: float) -> PartCauses:
         """Return the combinations of parts that caused the crashes, which must be ordered by time."""
         result = PartCauses()
         suspects = self._list_suspects(crashes)
+        if not suspects:
+            return result
         moments = number_moments(crashes)
         unproven = [one for one in suspects if self._is_unproven(one)]
         ready = [
@@ -116,26 +123,30 @@
             if not any(self._successes.has_since(part, crash.version, crash.at) for part in parts)
         }
 
-    def list_suspicious(self, crashes: Sequence[UpstreamCrash]) -> set[Fingerprint]:
+    def list_suspicious(self) -> set[Fingerprint]:
         """Return the parts and services whose next success is news to peers."""
-        counts: defaultdict[Fingerprint, set[int]] = defaultdict(set)
-        for index, crash in enumerate(crashes):
-            for prompt in crash.list_prompts():
-                for part in (prompt.service, *prompt.parts):
-                    if not self._successes.has_since(part, crash.version, crash.at):
-                        counts[part].add(index)
-        return {part for part, indices in counts.items() if len(indices) >= MIN_UNEXPLAINED_CRASHES}
+        return {
+            part for part in self._index.repeated if len(self._list_unrefuted_crashes(part)) >= MIN_UNEXPLAINED_CRASHES
+        }
+
+    def _list_unrefuted_crashes(self, part: Fingerprint) -> list[UpstreamCrash]:
+        return [
+            crash for crash in self._index.get(part) if not self._successes.has_since(part, crash.version, crash.at)
+        ]
 
     def _list_suspects(self, crashes: Sequence[UpstreamCrash]) -> list[_Suspect]:
         """Return the parts with enough crashes that no success refutes, over enough requests."""
-        suspects: dict[Fingerprint, _Suspect] = {}
-        for index, crash in enumerate(crashes):
+        suspects = {
+            part: _Suspect(part)
+            for part in self._index.repeated
+            if len(self._list_unrefuted_crashes(part)) >= MIN_CRASHES
+        }
+        for index, crash in enumerate(crashes) if suspects else ():
             for run, prompt in crash.list_runs_with_prompt():
                 for part in prompt.parts:
-                    if not self._successes.has_since(part, crash.version, crash.at):
-                        suspects.setdefault(part, _Suspect(part)).runs.append((index, run, prompt))
-        enough = (one for one in suspects.values() if len(one.runs) >= MIN_CRASHES and len(one.crashes) >= MIN_CRASHES)
-        return [one for one in enough if not one.is_due_to_one_request]
+                    if part in suspects and not self._successes.has_since(part, crash.version, crash.at):
+                        suspects[part].runs.append((index, run, prompt))
+        return [one for one in suspects.values() if one.runs and not one.is_due_to_one_request]
 
     def _is_unproven(self, suspect: _Suspect) -> bool:
         """Return whether a part is known to be without a success at a VM, and no VM is known to have had one."""
@@ -167,7 +178,9 @@
         left = {one.part: (one, one.crashes - result.explained) for one in suspects}
         while left := {part: found for part, found in left.items() if len(found[1]) >= min_unexplained}:
             # On a tie, prefer the shortest mean run: a part that crashes upstreams has short runs.
-            best, _ = min(left.values(), key=lambda found: (-len(found[1]), found[0].compute_mean_duration()))
+            best, _ = min(
+                left.values(), key=lambda found: (-len(found[1]), found[0].compute_mean_duration(), found[0].part)
+            )
             explained = best.crashes
             last_at = max(crashes[index].at for index in explained)
             cause = PartCause(len(explained), last_at)
@@ -203,13 +216,14 @@
 def _has_shorter_runs(suspect: _Suspect, crashes: Sequence[UpstreamCrash]) -> bool:
     """Return whether upstreams crash soon after any run with a part begins, and run others for longer before.
 
-    Runs that began before the first crash of the part are left out.
+    Runs that began before the first crash of the part are left out, and so are all but the newest crashes.
     """
+    first = max(0, len(crashes) - MAX_COMPARED_CRASHES)
     since = min(crashes[index].at for index in suspect.crashes)
     longest_ms = 0
     with_part: set[int] = set()
     others: list[tuple[int, int]] = []
-    for index, crash in enumerate(crashes):
+    for index, crash in enumerate(crashes[first:]):
         for run, prompt in crash.list_runs_with_prompt():
             if crash.at - run.duration_ms / 1000 <= since:
                 continue
--- a/src/beamhatch/relay/quarantine/quarantine.py
+++ b/src/beamhatch/relay/quarantine/quarantine.py
@@ -166,7 +166,7 @@
         self.crashes.remove_expired(now)
         before = self._attributed
         crashes = list(self.crashes)
-        parts = PartAttribution(self.part_successes)
+        parts = PartAttribution(self.part_successes, self.crashes.index)
         found = parts.find_causes(crashes, now)
         requests = self.attribution.find_causes(crashes, found.explained)
         self._attributed = {
@@ -177,7 +177,9 @@
             last_at = max(crash.at for crash in crashes if one in crash.run_durations)
             self._attributed[one] = QuarantineEntry(one, self._compute_expiry(last_at, count), count)
         self._overruled = {
-            one for one in self._stored if one not in self._attributed and _is_overruled(one, crashes, found, parts)
+            one
+            for one in self._stored
+            if one not in self._attributed and self._is_overruled(one, crashes, found, parts)
         }
         return {
             one: entry.crash_count
@@ -201,11 +203,7 @@
     def record_part_success(self, part: Fingerprint, version: str, began_at: float) -> bool:
         """Record a success of a part or service; return whether it refutes crashes, or is the first one known."""
         successes = self.part_successes
-        related = [
-            crash
-            for crash in self.crashes
-            if crash.version == version and any(part in (one.service, *one.parts) for one in crash.list_prompts())
-        ]
+        related = [crash for crash in self.crashes.index.get(part) if crash.version == version]
         before = sum(successes.has_since(part, version, crash.at) for crash in related)
         is_first = not successes.has_any(part)
         successes.record(part, version, began_at)
@@ -213,7 +211,7 @@
 
     def list_suspicious_parts(self) -> set[Fingerprint]:
         """Return the parts and services whose next success is news to peers."""
-        return PartAttribution(self.part_successes).list_suspicious(list(self.crashes))
+        return PartAttribution(self.part_successes, self.crashes.index).list_suspicious()
 
     def list_contradicting_successes(
         self, update: CrashUpdate, suspicious: Set[Fingerprint], now: float
@@ -224,8 +222,8 @@
 
     def list_part_successes(self, max_count: int, now: float) -> list[PartSuccessUpdate]:
         """Return the successes of the parts and services that known crashes name, those of the newest crashes first."""
-        prompts = [prompt for crash in reversed(list(self.crashes)) for prompt in crash.list_prompts()]
-        parts = dict.fromkeys(part for prompt in prompts for part in (prompt.service, *prompt.parts))
+        newest = reversed(list(self.crashes))
+        parts = dict.fromkeys(part for crash in newest for run in crash.runs for part in crash.list_parts_of(run))
         return self.part_successes.list_updates(parts, now)[:max_count]
 
     def is_attributed(self, fingerprint: Fingerprint) -> bool:
@@ -236,6 +234,17 @@
         """Return the fingerprints that crashes known to this VM are attributed to."""
         return list(self._attributed)
 
+    def _is_overruled(
+        self, fingerprint: Fingerprint, crashes: Sequence[UpstreamCrash], found: PartCauses, parts: PartAttribution
+    ) -> bool:
+        """Return whether enough crashes with a fingerprint are known to judge it, and too few speak against it."""
+        members = split_combination(fingerprint)
+        with_it = {id(crash) for crash in self.crashes.index.list_with(members)}
+        if len(with_it) < MIN_CRASHES:
+            return False
+        seen = {index for index, crash in enumerate(crashes) if id(crash) in with_it}
+        return len((seen & parts.list_unrefuted(members, crashes)) - found.explained) < MIN_UNEXPLAINED_CRASHES
+
     def _compute_expiry(self, last_at: float, crash_count: int) -> float:
         duration = min(RETENTION_S, BASE_QUARANTINE_S * 2.0 ** min(8, crash_count - MIN_CRASHES))
         return last_at + duration + self.release_delay_s
@@ -325,17 +334,6 @@
         ]
 
 
-def _is_overruled(
-    fingerprint: Fingerprint, crashes: Sequence[UpstreamCrash], found: PartCauses, parts: PartAttribution
-) -> bool:
-    """Return whether enough crashes with a fingerprint are known to judge it, and too few of them speak against it."""
-    members = split_combination(fingerprint)
-    seen = {index for index, crash in enumerate(crashes) if crash.has_run_with(members)}
-    if len(seen) < MIN_CRASHES:
-        return False
-    return len((seen & parts.list_unrefuted(members, crashes)) - found.explained) < MIN_UNEXPLAINED_CRASHES
-
-
 def _put_newest(
     entries: OrderedDict[Fingerprint, float], fingerprint: Fingerprint, at: float, max_entries: int
 ) -> None:
--- a/tests/relay/quarantine/test_part_attribution.py
+++ b/tests/relay/quarantine/test_part_attribution.py
@@ -7,6 +7,7 @@
 import pytest
 
 from beamhatch.relay.model import Fingerprint, UpstreamId
+from beamhatch.relay.quarantine.crash_index import CrashIndex
 from beamhatch.relay.quarantine.digests import DIGEST_BYTES, combine
 from beamhatch.relay.quarantine.ends import BrokenRun, Prompt, UpstreamCrash
 from beamhatch.relay.quarantine.part_attribution import OBSERVATION_S, PartAttribution
@@ -35,18 +36,21 @@
 
     def __init__(self) -> None:
         self.successes = PartSuccesses()
+        self.index = CrashIndex()
         self.all: list[UpstreamCrash] = []
 
     def add(self, at: float, *runs: BrokenRun, version: str = "v1") -> None:
         crash = UpstreamCrash(UpstreamId(f"engine-{len(self.all)}"), at, version=version)
         assert all(crash.add(run) for run in runs)
         self.all.append(crash)
+        for run in runs:
+            self.index.add(crash, crash.list_parts_of(run.fingerprint))
 
     def succeed(self, part: str, at: float, version: str = "v1") -> None:
         self.successes.record(digest(part), version, at)
 
     def find(self, now: float) -> dict[Fingerprint, int]:
-        found = PartAttribution(self.successes).find_causes(self.all, now)
+        found = PartAttribution(self.successes, self.index).find_causes(self.all, now)
         return {fingerprint: cause.crash_count for fingerprint, cause in found.causes.items()}
 
 
