Give a proven part time to succeed, and keep its crashes when its request succeeds elsewhere

Each crash keeps the start of the first one behind it, so a hold doesn't depend on how long successes are remembered. A good end now excuses the request, and not the parts of its prompt.

--- a/src/beamhatch/relay/quarantine/ends.py
+++ b/src/beamhatch/relay/quarantine/ends.py
@@ -119,6 +119,8 @@
     """Software version of the upstream."""
     runs: dict[Fingerprint, BrokenRun] = field(default_factory=dict)
     """Runs whose prompt has parts, including excused ones."""
+    recovered_at: float = float("inf")
+    """Start of the first success known of the service after the crash, at its software version."""
 
     def to_update(self, now: float) -> CrashUpdate:
         """Return the update that peers are sent."""
@@ -142,6 +144,13 @@
             self.runs[run.fingerprint] = msgspec.structs.replace(run, prompt=run.prompt.limit_parts(room))
         return True
 
+    def excuse(self, request: Fingerprint) -> bool:
+        """Attribute the crash no longer to a request as a whole; return whether it was attributable to it."""
+        run = self.runs.get(request)
+        if run is not None:
+            self.runs[request] = msgspec.structs.replace(run, excused=True)
+        return self.run_durations.pop(request, None) is not None
+
     def list_runs_with_prompt(self) -> list[tuple[BrokenRun, Prompt]]:
         """Return the runs whose prompt has parts, with the prompt."""
         return [(run, run.prompt) for run in self.runs.values() if run.prompt is not None]
@@ -192,20 +201,23 @@
             self.index.add(crash, crash.list_parts_of(run.fingerprint))
         return CrashUpdate(update.upstream, update.age, added, update.version) if added else None
 
+    def record_recovery(self, service: Fingerprint, version: str, began_at: float) -> None:
+        """Record a success of a service, for the crashes before it that had none."""
+        for crash in self.index.get(service):
+            if crash.version == version and crash.at < began_at < crash.recovered_at:
+                crash.recovered_at = began_at
+
     def forget(self, fingerprint: Fingerprint, until: float) -> bool:
-        """Remove a request from all crashes up to ``until``; return whether it was part of any."""
+        """Excuse a request from all crashes up to ``until``; return whether any was attributable to it.
+
+        The crashes remain attributable to parts of its prompt: it may have succeeded at another version.
+        """
         found = False
         for crash in self._crashes:
             if crash.at <= until:
-                self._forget_run(crash, fingerprint)
-                found = crash.run_durations.pop(fingerprint, None) is not None or found
+                found = crash.excuse(fingerprint) or found
         return found
 
-    def _forget_run(self, crash: UpstreamCrash, fingerprint: Fingerprint) -> None:
-        parts = set(crash.list_parts_of(fingerprint))
-        crash.runs.pop(fingerprint, None)
-        self.index.discard(crash, parts.difference(*(crash.list_parts_of(other) for other in crash.runs)))
-
     def count(self, fingerprint: Fingerprint) -> int:
         """Return the number of crashes that a request was part of."""
         return sum(fingerprint in crash.run_durations for crash in self._crashes)
--- a/src/beamhatch/relay/quarantine/part_attribution.py
+++ b/src/beamhatch/relay/quarantine/part_attribution.py
@@ -164,11 +164,10 @@
         """
         if len(suspect.crashes) < MIN_CRASHES_OF_PROVEN or not _is_observed(suspect, crashes, now):
             return False
-        # A success of the service after a crash that no success of the part refutes was one without the part.
-        others_succeeded = any(
-            self._successes.has_since(prompt.service, crashes[index].version, crashes[index].at)
-            for index, _, prompt in suspect.runs
-        )
+        # A success of the service after a crash that no success of the part refutes was one without the part. The part
+        # has had time to succeed since.
+        latest = now - OBSERVATION_S
+        others_succeeded = any(crashes[index].recovered_at <= latest for index in suspect.crashes)
         return others_succeeded or _has_shorter_runs(suspect, crashes)
 
     def _cover(
--- a/src/beamhatch/relay/quarantine/quarantine.py
+++ b/src/beamhatch/relay/quarantine/quarantine.py
@@ -158,7 +158,11 @@
     def apply_crash(self, update: CrashUpdate, now: float) -> CrashUpdate | None:
         """Merge an update on a crash; return the part that was not known, or None."""
         at = now - update.age
-        runs = [run for run in update.runs if self._cleared.get(run.fingerprint, float("-inf")) < at]
+        runs = [
+            msgspec.structs.replace(run, excused=run.excused or self._cleared.get(run.fingerprint, float("-inf")) >= at)
+            for run in update.runs
+        ]
+        runs = [run for run in runs if not run.excused or run.prompt is not None]
         return self.crashes.apply_update(msgspec.structs.replace(update, runs=runs), now) if runs else None
 
     def attribute(self, now: float) -> Causes:
--- a/src/beamhatch/relay/quarantine/talk.py
+++ b/src/beamhatch/relay/quarantine/talk.py
@@ -162,6 +162,7 @@
         if not digests.parts:
             return
         news = []
+        self.quarantine.crashes.record_recovery(digests.service, upstream.version, began_at)
         for part in (digests.service, *digests.parts):
             if part not in self._suspicious:
                 self.quarantine.part_successes.record(part, upstream.version, began_at)
@@ -267,6 +268,7 @@
 
     def _apply_part_success(self, update: PartSuccessUpdate, source: PeerConnection) -> None:
         began_at = self._clock.now() - update.age
+        self.quarantine.crashes.record_recovery(update.part, update.version, began_at)
         if update.part not in self._suspicious:
             self.quarantine.part_successes.record(update.part, update.version, began_at)
         elif self.quarantine.record_part_success(update.part, update.version, began_at):
--- a/tests/relay/quarantine/test_quarantine.py
+++ b/tests/relay/quarantine/test_quarantine.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 
 from beamhatch.relay.model import Fingerprint
-from beamhatch.relay.quarantine.ends import (
+from beamhatch.relay.quarantine.ends import RETENTION_S, BrokenRun, CrashUpdate, Prompt
     MAX_CRASHES,
     MAX_RUNS,
     RETENTION_S,
@@ -178,3 +178,15 @@
         if name is CRASHING or number < 2:
             quarantine.apply_crash(make_update(number, name, age=now - 10.0 - number), now)
     assert quarantine.attribute(21.0) == {CRASHING: 4}
+
+
+def test_success_of_a_request_excuses_no_part_of_its_prompt() -> None:
+    quarantine = Quarantine()
+    part = Fingerprint(b"deadly__")
+    for number in range(3):
+        prompt = Prompt(Fingerprint(b"service_"), unproven=(part,))
+        run = BrokenRun(Fingerprint(b"request%d" % number), 50, prompt)
+        quarantine.apply_crash(CrashUpdate(f"u{number}", 0.0, [run], "v2"), 10.0 + number)
+        quarantine.record_success(run.fingerprint, 10.5 + number)  # at another version
+    assert set(quarantine.attribute(13.0)) == {part}
+    assert quarantine.get_entry(part, 13.0) is not None
