Do not take the death of a peer for a crash of the upstreams behind it

Runs that broke in a tunnel were reported as if their connections were direct: the peer was not named in the call, so as no direct connection was left, each counted as a crash. The peer is named now; the test of a peer that is killed failed before, and that of engines reached through a peer only still holds. Of a message of a peer, crashes are applied before successes, so those that refute them are told on.

--- a/src/beamhatch/relay/quarantine/talk.py
+++ b/src/beamhatch/relay/quarantine/talk.py
@@ -232,13 +232,13 @@
         """Apply a message of a peer."""
         for cleared in message.cleared:
             self._apply_clear(cleared, connection)
-        for success in message.parts:
-            self._apply_part_success(success, connection)
         for stored in message.holds:
             self._apply_stored_update(stored, connection)
         for crash in message.ends:
             self._apply_crash(crash, connection)
             self._detector.confirm(UpstreamId(crash.upstream), self._clock.now() - crash.age)
+        for success in message.parts:
+            self._apply_part_success(success, connection)
 
     def send_all(self, connection: PeerConnection) -> None:
         """Send a newly connected peer the known crashes and stored quarantines."""
--- a/src/beamhatch/relay/upstreams/attempt.py
+++ b/src/beamhatch/relay/upstreams/attempt.py
@@ -202,7 +202,9 @@
         """Report a run that may have ended with a crash of the upstream."""
         begun = self.head is not None
         self.core.tally.count("broken_runs_total", "begun" if begun else "unanswered")
-        self.core.quarantine_gossip.record_broken_run(self.send.upstream, self.exchange.digests, ran, answering=begun)
+        self.core.quarantine_gossip.record_broken_run(
+            self.send.upstream, self.exchange.digests, ran, answering=begun, via=self._via
+        )
 
     def handle_not_run(self) -> None:
         """Record that the upstream rejected the request, and let the exchange try another."""
--- a/tests/platform/test_deadly_part.py
+++ b/tests/platform/test_deadly_part.py
@@ -168,6 +168,19 @@
     assert fleet.count_held(fleet.platform.ledger.crashes[-1].at + 2 * CONTACT_S) == 0
 
 
+def test_a_peer_that_dies_is_no_crash_of_the_engines_that_are_reached_through_it() -> None:
+    fleet = PartFleet(3)
+    fleet.run(QUIET_S)
+    fleet.cut_from_engines(("vm0", "vm1"))
+    fleet.run(4.0)
+    assert sum(vm.tally.counts["tunnels_asked_total", "opened"] for vm in fleet.platform.vms.values())
+    before = sum(vm.tally.counts["upstream_ends_total", ""] for vm in fleet.platform.vms.values())
+    fleet.kill_vm("vm2")
+    fleet.run(1.0)
+    ends = [vm.tally.counts["upstream_ends_total", ""] for name, vm in fleet.platform.vms.items() if name != "vm2"]
+    assert sum(ends) == before
+
+
 def count_gossip_bytes(fleet: PartFleet) -> int:
     """Return the bytes that VMs sent each other on quarantines."""
     counts = [vm.tally.counts for vm in fleet.platform.vms.values()]
