--- a/review/2/case.py
+++ b/review/2/case.py
@@ -29,13 +29,16 @@
 DRAIN_S = 2.4
 """Seconds from ``draining`` to the end of an old replica: ``drain_timeout_ms`` and a little longer."""
 
-DOWN_S = 1.0
-"""Seconds for which the killed machines are away."""
+DOWN_S = 0.5
+"""Seconds after which the killed machines are started again."""
 
-PAUSE_S = 0.5
-"""Seconds after which a client tries again on a new connection, where it is told no other time."""
+PAUSE_S = 3.0
+"""Seconds after which a client tries again on a new connection, where it is told no other time.
 
-MAX_TRIES = 8
+It is the usual one of clients of event streams.
+"""
+
+MAX_TRIES = 4
 
 
 class SlowEngine(Engine):
@@ -90,8 +93,8 @@
             f"client: {ident} (Last-Event-Id {headers.get('Last-Event-Id')}) at {machine.name} got {answer.status}, "
             f"complete {answer.complete}; events so far {len(stream.versions)}"
         )
-        told = float(answer.headers.get("retry-after", PAUSE_S))
-        await asyncio.sleep(min(told, left / 3) if answer.status != 200 else 0.05)
+        told = answer.headers.get("retry-after")
+        await asyncio.sleep(PAUSE_S if told is None else min(float(told), left / 3))
 
 
 async def release(world: World) -> None:
