--- a/review/2/case.py
+++ b/review/2/case.py
@@ -152,7 +152,7 @@
     """Run the case and return its exit code."""
     world, folder = start(CASE)
     with folder:
-        return play(CASE, run(world), world)
+        return play(run(world), world)
 
 
 if __name__ == "__main__":
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -16,6 +16,7 @@
 from platform_standins import (  # noqa: E402
     ENGINE_SERVICE,
     PLAIN_SERVICE,
+    REPLICA_PORT,
     ROOT,
     ZONES,
     Answer,
@@ -44,7 +45,7 @@
     def __init__(self, world: World, number: int, phase: str) -> None:
         self.world = world
         self.phase = phase
-        self.address = f"{world.net}.2.{number}:8103"
+        self.address = f"{world.net}.2.{number}:{REPLICA_PORT}"
         self.zone = ZONES[number % len(ZONES)]
         self.ident = ""
         self._name = f"i-{number:02d}{phase[:1] or 'a'}"
@@ -180,7 +181,7 @@
     replicas: list[ReplicaProcess] = []
     with folder:
         try:
-            return play(CASE, run(world, replicas), world)
+            return play(run(world, replicas), world)
         finally:
             for replica in replicas:
                 replica.kill()
