--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,25 +1,21 @@
-"""Replicas are killed in the middle of answers that end with their connection, and callers get them as complete."""
+"""Sound replicas fall silent for a second, and a machine that is stopped as planned breaks off its streams."""
 
 from __future__ import annotations
 
 import asyncio
 import random
 import signal
-import subprocess
 import sys
 import time
+from dataclasses import dataclass, field
 from pathlib import Path
 
 CASE = Path(__file__).resolve().parent
 sys.path.insert(0, str(CASE.parent))
 
 from platform_standins import (  # noqa: E402
-    ENGINE_SERVICE,
-    PLAIN_SERVICE,
-    REPLICA_PORT,
-    ROOT,
-    ZONES,
     Answer,
+    Engine,
     Machine,
     World,
     ask,
@@ -27,164 +23,163 @@
     play,
     start,
 )
-from replica import make_body, make_event  # noqa: E402
 
-LOAD_S = 24.0
-STREAMS_PER_S = 9.0
-LETTERS_PER_S = 20.0
-UNFRAMED_SHARE = 0.5
-KILL_INTERVAL_S = 2.5
-DOWN_S = 2.0
-HEARTBEATS_S = 3.6
-"""Seconds after which the entry of a replica that says nothing goes: three heartbeats."""
+STREAMS_PER_S = 12.0
+DEADLINE_S = 14.0
+SILENCE_S = 1.3
+"""Seconds for which a sound replica falls silent: a second or so."""
 
+SILENCE_INTERVAL_S = 3.0
+"""Seconds between the silences of two replicas."""
 
-class ReplicaProcess:
-    """A replica as a process, which comes back under another id."""
+GRACE_S = 8.0
+STOPS = 3
+"""Machines that are stopped as planned, one after the other, as in a rolling restart."""
 
-    def __init__(self, world: World, number: int, phase: str) -> None:
-        self.world = world
-        self.phase = phase
-        self.address = f"{world.net}.2.{number}:{REPLICA_PORT}"
-        self.zone = ZONES[number % len(ZONES)]
-        self.ident = ""
-        self._name = f"i-{number:02d}{phase[:1] or 'a'}"
-        self._life = 0
-        self._process: subprocess.Popen[bytes] | None = None
-
-    async def start(self) -> None:
-        """Start the process, and write the replica's entry."""
-        self._life += 1
-        self.ident = f"{self._name}{self._life}"
-        log = self.world.folder / "replicas.log"
-        command = [sys.executable, str(ROOT / "review/replica.py"), self.ident, self.address, self.phase or "-"]
-        self._process = subprocess.Popen([*command, str(UNFRAMED_SHARE), str(log)])
-        host, _, port = self.address.partition(":")
-        for _ in range(200):
-            try:
-                _, writer = await asyncio.open_connection(host, int(port))
-            except OSError:
-                await asyncio.sleep(0.02)
-                continue
-            writer.close()
-            break
-        entry = {
-            "service": ENGINE_SERVICE if self.phase else PLAIN_SERVICE,
-            "address": self.address,
-            "zone": self.zone,
-            "version": "v1",
-            "capacity": 128 if self.phase else 6,
-            "state": "ready",
-            "cold_remaining_ms": 0,
-            "sequence": 1,
-        }
-        if self.phase:
-            entry |= {"phase": self.phase, "models": [{"name": "m", "version": 1, "adapters": []}]}
-        self.world.record.write(f"{self.ident}: started")
-        self.world.store.put(f"servers/{self.ident}", entry)
-
-    async def crash(self) -> None:
-        """Kill the process, and start it again after some time."""
-        self.kill()
-        old = self.ident
-        asyncio.get_running_loop().call_later(HEARTBEATS_S, self.world.store.remove, f"servers/{old}")
-        await asyncio.sleep(DOWN_S)
-        await self.start()
-
-    def kill(self) -> None:
-        """Kill the process."""
-        if self._process is not None and self._process.poll() is None:
-            self.world.record.write(f"{self.ident}: killed")
-            self._process.send_signal(signal.SIGKILL)
-            self._process.wait()
+WARM_UP_S = 14.0
+"""Seconds of load before the first stop; the first ten let a machine repeat fewer requests."""
+
+
+class SilentEngine(Engine):
+    """A sound replica whose answers stand still at times, and go on behind that."""
+
+    silent_until = 0.0
+
+    async def pause(self) -> None:
+        """Wait until the silence is over."""
+        while (left := self.silent_until - time.monotonic()) > 0:
+            await asyncio.sleep(left)
+
+
+@dataclass
+class Request:
+    """One client attempt, and how it ended."""
+
+    machine: Machine
+    sent_at: float
+    answer: Answer = field(default_factory=Answer)
+    ended_at: float = 0.0
 
 
 class Load:
-    """Requests that may not be repeated, and what their clients got."""
+    """Streams that clients ask for, all the time, of the machines that are in."""
 
     def __init__(self, world: World) -> None:
         self.world = world
-        self.asked = 0
-        self.complete = 0
-        self.truncated: list[str] = []
+        self.requests: dict[str, Request] = {}
+        self.out: set[Machine] = set()
+        """Machines that get no new connections, as they are not ready."""
+        self.over = False
         self._tasks: list[asyncio.Task[None]] = []
 
-    async def run(self, path: str, rate: float) -> None:
-        """Send requests to one route at a mean rate."""
-        end = time.monotonic() + LOAD_S
-        while time.monotonic() < end:
-            self.asked += 1
-            self._tasks.append(asyncio.create_task(self._send(path, f"{path.strip('/')[0]}{self.asked:05d}")))
-            await asyncio.sleep(random.expovariate(rate))
+    async def run(self) -> None:
+        """Send requests until the load is over."""
+        while not self.over:
+            self._tasks.append(asyncio.create_task(self._send(f"q{len(self.requests):05d}")))
+            await asyncio.sleep(random.expovariate(STREAMS_PER_S))
         await asyncio.gather(*self._tasks)
 
-    async def _send(self, path: str, ident: str) -> None:
-        events = random.randint(40, 90)
-        prompt = random.randint(2500, 7500)
-        headers = {"Request-Id": ident, "Deadline-Ms": "4000"}
-        whole = make_body(ident)
-        if path == "/meter/":
-            headers |= {"Model": "m", "Token-Count": f"{prompt},{events}", "Deadline-Ms": "14000"}
-            headers |= {"Prompt-Prefix": f"{self.asked % 2000:08x}:200,{self.asked:08x}:{prompt - 200}"}
-            whole = b"".join(make_event(ident, number) for number in range(1, events + 1))
-        machine = random.choice(self.world.machines)
-        answer = Answer()
-        await ask(machine, f"{path}x", headers, b"x" * 600, int(headers["Deadline-Ms"]) / 1000, answer)
-        looks_complete = 200 <= answer.status < 300 and answer.complete
-        text = f"client: {ident} at {machine.name} got {answer.status}, looks complete: {looks_complete}, "
-        self.world.record.write(f"{text}{len(answer.body)} of {len(whole)} bytes")
-        self.complete += looks_complete and answer.body == whole
-        if looks_complete and answer.body != whole:
-            self.truncated.append(ident)
-            self.world.record.write(f"MIXED: {ident} got {len(answer.body)} of {len(whole)} bytes as a whole answer")
-
-
-async def crash_in_turn(world: World, replicas: list[ReplicaProcess]) -> None:
-    """Kill one replica after the other."""
-    crashes = []
-    for number in range(int((LOAD_S - 2.0) / KILL_INTERVAL_S)):
-        await asyncio.sleep(KILL_INTERVAL_S)
-        crashes.append(asyncio.create_task(replicas[number % len(replicas)].crash()))
-    await asyncio.gather(*crashes)
-
-
-async def run(world: World, replicas: list[ReplicaProcess]) -> bool:
+    async def _send(self, ident: str) -> None:
+        machine = random.choice([one for one in self.world.machines if one not in self.out])
+        request = self.requests[ident] = Request(machine, time.monotonic())
+        prompt = random.randint(1500, 3500)
+        headers = {
+            "Request-Id": ident,
+            "Model": "m",
+            "Token-Count": f"{prompt},{random.randint(50, 90)}",
+            "Prompt-Prefix": f"{random.randint(0, 1999):08x}:200,{len(self.requests):08x}:{prompt - 200}",
+            "Deadline-Ms": str(int(DEADLINE_S * 1000)),
+        }
+        self.world.record.write(f"client: {ident} sent to {machine.name}")
+        answer = request.answer
+        await ask(machine, "/review/contract", headers, b"x" * 5000, DEADLINE_S + 1.0, answer)
+        request.ended_at = time.monotonic()
+        events = answer.body.count(b"\n\n") if answer.status == 200 else 0
+        self.world.record.write(f"client: {ident} got {answer.status}, complete {answer.complete}, {events} events")
+
+
+async def silence_in_turn(world: World, load: Load) -> None:
+    """Have one decode replica after the other fall silent."""
+    engines = [one for one in world.engines if isinstance(one, SilentEngine) and one.phase == "decode"]
+    number = 0
+    while not load.over:
+        engine = engines[number % len(engines)]
+        engine.silent_until = time.monotonic() + SILENCE_S
+        world.record.write(f"{engine.ident}: silent for {SILENCE_S} s")
+        number += 1
+        await asyncio.sleep(SILENCE_INTERVAL_S)
+
+
+async def stop(world: World, load: Load, machine: Machine) -> tuple[float, float]:
+    """Stop a machine as planned, and start it again; return the time of the signal and that of the end."""
+    signalled_at = time.monotonic()
+    machine.send(signal.SIGTERM)
+    assert machine.process is not None
+    while machine.process.poll() is None:
+        if time.monotonic() > signalled_at + 1.0:
+            load.out.add(machine)  # two questions without a 200
+        if time.monotonic() > signalled_at + GRACE_S:
+            machine.kill()
+        await asyncio.sleep(0.02)
+    ended_at = time.monotonic()
+    world.record.write(f"{machine.name}: ended {ended_at - signalled_at:.2f} s behind SIGTERM")
+    machine.start()
+    await world.wait_ready([machine])
+    load.out.discard(machine)
+    return signalled_at, ended_at
+
+
+def find_lost(world: World, load: Load, stops: dict[Machine, tuple[float, float]]) -> list[str]:
+    """Return the requests that were passed on to a replica, and cut by a machine around its planned stop."""
+    lost = []
+    for ident, one in load.requests.items():
+        signalled_at, _ = stops.get(one.machine, (0.0, 0.0))
+        within = signalled_at and signalled_at <= one.ended_at <= signalled_at + GRACE_S + 1.0
+        has_time = one.ended_at < one.sent_at + DEADLINE_S - 0.5
+        at_work_late = one.ended_at >= signalled_at + GRACE_S * 5 / 6
+        if within and has_time and not at_work_late and ident in world.runs and not one.answer.complete:
+            lost.append(ident)
+            world.record.write(
+                f"LOST: {ident} was cut by {one.machine.name} {one.ended_at - signalled_at:.3f} s behind its SIGTERM, "
+                f"{one.ended_at - one.sent_at:.3f} s behind its start"
+            )
+    return lost
+
+
+async def run(world: World) -> bool:
     """Play the case; return whether the rule was broken."""
-    phases = ("prefill", "prefill", "decode", "decode", "decode", "", "", "")
-    replicas += [ReplicaProcess(world, number, phase) for number, phase in enumerate(phases, 1)]
-    for replica in replicas:
-        await replica.start()
+    for phase in ("prefill", "prefill", "decode", "decode", "decode"):
+        await world.add_engine(SilentEngine, phase).start()
     world.configure()
     world.machines = [Machine(world, number) for number in (1, 2, 3)]
     await world.start_machines()
     await asyncio.sleep(3.0)
     load = Load(world)
-    work = [load.run("/meter/", STREAMS_PER_S), load.run("/letter/", LETTERS_PER_S)]
+    running = [asyncio.create_task(load.run())]
     if has_trouble():
-        work.append(crash_in_turn(world, [one for one in replicas if one.phase != "prefill"]))
-    await asyncio.gather(*work)
-    runs = (world.folder / "replicas.log").read_text().splitlines()
-    for line in runs:
-        at, _, text = line.partition(" ")
-        world.record.write(f"(at {float(at) - world.record.started_at:.3f} s) {text}")
-    streams = sum(ident.startswith("m") for ident in load.truncated)
+        running.append(asyncio.create_task(silence_in_turn(world, load)))
+    await asyncio.sleep(WARM_UP_S)
+    stops = {}
+    for machine in world.machines[:STOPS]:
+        stops[machine] = await stop(world, load, machine)
+        await asyncio.sleep(4.0)
+    load.over = True
+    await asyncio.gather(*running)
+    lost = find_lost(world, load, stops)
+    cut = [one for one in load.requests.values() if one.answer.status == 200 and not one.answer.complete]
+    complete = sum(one.answer.status == 200 and one.answer.complete for one in load.requests.values())
     world.record.note(
-        f"{load.asked} requests, {load.complete} got the replica's whole answer, {len(load.truncated)} got a part "
-        f"of it that looks complete (MIXED): {streams} streams, {len(load.truncated) - streams} plain answers"
+        f"{len(load.requests)} streams, {complete} complete, {len(cut)} cut in all, "
+        f"{len(lost)} of them by a machine around its planned stop (LOST)"
     )
-    return bool(load.truncated)
+    return bool(lost)
 
 
 def main() -> int:
     """Run the case and return its exit code."""
     world, folder = start(CASE)
-    replicas: list[ReplicaProcess] = []
     with folder:
-        try:
-            return play(run(world, replicas), world)
-        finally:
-            for replica in replicas:
-                replica.kill()
+        return play(run(world), world)
 
 
 if __name__ == "__main__":
--- a/review/platform_standins.py
+++ b/review/platform_standins.py
@@ -277,6 +277,9 @@
         body = json.dumps({"kv_handle": handle, "tokens": prompt, "version": 1}).encode()
         writer.write(make_response(200, {"Content-Type": "application/json", "Request-Id": ident}, body))
 
+    async def pause(self) -> None:
+        """Wait before the next event; a replica that falls silent does."""
+
     async def _stream(
         self,
         ident: str,
@@ -289,6 +292,7 @@
         """Make the events behind one; the work ends when its connection does."""
         number = after
         await asyncio.sleep(wait)
+        await self.pause()
         if reader.at_eof() or writer.transport.is_closing():
             raise ConnectionError
         self.world.note_run(ident, self, after)
@@ -304,6 +308,7 @@
             await writer.drain()
             if number < events:
                 await asyncio.sleep(self.event_interval_s)
+                await self.pause()
             if reader.at_eof() or writer.transport.is_closing():
                 self.world.record.write(f"{self.ident}: {ident} is cancelled behind event {number}")
                 raise ConnectionError
