Count in the review's third case only what a machine cuts before it ends

Cause: what the machine cut within grace_s and a second behind its SIGTERM counted, also where it had been started again by then. The rule may be read so, but the planned stop itself is enough.

Change: the check of review/3 ends with the process.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -130,11 +130,11 @@
 
 
 def find_lost(world: World, load: Load, stops: dict[Machine, tuple[float, float]]) -> list[str]:
-    """Return the requests that were passed on to a replica, and cut by a machine around its planned stop."""
+    """Return the requests that were passed on to a replica, and cut by a machine between its SIGTERM and its end."""
     lost = []
     for ident, one in load.requests.items():
-        signalled_at, _ = stops.get(one.machine, (0.0, 0.0))
-        within = signalled_at and signalled_at <= one.ended_at <= signalled_at + GRACE_S + 1.0
+        signalled_at, stopped_at = stops.get(one.machine, (0.0, 0.0))
+        within = signalled_at < one.ended_at <= min(stopped_at, signalled_at + GRACE_S + 1.0)
         has_time = one.ended_at < one.sent_at + DEADLINE_S - 0.5
         at_work_late = one.ended_at >= signalled_at + GRACE_S * 5 / 6
         if within and has_time and not at_work_late and ident in world.runs and not one.answer.complete:
