Measure the bytes on a VM's link and the delay of its timers

Cause: no line or metric told a full link from a full processor or from slow upstreams, so the hypotheses of the incident could not be told apart.

Change: bytes of callers' and upstreams' connections are counted in both directions, with the headers of packets estimated; a timer measures by how much it fires late; the time until upstreams accept a connection, and until the first request on a caller's connection is read, are histograms. A busy VM writes one line a second. No decision uses any of it.

--- a/src/beamhatch/relay/callers/http_server.py
+++ b/src/beamhatch/relay/callers/http_server.py
@@ -14,6 +14,7 @@
 from twisted.internet.protocol import Factory, Protocol, connectionDone
 
 from beamhatch.relay.callers.headers import decode_headers, get_header
+from beamhatch.relay.overload.meter import LinkMeter
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -151,6 +152,8 @@
         self._streaming = False
         self._head_started = False
         """True once a part of a head has been received."""
+        self._connected_at = 0.0
+        self._request_count = 0
         self._timer: Any = None
 
     @property
@@ -160,6 +163,7 @@
 
     def connectionMade(self) -> None:
         """Register the connection and start the idle timer."""
+        self._connected_at = self._server.clock.now()
         self.transport.setTcpNoDelay(True)
         self._server.connections.add(self)
         self._restart_timer(self._limits.idle_timeout)
@@ -175,6 +179,7 @@
 
     def dataReceived(self, data: bytes) -> None:
         """Parse received bytes."""
+        self._server.meter.record_received(len(data))
         if self._discarding:
             return
         try:
@@ -225,7 +230,7 @@
         self._head_at = self._server.clock.now()
         self._restart_timer(self._limits.header_timeout)
         if self._state.they_are_waiting_for_100_continue:
-            self.transport.write(self._state.send(h11.InformationalResponse(status_code=100, headers=[])) or b"")
+            self._write(self._state.send(h11.InformationalResponse(status_code=100, headers=[])) or b"")
 
     def _handle_body(self, data: bytes) -> None:
         self._received += len(data)
@@ -257,6 +262,9 @@
             self._head_at,
         )
         self._head, self._body, self._received = None, [], 0
+        if not self._request_count:
+            self._server.record_first_request(self._server.clock.now() - self._connected_at)
+        self._request_count += 1
         self._serving = True
         handler = self._server.serve(request, Responder(self))
         if self._serving:
@@ -270,7 +278,7 @@
             self._closing = True
             headers = [*headers, ("Connection", "close")]
         encoded = [(name.encode("latin-1"), value.encode("latin-1")) for name, value in headers]
-        self.transport.write(self._state.send(h11.Response(status_code=status, headers=encoded)) or b"")
+        self._write(self._state.send(h11.Response(status_code=status, headers=encoded)) or b"")
 
     def start_stream(self) -> None:
         """Register for flow control, so that the handler is paused while the caller reads too slowly."""
@@ -279,7 +287,12 @@
 
     def write_data(self, data: bytes) -> None:
         """Write body data."""
-        self.transport.write(self._state.send(h11.Data(data=data)) or b"")
+        self._write(self._state.send(h11.Data(data=data)) or b"")
+
+    def _write(self, data: bytes) -> None:
+        if data:
+            self._server.meter.record_sent(len(data))
+            self.transport.write(data)
 
     def write_unsolicited(self, status: int, headers: Headers, body: bytes) -> None:
         """Write a complete response regardless of the protocol state; for stand-ins only."""
@@ -291,7 +304,7 @@
         """Write the rest of the body, complete the response and prepare for the next request."""
         if data:
             self.write_data(data)
-        self.transport.write(self._state.send(h11.EndOfMessage()) or b"")
+        self._write(self._state.send(h11.EndOfMessage()) or b"")
         self._handler = None
         self._serving = False
         self._release_body()
@@ -363,7 +376,7 @@
                 headers.append(("Retry-After", f"{retry_after:g}"))
             self.write_head(status, headers)
             self.write_data(body)
-            self.transport.write(self._state.send(h11.EndOfMessage()) or b"")
+            self._write(self._state.send(h11.EndOfMessage()) or b"")
         self._close_gracefully()
 
     def _close_gracefully(self) -> None:
@@ -403,11 +416,15 @@
         serve: Callable[[IncomingRequest, Responder], RequestHandler | None],
         get_limits: Callable[[], CallerLimits],
         record_rejection: Callable[[int, str], None],
+        meter: LinkMeter | None = None,
     ) -> None:
         self.clock = clock
         self.serve = serve
         self.get_limits = get_limits
         self.record_rejection = record_rejection
+        self.meter = meter or LinkMeter()
+        self.record_first_request: Callable[[float], None] = lambda seconds: None
+        """Called with the seconds between a connection and its first complete request."""
         self.closing = False
         """True during shutdown: responses carry ``Connection: close``."""
         self.connections: set[CallerConnection] = set()
--- a/src/beamhatch/relay/daemon.py
+++ b/src/beamhatch/relay/daemon.py
@@ -26,6 +26,8 @@
 from beamhatch.relay.limits.talk import LimitGossip
 from beamhatch.relay.mechanism import NONE_DISABLED, DisabledMechanisms, Mechanism
 from beamhatch.relay.model import Address, CallerLimits
+from beamhatch.relay.overload.meter import LinkMeter
+from beamhatch.relay.overload.monitor import LoadMonitor
 from beamhatch.relay.quarantine.persistence import QuarantinePersistence
 from beamhatch.relay.quarantine.quarantine import MAX_RELEASE_DELAY_S
 from beamhatch.relay.topology import Topology
@@ -130,7 +132,8 @@
         reach = ReachMonitor(clock, journal, tally)
         self.tunnels = Tunnels(clock, journal, tally, settings.vm, settings.hall, settings.topology, reach)
         uses_tunnels = settings.peer_address is not None and Mechanism.TUNNELS not in settings.disabled
-        client = HttpClient(clock, self.tunnels.dialer if uses_tunnels else self.tunnels.dialer.direct)
+        meter = LinkMeter()
+        client = HttpClient(clock, self.tunnels.dialer if uses_tunnels else self.tunnels.dialer.direct, meter=meter)
         stats = UpstreamStatsRegistry()
         prefill_models = PrefillEstimators(enabled=Mechanism.LEARNED_PREFILL_RATES not in settings.disabled)
         peer_backlog = PeerBacklog()
@@ -153,7 +156,11 @@
             started_at=clock.now(),
             topology=settings.topology,
         )
-        self.callers = CallerServer(clock, self.core.serve, self.core.get_caller_limits, self.core.record_bad_request)
+        self.callers = CallerServer(
+            clock, self.core.serve, self.core.get_caller_limits, self.core.record_bad_request, meter
+        )
+        self.callers.record_first_request = lambda seconds: tally.note_latency("first_request", "", seconds)
+        self.load = LoadMonitor(clock, journal, tally, meter, settings.link_mbit_per_s, self._describe_load)
         self._gossip = self._make_gossip(documents)
         self._watchers = self._make_watchers(store)
         if self._gossip is not None:
@@ -196,6 +203,7 @@
         self._ports: list[Any] = []
         self._caller_port: Any = None
         self._stopping_since: float | None = None
+        tally.gauges["caller_connections"] = lambda: float(len(self.callers.connections))
         tally.gauges["open_requests"] = lambda: float(len(self.core.exchanges))
         tally.gauges["emptied_halls"] = lambda: float(len(self.core.eligibility.evacuations.list_evacuated()))
         tally.gauges["requests_in_emptied_halls"] = lambda: float(self.core.count_requests_in_evacuated())
@@ -222,6 +230,7 @@
         if settings.tunnel_address is not None:
             self._ports.append(self._listen(settings.tunnel_address, self.tunnels.server))
         self.core.client.start()
+        self.load.start()
         if self._gossip is not None:
             if settings.record_address is not None:
                 self.core.origins.start(self._gossip.membership, settings.record_address)
@@ -305,6 +314,10 @@
         self.journal.flush()
         self.clock.reactor.stop()
 
+    def _describe_load(self) -> dict[str, object]:
+        """Return the log fields of a busy VM."""
+        return {"connections": len(self.callers.connections), "requests": len(self.core.exchanges)}
+
     # --- servers -----------------------------------------------------------------------------------------------------
 
     def _make_gossip(self, documents: Documents) -> Gossip | None:
--- /dev/null
+++ b/src/beamhatch/relay/overload/__init__.py
@@ -0,0 +1,1 @@
+"""The load of this VM's own resources."""
--- a/src/beamhatch/relay/tunnels/api.py
+++ b/src/beamhatch/relay/tunnels/api.py
@@ -90,6 +90,10 @@
     def record_connected(self, address: Address) -> None:
         """Record an established direct connection."""
 
+    @abstractmethod
+    def record_connect_time(self, seconds: float) -> None:
+        """Record how long a direct connection took to be established."""
+
     @abstractmethod
     def record_unreachable(self, address: Address) -> None:
         """Record a direct attempt that was refused or not answered in time."""
--- a/src/beamhatch/relay/tunnels/direct.py
+++ b/src/beamhatch/relay/tunnels/direct.py
@@ -22,7 +22,9 @@
 
     noisy = False
 
-    def __init__(self, address: Address, receiver: DialReceiver, observer: DialObserver | None) -> None:
+    def __init__(self, clock: Clock, address: Address, receiver: DialReceiver, observer: DialObserver | None) -> None:
+        self._clock = clock
+        self._dialled_at = clock.now()
         self._address = address
         self._receiver = receiver
         self._observer = observer
@@ -31,6 +33,7 @@
         """Record the success, and return the receiver's protocol."""
         if self._observer is not None:
             self._observer.record_connected(self._address)
+            self._observer.record_connect_time(self._clock.now() - self._dialled_at)
         return self._receiver.build_protocol(None)
 
     def clientConnectionFailed(self, _: Any, reason: Failure) -> None:
@@ -51,5 +54,5 @@
         self, address: Address, receiver: DialReceiver, timeout: float, may_pass: HallFilter = allow_any_hall
     ) -> None:
         """Connect to an address directly."""
-        factory = _DirectFactory(address, receiver, self._observer)
+        factory = _DirectFactory(self._clock, address, receiver, self._observer)
         self._clock.reactor.connectTCP(address.host, address.port, factory, timeout=timeout)
--- a/src/beamhatch/relay/tunnels/monitor.py
+++ b/src/beamhatch/relay/tunnels/monitor.py
@@ -35,6 +35,10 @@
         """Record an established direct connection."""
         self._report(self.reachability.record_connected(address), address)
 
+    def record_connect_time(self, seconds: float) -> None:
+        """Count how long a direct connection took to be established."""
+        self._tally.note_latency("connect", "direct", seconds)
+
     def record_unreachable(self, address: Address) -> None:
         """Record a direct attempt that was refused or not answered in time."""
         self._report(self.reachability.record_unreachable(address, self.count_listed(), self._clock.now()), address)
--- a/src/beamhatch/relay/upstreams/http_client.py
+++ b/src/beamhatch/relay/upstreams/http_client.py
@@ -23,6 +23,7 @@
     wants_close,
 )
 from beamhatch.relay.model import Address
+from beamhatch.relay.overload.meter import LinkMeter
 from beamhatch.relay.tunnels.api import DialReceiver, allow_any_hall, allow_no_hall
 from beamhatch.relay.tunnels.direct import DirectDialer
 
@@ -174,7 +175,9 @@
         exchange.connection = self
         if exchange.sink is not None:
             exchange.sink.handle_sent(self.via)
-        self.transport.write(self._encode(exchange.call))
+        encoded = self._encode(exchange.call)
+        self._client.meter.record_sent(len(encoded))
+        self.transport.write(encoded)
 
     def abort(self) -> None:
         """Reset the connection."""
@@ -183,6 +186,7 @@
 
     def dataReceived(self, data: bytes) -> None:
         """Parse received bytes; reset the connection if no call is in progress."""
+        self._client.meter.record_received(len(data))
         if self._exchange is None:
             self.abort()
             return
@@ -343,8 +347,16 @@
 class HttpClient(ConnectionTracker):
     """HTTP client with a pool of connections per address."""
 
-    def __init__(self, clock: Clock, dialer: Dialer | None = None, *, connect_timeout: float = 0.5) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        dialer: Dialer | None = None,
+        *,
+        connect_timeout: float = 0.5,
+        meter: LinkMeter | None = None,
+    ) -> None:
         self._clock = clock
+        self.meter = meter or LinkMeter()
         self._dialer = dialer or DirectDialer(clock)
         self._connect_timeout = connect_timeout
         self._idle: dict[Address, list[Connection]] = {}
--- /dev/null
+++ b/tests/relay/overload/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the overload package."""
