--- a/tests/support/network.py
+++ b/tests/support/network.py
@@ -22,6 +22,9 @@
 """Seconds that a message takes."""
 
 STEP = 0.005
+PACKET_BYTES = 60
+"""Bytes of the headers of each packet on a link that has a rate."""
+
 PROBE_INTERVAL = 1.0
 """Seconds between two keep-alive probes."""
 
@@ -246,7 +249,8 @@
         self._timeout = network.callLater(timeout, self._fail, error.TimeoutError())
         self._transport: Transport | None = None
         self._over = False
-        network.callLater(network.find_delay(self.here, host), self._reach)
+        arrives_at = network.carry(self.here, host, 0)
+        network.callLater(arrives_at - network.rightNow, self._reach)
 
     def disconnect(self) -> None:
         """Give up."""
@@ -283,6 +287,9 @@
         if not far.connected:
             return
         far.protocol = server.buildProtocol(None)
+        if far.protocol is None:
+            far.abortConnection()
+            return
         far.protocol.transport = far
         far.protocol.connectionMade()
         far.resumeProducing()
@@ -321,6 +328,10 @@
         """Returns the seconds that a message takes from one host to another."""
         self.carried: Counter[tuple[str, str]] = Counter()
         """Bytes from one host to another."""
+        self._link_rates: dict[str, float] = {}
+        """Bytes per second in each direction of the hosts whose links have a rate."""
+        self._free_at: dict[tuple[str, bool], float] = {}
+        """When all that waits at a host's link has passed it, by host and whether it is sent by that host."""
         self._held: dict[str, list[tuple[Callable[..., Any], tuple[Any, ...]]]] = {}
         """What each frozen host is to do once it goes on."""
         self._hosts: dict[str, HostNetwork] = {}
@@ -467,6 +478,26 @@
         """Tell whether any of some hosts is cut off, or two of them from each other."""
         return any(host in self._cut for host in hosts) or frozenset(hosts) in self._cut_pairs
 
+    def limit_link(self, host: str, bytes_per_s: float) -> None:
+        """Give a host's link a rate in each direction, which all its connections share in the order of sending."""
+        self._link_rates[host] = bytes_per_s
+
+    def compute_queue_s(self, host: str, *, sent: bool) -> float:
+        """Return the seconds until all that waits at a host's link in one direction has passed it."""
+        return max(0.0, self._free_at.get((host, sent), 0.0) - self.rightNow)
+
+    def carry(self, sender: str, receiver: str, size: int) -> float:
+        """Return when a packet arrives that is sent now, behind what waits at the links of both hosts."""
+        left_at = self._pass_link((sender, True), size + PACKET_BYTES, self.rightNow)
+        return self._pass_link((receiver, False), size + PACKET_BYTES, left_at + self.find_delay(sender, receiver))
+
+    def _pass_link(self, key: tuple[str, bool], size: int, at: float) -> float:
+        rate = self._link_rates.get(key[0])
+        if rate is None:
+            return at
+        self._free_at[key] = max(at, self._free_at.get(key, 0.0)) + size / rate
+        return self._free_at[key]
+
     def deliver(self, sender: Transport, kind: str, value: Any) -> None:
         """Bring something to the other end of a connection."""
         if sender.silent or self.is_cut(sender.host, sender.peer_host):
@@ -475,9 +506,8 @@
         if kind == "data":
             self.carried[sender.host, sender.peer_host] += len(value)
         late = self.held_up if self._sent % 10 == 0 else 0.0
-        sender.arrives_at = max(
-            sender.arrives_at, self.rightNow + self.find_delay(sender.host, sender.peer_host) + late
-        )
+        size = len(value) if kind == "data" else 0
+        sender.arrives_at = max(sender.arrives_at, self.carry(sender.host, sender.peer_host, size) + late)
         self.callLater(sender.arrives_at - self.rightNow, sender.other.take, kind, value)
 
     def deliver_datagram(self, sender: tuple[str, int], receiver: tuple[str, int], data: bytes) -> None:
--- a/tests/support/platform.py
+++ b/tests/support/platform.py
@@ -342,10 +342,12 @@
         places: Topology | None = None,
         store: Address = STORE,
         clock: PausedClock | None = None,
+        link_mbit_per_s: float = 0.0,
     ) -> Daemon:
         """Start a VM's relay.
 
         :param clock: its own, where that may differ from the network's
+        :param link_mbit_per_s: rate of its link that it is told; 0 for none
         """
         settings = RelaySettings(
             vm=name,
@@ -363,6 +365,7 @@
             seeds=seeds or [],
             topology=places or self.places,
             disabled=without,
+            link_mbit_per_s=link_mbit_per_s,
         )
         journal = self.journals[name] = MemoryJournal(self.clock)
         documents = PlatformDocuments(journal)
