--- /dev/null
+++ b/tests/platform/test_memory_queue.py
@@ -0,0 +1,41 @@
+"""Requests that wait for decode memory on one VM."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from beamhatch.platform.standin.upstream import StandInEngine
+from tests.support.platform import Caller, Platform, make_platform
+
+PLENTY = 10_000_000
+"""More memory tokens than all requests of a test need."""
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_requests_are_not_refused_for_a_shortage_of_memory_that_is_over(seed: int) -> None:
+    random.seed(seed)  # the relay draws from the module's generator
+    platform = make_platform(prefill=4, decode=4)
+    engines = [one for one in platform.upstreams.values() if isinstance(one, StandInEngine)]
+    for engine in engines:
+        engine.kv_tokens = PLENTY
+    calls = [_send_stream(platform, f"usual-{number}", 0.19) for number in range(25)]
+    for engine in engines:
+        engine.used_tokens += PLENTY
+    for number in range(20):
+        _send_stream(platform, f"short-{number}", 0.0)
+    for engine in engines:
+        engine.used_tokens -= PLENTY
+    for number in range(10):
+        _send_stream(platform, f"soon-{number}", 0.0)
+    calls += [_send_stream(platform, f"crowd-{number}", 0.0) for number in range(100)]
+    platform.network.run(6.0)
+    assert [one.status for one in calls] == [200] * len(calls)
+
+
+def _send_stream(platform: Platform, request: str, pause_s: float) -> Caller:
+    """Send a request whose stream takes 2.4 s, and let some time pass."""
+    caller = platform.call("/stream/x", request, headers={"Token-Count": "5000,80"})
+    platform.network.run(pause_s)
+    return caller
