Refuse connections of callers that the VM's own resources do not hold

Cause: a VM accepted any number of connections and worked on all requests at once, so on a link that holds fewer all of them were late. It never compared what it had accepted with the rate of its link, which the settings name.

Why it works: expected bytes are committed to the link when a connection is accepted, learned by route. Where the usable rate is committed, the VM stops listening for moments. That costs two packets for each refused connection, nothing was read, and callers try another VM at once. A VM without a peer with room uses nearly all of its link and refuses nobody for its processor, so a surge of all callers is not taken for a crowd. Memory, descriptors and late timers are further resources of the same gate.

--- a/src/beamhatch/platform/settings.py
+++ b/src/beamhatch/platform/settings.py
@@ -10,6 +10,7 @@
 from beamhatch.relay.daemon import RelaySettings
 from beamhatch.relay.mechanism import NONE_DISABLED, DisabledMechanisms
 from beamhatch.relay.model import Address
+from beamhatch.relay.overload.protection import ResourceLimits
 from beamhatch.relay.requests.budget import RetryBudgetLimits
 from beamhatch.relay.topology import RegionName, Topology
 from beamhatch.relay.workspaces.quota import QuotaTerms
@@ -19,6 +20,10 @@
 """TCP port of the metrics endpoint; must match ``deploy/system.toml``."""
 
 METRICS_PATH = "/metrics"
+BYTES_PER_MB = 1_000_000
+FILE_DESCRIPTORS = 200
+"""Descriptors of a process that the platform keeps for files."""
+
 DEFAULT_GRACE_S = 8.0
 """Shutdown grace period if the settings define none."""
 
@@ -50,6 +55,8 @@
 
 class _Limits(msgspec.Struct):
     link_mbps: float = 0.0
+    memory_mb: int = 0
+    max_fds: int = 0
 
 
 class _Provider(msgspec.Struct):
@@ -105,7 +112,11 @@
         handover_time=bounds.lease_ms / 1000,
         drain_time=bounds.drain_timeout_ms / 1000,
         apply_time=bounds.config_apply_ms / 1000,
-        link_mbit_per_s=config.limits.link_mbps,
+        limits=ResourceLimits(
+            link_mbit_per_s=config.limits.link_mbps,
+            memory_bytes=config.limits.memory_mb * BYTES_PER_MB,
+            descriptors=max(0, config.limits.max_fds - FILE_DESCRIPTORS),
+        ),
         disabled=without,
         metrics_address=Address(config.ip, METRICS_PORT),
         metrics_path=METRICS_PATH,
--- a/src/beamhatch/relay/callers/http_server.py
+++ b/src/beamhatch/relay/callers/http_server.py
@@ -84,6 +84,23 @@
         """Resume the response: the caller reads again."""
 
 
+class ConnectionObserver:
+    """Observer of callers' connections; its methods do nothing by default."""
+
+    def handle_connected(self) -> None:
+        """Handle a new connection."""
+
+    def handle_request(self, *, is_first: bool, seconds: float) -> None:
+        """Handle a complete request.
+
+        :param is_first: whether it is the first one of its connection
+        :param seconds: time since the connection was accepted
+        """
+
+    def handle_unused(self) -> None:
+        """Handle the end of a connection that carried no complete request."""
+
+
 class Responder:
     """Writer of the response to one request."""
 
@@ -153,7 +170,8 @@
         self._head_started = False
         """True once a part of a head has been received."""
         self._connected_at = 0.0
-        self._request_count = 0
+        self.request_count = 0
+        """Number of complete requests so far."""
         self._timer: Any = None
 
     @property
@@ -171,6 +189,8 @@
     def connectionLost(self, reason: TwistedFailure = connectionDone) -> None:
         """Release the connection's resources and notify the handler."""
         self._server.connections.discard(self)
+        if not self.request_count:
+            self._server.observer.handle_unused()
         self._stop_timer()
         self._release_body()
         handler, self._handler = self._handler, None
@@ -262,9 +282,10 @@
             self._head_at,
         )
         self._head, self._body, self._received = None, [], 0
-        if not self._request_count:
-            self._server.record_first_request(self._server.clock.now() - self._connected_at)
-        self._request_count += 1
+        self._server.observer.handle_request(
+            is_first=not self.request_count, seconds=self._server.clock.now() - self._connected_at
+        )
+        self.request_count += 1
         self._serving = True
         handler = self._server.serve(request, Responder(self))
         if self._serving:
@@ -273,8 +294,8 @@
     # --- writing -----------------------------------------------------------------------------------------------------
 
     def write_head(self, status: int, headers: Headers) -> None:
-        """Write the head of a response, with ``Connection: close`` if the server or the connection is closing."""
-        if self._server.closing or self._closing:
+        """Write the head of a response, with ``Connection: close`` if the connection is to end with it."""
+        if self._server.closing or self._closing or self._server.should_close():
             self._closing = True
             headers = [*headers, ("Connection", "close")]
         encoded = [(name.encode("latin-1"), value.encode("latin-1")) for name, value in headers]
@@ -423,8 +444,9 @@
         self.get_limits = get_limits
         self.record_rejection = record_rejection
         self.meter = meter or LinkMeter()
-        self.record_first_request: Callable[[float], None] = lambda seconds: None
-        """Called with the seconds between a connection and its first complete request."""
+        self.observer = ConnectionObserver()
+        self.should_close: Callable[[], bool] = lambda: False
+        """Returns whether responses end their connections, so that callers connect again."""
         self.closing = False
         """True during shutdown: responses carry ``Connection: close``."""
         self.connections: set[CallerConnection] = set()
@@ -433,9 +455,15 @@
 
     def buildProtocol(self, _: Any) -> CallerConnection:
         """Create the protocol of a new connection."""
+        self.observer.handle_connected()
         return CallerConnection(self)
 
     def close_idle(self) -> None:
         """Close the connections that carry no request."""
         for connection in list(self.connections):
             connection.close_if_idle()
+
+    def close_idle_kept(self) -> None:
+        """Close the connections that carry no request and have carried one."""
+        for connection in [one for one in self.connections if one.request_count]:
+            connection.close_if_idle()
--- a/src/beamhatch/relay/core.py
+++ b/src/beamhatch/relay/core.py
@@ -22,6 +22,8 @@
 from beamhatch.relay.limits.returns import RetrySchedule
 from beamhatch.relay.mechanism import NONE_DISABLED, DisabledMechanisms, Mechanism
 from beamhatch.relay.model import CallerLimits, Phase, Regions, ServiceName
+from beamhatch.relay.overload.costs import RequestCosts
+from beamhatch.relay.overload.link import LinkBudget
 from beamhatch.relay.quarantine.digests import RequestDigests, compute_digests
 from beamhatch.relay.quarantine.quarantine import Quarantine
 from beamhatch.relay.quarantine.talk import QuarantineGossip, QuarantineGossipDependencies
@@ -145,6 +147,8 @@
     on_backlog_change: Callable[[], None] = lambda: None
     """Called when this VM's share of the prefill backlog of an engine has changed."""
     topology: Topology = field(default_factory=Topology)
+    costs: RequestCosts = field(default_factory=lambda: RequestCosts(LinkBudget(0.0, 0.0)))
+    """Bytes of requests on the VM's link."""
     _retry_budgets: dict[ServiceName, RetryBudget] = field(default_factory=dict)
     memory_queues: MemoryQueues = field(init=False)
     _demands: defaultdict[ServiceName, DemandEstimator] = field(default_factory=lambda: defaultdict(DemandEstimator))
--- a/src/beamhatch/relay/daemon.py
+++ b/src/beamhatch/relay/daemon.py
@@ -26,8 +26,8 @@
 from beamhatch.relay.limits.talk import LimitGossip
 from beamhatch.relay.mechanism import NONE_DISABLED, DisabledMechanisms, Mechanism
 from beamhatch.relay.model import Address, CallerLimits
-from beamhatch.relay.overload.meter import LinkMeter
-from beamhatch.relay.overload.monitor import LoadMonitor
+from beamhatch.relay.overload.peers import has_peer_with_room
+from beamhatch.relay.overload.protection import OverloadProtection, ResourceLimits
 from beamhatch.relay.quarantine.persistence import QuarantinePersistence
 from beamhatch.relay.quarantine.quarantine import MAX_RELEASE_DELAY_S
 from beamhatch.relay.topology import Topology
@@ -45,6 +45,7 @@
     from beamhatch.observe.tally import Tally
     from beamhatch.relay.api import Dialect, Documents, Store
     from beamhatch.relay.callers.http_server import IncomingRequest, Responder
+    from beamhatch.relay.overload.listener import CallerListener
     from beamhatch.relay.requests.budget import RetryBudgetLimits
     from beamhatch.relay.workspaces.quota import QuotaAllocator, QuotaLimitChange
 
@@ -104,8 +105,8 @@
     """Seconds after the end of its entry for which an upstream may still be sent requests."""
     apply_time: float = DEFAULT_APPLY_S
     """Seconds after its acknowledgement within which a configuration must be in force."""
-    link_mbit_per_s: float = 0.0
-    """Bandwidth of the VM's link; the VMs of a hall with the highest one watch the store for the others."""
+    limits: ResourceLimits = field(default_factory=ResourceLimits)
+    """Limits of the VM's resources; the VMs of a hall with the fastest links watch the store for the others."""
     disabled: DisabledMechanisms = NONE_DISABLED
     """Mechanisms that are disabled, to measure their effect."""
     metrics_address: Address | None = None
@@ -132,8 +133,11 @@
         reach = ReachMonitor(clock, journal, tally)
         self.tunnels = Tunnels(clock, journal, tally, settings.vm, settings.hall, settings.topology, reach)
         uses_tunnels = settings.peer_address is not None and Mechanism.TUNNELS not in settings.disabled
-        meter = LinkMeter()
-        client = HttpClient(clock, self.tunnels.dialer if uses_tunnels else self.tunnels.dialer.direct, meter=meter)
+        self.overload = OverloadProtection(
+            clock, journal, tally, settings.limits, refuses=Mechanism.SHEDDING not in settings.disabled
+        )
+        dialer = self.tunnels.dialer if uses_tunnels else self.tunnels.dialer.direct
+        client = HttpClient(clock, dialer, meter=self.overload.meter)
         stats = UpstreamStatsRegistry()
         prefill_models = PrefillEstimators(enabled=Mechanism.LEARNED_PREFILL_RATES not in settings.disabled)
         peer_backlog = PeerBacklog()
@@ -156,15 +160,18 @@
             started_at=clock.now(),
             topology=settings.topology,
         )
+        self.core.costs = self.overload.costs
         self.callers = CallerServer(
-            clock, self.core.serve, self.core.get_caller_limits, self.core.record_bad_request, meter
+            clock, self.core.serve, self.core.get_caller_limits, self.core.record_bad_request, self.overload.meter
         )
-        self.callers.record_first_request = lambda seconds: tally.note_latency("first_request", "", seconds)
-        self.load = LoadMonitor(clock, journal, tally, meter, settings.link_mbit_per_s, self._describe_load)
+        self.overload.count_sockets = self._count_sockets
         self._gossip = self._make_gossip(documents)
         self._watchers = self._make_watchers(store)
         if self._gossip is not None:
             self._gossip.is_store_unreachable = self._is_store_unreachable
+            self._gossip.is_shedding = self.overload.is_shedding
+            self.overload.gate.is_alone = self._is_alone
+            self.overload.on_change = self._gossip.send_heartbeats_soon
         if self._gossip is not None and uses_tunnels:
             self.tunnels.start(self.core, self._gossip.membership)
             self.tunnels.list_connections = self._gossip.list_connections
@@ -201,7 +208,7 @@
                 self.core, self.leadership, settings.vm, self._gossip.estimate_demand
             )
         self._ports: list[Any] = []
-        self._caller_port: Any = None
+        self._listener: CallerListener | None = None
         self._stopping_since: float | None = None
         tally.gauges["caller_connections"] = lambda: float(len(self.callers.connections))
         tally.gauges["open_requests"] = lambda: float(len(self.core.exchanges))
@@ -223,14 +230,13 @@
     def start(self) -> None:
         """Open the listening ports and start the background tasks."""
         settings = self.settings
-        self._caller_port = self._listen(settings.caller_address, self.callers)
+        self._listener = self.overload.start(self.callers, lambda: self._listen(settings.caller_address, self.callers))
         self._ports.append(self._listen(settings.ready_address, self._make_status_server(settings.ready_path)))
         if settings.metrics_address is not None:
             self._ports.append(self._listen(settings.metrics_address, self._make_status_server("")))
         if settings.tunnel_address is not None:
             self._ports.append(self._listen(settings.tunnel_address, self.tunnels.server))
         self.core.client.start()
-        self.load.start()
         if self._gossip is not None:
             if settings.record_address is not None:
                 self.core.origins.start(self._gossip.membership, settings.record_address)
@@ -252,7 +258,8 @@
     @property
     def caller_port(self) -> int:
         """Return the port on which callers are served."""
-        return int(self._caller_port.getHost().port)
+        assert self._listener is not None
+        return int(self._listener.port.getHost().port)
 
     def reload(self, settings: RelaySettings) -> None:
         """Apply the settings that can change at runtime: limits, quota terms, topology, seeds and grace period."""
@@ -293,9 +300,8 @@
             return
         self.core.stopping = elapsed > MAX_ACCEPT_REQUESTS_S
         if elapsed > MAX_LISTEN_S:
-            if self._caller_port is not None:
-                port, self._caller_port = self._caller_port, None
-                port.stopListening()
+            if self._listener is not None:
+                self._listener.stop()
             self.callers.close_idle()
             if not self.core.exchanges and not self.callers.connections and not self.tunnels.server.tunnels:
                 self._finish_stop(elapsed)
@@ -314,9 +320,16 @@
         self.journal.flush()
         self.clock.reactor.stop()
 
-    def _describe_load(self) -> dict[str, object]:
-        """Return the log fields of a busy VM."""
-        return {"connections": len(self.callers.connections), "requests": len(self.core.exchanges)}
+    def _count_sockets(self) -> int:
+        peers = 0 if self._gossip is None else len(self._gossip.list_connections())
+        return (
+            len(self.callers.connections) + self.core.client.open_count + 2 * len(self.tunnels.server.tunnels) + peers
+        )
+
+    def _is_alone(self) -> bool:
+        """Return whether no other VM of the hall is known to have room for callers."""
+        gossip = self._gossip
+        return gossip is None or not has_peer_with_room(gossip.list_connections(), self.settings.hall, self.clock.now())
 
     # --- servers -----------------------------------------------------------------------------------------------------
 
@@ -326,7 +339,9 @@
             return None
         tunnel_port = 0 if settings.tunnel_address is None else settings.tunnel_address.port
         record_port = 0 if settings.record_address is None else settings.record_address.port
-        own = Member(str(settings.peer_address), settings.hall, settings.link_mbit_per_s, tunnel_port, record_port)
+        own = Member(
+            str(settings.peer_address), settings.hall, settings.limits.link_mbit_per_s, tunnel_port, record_port
+        )
         return Gossip(self.core, documents, settings.vm, Membership(own, settings.seeds))
 
     def _make_usage_gossip(self) -> UsageGossip:
--- a/src/beamhatch/relay/fleet/far_words.py
+++ b/src/beamhatch/relay/fleet/far_words.py
@@ -54,6 +54,8 @@
     demands: dict[str, DemandReport] = field(default_factory=dict)
     prefill_backlog: dict[str, int] = field(default_factory=dict)
     carrying: CarryingState = field(default_factory=CarryingState)
+    sheds: bool = False
+    """Whether the peer refuses connections of callers because it is overloaded."""
 
     def apply(self, heartbeat: Heartbeat) -> None:
         """Apply the changes in a heartbeat."""
@@ -67,6 +69,7 @@
             self.prefill_backlog = heartbeat.reading
         if heartbeat.carrying is not None:
             self.carrying = heartbeat.carrying
+        self.sheds = heartbeat.sheds
         self.demands.update(heartbeat.demands)
 
 
--- a/src/beamhatch/relay/fleet/gossip.py
+++ b/src/beamhatch/relay/fleet/gossip.py
@@ -135,6 +135,8 @@
         """The newest configuration version that any peer has announced."""
         self.is_store_unreachable: Callable[[], bool] = lambda: False
         """Returns whether this VM considers the store unreachable."""
+        self.is_shedding: Callable[[], bool] = lambda: False
+        """Returns whether this VM refuses connections of callers because it is overloaded."""
         self.usage: UsageGossip | None = None
         """Exchange of quota usage; None if disabled."""
         self.departures: DepartureGossip | None = None
@@ -507,4 +509,5 @@
             self.is_store_unreachable(),
             self._is_aggregator,
             None if self.tunnels is None else self.tunnels.state,
+            self.is_shedding(),
         )
--- a/src/beamhatch/relay/fleet/gossip_message.py
+++ b/src/beamhatch/relay/fleet/gossip_message.py
@@ -117,6 +117,8 @@
     adds_up: bool | None = None
     """Whether the sender aggregates the reports of its hall."""
     carrying: CarryingState | None = None
+    sheds: bool = False
+    """Whether the sender refuses connections of callers because it is overloaded; told in its own hall only."""
 
 
 class PrefillBacklog(msgspec.Struct, tag="work", frozen=True):
--- a/src/beamhatch/relay/mechanism.py
+++ b/src/beamhatch/relay/mechanism.py
@@ -50,6 +50,8 @@
     """VMs count requests to an upstream with a rate limit together; otherwise each has an equal share of the limit."""
     TUNNELS = "tunnels"
     """VMs that lost their own links to upstreams connect to them by way of peers."""
+    SHEDDING = "shedding"
+    """Connections of callers that the VM's own resources do not hold are refused, for other VMs to take them."""
     FEW_WATCHERS = "few-watchers"
     """A few VMs of each hall watch the store for the others; otherwise each VM watches it."""
 
--- a/src/beamhatch/relay/model.py
+++ b/src/beamhatch/relay/model.py
@@ -13,6 +13,9 @@
 UpstreamId = NewType("UpstreamId", str)
 """Id of an upstream; an upstream may keep it over a restart, see ``Incarnation``."""
 
+RouteName = NewType("RouteName", str)
+"""Name of a route in the configuration."""
+
 ServiceName = NewType("ServiceName", str)
 """Name of a service, a set of interchangeable upstreams."""
 
--- a/src/beamhatch/relay/overload/meter.py
+++ b/src/beamhatch/relay/overload/meter.py
@@ -4,6 +4,8 @@
 
 from dataclasses import dataclass
 
+BYTES_PER_MBIT = 125_000
+
 MAX_SEGMENT_BYTES = 1448
 """Payload of a full TCP segment on Ethernet, with timestamps."""
 
--- a/src/beamhatch/relay/overload/monitor.py
+++ b/src/beamhatch/relay/overload/monitor.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from beamhatch.relay.overload.meter import LinkBytes, LinkMeter
+from beamhatch.relay.overload.meter import BYTES_PER_MBIT, LinkBytes, LinkMeter
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -25,8 +25,6 @@
 BUSY_DELAY_S = 0.05
 """Delay of timers from which a VM counts as busy."""
 
-BYTES_PER_MBIT = 125_000
-
 
 class LoadMonitor:
     """Timer that measures the load, and log lines while it is high."""
@@ -51,8 +49,10 @@
         self._meter = meter
         self._link_bytes_per_s = link_mbit_per_s * BYTES_PER_MBIT
         self._describe = describe
-        self.on_tick: Callable[[float, float], None] = lambda now, delay: None
-        """Called at each tick with the time, and the seconds by which the tick was late."""
+        self.on_tick: Callable[[float], None] = lambda delay: None
+        """Called at each tick with the seconds by which it was late."""
+        self.on_report: Callable[[], None] = lambda: None
+        """Called at the end of each report interval."""
         self.rate = LinkBytes()
         """Bytes per second in the last report interval."""
         self._due_at = 0.0
@@ -83,7 +83,7 @@
         delay = max(0.0, now - self._due_at)
         self._tally.note_latency("loop_delay", "", delay)
         self._max_delay_s = max(self._max_delay_s, delay)
-        self.on_tick(now, delay)
+        self.on_tick(delay)
         if now - self._reported_at >= REPORT_INTERVAL_S:
             self._report(now)
         self._schedule(now)
@@ -93,6 +93,7 @@
         self.rate = (total - self._reported_total).scale(1 / (now - self._reported_at))
         self._reported_at, self._reported_total = now, total
         delay, self._max_delay_s = self._max_delay_s, 0.0
+        self.on_report()
         if self.compute_utilization() < BUSY_LINK_SHARE and delay < BUSY_DELAY_S:
             return
         self._journal.write(
--- a/src/beamhatch/relay/requests/exchange.py
+++ b/src/beamhatch/relay/requests/exchange.py
@@ -13,7 +13,8 @@
 from beamhatch.relay.choosing.eligibility import Obstacle
 from beamhatch.relay.choosing.lack import compute_retry_delay
 from beamhatch.relay.mechanism import Mechanism
-from beamhatch.relay.model import Phase, Reservation, RouteKind, Stage
+from beamhatch.relay.model import Phase, Reservation, RouteKind, RouteName, Stage
+from beamhatch.relay.overload.costs import CHUNK_BYTES, HEAD_BYTES
 from beamhatch.relay.requests.line import Claim
 from beamhatch.relay.requests.memory_lines import QueuedRequest, QueueKey, QueueOptions
 from beamhatch.relay.requests.refusal import make_quarantine_refusal
@@ -139,6 +140,7 @@
         self._last_events_at: float | None = None
         self._max_event_gap_s = 0.0
         self._ended = False
+        self._cost = core.costs.begin(RouteName(route.name), len(incoming.body), core.clock.now())
 
     # --- steps -------------------------------------------------------------------------------------------------------
 
@@ -334,6 +336,7 @@
             attempt.permit = self.core.eligibility.acquire_permit(send.upstream, request.service.cold, now)
         self._attempt = attempt
         max_idle_s = 1e9 if request.route.idempotent or send.stage is Stage.PREFILL else MAX_IDLE_S
+        self._cost.record_call()
         attempt.start(self._make_call(send, now), max_idle_s)
 
     def _wait_for_memory(self) -> None:
@@ -445,6 +448,8 @@
         """Send a buffered upstream response to the caller."""
         self.write_log("answered", status=response.head.status, seconds=self.compute_elapsed_s())
         self._record_outcome(f"upstream_{response.head.status // 100}xx")
+        self._cost.record_response(HEAD_BYTES + len(response.body))
+        self._cost.record_answered()
         self._responder.send_response(response.head.status, strip_hop_by_hop(response.head.headers), response.body)
         self._end()
 
@@ -467,6 +472,7 @@
         if self._last_events_at is not None:
             self._max_event_gap_s = max(self._max_event_gap_s, now - self._last_events_at)
         self._last_events_at = now
+        self._cost.record_response(CHUNK_BYTES + len(data))
         self._responder.write(data)
 
     def end_stream(self) -> None:
@@ -480,6 +486,7 @@
             longest_gap=round(self._max_event_gap_s, 3),
         )
         self._record_outcome("upstream_2xx")
+        self._cost.record_answered()
         self.core.origins.discard(self.request.facts.stream_id)
         self._responder.end()
         self._end()
@@ -601,6 +608,7 @@
 
     def _end(self) -> None:
         self._ended = True
+        self._cost.end(self.core.clock.now())
         self._stop_deadline_timer()
         self._stop_cold_timer()
         self._stop_attempt()
--- a/src/beamhatch/relay/upstreams/http_client.py
+++ b/src/beamhatch/relay/upstreams/http_client.py
@@ -364,6 +364,11 @@
         self.opened_count = 0
         """Number of connection attempts so far."""
 
+    @property
+    def open_count(self) -> int:
+        """Number of established connections."""
+        return sum(map(len, self._open.values()))
+
     def start(self) -> None:
         """Start the periodic sweep of idle connections."""
         self._clock.call_later(SWEEP_INTERVAL_S, self._sweep)
--- a/tests/support/platform.py
+++ b/tests/support/platform.py
@@ -19,6 +19,7 @@
 from beamhatch.relay.daemon import Daemon, RelaySettings
 from beamhatch.relay.mechanism import NONE_DISABLED, DisabledMechanisms
 from beamhatch.relay.model import Address
+from beamhatch.relay.overload.protection import ResourceLimits
 from beamhatch.relay.requests.budget import RetryBudgetLimits
 from beamhatch.relay.topology import Topology
 from beamhatch.relay.upstreams.http_client import HttpClient
@@ -365,7 +366,7 @@
             seeds=seeds or [],
             topology=places or self.places,
             disabled=without,
-            link_mbit_per_s=link_mbit_per_s,
+            limits=ResourceLimits(link_mbit_per_s=link_mbit_per_s),
         )
         journal = self.journals[name] = MemoryJournal(self.clock)
         documents = PlatformDocuments(journal)
--- a/tests/support/skew_fleet.py
+++ b/tests/support/skew_fleet.py
@@ -8,7 +8,7 @@
 
 from twisted.internet.protocol import ClientFactory
 
-from beamhatch.relay.overload.monitor import BYTES_PER_MBIT
+from beamhatch.relay.overload.meter import BYTES_PER_MBIT
 from tests.support.platform import Caller, Platform, make_request
 
 if TYPE_CHECKING:
