Count what is relayed for peers on the link, and prefer peers that have room

What callers could see: a VM that lost its own links sends its requests through a peer whose link is full, where they are late; and a peer whose link is filled by tunnels goes on accepting callers.

What a VM takes on was not compared with its link, whichever way it came.

Change: relayed bytes count on the budget of the link as they pass, and a peer of the hall that refuses callers costs as much as one some legs away. It is still asked where there is no other: a request by a full peer is better than none.

--- a/src/beamhatch/relay/daemon.py
+++ b/src/beamhatch/relay/daemon.py
@@ -176,6 +176,7 @@
             self.tunnels.start(self.core, self._gossip.membership)
             self.tunnels.list_connections = self._gossip.list_connections
             self.tunnels.on_state_change = self._gossip.send_heartbeats_soon
+            self.tunnels.on_relayed = self.overload.record_relayed
             self._gossip.tunnels = self.tunnels
         persistence = QuarantinePersistence(self.core, store)
         self.core.quarantine.release_delay_s = random.uniform(0.0, MAX_RELEASE_DELAY_S)
--- a/src/beamhatch/relay/overload/protection.py
+++ b/src/beamhatch/relay/overload/protection.py
@@ -13,7 +13,7 @@
 from beamhatch.relay.overload.link import LinkBudget
 from beamhatch.relay.overload.listener import CallerListener
 from beamhatch.relay.overload.memory import read_resident_bytes
-from beamhatch.relay.overload.meter import BYTES_PER_MBIT, LinkMeter
+from beamhatch.relay.overload.meter import BYTES_PER_MBIT, LinkBytes, LinkMeter, estimate_wire_bytes
 from beamhatch.relay.overload.monitor import LoadMonitor
 from beamhatch.relay.overload.processor import LoopDelay
 
@@ -115,6 +115,13 @@
         """Release what was reserved for a connection that carried no request."""
         self.costs.budget.release(self._clock.now())
 
+    def record_relayed(self, size: int) -> None:
+        """Count data that this VM relays for a peer, in both directions."""
+        self.meter.record_received(size)
+        self.meter.record_sent(size)
+        wire_bytes = estimate_wire_bytes(size)
+        self.costs.budget.correct(LinkBytes(wire_bytes, wire_bytes), self._clock.now())
+
     def _should_close(self) -> bool:
         return self.gate.should_release_callers(self._clock.now())
 
--- a/src/beamhatch/relay/tunnels/proxies.py
+++ b/src/beamhatch/relay/tunnels/proxies.py
@@ -31,6 +31,10 @@
 """Tunnels that a peer carries for which another one, one leg farther, is as good."""
 
 
+OVERLOAD_COST = 4.0
+"""Cost of a peer that refuses callers for its own load; it is still preferred to one in another region."""
+
+
 @dataclass(frozen=True, slots=True)
 class Proxy:
     """A peer that may carry tunnels."""
@@ -44,6 +48,8 @@
     """Whether it told that it accepts tunnels; otherwise nothing is known."""
     out_of_reach: frozenset[str] = frozenset()
     """Addresses of upstreams that it told it does not reach, as text."""
+    is_overloaded: bool = False
+    """Whether it told that it refuses connections of callers."""
 
 
 @dataclass(slots=True)
@@ -95,4 +101,5 @@
 
     def _compute_cost(self, proxy: Proxy, hall: str) -> float:
         legs = (self.places.get_distance(self.hall, proxy.hall), self.places.get_distance(proxy.hall, hall))
-        return sum(DISTANCE_COSTS[leg] for leg in legs) + proxy.tunnels / TUNNELS_PER_LEG
+        overload = OVERLOAD_COST if proxy.is_overloaded else 0.0
+        return sum(DISTANCE_COSTS[leg] for leg in legs) + proxy.tunnels / TUNNELS_PER_LEG + overload
--- a/src/beamhatch/relay/tunnels/server.py
+++ b/src/beamhatch/relay/tunnels/server.py
@@ -65,6 +65,10 @@
     def record_result(self, request: OpenTunnel, refusal: Refusal | None) -> None:
         """Record what became of a request; of its own connection attempt, if that was made."""
 
+    @abstractmethod
+    def record_relayed(self, size: int) -> None:
+        """Record the bytes of data that was read from one side of a tunnel and written to the other."""
+
 
 class TunnelServer(Factory):
     """Server of the tunnels of one VM."""
@@ -110,6 +114,7 @@
     def dataReceived(self, data: bytes) -> None:
         """Read the request, or pass data on to the upstream."""
         if self._upstream is not None:
+            self._server.host.record_relayed(len(data))
             self._upstream.transport.write(data)
         elif self._request is not None:
             self.transport.abortConnection()  # data before the answer
@@ -181,6 +186,7 @@
 
     def forward(self, data: bytes) -> None:
         """Pass data of the upstream on to the client."""
+        self._server.host.record_relayed(len(data))
         self.transport.write(frame(data))
 
     def handle_upstream_lost(self, *, is_clean: bool) -> None:
--- a/src/beamhatch/relay/tunnels/service.py
+++ b/src/beamhatch/relay/tunnels/service.py
@@ -53,6 +53,8 @@
         """Returns the connections to peers."""
         self.on_state_change: Callable[[], None] = lambda: None
         """Called when peers should be told of a change soon."""
+        self.on_relayed: Callable[[int], None] = lambda size: None
+        """Called with the bytes of data that this VM relays for a peer."""
         self._cut_off_peers: set[str] = set()
         """Peers that told that they are cut off."""
         self._core: Core | None = None
@@ -109,7 +111,7 @@
             member = self._membership.get_member(connection.address)
             state = connection.received.carrying
             if member is not None and state.accepts and now - connection.last_received_at < MAX_STATE_AGE_S:
-                accepting[member.address] = _make_proxy(member, state)
+                accepting[member.address] = _make_proxy(member, state, sheds=connection.received.sheds)
         if accepting:
             return [one for one in accepting.values() if one.address.port]
         connected = {connection.address for connection in connections}
@@ -187,9 +189,13 @@
         elif refusal is Refusal.UNREACHABLE:
             self._reach.record_unreachable(get_address(request))
 
+    def record_relayed(self, size: int) -> None:
+        """Report the bytes of relayed data."""
+        self.on_relayed(size)
 
-def _make_proxy(member: Member, state: CarryingState | None = None) -> Proxy:
+
+def _make_proxy(member: Member, state: CarryingState | None = None, *, sheds: bool = False) -> Proxy:
     address = Address(member.address.rpartition(":")[0], member.tunnel_port)
     if state is None:
         return Proxy(address, member.hall, is_confirmed=False)
-    return Proxy(address, member.hall, state.tunnels, out_of_reach=frozenset(state.out_of_reach))
+    return Proxy(address, member.hall, state.tunnels, out_of_reach=frozenset(state.out_of_reach), is_overloaded=sheds)
--- a/tests/relay/tunnels/test_proxies.py
+++ b/tests/relay/tunnels/test_proxies.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from dataclasses import replace
 
 from beamhatch.relay.model import Address
 from beamhatch.relay.topology import RegionName, Topology
@@ -50,6 +51,12 @@
     assert draw(make_chooser(), [busy, make_proxy(2, "b")]) == {"vm2": 200}
 
 
+def test_a_peer_that_refuses_callers_for_its_load_gives_way_to_one_in_another_hall() -> None:
+    overloaded = replace(make_proxy(1), is_overloaded=True)
+    assert draw(make_chooser(), [overloaded, make_proxy(2, "b")]) == {"vm2": 200}
+    assert draw(make_chooser(), [overloaded, make_proxy(2, "c")]) == {"vm1": 200}
+
+
 def test_a_peer_that_told_that_it_accepts_comes_before_one_of_which_nothing_is_known() -> None:
     unknown = make_proxy(1, is_confirmed=False)
     assert draw(make_chooser(), [unknown, make_proxy(2, "c")]) == {"vm2": 200}
--- a/tests/relay/tunnels/test_tunnel.py
+++ b/tests/relay/tunnels/test_tunnel.py
@@ -66,6 +66,7 @@
         self.clock = clock
         self.refusal: Refusal | None = None
         self.results: list[Refusal | None] = []
+        self.relayed = 0
 
     def check(self, request: OpenTunnel, open_count: int) -> Refusal | None:
         return Refusal.FULL if open_count >= MAX_TUNNELS else self.refusal
@@ -73,6 +74,9 @@
     def record_result(self, request: OpenTunnel, refusal: Refusal | None) -> None:
         self.results.append(refusal)
 
+    def record_relayed(self, size: int) -> None:
+        self.relayed += size
+
 
 class Bench:
     """A client, a proxy and an upstream."""
@@ -109,6 +113,7 @@
         bench.network.run(0.01)
     assert upstream.received == b"".join(sent)
     assert client.received == b"".join(data[::-1] for data in sent)
+    assert bench.host.relayed == 2 * sum(len(data) for data in sent)
 
 
 def test_a_clean_end_of_the_upstream_is_told_from_a_reset() -> None:
