Release decode memory that an engine grants after the request stopped waiting

What callers saw: while calls took long on a crowded VM, engines were full of memory that was set aside for nobody, and streams of all VMs waited or were refused: on a VM with room on its link, engines refused memory 28 to 121 times a second (none before).

Cause: a reservation that is not answered within 0.12 s is given up, and its connection was closed. The engine had often granted it, and held the memory until it expired after 2 s.

The test fails without the change.

Why it works: the call is left to a receiver that releases what is granted, for as long as the grant could last. It counts as beamhatch_reservations_released_late_total.

--- a/src/beamhatch/relay/upstreams/reserve_attempt.py
+++ b/src/beamhatch/relay/upstreams/reserve_attempt.py
@@ -5,11 +5,15 @@
 from typing import TYPE_CHECKING, Any
 
 from beamhatch.relay.model import Reservation
+from beamhatch.relay.requests.release import send_release
 from beamhatch.relay.upstreams.announcements import MISDIRECTED
 from beamhatch.relay.upstreams.http_client import CallFailure, ResponseSink
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from beamhatch.relay.choosing.rests import BackoffProbe
+    from beamhatch.relay.core import Core
     from beamhatch.relay.model import Upstream
     from beamhatch.relay.requests.exchange import RelayExchange
     from beamhatch.relay.requests.request import Reserve
@@ -59,11 +63,20 @@
             self._http = http
 
     def cancel(self) -> None:
-        """Cancel the call; memory reserved meanwhile expires at the engine."""
+        """Stop waiting for the response; memory that it grants is released."""
         if not self._ended:
             self._end()
-            if self._http is not None:
-                self._http.cancel()
+            self._abandon()
+
+    def _abandon(self) -> None:
+        """Leave the call to a receiver that releases memory granted late, or cancel it if nothing was sent."""
+        http, self._http = self._http, None
+        if http is None:
+            return
+        if self.sent:
+            http.sink = AbandonedReservation(self.core, self._step, http, self._exchange.write_log)
+        else:
+            http.cancel()
 
     def pause(self) -> None:
         """Do nothing: the response is not forwarded to the caller."""
@@ -123,8 +136,7 @@
         self._exchange.replan_after(self)
 
     def _handle_timeout(self) -> None:
-        if self._http is not None:
-            self._http.cancel()
+        self._abandon()
         self.handle_failure(CallFailure.UNREACHED, "no answer in time")
 
     def _end(self) -> None:
@@ -134,3 +146,40 @@
         if self._probe is not None:
             answered = self._head is not None and self._head.status == GRANTED
             self._probe.end(self.core.clock.now(), answered=answered)
+
+
+class AbandonedReservation(ResponseSink):
+    """Receiver of the response to a reservation that nobody waits for any more."""
+
+    def __init__(self, core: Core, step: Reserve, http: HttpExchange, write_log: Callable[..., None]) -> None:
+        """Begin to wait for the response, until memory granted now would have expired."""
+        self._core = core
+        self._step = step
+        self._write_log = write_log
+        self._head: ResponseHead | None = None
+        self._body = bytearray()
+        self._timer: Any = core.clock.call_later(step.lifetime_s, http.cancel)
+
+    def handle_head(self, head: ResponseHead) -> None:
+        """Keep the head of the response."""
+        self._head = head
+
+    def handle_data(self, data: bytes) -> None:
+        """Buffer body data."""
+        self._body += data[:MAX_BODY_BYTES]
+
+    def handle_end(self) -> None:
+        """Release the memory that was granted."""
+        self._timer.cancel()
+        assert self._head is not None
+        found = self._core.dialect.read_reservation(bytes(self._body)) if self._head.status == GRANTED else None
+        if found is None:
+            return
+        upstream = self._step.upstream
+        reservation = Reservation(found, upstream, self._core.clock.now() + self._step.lifetime_s)
+        self._core.tally.count("reservations_released_late_total")
+        send_release(self._core, upstream, self._core.dialect.make_unreserve_call(reservation), self._write_log)
+
+    def handle_failure(self, failure: CallFailure, detail: str) -> None:
+        """Do nothing: memory that was granted expires at the engine."""
+        self._timer.cancel()
--- a/tests/platform/test_memory_queue.py
+++ b/tests/platform/test_memory_queue.py
@@ -39,3 +39,14 @@
     caller = platform.call("/stream/x", request, headers={"Token-Count": "5000,80"})
     platform.network.run(pause_s)
     return caller
+
+
+def test_memory_that_is_granted_too_late_is_not_held_for_nobody() -> None:
+    platform = make_platform(prefill=1, decode=1)
+    engine = platform.upstreams["decode-0"]
+    assert isinstance(engine, StandInEngine)
+    engine.reservation_delay_s = 0.3
+    _send_stream(platform, "slow", 0.4)
+    engine.reservation_delay_s = 0.0
+    platform.network.run(0.1)
+    assert not engine.reserved_tokens
