Keep calls without an id on connections of their own

Cause: reservations, releases and requests shared idle connections. A second response to a reservation carries no id and came in the place of the response to the next call, which was often a request: the relay believed that it had not run.

Evidence: a server that repeats such responses; the test fails without the change, with 503 for a request that is answered 200.

Why it works: on a connection that carries requests only, each further response names the id of another request, and is skipped. On connections of other calls a second response can at worst be taken for that of another reservation: memory is set aside that nobody uses, or is not asked for where it was free. Price: each engine keeps up to one more idle connection from a VM. Giving ids to these calls was weighed: not all upstreams give them back.

--- a/src/beamhatch/relay/upstreams/attempt.py
+++ b/src/beamhatch/relay/upstreams/attempt.py
@@ -8,7 +8,7 @@
 from beamhatch.relay.model import Stage
 from beamhatch.relay.quarantine.detection import EndVerdict
 from beamhatch.relay.upstreams.announcements import MISDIRECTED
-from beamhatch.relay.upstreams.http_client import CallFailure, ResponseSink
+from beamhatch.relay.upstreams.http_client import CallFailure, CallKind, ResponseSink
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -70,7 +70,14 @@
         if self._needs_prefill:
             self._start_prefill()
         may_pass = self.core.make_hall_filter(self.request.regions)
-        http = self.core.client.open(self.send.upstream.address, call, self, max_idle_s=max_idle_s, may_pass=may_pass)
+        http = self.core.client.open(
+            self.send.upstream.address,
+            call,
+            self,
+            max_idle_s=max_idle_s,
+            may_pass=may_pass,
+            kind=CallKind.IDENTIFIED,
+        )
         if not self._sent and not self._ended:
             self._restart_timer(self.get_timeout())
         if not self._ended:
--- a/src/beamhatch/relay/upstreams/http_client.py
+++ b/src/beamhatch/relay/upstreams/http_client.py
@@ -48,6 +48,15 @@
 TCP_USER_TIMEOUT = getattr(socket, "TCP_USER_TIMEOUT", 18)
 
 
+class CallKind(Enum):
+    """How responses to a call are told from those to other calls on the same connection."""
+
+    IDENTIFIED = "identified"
+    """Responses carry the request's ID."""
+    UNIDENTIFIED = "unidentified"
+    """Responses carry no ID."""
+
+
 class CallFailure(Enum):
     """Reason why an exchange ended without a complete response."""
 
@@ -117,9 +126,10 @@
 class HttpExchange:
     """Call in progress."""
 
-    def __init__(self, call: Call, sink: ResponseSink | None) -> None:
+    def __init__(self, call: Call, sink: ResponseSink | None, kind: CallKind = CallKind.UNIDENTIFIED) -> None:
         self.call = call
         self.sink = sink
+        self.kind = kind
         self.connection: Connection | None = None
 
     def cancel(self) -> None:
@@ -158,6 +168,8 @@
         self.idle_since = 0.0
         self.paused = False
         """True while reading is paused and the end of the connection can't be seen."""
+        self.kind: CallKind | None = None
+        """Kind of the calls that the connection carries; None before the first one."""
         self._client = client
         self._exchange: HttpExchange | None = None
         self._state = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
@@ -172,6 +184,7 @@
     def send(self, exchange: HttpExchange) -> None:
         """Write a call's request."""
         self._exchange = exchange
+        self.kind = exchange.kind
         exchange.connection = self
         if exchange.sink is not None:
             exchange.sink.handle_sent(self.via)
@@ -308,7 +321,9 @@
 
     def handle_failure(self, detail: str) -> None:
         """Send on an idle direct connection if there is one, or report that nothing was sent."""
-        connection = self._client.pop_idle_direct(self._address, self._max_idle_s) if self.is_wanted else None
+        connection = None
+        if self.is_wanted:
+            connection = self._client.pop_idle_direct(self._address, self._max_idle_s, self._exchange.kind)
         if connection is not None:
             connection.send(self._exchange)
         else:
@@ -381,14 +396,18 @@
         *,
         max_idle_s: float = 1e9,
         may_pass: HallFilter = allow_any_hall,
+        kind: CallKind = CallKind.UNIDENTIFIED,
     ) -> HttpExchange:
         """Send a call on the last used idle connection if it is recent enough, otherwise on a new one.
 
+        Connections are not shared between calls of different kinds: a second response to an unidentified call could
+        not be told from the response to the next call.
+
         :param max_idle_s: limit on the idle time; low for calls that must not be retried after a stale connection
         :param may_pass: returns whether the call may go through a peer in a hall
         """
-        exchange = HttpExchange(call, sink)
-        connection = self._pop_idle(address, max_idle_s, may_pass)
+        exchange = HttpExchange(call, sink, kind)
+        connection = self._pop_idle(address, max_idle_s, may_pass, kind)
         if connection is not None:
             connection.send(exchange)
             return exchange
@@ -459,23 +478,23 @@
             if not idle:
                 del self._idle[connection.address]
 
-    def _pop_idle(self, address: Address, max_idle_s: float, may_pass: HallFilter) -> Connection | None:
+    def _pop_idle(self, address: Address, max_idle_s: float, may_pass: HallFilter, kind: CallKind) -> Connection | None:
         max_direct_idle_s = min(max_idle_s, self._dialer.get_max_idle_s(address))
-        direct = self.pop_idle_direct(address, max_direct_idle_s)
+        direct = self.pop_idle_direct(address, max_direct_idle_s, kind)
         if direct is not None:
             return direct
-        return self._pop_newest(address, max_idle_s, lambda one: one.via is not None and may_pass(one.via.hall))
+        return self._pop_newest(address, max_idle_s, kind, lambda one: one.via is not None and may_pass(one.via.hall))
 
-    def pop_idle_direct(self, address: Address, max_idle_s: float) -> Connection | None:
+    def pop_idle_direct(self, address: Address, max_idle_s: float, kind: CallKind) -> Connection | None:
         """Return the direct connection to an address that was used last, or None if it is idle for too long."""
-        return self._pop_newest(address, max_idle_s, lambda one: one.via is None)
+        return self._pop_newest(address, max_idle_s, kind, lambda one: one.via is None)
 
     def _pop_newest(
-        self, address: Address, max_idle_s: float, concerns: Callable[[Connection], bool]
+        self, address: Address, max_idle_s: float, kind: CallKind, concerns: Callable[[Connection], bool]
     ) -> Connection | None:
         now = self._clock.now()
         idle: list[Connection] = self._idle.get(address, [])
-        newest = next((one for one in reversed(idle) if concerns(one)), None)
+        newest = next((one for one in reversed(idle) if one.kind in (None, kind) and concerns(one)), None)
         if newest is None or now >= newest.idle_until or now - newest.idle_since > max_idle_s:
             return None
         self._remove_idle(newest)
--- a/tests/relay/upstreams/test_http_client.py
+++ b/tests/relay/upstreams/test_http_client.py
@@ -9,7 +9,7 @@
 
 from beamhatch.relay.model import Address
 from beamhatch.relay.tunnels.api import Dialer, allow_any_hall
-from beamhatch.relay.upstreams.http_client import Call, CallFailure, HttpClient, ResponseHead, ResponseSink
+from beamhatch.relay.upstreams.http_client import Call, CallFailure, CallKind, HttpClient, ResponseHead, ResponseSink
 from tests.support.network import Network, PausedClock
 
 if TYPE_CHECKING:
@@ -20,6 +20,7 @@
 ADDRESS = Address("up", 1)
 WHOLE = b"HTTP/1.1 200 OK\r\nRequest-Id: q\r\nContent-Length: 2\r\n\r\nok"
 UNFRAMED = b"HTTP/1.1 200 OK\r\nRequest-Id: q\r\n\r\nok"
+REFUSED = b"HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
 FOREIGN = b"HTTP/1.1 200 OK\r\nRequest-Id: other\r\nContent-Length: 3\r\n\r\nbad"
 
 
@@ -112,6 +113,43 @@
     assert bench.server.connections == 1
 
 
+class RepeatingServer(Protocol):
+    """Server that refuses calls without ID, each a second time in the place of the next response."""
+
+    def __init__(self) -> None:
+        self._late = b""
+
+    def dataReceived(self, data: bytes) -> None:
+        late, self._late = self._late, b""
+        if b"Request-Id: q" in data:
+            self.transport.write(late + WHOLE)
+        else:
+            self.transport.write(late + REFUSED)
+            self._late = REFUSED
+
+
+class StatusSink(RecordingSink):
+    def __init__(self) -> None:
+        super().__init__()
+        self.status = 0
+
+    def handle_head(self, head: ResponseHead) -> None:
+        self.status = head.status
+
+
+def test_a_second_refusal_of_a_call_without_id_is_not_taken_for_the_response_to_a_request() -> None:
+    network = Network()
+    network.listenTCP(1, Factory.forProtocol(RepeatingServer), interface="up")
+    client = HttpClient(PausedClock(network))
+    sinks = [StatusSink() for _ in range(4)]
+    for sink, kind in zip(sinks, [CallKind.UNIDENTIFIED, CallKind.IDENTIFIED] * 2, strict=True):
+        headers = [("Host", "up"), *([("Request-Id", "q")] if kind is CallKind.IDENTIFIED else [])]
+        client.open(ADDRESS, Call("GET", "/", headers), sink, kind=kind)
+        network.run(0.05)
+    assert [sink.status for sink in sinks] == [503, 200, 503, 200]
+    assert client.opened_count == 2
+
+
 def test_max_idle_time_prevents_reuse() -> None:
     bench = ClientBench(write(WHOLE), write(WHOLE))
     bench.ask()
