Pass on header values with bytes above 127

What callers saw: 502, a closed connection or 504 at the deadline for a request with such a header, never sent.

Cause: headers are kept as text, decoded as Latin-1, and were handed to h11 as text, which it encodes as ASCII.

Why it works: they are encoded as Latin-1 again, so upstreams get the caller's bytes.

--- a/src/beamhatch/relay/callers/headers.py
+++ b/src/beamhatch/relay/callers/headers.py
@@ -33,6 +33,11 @@
     return [(name.decode("latin-1"), value.decode("latin-1")) for name, value in raw]
 
 
+def encode_headers(headers: Headers) -> list[tuple[bytes, bytes]]:
+    """Return headers as bytes; the inverse of ``decode_headers``."""
+    return [(name.encode("latin-1"), value.encode("latin-1")) for name, value in headers]
+
+
 def strip_hop_by_hop(headers: Headers, *, keep: frozenset[str] = frozenset()) -> Headers:
     """Return the headers to forward; names in ``keep`` are forwarded even if ``Connection`` lists them."""
     connection_options = {
--- a/src/beamhatch/relay/callers/http_server.py
+++ b/src/beamhatch/relay/callers/http_server.py
@@ -13,7 +13,7 @@
 import h11
 from twisted.internet.protocol import Factory, Protocol, connectionDone
 
-from beamhatch.relay.callers.headers import decode_headers, get_header
+from beamhatch.relay.callers.headers import decode_headers, encode_headers, get_header
 from beamhatch.relay.overload.meter import LinkMeter
 
 if TYPE_CHECKING:
@@ -298,8 +298,8 @@
         if self._server.closing or self._closing or self._server.should_close():
             self._closing = True
             headers = [*headers, ("Connection", "close")]
-        encoded = [(name.encode("latin-1"), value.encode("latin-1")) for name, value in headers]
-        self._write(self._state.send(h11.Response(status_code=status, headers=encoded)) or b"")
+        response = h11.Response(status_code=status, headers=encode_headers(headers))
+        self._write(self._state.send(response) or b"")
 
     def start_stream(self) -> None:
         """Register for flow control, so that the handler is paused while the caller reads too slowly."""
--- a/src/beamhatch/relay/upstreams/http_client.py
+++ b/src/beamhatch/relay/upstreams/http_client.py
@@ -19,6 +19,7 @@
 from beamhatch.relay.callers.headers import (
     DEFAULT_KEEP_ALIVE_S,
     decode_headers,
+    encode_headers,
     parse_keep_alive_timeout,
     wants_close,
 )
@@ -285,9 +286,9 @@
         exchange.report_failure(failure, detail)
 
     def _encode(self, call: Call) -> bytes:
-        headers = list(call.headers)
+        headers = encode_headers(call.headers)
         if call.body or call.method in ("POST", "PUT", "PATCH"):
-            headers.append(("Content-Length", str(len(call.body))))
+            headers.append((b"Content-Length", str(len(call.body)).encode()))
         parts = [self._state.send(h11.Request(method=call.method, target=call.target, headers=headers))]
         if call.body:
             parts.append(self._state.send(h11.Data(data=call.body)))
