Answer HEAD with errors that have no body

What callers saw: a closed connection instead of the relay's own error (404, 503, 429).

Cause: the error's body was written, which the protocol forbids in a response to HEAD; h11 raised, and the connection was closed.

Why it works: a response to HEAD keeps its Content-Length and leaves its body out. The test fails without it.

--- a/src/beamhatch/relay/callers/http_server.py
+++ b/src/beamhatch/relay/callers/http_server.py
@@ -157,6 +157,8 @@
             h11.SERVER, max_incomplete_event_size=max(MIN_HEAD_BYTES, self._limits.header_bytes)
         )
         self._head: h11.Request | None = None
+        self._omits_body = False
+        """Whether responses to the current request have no body, because its method is HEAD."""
         self._head_at = 0.0
         self._body: list[bytes] = []
         self._received = 0
@@ -237,6 +239,7 @@
         if len(head.target) + sum(len(name) + len(value) for name, value in head.headers) > self._limits.header_bytes:
             self._reject(431, f"the head has more than {self._limits.header_bytes} bytes")
             return
+        self._omits_body = head.method == b"HEAD"
         names = [name for name, _ in head.headers]
         if b"content-length" in names and b"transfer-encoding" in names:
             self._reject(400, "both a length and chunks")
@@ -307,7 +310,9 @@
         self.transport.registerProducer(self, True)
 
     def write_data(self, data: bytes) -> None:
-        """Write body data."""
+        """Write body data, unless the response has no body."""
+        if self._omits_body:
+            return
         self._write(self._state.send(h11.Data(data=data)) or b"")
 
     def _write(self, data: bytes) -> None:
--- a/tests/platform/test_answers.py
+++ b/tests/platform/test_answers.py
@@ -12,3 +12,16 @@
     caller.send(request.replace(b"CITY", "Córdoba".encode()))
     assert platform.finish(caller).status == 200
     assert platform.ledger.headers["q1"]["x-city"].encode("latin-1") == "Córdoba".encode()
+
+
+def test_an_error_answer_to_head_has_no_body() -> None:
+    platform = make_platform()
+    caller = platform.connect()
+    for number in range(2):
+        caller.received = b""
+        caller.send(make_request("/nothing/", f"q{number}").replace(b"GET", b"HEAD"))
+        platform.network.run(0.1)
+        assert caller.status == 404
+        assert "content-length" in caller.head.lower()
+        assert not caller.body
+    assert not caller.closed
