Keep a reservation that is not held at an engine until its request ends

What callers saw: a stream with 40 to 79 ms left, at engines that announce a request limit, ended in a recursion error and a closed connection.

Cause: at such engines nothing is reserved, and the request noted a reservation that ends at its deadline. Reservations are not used in their last 50 ms, so the request made the same one again, without end.

Why it works: what is not held anywhere doesn't expire; the send itself refuses requests with less than 20 ms left. The test fails without it, with 79, 60 and 40 ms.

--- a/src/beamhatch/relay/requests/exchange.py
+++ b/src/beamhatch/relay/requests/exchange.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from dataclasses import asdict, replace
 from typing import TYPE_CHECKING, Any
@@ -408,7 +409,7 @@
         """
         self.leave_queue()
         self.record_memory_acquired()
-        self.request.record_reserved(Reservation(None, step.upstream, self.deadline))
+        self.request.record_reserved(Reservation(None, step.upstream, math.inf))
         self.advance()
 
     def _make_attempt(self, send: Send) -> Attempt:
--- a/tests/platform/test_answers.py
+++ b/tests/platform/test_answers.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import pytest
+
 from tests.support.platform import make_platform, make_request
 
 
@@ -25,3 +27,14 @@
         assert "content-length" in caller.head.lower()
         assert not caller.body
     assert not caller.closed
+
+
+@pytest.mark.parametrize("left_ms", [200, 79, 60, 40])
+def test_a_stream_that_comes_near_its_deadline_is_answered_though_upstreams_announce_limits(left_ms: int) -> None:
+    platform = make_platform()
+    for upstream in platform.upstreams.values():
+        upstream.limit = "300"
+    for number in range(4):
+        assert platform.finish(platform.call("/stream/x", f"usual-{number}")).status == 200
+    caller = platform.call("/stream/x", "q", headers={"Deadline-Ms": str(left_ms)})
+    assert platform.finish(caller).status in (200, 503, 504)
