Give up a silent upstream only where another may take the stream

Cause: after 0.99 s without an event the connection was closed where the route allows another run, and only then was the budget for retries asked. When it was spent, nothing was left but to cut the stream.

Why it works: a stream leaves its upstream only if another one may take it, and the sends for that, the repeated prefill included, are counted at that moment. Otherwise it waits, and asks again after the next silence.

Evidence: the tests fail without it.

--- a/src/beamhatch/relay/requests/budget.py
+++ b/src/beamhatch/relay/requests/budget.py
@@ -41,18 +41,18 @@
         """Count a request from a caller."""
         self._requests.append(now)
 
-    def record_retry(self, now: float) -> None:
-        """Count a retry."""
-        self._retries.append(now)
+    def record_retry(self, now: float, count: int = 1) -> None:
+        """Count some retries."""
+        self._retries.extend([now] * count)
 
-    def allows(self, now: float, vm_count: int) -> bool:
-        """Return whether one more retry is allowed if ``vm_count`` VMs share the slack."""
+    def allows(self, now: float, vm_count: int, count: int = 1) -> bool:
+        """Return whether some more retries are allowed if ``vm_count`` VMs share the slack."""
         self._trim(now)
         slack = self.limits.slack / max(MIN_VMS, vm_count)
         if now - self.started_at < self.limits.window_s:
             slack *= FIRST_WINDOW_SHARE
         allowance = self.limits.ratio * len(self._requests) + slack
-        return len(self._retries) + 1 <= SAFETY_FACTOR * allowance
+        return len(self._retries) + count <= SAFETY_FACTOR * allowance
 
     def _trim(self, now: float) -> None:
         for times in (self._requests, self._retries):
--- a/src/beamhatch/relay/requests/request.py
+++ b/src/beamhatch/relay/requests/request.py
@@ -148,6 +148,8 @@
     """Decode engines found without free memory; cleared when the request waits for memory or gets it."""
     _waiting_since: float | None = None
     _prefill_failures: int = 0
+    _granted_retries: int = 0
+    """Sends that were counted as retries before they are made."""
     _unreached: int = 0
     """Number of attempts at which an upstream could not be reached."""
 
@@ -217,7 +219,8 @@
         step = self._choose(usable, chooser, now)
         if step is None:
             return self._give_up("no upstream can take it", no_upstream=True)
-        if isinstance(step, Send) and self._counts_as_retry(step.stage) and not budget.allows(now, vm_count):
+        needs_budget = isinstance(step, Send) and self._counts_as_retry(step.stage) and not self._granted_retries
+        if needs_budget and not budget.allows(now, vm_count):
             return self._give_up("the budget for repeated sends is spent")
         return step
 
@@ -367,12 +370,27 @@
             return {}
         return {"after_event": self.last_event, "begun_by": self.version}
 
+    def acquire_retries(self, budget: RetryBudget, vm_count: int, now: float) -> bool:
+        """Count the sends to another upstream as retries in advance, and return whether the budget allows them.
+
+        Requests that give up the same upstream at the same time would otherwise all rely on the rest of the budget.
+        """
+        count = 2 if self._prefill_sends else 1
+        if not budget.allows(now, vm_count, count):
+            return False
+        budget.record_retry(now, count)
+        self._granted_retries = count
+        return True
+
     # --- outcomes of sends -------------------------------------------------------------------------------------------
 
     def record_sent(self, send: Send, budget: RetryBudget, now: float) -> None:
         """Record that the request is sent to an upstream."""
         if self._counts_as_retry(send.stage):
-            budget.record_retry(now)
+            if self._granted_retries:
+                self._granted_retries -= 1
+            else:
+                budget.record_retry(now)
         self.sends += 1
         if send.reservation is not None:
             self.reservation = None
--- a/src/beamhatch/relay/upstreams/attempt.py
+++ b/src/beamhatch/relay/upstreams/attempt.py
@@ -7,6 +7,7 @@
 
 from beamhatch.relay.model import Stage
 from beamhatch.relay.quarantine.detection import EndVerdict
+from beamhatch.relay.requests.alternatives import acquire_alternative
 from beamhatch.relay.upstreams.announcements import MISDIRECTED
 from beamhatch.relay.upstreams.http_client import CallFailure, CallKind, ResponseSink
 
@@ -336,7 +337,7 @@
         else:
             self.stats.record_no_response(now)
             self.core.on_failure()
-        abandoned = self.may_abandon()
+        abandoned = self.may_abandon() and self._acquire_alternative()
         self.exchange.write_log(
             "silent",
             to=self.send.upstream.id,
@@ -346,7 +347,7 @@
         )
         self.core.tally.count("silences_total", self.send.stage.value)
         if not abandoned:
-            if self.send.stage is Stage.PREFILL:
+            if self.send.stage is Stage.PREFILL or self.may_abandon():
                 self._restart_timer(self.get_timeout())
             return
         self.cancel()
@@ -356,6 +357,19 @@
             self.request.record_unreachable(self.send)
         self.exchange.replan_after(self)
 
+    def _acquire_alternative(self) -> bool:
+        """Return whether giving up the upstream lets another one answer; if so, count that as a retry.
+
+        A request that has not run is at worst refused; one that may have run is cut or fails without an alternative.
+        """
+        if not self._sent or self.send.stage is Stage.PREFILL:
+            return True
+        core, service = self.core, self.request.service.name
+        vm_count = max(core.vm_count, core.recent_vm_count)
+        usable = core.list_usable(service, self.request.regions, self.request.version, is_retry=True)
+        budget = core.get_retry_budget(service)
+        return acquire_alternative(self.request, self.upstream, usable, budget, vm_count, core.clock.now())
+
     def _restart_timer(self, seconds: float) -> None:
         self._stop_timer()
         self._timer = self.core.clock.call_later(seconds, self._handle_timeout)
--- a/tests/platform/test_answers.py
+++ b/tests/platform/test_answers.py
@@ -4,6 +4,8 @@
 
 import pytest
 
+from beamhatch.platform.standin.upstream import StandInEngine
+from beamhatch.relay.requests.budget import RetryBudgetLimits
 from tests.support.platform import make_platform, make_request
 
 
@@ -38,3 +40,16 @@
         assert platform.finish(platform.call("/stream/x", f"usual-{number}")).status == 200
     caller = platform.call("/stream/x", "q", headers={"Deadline-Ms": str(left_ms)})
     assert platform.finish(caller).status in (200, 503, 504)
+
+
+@pytest.mark.parametrize("decode", [1, 2], ids=["alone", "budget-spent"])
+def test_a_stream_of_a_silent_upstream_is_not_cut_where_no_other_may_take_it(decode: int) -> None:
+    platform = make_platform(decode=decode)
+    platform.vms["vm1"].core.settings.retry_budget = RetryBudgetLimits(0.0, 0.0 if decode > 1 else 56.0, 10.0)
+    for upstream in platform.upstreams.values():
+        if isinstance(upstream, StandInEngine):
+            upstream.event_interval_s = 1.3
+    caller = platform.call("/resumable/x", "q", headers={"Token-Count": "5000,3"})
+    assert platform.finish(caller).status == 200
+    assert caller.events == [1, 2, 3]
+    assert platform.ledger.runs["q"] == 1
