--- a/src/beamhatch/relay/upstreams/reserve_attempt.py
+++ b/src/beamhatch/relay/upstreams/reserve_attempt.py
@@ -74,7 +74,9 @@
         if http is None:
             return
         if self.sent:
-            http.sink = AbandonedReservation(self.core, self._step, http, self._exchange.write_log)
+            http.sink = AbandonedReservation(
+                self.core, self._step, http, self._head, self._body, self._exchange.write_log
+            )
         else:
             http.cancel()
 
@@ -151,13 +153,25 @@
 class AbandonedReservation(ResponseSink):
     """Receiver of the response to a reservation that nobody waits for any more."""
 
-    def __init__(self, core: Core, step: Reserve, http: HttpExchange, write_log: Callable[..., None]) -> None:
-        """Begin to wait for the response, until memory granted now would have expired."""
+    def __init__(
+        self,
+        core: Core,
+        step: Reserve,
+        http: HttpExchange,
+        head: ResponseHead | None,
+        body: bytearray,
+        write_log: Callable[..., None],
+    ) -> None:
+        """Begin to wait for the rest of the response, until memory granted now would have expired.
+
+        :param head: the head of the response if it has arrived
+        :param body: what has arrived of the body
+        """
         self._core = core
         self._step = step
         self._write_log = write_log
-        self._head: ResponseHead | None = None
-        self._body = bytearray()
+        self._head = head
+        self._body = body
         self._timer: Any = core.clock.call_later(step.lifetime_s, http.cancel)
 
     def handle_head(self, head: ResponseHead) -> None:
--- a/tests/platform/test_memory_queue.py
+++ b/tests/platform/test_memory_queue.py
@@ -3,12 +3,16 @@
 from __future__ import annotations
 
 import random
+from typing import TYPE_CHECKING
 
 import pytest
 
 from beamhatch.platform.standin.upstream import StandInEngine
 from tests.support.platform import Caller, Platform, make_platform
 
+if TYPE_CHECKING:
+    from beamhatch.relay.callers.http_server import Responder
+
 PLENTY = 10_000_000
 """More memory tokens than all requests of a test need."""
 
@@ -50,3 +54,22 @@
     engine.reservation_delay_s = 0.0
     platform.network.run(0.1)
     assert not engine.reserved_tokens
+
+
+def test_memory_is_released_though_its_grant_arrives_in_parts_too_late(monkeypatch: pytest.MonkeyPatch) -> None:
+    platform = make_platform(prefill=1, decode=1)
+    engine = platform.upstreams["decode-0"]
+    assert isinstance(engine, StandInEngine)
+
+    def reserve(asked: dict[str, int], responder: Responder) -> None:
+        engine.reserved_tokens["h1"] = asked["tokens"]
+        responder.send_head(200, [("Content-Type", "application/json")])
+        platform.clock.call_later(0.3, responder.write, b'{"hold":"h1"}')
+        platform.clock.call_later(0.3, responder.end)
+
+    monkeypatch.setattr(engine, "_reserve", reserve)
+    _send_stream(platform, "slow", 0.2)
+    assert engine.reserved_tokens
+    monkeypatch.undo()
+    platform.network.run(0.2)
+    assert not engine.reserved_tokens
