Keep the callers' socket closed until the old one is gone

A fault of: the socket could be opened again within the same turn of the event loop that closed it, while the old one still held the address.

--- a/src/beamhatch/relay/overload/listener.py
+++ b/src/beamhatch/relay/overload/listener.py
@@ -21,7 +21,10 @@
     from beamhatch.relay.overload.gate import ConnectionGate
 
 CHECK_INTERVAL_S = 0.04
-"""Interval at which a closed socket may be opened again."""
+"""Least time for which a socket stays closed, and interval at which it may then be opened again.
+
+The old socket is closed by the event loop, which must have run before the address is free.
+"""
 
 MAX_CLOSED_S = 0.5
 """Seconds after which one connection is accepted although a resource is exhausted.
@@ -90,11 +93,14 @@
         if self._state is _State.OPEN:
             if exhausted is not None and not self._must_accept:
                 self._close(exhausted, now)
-        elif exhausted is None or now - self._closed_at >= MAX_CLOSED_S:
+        elif self._may_reopen(exhausted, now - self._closed_at):
             self._must_accept = exhausted is not None
             self._reopen()
         self._report(exhausted, now)
 
+    def _may_reopen(self, exhausted: ResourceName | None, closed_s: float) -> bool:
+        return closed_s >= (CHECK_INTERVAL_S if exhausted is None else MAX_CLOSED_S)
+
     def _close(self, exhausted: ResourceName, now: float) -> None:
         self._state = _State.CLOSED
         self._closed_at = now
--- a/tests/relay/overload/test_listener.py
+++ b/tests/relay/overload/test_listener.py
@@ -59,6 +59,14 @@
     assert bench.is_open
 
 
+def test_the_socket_stays_closed_until_the_old_one_is_gone(bench: _Bench) -> None:
+    bench.used = 100
+    bench.listener.handle_accepted()
+    bench.used = 0
+    bench.listener.check()
+    assert not bench.is_open
+
+
 def test_a_connection_is_accepted_now_and_then_while_a_resource_is_exhausted(bench: _Bench) -> None:
     bench.used = 100
     bench.listener.handle_accepted()
