--- a/src/beamhatch/relay/requests/exchange.py
+++ b/src/beamhatch/relay/requests/exchange.py
@@ -673,6 +673,8 @@
             self._memory_acquired_at = self.core.clock.now()
             self.core.get_demand(self.request.service.name).begin_stream(self._memory_acquired_at)
             self.core.memory_queues.get(self.request.service.name).record_served(self._claim, self._memory_acquired_at)
+            if not self.request.list_full_upstreams():
+                self.core.memory_queues.record_granted(self._queue_key)
 
     def record_first_event(self) -> None:
         """Record how long decode memory was held before the first event, when that event arrives."""
--- a/src/beamhatch/relay/requests/line.py
+++ b/src/beamhatch/relay/requests/line.py
@@ -142,6 +142,10 @@
         """Return all waiting requests."""
         return [entry.waiter for entry in self._entries]
 
+    def list_in_order(self, now: float) -> list[Waiter]:
+        """Return all waiting requests in the order of service."""
+        return [entry.waiter for entry in self._sort(self._entries, now)]
+
     def list_due(self, now: float) -> list[Waiter]:
         """Return the request that is next, followed by those whose waiting time is over."""
         if not self._entries:
--- a/src/beamhatch/relay/requests/memory_lines.py
+++ b/src/beamhatch/relay/requests/memory_lines.py
@@ -36,6 +36,12 @@
 It is longer than ``POLL_INTERVAL_S`` so that requests on time at other VMs ask first.
 """
 
+REQUESTS_PER_GRANT = 2
+"""Number of requests that ask for memory after a grant.
+
+With more than one, a queue empties although new requests join it as fast as engines respond.
+"""
+
 
 class QueuedRequest(ABC):
     """A request that can wait in a queue for decode memory."""
@@ -135,6 +141,18 @@
         )
         self._schedule_poll(key)
 
+    def record_granted(self, key: QueueKey) -> None:
+        """Record that the engine asked first had memory, so that the next requests of a queue ask at once."""
+        self._clock.call_later(0.0, self._advance_next, key)
+
+    def _advance_next(self, key: QueueKey) -> None:
+        queue = self._queues.get(key)
+        if queue is None:
+            return
+        idle = [waiter for waiter in queue.list_in_order(self._clock.now()) if not waiter.has_attempt]
+        for waiter in idle[:REQUESTS_PER_GRANT]:
+            waiter.advance()
+
     def record_freed(self, service: ServiceName, hall: str = "") -> None:
         """Record that a stream of this VM freed memory in a hall, and schedule polls of the queues that may use it."""
         now = self._clock.now()
