--- a/src/beamhatch/platform/documents.py
+++ b/src/beamhatch/platform/documents.py
@@ -28,6 +28,7 @@
     WeightedService,
     make_routing_table,
 )
+from beamhatch.relay.overload.meter import BYTES_PER_MBIT
 from beamhatch.relay.topology import RegionName
 from beamhatch.relay.upstreams.listing import Entry
 from beamhatch.relay.workspaces.workspace import Quota, QuotaUnit, Workspace, WorkspaceName, digest_key
@@ -153,9 +154,6 @@
     phase: str = ""
 
 
-BYTES_PER_MBIT = 125_000
-"""Bytes per second in 1 Mbit/s."""
-
 TOKEN_UNIT_PREFIX = "token"
 """Units with this prefix count tokens; all others count requests."""
 
--- a/src/beamhatch/relay/overload/costs.py
+++ b/src/beamhatch/relay/overload/costs.py
@@ -94,6 +94,6 @@
         actual = LinkBytes(
             self._request_bytes + self._response_bytes, self._request_bytes * self._calls + self._response_bytes
         )
-        self._costs.budget.correct(actual - self._expected, now)
+        self._costs.budget.commit(actual - self._expected, now)
         if self._answered:
             self._costs.learn(self._route, self._response_bytes, self._calls)
--- a/src/beamhatch/relay/overload/link.py
+++ b/src/beamhatch/relay/overload/link.py
@@ -73,22 +73,19 @@
 
     def reserve(self, now: float) -> None:
         """Commit the mean cost for a request that has not been read."""
-        self._add(self._mean, now)
+        self.commit(self._mean, now)
 
     def release(self, now: float) -> None:
         """Take back the mean cost for a request that never came."""
-        self._add(self._mean.scale(-1), now)
+        self.commit(self._mean.scale(-1), now)
 
     def replace_reserved(self, cost: LinkBytes, now: float) -> None:
         """Commit the expected cost of a request that has been read, in place of the mean cost."""
-        self._add(cost - self._mean, now)
+        self.commit(cost - self._mean, now)
         self._mean = self._mean.scale(1 - MEAN_WEIGHT) + cost.scale(MEAN_WEIGHT)
 
-    def correct(self, difference: LinkBytes, now: float) -> None:
-        """Commit the difference between the actual and the expected cost of a request that has ended."""
-        self._add(difference, now)
-
-    def _add(self, cost: LinkBytes, now: float) -> None:
+    def commit(self, cost: LinkBytes, now: float) -> None:
+        """Commit bytes to the link; a negative cost takes back bytes that were committed."""
         self._leak(now)
         self._level = self._level + cost
 
--- a/src/beamhatch/relay/overload/meter.py
+++ b/src/beamhatch/relay/overload/meter.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 BYTES_PER_MBIT = 125_000
+"""Bytes per second in 1 Mbit/s."""
 
 MAX_SEGMENT_BYTES = 1448
 """Payload of a full TCP segment on Ethernet, with timestamps."""
--- a/src/beamhatch/relay/overload/monitor.py
+++ b/src/beamhatch/relay/overload/monitor.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from beamhatch.relay.overload.meter import BYTES_PER_MBIT, LinkBytes, LinkMeter
+from beamhatch.relay.overload.meter import LinkBytes, LinkMeter
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -35,19 +35,19 @@
         journal: Journal,
         tally: Tally,
         meter: LinkMeter,
-        link_mbit_per_s: float,
+        link_bytes_per_s: float,
         describe: Callable[[], dict[str, object]],
     ) -> None:
         """Create a monitor that is not started.
 
-        :param link_mbit_per_s: rate of the VM's link in each direction; 0 if unknown
+        :param link_bytes_per_s: rate of the VM's link in each direction; 0 if unknown
         :param describe: returns further fields of the log lines
         """
         self._clock = clock
         self._journal = journal
         self._tally = tally
         self._meter = meter
-        self._link_bytes_per_s = link_mbit_per_s * BYTES_PER_MBIT
+        self._link_bytes_per_s = link_bytes_per_s
         self._describe = describe
         self.on_tick: Callable[[float], None] = lambda delay: None
         """Called at each tick with the seconds by which it was late."""
--- a/src/beamhatch/relay/overload/protection.py
+++ b/src/beamhatch/relay/overload/protection.py
@@ -36,6 +36,11 @@
     descriptors: int = 0
     """Sockets that the process may have open."""
 
+    @property
+    def link_bytes_per_s(self) -> float:
+        """Rate of the link in bytes per second; 0 if unknown."""
+        return self.link_mbit_per_s * BYTES_PER_MBIT
+
 
 class OverloadProtection(ConnectionObserver):
     """The measurement of the VM's load, and the listening socket that depends on it."""
@@ -58,7 +63,7 @@
         self.count_sockets: Callable[[], int] = lambda: 0
         """Returns the sockets that the process has open."""
         self.meter = LinkMeter()
-        self.costs = RequestCosts(LinkBudget(limits.link_mbit_per_s * BYTES_PER_MBIT, now))
+        self.costs = RequestCosts(LinkBudget(limits.link_bytes_per_s, now))
         self.gate = ConnectionGate(
             [
                 self.costs.budget,
@@ -71,7 +76,7 @@
         )
         self.on_change: Callable[[], None] = lambda: None
         """Called when the VM begins or ends to shed connections."""
-        self._monitor = LoadMonitor(clock, journal, tally, self.meter, limits.link_mbit_per_s, self._describe)
+        self._monitor = LoadMonitor(clock, journal, tally, self.meter, limits.link_bytes_per_s, self._describe)
         self._monitor.on_tick = self._handle_tick
         self._monitor.on_report = self._handle_report
         tally.gauges["shedding_connections"] = lambda: float(self.is_shedding())
@@ -120,7 +125,7 @@
         self.meter.record_received(size)
         self.meter.record_sent(size)
         wire_bytes = estimate_wire_bytes(size)
-        self.costs.budget.correct(LinkBytes(wire_bytes, wire_bytes), self._clock.now())
+        self.costs.budget.commit(LinkBytes(wire_bytes, wire_bytes), self._clock.now())
 
     def _should_close(self) -> bool:
         return self.gate.should_release_callers(self._clock.now())
--- a/tests/relay/overload/test_link.py
+++ b/tests/relay/overload/test_link.py
@@ -41,16 +41,16 @@
 
 def test_the_busier_direction_counts() -> None:
     budget = LinkBudget(RATE, 0.0)
-    budget.correct(LinkBytes(0, RATE), 0.0)
+    budget.commit(LinkBytes(0, RATE), 0.0)
     assert not budget.has_room(0.0, alone=True)
     budget = LinkBudget(RATE, 0.0)
-    budget.correct(LinkBytes(RATE, 0), 0.0)
+    budget.commit(LinkBytes(RATE, 0), 0.0)
     assert not budget.has_room(0.0, alone=True)
 
 
 def test_an_unknown_rate_allows_everything() -> None:
     budget = LinkBudget(0.0, 0.0)
-    budget.correct(LinkBytes(1e12, 1e12), 0.0)
+    budget.commit(LinkBytes(1e12, 1e12), 0.0)
     assert budget.has_room(0.0, alone=False)
 
 
--- a/tests/support/skew_fleet.py
+++ b/tests/support/skew_fleet.py
@@ -47,7 +47,6 @@
         super().__init__()
         self.vm = vm
         self.attempt: _Attempt | None = None
-        self.failed = False
 
     def connectionMade(self) -> None:
         """Send what waits for the connection."""
