Log and count what precedes the end of a stream that is broken off

'silent' and 'broken off' now tell how many upstreams of the service do not respond to this VM, 'broken off' which event was forwarded last and how the last attempt ended, and a metric counts cut streams by that.

The stand-in upstreams can pause: they keep connections, runs and memory, process nothing, and continue afterwards.

--- a/src/beamhatch/platform/standin/upstream.py
+++ b/src/beamhatch/platform/standin/upstream.py
@@ -108,7 +108,10 @@
         upstream.runs.add(self)
 
     def handle_caller_lost(self) -> None:
-        """End the run and record that it was cancelled."""
+        """End the run and record that it was cancelled, once the upstream notices."""
+        self.upstream.call_when_running(self._cancel)
+
+    def _cancel(self) -> None:
         if not self.ended:
             self.upstream.ledger.cancelled[self.request] += 1
         self.end()
@@ -120,8 +123,15 @@
         """Do nothing, as writes are never paused."""
 
     def schedule(self, seconds: float, function: Any) -> None:
-        """Call a function after a delay unless the run ends first."""
-        self.timers.append(self.upstream.clock.call_later(seconds, function))
+        """Call a function after a delay, or when a pause of the upstream ends, unless the run ends first."""
+
+        def call() -> None:
+            if self.upstream.pause_left_s:
+                self.schedule(self.upstream.pause_left_s, function)
+            else:
+                function()
+
+        self.timers.append(self.upstream.clock.call_later(seconds, call))
 
     def end(self) -> None:
         """End the run, release its memory and cancel its timers."""
@@ -136,6 +146,31 @@
                 timer.cancel()
 
 
+class DeferredRequest(RequestHandler):
+    """A request that arrived during a pause of the upstream, which reads it when the pause ends."""
+
+    def __init__(self, upstream: StandInUpstream, incoming: IncomingRequest, responder: Responder) -> None:
+        self._handler: RequestHandler | None = None
+        self._is_lost = False
+        upstream.call_when_running(lambda: self._serve(upstream, incoming, responder))
+
+    def _serve(self, upstream: StandInUpstream, incoming: IncomingRequest, responder: Responder) -> None:
+        if not self._is_lost:
+            self._handler = upstream.serve(incoming, responder)
+
+    def handle_caller_lost(self) -> None:
+        """Drop the request, or cancel its run."""
+        self._is_lost = True
+        if self._handler is not None:
+            self._handler.handle_caller_lost()
+
+    def pause(self) -> None:
+        """Do nothing, as the transport buffers writes."""
+
+    def resume(self) -> None:
+        """Do nothing, as writes are never paused."""
+
+
 class StandInUpstream(StandIn):
     """A replica of a plain service."""
 
@@ -176,6 +211,23 @@
         """Announced limit in requests per second from all VMs together; empty to announce none."""
         self.backoff_times: list[float] = []
         """When it requested a back-off, in monotonic seconds."""
+        self._paused_until = 0.0
+
+    def pause_for(self, seconds: float) -> None:
+        """Process nothing for some seconds, but keep connections, runs and memory, and then continue."""
+        self._paused_until = self.clock.now() + seconds
+
+    @property
+    def pause_left_s(self) -> float:
+        """Return the seconds until a pause ends, 0 without one."""
+        return max(0.0, self._paused_until - self.clock.now())
+
+    def call_when_running(self, function: Callable[[], None]) -> None:
+        """Call a function now, or when a pause ends."""
+        if self.pause_left_s:
+            self.clock.call_later(self.pause_left_s, self.call_when_running, function)
+        else:
+            function()
 
     def make_entry(self, service: str, hall: str, state: str = "ready") -> dict[str, object]:
         """Return the entry for the store."""
@@ -241,6 +293,8 @@
 
     def serve(self, incoming: IncomingRequest, responder: Responder) -> RequestHandler | None:
         """Handle one request."""
+        if self.pause_left_s:
+            return DeferredRequest(self, incoming, responder)
         self.call_times.append(self.clock.now())
         headers = read_headers(incoming)
         request = headers.get("request-id", "")
@@ -361,6 +415,8 @@
 
     def serve(self, incoming: IncomingRequest, responder: Responder) -> RequestHandler | None:
         """Handle a request or an API call."""
+        if self.pause_left_s:
+            return DeferredRequest(self, incoming, responder)
         if not incoming.path.startswith("/api/"):
             return super().serve(incoming, responder)
         self.call_times.append(self.clock.now())
@@ -425,7 +481,11 @@
         hold = f"h{self._last_id}"
         self.reserved_tokens[hold] = asked["tokens"]
         self.clock.call_later(asked["ttl_ms"] / 1000, self._release, hold)
-        self.clock.call_later(self.reservation_delay_s, self.send_response, responder, 200, {"hold": hold})
+        self.clock.call_later(
+            self.reservation_delay_s,
+            self.call_when_running,
+            lambda: self.send_response(responder, 200, {"hold": hold}),
+        )
 
     def _release(self, hold: str) -> None:
         self.reserved_tokens.pop(hold, None)
--- a/src/beamhatch/relay/core.py
+++ b/src/beamhatch/relay/core.py
@@ -305,6 +305,13 @@
         listed = [one for one in self._list_not_changing(service, now) if one.may_serve(version)]
         return self.eligibility.list_eligible(listed, regions, self.get_cold_terms(service), now, is_retry=is_retry)
 
+    def describe_unresponsive(self, service: ServiceName) -> dict[str, object]:
+        """Return the log fields for how many of a service's upstreams do not respond to this VM."""
+        now = self.clock.now()
+        unresponsive = self.stats.list_unresponsive(now)
+        listed = self.listing.list_usable(service, now)
+        return {"upstreams": len(listed), "unresponsive": sum(one.id in unresponsive for one in listed)}
+
     def _list_not_changing(self, service: ServiceName, now: float) -> list[Upstream]:
         """Return the listed upstreams of a service that are not changing their phase."""
         return self.phase_changes.exclude_changing(self.listing.list_usable(service, now), now)
--- a/src/beamhatch/relay/requests/exchange.py
+++ b/src/beamhatch/relay/requests/exchange.py
@@ -590,8 +590,13 @@
             doubt=self.request.may_have_run,
             sends=self.request.sends,
             seconds=self.compute_elapsed_s(),
+            after=self.request.last_setback.value,
+            last_event=self.request.last_event,
+            **self.core.describe_unresponsive(self.request.service.name),
             **self.core.reach.describe(),
         )
+        if self._responder.started:
+            self.core.tally.count("streams_broken_off_total", self.request.last_setback.value)
         self._record_outcome(f"own_{status}")
         self._stop_attempt()
         if self._responder.started:
--- a/src/beamhatch/relay/requests/request.py
+++ b/src/beamhatch/relay/requests/request.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field, replace
+from enum import Enum
 from typing import TYPE_CHECKING
 
 from beamhatch.relay.choosing.chooser import RequestRequirements
@@ -52,6 +53,18 @@
 """Maximum wait for decode memory, as a share of the time without events after which callers disconnect."""
 
 
+class Setback(Enum):
+    """How an attempt ended that did not complete the request."""
+
+    NONE = "none"
+    SILENCE = "silence"
+    """The upstream did not respond in time."""
+    FAILURE = "failure"
+    """The connection was lost, or the response was invalid."""
+    REJECTION = "rejection"
+    """The upstream rejected the request."""
+
+
 @dataclass(frozen=True, slots=True)
 class Send:
     """Send the request to an upstream."""
@@ -134,6 +147,7 @@
     """Monotonic time in seconds after which the first event of the response is late."""
     version: SoftwareVersion | None = None
     """Software version that began the stream; None if it has not begun."""
+    last_setback: Setback = Setback.NONE
     _prefill_sends: int = 0
     _handoffs: int = 0
     _refused_by: set[UpstreamId] = field(default_factory=set)
--- a/src/beamhatch/relay/upstreams/attempt.py
+++ b/src/beamhatch/relay/upstreams/attempt.py
@@ -8,6 +8,7 @@
 from beamhatch.relay.model import Stage
 from beamhatch.relay.quarantine.detection import EndVerdict
 from beamhatch.relay.requests.alternatives import acquire_alternative
+from beamhatch.relay.requests.request import Setback
 from beamhatch.relay.upstreams.announcements import MISDIRECTED
 from beamhatch.relay.upstreams.http_client import CallFailure, CallKind, ResponseSink
 
@@ -185,6 +186,7 @@
         else:
             self.stats.record_failure(now)
         self.core.on_failure()
+        self.request.last_setback = Setback.FAILURE
         self.exchange.write_log(
             "send failed",
             to=self.send.upstream.id,
@@ -224,6 +226,7 @@
             self.core.client.close_idle(self.send.upstream.address)
         else:
             self.stats.record_busy(now)
+        self.request.last_setback = Setback.REJECTION
         self.exchange.write_log(
             "turned away",
             to=self.send.upstream.id,
@@ -338,12 +341,14 @@
             self.stats.record_no_response(now)
             self.core.on_failure()
         abandoned = self.may_abandon() and self._acquire_alternative()
+        self.request.last_setback = Setback.SILENCE
         self.exchange.write_log(
             "silent",
             to=self.send.upstream.id,
             stage=self.send.stage.value,
             abandoned=abandoned,
             seconds=round(now - self._started_at, 3),
+            **self.core.describe_unresponsive(self.request.service.name),
         )
         self.core.tally.count("silences_total", self.send.stage.value)
         if not abandoned:
