--- /dev/null
+++ b/tests/platform/test_silence.py
@@ -0,0 +1,201 @@
+"""Sound upstreams that process nothing for a while, keep their connections and memory, and then go on."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import pytest
+
+from beamhatch.platform.standin.upstream import StandInEngine, UpstreamFault
+from tests.support.platform import MODEL, ROUTES, Platform, make_platform, make_route
+
+if TYPE_CHECKING:
+    from tests.support.platform import Caller
+
+EVENTS = 60
+"""Events of each stream, 1.8 s at the stand-ins' pace."""
+
+
+def make_fleet(*, plain: int = 2, prefill: int = 2, decode: int = 3, timeout_ms: int = 14_000) -> Platform:
+    """Return a platform whose routes leave callers as much time as their own deadlines."""
+    platform = make_platform(plain=plain, prefill=prefill, decode=decode)
+    routes = [{**route, "timeout_ms": timeout_ms} for route in ROUTES]
+    platform.configure(2, routes)
+    platform.network.run(1.0)
+    return platform
+
+
+def begin_stream(platform: Platform, request: str) -> Caller:
+    """Send a resumable request, and return its caller once some events have come."""
+    caller = platform.call("/resumable/x", request, headers={"Token-Count": f"5000,{EVENTS}"})
+    platform.network.run_until(lambda: len(caller.events) >= 5, 3.0)
+    return caller
+
+
+def list_engines(platform: Platform, phase: str) -> list[StandInEngine]:
+    """Return the engines of a phase."""
+    return [one for one in platform.upstreams.values() if isinstance(one, StandInEngine) and one.phase == phase]
+
+
+def find_engine(platform: Platform, request: str) -> StandInEngine:
+    """Return the decode engine that runs a request."""
+    engines = list_engines(platform, "decode")
+    return next(one for one in engines if any(run.request == request for run in one.runs))
+
+
+def pause_engines(platform: Platform, phase: str, seconds: float) -> None:
+    """Pause all engines of a phase."""
+    for engine in list_engines(platform, phase):
+        engine.pause_for(seconds)
+
+
+def fill(engine: StandInEngine) -> None:
+    """Use up the free memory of an engine for the rest of the test."""
+    engine.used_tokens += engine.free_tokens
+
+
+def change_configuration(platform: Platform, version: int) -> None:
+    """Change a timeout, and add a route."""
+    routes = [{**route, "timeout_ms": 13_000} for route in ROUTES]
+    platform.configure(version, [*routes, make_route("/added/", "streaming", MODEL, resumable=True)])
+
+
+def check_whole(platform: Platform, *callers: Caller) -> None:
+    """Check that each caller gets each event once, and the end."""
+    for caller in callers:
+        platform.finish(caller)
+        assert caller.events == list(range(1, EVENTS + 1))
+        assert caller.whole
+
+
+@pytest.mark.parametrize("seconds", [0.3, 1.2, 2.2, 3.0, 5.0])
+def test_streams_are_not_cut_where_all_decode_engines_fall_silent(seconds: float) -> None:
+    platform = make_fleet()
+    callers = [begin_stream(platform, f"q{number}") for number in range(6)]
+    change_configuration(platform, 3)
+    pause_engines(platform, "decode", seconds)
+    check_whole(platform, *callers)
+
+
+def test_a_stream_is_not_moved_where_all_engines_fall_silent_and_its_own_goes_on() -> None:
+    platform = make_fleet()
+    callers = [begin_stream(platform, f"q{number}") for number in range(6)]
+    pause_engines(platform, "decode", 2.2)
+    check_whole(platform, *callers)
+    assert set(platform.ledger.runs.values()) == {1}
+    assert set(platform.ledger.prefilled.values()) == {1}
+
+
+@pytest.mark.parametrize("seconds", [1.2, 2.2, 5.0])
+def test_a_stream_is_not_cut_where_its_engine_falls_silent_and_the_others_are_full(seconds: float) -> None:
+    platform = make_fleet()
+    caller = begin_stream(platform, "q1")
+    silent = find_engine(platform, "q1")
+    silent.pause_for(seconds)
+    for engine in list_engines(platform, "decode"):
+        if engine is not silent:
+            fill(engine)
+    check_whole(platform, caller)
+
+
+def test_a_stream_is_not_cut_where_its_engine_falls_silent_and_the_others_refuse_all_requests() -> None:
+    platform = make_fleet()
+    caller = begin_stream(platform, "q1")
+    silent = find_engine(platform, "q1")
+    silent.pause_for(2.2)
+    for engine in list_engines(platform, "decode"):
+        if engine is not silent:
+            engine.fault = UpstreamFault.SHED
+    check_whole(platform, caller)
+
+
+@pytest.mark.parametrize("seconds", [1.2, 2.2, 5.0])
+def test_a_stream_is_not_cut_where_its_engine_and_the_prefill_engines_fall_silent(seconds: float) -> None:
+    platform = make_fleet()
+    caller = begin_stream(platform, "q1")
+    find_engine(platform, "q1").pause_for(seconds)
+    pause_engines(platform, "prefill", seconds)
+    check_whole(platform, caller)
+
+
+def test_a_stream_is_not_cut_where_its_engine_falls_silent_and_no_prefill_engine_is_left() -> None:
+    platform = make_fleet()
+    callers = [begin_stream(platform, f"q{number}") for number in range(6)]
+    for name in ("prefill-0", "prefill-1"):
+        platform.remove(name)
+    for engine in {find_engine(platform, f"q{number}") for number in range(6)}:
+        engine.pause_for(2.2)
+    check_whole(platform, *callers)
+
+
+def test_a_stream_goes_on_where_its_engine_speaks_while_the_prompt_is_prefilled_elsewhere() -> None:
+    platform = make_fleet()
+    for engine in list_engines(platform, "prefill"):
+        engine.prefill_rate = 5_000.0
+    caller = begin_stream(platform, "q1")
+    find_engine(platform, "q1").pause_for(1.5)
+    check_whole(platform, caller)
+    assert platform.ledger.runs["q1"] == 1
+
+
+def test_memory_granted_elsewhere_is_released_where_the_silent_engine_goes_on() -> None:
+    platform = make_fleet()
+    for engine in list_engines(platform, "prefill"):
+        engine.prefill_rate = 5_000.0
+    caller = begin_stream(platform, "q1")
+    find_engine(platform, "q1").pause_for(1.5)
+    check_whole(platform, caller)
+    platform.network.run(0.2)
+    assert not any(engine.reserved_tokens for engine in list_engines(platform, "decode"))
+
+
+def test_a_safe_request_is_answered_where_its_replica_falls_silent_and_the_other_refuses() -> None:
+    platform = make_fleet()
+    caller = platform.call("/safe/x", "q1")
+    platform.network.run(0.02)
+    silent = next(one for one in platform.upstreams.values() if any(run.request == "q1" for run in one.runs))
+    silent.pause_for(1.2)
+    for name in ("plain-0", "plain-1"):
+        if platform.upstreams[name] is not silent:
+            platform.upstreams[name].fault = UpstreamFault.SHED
+    assert platform.finish(caller).status == 200
+
+
+@pytest.mark.parametrize("seconds", [0.3, 1.2])
+def test_safe_requests_are_answered_where_all_replicas_fall_silent(seconds: float) -> None:
+    platform = make_fleet()
+    callers = [platform.call("/safe/x", f"q{number}") for number in range(6)]
+    for name in ("plain-0", "plain-1"):
+        platform.upstreams[name].pause_for(seconds)
+    assert [platform.finish(caller).status for caller in callers] == [200] * 6
+
+
+def test_a_dead_engine_is_left_as_soon_as_ever() -> None:
+    platform = make_fleet()
+    caller = begin_stream(platform, "q1")
+    find_engine(platform, "q1").fault = UpstreamFault.HANG
+    begun = platform.network.seconds()
+    received = len(caller.events)
+    platform.network.run_until(lambda: len(caller.events) > received + 2, 5.0)
+    assert platform.network.seconds() - begun < 1.4
+    check_whole(platform, caller)
+
+
+def test_one_engine_at_a_time_works_on_a_stream() -> None:
+    platform = make_fleet()
+    callers = [begin_stream(platform, f"q{number}") for number in range(6)]
+    find_engine(platform, "q1").pause_for(1.6)
+    doubled: list[tuple[float, str]] = []
+
+    def list_doubled() -> set[str]:
+        runs = [run.request for one in list_engines(platform, "decode") for run in one.runs if not one.pause_left_s]
+        return {request for request in runs if runs.count(request) > 1}
+
+    held_since: dict[str, float] = {}
+    while not all(caller.closed or caller.whole for caller in callers):
+        platform.network.run(0.01)
+        now = platform.network.seconds()
+        held_since = {request: held_since.get(request, now) for request in list_doubled()}
+        doubled += [(now, request) for request, since in held_since.items() if now - since > 0.05]
+    assert not doubled
+    check_whole(platform, *callers)
