--- a/src/beamhatch/platform/standin/upstream.py
+++ b/src/beamhatch/platform/standin/upstream.py
@@ -152,10 +152,11 @@
     def __init__(self, upstream: StandInUpstream, incoming: IncomingRequest, responder: Responder) -> None:
         self._handler: RequestHandler | None = None
         self._is_lost = False
+        self._ends = upstream.ends
         upstream.call_when_running(lambda: self._serve(upstream, incoming, responder))
 
     def _serve(self, upstream: StandInUpstream, incoming: IncomingRequest, responder: Responder) -> None:
-        if not self._is_lost:
+        if not self._is_lost and self._ends == upstream.ends:
             self._handler = upstream.serve(incoming, responder)
 
     def handle_caller_lost(self) -> None:
@@ -212,6 +213,8 @@
         self.backoff_times: list[float] = []
         """When it requested a back-off, in monotonic seconds."""
         self._paused_until = 0.0
+        self.ends = 0
+        """Number of times that its process has ended."""
 
     def pause_for(self, seconds: float) -> None:
         """Process nothing for some seconds, but keep connections, runs and memory, and then continue."""
@@ -266,6 +269,8 @@
         """End the process with all its runs, and do not restart it."""
         if self._restart_timer is not None and self._restart_timer.active():
             self._restart_timer.cancel()
+        self.ends += 1
+        self._paused_until = 0.0
         self.stop()
         for run in list(self.runs):
             run.end()
@@ -395,6 +400,7 @@
         self._dropped_order: str | None = None
         self.pending_phase: str | None = None
         """Phase to change to once all runs have ended; new requests are rejected until the change is done."""
+        self._phase_timer: Any = None
         self._last_id = 0
         self._prefill_end = 0.0
 
@@ -407,6 +413,8 @@
         """Crash, discarding all reservations and a pending phase change."""
         self.reserved_tokens.clear()
         self.pending_phase = None
+        if self._phase_timer is not None and self._phase_timer.active():
+            self._phase_timer.cancel()
         super().crash()
 
     def make_entry(self, service: str, hall: str, state: str = "ready") -> dict[str, object]:
@@ -457,9 +465,9 @@
 
     def _wait_until_idle(self) -> None:
         if self.running:
-            self.clock.call_later(0.05, self._wait_until_idle)
+            self._phase_timer = self.clock.call_later(0.05, self._wait_until_idle)
         else:
-            self.clock.call_later(self.phase_change_time_s, self._change_phase)
+            self._phase_timer = self.clock.call_later(self.phase_change_time_s, self._change_phase)
 
     def _change_phase(self) -> None:
         assert self.pending_phase is not None
