Keep a silent upstream until another one responds

Cause: at an attempt's time-out its connection was closed first and another place was sought then. What was checked before was the budget for retries and that an untried upstream was listed, not whether one was alive, had memory, or could read the prompt again. Where none could, the stream was cut.

Why it works: the silent attempt stays open while another place is sought; whichever responds first serves the request. Memory is asked for before anything is given up, which costs no retry and shows whether an engine lives. If no place is found, the request waits for the silent upstream and seeks again. A stream without an attempt goes on seeking until its caller leaves, unless every upstream that could respond has failed it. The time at which another place is sought is what it was.

--- a/src/beamhatch/relay/requests/budget.py
+++ b/src/beamhatch/relay/requests/budget.py
@@ -45,6 +45,11 @@
         """Count some retries."""
         self._retries.extend([now] * count)
 
+    def withdraw_retry(self, at: float, count: int) -> None:
+        """Take back some retries that were counted at a time, as they were not made."""
+        for _ in range(min(count, self._retries.count(at))):
+            self._retries.remove(at)
+
     def allows(self, now: float, vm_count: int, count: int = 1) -> bool:
         """Return whether some more retries are allowed if ``vm_count`` VMs share the slack."""
         self._trim(now)
--- a/src/beamhatch/relay/requests/exchange.py
+++ b/src/beamhatch/relay/requests/exchange.py
@@ -16,6 +16,7 @@
 from beamhatch.relay.mechanism import Mechanism
 from beamhatch.relay.model import Phase, Reservation, RouteKind, RouteName, Stage
 from beamhatch.relay.overload.costs import CHUNK_BYTES, HEAD_BYTES
+from beamhatch.relay.requests.failover import SEARCH_INTERVAL_S, Failover
 from beamhatch.relay.requests.line import Claim
 from beamhatch.relay.requests.memory_lines import QueuedRequest, QueueKey, QueueOptions
 from beamhatch.relay.requests.refusal import make_quarantine_refusal
@@ -43,6 +44,7 @@
     from beamhatch.relay.choosing.eligibility import SendPermit
     from beamhatch.relay.core import Core
     from beamhatch.relay.model import (
+        Handle,
         Incarnation,
         Regions,
         RequestFacts,
@@ -120,6 +122,7 @@
         self._responder = responder
         self._forwarded_headers = strip_hop_by_hop(incoming.headers)
         self._attempt: Attempt | ReserveAttempt | None = None
+        self._failover = Failover(core.clock, self.request)
         self._lookup: PendingLookup | None = None
         """Search for the version that began the stream, if the caller resumes one."""
         self._in_queue = False
@@ -127,7 +130,7 @@
         """Permit to send to the cold or limited engine that has reserved, or is asked to reserve, memory."""
         self._cold_wait_began_at: float | None = None
         """Monotonic time in seconds at which the request began to wait for a cold upstream."""
-        self._cold_timer: Any = None
+        self._replan_timer: Any = None
         self._memory_acquired_at: float | None = None
         """Monotonic time in seconds at which the request got decode memory."""
         is_retry = Mechanism.CALLER_RETRIES not in core.disabled and core.caller_retries.is_retry(
@@ -186,7 +189,7 @@
         """Carry out the next step, unless one is under way."""
         if self._ended or self._attempt is not None or self._lookup is not None:
             return
-        self._stop_cold_timer()
+        self._stop_replan_timer()
         self._execute(self._plan(self.core.clock.now()))
 
     def _plan(self, now: float) -> Step:
@@ -201,6 +204,8 @@
         can_respond = any(one.phase is not Phase.PREFILL for one in usable)
         can_proceed = can_respond or request.reservation is not None
         shortage = None if can_proceed else self.core.detect_shortage(service, request.regions, request.version)
+        if shortage is not None and request.may_have_run:
+            return Fail(f"nothing may be sent to any upstream: {shortage.obstacle.value}")
         if shortage is not None:
             self.core.tally.count("shut_total", shortage.obstacle.name.lower())
             self.core.get_demand(service).discard_last_prompt(request.facts.prompt_tokens)
@@ -295,7 +300,9 @@
             permit.drop(self.core.clock.now())
 
     def _execute(self, step: Step) -> None:
-        if isinstance(step, Send):
+        if isinstance(step, Refuse | Fail) and self._failover.active:
+            self._return_to_fallback()
+        elif isinstance(step, Send):
             if step.reservation is None:
                 self._record_distance(step.upstream)
             self._send(step, self.core.clock.now())
@@ -348,7 +355,7 @@
         if Mechanism.MEMORY_QUEUE in self.core.disabled and not self.request.response_begun:
             self._execute(self.request.refuse_memory_full())
             return
-        if not self._in_queue:
+        if not self._in_queue and not self._failover.active:
             self.core.get_demand(self.request.service.name).record_wait(now)
         was_delayed = self.request.reservation_lost or self.request.may_have_run or self._cold_wait_began_at is not None
         late_with_precedence = self._is_caller_retry or self.request.response_begun or was_delayed
@@ -505,7 +512,11 @@
         """Wait for a cold upstream if one will have room in time; otherwise end the request."""
         wait = self._get_cold_wait(step)
         if wait is None:
-            self._give_up(step)
+            if self._may_search_on(step):
+                self.request.forget_obstacles()
+                self._schedule_replan(SEARCH_INTERVAL_S)
+            else:
+                self._give_up(step)
             return
         now = self.core.clock.now()
         is_first = self._cold_wait_began_at is None
@@ -515,9 +526,7 @@
             if is_first:
                 self.core.tally.count("cold_waits_total")
                 self.write_log("waits for a cold upstream", seconds=round(wait, 3))
-            self.leave_queue()  # do not block requests that another upstream may serve
-            self._stop_cold_timer()
-            self._cold_timer = self.core.clock.call_later(max(wait, MIN_COLD_WAIT_S) + COLD_MARGIN_S, self.advance)
+            self._schedule_replan(max(wait, MIN_COLD_WAIT_S) + COLD_MARGIN_S)
             return
         self.core.tally.count("cold_refusals_total")
         if isinstance(step, Fail):
@@ -528,6 +537,19 @@
         delay = limit_delay(min(wait, usual_delay), self.deadline - now)
         self._end_with_error(503, "its upstreams are cold", round_delay(delay))
 
+    def _may_search_on(self, step: Refuse | Fail) -> bool:
+        """Return whether to go on seeking an upstream for a stream that may have run, until its caller disconnects."""
+        if not isinstance(step, Fail) or not step.is_temporary or self.request.route.kind is not RouteKind.STREAMING:
+            return False
+        since = self._incoming.arrived_at if self._last_events_at is None else self._last_events_at
+        return self.core.clock.now() < since + self.request.max_memory_wait_s
+
+    def _schedule_replan(self, seconds: float) -> None:
+        """Carry out the next step after some seconds, outside the queue so that others there are not blocked."""
+        self.leave_queue()
+        self._stop_replan_timer()
+        self._replan_timer = self.core.clock.call_later(seconds, self.advance)
+
     def _get_cold_wait(self, step: Refuse | Fail) -> float | None:
         """Return the seconds until a cold upstream has room, or None if none could serve the request."""
         if not step.no_upstream or (isinstance(step, Refuse) and step.retry_after_s is not None):
@@ -551,8 +573,8 @@
             return self._cold_wait_began_at + self.request.max_memory_wait_s
         return self._incoming.arrived_at + ON_TIME_SHARE * self.request.route.target_latency
 
-    def _stop_cold_timer(self) -> None:
-        timer, self._cold_timer = self._cold_timer, None
+    def _stop_replan_timer(self) -> None:
+        timer, self._replan_timer = self._replan_timer, None
         if timer is not None and timer.active():
             timer.cancel()
 
@@ -616,8 +638,9 @@
         self._ended = True
         self._cost.end(self.core.clock.now())
         self._stop_deadline_timer()
-        self._stop_cold_timer()
+        self._stop_replan_timer()
         self._stop_attempt()
+        self._failover.cancel()
         if self._lookup is not None:
             self.core.origins.cancel(self._lookup)
         self._drop_permit()
@@ -638,10 +661,13 @@
         if attempt is not None:
             attempt.cancel()
 
-    def _release_held(self) -> None:
-        """Release the KV cache and the reservation of a request that has ended."""
+    def _release_held(self, *, except_handle: Handle | None = None) -> None:
+        """Release the KV cache and the reservation that the request does not need any more.
+
+        :param except_handle: handle of a KV cache that an upstream may still fetch
+        """
         request = self.request
-        if request.handle is not None:
+        if request.handle is not None and request.handle is not except_handle:
             call = self.core.dialect.make_release_call(request.handle)
             send_release(self.core, request.handle.upstream, call, self.write_log)
             request.drop_handle()
@@ -660,8 +686,52 @@
         """Plan the next step after an attempt that did not complete the request."""
         if self._attempt is attempt:
             self._attempt = None
+            self._failover.resume()
+        elif isinstance(attempt, Attempt):
+            self._failover.remove(attempt)
+        self.advance()
+
+    def seek_alternative(self, attempt: Attempt) -> None:
+        """Seek another upstream as the attempt's is silent; the attempt goes on if that one responds first."""
+        self._attempt = None
+        self._failover.add(attempt)
         self.advance()
 
+    def handle_request_sent(self, attempt: Attempt) -> None:
+        """Stop reading a stream from silent upstreams, as it is being sent to another one."""
+        if self.request.route.kind is RouteKind.STREAMING and attempt.send.stage is not Stage.PREFILL:
+            self._failover.suspend()
+
+    def settle_on(self, attempt: Attempt) -> None:
+        """Continue a stream with an attempt whose upstream responds, and cancel all others."""
+        if not self._failover.active:
+            return
+        if self._failover.remove(attempt):
+            self._stop_attempt()
+            self._end_search(attempt)
+            self._attempt = attempt
+            self.core.tally.count("silences_ended_total", "responded")
+            self.write_log("responds again", to=attempt.upstream.id)
+        else:
+            self.request.end_search(self.core.get_retry_budget(self.request.service.name))
+            self.core.tally.count("silences_ended_total", "replaced")
+        self._failover.cancel()
+
+    def _return_to_fallback(self) -> None:
+        """Wait for the silent upstream, as no other one can take the request now, and seek again later."""
+        attempt = self._failover.pop_last()
+        self._end_search(attempt)
+        self._attempt = attempt
+        attempt.wait(SEARCH_INTERVAL_S)
+
+    def _end_search(self, attempt: Attempt) -> None:
+        """Release what was acquired to replace an attempt."""
+        self.leave_queue()
+        self._stop_replan_timer()
+        self._drop_permit()
+        self.request.end_search(self.core.get_retry_budget(self.request.service.name))
+        self._release_held(except_handle=attempt.send.handle)
+
     def write_log(self, event: str, **fields: object) -> None:
         """Write a log event about this request."""
         self.core.journal.write("RELAY", event, request=self.request.facts.id, route=self.request.route.name, **fields)
@@ -689,7 +759,9 @@
 
     @property
     def hall(self) -> str | None:
-        """Return the hall of the upstream that the current attempt uses, or None without an attempt."""
+        """Return the hall of the upstream that the request may run at, or is sent to; None without one."""
+        if self._failover.active:
+            return self._failover.hall
         return None if self._attempt is None else self._attempt.upstream.hall
 
     def compute_elapsed_s(self) -> float:
--- a/src/beamhatch/relay/requests/request.py
+++ b/src/beamhatch/relay/requests/request.py
@@ -12,7 +12,7 @@
 
 from beamhatch.relay.choosing.chooser import RequestRequirements
 from beamhatch.relay.choosing.distance import EVENT_BYTES, compute_cache_transfer
-from beamhatch.relay.model import Handle, Reservation, RouteKind, Stage, Upstream, UpstreamId
+from beamhatch.relay.model import Handle, Phase, Reservation, RouteKind, Stage, Upstream, UpstreamId
 from beamhatch.relay.streams.lookup import Begun, OnlyVersion, UnknownVersion
 
 if TYPE_CHECKING:
@@ -113,6 +113,8 @@
     reason: str
     no_upstream: bool = False
     """True if the request failed only because no upstream is available to run it again."""
+    is_temporary: bool = False
+    """True if another upstream may be found a little later."""
 
 
 Step = Send | Reserve | Wait | Refuse | Fail
@@ -152,6 +154,9 @@
     _handoffs: int = 0
     _refused_by: set[UpstreamId] = field(default_factory=set)
     _failed_upstreams: set[UpstreamId] = field(default_factory=set)
+    """Upstreams that lost the request or could not be reached."""
+    _unanswered_by: set[UpstreamId] = field(default_factory=set)
+    """Decode engines that did not answer in time when they were asked for memory."""
     _non_prefill_sent: bool = False
     """True once a send other than a prefill was made; the next such send is a retry."""
     reservation: Reservation | None = None
@@ -162,8 +167,12 @@
     """Decode engines found without free memory; cleared when the request waits for memory or gets it."""
     _waiting_since: float | None = None
     _prefill_failures: int = 0
+    silent_upstreams: set[UpstreamId] = field(default_factory=set)
+    """Upstreams that may still respond to the request while another one is sought."""
     _granted_retries: int = 0
     """Sends that were counted as retries before they are made."""
+    _granted_at: float = 0.0
+    """Monotonic time in seconds at which these sends were counted."""
     _unreached: int = 0
     """Number of attempts at which an upstream could not be reached."""
 
@@ -202,8 +211,13 @@
 
     @property
     def tried(self) -> set[UpstreamId]:
-        """Return the upstreams that refused the request, failed or could not be reached."""
-        return self._refused_by | self._failed_upstreams
+        """Return the upstreams that refused the request, failed, could not be reached or are silent."""
+        return self._refused_by | self._unavailable
+
+    @property
+    def _unavailable(self) -> set[UpstreamId]:
+        """Return the upstreams that failed, could not be reached or are silent."""
+        return self._failed_upstreams | self._unanswered_by | self.silent_upstreams
 
     @property
     def max_memory_wait_s(self) -> float:
@@ -227,17 +241,38 @@
         if self.may_have_run and not self.may_run_again:
             return Fail("it may have run, and may not run again")
         if self.sends >= MAX_SENDS:
-            return self._give_up("too many upstreams turned it away")
+            return self._give_up("too many upstreams turned it away", is_temporary=False)
         if self._unreached >= MAX_UNREACHED:
             return self._give_up("too many upstreams could not be reached", no_upstream=True)
         step = self._choose(usable, chooser, now)
         if step is None:
-            return self._give_up("no upstream can take it", no_upstream=True)
-        needs_budget = isinstance(step, Send) and self._counts_as_retry(step.stage) and not self._granted_retries
-        if needs_budget and not budget.allows(now, vm_count):
+            return self._give_up(
+                "no upstream can take it", no_upstream=True, is_temporary=self._has_sound_upstream(usable)
+            )
+        if not self._acquire_budget(step, budget, vm_count, now):
             return self._give_up("the budget for repeated sends is spent")
         return step
 
+    def _acquire_budget(self, step: Step, budget: RetryBudget, vm_count: int, now: float) -> bool:
+        """Return whether the budget for retries allows a step.
+
+        A request that leaves a silent upstream counts all its sends in advance: other requests leave the same upstream
+        at the same time, and would rely on the same rest of the budget.
+        """
+        if self._granted_retries:
+            return True
+        if not self.silent_upstreams:
+            needs_budget = isinstance(step, Send) and self._counts_as_retry(step.stage)
+            return not needs_budget or budget.allows(now, vm_count)
+        is_last = isinstance(step, Send) and step.stage is not Stage.PREFILL
+        count = 1 if is_last or not self._prefill_sends else 2
+        if not budget.allows(now, vm_count, count):
+            return False
+        if isinstance(step, Send):
+            budget.record_retry(now, count)
+            self._granted_retries, self._granted_at = count, now
+        return True
+
     def _choose(self, usable: list[Upstream], chooser: Chooser, now: float) -> Step | None:
         tried = self.tried
         if not self.split:
@@ -264,7 +299,9 @@
             if decode is not None and not chooser.should_skip(decode, now):
                 return Reserve(decode, self.facts.prompt_tokens + self.reserved_output_tokens, engine.reservation_ttl)
         if not self._full_upstreams:
-            return self._give_up("no decode engine can be asked", no_upstream=True)
+            return self._give_up(
+                "no decode engine can be asked", no_upstream=True, is_temporary=self._has_sound_upstream(usable)
+            )
         return self._wait_for_memory(now)
 
     def record_waiting(self, now: float) -> None:
@@ -344,7 +381,7 @@
         chosen = chooser.choose_decode(usable, need, tried, now, handle=handle, kv_tokens=kv_tokens)
         if chosen is None:
             # An engine that refused a handoff may have done so because the handle had expired: try it again.
-            tried = self._failed_upstreams | full_upstreams
+            tried = self._unavailable | full_upstreams
             return chooser.choose_decode(usable, need, tried, now, handle=handle, kv_tokens=kv_tokens)
         return chosen
 
@@ -353,9 +390,13 @@
             return self._prefill_sends > 0
         return self._non_prefill_sent
 
-    def _give_up(self, reason: str, *, no_upstream: bool = False) -> Step:
+    def _has_sound_upstream(self, usable: list[Upstream]) -> bool:
+        """Return whether an upstream that may respond has not failed the request, although none can take it now."""
+        return any(one.phase is not Phase.PREFILL and one.id not in self._failed_upstreams for one in usable)
+
+    def _give_up(self, reason: str, *, no_upstream: bool = False, is_temporary: bool = True) -> Step:
         if self.may_have_run:
-            return Fail(reason, no_upstream=no_upstream)
+            return Fail(reason, no_upstream=no_upstream, is_temporary=is_temporary)
         return Refuse(reason, no_upstream=no_upstream)
 
     def apply_origin(self, origin: Origin) -> Refuse | None:
@@ -384,17 +425,30 @@
             return {}
         return {"after_event": self.last_event, "begun_by": self.version}
 
-    def acquire_retries(self, budget: RetryBudget, vm_count: int, now: float) -> bool:
-        """Count the sends to another upstream as retries in advance, and return whether the budget allows them.
+    # --- search for another upstream ---------------------------------------------------------------------------------
 
-        Requests that give up the same upstream at the same time would otherwise all rely on the rest of the budget.
-        """
-        count = 2 if self._prefill_sends else 1
-        if not budget.allows(now, vm_count, count):
-            return False
-        budget.record_retry(now, count)
-        self._granted_retries = count
-        return True
+    @property
+    def may_leave(self) -> bool:
+        """Return whether the request may be sent to another upstream while it may run at one."""
+        return self.may_run_again and self.sends < MAX_SENDS
+
+    def begin_search(self, silent: UpstreamId) -> None:
+        """Record that an upstream is silent, so that another one is sought."""
+        self.silent_upstreams.add(silent)
+        self.forget_obstacles()
+
+    def end_search(self, budget: RetryBudget) -> None:
+        """Record that no other upstream is sought any more, and take back the retries that were not made."""
+        count, self._granted_retries = self._granted_retries, 0
+        budget.withdraw_retry(self._granted_at, count)
+        self._waiting_since = None
+
+    def forget_obstacles(self) -> None:
+        """Allow upstreams to be asked again that refused the request or did not answer."""
+        self._refused_by.clear()
+        self._unanswered_by.clear()
+        self._full_upstreams.clear()
+        self._unreached = 0
 
     # --- outcomes of sends -------------------------------------------------------------------------------------------
 
@@ -470,6 +524,11 @@
         self._unreached += 1
         self._failed_upstreams.add(upstream)
 
+    def record_reserve_unanswered(self, upstream: UpstreamId) -> None:
+        """Record that a decode engine that was asked for memory did not answer in time."""
+        self._unreached += 1
+        self._unanswered_by.add(upstream)
+
     def apply_route(self, route: Route) -> None:
         """Apply a changed route."""
         self.route = route
--- a/src/beamhatch/relay/upstreams/attempt.py
+++ b/src/beamhatch/relay/upstreams/attempt.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
+import math
 from abc import abstractmethod
 from typing import TYPE_CHECKING, Any
 
 from beamhatch.relay.model import Stage
 from beamhatch.relay.quarantine.detection import EndVerdict
-from beamhatch.relay.requests.alternatives import acquire_alternative
 from beamhatch.relay.requests.request import Setback
 from beamhatch.relay.upstreams.announcements import MISDIRECTED
 from beamhatch.relay.upstreams.http_client import CallFailure, CallKind, ResponseSink
@@ -49,6 +49,8 @@
         self._ended = False
         self._crash_reported = False
         self._timer: Any = None
+        self._silence_recorded_at = -math.inf
+        """Monotonic time in seconds at which a timeout was recorded last."""
         self._started_at = self.core.clock.now()
         self._responded_at: float | None = None
         """Monotonic time in seconds at which a successful response began."""
@@ -135,11 +137,21 @@
             self._http.resume()
             self._restart_timer(self.get_timeout())
 
+    def resume_reading(self) -> None:
+        """Resume reading the response without a timeout."""
+        if self._http is not None and not self._ended:
+            self._http.resume()
+
+    def wait(self, seconds: float) -> None:
+        """Wait for the response of a silent upstream, and time out again after some seconds."""
+        self._restart_timer(seconds)
+
     # --- response ----------------------------------------------------------------------------------------------------
 
     def handle_sent(self, via: Via | None) -> None:
         """Record that the request is being sent, and give the upstream its whole time to respond."""
         self._sent = True
+        self.exchange.handle_request_sent(self)
         self._restart_timer(self.get_timeout())
         self._via = via
         if via is not None:
@@ -334,27 +346,40 @@
 
     def _handle_timeout(self) -> None:
         self._timer = None
+        seeks_another = self.may_abandon()
+        self._record_silence(seeks_another=seeks_another)
+        if self._sent and self.send.stage is not Stage.PREFILL:
+            if seeks_another:
+                self.exchange.seek_alternative(self)
+        elif seeks_another:
+            self._abandon()
+        else:
+            self._restart_timer(self.get_timeout())
+
+    def _record_silence(self, *, seeks_another: bool) -> None:
+        """Record a timeout, unless one was recorded a moment before."""
         now = self.core.clock.now()
+        if now - self._silence_recorded_at < self.get_timeout():
+            return
+        self._silence_recorded_at = now
         if self.stats.responded_at > self._started_at:
             self.stats.record_failure(now)
         else:
             self.stats.record_no_response(now)
             self.core.on_failure()
-        abandoned = self.may_abandon() and self._acquire_alternative()
         self.request.last_setback = Setback.SILENCE
         self.exchange.write_log(
             "silent",
             to=self.send.upstream.id,
             stage=self.send.stage.value,
-            abandoned=abandoned,
+            seeks_another=seeks_another,
             seconds=round(now - self._started_at, 3),
             **self.core.describe_unresponsive(self.request.service.name),
         )
         self.core.tally.count("silences_total", self.send.stage.value)
-        if not abandoned:
-            if self.send.stage is Stage.PREFILL or self.may_abandon():
-                self._restart_timer(self.get_timeout())
-            return
+
+    def _abandon(self) -> None:
+        """Close the connection, and let the exchange try another upstream."""
         self.cancel()
         if self._sent:
             self.request.record_failed(self.send)
@@ -362,19 +387,6 @@
             self.request.record_unreachable(self.send)
         self.exchange.replan_after(self)
 
-    def _acquire_alternative(self) -> bool:
-        """Return whether giving up the upstream lets another one answer; if so, count that as a retry.
-
-        A request that has not run is at worst refused; one that may have run is cut or fails without an alternative.
-        """
-        if not self._sent or self.send.stage is Stage.PREFILL:
-            return True
-        core, service = self.core, self.request.service.name
-        vm_count = max(core.vm_count, core.recent_vm_count)
-        usable = core.list_usable(service, self.request.regions, self.request.version, is_retry=True)
-        budget = core.get_retry_budget(service)
-        return acquire_alternative(self.request, self.upstream, usable, budget, vm_count, core.clock.now())
-
     def _restart_timer(self, seconds: float) -> None:
         self._stop_timer()
         self._timer = self.core.clock.call_later(seconds, self._handle_timeout)
--- a/src/beamhatch/relay/upstreams/plain_attempt.py
+++ b/src/beamhatch/relay/upstreams/plain_attempt.py
@@ -53,4 +53,4 @@
 
     def may_abandon(self) -> bool:
         """Return whether the request may run again."""
-        return not self._sent or self.request.may_run_again
+        return not self._sent or self.request.may_leave
--- a/src/beamhatch/relay/upstreams/reserve_attempt.py
+++ b/src/beamhatch/relay/upstreams/reserve_attempt.py
@@ -139,7 +139,12 @@
 
     def _handle_timeout(self) -> None:
         self._abandon()
-        self.handle_failure(CallFailure.UNREACHED, "no answer in time")
+        self._end()
+        upstream = self._step.upstream
+        self.core.stats.get(upstream.id).record_no_response(self.core.clock.now())
+        self._exchange.request.record_reserve_unanswered(upstream.id)
+        self._exchange.write_log("not reserved", to=upstream.id, detail="no answer in time")
+        self._exchange.replan_after(self)
 
     def _end(self) -> None:
         self._ended = True
--- a/src/beamhatch/relay/upstreams/stream_attempt.py
+++ b/src/beamhatch/relay/upstreams/stream_attempt.py
@@ -45,8 +45,11 @@
     def handle_head(self, head: ResponseHead) -> None:
         """Apply the head; that of a stream is forwarded with the first event."""
         super().handle_head(head)
-        if self._is_stream and self.send.handle is not None:
+        if not self._is_stream:
+            return
+        if self.send.handle is not None and self.request.handle is self.send.handle:
             self.request.drop_handle()
+        self.exchange.settle_on(self)
 
     def handle_data(self, data: bytes) -> None:
         """Forward complete events, or buffer the body of an error response."""
@@ -70,6 +73,7 @@
         elif not self._events.is_complete or not self.exchange.request.response_begun:
             self.handle_failure(CallFailure.BROKEN, "stream ended inside an event or before the first one")
         else:
+            self.exchange.settle_on(self)
             self.conclude(self._end_stream)
 
     def _end_stream(self) -> None:
@@ -99,7 +103,7 @@
 
     def may_abandon(self) -> bool:
         """Return whether the stream may be resumed at another engine."""
-        return not self._sent or self.request.may_run_again
+        return not self._sent or self.request.may_leave
 
     @property
     def _is_stream(self) -> bool:
@@ -109,6 +113,7 @@
 
     def _forward_events(self, data: bytes, last: int | None) -> None:
         assert self.head is not None
+        self.exchange.settle_on(self)
         if self._pending_prefill_tokens:
             self._record_prefill(self.core.prefill_models.get_decode(self.request.service.name))
             self._end_prefill()
--- a/tests/relay/requests/test_request.py
+++ b/tests/relay/requests/test_request.py
@@ -69,6 +69,8 @@
     def plan(self, elapsed: float) -> None:
         self.now += elapsed
         self.step = self.request.plan(self.upstreams, self.chooser, self.budget, 3, self.now)
+        if isinstance(self.step, Send | Reserve):
+            assert self.step.upstream.id not in self.request.silent_upstreams, "sent to a silent upstream again"
         if isinstance(self.step, Send):
             self.under_way = self.step
         elif isinstance(self.step, Refuse):
@@ -87,6 +89,35 @@
         else:
             self.request.record_full(upstream.id)
 
+    @precondition(lambda self: isinstance(self.step, Reserve))
+    @rule()
+    def reserve_unanswered(self) -> None:
+        assert isinstance(self.step, Reserve)
+        self.request.record_reserve_unanswered(self.step.upstream.id)
+        self.step = None
+
+    @precondition(lambda self: self.under_way is not None and self.under_way.stage is not Stage.PREFILL)
+    @rule(events=st.integers(0, 3))
+    def fall_silent(self, events: int) -> None:
+        send = self._send()
+        self.possible_runs += 1
+        if events and self.request.route.kind is RouteKind.STREAMING:
+            self.request.record_event((self.request.last_event or 0) + events, send.upstream.version)
+        if self.request.may_leave:
+            self.request.begin_search(send.upstream.id)
+        else:
+            self.step = Fail("it is waited for")
+
+    @precondition(lambda self: self.under_way is None and self.request.silent_upstreams)
+    @rule(responds=st.booleans())
+    def end_search(self, responds: bool) -> None:
+        """End the search because the silent upstream responds, or has failed."""
+        silent = sorted(self.request.silent_upstreams)[0]
+        self.request.silent_upstreams.discard(silent)
+        self.request.end_search(self.budget)
+        if responds:
+            self.step = Fail("it goes on")
+
     @precondition(lambda self: self.under_way is not None)
     @rule()
     def fail_to_reach(self) -> None:
@@ -244,6 +275,30 @@
     assert chosen == [route.choose_service(f"q{number}") for number in range(2000)]
 
 
+def test_retries_that_were_counted_and_not_made_are_taken_back() -> None:
+    budget = RetryBudget(RetryBudgetLimits(ratio=0.0, slack=15.0))
+    budget.record_retry(1.0)
+    budget.record_retry(2.0, 2)
+    assert not budget.allows(2.0, 6)
+    budget.withdraw_retry(2.0, 2)
+    assert budget.allows(2.0, 6)
+    budget.withdraw_retry(2.0, 2)
+    assert not budget.allows(2.0, 6, 2)
+
+
+def test_streams_that_leave_the_same_upstream_share_the_budget() -> None:
+    budget = RetryBudget(RetryBudgetLimits(ratio=0.0, slack=30.0))
+    chooser = LeastCostChooser(UpstreamStatsRegistry(), "h")
+    upstreams = [make_upstream(f"u{number}", Phase.DECODE) for number in range(3)]
+    steps = []
+    for _ in range(6):
+        request = make_request()
+        request.record_sent(Send(Stage.WHOLE, upstreams[0]), budget, 1.0)
+        request.begin_search(upstreams[0].id)
+        steps.append(request.plan(upstreams, chooser, budget, 6, 1.0))
+    assert [isinstance(step, Send) for step in steps] == [True] * 4 + [False] * 2
+
+
 def test_vms_that_restart_together_do_not_use_the_slack_twice() -> None:
     """Retries before and after a restart that fall into one window must not exceed the slack."""
     terms = RetryBudgetLimits(ratio=0.2, slack=56, window_s=10)
--- a/tests/soak/mutants.py
+++ b/tests/soak/mutants.py
@@ -27,6 +27,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from beamhatch.relay.model import Handle
+
 
 def _runs_again() -> None:
     RelayRequest.may_run_again = property(lambda self: True)  # type: ignore[assignment,method-assign]
@@ -102,7 +104,10 @@
 
 
 def _keeps_memory() -> None:
-    RelayExchange._release_held = lambda self: None  # type: ignore[method-assign]
+    def release_held(self: RelayExchange, *, except_handle: Handle | None = None) -> None:
+        pass
+
+    RelayExchange._release_held = release_held  # type: ignore[method-assign]
     RelayExchange._stop_attempt = lambda self: None  # type: ignore[method-assign]
 
 
