Pause upstreams in the soak, and hold requests to an unbroken end

The soak had no fault in which upstreams keep everything and answer late: a hanging engine never goes on. A request must not be broken off, or get 502 or 504 of the relay's own, while the upstreams that it reached neither crashed nor had a fault and its route's time is not over, at VMs that nothing disturbed. A crash ends what is at work at the upstream now, as it does on the paused network.

--- a/tests/platform/test_silence_spells.py
+++ b/tests/platform/test_silence_spells.py
@@ -52,7 +52,7 @@
 
 
 def _keep_memory(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(RelayExchange, "_release_held", lambda _: None)
+    monkeypatch.setattr(RelayExchange, "_release_held", lambda *_, **__: None)
 
 
 def _keep_working(monkeypatch: pytest.MonkeyPatch) -> None:
@@ -102,8 +102,8 @@
     (0, _repeat_events, {Check.EVENTS}),
     (0, _mix_versions, {Check.VERSIONS}),
     (0, _run_more_often, {Check.ONCE, Check.ATTEMPTS}),
-    (4, _refuse_what_ran, {Check.REFUSED}),
-    (0, _keep_working, {Check.DOUBLE, Check.GONE}),
+    (5, _refuse_what_ran, {Check.REFUSED}),
+    (3, _keep_working, {Check.DOUBLE, Check.GONE}),
     (0, _keep_memory, {Check.RELEASED}),
     (0, _ignore_budget, {Check.BUDGET}),
 ]
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -80,6 +80,13 @@
 DEADLY_RESTART = 1.5
 """Seconds behind the end of an upstream after which another one is there, cold."""
 
+PAUSED = (("",), ("prefill",), ("decode",), ("decode",), ("prefill", "decode"), ("", "prefill", "decode"))
+"""Phases of upstreams that pause together; those of plain services have none."""
+
+PAUSED_SHARES = (0.3, 0.6, 1.0)
+LONGEST_PAUSE = 5.0
+"""Seconds, shorter than the time-out of any route."""
+
 UPSTREAM_FAULTS = [one for one in UpstreamFault if one is not UpstreamFault.NONE]
 
 
@@ -114,6 +121,7 @@
             FaultKind.LINK_SLOW: self._slow_links,
             FaultKind.LINK_BREAKS: self._break_links,
             FaultKind.CONNECTIONS_SILENT: self._silence_connections,
+            FaultKind.UPSTREAMS_PAUSE: self._pause_upstreams,
             FaultKind.UPSTREAM_FAULT: self._harm_upstream,
             FaultKind.UPSTREAM_CRASH: self._crash_upstream,
             FaultKind.UPSTREAM_LEAVES: self._leave,
@@ -347,13 +355,26 @@
 
     # --- upstreams ---------------------------------------------------------------------------------------------------
 
+    def _pause_upstreams(self, step: Step) -> None:
+        phases = PAUSED[int(step.pick * len(PAUSED))]
+        share = PAUSED_SHARES[int(step.seconds * 1000) % len(PAUSED_SHARES)]
+        found = [one for one in self._world.placed.values() if one.phase in phases]
+        first, count = int(step.pick * 1000), max(1, round(share * len(found)))
+        seconds = min(step.seconds, LONGEST_PAUSE)
+        for number in range(min(count, len(found))):
+            found[(first + number) % len(found)].upstream.pause_for(seconds)
+        self._later(seconds, lambda: None)
+
     def _harm_upstream(self, step: Step) -> None:
         upstream = pick(list(self._world.placed.values()), step).upstream
         upstream.fault = UPSTREAM_FAULTS[int(step.seconds * 1000) % len(UPSTREAM_FAULTS)]
+        if upstream.fault is not UpstreamFault.SHED:
+            self._witness.harms.begin(upstream.instance, self._world.now())
         self._later(step.seconds, self._mend_upstream, upstream)
 
     def _mend_upstream(self, upstream: PlainReplica | ModelEngine) -> None:
         upstream.fault, upstream.retry_after = UpstreamFault.NONE, ""
+        self._witness.harms.end(upstream.instance, self._world.now())
 
     def _send_deadly(self, step: Step) -> None:
         """Have a caller send one request again and again, for longer than it may arrive anywhere."""
--- a/tests/soak/mutants.py
+++ b/tests/soak/mutants.py
@@ -28,6 +28,7 @@
     from collections.abc import Callable
 
     from beamhatch.relay.model import Handle
+    from beamhatch.relay.upstreams.attempt import Attempt
 
 
 def _runs_again() -> None:
@@ -138,6 +139,17 @@
     Upstream.may_serve = lambda self, version: True  # type: ignore[method-assign]
 
 
+def _leaves_silent() -> None:
+    def leave(self: RelayExchange, attempt: Attempt) -> None:
+        attempt.cancel()
+        self.request.record_failed(attempt.send)
+        self._attempt = None
+        self.advance()
+
+    RelayExchange.seek_alternative = leave  # type: ignore[method-assign]
+    RelayExchange._may_search_on = lambda self, step: False  # type: ignore[method-assign]
+
+
 UPSTREAM_FAULTS = [FaultKind.UPSTREAM_FAULT]
 COLD_FAULTS = [FaultKind.HALL_COLD, FaultKind.UPSTREAM_CRASH]
 
@@ -159,6 +171,7 @@
     "sends-deadly": Mutant(Promise.DEADLY, [FaultKind.DEADLY], _sends_deadly),
     "ignores-parts": Mutant(Promise.DEADLY, [FaultKind.DEADLY_PART], _ignores_parts),
     "ignores-versions": Mutant(Promise.VERSION, [FaultKind.UPSTREAM_CRASH, *UPSTREAM_FAULTS], _ignores_versions),
+    "leaves-silent": Mutant(Promise.UNBROKEN, [FaultKind.UPSTREAMS_PAUSE], _leaves_silent),
     "passes-any-event": Mutant(Promise.ORDER, UPSTREAM_FAULTS, _passes_any_event),
 }
 """By name."""
--- a/tests/soak/promise.py
+++ b/tests/soak/promise.py
@@ -25,6 +25,7 @@
     PLANNED_STOP = "a planned stop cuts off nothing, and ends in its time"
     ONE_LEADER = "orders to engines come from one VM at a time"
     GIVEN_BACK = "memory of engines is given back once its callers are gone"
+    UNBROKEN = "a request is not broken off while the upstreams that it reached are only silent and time is left"
     DEADLY = "a request that ends upstreams is kept from the rest"
     INNOCENT = "a request that ends nothing is not kept away as one that does"
     RECOVERY = "everything is served again once faults are over"
@@ -99,6 +100,12 @@
 GONE_BOUND = 1.5
 """Seconds behind which no upstream works for a caller that left: three times the users' bound, on a shared machine."""
 
+ROUTE_TIMEOUT = 6.0
+"""Seconds after which all routes time out."""
+
+TIME_LEFT = 0.25
+"""Seconds before that within which a request may be ended for lack of time, on a shared machine."""
+
 TURN_TIME = 3.0
 """Seconds between the orders of two VMs."""
 
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -42,6 +42,8 @@
 
     It is drawn only where it is asked for, so that a seed's other faults are what they were before it came.
     """
+    UPSTREAMS_PAUSE = "upstreams_pause"
+    """Some or all upstreams of a kind process nothing for a while, keep what they have, and go on."""
     UPSTREAM_FAULT = "upstream_fault"
     """An upstream sheds, fails, hangs, breaks off, or sends what is no answer."""
     UPSTREAM_CRASH = "upstream_crash"
@@ -123,6 +125,12 @@
 RESTORES_GAP = 10.0
 """Seconds between two restores in the mean."""
 
+PAUSES = (FaultKind.UPSTREAMS_PAUSE,)
+"""Drawn apart for the same reason."""
+
+PAUSES_GAP = 4.0
+"""Seconds between two pauses in the mean."""
+
 WORDS_GAP = 3.0
 """Seconds between two upstreams in the mean that leave or rest by their own word."""
 
@@ -151,7 +159,8 @@
     words = _draw(random.Random(f"own words of {seed}"), seconds, OWN_WORDS, WORDS_GAP)
     limits = _draw(random.Random(f"limits of {seed}"), seconds, LIMITS, LIMITS_GAP)
     restores = _draw(random.Random(f"restores of {seed}"), seconds, RESTORES, RESTORES_GAP)
-    return sorted([*steps, *words, *limits, *restores], key=lambda step: step.at)
+    pauses = _draw(random.Random(f"pauses of {seed}"), seconds, PAUSES, PAUSES_GAP)
+    return sorted([*steps, *words, *limits, *restores, *pauses], key=lambda step: step.at)
 
 
 def _draw(drawn: random.Random, seconds: float, kinds: Sequence[FaultKind], gap: float) -> list[Step]:
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -65,6 +65,13 @@
     assert done.returncode == 0, done.stdout + done.stderr
 
 
+def test_upstreams_pause_and_requests_are_not_broken_off(tmp_path: Path) -> None:
+    command = [sys.executable, "-m", "tests.soak", "--seed", "1", "--seconds", "5", "--vms", "2"]
+    faults = ["--fault", "upstreams_pause", "--fault", "configure"]
+    done = subprocess.run([*command, *faults, "--logs", str(tmp_path)], capture_output=True, text=True, timeout=110)
+    assert done.returncode == 0, done.stdout + done.stderr
+
+
 def test_the_same_seed_draws_the_same_faults() -> None:
     assert draw_steps(5, 30.0) == draw_steps(5, 30.0)
     assert draw_steps(5, 30.0) != draw_steps(6, 30.0)
@@ -97,6 +104,45 @@
     assert promise in list_broken(witness)
 
 
+def make_broken(status: int) -> Outcome:
+    """Return the outcome of a stream that ended 1 s behind its request, with three of its events or none."""
+    body = make_events(1, 2, 3) if status == 200 else b""
+    return make_outcome("/stream/", status, SIGNED if status == 200 else {}, body, whole=status != 200)
+
+
+@pytest.mark.parametrize("status", [200, 502, 504])
+@pytest.mark.parametrize("excuse", ["", "crash", "fault", "left", "late", "not reached", "disturbed", "another start"])
+def test_a_request_that_is_broken_off_while_its_upstream_is_only_silent_is_seen(
+    witness: Witness, status: int, excuse: str
+) -> None:
+    ask(witness, "/stream/")
+    outcome = make_broken(status)
+    witness.reached["q1"] = {"i-1"}
+    witness.harms.strike("i-2", 20.5)
+    if excuse == "crash":
+        witness.harms.strike("i-1", 20.9)
+    if excuse == "fault":
+        witness.harms.begin("i-1", 19.0)
+    if excuse == "not reached":
+        witness.reached.clear()
+    if excuse == "disturbed":
+        witness.vms["vm0"].calm.begin()
+    if excuse == "another start":
+        witness.vms["vm0"].life = 2
+    outcome.left = excuse == "left"
+    outcome.ended_at = 25.9 if excuse == "late" else 21.0
+    witness.take_outcome(outcome)
+    assert list_broken(witness) == (set() if excuse else {Promise.UNBROKEN})
+
+
+def test_a_fault_that_is_over_is_no_excuse(witness: Witness) -> None:
+    witness.harms.begin("i-1", 10.0)
+    witness.harms.end("i-1", 15.0)
+    assert not witness.harms.overlap("i-1", 20.0, 21.0)
+    assert witness.harms.overlap("i-1", 15.1, 21.0)
+    assert witness.harms.overlap("i-1", 9.0, 10.0)
+
+
 def test_arrivals_where_nothing_may_arrive_are_seen(witness: Witness) -> None:
     ask(witness, "/west/")
     witness.emptied["east-a"] = 10.0
--- a/tests/soak/witness.py
+++ b/tests/soak/witness.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 from beamhatch.relay.requests.refusal import QUARANTINE_REASON
+from tests.soak.harms import Harms
 from tests.soak.limits import NamedLimits
 from tests.soak.own_words import Heard, OwnWords
 from tests.soak.promise import (
@@ -19,8 +20,10 @@
     LEAST_ENDS_OF_PART,
     LEAVE_BOUND,
     MOST_LATE_SENDS,
+    ROUTE_TIMEOUT,
     STEP_BACK_SLACK,
     THAW_SLACK,
+    TIME_LEFT,
     TOUCH_TIME,
     TURN_TIME,
     Breach,
@@ -138,6 +141,9 @@
     deadly_parts: dict[str, str] = field(default_factory=dict)
     """Targets of requests with a part in their prompts that crashes engines, and the part."""
     served: int = 0
+    reached: dict[str, set[str]] = field(default_factory=dict)
+    """Upstreams that each request reached, but for those that only read its prompt."""
+    harms: Harms = field(default_factory=Harms)
     words: OwnWords = field(default_factory=OwnWords)
     limits: NamedLimits = field(default_factory=NamedLimits)
     _orders: int = 0
@@ -268,6 +274,7 @@
                 )
         if outcome.status == 503 and QUARANTINE_REASON.encode() in outcome.body and not self._is_deadly(outcome.target):
             self.break_promise(Promise.INNOCENT, outcome.ended_at, f"{outcome.request} for {outcome.target} was held")
+        self._check_unbroken(outcome, signature)
         if outcome.status == 200:
             self._check_success(outcome, terms, signature)
         if outcome.status == 404:
@@ -278,6 +285,24 @@
         if runs > (terms.most_runs if terms.repeatable else 1):
             self.break_promise(Promise.ONCE, now, f"{request} ran {runs} times")
 
+    def _check_unbroken(self, outcome: Outcome, signature: str | None) -> None:
+        """Check that silent upstreams were no reason to break a request off, at a VM that nothing disturbed."""
+        failed = not outcome.whole or (outcome.status in (502, 504) and signature is None)
+        reached = self.reached.get(outcome.request)
+        in_time = outcome.ended_at < outcome.sent_at + ROUTE_TIMEOUT - TIME_LEFT
+        if not failed or outcome.left or not reached or not in_time:
+            return
+        vm = self.vms[outcome.vm]
+        if vm.life != outcome.life or vm.calm.since > outcome.sent_at:
+            return
+        if any(self.harms.overlap(one, outcome.sent_at, outcome.ended_at) for one in reached):
+            return
+        detail = f"{outcome.request} at {outcome.vm} got {outcome.status}"
+        if outcome.status == 200:
+            detail += f" and {len(outcome.events)} events"
+        detail += f" from {sorted(reached)} behind {outcome.ended_at - outcome.sent_at:.2f} s"
+        self.break_promise(Promise.UNBROKEN, outcome.ended_at, detail)
+
     def _check_success(self, outcome: Outcome, terms: RouteTerms, signature: str | None) -> None:
         now = outcome.ended_at
         own = outcome.headers.get("request-id") == outcome.request
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -13,7 +13,7 @@
 from beamhatch.standin.link import Link, open_link
 from tests.soak.caller import CONNECT_TIMEOUT, HOST, PATIENCE, CallerConnection, CallerFactory, Outcome
 from tests.soak.net import Net
-from tests.soak.promise import COLD_RATE, COLD_TIME, GONE_BOUND, TOUCH_TIME, Promise
+from tests.soak.promise import COLD_RATE, COLD_TIME, GONE_BOUND, ROUTE_TIMEOUT, TOUCH_TIME, Promise
 from tests.soak.upstreams import Arrival, ModelEngine, PlainReplica
 from tests.soak.vm import CALLER_PORT, PEER_PORT, READY_PORT, VmProcess
 from tests.soak.witness import STREAM_EVENTS, Asked, RouteTerms, UpstreamFacts, VmFacts, Witness
@@ -139,7 +139,7 @@
             upstream = ModelEngine(self.clock, address, name, self.ledger, phase)
             upstream.on_phase_change = lambda: self.list_upstream(name)
         upstream.version = VERSIONS[self._number % len(VERSIONS)]
-        upstream.observe(self._take_arrival, self._take_crash, self.active)
+        upstream.observe(self._take_arrival, self._take_read, self._take_crash, self.active)
         upstream.start()
         host = f"{self.net}.4.1"
         port = open_link(self.clock.reactor, self.upstream_link, f"{host}:0", str(upstream.address))
@@ -164,7 +164,8 @@
     def remove_upstream(self, name: str) -> Placed:
         """Have an upstream crash; return what it was."""
         placed = self.placed.pop(name)
-        placed.upstream.stop()
+        placed.upstream.end()
+        self.witness.harms.strike(name, self.now())
         self.store.remove(f"servers/{name}")
         return placed
 
@@ -196,11 +197,14 @@
         self.on_crash(name)
 
     def _take_arrival(self, arrival: Arrival) -> None:
-        now = self.now()
-        self.witness.take_arrival(arrival.request, arrival.path, arrival.instance, now)
+        self.witness.take_arrival(arrival.request, arrival.path, arrival.instance, self.now())
+        if not arrival.is_prefill:
+            self.witness.reached.setdefault(arrival.request, set()).add(arrival.instance)
+
+    def _take_read(self, arrival: Arrival) -> None:
         placed = self.placed.get(arrival.instance)
         if placed is not None and placed.upstream.fault is UpstreamFault.SHED and placed.upstream.retry_after:
-            self.witness.take_rest(arrival.request, arrival.instance, float(placed.upstream.retry_after), now)
+            self.witness.take_rest(arrival.request, arrival.instance, float(placed.upstream.retry_after), self.now())
 
     # --- callers -----------------------------------------------------------------------------------------------------
 
@@ -349,11 +353,22 @@
 
     def _check_gone(self, outcome: Outcome) -> None:
         """Check that nobody works for a caller that left some time ago, at a VM that nothing disturbed."""
+        paused_until = self._find_pause_end(outcome.request)
+        if paused_until + GONE_BOUND > self.clock.now():
+            self.clock.call_later(paused_until + GONE_BOUND - self.clock.now(), self._check_gone, outcome)
+            return
         since = self.witness.vms[outcome.vm].calm.since
         if outcome.request in self.active and since + TOUCH_TIME < outcome.ended_at:
             detail = f"an upstream is still at work on {outcome.request}, whose caller left"
             self.witness.break_promise(Promise.GIVEN_BACK, self.now(), detail)
 
+    def _find_pause_end(self, request: str) -> float:
+        """Return when the last pause ends of the upstreams that are at work on a request."""
+        at_work = [
+            one.upstream for one in self.placed.values() if any(run.request == request for run in one.upstream.runs)
+        ]
+        return max((one.paused_until for one in at_work), default=float("-inf"))
+
     def _note_stop(self, vm: VmProcess, outcome: Outcome) -> None:
         """Check that a planned stop cut nothing off, where nothing else was wrong."""
         stopping = vm.stopping_since is not None and outcome.life == vm.life
@@ -382,7 +397,7 @@
         "host": HOST,
         "path_prefix": prefix,
         "route_type": kind,
-        "timeout_ms": 6000,
+        "timeout_ms": round(1000 * ROUTE_TIMEOUT),
         "target_latency_ms": 900,
         "service": service,
         "max_attempts": 2,
