--- a/tests/support/silence_upstreams.py
+++ b/tests/support/silence_upstreams.py
@@ -51,6 +51,8 @@
     """Upstreams that sent each event, by request and number of the event."""
     runners: dict[str, list[str]] = field(default_factory=dict)
     """Upstreams that began to run each request, in order."""
+    versions: dict[str, str] = field(default_factory=dict)
+    """Software version of each engine."""
     harms: dict[str, list[Span]] = field(default_factory=dict)
     """Spans in which each upstream crashed, hung or ended."""
     pauses: dict[str, list[Span]] = field(default_factory=dict)
@@ -166,6 +168,7 @@
         """Start and list an engine."""
         engine = RecordingEngine(self.clock, Address(f"host-{name}", 80), name, self.ledger, phase, kv_tokens)
         engine.record, engine.version = self.record, version
+        self.record.versions[name] = version
         self._add(name, engine, MODEL, hall)
         engine.on_phase_change = lambda: self.list_again(name)
         return engine
