Use decode memory that an engine grants late

What callers saw: 20 of 20 requests were refused with 503 where all decode engines were sound and .1 s away (listed red), and streams found no place where engines were silent for a moment.

A call for memory that was not answered within .12 s was given up, and its engine passed over for the rest of the request; a grant that came later was released though the request still looked for one, or was refused because all engines had been asked.

Why it works: the call stays open while others are asked. The first grant is used, all others are released. A request that has asked all engines waits for them as long as it can still be on time; behind that it is refused as before. An engine that is known to be unresponsive is not asked again within its pause, so requests behind the first ones are still refused at once.

--- a/src/beamhatch/relay/requests/exchange.py
+++ b/src/beamhatch/relay/requests/exchange.py
@@ -512,7 +512,9 @@
         """Wait for a cold upstream if one will have room in time; otherwise end the request."""
         wait = self._get_cold_wait(step)
         if wait is None:
-            if self._may_search_on(step):
+            if step.no_upstream and self.request.awaits_late_memory and self._time_left_for_memory > 0:
+                self._schedule_replan(self._time_left_for_memory)
+            elif self._may_search_on(step):
                 self.request.forget_obstacles()
                 self._schedule_replan(SEARCH_INTERVAL_S)
             else:
@@ -567,6 +569,12 @@
         else:
             self._refuse(step.reason, memory_full=step.memory_full, retry_after_s=step.retry_after_s)
 
+    @property
+    def _time_left_for_memory(self) -> float:
+        """Return the seconds for which the request may wait for decode memory and be on time."""
+        on_time_until = self._incoming.arrived_at + ON_TIME_SHARE * self.request.route.target_latency
+        return on_time_until - self.core.clock.now()
+
     def _compute_cold_deadline(self) -> float:
         """Return the monotonic time up to which the request may wait for a cold upstream."""
         if self.request.response_begun and self._cold_wait_began_at is not None:
@@ -717,6 +725,30 @@
             self.core.tally.count("silences_ended_total", "replaced")
         self._failover.cancel()
 
+    def accept_late_reservation(self, reservation: Reservation) -> bool:
+        """Use memory that an engine granted late, and return True, unless the request does not need it."""
+        attempt = self._attempt
+        is_idle = attempt is None or isinstance(attempt, ReserveAttempt)
+        if self._ended or not is_idle or self.request.reservation is not None:
+            return False
+        if not self.core.eligibility.is_in_regions(reservation.upstream, self.request.regions):
+            return False
+        self._stop_attempt()
+        self.leave_queue()
+        self.record_memory_acquired()
+        self.request.record_reserved(reservation)
+        self.write_log("reserved", to=reservation.upstream.id, late=True)
+        self.advance()
+        return True
+
+    def handle_late_rejection(self, upstream: Upstream) -> None:
+        """Record that an engine rejected a reservation late, and plan again if the request waits for that."""
+        if self._ended or self._attempt is not None or self._in_queue or self.request.reservation is not None:
+            return
+        if self.core.eligibility.is_in_regions(upstream, self.request.regions):
+            self.request.record_full(upstream.id)
+            self.advance()
+
     def _return_to_fallback(self) -> None:
         """Wait for the silent upstream, as no other one can take the request now, and seek again later."""
         attempt = self._failover.pop_last()
--- a/src/beamhatch/relay/requests/request.py
+++ b/src/beamhatch/relay/requests/request.py
@@ -518,6 +518,7 @@
     def record_full(self, upstream: UpstreamId) -> None:
         """Record that a decode engine has no free memory."""
         self._full_upstreams.add(upstream)
+        self._unanswered_by.discard(upstream)
 
     def record_reserve_failed(self, upstream: UpstreamId) -> None:
         """Record that a call to reserve memory at a decode engine failed."""
@@ -529,6 +530,11 @@
         self._unreached += 1
         self._unanswered_by.add(upstream)
 
+    @property
+    def awaits_late_memory(self) -> bool:
+        """Return whether a decode engine may still answer that was asked for memory."""
+        return bool(self._unanswered_by) and self.reservation is None
+
     def apply_route(self, route: Route) -> None:
         """Apply a changed route."""
         self.route = route
--- a/src/beamhatch/relay/upstreams/reserve_attempt.py
+++ b/src/beamhatch/relay/upstreams/reserve_attempt.py
@@ -10,10 +10,7 @@
 from beamhatch.relay.upstreams.http_client import CallFailure, ResponseSink
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from beamhatch.relay.choosing.rests import BackoffProbe
-    from beamhatch.relay.core import Core
     from beamhatch.relay.model import Upstream
     from beamhatch.relay.requests.exchange import RelayExchange
     from beamhatch.relay.requests.request import Reserve
@@ -27,7 +24,7 @@
 """HTTP status of a granted reservation."""
 
 TIMEOUT_S = 0.12
-"""Short, as engines respond within milliseconds and the request has to be rejected early if there is no memory."""
+"""Time after which another engine is asked too; short, as engines usually respond within milliseconds."""
 
 
 class ReserveAttempt(ResponseSink):
@@ -69,14 +66,12 @@
             self._abandon()
 
     def _abandon(self) -> None:
-        """Leave the call to a receiver that releases memory granted late, or cancel it if nothing was sent."""
+        """Leave the call to a receiver of late responses, or cancel it if nothing was sent."""
         http, self._http = self._http, None
         if http is None:
             return
         if self.sent:
-            http.sink = AbandonedReservation(
-                self.core, self._step, http, self._head, self._body, self._exchange.write_log
-            )
+            http.sink = LateReservation(self._exchange, self._step, http, self._head, self._body)
         else:
             http.cancel()
 
@@ -155,26 +150,21 @@
             self._probe.end(self.core.clock.now(), answered=answered)
 
 
-class AbandonedReservation(ResponseSink):
-    """Receiver of the response to a reservation that nobody waits for any more."""
+class LateReservation(ResponseSink):
+    """Receiver of a late response to a reservation; memory that the request does not need any more is released."""
 
     def __init__(
-        self,
-        core: Core,
-        step: Reserve,
-        http: HttpExchange,
-        head: ResponseHead | None,
-        body: bytearray,
-        write_log: Callable[..., None],
+        self, exchange: RelayExchange, step: Reserve, http: HttpExchange, head: ResponseHead | None, body: bytearray
     ) -> None:
         """Begin to wait for the rest of the response, until memory granted now would have expired.
 
         :param head: the head of the response if it has arrived
         :param body: what has arrived of the body
         """
+        core = exchange.core
+        self._exchange = exchange
         self._core = core
         self._step = step
-        self._write_log = write_log
         self._head = head
         self._body = body
         self._timer: Any = core.clock.call_later(step.lifetime_s, http.cancel)
@@ -188,16 +178,23 @@
         self._body += data[:MAX_BODY_BYTES]
 
     def handle_end(self) -> None:
-        """Release the memory that was granted."""
+        """Offer the memory that was granted to the request, and release it if the request does not need it."""
         self._timer.cancel()
         assert self._head is not None
+        now = self._core.clock.now()
+        upstream = self._step.upstream
+        self._core.stats.get(upstream.id).record_response(now)
         found = self._core.dialect.read_reservation(bytes(self._body)) if self._head.status == GRANTED else None
         if found is None:
+            self._exchange.handle_late_rejection(upstream)
+            return
+        reservation = Reservation(found, upstream, now + self._step.lifetime_s)
+        if self._exchange.accept_late_reservation(reservation):
+            self._core.tally.count("reservations_used_late_total")
             return
-        upstream = self._step.upstream
-        reservation = Reservation(found, upstream, self._core.clock.now() + self._step.lifetime_s)
         self._core.tally.count("reservations_released_late_total")
-        send_release(self._core, upstream, self._core.dialect.make_unreserve_call(reservation), self._write_log)
+        call = self._core.dialect.make_unreserve_call(reservation)
+        send_release(self._core, upstream, call, self._exchange.write_log)
 
     def handle_failure(self, failure: CallFailure, detail: str) -> None:
         """Do nothing: memory that was granted expires at the engine."""
