Have the decode engine read the prompt where the budget allows no second prefill

Cause: a prefill that falls silent is sent to another prefill engine, which counts as a retry. Where the budget was spent by then the request was given up, although sending the whole request to the decode engine counts as none.

Evidence: the test got [503, 200, 200, 503, 503, 200] without the change. Beside it a test that a stream stays at its engine while the budget is spent, which passes without it.

--- a/src/beamhatch/relay/requests/request.py
+++ b/src/beamhatch/relay/requests/request.py
@@ -249,9 +249,18 @@
             return self._give_up(
                 "no upstream can take it", no_upstream=True, is_temporary=self._has_sound_upstream(usable)
             )
-        if not self._acquire_budget(step, budget, vm_count, now):
-            return self._give_up("the budget for repeated sends is spent")
-        return step
+        if self._acquire_budget(step, budget, vm_count, now):
+            return step
+        whole = self._replace_prefill(step)
+        if whole is not None and self._acquire_budget(whole, budget, vm_count, now):
+            return whole
+        return self._give_up("the budget for repeated sends is spent")
+
+    def _replace_prefill(self, step: Step) -> Send | None:
+        """Return a send of the whole request to the engine that reserved memory, in place of a repeated prefill."""
+        if self.reservation is None or not isinstance(step, Send) or step.stage is not Stage.PREFILL:
+            return None
+        return Send(Stage.WHOLE, self.reservation.upstream, None, self.reservation)
 
     def _acquire_budget(self, step: Step, budget: RetryBudget, vm_count: int, now: float) -> bool:
         """Return whether the budget for retries allows a step.
--- a/tests/platform/test_silence.py
+++ b/tests/platform/test_silence.py
@@ -7,6 +7,7 @@
 import pytest
 
 from beamhatch.platform.standin.upstream import StandInEngine, UpstreamFault
+from beamhatch.relay.model import ServiceName
 from tests.support.platform import MODEL, ROUTES, Platform, make_platform, make_route
 
 if TYPE_CHECKING:
@@ -54,6 +55,12 @@
     engine.used_tokens += engine.free_tokens
 
 
+def spend_budget(platform: Platform) -> None:
+    """Use up the VM's budget for retries for some seconds."""
+    core = platform.vms["vm1"].core
+    core.get_retry_budget(ServiceName(MODEL)).record_retry(core.clock.now(), 1000)
+
+
 def change_configuration(platform: Platform, version: int) -> None:
     """Change a timeout, and add a route."""
     routes = [{**route, "timeout_ms": 13_000} for route in ROUTES]
@@ -170,6 +177,23 @@
     assert [platform.finish(caller).status for caller in callers] == [200] * 6
 
 
+def test_requests_are_served_where_a_prefill_engine_falls_silent_and_the_budget_is_spent() -> None:
+    platform = make_fleet(prefill=2)
+    spend_budget(platform)
+    list_engines(platform, "prefill")[0].pause_for(2.2)
+    callers = [platform.call("/resumable/x", f"q{number}") for number in range(6)]
+    assert [platform.finish(caller).status for caller in callers] == [200] * 6
+
+
+def test_a_stream_is_not_cut_where_its_engine_falls_silent_and_the_budget_is_spent() -> None:
+    platform = make_fleet()
+    caller = begin_stream(platform, "q1")
+    spend_budget(platform)
+    find_engine(platform, "q1").pause_for(2.2)
+    check_whole(platform, caller)
+    assert platform.ledger.runs["q1"] == 1
+
+
 def test_a_dead_engine_is_left_as_soon_as_ever() -> None:
     platform = make_fleet()
     caller = begin_stream(platform, "q1")
