Keep the silent upstream until the one that takes its stream has responded

The first engine had been closed .25 s after the stream was sent, as a grant was taken for a sign of life.

Why it works: the first engine is kept until the new one responds, however long that takes. Engines that paused together go on together, so what the first one sends waits for .1 s for the new one, and the two never work on the stream side by side for longer than that.

--- a/src/beamhatch/relay/requests/exchange.py
+++ b/src/beamhatch/relay/requests/exchange.py
@@ -694,7 +694,7 @@
         """Plan the next step after an attempt that did not complete the request."""
         if self._attempt is attempt:
             self._attempt = None
-            self._failover.resume()
+            self._failover.end_handover()
         elif isinstance(attempt, Attempt):
             self._failover.remove(attempt)
         self.advance()
@@ -706,9 +706,18 @@
         self.advance()
 
     def handle_request_sent(self, attempt: Attempt) -> None:
-        """Stop reading a stream from silent upstreams, as it is being sent to another one."""
+        """Record that the request is being sent."""
         if self.request.route.kind is RouteKind.STREAMING and attempt.send.stage is not Stage.PREFILL:
-            self._failover.suspend()
+            self._failover.begin_handover()
+
+    def handle_stream_begun(self, attempt: Attempt) -> None:
+        """Leave the silent upstreams for one that begins to respond."""
+        if attempt is self._attempt:
+            self.settle_on(attempt)
+
+    def admits(self, attempt: Attempt) -> bool:
+        """Return whether an attempt that responds may continue the stream now; if not, it is released later."""
+        return self._failover.admits(attempt)
 
     def settle_on(self, attempt: Attempt) -> None:
         """Continue a stream with an attempt whose upstream responds, and cancel all others."""
--- a/src/beamhatch/relay/requests/failover.py
+++ b/src/beamhatch/relay/requests/failover.py
@@ -1,7 +1,8 @@
 """Keep the attempts at silent upstreams open while another upstream is sought for their request.
 
 A silent upstream may be sound and go on. Its attempt is kept as a fallback, without a timeout, until another upstream
-responds. Whichever responds first serves the request, and the others are cancelled.
+responds. Whichever responds first serves the request, and the others are cancelled. While a stream is handed over to
+another upstream, which may respond at any moment, a fallback that responds waits a little for that one.
 """
 
 from __future__ import annotations
@@ -16,10 +17,10 @@
 SEARCH_INTERVAL_S = 0.3
 """Time after which another upstream is sought again if none was found."""
 
-HANDOVER_TIMEOUT_S = 0.25
-"""Time for which the fallback of a stream is kept after the stream was sent to another upstream.
+HANDOVER_GRACE_S = 0.1
+"""Time for which a fallback that responds waits for the upstream that the stream was sent to.
 
-After it, the fallback could work on the stream at the same time for longer than allowed.
+Upstreams often go on at the same moment. If both worked on the stream, the one that began it would have to stop soon.
 """
 
 
@@ -30,8 +31,9 @@
         self._clock = clock
         self._request = request
         self._fallbacks: list[Attempt] = []
-        self._timer: Any = None
-        """Timer of the handover, during which the fallbacks are not read."""
+        self._in_handover = False
+        """Whether the stream was sent to another upstream that has not responded yet."""
+        self._grace_timer: Any = None
 
     @property
     def active(self) -> bool:
@@ -62,30 +64,34 @@
         self.remove(attempt)
         return attempt
 
-    def suspend(self) -> None:
-        """Stop reading from the fallbacks, and cancel them unless they are resumed in time."""
-        if not self._fallbacks or self._timer is not None:
-            return
-        for attempt in self._fallbacks:
-            attempt.pause()
-        self._timer = self._clock.call_later(HANDOVER_TIMEOUT_S, self.cancel)
-
-    def resume(self) -> None:
-        """Read from the fallbacks again, as the other upstream did not take the request."""
-        if self._timer is None:
-            return
+    def begin_handover(self) -> None:
+        """Record that the stream was sent to another upstream."""
+        self._in_handover = bool(self._fallbacks)
+
+    def end_handover(self) -> None:
+        """Let fallbacks continue at once, as the other upstream did not take the stream or does not respond."""
+        self._in_handover = False
         self._stop_timer()
         for attempt in list(self._fallbacks):
-            attempt.resume_reading()
+            attempt.release_held()
+
+    def admits(self, attempt: Attempt) -> bool:
+        """Return whether an attempt that responds may continue the stream now; if not, it is released later."""
+        if not self._in_handover or attempt not in self._fallbacks:
+            return True
+        if self._grace_timer is None:
+            self._grace_timer = self._clock.call_later(HANDOVER_GRACE_S, self.end_handover)
+        return False
 
     def cancel(self) -> None:
         """Cancel all fallbacks."""
+        self._in_handover = False
         self._stop_timer()
         for attempt in list(self._fallbacks):
             self.remove(attempt)
             attempt.cancel()
 
     def _stop_timer(self) -> None:
-        timer, self._timer = self._timer, None
+        timer, self._grace_timer = self._grace_timer, None
         if timer is not None and timer.active():
             timer.cancel()
--- a/src/beamhatch/relay/upstreams/attempt.py
+++ b/src/beamhatch/relay/upstreams/attempt.py
@@ -137,10 +137,8 @@
             self._http.resume()
             self._restart_timer(self.get_timeout())
 
-    def resume_reading(self) -> None:
-        """Resume reading the response without a timeout."""
-        if self._http is not None and not self._ended:
-            self._http.resume()
+    def release_held(self) -> None:
+        """Continue with what was held back of the response."""
 
     def wait(self, seconds: float) -> None:
         """Wait for the response of a silent upstream, and time out again after some seconds."""
--- a/src/beamhatch/relay/upstreams/stream_attempt.py
+++ b/src/beamhatch/relay/upstreams/stream_attempt.py
@@ -12,6 +12,8 @@
 from beamhatch.relay.upstreams.http_client import CallFailure
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from beamhatch.relay.requests.exchange import RelayExchange
     from beamhatch.relay.requests.request import Send
     from beamhatch.relay.upstreams.http_client import ResponseHead
@@ -41,6 +43,8 @@
         self._last_event_at: float | None = None
         """Monotonic seconds of the last events from this engine."""
         self._parts_succeeded = False
+        self._held: list[Callable[[], None]] = []
+        """What to do with the parts of the response that arrived before this attempt may continue the stream."""
 
     def handle_head(self, head: ResponseHead) -> None:
         """Apply the head; that of a stream is forwarded with the first event."""
@@ -49,7 +53,7 @@
             return
         if self.send.handle is not None and self.request.handle is self.send.handle:
             self.request.drop_handle()
-        self.exchange.settle_on(self)
+        self.exchange.handle_stream_begun(self)
 
     def handle_data(self, data: bytes) -> None:
         """Forward complete events, or buffer the body of an error response."""
@@ -62,10 +66,27 @@
             self.fail(str(problem))
             return
         if events.data:
-            self._forward_events(events.data, events.last_id)
+            self._do_when_admitted(lambda: self._forward_events(events.data, events.last_id))
+
+    def _do_when_admitted(self, action: Callable[[], None]) -> None:
+        """Do something at once, or as soon as this attempt may continue the stream."""
+        if self._held or not self.exchange.admits(self):
+            self._held.append(action)
+        else:
+            action()
+
+    def release_held(self) -> None:
+        """Continue with what was held back of the response."""
+        held, self._held = self._held, []
+        for action in held:
+            if not self._ended:
+                action()
 
     def handle_end(self) -> None:
         """End the response, or let the exchange try another upstream."""
+        self._do_when_admitted(self._handle_whole_response)
+
+    def _handle_whole_response(self) -> None:
         if self.has_not_run():
             self.handle_not_run()
         elif not self._is_stream:
--- a/tests/platform/test_silence.py
+++ b/tests/platform/test_silence.py
@@ -194,6 +194,33 @@
     assert platform.ledger.runs["q1"] == 1
 
 
+@pytest.mark.parametrize("others_s", [1.0, 2.0, 3.0])
+def test_a_stream_is_not_cut_where_the_engine_that_takes_it_falls_silent_too(others_s: float) -> None:
+    platform = make_fleet()
+    caller = begin_stream(platform, "q1")
+    silent = find_engine(platform, "q1")
+    silent.pause_for(2.2)
+    prefilled = platform.ledger.prefilled["q1"]
+    platform.network.run_until(lambda: platform.ledger.prefilled["q1"] > prefilled, 2.0)
+    for engine in list_engines(platform, "decode"):
+        if engine is not silent:
+            engine.pause_for(others_s)
+    check_whole(platform, caller)
+
+
+def test_a_stream_that_was_handed_over_goes_on_where_its_engine_responds_and_the_other_one_does_not() -> None:
+    platform = make_fleet(timeout_ms=8000)
+    caller = begin_stream(platform, "q1")
+    silent = find_engine(platform, "q1")
+    silent.pause_for(2.2)
+    prefilled = platform.ledger.prefilled["q1"]
+    platform.network.run_until(lambda: platform.ledger.prefilled["q1"] > prefilled, 2.0)
+    for engine in list_engines(platform, "decode"):
+        if engine is not silent:
+            engine.pause_for(30.0)
+    check_whole(platform, caller)
+
+
 def test_a_dead_engine_is_left_as_soon_as_ever() -> None:
     platform = make_fleet()
     caller = begin_stream(platform, "q1")
@@ -205,10 +232,12 @@
     check_whole(platform, caller)
 
 
-def test_one_engine_at_a_time_works_on_a_stream() -> None:
+@pytest.mark.parametrize("pause_s", [1.0, 1.05, 1.1, 1.15, 1.2, 1.6])
+def test_one_engine_at_a_time_works_on_a_stream(pause_s: float) -> None:
     platform = make_fleet()
     callers = [begin_stream(platform, f"q{number}") for number in range(6)]
-    find_engine(platform, "q1").pause_for(1.6)
+    for number, engine in enumerate({find_engine(platform, f"q{number}") for number in range(6)}):
+        engine.pause_for(pause_s + 0.01 * number)
     doubled: list[tuple[float, str]] = []
 
     def list_doubled() -> set[str]:
--- a/tests/relay/requests/test_failover.py
+++ b/tests/relay/requests/test_failover.py
@@ -5,7 +5,7 @@
 from typing import cast
 
 from beamhatch.relay.model import RequestFacts, Route, RouteKind, Service, ServiceName, UpstreamId, WeightedService
-from beamhatch.relay.requests.failover import HANDOVER_TIMEOUT_S, Failover
+from beamhatch.relay.requests.failover import HANDOVER_GRACE_S, Failover
 from beamhatch.relay.requests.request import RelayRequest
 from beamhatch.relay.upstreams.attempt import Attempt
 from tests.support.network import Network, PausedClock
@@ -27,11 +27,8 @@
         self.upstream = FakeUpstream(name)
         self.calls: list[str] = []
 
-    def pause(self) -> None:
-        self.calls.append("pause")
-
-    def resume_reading(self) -> None:
-        self.calls.append("resume")
+    def release_held(self) -> None:
+        self.calls.append("release")
 
     def cancel(self) -> None:
         self.calls.append("cancel")
@@ -65,28 +62,49 @@
     assert not setup.request.silent_upstreams
 
 
-def test_fallbacks_are_cancelled_where_the_handover_takes_too_long() -> None:
+def test_a_fallback_that_responds_during_a_handover_is_released_a_little_later() -> None:
     setup = Setup()
-    setup.failover.suspend()
-    setup.network.run(HANDOVER_TIMEOUT_S - 0.01)
-    assert setup.calls == [["pause"], ["pause"]]
+    setup.failover.begin_handover()
+    setup.network.run(3.0)
+    assert not setup.failover.admits(cast("Attempt", setup.attempts[0]))
+    setup.network.run(HANDOVER_GRACE_S - 0.01)
+    assert not setup.failover.admits(cast("Attempt", setup.attempts[0]))
+    assert setup.calls == [[], []]
     setup.network.run(0.02)
-    assert setup.calls == [["pause", "cancel"], ["pause", "cancel"]]
-    assert not setup.failover.active
-    assert not setup.request.silent_upstreams
+    assert setup.calls == [["release"], ["release"]]
+    assert setup.failover.admits(cast("Attempt", setup.attempts[0]))
 
 
-def test_fallbacks_are_read_again_where_the_other_upstream_does_not_take_the_request() -> None:
+def test_a_fallback_is_released_at_once_where_the_other_upstream_does_not_take_the_stream() -> None:
     setup = Setup()
-    setup.failover.suspend()
-    setup.network.run(HANDOVER_TIMEOUT_S / 2)
-    setup.failover.resume()
-    setup.network.run(2 * HANDOVER_TIMEOUT_S)
-    assert setup.calls == [["pause", "resume"], ["pause", "resume"]]
-    assert setup.failover.active
+    setup.failover.begin_handover()
+    assert not setup.failover.admits(cast("Attempt", setup.attempts[0]))
+    setup.failover.end_handover()
+    assert setup.calls == [["release"], ["release"]]
+    setup.network.run(2 * HANDOVER_GRACE_S)
+    assert setup.calls == [["release"], ["release"]]
 
 
-def test_fallbacks_that_were_not_suspended_are_not_resumed() -> None:
+def test_a_fallback_continues_at_once_where_nothing_is_handed_over() -> None:
     setup = Setup()
-    setup.failover.resume()
-    assert setup.calls == [[], []]
+    assert setup.failover.admits(cast("Attempt", setup.attempts[0]))
+    setup.failover.begin_handover()
+    setup.failover.end_handover()
+    assert setup.failover.admits(cast("Attempt", setup.attempts[0]))
+
+
+def test_an_attempt_that_is_no_fallback_continues_at_once_during_a_handover() -> None:
+    setup = Setup()
+    setup.failover.begin_handover()
+    assert setup.failover.admits(cast("Attempt", FakeAttempt("c")))
+
+
+def test_fallbacks_that_are_given_up_are_cancelled_and_not_released() -> None:
+    setup = Setup()
+    setup.failover.begin_handover()
+    assert not setup.failover.admits(cast("Attempt", setup.attempts[0]))
+    setup.failover.cancel()
+    setup.network.run(2 * HANDOVER_GRACE_S)
+    assert setup.calls == [["cancel"], ["cancel"]]
+    assert not setup.failover.active
+    assert not setup.request.silent_upstreams
