Pass over engines whose streams have stopped when a stream seeks another one

Cause: a call for memory was taken for a sign of life, and any answer to it took back that the engine was unresponsive. An engine that pauses may answer such calls and go on with no stream. What the VM could know was not used: that none of its own streams there goes on.

Why it works: each engine has the time of the last event of this VM's streams. Where streams have begun and none has had an event for .5 s, a stream that seeks another engine does not go there, memory that was granted there is given up, and new streams go elsewhere while there is another one.

--- a/src/beamhatch/platform/standin/upstream.py
+++ b/src/beamhatch/platform/standin/upstream.py
@@ -369,6 +369,8 @@
     prefills_serially = False
     """Whether prompts are processed one at a time, by decode engines at half the prefill rate."""
     handle_ttl_s = 0.5
+    answers_calls_while_paused = False
+    """Whether calls that reserve or release memory are answered during a pause."""
     reservation_delay_s = 0.0
     """Delay of the response to a reservation."""
     padding_bytes = 0
@@ -415,9 +417,10 @@
 
     def serve(self, incoming: IncomingRequest, responder: Responder) -> RequestHandler | None:
         """Handle a request or an API call."""
-        if self.pause_left_s:
+        is_call = incoming.path.startswith("/api/")
+        if self.pause_left_s and not (is_call and self.answers_calls_while_paused):
             return DeferredRequest(self, incoming, responder)
-        if not incoming.path.startswith("/api/"):
+        if not is_call:
             return super().serve(incoming, responder)
         self.call_times.append(self.clock.now())
         name, _, rest = incoming.path.removeprefix("/api/").partition("/")
@@ -483,10 +486,16 @@
         self.clock.call_later(asked["ttl_ms"] / 1000, self._release, hold)
         self.clock.call_later(
             self.reservation_delay_s,
-            self.call_when_running,
+            self._call_when_answering,
             lambda: self.send_response(responder, 200, {"hold": hold}),
         )
 
+    def _call_when_answering(self, function: Callable[[], None]) -> None:
+        if self.answers_calls_while_paused:
+            function()
+        else:
+            self.call_when_running(function)
+
     def _release(self, hold: str) -> None:
         self.reserved_tokens.pop(hold, None)
 
--- a/src/beamhatch/relay/choosing/chooser.py
+++ b/src/beamhatch/relay/choosing/chooser.py
@@ -147,6 +147,10 @@
         """Return whether an upstream is unreachable and not due for another probe."""
         return self.stats.get(upstream.id).should_skip(now)
 
+    def list_silent(self, usable: Sequence[Upstream], now: float) -> set[UpstreamId]:
+        """Return the engines at which no stream of this VM goes on."""
+        return {one.id for one in usable if self.stats.get(one.id).is_silent(now)}
+
     @abstractmethod
     def choose_plain(self, usable: Sequence[Upstream], tried: set[UpstreamId], now: float) -> Upstream | None:
         """Return a replica of a plain service, or None if there is no candidate."""
@@ -323,7 +327,7 @@
         return upstream.id not in tried and now >= self.stats.get(upstream.id).misdirected_until
 
     def _compute_failure_cost(self, stats: UpstreamStats, now: float) -> float:
-        unresponsive = UNRESPONSIVE_COST_S if now < stats.unresponsive_until else 0.0
+        unresponsive = UNRESPONSIVE_COST_S if now < stats.unresponsive_until or stats.is_silent(now) else 0.0
         busy = BUSY_COST_S if now < stats.busy_until else 0.0
         return unresponsive + busy + self._failure_cost * stats.get_failure_rate(now)
 
--- a/src/beamhatch/relay/choosing/standing.py
+++ b/src/beamhatch/relay/choosing/standing.py
@@ -31,6 +31,9 @@
 About as long as a request waits there, so that callers are refused for no longer than that once it responds again.
 """
 
+MAX_EVENT_GAP_S = 0.5
+"""Time without an event of any stream after which an engine counts as silent; events are some tens of ms apart."""
+
 MIN_MISDIRECTED_PAUSE_S = 2.0
 """First pause after a misdirected request; each further pause is twice as long."""
 
@@ -79,6 +82,10 @@
     """Moving average of the seconds per request; 0 before the first success."""
     responded_at: float = -1e9
     """Time of the last response to this VM."""
+    streams: int = 0
+    """Streams of this VM that have begun, and are read."""
+    event_at: float = -1e9
+    """Time of the last event of any of them."""
     unresponsive_count: int = 0
     """Consecutive connections that were refused or got no response."""
     unresponsive_until: float = -1e9
@@ -106,7 +113,7 @@
 
     def reset(self) -> None:
         """Reset all statistics for a new incarnation, except for requests in flight."""
-        fresh = UpstreamStats(self.running, self.tokens, self.pending_prefill_tokens)
+        fresh = UpstreamStats(self.running, self.tokens, self.pending_prefill_tokens, streams=self.streams)
         for each in fields(self):
             setattr(self, each.name, getattr(fresh, each.name))
 
@@ -145,6 +152,17 @@
         self.unresponsive_until = -1e9
         self.responded_at = max(self.responded_at, now)
 
+    def record_event(self, now: float) -> None:
+        """Record an event of a stream."""
+        self.event_at = now
+
+    def is_silent(self, now: float) -> bool:
+        """Return whether streams have begun and none of them goes on.
+
+        An engine that pauses may still answer other calls.
+        """
+        return self.streams > 0 and now - self.event_at > MAX_EVENT_GAP_S
+
     def record_failure(self, now: float) -> None:
         """Record a failed request."""
         self._update_failure_rate(1.0, now)
--- a/src/beamhatch/relay/requests/exchange.py
+++ b/src/beamhatch/relay/requests/exchange.py
@@ -272,15 +272,24 @@
             request.abandon_reservation()
             self.write_log("memory given up", to=reservation.upstream.id, obstacle="started again")
             return
-        obstacle = self.core.get_obstacle(reservation.upstream, request.service.name, request.regions)
-        has_room = self._permit is not None and obstacle in (Obstacle.COLD, Obstacle.LIMITED)
-        if obstacle is None or has_room:
+        obstacle = self._find_reservation_obstacle(reservation)
+        if obstacle is None:
             return
         self._drop_permit()
         request.abandon_reservation()
-        self.write_log("memory given up", to=reservation.upstream.id, obstacle=obstacle.name.lower())
+        self.write_log("memory given up", to=reservation.upstream.id, obstacle=obstacle)
         self._release_reservation(reservation)
 
+    def _find_reservation_obstacle(self, reservation: Reservation) -> str | None:
+        """Return why reserved memory may not be used any more, or None if it may."""
+        request = self.request
+        obstacle = self.core.get_obstacle(reservation.upstream, request.service.name, request.regions)
+        has_room = self._permit is not None and obstacle in (Obstacle.COLD, Obstacle.LIMITED)
+        if obstacle is not None and not has_room:
+            return obstacle.name.lower()
+        silent = self.core.chooser.list_silent([reservation.upstream], self.core.clock.now())
+        return "silent" if silent and self._failover.active else None
+
     def withdraw_from(self, incarnation: Incarnation) -> None:
         """Cancel an attempt at an upstream that accepts no more requests, if it is not sent yet, and plan again."""
         if self._attempt is not None and self._attempt.upstream.incarnation == incarnation:
--- a/src/beamhatch/relay/requests/request.py
+++ b/src/beamhatch/relay/requests/request.py
@@ -382,7 +382,8 @@
         handle: Handle | None,
         full_upstreams: set[UpstreamId],
     ) -> Upstream | None:
-        tried = self.tried | full_upstreams
+        silent = chooser.list_silent(usable, now) if self.silent_upstreams else set()
+        tried = self.tried | full_upstreams | silent
         kv_tokens = self.service.engine.kv_tokens if self.service.engine else 0
         need = self.need
         if full_upstreams:
@@ -390,7 +391,7 @@
         chosen = chooser.choose_decode(usable, need, tried, now, handle=handle, kv_tokens=kv_tokens)
         if chosen is None:
             # An engine that refused a handoff may have done so because the handle had expired: try it again.
-            tried = self._unavailable | full_upstreams
+            tried = self._unavailable | full_upstreams | silent
             return chooser.choose_decode(usable, need, tried, now, handle=handle, kv_tokens=kv_tokens)
         return chosen
 
--- a/src/beamhatch/relay/upstreams/stream_attempt.py
+++ b/src/beamhatch/relay/upstreams/stream_attempt.py
@@ -43,6 +43,8 @@
         self._last_event_at: float | None = None
         """Monotonic seconds of the last events from this engine."""
         self._parts_succeeded = False
+        self._flows = False
+        """Whether the stream is counted among those of its engine that go on."""
         self._held: list[Callable[[], None]] = []
         """What to do with the parts of the response that arrived before this attempt may continue the stream."""
 
@@ -97,6 +99,29 @@
             self.exchange.settle_on(self)
             self.conclude(self._end_stream)
 
+    def pause(self) -> None:
+        """Stop reading the response, and stop the timeout."""
+        self._count_as_flowing(flows=False)
+        super().pause()
+
+    def resume(self) -> None:
+        """Resume reading the response, and restart the timeout."""
+        if self._last_event_at is not None and not self._ended:
+            self._count_as_flowing(flows=True)
+        super().resume()
+
+    def _end(self) -> None:
+        self._count_as_flowing(flows=False)
+        super()._end()
+
+    def _count_as_flowing(self, *, flows: bool) -> None:
+        """Count the stream among those of its engine that have begun and are read, or no longer."""
+        if flows:
+            self.stats.record_event(self.core.clock.now())
+        if flows != self._flows:
+            self._flows = flows
+            self.stats.streams += 1 if flows else -1
+
     def _end_stream(self) -> None:
         self._record_output_length()
         self.exchange.end_stream()
@@ -135,6 +160,7 @@
     def _forward_events(self, data: bytes, last: int | None) -> None:
         assert self.head is not None
         self.exchange.settle_on(self)
+        self._count_as_flowing(flows=True)
         if self._pending_prefill_tokens:
             self._record_prefill(self.core.prefill_models.get_decode(self.request.service.name))
             self._end_prefill()
--- a/tests/platform/test_silence.py
+++ b/tests/platform/test_silence.py
@@ -221,6 +221,16 @@
     check_whole(platform, caller)
 
 
+def test_a_stream_is_not_handed_over_to_engines_that_grant_memory_and_whose_streams_have_stopped() -> None:
+    platform = make_fleet()
+    callers = [begin_stream(platform, f"q{number}") for number in range(6)]
+    for engine in list_engines(platform, "decode"):
+        engine.answers_calls_while_paused = True
+    pause_engines(platform, "decode", 2.2)
+    check_whole(platform, *callers)
+    assert set(platform.ledger.prefilled.values()) == {1}
+
+
 def test_a_dead_engine_is_left_as_soon_as_ever() -> None:
     platform = make_fleet()
     caller = begin_stream(platform, "q1")
--- a/tests/relay/choosing/test_chooser.py
+++ b/tests/relay/choosing/test_chooser.py
@@ -91,3 +91,23 @@
         make_upstream("only", Phase.PREFILL)
     ]
     assert chooser.choose_prefill(engines, REQUIREMENTS, set(), NOW) == engines[-1]
+
+
+def test_a_new_stream_begins_where_streams_go_on() -> None:
+    chooser, registry = make_chooser()
+    engines = [make_upstream("stopped", Phase.DECODE), make_upstream("busy", Phase.DECODE)]
+    for _ in range(3):
+        registry.get(engines[1].id).record_start(5000, NOW)
+    for engine, last_event_at in zip(engines, (NOW - 0.6, NOW - 0.1), strict=True):
+        registry.get(engine.id).streams = 1
+        registry.get(engine.id).record_event(last_event_at)
+    assert chooser.list_silent(engines, NOW) == {"stopped"}
+    chosen = chooser.choose_decode(engines, REQUIREMENTS, set(), NOW, handle=None, kv_tokens=KV_TOKENS)
+    assert chosen is engines[1]
+
+
+def test_an_engine_without_streams_is_not_silent() -> None:
+    chooser, registry = make_chooser()
+    engine = make_upstream("idle", Phase.DECODE)
+    registry.get(engine.id).record_event(NOW - 60.0)
+    assert not chooser.list_silent([engine], NOW)
