Wait longer for the answer of an engine that was ordered to change its phase

Callers saw fewer engines than there are: an engine that paused as the leader's order reached it was left out by all VMs for up to 20 s.

The order's connection was closed after 0.8 s without an answer, which discarded the order at an engine that was only silent. The order still counted as possibly accepted, and the next request that the engine rejected, for any reason, was taken for the proof that it was changing. On a paused network, where the engine went on after 1.2 s and rejected one request, it was used again 18.6 s later.

After 0.8 s the order counts as possibly accepted, as before, but its answer is awaited for up to 2 s: if it is accepted, that is known at once and no request has to be rejected for it; if it is refused, the engine no longer counts as changing. The connection is closed 1 s before the lease of the order's time ends, so that the next leader's first order comes at least the handover time after the last moment at which the engine can read this one: 3 s + handover + 0.5 s after the record of the order, which is sent within 0.5 s of that.

Both tests fail before: the engine had dropped the order but counted as changing, and an order that was refused late counted for 20 s.

--- a/src/beamhatch/relay/engines/changing.py
+++ b/src/beamhatch/relay/engines/changing.py
@@ -71,6 +71,12 @@
         self._by_upstream[upstream] = replace(known, confirmed=True)
         return True
 
+    def discard_unconfirmed(self, upstream: UpstreamId) -> None:
+        """Forget the change of an engine that has not accepted its order, unless that is known from elsewhere."""
+        known = self._by_upstream.get(upstream)
+        if known is not None and not known.confirmed:
+            del self._by_upstream[upstream]
+
     def record_listed_phase(self, upstream: UpstreamId, phase: Phase | None) -> None:
         """Record the listed phase of an engine, or None if it is no longer listed; either may end its change."""
         change = self._by_upstream.get(upstream)
--- a/src/beamhatch/relay/engines/ordering.py
+++ b/src/beamhatch/relay/engines/ordering.py
@@ -16,6 +16,7 @@
     evaluate_changes,
 )
 from beamhatch.relay.engines.changing import MAX_CHANGE_S, PhaseChangeUpdate
+from beamhatch.relay.engines.leadership import LEASE_TTL_S, ORDER_MARGIN_S
 from beamhatch.relay.model import Phase, UpstreamId
 from beamhatch.relay.tunnels.api import allow_no_hall
 from beamhatch.relay.upstreams.http_fetch import fetch
@@ -33,12 +34,18 @@
 LOG_INTERVAL_S = 5.0
 """Minimum interval between log entries of an unchanged decision, in seconds."""
 
-ORDER_TIMEOUT_S = 0.8
-"""Timeout of an order, in seconds.
+ANSWER_TIMEOUT_S = 0.8
+"""Time after which an order without an answer counts as possibly accepted, in seconds.
 
 Many times what a healthy engine takes.
 """
 
+LATE_ANSWER_TIMEOUT_S = LEASE_TTL_S - ORDER_MARGIN_S
+"""Time after which an order is withdrawn by closing its connection, in seconds.
+
+Short enough that the next leader's first order comes at least the handover time later.
+"""
+
 RESUMED_ORDER_TTL_S = 10.0
 """Time for which an order recorded before the start of this VM counts as pending, in seconds."""
 
@@ -189,18 +196,31 @@
         call = self.core.dialect.make_phase_change_call(upstream, change.phase, self._vm, token)
         ordered_at = self.core.clock.now()
         self.core.eligibility.limits.record_request(upstream.incarnation, ordered_at)
+        timer = self.core.clock.call_later(ANSWER_TIMEOUT_S, self._record_unconfirmed, change)
         # an order that came from a peer's address would be taken for that of another holder
-        answer = await fetch(self.core.client, self.core.clock, upstream.address, call, ORDER_TIMEOUT_S, allow_no_hall)
-        answered = not isinstance(answer, str)
-        if not isinstance(answer, str):
+        answer = await fetch(
+            self.core.client, self.core.clock, upstream.address, call, LATE_ANSWER_TIMEOUT_S, allow_no_hall
+        )
+        if timer.active():
+            timer.cancel()
+        if isinstance(answer, str):
+            self._record_unconfirmed(change)
+        else:
             self.core.announcements.handle_head(upstream, answer.head, ordered_at)
-        if isinstance(answer, str) or answer.head.status == STATUS_ACCEPTED:
-            self.core.apply_phase_change(
-                upstream.id, PhaseChangeUpdate(change.phase, MAX_CHANGE_S, confirmed=answered), "order"
-            )
+            if answer.head.status == STATUS_ACCEPTED:
+                self._record_change(change, confirmed=True)
+            else:
+                self.core.phase_changes.discard_unconfirmed(upstream.id)
         outcome = answer if isinstance(answer, str) else f"status {answer.head.status}"
         self.core.journal.write("LEADER", "order answered", upstream=upstream.id, outcome=outcome)
 
+    def _record_unconfirmed(self, change: PhaseChange) -> None:
+        self._record_change(change, confirmed=False)
+
+    def _record_change(self, change: PhaseChange, *, confirmed: bool) -> None:
+        update = PhaseChangeUpdate(change.phase, MAX_CHANGE_S, confirmed=confirmed)
+        self.core.apply_phase_change(change.upstream.id, update, "order")
+
     def _log_failure(self, failure: Any) -> None:
         self.core.journal.write("LEADER", "failed", error=failure.getTraceback())
 
--- a/tests/platform/test_silence_elsewhere.py
+++ b/tests/platform/test_silence_elsewhere.py
@@ -5,8 +5,12 @@
 from typing import TYPE_CHECKING
 
 import pytest
+from twisted.internet import defer
 
 from beamhatch.platform.standin.upstream import StandInEngine
+from beamhatch.relay.engines.balancing import PhaseChange, ServiceDemand
+from beamhatch.relay.engines.throughput import CapacityParameters
+from beamhatch.relay.model import Phase, UpstreamId
 from tests.support.platform import ROUTES, Platform, make_platform
 from tests.support.reach_fleet import Loss, ReachFleet
 
@@ -343,6 +347,44 @@
 # --- what the VM decides about an upstream ---------------------------------------------------------------------------
 
 
+def give_order(platform: Platform, upstream: str) -> None:
+    """Have the leader order a decode engine to prefill prompts."""
+    vm = platform.vms["vm1"]
+    listed = vm.core.listing.get(UpstreamId(upstream))
+    assert listed is not None
+    assert vm._phase_controller is not None
+    demand = ServiceDemand(0.0, 0.0, CapacityParameters(60_000, 5000.0, 10.0, 1.0))
+    defer.ensureDeferred(vm._phase_controller._order(PhaseChange(listed, Phase.PREFILL), demand))
+
+
+def is_pending(platform: Platform, upstream: str) -> bool:
+    """Return whether the VM takes an engine to be changing its phase, or to be possibly changing it."""
+    return platform.vms["vm1"].core.phase_changes.is_pending(UpstreamId(upstream), platform.network.seconds())
+
+
+def test_an_order_that_a_silent_engine_answers_late_is_not_given_up() -> None:
+    platform = make_fleet(age_s=15.0)
+    engine = platform.upstreams["decode-0"]
+    assert isinstance(engine, StandInEngine)
+    engine.pause_for(1.2)
+    give_order(platform, "decode-0")
+    platform.network.run(1.5)
+    assert is_pending(platform, "decode-0") == (engine.pending_phase is not None)
+
+
+def test_a_silent_engine_that_refuses_its_order_late_does_not_count_as_changing() -> None:
+    platform = make_fleet(age_s=15.0)
+    engine = platform.upstreams["decode-0"]
+    assert isinstance(engine, StandInEngine)
+    engine.pending_phase = "decode"  # another order is under way, so this one is refused
+    engine.pause_for(1.2)
+    give_order(platform, "decode-0")
+    platform.network.run(1.0)
+    assert is_pending(platform, "decode-0")
+    platform.network.run(0.5)
+    assert not is_pending(platform, "decode-0")
+
+
 def test_silence_puts_nothing_in_quarantine() -> None:
     platform = make_fleet()
     vm = platform.vms["vm1"]
