Ask an unresponsive upstream that is due for a probe before one that is not

Callers saw 503 at once, with nothing asked, while sound engines were listed: behind a pause of all decode engines, one of 20 new streams.

The chooser compared unresponsive upstreams by load and distance only; if the one that it returned was not due, the request was refused, although another one was due and had gone on meanwhile.

What is not due for a probe now costs more than what is. Where an upstream that answers is left, it still goes before both.

--- a/src/beamhatch/relay/choosing/chooser.py
+++ b/src/beamhatch/relay/choosing/chooser.py
@@ -24,6 +24,9 @@
 UNRESPONSIVE_COST_S = 30.0
 """Cost of an unresponsive upstream: high enough that it is used only when there is no other."""
 
+NO_PROBE_COST_S = 30.0
+"""Additional cost of an unresponsive upstream that is not due for a probe, so that others are asked before it."""
+
 FAILURE_COST_S = 1.5
 """Cost of an upstream whose failure rate is 1."""
 
@@ -324,6 +327,7 @@
 
     def _compute_failure_cost(self, stats: UpstreamStats, now: float) -> float:
         unresponsive = UNRESPONSIVE_COST_S if now < stats.unresponsive_until else 0.0
+        unresponsive += NO_PROBE_COST_S if stats.should_skip(now) else 0.0
         busy = BUSY_COST_S if now < stats.busy_until else 0.0
         return unresponsive + busy + self._failure_cost * stats.get_failure_rate(now)
 
--- a/tests/relay/choosing/test_chooser.py
+++ b/tests/relay/choosing/test_chooser.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from beamhatch.relay.choosing.chooser import SAMPLE_SIZE, LeastCostChooser, RequestRequirements
-from beamhatch.relay.choosing.standing import Load, UpstreamStatsRegistry
+from beamhatch.relay.choosing.standing import PROBE_INTERVAL_S, UNREACHABLE_THRESHOLD, Load, UpstreamStatsRegistry
 from beamhatch.relay.model import Address, Handle, Phase, ServiceName, Upstream, UpstreamId
 
 REQUIREMENTS = RequestRequirements("p1", 5000, 6000)
@@ -66,6 +66,20 @@
     assert chooser.choose_plain([bad], set(), NOW + 60) == bad
 
 
+def test_an_unresponsive_replica_that_is_due_for_a_probe_goes_before_one_that_is_not() -> None:
+    chooser, registry = make_chooser()
+    due, asked = make_upstream("due", Phase.PLAIN), make_upstream("asked", Phase.PLAIN)
+    registry.get(due.id).record_load(Load(6, 2, 6), NOW)
+    for replica, sent_at in ((due, NOW - PROBE_INTERVAL_S), (asked, NOW - 0.1)):
+        stats = registry.get(replica.id)
+        stats.sent_at = sent_at
+        for _ in range(UNREACHABLE_THRESHOLD):
+            stats.record_no_response(NOW)
+    chosen = chooser.choose_plain([asked, due], set(), NOW)
+    assert chosen == due
+    assert not chooser.should_skip(due, NOW)
+
+
 def test_failure_rates_reported_by_peers_expire() -> None:
     chooser, registry = make_chooser()
     reported, other = make_upstream("reported", Phase.PLAIN), make_upstream("other", Phase.PLAIN)
