Apply what an engine announces in a late answer to a call for memory

What callers saw: nothing; an engine that answered late and asked for rest was sent calls within that rest.

A call that was given up had its answer's head read by nobody, which did no harm as long as the engine was passed over; now a late rejection has the request plan again.

--- a/src/beamhatch/relay/upstreams/reserve_attempt.py
+++ b/src/beamhatch/relay/upstreams/reserve_attempt.py
@@ -71,7 +71,7 @@
         if http is None:
             return
         if self.sent:
-            http.sink = LateReservation(self._exchange, self._step, http, self._head, self._body)
+            http.sink = LateReservation(self._exchange, self._step, http, self._head, self._body, self._started_at)
         else:
             http.cancel()
 
@@ -154,12 +154,19 @@
     """Receiver of a late response to a reservation; memory that the request does not need any more is released."""
 
     def __init__(
-        self, exchange: RelayExchange, step: Reserve, http: HttpExchange, head: ResponseHead | None, body: bytearray
+        self,
+        exchange: RelayExchange,
+        step: Reserve,
+        http: HttpExchange,
+        head: ResponseHead | None,
+        body: bytearray,
+        asked_at: float,
     ) -> None:
         """Begin to wait for the rest of the response, until memory granted now would have expired.
 
         :param head: the head of the response if it has arrived
         :param body: what has arrived of the body
+        :param asked_at: monotonic time in seconds of the call
         """
         core = exchange.core
         self._exchange = exchange
@@ -167,11 +174,13 @@
         self._step = step
         self._head = head
         self._body = body
+        self._asked_at = asked_at
         self._timer: Any = core.clock.call_later(step.lifetime_s, http.cancel)
 
     def handle_head(self, head: ResponseHead) -> None:
-        """Keep the head of the response."""
+        """Apply the announcements in the head of the response."""
         self._head = head
+        self._core.announcements.handle_head(self._step.upstream, head, self._asked_at)
 
     def handle_data(self, data: bytes) -> None:
         """Buffer body data."""
