Take back the failures of an upstream that answers late

What callers saw: behind a pause of all decode engines one of three got no streams for seconds, as each engine's failure rate depended on how often it had been asked in the meantime.

Cause: each time-out is counted as a failure of the upstream, and only later successes wear that off. An answer that comes late shows that it had not failed.

Evidence: test_new_streams_go_to_all_engines_once_they_go_on, listed for two pauses, passes.

--- a/src/beamhatch/relay/choosing/standing.py
+++ b/src/beamhatch/relay/choosing/standing.py
@@ -118,7 +118,7 @@
             setattr(self, each.name, getattr(fresh, each.name))
 
     def forget_failures(self) -> None:
-        """Forget failures that were due to this VM's own links."""
+        """Forget failures that were due to this VM's own links, or to a pause of the upstream."""
         self.unresponsive_count = 0
         self.unresponsive_until = -1e9
         self._failure_rate = self._own_failure_rate = 0.0
@@ -152,6 +152,11 @@
         self.unresponsive_until = -1e9
         self.responded_at = max(self.responded_at, now)
 
+    def record_late_response(self, now: float) -> None:
+        """Record a response after a timeout, which shows that the upstream had not failed."""
+        self.forget_failures()
+        self.record_response(now)
+
     def record_event(self, now: float) -> None:
         """Record an event of a stream."""
         self.event_at = now
--- a/src/beamhatch/relay/requests/exchange.py
+++ b/src/beamhatch/relay/requests/exchange.py
@@ -736,6 +736,7 @@
             self._stop_attempt()
             self._end_search(attempt)
             self._attempt = attempt
+            attempt.stats.record_late_response(self.core.clock.now())
             self.core.tally.count("silences_ended_total", "responded")
             self.write_log("responds again", to=attempt.upstream.id)
         else:
--- a/src/beamhatch/relay/upstreams/reserve_attempt.py
+++ b/src/beamhatch/relay/upstreams/reserve_attempt.py
@@ -192,7 +192,7 @@
         assert self._head is not None
         now = self._core.clock.now()
         upstream = self._step.upstream
-        self._core.stats.get(upstream.id).record_response(now)
+        self._core.stats.get(upstream.id).record_late_response(now)
         found = self._core.dialect.read_reservation(bytes(self._body)) if self._head.status == GRANTED else None
         if found is None:
             self._exchange.handle_late_rejection(upstream)
