Ask engines where streams go on once two others did not answer

What callers saw: 3 of 3 new streams were refused with 503 'too many upstreams could not be reached' with two sound engines listed, as ten idle ones were silent.

Cause: a request asks the engines with the least load first, and each that does not answer costs .12 s. That streams go on at others was not used.

Evidence: test_new_streams_are_not_refused_where_more_engines_are_silent_than_a_request_asks passes; its twin for streams whose engine crashes passed already, as these go on asking.

--- a/src/beamhatch/relay/choosing/chooser.py
+++ b/src/beamhatch/relay/choosing/chooser.py
@@ -154,6 +154,10 @@
         """Return the engines at which no stream of this VM goes on."""
         return {one.id for one in usable if self.stats.get(one.id).is_silent(now)}
 
+    def list_active(self, usable: Sequence[Upstream], now: float) -> set[UpstreamId]:
+        """Return the engines at which a stream of this VM goes on."""
+        return {one.id for one in usable if self.stats.get(one.id).is_active(now)}
+
     @abstractmethod
     def choose_plain(self, usable: Sequence[Upstream], tried: set[UpstreamId], now: float) -> Upstream | None:
         """Return a replica of a plain service, or None if there is no candidate."""
--- a/src/beamhatch/relay/choosing/standing.py
+++ b/src/beamhatch/relay/choosing/standing.py
@@ -168,6 +168,10 @@
         """
         return self.streams > 0 and now - self.event_at > MAX_EVENT_GAP_S
 
+    def is_active(self, now: float) -> bool:
+        """Return whether a stream goes on."""
+        return self.streams > 0 and now - self.event_at <= MAX_EVENT_GAP_S
+
     def record_failure(self, now: float) -> None:
         """Record a failed request."""
         self._update_failure_rate(1.0, now)
--- a/src/beamhatch/relay/requests/request.py
+++ b/src/beamhatch/relay/requests/request.py
@@ -28,6 +28,9 @@
 MAX_UNREACHED = 8
 """Maximum number of upstreams that a request fails to reach, so that it is refused soon where no link works."""
 
+MAX_UNANSWERED = 2
+"""Number of decode engines that do not answer after which engines where streams go on are asked first."""
+
 MAX_PREFILLS = 2
 """Maximum number of times that a prompt is sent to a prefill engine.
 
@@ -389,6 +392,10 @@
         if full_upstreams:
             need = replace(need, refused_halls=tuple(one.hall for one in usable if one.id in full_upstreams))
         chosen = chooser.choose_decode(usable, need, tried, now, handle=handle, kv_tokens=kv_tokens)
+        if len(self._unanswered_by) >= MAX_UNANSWERED:
+            active = chooser.list_active(usable, now)
+            sound = [one for one in usable if one.id in active]
+            chosen = chooser.choose_decode(sound, need, tried, now, handle=handle, kv_tokens=kv_tokens) or chosen
         if chosen is None:
             # An engine that refused a handoff may have done so because the handle had expired: try it again.
             tried = self._unavailable | full_upstreams | silent
