Wait for engines that ask for a short rest where a stream has no other

What callers saw: a stream whose engine crashed was cut at once, as the other engines had asked for one second of rest.

Cause: engines in a back-off are not among those that may be sent a request, so none was left that had not failed the stream.

Evidence: test_a_stream_is_not_cut_where_its_engine_crashes_while_the_others_ask_for_a_short_rest failed and passes. Engines that leave, are of another version or in emptied halls are still no reason to wait.

--- a/src/beamhatch/relay/requests/exchange.py
+++ b/src/beamhatch/relay/requests/exchange.py
@@ -205,7 +205,8 @@
         can_proceed = can_respond or request.reservation is not None
         shortage = None if can_proceed else self.core.detect_shortage(service, request.regions, request.version)
         if shortage is not None and request.may_have_run:
-            return Fail(f"nothing may be sent to any upstream: {shortage.obstacle.value}")
+            is_temporary = shortage.obstacle in (Obstacle.RESTING, Obstacle.LIMITED)
+            return Fail(f"nothing may be sent to any upstream: {shortage.obstacle.value}", is_temporary=is_temporary)
         if shortage is not None:
             self.core.tally.count("shut_total", shortage.obstacle.name.lower())
             self.core.get_demand(service).discard_last_prompt(request.facts.prompt_tokens)
@@ -552,11 +553,18 @@
 
     def _may_search_on(self, step: Refuse | Fail) -> bool:
         """Return whether to go on seeking an upstream for a stream that may have run, until its caller disconnects."""
-        if not isinstance(step, Fail) or not step.is_temporary or self.request.route.kind is not RouteKind.STREAMING:
+        if not isinstance(step, Fail) or self.request.route.kind is not RouteKind.STREAMING:
+            return False
+        if not step.is_temporary and not (step.no_upstream and self._is_any_withheld()):
             return False
         since = self._incoming.arrived_at if self._last_events_at is None else self._last_events_at
         return self.core.clock.now() < since + self.request.max_memory_wait_s
 
+    def _is_any_withheld(self) -> bool:
+        """Return whether an upstream is not sent requests only because of its back-off or limit."""
+        obstacles = self.core.count_obstacles(self.request.service.name, self.request.regions)
+        return bool(obstacles[Obstacle.RESTING] or obstacles[Obstacle.LIMITED])
+
     def _schedule_replan(self, seconds: float) -> None:
         """Carry out the next step after some seconds, outside the queue so that others there are not blocked."""
         self.leave_queue()
