--- a/src/beamhatch/relay/choosing/chooser.py
+++ b/src/beamhatch/relay/choosing/chooser.py
@@ -24,6 +24,9 @@
 UNRESPONSIVE_COST_S = 30.0
 """Cost of an unresponsive upstream: high enough that it is used only when there is no other."""
 
+NO_PROBE_COST_S = 30.0
+"""Additional cost of an unresponsive upstream that is not due for a probe, so that others are asked before it."""
+
 FAILURE_COST_S = 1.5
 """Cost of an upstream whose failure rate is 1."""
 
@@ -147,6 +150,14 @@
         """Return whether an upstream is unreachable and not due for another probe."""
         return self.stats.get(upstream.id).should_skip(now)
 
+    def list_silent(self, usable: Sequence[Upstream], now: float) -> set[UpstreamId]:
+        """Return the engines at which no stream of this VM goes on."""
+        return {one.id for one in usable if self.stats.get(one.id).is_silent(now)}
+
+    def list_active(self, usable: Sequence[Upstream], now: float) -> set[UpstreamId]:
+        """Return the engines at which a stream of this VM goes on."""
+        return {one.id for one in usable if self.stats.get(one.id).is_active(now)}
+
     @abstractmethod
     def choose_plain(self, usable: Sequence[Upstream], tried: set[UpstreamId], now: float) -> Upstream | None:
         """Return a replica of a plain service, or None if there is no candidate."""
@@ -323,7 +334,8 @@
         return upstream.id not in tried and now >= self.stats.get(upstream.id).misdirected_until
 
     def _compute_failure_cost(self, stats: UpstreamStats, now: float) -> float:
-        unresponsive = UNRESPONSIVE_COST_S if now < stats.unresponsive_until else 0.0
+        unresponsive = UNRESPONSIVE_COST_S if now < stats.unresponsive_until or stats.is_silent(now) else 0.0
+        unresponsive += NO_PROBE_COST_S if stats.should_skip(now) else 0.0
         busy = BUSY_COST_S if now < stats.busy_until else 0.0
         return unresponsive + busy + self._failure_cost * stats.get_failure_rate(now)
 
--- a/src/beamhatch/relay/requests/exchange.py
+++ b/src/beamhatch/relay/requests/exchange.py
@@ -205,7 +205,8 @@
         can_proceed = can_respond or request.reservation is not None
         shortage = None if can_proceed else self.core.detect_shortage(service, request.regions, request.version)
         if shortage is not None and request.may_have_run:
-            return Fail(f"nothing may be sent to any upstream: {shortage.obstacle.value}")
+            is_temporary = shortage.obstacle in (Obstacle.RESTING, Obstacle.LIMITED)
+            return Fail(f"nothing may be sent to any upstream: {shortage.obstacle.value}", is_temporary=is_temporary)
         if shortage is not None:
             self.core.tally.count("shut_total", shortage.obstacle.name.lower())
             self.core.get_demand(service).discard_last_prompt(request.facts.prompt_tokens)
@@ -272,15 +273,26 @@
             request.abandon_reservation()
             self.write_log("memory given up", to=reservation.upstream.id, obstacle="started again")
             return
-        obstacle = self.core.get_obstacle(reservation.upstream, request.service.name, request.regions)
-        has_room = self._permit is not None and obstacle in (Obstacle.COLD, Obstacle.LIMITED)
-        if obstacle is None or has_room:
+        obstacle = self._find_reservation_obstacle(reservation)
+        if obstacle is None:
             return
         self._drop_permit()
         request.abandon_reservation()
-        self.write_log("memory given up", to=reservation.upstream.id, obstacle=obstacle.name.lower())
+        self.write_log("memory given up", to=reservation.upstream.id, obstacle=obstacle)
         self._release_reservation(reservation)
 
+    def _find_reservation_obstacle(self, reservation: Reservation) -> str | None:
+        """Return why reserved memory may not be used any more, or None if it may."""
+        request = self.request
+        obstacle = self.core.get_obstacle(reservation.upstream, request.service.name, request.regions)
+        has_room = self._permit is not None and obstacle in (Obstacle.COLD, Obstacle.LIMITED)
+        if obstacle is not None and not has_room:
+            return obstacle.name.lower()
+        if self.core.phase_changes.is_pending(reservation.upstream.id, self.core.clock.now()):
+            return "changing"
+        silent = self.core.chooser.list_silent([reservation.upstream], self.core.clock.now())
+        return "silent" if silent and self._failover.active else None
+
     def withdraw_from(self, incarnation: Incarnation) -> None:
         """Cancel an attempt at an upstream that accepts no more requests, if it is not sent yet, and plan again."""
         if self._attempt is not None and self._attempt.upstream.incarnation == incarnation:
@@ -512,7 +524,9 @@
         """Wait for a cold upstream if one will have room in time; otherwise end the request."""
         wait = self._get_cold_wait(step)
         if wait is None:
-            if self._may_search_on(step):
+            if step.no_upstream and self.request.awaits_late_memory and self._time_left_for_memory > 0:
+                self._schedule_replan(self._time_left_for_memory)
+            elif self._may_search_on(step):
                 self.request.forget_obstacles()
                 self._schedule_replan(SEARCH_INTERVAL_S)
             else:
@@ -539,11 +553,18 @@
 
     def _may_search_on(self, step: Refuse | Fail) -> bool:
         """Return whether to go on seeking an upstream for a stream that may have run, until its caller disconnects."""
-        if not isinstance(step, Fail) or not step.is_temporary or self.request.route.kind is not RouteKind.STREAMING:
+        if not isinstance(step, Fail) or self.request.route.kind is not RouteKind.STREAMING:
+            return False
+        if not step.is_temporary and not (step.no_upstream and self._is_any_withheld()):
             return False
         since = self._incoming.arrived_at if self._last_events_at is None else self._last_events_at
         return self.core.clock.now() < since + self.request.max_memory_wait_s
 
+    def _is_any_withheld(self) -> bool:
+        """Return whether an upstream is not sent requests only because of its back-off or limit."""
+        obstacles = self.core.count_obstacles(self.request.service.name, self.request.regions)
+        return bool(obstacles[Obstacle.RESTING] or obstacles[Obstacle.LIMITED])
+
     def _schedule_replan(self, seconds: float) -> None:
         """Carry out the next step after some seconds, outside the queue so that others there are not blocked."""
         self.leave_queue()
@@ -567,6 +588,12 @@
         else:
             self._refuse(step.reason, memory_full=step.memory_full, retry_after_s=step.retry_after_s)
 
+    @property
+    def _time_left_for_memory(self) -> float:
+        """Return the seconds for which the request may wait for decode memory and be on time."""
+        on_time_until = self._incoming.arrived_at + ON_TIME_SHARE * self.request.route.target_latency
+        return on_time_until - self.core.clock.now()
+
     def _compute_cold_deadline(self) -> float:
         """Return the monotonic time up to which the request may wait for a cold upstream."""
         if self.request.response_begun and self._cold_wait_began_at is not None:
@@ -686,7 +713,7 @@
         """Plan the next step after an attempt that did not complete the request."""
         if self._attempt is attempt:
             self._attempt = None
-            self._failover.resume()
+            self._failover.end_handover()
         elif isinstance(attempt, Attempt):
             self._failover.remove(attempt)
         self.advance()
@@ -698,9 +725,18 @@
         self.advance()
 
     def handle_request_sent(self, attempt: Attempt) -> None:
-        """Stop reading a stream from silent upstreams, as it is being sent to another one."""
+        """Record that the request is being sent."""
         if self.request.route.kind is RouteKind.STREAMING and attempt.send.stage is not Stage.PREFILL:
-            self._failover.suspend()
+            self._failover.begin_handover()
+
+    def handle_stream_begun(self, attempt: Attempt) -> None:
+        """Leave the silent upstreams for one that begins to respond."""
+        if attempt is self._attempt:
+            self.settle_on(attempt)
+
+    def admits(self, attempt: Attempt) -> bool:
+        """Return whether an attempt that responds may continue the stream now; if not, it is released later."""
+        return self._failover.admits(attempt)
 
     def settle_on(self, attempt: Attempt) -> None:
         """Continue a stream with an attempt whose upstream responds, and cancel all others."""
@@ -710,6 +746,7 @@
             self._stop_attempt()
             self._end_search(attempt)
             self._attempt = attempt
+            attempt.stats.record_late_response(self.core.clock.now())
             self.core.tally.count("silences_ended_total", "responded")
             self.write_log("responds again", to=attempt.upstream.id)
         else:
@@ -717,6 +754,30 @@
             self.core.tally.count("silences_ended_total", "replaced")
         self._failover.cancel()
 
+    def accept_late_reservation(self, reservation: Reservation) -> bool:
+        """Use memory that an engine granted late, and return True, unless the request does not need it."""
+        attempt = self._attempt
+        is_idle = attempt is None or isinstance(attempt, ReserveAttempt)
+        if self._ended or not is_idle or self.request.reservation is not None:
+            return False
+        if not self.core.eligibility.is_in_regions(reservation.upstream, self.request.regions):
+            return False
+        self._stop_attempt()
+        self.leave_queue()
+        self.record_memory_acquired()
+        self.request.record_reserved(reservation)
+        self.write_log("reserved", to=reservation.upstream.id, late=True)
+        self.advance()
+        return True
+
+    def handle_late_rejection(self, upstream: Upstream) -> None:
+        """Record that an engine rejected a reservation late, and plan again if the request waits for that."""
+        if self._ended or self._attempt is not None or self._in_queue or self.request.reservation is not None:
+            return
+        if self.core.eligibility.is_in_regions(upstream, self.request.regions):
+            self.request.record_full(upstream.id)
+            self.advance()
+
     def _return_to_fallback(self) -> None:
         """Wait for the silent upstream, as no other one can take the request now, and seek again later."""
         attempt = self._failover.pop_last()
--- a/src/beamhatch/relay/requests/request.py
+++ b/src/beamhatch/relay/requests/request.py
@@ -28,6 +28,9 @@
 MAX_UNREACHED = 8
 """Maximum number of upstreams that a request fails to reach, so that it is refused soon where no link works."""
 
+MAX_UNANSWERED = 2
+"""Number of decode engines that do not answer after which engines where streams go on are asked first."""
+
 MAX_PREFILLS = 2
 """Maximum number of times that a prompt is sent to a prefill engine.
 
@@ -249,9 +252,18 @@
             return self._give_up(
                 "no upstream can take it", no_upstream=True, is_temporary=self._has_sound_upstream(usable)
             )
-        if not self._acquire_budget(step, budget, vm_count, now):
-            return self._give_up("the budget for repeated sends is spent")
-        return step
+        if self._acquire_budget(step, budget, vm_count, now):
+            return step
+        whole = self._replace_prefill(step)
+        if whole is not None and self._acquire_budget(whole, budget, vm_count, now):
+            return whole
+        return self._give_up("the budget for repeated sends is spent")
+
+    def _replace_prefill(self, step: Step) -> Send | None:
+        """Return a send of the whole request to the engine that reserved memory, in place of a repeated prefill."""
+        if self.reservation is None or not isinstance(step, Send) or step.stage is not Stage.PREFILL:
+            return None
+        return Send(Stage.WHOLE, self.reservation.upstream, None, self.reservation)
 
     def _acquire_budget(self, step: Step, budget: RetryBudget, vm_count: int, now: float) -> bool:
         """Return whether the budget for retries allows a step.
@@ -373,15 +385,20 @@
         handle: Handle | None,
         full_upstreams: set[UpstreamId],
     ) -> Upstream | None:
-        tried = self.tried | full_upstreams
+        silent = chooser.list_silent(usable, now) if self.silent_upstreams else set()
+        tried = self.tried | full_upstreams | silent
         kv_tokens = self.service.engine.kv_tokens if self.service.engine else 0
         need = self.need
         if full_upstreams:
             need = replace(need, refused_halls=tuple(one.hall for one in usable if one.id in full_upstreams))
         chosen = chooser.choose_decode(usable, need, tried, now, handle=handle, kv_tokens=kv_tokens)
+        if len(self._unanswered_by) >= MAX_UNANSWERED:
+            active = chooser.list_active(usable, now)
+            sound = [one for one in usable if one.id in active]
+            chosen = chooser.choose_decode(sound, need, tried, now, handle=handle, kv_tokens=kv_tokens) or chosen
         if chosen is None:
             # An engine that refused a handoff may have done so because the handle had expired: try it again.
-            tried = self._unavailable | full_upstreams
+            tried = self._unavailable | full_upstreams | silent
             return chooser.choose_decode(usable, need, tried, now, handle=handle, kv_tokens=kv_tokens)
         return chosen
 
@@ -518,6 +535,7 @@
     def record_full(self, upstream: UpstreamId) -> None:
         """Record that a decode engine has no free memory."""
         self._full_upstreams.add(upstream)
+        self._unanswered_by.discard(upstream)
 
     def record_reserve_failed(self, upstream: UpstreamId) -> None:
         """Record that a call to reserve memory at a decode engine failed."""
@@ -529,6 +547,11 @@
         self._unreached += 1
         self._unanswered_by.add(upstream)
 
+    @property
+    def awaits_late_memory(self) -> bool:
+        """Return whether a decode engine may still answer that was asked for memory."""
+        return bool(self._unanswered_by) and self.reservation is None
+
     def apply_route(self, route: Route) -> None:
         """Apply a changed route."""
         self.route = route
--- a/src/beamhatch/relay/upstreams/stream_attempt.py
+++ b/src/beamhatch/relay/upstreams/stream_attempt.py
@@ -12,6 +12,8 @@
 from beamhatch.relay.upstreams.http_client import CallFailure
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from beamhatch.relay.requests.exchange import RelayExchange
     from beamhatch.relay.requests.request import Send
     from beamhatch.relay.upstreams.http_client import ResponseHead
@@ -41,6 +43,10 @@
         self._last_event_at: float | None = None
         """Monotonic seconds of the last events from this engine."""
         self._parts_succeeded = False
+        self._flows = False
+        """Whether the stream is counted among those of its engine that go on."""
+        self._held: list[Callable[[], None]] = []
+        """What to do with the parts of the response that arrived before this attempt may continue the stream."""
 
     def handle_head(self, head: ResponseHead) -> None:
         """Apply the head; that of a stream is forwarded with the first event."""
@@ -49,7 +55,7 @@
             return
         if self.send.handle is not None and self.request.handle is self.send.handle:
             self.request.drop_handle()
-        self.exchange.settle_on(self)
+        self.exchange.handle_stream_begun(self)
 
     def handle_data(self, data: bytes) -> None:
         """Forward complete events, or buffer the body of an error response."""
@@ -62,10 +68,27 @@
             self.fail(str(problem))
             return
         if events.data:
-            self._forward_events(events.data, events.last_id)
+            self._do_when_admitted(lambda: self._forward_events(events.data, events.last_id))
+
+    def _do_when_admitted(self, action: Callable[[], None]) -> None:
+        """Do something at once, or as soon as this attempt may continue the stream."""
+        if self._held or not self.exchange.admits(self):
+            self._held.append(action)
+        else:
+            action()
+
+    def release_held(self) -> None:
+        """Continue with what was held back of the response."""
+        held, self._held = self._held, []
+        for action in held:
+            if not self._ended:
+                action()
 
     def handle_end(self) -> None:
         """End the response, or let the exchange try another upstream."""
+        self._do_when_admitted(self._handle_whole_response)
+
+    def _handle_whole_response(self) -> None:
         if self.has_not_run():
             self.handle_not_run()
         elif not self._is_stream:
@@ -76,6 +99,29 @@
             self.exchange.settle_on(self)
             self.conclude(self._end_stream)
 
+    def pause(self) -> None:
+        """Stop reading the response, and stop the timeout."""
+        self._count_as_flowing(flows=False)
+        super().pause()
+
+    def resume(self) -> None:
+        """Resume reading the response, and restart the timeout."""
+        if self._last_event_at is not None and not self._ended:
+            self._count_as_flowing(flows=True)
+        super().resume()
+
+    def _end(self) -> None:
+        self._count_as_flowing(flows=False)
+        super()._end()
+
+    def _count_as_flowing(self, *, flows: bool) -> None:
+        """Count the stream among those of its engine that have begun and are read, or no longer."""
+        if flows:
+            self.stats.record_event(self.core.clock.now())
+        if flows != self._flows:
+            self._flows = flows
+            self.stats.streams += 1 if flows else -1
+
     def _end_stream(self) -> None:
         self._record_output_length()
         self.exchange.end_stream()
@@ -114,6 +160,7 @@
     def _forward_events(self, data: bytes, last: int | None) -> None:
         assert self.head is not None
         self.exchange.settle_on(self)
+        self._count_as_flowing(flows=True)
         if self._pending_prefill_tokens:
             self._record_prefill(self.core.prefill_models.get_decode(self.request.service.name))
             self._end_prefill()
--- a/tests/relay/choosing/test_chooser.py
+++ b/tests/relay/choosing/test_chooser.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from beamhatch.relay.choosing.chooser import SAMPLE_SIZE, LeastCostChooser, RequestRequirements
-from beamhatch.relay.choosing.standing import Load, UpstreamStatsRegistry
+from beamhatch.relay.choosing.standing import PROBE_INTERVAL_S, UNREACHABLE_THRESHOLD, Load, UpstreamStatsRegistry
 from beamhatch.relay.model import Address, Handle, Phase, ServiceName, Upstream, UpstreamId
 
 REQUIREMENTS = RequestRequirements("p1", 5000, 6000)
@@ -66,6 +66,20 @@
     assert chooser.choose_plain([bad], set(), NOW + 60) == bad
 
 
+def test_an_unresponsive_replica_that_is_due_for_a_probe_goes_before_one_that_is_not() -> None:
+    chooser, registry = make_chooser()
+    due, asked = make_upstream("due", Phase.PLAIN), make_upstream("asked", Phase.PLAIN)
+    registry.get(due.id).record_load(Load(6, 2, 6), NOW)
+    for replica, sent_at in ((due, NOW - PROBE_INTERVAL_S), (asked, NOW - 0.1)):
+        stats = registry.get(replica.id)
+        stats.sent_at = sent_at
+        for _ in range(UNREACHABLE_THRESHOLD):
+            stats.record_no_response(NOW)
+    chosen = chooser.choose_plain([asked, due], set(), NOW)
+    assert chosen == due
+    assert not chooser.should_skip(due, NOW)
+
+
 def test_failure_rates_reported_by_peers_expire() -> None:
     chooser, registry = make_chooser()
     reported, other = make_upstream("reported", Phase.PLAIN), make_upstream("other", Phase.PLAIN)
@@ -91,3 +105,23 @@
         make_upstream("only", Phase.PREFILL)
     ]
     assert chooser.choose_prefill(engines, REQUIREMENTS, set(), NOW) == engines[-1]
+
+
+def test_a_new_stream_begins_where_streams_go_on() -> None:
+    chooser, registry = make_chooser()
+    engines = [make_upstream("stopped", Phase.DECODE), make_upstream("busy", Phase.DECODE)]
+    for _ in range(3):
+        registry.get(engines[1].id).record_start(5000, NOW)
+    for engine, last_event_at in zip(engines, (NOW - 0.6, NOW - 0.1), strict=True):
+        registry.get(engine.id).streams = 1
+        registry.get(engine.id).record_event(last_event_at)
+    assert chooser.list_silent(engines, NOW) == {"stopped"}
+    chosen = chooser.choose_decode(engines, REQUIREMENTS, set(), NOW, handle=None, kv_tokens=KV_TOKENS)
+    assert chosen is engines[1]
+
+
+def test_an_engine_without_streams_is_not_silent() -> None:
+    chooser, registry = make_chooser()
+    engine = make_upstream("idle", Phase.DECODE)
+    registry.get(engine.id).record_event(NOW - 60.0)
+    assert not chooser.list_silent([engine], NOW)
