--- a/tests/support/silence_fleet.py
+++ b/tests/support/silence_fleet.py
@@ -90,7 +90,8 @@
     size: int
     seed: int
     varies_engines: bool = False
-    """Whether engines read prompts one at a time and more slowly, and need time to fetch KV caches."""
+    """Whether engines read prompts one at a time and more slowly, need time to fetch KV caches, and in half of the
+    fleets answer calls that reserve memory while they are silent."""
     platform: RecordingPlatform = field(default_factory=RecordingPlatform)
     calls: list[Call] = field(default_factory=list)
     lines: dict[str, list[Line]] = field(default_factory=dict)
@@ -110,6 +111,7 @@
         self._added_routes = 0
         self._number = 0
         self._engine_terms = {**ENGINE, "hold_ms": self.rng.choice([2000, 8000])}
+        self._answers_calls = self.varies_engines and self.rng.random() < 0.5
         self._versions = self.rng.choice([("v1",), ("v1", "v2")])
         self.configure(14_000)
         for _ in range(self.rng.randint(2, 4)):
@@ -152,6 +154,7 @@
                 engine.prefill_rate = self.rng.choice([50_000.0, 20_000.0, 10_000.0])
                 engine.transfer_time_s = self.rng.choice([0.0, 0.1, 0.25])
                 engine.reservation_delay_s = self.rng.choice([0.0, 0.0, 0.05])
+                engine.answers_calls_while_paused = self._answers_calls
 
     def hang(self, upstream: RecordingUpstream) -> None:
         """Have an upstream hang for good; some seconds later it is gone, and another one is there."""
