Cancel a call only on the connection that still carries it

What callers saw: a request beside a stream was never answered: one that may run once got 504 at its deadline.

A fallback that ends while it waits for the other upstream gives its connection back to the pool; as the other one responds, the fallback is cancelled, and the connection is reset under the request that uses it by then, without telling that one.

Why it works: a call acts on its connection only while that carries it.

Evidence: test_a_request_is_not_lost_on_a_connection_on_which_a_fallback_has_ended failed before.

--- a/src/beamhatch/relay/upstreams/http_client.py
+++ b/src/beamhatch/relay/upstreams/http_client.py
@@ -136,18 +136,18 @@
     def cancel(self) -> None:
         """Close the connection without notifying the sink."""
         self.sink = None
-        if self.connection is not None:
+        if self.connection is not None and self.connection.carries(self):
             self.connection.abort()
 
     def pause(self) -> None:
         """Stop reading the response."""
-        if self.connection is not None and self.connection.transport is not None:
+        if self.connection is not None and self.connection.carries(self):
             self.connection.paused = True
             self.connection.transport.pauseProducing()
 
     def resume(self) -> None:
         """Resume reading the response."""
-        if self.connection is not None and self.connection.transport is not None:
+        if self.connection is not None and self.connection.carries(self):
             self.connection.paused = False
             self.connection.transport.resumeProducing()
 
@@ -193,6 +193,10 @@
         self._client.meter.record_sent(len(encoded))
         self.transport.write(encoded)
 
+    def carries(self, exchange: HttpExchange) -> bool:
+        """Return whether a call is in progress here, and not another one since."""
+        return self._exchange is exchange
+
     def abort(self) -> None:
         """Reset the connection."""
         self._exchange = None
