Take an engine for silent only as long as a pause may last

What callers saw: where the connections of all streams went silent for good while new ones worked, streams stood still until their deadline; a dead engine was not left for an idle one at which a single stream was stuck.

Cause: a fault of passing over engines whose streams have stopped. The verdict on the engine was drawn from connections that never speak again, and had no end.

Why it works: behind 3 s without an event the engine may be tried again. The stream keeps its silent upstream meanwhile, so a try can't lose it.

--- a/src/beamhatch/relay/choosing/standing.py
+++ b/src/beamhatch/relay/choosing/standing.py
@@ -34,6 +34,9 @@
 MAX_EVENT_GAP_S = 0.5
 """Time without an event of any stream after which an engine counts as silent; events are some tens of ms apart."""
 
+MAX_PAUSE_S = 3.0
+"""Time without an event of any stream after which an engine does not count as silent any more."""
+
 MIN_MISDIRECTED_PAUSE_S = 2.0
 """First pause after a misdirected request; each further pause is twice as long."""
 
@@ -162,11 +165,12 @@
         self.event_at = now
 
     def is_silent(self, now: float) -> bool:
-        """Return whether streams have begun and none of them goes on.
+        """Return whether streams have begun and none of them has gone on for a while.
 
-        An engine that pauses may still answer other calls.
+        An engine that pauses may still answer other calls. After some time, the connections may be stuck rather than
+        the engine paused.
         """
-        return self.streams > 0 and now - self.event_at > MAX_EVENT_GAP_S
+        return self.streams > 0 and MAX_EVENT_GAP_S < now - self.event_at <= MAX_PAUSE_S
 
     def is_active(self, now: float) -> bool:
         """Return whether a stream goes on."""
