Run no timeout of a response that is not read

What callers saw: a caller that read slowly had its stream moved for nothing, or cut at its deadline where the other engines were full, though its own engine was sound.

Events were forwarded before the timeout was started again; a caller whose buffer was full paused the response meanwhile, so the timeout ran while nothing was read, and the VM's own pause was taken for the engine's silence.

--- a/src/beamhatch/relay/upstreams/attempt.py
+++ b/src/beamhatch/relay/upstreams/attempt.py
@@ -49,6 +49,8 @@
         self._ended = False
         self._crash_reported = False
         self._timer: Any = None
+        self._is_paused = False
+        """Whether the response is not read as the caller reads too slowly."""
         self._silence_recorded_at = -math.inf
         """Monotonic time in seconds at which a timeout was recorded last."""
         self._started_at = self.core.clock.now()
@@ -127,12 +129,14 @@
 
     def pause(self) -> None:
         """Stop reading the response, and stop the timeout."""
+        self._is_paused = True
         self._stop_timer()
         if self._http is not None:
             self._http.pause()
 
     def resume(self) -> None:
         """Resume reading the response, and restart the timeout."""
+        self._is_paused = False
         if self._http is not None and not self._ended:
             self._http.resume()
             self._restart_timer(self.get_timeout())
@@ -387,7 +391,8 @@
 
     def _restart_timer(self, seconds: float) -> None:
         self._stop_timer()
-        self._timer = self.core.clock.call_later(seconds, self._handle_timeout)
+        if not self._is_paused:
+            self._timer = self.core.clock.call_later(seconds, self._handle_timeout)
 
     def _stop_timer(self) -> None:
         timer, self._timer = self._timer, None
--- a/src/beamhatch/relay/upstreams/stream_attempt.py
+++ b/src/beamhatch/relay/upstreams/stream_attempt.py
@@ -168,8 +168,8 @@
             self.exchange.begin_stream(self.head, self.send.upstream.version)
         self._record_token_rate(last)
         self.request.record_event(last, self.send.upstream.version)
-        self.exchange.send_events(data)
         self._restart_timer(self.get_timeout())
+        self.exchange.send_events(data)
         self._record_progress()
 
     def _record_progress(self) -> None:
