Ask an engine for memory again after a call to it broke

What callers saw: all connections to sound engines were reset once, and three of three streams were cut with 12 s left; the same where a VM was cut off from all decode engines for a second.

A call for memory that broke, as its connection was stale, counted as a failure of the engine with this request, for the rest of it. A call for memory runs nothing.

Why it works: such an engine is passed over for one round of the search only. A stream that reaches its time-out while it seeks an upstream ends with the reason why it found none.

--- a/src/beamhatch/relay/requests/exchange.py
+++ b/src/beamhatch/relay/requests/exchange.py
@@ -131,6 +131,8 @@
         self._cold_wait_began_at: float | None = None
         """Monotonic time in seconds at which the request began to wait for a cold upstream."""
         self._replan_timer: Any = None
+        self._search_obstacle: str | None = None
+        """Why no upstream can take the stream at the moment; None while one has it."""
         self._memory_acquired_at: float | None = None
         """Monotonic time in seconds at which the request got decode memory."""
         is_retry = Mechanism.CALLER_RETRIES not in core.disabled and core.caller_retries.is_retry(
@@ -527,6 +529,7 @@
             if step.no_upstream and self.request.awaits_late_memory and self._time_left_for_memory > 0:
                 self._schedule_replan(self._time_left_for_memory)
             elif self._may_search_on(step):
+                self._search_obstacle = step.reason
                 self.request.forget_obstacles()
                 self._schedule_replan(SEARCH_INTERVAL_S)
             else:
@@ -625,7 +628,7 @@
     def _handle_timeout(self) -> None:
         self._deadline_timer = None
         if self.request.may_have_run:
-            self._end_with_error(TIMEOUT_STATUS, "the time is over", None)
+            self._end_with_error(TIMEOUT_STATUS, self._search_obstacle or "the time is over", None)
         else:
             self._refuse("the time is over")
 
@@ -726,6 +729,7 @@
 
     def handle_request_sent(self, attempt: Attempt) -> None:
         """Record that the request is being sent."""
+        self._search_obstacle = None
         if self.request.route.kind is RouteKind.STREAMING and attempt.send.stage is not Stage.PREFILL:
             self._failover.begin_handover()
 
--- a/src/beamhatch/relay/requests/request.py
+++ b/src/beamhatch/relay/requests/request.py
@@ -158,6 +158,8 @@
     _refused_by: set[UpstreamId] = field(default_factory=set)
     _failed_upstreams: set[UpstreamId] = field(default_factory=set)
     """Upstreams that lost the request or could not be reached."""
+    _unasked: set[UpstreamId] = field(default_factory=set)
+    """Decode engines that could not be asked for memory."""
     _unanswered_by: set[UpstreamId] = field(default_factory=set)
     """Decode engines that did not answer in time when they were asked for memory."""
     _non_prefill_sent: bool = False
@@ -220,7 +222,7 @@
     @property
     def _unavailable(self) -> set[UpstreamId]:
         """Return the upstreams that failed, could not be reached or are silent."""
-        return self._failed_upstreams | self._unanswered_by | self.silent_upstreams
+        return self._failed_upstreams | self._unasked | self._unanswered_by | self.silent_upstreams
 
     @property
     def max_memory_wait_s(self) -> float:
@@ -463,6 +465,7 @@
     def forget_obstacles(self) -> None:
         """Allow upstreams to be asked again that refused the request or did not answer."""
         self._refused_by.clear()
+        self._unasked.clear()
         self._unanswered_by.clear()
         self._full_upstreams.clear()
         self._unreached = 0
@@ -540,7 +543,8 @@
     def record_reserve_failed(self, upstream: UpstreamId) -> None:
         """Record that a call to reserve memory at a decode engine failed."""
         self._unreached += 1
-        self._failed_upstreams.add(upstream)
+        self._unasked.add(upstream)
+        self._unanswered_by.discard(upstream)
 
     def record_reserve_unanswered(self, upstream: UpstreamId) -> None:
         """Record that a decode engine that was asked for memory did not answer in time."""
