Let retries that were counted in advance end with their search

What callers saw: nothing; by the review, a grant that was left over from one search could allow a send of a later one with the budget spent.

Cause: retries that are counted in advance were taken back where the silent upstream responded or another one began, not where it failed.

Why it works: they are taken back with the last fallback, and a new search starts without any. A fallback that fails while its request waits in the queue for memory does not make it ask out of turn.

--- a/src/beamhatch/relay/requests/exchange.py
+++ b/src/beamhatch/relay/requests/exchange.py
@@ -718,9 +718,15 @@
             self._attempt = None
             self._failover.end_handover()
         elif isinstance(attempt, Attempt):
-            self._failover.remove(attempt)
+            self._remove_fallback(attempt)
+            if self._in_queue:
+                return  # the queue decides when the request asks for memory
         self.advance()
 
+    def _remove_fallback(self, attempt: Attempt) -> None:
+        if self._failover.remove(attempt) and not self._failover.active:
+            self.request.return_retries(self.core.get_retry_budget(self.request.service.name))
+
     def seek_alternative(self, attempt: Attempt) -> None:
         """Seek another upstream as the attempt's is silent; the attempt goes on if that one responds first."""
         self._attempt = None
--- a/src/beamhatch/relay/requests/request.py
+++ b/src/beamhatch/relay/requests/request.py
@@ -454,13 +454,18 @@
     def begin_search(self, silent: UpstreamId) -> None:
         """Record that an upstream is silent, so that another one is sought."""
         self.silent_upstreams.add(silent)
+        self._granted_retries = 0
         self.forget_obstacles()
 
     def end_search(self, budget: RetryBudget) -> None:
-        """Record that no other upstream is sought any more, and take back the retries that were not made."""
+        """Record that no other upstream is sought any more."""
+        self.return_retries(budget)
+        self._waiting_since = None
+
+    def return_retries(self, budget: RetryBudget) -> None:
+        """Take back the retries that were counted in advance and not made."""
         count, self._granted_retries = self._granted_retries, 0
         budget.withdraw_retry(self._granted_at, count)
-        self._waiting_since = None
 
     def forget_obstacles(self) -> None:
         """Allow upstreams to be asked again that refused the request or did not answer."""
