Release what a fallback held back when it is waited for again

Cause: a fallback whose events wait for another upstream was taken off the list of fallbacks before these were released, and all later events queued up behind them. The handover also went on where the other upstream had fallen silent.

--- a/src/beamhatch/relay/requests/exchange.py
+++ b/src/beamhatch/relay/requests/exchange.py
@@ -729,6 +729,9 @@
 
     def seek_alternative(self, attempt: Attempt) -> None:
         """Seek another upstream as the attempt's is silent; the attempt goes on if that one responds first."""
+        self._failover.end_handover()
+        if self._attempt is not attempt:
+            return
         self._attempt = None
         self._failover.add(attempt)
         self.advance()
--- a/src/beamhatch/relay/requests/failover.py
+++ b/src/beamhatch/relay/requests/failover.py
@@ -59,9 +59,10 @@
         return True
 
     def pop_last(self) -> Attempt:
-        """Remove and return the fallback that was added last."""
+        """Remove and return the fallback that was added last, which continues with what it held back."""
         attempt = self._fallbacks[-1]
         self.remove(attempt)
+        self._clock.call_later(0.0, attempt.release_held)
         return attempt
 
     def begin_handover(self) -> None:
