Refuse a request once no call for memory can be answered any more

What callers saw: a request whose calls for memory had all broken waited until it could not be on time, and was refused then.

Cause: a fault of using memory that is granted late. A late call that broke told nobody.

--- a/src/beamhatch/relay/requests/exchange.py
+++ b/src/beamhatch/relay/requests/exchange.py
@@ -785,12 +785,21 @@
 
     def handle_late_rejection(self, upstream: Upstream) -> None:
         """Record that an engine rejected a reservation late, and plan again if the request waits for that."""
-        if self._ended or self._attempt is not None or self._in_queue or self.request.reservation is not None:
-            return
-        if self.core.eligibility.is_in_regions(upstream, self.request.regions):
+        if self._awaits_late_response and self.core.eligibility.is_in_regions(upstream, self.request.regions):
             self.request.record_full(upstream.id)
             self.advance()
 
+    def handle_late_failure(self, upstream: Upstream) -> None:
+        """Record that a reservation will not be answered any more, and plan again if the request waits for that."""
+        if self._awaits_late_response:
+            self.request.record_reserve_lost(upstream.id)
+            self.advance()
+
+    @property
+    def _awaits_late_response(self) -> bool:
+        has_step = self._attempt is not None or self._in_queue or self.request.reservation is not None
+        return not self._ended and not has_step
+
     def _return_to_fallback(self) -> None:
         """Wait for the silent upstream, as no other one can take the request now, and seek again later."""
         attempt = self._failover.pop_last()
--- a/src/beamhatch/relay/requests/request.py
+++ b/src/beamhatch/relay/requests/request.py
@@ -551,6 +551,11 @@
         self._unasked.add(upstream)
         self._unanswered_by.discard(upstream)
 
+    def record_reserve_lost(self, upstream: UpstreamId) -> None:
+        """Record that a call for memory that was late will not be answered."""
+        self._unanswered_by.discard(upstream)
+        self._unasked.add(upstream)
+
     def record_reserve_unanswered(self, upstream: UpstreamId) -> None:
         """Record that a decode engine that was asked for memory did not answer in time."""
         self._unreached += 1
--- a/src/beamhatch/relay/upstreams/reserve_attempt.py
+++ b/src/beamhatch/relay/upstreams/reserve_attempt.py
@@ -206,5 +206,6 @@
         send_release(self._core, upstream, call, self._exchange.write_log)
 
     def handle_failure(self, failure: CallFailure, detail: str) -> None:
-        """Do nothing: memory that was granted expires at the engine."""
+        """Let the request go on without this engine; memory that was granted expires there."""
         self._timer.cancel()
+        self._exchange.handle_late_failure(self._step.upstream)
