Settle a stream at the first event, and keep what its fallbacks still need

The fallback was closed at the head of the other response; with two fallbacks only the handle of one was kept; a permit of another engine passed for one at the engine that granted memory late. The metric of silences that ended left out those that ended while nothing was sought.

--- a/src/beamhatch/relay/choosing/chooser.py
+++ b/src/beamhatch/relay/choosing/chooser.py
@@ -151,7 +151,7 @@
         return self.stats.get(upstream.id).should_skip(now)
 
     def list_silent(self, usable: Sequence[Upstream], now: float) -> set[UpstreamId]:
-        """Return the engines at which no stream of this VM goes on."""
+        """Return the engines that have streams of this VM, none of which goes on."""
         return {one.id for one in usable if self.stats.get(one.id).is_silent(now)}
 
     def list_active(self, usable: Sequence[Upstream], now: float) -> set[UpstreamId]:
--- a/src/beamhatch/relay/requests/exchange.py
+++ b/src/beamhatch/relay/requests/exchange.py
@@ -40,6 +40,8 @@
 from beamhatch.relay.upstreams.stream_attempt import StreamAttempt
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from beamhatch.relay.callers.http_server import IncomingRequest, Responder
     from beamhatch.relay.choosing.eligibility import SendPermit
     from beamhatch.relay.core import Core
@@ -691,13 +693,13 @@
         if attempt is not None:
             attempt.cancel()
 
-    def _release_held(self, *, except_handle: Handle | None = None) -> None:
+    def _release_held(self, *, except_handles: Sequence[Handle | None] = ()) -> None:
         """Release the KV cache and the reservation that the request does not need any more.
 
-        :param except_handle: handle of a KV cache that an upstream may still fetch
+        :param except_handles: handles of KV caches that upstreams may still fetch
         """
         request = self.request
-        if request.handle is not None and request.handle is not except_handle:
+        if request.handle is not None and request.handle not in except_handles:
             call = self.core.dialect.make_release_call(request.handle)
             send_release(self.core, request.handle.upstream, call, self.write_log)
             request.drop_handle()
@@ -742,11 +744,6 @@
         if self.request.route.kind is RouteKind.STREAMING and attempt.send.stage is not Stage.PREFILL:
             self._failover.begin_handover()
 
-    def handle_stream_begun(self, attempt: Attempt) -> None:
-        """Leave the silent upstreams for one that begins to respond."""
-        if attempt is self._attempt:
-            self.settle_on(attempt)
-
     def admits(self, attempt: Attempt) -> bool:
         """Return whether an attempt that responds may continue the stream now; if not, it is released later."""
         return self._failover.admits(attempt)
@@ -759,9 +756,6 @@
             self._stop_attempt()
             self._end_search(attempt)
             self._attempt = attempt
-            attempt.stats.record_late_response(self.core.clock.now())
-            self.core.tally.count("silences_ended_total", "responded")
-            self.write_log("responds again", to=attempt.upstream.id)
         else:
             self.request.end_search(self.core.get_retry_budget(self.request.service.name))
             self.core.tally.count("silences_ended_total", "replaced")
@@ -776,6 +770,7 @@
         if not self.core.eligibility.is_in_regions(reservation.upstream, self.request.regions):
             return False
         self._stop_attempt()
+        self._drop_permit()  # it is for the engine that was asked last
         self.leave_queue()
         self.record_memory_acquired()
         self.request.record_reserved(reservation)
@@ -805,7 +800,7 @@
         attempt = self._failover.pop_last()
         self._end_search(attempt)
         self._attempt = attempt
-        attempt.wait(SEARCH_INTERVAL_S)
+        attempt.wait_again(SEARCH_INTERVAL_S)
 
     def _end_search(self, attempt: Attempt) -> None:
         """Release what was acquired to replace an attempt."""
@@ -813,7 +808,7 @@
         self._stop_replan_timer()
         self._drop_permit()
         self.request.end_search(self.core.get_retry_budget(self.request.service.name))
-        self._release_held(except_handle=attempt.send.handle)
+        self._release_held(except_handles=[attempt.send.handle, *self._failover.list_handles()])
 
     def write_log(self, event: str, **fields: object) -> None:
         """Write a log event about this request."""
--- a/src/beamhatch/relay/requests/failover.py
+++ b/src/beamhatch/relay/requests/failover.py
@@ -11,6 +11,7 @@
 
 if TYPE_CHECKING:
     from beamhatch.clock import Clock
+    from beamhatch.relay.model import Handle
     from beamhatch.relay.requests.request import RelayRequest
     from beamhatch.relay.upstreams.attempt import Attempt
 
@@ -45,6 +46,10 @@
         """Return the hall of the first fallback's upstream, or None without a fallback."""
         return self._fallbacks[0].upstream.hall if self._fallbacks else None
 
+    def list_handles(self) -> list[Handle | None]:
+        """Return the handles of KV caches that the fallbacks' upstreams may still fetch."""
+        return [attempt.send.handle for attempt in self._fallbacks]
+
     def add(self, attempt: Attempt) -> None:
         """Keep an attempt at a silent upstream as a fallback."""
         self._fallbacks.append(attempt)
--- a/src/beamhatch/relay/upstreams/attempt.py
+++ b/src/beamhatch/relay/upstreams/attempt.py
@@ -144,7 +144,7 @@
     def release_held(self) -> None:
         """Continue with what was held back of the response."""
 
-    def wait(self, seconds: float) -> None:
+    def wait_again(self, seconds: float) -> None:
         """Wait for the response of a silent upstream, and time out again after some seconds."""
         self._restart_timer(seconds)
 
@@ -380,6 +380,15 @@
         )
         self.core.tally.count("silences_total", self.send.stage.value)
 
+    def record_response_after_silence(self) -> None:
+        """Record that a silent upstream responds, if it is one."""
+        if self._silence_recorded_at == -math.inf:
+            return
+        self._silence_recorded_at = -math.inf
+        self.stats.record_late_response(self.core.clock.now())
+        self.core.tally.count("silences_ended_total", "responded")
+        self.exchange.write_log("responds again", to=self.send.upstream.id)
+
     def _abandon(self) -> None:
         """Close the connection, and let the exchange try another upstream."""
         self.cancel()
--- a/src/beamhatch/relay/upstreams/stream_attempt.py
+++ b/src/beamhatch/relay/upstreams/stream_attempt.py
@@ -43,7 +43,7 @@
         self._last_event_at: float | None = None
         """Monotonic seconds of the last events from this engine."""
         self._parts_succeeded = False
-        self._flows = False
+        self._is_flowing = False
         """Whether the stream is counted among those of its engine that go on."""
         self._held: list[Callable[[], None]] = []
         """What to do with the parts of the response that arrived before this attempt may continue the stream."""
@@ -51,11 +51,8 @@
     def handle_head(self, head: ResponseHead) -> None:
         """Apply the head; that of a stream is forwarded with the first event."""
         super().handle_head(head)
-        if not self._is_stream:
-            return
-        if self.send.handle is not None and self.request.handle is self.send.handle:
+        if self._is_stream and self.send.handle is not None and self.request.handle is self.send.handle:
             self.request.drop_handle()
-        self.exchange.handle_stream_begun(self)
 
     def handle_data(self, data: bytes) -> None:
         """Forward complete events, or buffer the body of an error response."""
@@ -101,26 +98,26 @@
 
     def pause(self) -> None:
         """Stop reading the response, and stop the timeout."""
-        self._count_as_flowing(flows=False)
+        self._count_as_flowing(is_flowing=False)
         super().pause()
 
     def resume(self) -> None:
         """Resume reading the response, and restart the timeout."""
         if self._last_event_at is not None and not self._ended:
-            self._count_as_flowing(flows=True)
+            self._count_as_flowing(is_flowing=True)
         super().resume()
 
     def _end(self) -> None:
-        self._count_as_flowing(flows=False)
+        self._count_as_flowing(is_flowing=False)
         super()._end()
 
-    def _count_as_flowing(self, *, flows: bool) -> None:
+    def _count_as_flowing(self, *, is_flowing: bool) -> None:
         """Count the stream among those of its engine that have begun and are read, or no longer."""
-        if flows:
+        if is_flowing:
             self.stats.record_event(self.core.clock.now())
-        if flows != self._flows:
-            self._flows = flows
-            self.stats.streams += 1 if flows else -1
+        if is_flowing != self._is_flowing:
+            self._is_flowing = is_flowing
+            self.stats.streams += 1 if is_flowing else -1
 
     def _end_stream(self) -> None:
         self._record_output_length()
@@ -160,7 +157,8 @@
     def _forward_events(self, data: bytes, last: int | None) -> None:
         assert self.head is not None
         self.exchange.settle_on(self)
-        self._count_as_flowing(flows=True)
+        self.record_response_after_silence()
+        self._count_as_flowing(is_flowing=True)
         if self._pending_prefill_tokens:
             self._record_prefill(self.core.prefill_models.get_decode(self.request.service.name))
             self._end_prefill()
