--- a/src/beamhatch/relay/requests/exchange.py
+++ b/src/beamhatch/relay/requests/exchange.py
@@ -40,6 +40,8 @@
 from beamhatch.relay.upstreams.stream_attempt import StreamAttempt
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from beamhatch.relay.callers.http_server import IncomingRequest, Responder
     from beamhatch.relay.choosing.eligibility import SendPermit
     from beamhatch.relay.core import Core
@@ -131,6 +133,8 @@
         self._cold_wait_began_at: float | None = None
         """Monotonic time in seconds at which the request began to wait for a cold upstream."""
         self._replan_timer: Any = None
+        self._search_obstacle: str | None = None
+        """Why no upstream can take the stream at the moment; None while one has it."""
         self._memory_acquired_at: float | None = None
         """Monotonic time in seconds at which the request got decode memory."""
         is_retry = Mechanism.CALLER_RETRIES not in core.disabled and core.caller_retries.is_retry(
@@ -527,6 +531,7 @@
             if step.no_upstream and self.request.awaits_late_memory and self._time_left_for_memory > 0:
                 self._schedule_replan(self._time_left_for_memory)
             elif self._may_search_on(step):
+                self._search_obstacle = step.reason
                 self.request.forget_obstacles()
                 self._schedule_replan(SEARCH_INTERVAL_S)
             else:
@@ -625,7 +630,7 @@
     def _handle_timeout(self) -> None:
         self._deadline_timer = None
         if self.request.may_have_run:
-            self._end_with_error(TIMEOUT_STATUS, "the time is over", None)
+            self._end_with_error(TIMEOUT_STATUS, self._search_obstacle or "the time is over", None)
         else:
             self._refuse("the time is over")
 
@@ -688,13 +693,13 @@
         if attempt is not None:
             attempt.cancel()
 
-    def _release_held(self, *, except_handle: Handle | None = None) -> None:
+    def _release_held(self, *, except_handles: Sequence[Handle | None] = ()) -> None:
         """Release the KV cache and the reservation that the request does not need any more.
 
-        :param except_handle: handle of a KV cache that an upstream may still fetch
+        :param except_handles: handles of KV caches that upstreams may still fetch
         """
         request = self.request
-        if request.handle is not None and request.handle is not except_handle:
+        if request.handle is not None and request.handle not in except_handles:
             call = self.core.dialect.make_release_call(request.handle)
             send_release(self.core, request.handle.upstream, call, self.write_log)
             request.drop_handle()
@@ -715,25 +720,30 @@
             self._attempt = None
             self._failover.end_handover()
         elif isinstance(attempt, Attempt):
-            self._failover.remove(attempt)
+            self._remove_fallback(attempt)
+            if self._in_queue:
+                return  # the queue decides when the request asks for memory
         self.advance()
 
+    def _remove_fallback(self, attempt: Attempt) -> None:
+        if self._failover.remove(attempt) and not self._failover.active:
+            self.request.return_retries(self.core.get_retry_budget(self.request.service.name))
+
     def seek_alternative(self, attempt: Attempt) -> None:
         """Seek another upstream as the attempt's is silent; the attempt goes on if that one responds first."""
+        self._failover.end_handover()
+        if self._attempt is not attempt:
+            return
         self._attempt = None
         self._failover.add(attempt)
         self.advance()
 
     def handle_request_sent(self, attempt: Attempt) -> None:
         """Record that the request is being sent."""
+        self._search_obstacle = None
         if self.request.route.kind is RouteKind.STREAMING and attempt.send.stage is not Stage.PREFILL:
             self._failover.begin_handover()
 
-    def handle_stream_begun(self, attempt: Attempt) -> None:
-        """Leave the silent upstreams for one that begins to respond."""
-        if attempt is self._attempt:
-            self.settle_on(attempt)
-
     def admits(self, attempt: Attempt) -> bool:
         """Return whether an attempt that responds may continue the stream now; if not, it is released later."""
         return self._failover.admits(attempt)
@@ -746,9 +756,6 @@
             self._stop_attempt()
             self._end_search(attempt)
             self._attempt = attempt
-            attempt.stats.record_late_response(self.core.clock.now())
-            self.core.tally.count("silences_ended_total", "responded")
-            self.write_log("responds again", to=attempt.upstream.id)
         else:
             self.request.end_search(self.core.get_retry_budget(self.request.service.name))
             self.core.tally.count("silences_ended_total", "replaced")
@@ -763,6 +770,7 @@
         if not self.core.eligibility.is_in_regions(reservation.upstream, self.request.regions):
             return False
         self._stop_attempt()
+        self._drop_permit()  # it is for the engine that was asked last
         self.leave_queue()
         self.record_memory_acquired()
         self.request.record_reserved(reservation)
@@ -772,18 +780,27 @@
 
     def handle_late_rejection(self, upstream: Upstream) -> None:
         """Record that an engine rejected a reservation late, and plan again if the request waits for that."""
-        if self._ended or self._attempt is not None or self._in_queue or self.request.reservation is not None:
-            return
-        if self.core.eligibility.is_in_regions(upstream, self.request.regions):
+        if self._awaits_late_response and self.core.eligibility.is_in_regions(upstream, self.request.regions):
             self.request.record_full(upstream.id)
             self.advance()
 
+    def handle_late_failure(self, upstream: Upstream) -> None:
+        """Record that a reservation will not be answered any more, and plan again if the request waits for that."""
+        if self._awaits_late_response:
+            self.request.record_reserve_lost(upstream.id)
+            self.advance()
+
+    @property
+    def _awaits_late_response(self) -> bool:
+        has_step = self._attempt is not None or self._in_queue or self.request.reservation is not None
+        return not self._ended and not has_step
+
     def _return_to_fallback(self) -> None:
         """Wait for the silent upstream, as no other one can take the request now, and seek again later."""
         attempt = self._failover.pop_last()
         self._end_search(attempt)
         self._attempt = attempt
-        attempt.wait(SEARCH_INTERVAL_S)
+        attempt.wait_again(SEARCH_INTERVAL_S)
 
     def _end_search(self, attempt: Attempt) -> None:
         """Release what was acquired to replace an attempt."""
@@ -791,7 +808,7 @@
         self._stop_replan_timer()
         self._drop_permit()
         self.request.end_search(self.core.get_retry_budget(self.request.service.name))
-        self._release_held(except_handle=attempt.send.handle)
+        self._release_held(except_handles=[attempt.send.handle, *self._failover.list_handles()])
 
     def write_log(self, event: str, **fields: object) -> None:
         """Write a log event about this request."""
