--- a/tests/platform/test_silence_spells.py
+++ b/tests/platform/test_silence_spells.py
@@ -37,6 +37,11 @@
     play(SilenceSpell(seed, only_silences=True))
 
 
+@pytest.mark.parametrize("seed", [0, 7])
+def test_streams_are_cut_or_run_at_two_engines_as_engines_of_different_speeds_fall_silent(seed: int) -> None:
+    play(SilenceSpell(seed, varies_engines=True))
+
+
 def _run_again(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(RelayRequest, "may_run_again", property(lambda _: True))
 
