--- a/tests/platform/test_silence_spells.py
+++ b/tests/platform/test_silence_spells.py
@@ -18,7 +18,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-SPELLS = 3
+SEEDS = (0, 1, 2, 50)
 SILENCES = 2
 
 
@@ -27,7 +27,7 @@
     assert not breaches, "\n".join([*map(str, breaches), *spell.lines])
 
 
-@pytest.mark.parametrize("seed", range(SPELLS))
+@pytest.mark.parametrize("seed", SEEDS)
 def test_streams_are_cut_as_sound_upstreams_fall_silent_beside_other_disruptions(seed: int) -> None:
     play(SilenceSpell(seed))
 
