Find a sound engine in time among many that do not answer

What callers saw: with ten of twelve idle engines silent, 3 of 3 new streams were refused with 503 after 1 s, though two sound engines were listed.

Cause: each engine that did not say within .12 s whether memory is set aside counted as one that could not be reached, and eight ended the request. Late answers are used now, so there is no reason to wait that long for each of many engines.

Why it works: behind two that did not answer, the others are asked .03 s apart, up to 24. Forty silent engines: refused within 1.2 s, by a new test.

--- a/src/beamhatch/relay/requests/request.py
+++ b/src/beamhatch/relay/requests/request.py
@@ -29,7 +29,10 @@
 """Maximum number of upstreams that a request fails to reach, so that it is refused soon where no link works."""
 
 MAX_UNANSWERED = 2
-"""Number of decode engines that do not answer after which engines where streams go on are asked first."""
+"""Number of decode engines that do not answer after which the others are asked in haste, active ones first."""
+
+MAX_ASKED_IN_VAIN = 24
+"""Maximum number of decode engines that do not answer, so that a request is refused soon where many are silent."""
 
 MAX_PREFILLS = 2
 """Maximum number of times that a prompt is sent to a prefill engine.
@@ -249,6 +252,8 @@
             return self._give_up("too many upstreams turned it away", is_temporary=False)
         if self._unreached >= MAX_UNREACHED:
             return self._give_up("too many upstreams could not be reached", no_upstream=True)
+        if len(self._unanswered_by) >= MAX_ASKED_IN_VAIN:
+            return self._give_up("too many upstreams did not answer", no_upstream=True)
         step = self._choose(usable, chooser, now)
         if step is None:
             return self._give_up(
@@ -394,7 +399,7 @@
         if full_upstreams:
             need = replace(need, refused_halls=tuple(one.hall for one in usable if one.id in full_upstreams))
         chosen = chooser.choose_decode(usable, need, tried, now, handle=handle, kv_tokens=kv_tokens)
-        if len(self._unanswered_by) >= MAX_UNANSWERED:
+        if self.asks_in_haste:
             active = chooser.list_active(usable, now)
             sound = [one for one in usable if one.id in active]
             chosen = chooser.choose_decode(sound, need, tried, now, handle=handle, kv_tokens=kv_tokens) or chosen
@@ -558,9 +563,13 @@
 
     def record_reserve_unanswered(self, upstream: UpstreamId) -> None:
         """Record that a decode engine that was asked for memory did not answer in time."""
-        self._unreached += 1
         self._unanswered_by.add(upstream)
 
+    @property
+    def asks_in_haste(self) -> bool:
+        """Return whether so many decode engines did not answer that others are asked one soon after the other."""
+        return len(self._unanswered_by) >= MAX_UNANSWERED
+
     @property
     def awaits_late_memory(self) -> bool:
         """Return whether a decode engine may still answer that was asked for memory."""
--- a/src/beamhatch/relay/upstreams/reserve_attempt.py
+++ b/src/beamhatch/relay/upstreams/reserve_attempt.py
@@ -26,6 +26,9 @@
 TIMEOUT_S = 0.12
 """Time after which another engine is asked too; short, as engines usually respond within milliseconds."""
 
+HASTY_TIMEOUT_S = 0.03
+"""The same after several engines did not respond, so that a sound one is found in time among many silent ones."""
+
 
 class ReserveAttempt(ResponseSink):
     """Attempt to reserve memory at a decode engine; it runs nothing and does not count as a send."""
@@ -43,7 +46,8 @@
         self._started_at = self.core.clock.now()
         self._probe: BackoffProbe | None = None
         """Probe of the engine after its back-off, if this attempt is one."""
-        self._timer: Any = self.core.clock.call_later(TIMEOUT_S, self._handle_timeout)
+        timeout_s = HASTY_TIMEOUT_S if exchange.request.asks_in_haste else TIMEOUT_S
+        self._timer: Any = self.core.clock.call_later(timeout_s, self._handle_timeout)
 
     @property
     def upstream(self) -> Upstream:
--- a/tests/platform/test_silence.py
+++ b/tests/platform/test_silence.py
@@ -231,6 +231,15 @@
     assert set(platform.ledger.prefilled.values()) == {1}
 
 
+def test_a_request_is_refused_soon_where_very_many_engines_do_not_answer() -> None:
+    platform = make_fleet(decode=40)
+    pause_engines(platform, "decode", 10.0)
+    begun = platform.network.seconds()
+    caller = platform.finish(platform.call("/resumable/x", "q1"))
+    assert caller.status == 503
+    assert platform.network.seconds() - begun < 1.2
+
+
 def test_a_dead_engine_is_left_as_soon_as_ever() -> None:
     platform = make_fleet()
     caller = begin_stream(platform, "q1")
