Cut a stream at once whose engine failed while the budget for retries is spent

The budget frees within ten seconds, and the caller, whose return counts as a new request, comes back sooner.

Why it works: only a stream with no silent upstream left ends so; one that has a fallback returns to it.

--- a/src/beamhatch/relay/requests/request.py
+++ b/src/beamhatch/relay/requests/request.py
@@ -264,7 +264,8 @@
         whole = self._replace_prefill(step)
         if whole is not None and self._acquire_budget(whole, budget, vm_count, now):
             return whole
-        return self._give_up("the budget for repeated sends is spent")
+        # The budget frees slowly, and a caller that comes back is not counted there.
+        return self._give_up("the budget for repeated sends is spent", is_temporary=False)
 
     def _replace_prefill(self, step: Step) -> Send | None:
         """Return a send of the whole request to the engine that reserved memory, in place of a repeated prefill."""
