--- a/tests/platform/test_silence.py
+++ b/tests/platform/test_silence.py
@@ -6,16 +6,14 @@
 
 import pytest
 
-from beamhatch.platform.standin.upstream import StandInEngine, UpstreamFault
+from beamhatch.platform.standin.upstream import UpstreamFault
 from beamhatch.relay.model import ServiceName
+from tests.support.pauses import EVENTS, check_whole, fill, find_engine, list_engines, pause_engines
 from tests.support.platform import MODEL, ROUTES, Platform, make_platform, make_route
 
 if TYPE_CHECKING:
     from tests.support.platform import Caller
 
-EVENTS = 60
-"""Events of each stream, 1.8 s at the stand-ins' pace."""
-
 
 def make_fleet(*, plain: int = 2, prefill: int = 2, decode: int = 3, timeout_ms: int = 14_000) -> Platform:
     """Return a platform whose routes leave callers as much time as their own deadlines."""
@@ -33,28 +31,6 @@
     return caller
 
 
-def list_engines(platform: Platform, phase: str) -> list[StandInEngine]:
-    """Return the engines of a phase."""
-    return [one for one in platform.upstreams.values() if isinstance(one, StandInEngine) and one.phase == phase]
-
-
-def find_engine(platform: Platform, request: str) -> StandInEngine:
-    """Return the decode engine that runs a request."""
-    engines = list_engines(platform, "decode")
-    return next(one for one in engines if any(run.request == request for run in one.runs))
-
-
-def pause_engines(platform: Platform, phase: str, seconds: float) -> None:
-    """Pause all engines of a phase."""
-    for engine in list_engines(platform, phase):
-        engine.pause_for(seconds)
-
-
-def fill(engine: StandInEngine) -> None:
-    """Use up the free memory of an engine for the rest of the test."""
-    engine.used_tokens += engine.free_tokens
-
-
 def spend_budget(platform: Platform) -> None:
     """Use up the VM's budget for retries for some seconds."""
     core = platform.vms["vm1"].core
@@ -67,14 +43,6 @@
     platform.configure(version, [*routes, make_route("/added/", "streaming", MODEL, resumable=True)])
 
 
-def check_whole(platform: Platform, *callers: Caller) -> None:
-    """Check that each caller gets each event once, and the end."""
-    for caller in callers:
-        platform.finish(caller)
-        assert caller.events == list(range(1, EVENTS + 1))
-        assert caller.whole
-
-
 @pytest.mark.parametrize("seconds", [0.3, 1.2, 2.2, 3.0, 5.0])
 def test_streams_are_not_cut_where_all_decode_engines_fall_silent(seconds: float) -> None:
     platform = make_fleet()
--- a/tests/platform/test_silence_elsewhere.py
+++ b/tests/platform/test_silence_elsewhere.py
@@ -12,15 +12,13 @@
 from beamhatch.relay.engines.throughput import CapacityParameters
 from beamhatch.relay.mechanism import NONE_DISABLED, DisabledMechanisms, Mechanism
 from beamhatch.relay.model import Phase, UpstreamId
+from tests.support.pauses import EVENTS, check_whole, find_engine, list_engines, pause_engines
 from tests.support.platform import ROUTES, Platform, make_platform
 from tests.support.reach_fleet import Loss, ReachFleet
 
 if TYPE_CHECKING:
     from tests.support.platform import Caller
 
-EVENTS = 60
-"""Events of each long stream, 1.8 s at the stand-ins' pace."""
-
 LONG = 200
 """Events of streams that last for the whole test, 6 s at the stand-ins' pace."""
 
@@ -49,23 +47,6 @@
     return platform
 
 
-def list_engines(platform: Platform, phase: str) -> list[StandInEngine]:
-    """Return the engines of a phase."""
-    return [one for one in platform.upstreams.values() if isinstance(one, StandInEngine) and one.phase == phase]
-
-
-def find_engine(platform: Platform, request: str) -> StandInEngine:
-    """Return the decode engine that runs a request."""
-    engines = list_engines(platform, "decode")
-    return next(one for one in engines if any(run.request == request for run in one.runs))
-
-
-def pause_engines(platform: Platform, phase: str, seconds: float) -> None:
-    """Pause all engines of a phase."""
-    for engine in list_engines(platform, phase):
-        engine.pause_for(seconds)
-
-
 def pause_replicas(platform: Platform, seconds: float) -> None:
     """Pause all replicas of the plain service."""
     for name in ("plain-0", "plain-1"):
@@ -108,14 +89,6 @@
     return [caller.status if platform.finish(caller).whole else 0 for caller in callers]
 
 
-def check_whole(platform: Platform, callers: list[Caller], events: int = EVENTS) -> None:
-    """Check that each caller gets each event once, and the end."""
-    for caller in callers:
-        platform.finish(caller)
-        assert caller.events == list(range(1, events + 1))
-        assert caller.whole
-
-
 # --- reservations ----------------------------------------------------------------------------------------------------
 
 
@@ -145,7 +118,7 @@
     callers = begin_streams(platform, "/resumable/x", 1)
     pause_engines(platform, "decode", seconds)
     find_engine(platform, "q0").end()
-    check_whole(platform, callers)
+    check_whole(platform, *callers)
 
 
 def test_a_stream_that_waits_for_memory_is_not_cut_where_the_engines_fall_silent() -> None:
@@ -160,7 +133,7 @@
     for engine in others:
         engine.used_tokens -= engine.kv_tokens
         engine.pause_for(1.0)
-    check_whole(platform, callers)
+    check_whole(platform, *callers)
 
 
 def test_a_stream_is_not_cut_where_its_engine_crashes_while_the_others_ask_for_a_short_rest() -> None:
@@ -179,7 +152,7 @@
         engine.used_tokens -= engine.kv_tokens
         engine.retry_after = ""
     crashed.end()
-    check_whole(platform, callers)
+    check_whole(platform, *callers)
 
 
 def make_mostly_idle() -> tuple[Platform, list[Caller], list[StandInEngine]]:
@@ -216,7 +189,7 @@
     for engine in idle:
         engine.pause_for(2.0)
     find_engine(platform, "q0").end()
-    check_whole(platform, callers, LONG)
+    check_whole(platform, *callers, events=LONG)
 
 
 def test_an_engine_that_goes_on_takes_a_stream_that_left_it_before() -> None:
@@ -228,7 +201,7 @@
     for engine in list_engines(platform, "decode"):
         if engine is not left:
             engine.end()
-    check_whole(platform, callers, LONG)
+    check_whole(platform, *callers, events=LONG)
 
 
 @pytest.mark.parametrize(("seconds", "later"), [(1.2, 0.06), (2.2, 0.1)])
@@ -311,7 +284,7 @@
     callers = begin_streams(platform, "/resumable/x", 1)
     pause_engines(platform, "prefill", seconds)
     find_engine(platform, "q0").end()
-    check_whole(platform, callers)
+    check_whole(platform, *callers)
 
 
 @pytest.mark.parametrize("seconds", [0.8, 1.5])
@@ -358,7 +331,7 @@
     callers = begin_streams(platform, "/stream/x", 6)
     pause_engines(platform, "decode", seconds)
     platform.configure(3, [{**route, "timeout_ms": 13_000} for route in ROUTES])
-    check_whole(platform, callers)
+    check_whole(platform, *callers)
     assert set(platform.ledger.runs.values()) == {1}
 
 
@@ -422,7 +395,7 @@
     platform.vms["vm1"].stop()
     platform.network.run(0.2)
     pause_engines(platform, "decode", 2.2)
-    check_whole(platform, callers)
+    check_whole(platform, *callers)
 
 
 def test_streams_are_whole_where_the_entries_of_silent_engines_lapse() -> None:
@@ -438,7 +411,7 @@
         platform.list_again(name)
     platform.network.run(0.3)
     new = platform.call("/stream/x", "n0")
-    check_whole(platform, callers)
+    check_whole(platform, *callers)
     assert list_statuses(platform, [new]) == [200]
 
 
@@ -462,7 +435,7 @@
     callers = begin_streams(fleet.platform, "/stream/x", 4, vm="vm0")
     assert any(vm.tunnels.server.tunnels for vm in fleet.platform.vms.values())
     pause_engines(fleet.platform, "decode", 1.2)
-    check_whole(fleet.platform, callers)
+    check_whole(fleet.platform, *callers)
 
 
 def test_plain_requests_are_served_where_the_links_to_all_engines_hold_packets() -> None:
@@ -476,7 +449,7 @@
         plain.append(platform.call("/unsafe/x", f"p{number}"))
         platform.network.run(0.1)
     assert list_statuses(platform, plain) == [200] * 12
-    check_whole(platform, streams)
+    check_whole(platform, *streams)
 
 
 def test_requests_are_served_once_links_that_held_packets_go_on() -> None:
--- a/tests/platform/test_silence_handover.py
+++ b/tests/platform/test_silence_handover.py
@@ -24,9 +24,10 @@
 from beamhatch.relay.requests.budget import RetryBudget, RetryBudgetLimits
 from beamhatch.relay.requests.request import RelayRequest, Send
 from beamhatch.relay.upstreams.http_client import CallKind
-from tests.platform.test_silence import EVENTS, begin_stream, check_whole, fill, find_engine, list_engines, make_fleet
+from tests.platform.test_silence import begin_stream, make_fleet
 from tests.relay.requests.test_failover import Setup as FailoverSetup
 from tests.relay.requests.test_request import SERVICE, make_upstream
+from tests.support.pauses import EVENTS, check_whole, fill, find_engine, list_engines
 from tests.support.platform import MODEL
 
 if TYPE_CHECKING:
