Close a fallback soon after the handover where its engine goes on with other streams

A fallback was kept until the new engine's first event. An engine that is slow goes on with the stream meanwhile, and the new one may need long before its first event.

Why it works: an engine that brings events of this VM's other streams is not paused, so its fallback is closed .3 s behind the handover. One that brings none is kept as before.

--- a/src/beamhatch/relay/requests/failover.py
+++ b/src/beamhatch/relay/requests/failover.py
@@ -24,6 +24,12 @@
 Upstreams often go on at the same moment. If both worked on the stream, the one that began it would have to stop soon.
 """
 
+HANDOVER_LIMIT_S = 0.3
+"""Time for which a fallback is kept behind a handover if its engine works on other streams.
+
+Such an engine is slow rather than silent, and two engines may not work on one stream for longer.
+"""
+
 
 class Failover:
     """The fallbacks of one request."""
@@ -35,6 +41,7 @@
         self._in_handover = False
         """Whether the stream was sent to another upstream that has not responded yet."""
         self._grace_timer: Any = None
+        self._limit_timer: Any = None
 
     @property
     def active(self) -> bool:
@@ -73,11 +80,19 @@
     def begin_handover(self) -> None:
         """Record that the stream was sent to another upstream."""
         self._in_handover = bool(self._fallbacks)
+        if self._in_handover:
+            self._limit_timer = self._clock.call_later(HANDOVER_LIMIT_S, self._cancel_slow)
+
+    def _cancel_slow(self) -> None:
+        for attempt in list(self._fallbacks):
+            if attempt.is_upstream_active():
+                self.remove(attempt)
+                attempt.cancel()
 
     def end_handover(self) -> None:
         """Let fallbacks continue at once, as the other upstream did not take the stream or does not respond."""
         self._in_handover = False
-        self._stop_timer()
+        self._stop_timers()
         for attempt in list(self._fallbacks):
             attempt.release_held()
 
@@ -92,12 +107,13 @@
     def cancel(self) -> None:
         """Cancel all fallbacks."""
         self._in_handover = False
-        self._stop_timer()
+        self._stop_timers()
         for attempt in list(self._fallbacks):
             self.remove(attempt)
             attempt.cancel()
 
-    def _stop_timer(self) -> None:
-        timer, self._grace_timer = self._grace_timer, None
-        if timer is not None and timer.active():
-            timer.cancel()
+    def _stop_timers(self) -> None:
+        for timer in (self._grace_timer, self._limit_timer):
+            if timer is not None and timer.active():
+                timer.cancel()
+        self._grace_timer = self._limit_timer = None
--- a/src/beamhatch/relay/upstreams/attempt.py
+++ b/src/beamhatch/relay/upstreams/attempt.py
@@ -144,6 +144,10 @@
     def release_held(self) -> None:
         """Continue with what was held back of the response."""
 
+    def is_upstream_active(self) -> bool:
+        """Return whether a stream of this VM goes on at the upstream."""
+        return self.stats.is_active(self.core.clock.now())
+
     def wait_again(self, seconds: float) -> None:
         """Wait for the response of a silent upstream, and time out again after some seconds."""
         self._restart_timer(seconds)
--- a/tests/platform/test_silence_handover.py
+++ b/tests/platform/test_silence_handover.py
@@ -149,6 +149,29 @@
     assert doubled_s < 0.4
 
 
+@pytest.mark.parametrize("transfer_time_s", [0.3, 0.8, 1.5])
+def test_two_engines_do_not_work_on_a_stream_for_long_where_the_first_goes_on_with_others(
+    transfer_time_s: float,
+) -> None:
+    platform = make_fleet(decode=2)
+    callers = [begin_stream(platform, f"q{number}") for number in range(4)]
+    own = find_engine(platform, "q3")
+    (stuck,) = [run for run in own.runs if run.request == "q3"]
+    for timer in stuck.timers:
+        if timer.active():
+            timer.cancel()
+    for engine in list_engines(platform, "decode"):
+        engine.transfer_time_s = transfer_time_s
+    doubled_s = 0.0
+    while not (callers[3].closed or callers[3].whole):
+        platform.network.run(0.01)
+        platform.call("/stream/x", f"n{platform.network.seconds()}", headers={"Token-Count": "100,200"})
+        engines = list_engines(platform, "decode")
+        doubled_s += 0.01 * (sum(run.request == "q3" for engine in engines for run in engine.runs) > 1)
+    assert doubled_s < 0.4
+    check_whole(platform, callers[3])
+
+
 def test_streams_are_not_cut_where_all_connections_to_sound_engines_are_reset_once() -> None:
     platform = make_fleet()
     callers = [begin_stream(platform, f"q{number}") for number in range(3)]
--- a/tests/relay/requests/test_failover.py
+++ b/tests/relay/requests/test_failover.py
@@ -5,7 +5,7 @@
 from typing import cast
 
 from beamhatch.relay.model import RequestFacts, Route, RouteKind, Service, ServiceName, UpstreamId, WeightedService
-from beamhatch.relay.requests.failover import HANDOVER_GRACE_S, Failover
+from beamhatch.relay.requests.failover import HANDOVER_GRACE_S, HANDOVER_LIMIT_S, Failover
 from beamhatch.relay.requests.request import RelayRequest
 from beamhatch.relay.upstreams.attempt import Attempt
 from tests.support.network import Network, PausedClock
@@ -26,6 +26,10 @@
     def __init__(self, name: str) -> None:
         self.upstream = FakeUpstream(name)
         self.calls: list[str] = []
+        self.active = False
+
+    def is_upstream_active(self) -> bool:
+        return self.active
 
     def release_held(self) -> None:
         self.calls.append("release")
@@ -108,3 +112,21 @@
     assert setup.calls == [["cancel"], ["cancel"]]
     assert not setup.failover.active
     assert not setup.request.silent_upstreams
+
+
+def test_a_fallback_at_an_engine_that_goes_on_with_others_is_cancelled_soon_after_the_handover() -> None:
+    setup = Setup()
+    setup.attempts[0].active = True
+    setup.failover.begin_handover()
+    setup.network.run(HANDOVER_LIMIT_S + 0.01)
+    assert setup.calls == [["cancel"], []]
+    assert setup.request.silent_upstreams == {"b"}
+
+
+def test_no_fallback_is_cancelled_where_the_other_upstream_did_not_take_the_stream() -> None:
+    setup = Setup()
+    setup.attempts[0].active = True
+    setup.failover.begin_handover()
+    setup.failover.end_handover()
+    setup.network.run(2 * HANDOVER_LIMIT_S)
+    assert setup.calls == [["release"], ["release"]]
