Give up memory only at engines that are known to change their phase

What callers saw: nothing; requests were kept from an engine whose order was not answered, though such an engine is used until it turns a request away.

Cause: a fault of giving up memory at engines that were ordered to change, which took a possible change for a known one.

--- a/src/beamhatch/relay/engines/changing.py
+++ b/src/beamhatch/relay/engines/changing.py
@@ -95,7 +95,7 @@
         """Return the upstreams without a confirmed change."""
         if not self._by_upstream:
             return upstreams
-        return [one for one in upstreams if not self._is_confirmed(one.id, now)]
+        return [one for one in upstreams if not self.is_confirmed(one.id, now)]
 
     def with_expected_phases(self, upstreams: Iterable[Upstream], now: float) -> list[Upstream]:
         """Return the upstreams, with the new phase for those that are, or may be, changing."""
@@ -109,7 +109,8 @@
         """Return whether an engine is, or may be, changing."""
         return self._get_pending(upstream, now) is not None
 
-    def _is_confirmed(self, upstream: UpstreamId, now: float) -> bool:
+    def is_confirmed(self, upstream: UpstreamId, now: float) -> bool:
+        """Return whether an engine is known to be changing."""
         change = self._get_pending(upstream, now)
         return change is not None and change.confirmed
 
--- a/src/beamhatch/relay/requests/exchange.py
+++ b/src/beamhatch/relay/requests/exchange.py
@@ -292,7 +292,7 @@
         has_room = self._permit is not None and obstacle in (Obstacle.COLD, Obstacle.LIMITED)
         if obstacle is not None and not has_room:
             return obstacle.name.lower()
-        if self.core.phase_changes.is_pending(reservation.upstream.id, self.core.clock.now()):
+        if self.core.phase_changes.is_confirmed(reservation.upstream.id, self.core.clock.now()):
             return "changing"
         silent = self.core.chooser.list_silent([reservation.upstream], self.core.clock.now())
         return "silent" if silent and self._failover.active else None
