Compute the time by which decode memory has to be free in one place

The share of the target latency by which memory has to be free was computed in three places of the exchange; a call for memory that is lost was recorded in two ways; a stand-in's phase change had a guard against a crash beside the timer that a crash cancels, so its assertion stands again.

--- a/src/beamhatch/platform/standin/upstream.py
+++ b/src/beamhatch/platform/standin/upstream.py
@@ -475,8 +475,7 @@
             self._phase_timer = self.clock.call_later(self.phase_change_time_s, self._change_phase)
 
     def _change_phase(self) -> None:
-        if self.pending_phase is None:
-            return  # it has crashed since
+        assert self.pending_phase is not None
         self.phase, self.pending_phase = self.pending_phase, None
         self.on_phase_change()
 
--- a/src/beamhatch/relay/requests/exchange.py
+++ b/src/beamhatch/relay/requests/exchange.py
@@ -399,8 +399,9 @@
                 freed_per_second=queue.compute_freed_rate(now),
                 workspace=self._claim.workspace,
             )
-        on_time_until = self._incoming.arrived_at + max_wait_s
-        options = QueueOptions(on_time_until, now + self.request.max_memory_wait_s, late_with_precedence, self._claim)
+        options = QueueOptions(
+            self._memory_deadline, now + self.request.max_memory_wait_s, late_with_precedence, self._claim
+        )
         self.core.memory_queues.enqueue(self, self._queue_key, options)
 
     @property
@@ -596,14 +597,18 @@
     @property
     def _time_left_for_memory(self) -> float:
         """Return the seconds for which the request may wait for decode memory and be on time."""
-        on_time_until = self._incoming.arrived_at + ON_TIME_SHARE * self.request.route.target_latency
-        return on_time_until - self.core.clock.now()
+        return self._memory_deadline - self.core.clock.now()
+
+    @property
+    def _memory_deadline(self) -> float:
+        """Return the monotonic time in seconds by which decode memory has to be free for a response on time."""
+        return self._incoming.arrived_at + ON_TIME_SHARE * self.request.route.target_latency
 
     def _compute_cold_deadline(self) -> float:
         """Return the monotonic time up to which the request may wait for a cold upstream."""
         if self.request.response_begun and self._cold_wait_began_at is not None:
             return self._cold_wait_began_at + self.request.max_memory_wait_s
-        return self._incoming.arrived_at + ON_TIME_SHARE * self.request.route.target_latency
+        return self._memory_deadline
 
     def _stop_replan_timer(self) -> None:
         timer, self._replan_timer = self._replan_timer, None
--- a/src/beamhatch/relay/requests/request.py
+++ b/src/beamhatch/relay/requests/request.py
@@ -554,8 +554,7 @@
     def record_reserve_failed(self, upstream: UpstreamId) -> None:
         """Record that a call to reserve memory at a decode engine failed."""
         self._unreached += 1
-        self._unasked.add(upstream)
-        self._unanswered_by.discard(upstream)
+        self.record_reserve_lost(upstream)
 
     def record_reserve_lost(self, upstream: UpstreamId) -> None:
         """Record that a call for memory that was late will not be answered."""
