--- a/src/beamhatch/platform/store.py
+++ b/src/beamhatch/platform/store.py
@@ -7,12 +7,18 @@
 
 import base64
 from dataclasses import replace
-from typing import TYPE_CHECKING, TypeVar
-from urllib.parse import urlencode
-
-import msgspec
-
-from beamhatch.platform.epochs import EpochTracker, get_epoch, get_revision, make_position, read_epoch
+from typing import TYPE_CHECKING
+
+from beamhatch.platform.epochs import get_epoch, get_revision, make_position
+from beamhatch.platform.store_client import (
+    ChangeResponse,
+    EventsResponse,
+    Item,
+    LeaseResponse,
+    RangeResponse,
+    StoreClient,
+    decode,
+)
 from beamhatch.relay.api import (
     DirectiveUpdate,
     Document,
@@ -27,13 +33,10 @@
 from beamhatch.relay.fleet.evacuations import Evacuation
 from beamhatch.relay.model import Fingerprint, UpstreamId
 from beamhatch.relay.quarantine.digests import DIGEST_BYTES
-from beamhatch.relay.upstreams.http_client import Call
-from beamhatch.relay.upstreams.http_fetch import fetch
 
 if TYPE_CHECKING:
     from beamhatch.clock import Clock
     from beamhatch.platform.documents import PlatformDocuments
-    from beamhatch.platform.epochs import Epoch
     from beamhatch.relay.model import Address
     from beamhatch.relay.requests.response import BufferedResponse
     from beamhatch.relay.upstreams.http_client import HttpClient
@@ -56,57 +59,14 @@
 
 HEX_DIGITS = frozenset("0123456789abcdef")
 
-CALL_TIMEOUT_S = 2.0
-"""Far more than the few milliseconds in which the store usually answers."""
-
-Decoded = TypeVar("Decoded", bound=msgspec.Struct)
-
-
-class _Item(msgspec.Struct):
-    tls_key: str
-    revision: int
-    value: str = ""
-    gone: bool = False
-    at: int = 0
-
-    @property
-    def raw(self) -> bytes | None:
-        """Return the decoded value, or None if the key was removed."""
-        return None if self.gone else msgspec.json.decode(b'"' + self.value.encode() + b'"', type=bytes)
-
-
-class _RangeResponse(msgspec.Struct):
-    items: list[_Item]
-    more: bool
-    at: int
-    """A revision as received; ``_decode_items`` replaces it and the items' revisions by positions."""
-
-
-class _LeaseResponse(msgspec.Struct):
-    lease: int
-
-
-class _ChangeResponse(msgspec.Struct):
-    revision: int
-
-
-class _EventsResponse(msgspec.Struct):
-    events: list[_Item]
-    at: int
-
-
-ItemsResponse = TypeVar("ItemsResponse", _RangeResponse, _EventsResponse)
-
 
 class PlatformStore(Store):
     """HTTP client of the store."""
 
     def __init__(self, client: HttpClient, clock: Clock, address: Address, documents: PlatformDocuments) -> None:
-        self._client = client
         self._clock = clock
-        self._address = address
         self._documents = documents
-        self._epochs = EpochTracker()
+        self._calls = StoreClient(client, clock, address, documents.journal)
         self._leadership_at = 0
         """Position of the last read of the leadership, 0 before the first."""
         self._unsettled_prefixes: set[str] = set()
@@ -116,7 +76,7 @@
 
     async def read_directives(self, known: int) -> DirectiveUpdate | StoreUnavailable:
         """Return the current configuration and all evacuated halls."""
-        items = await self._read_all(OPERATOR_PREFIX)
+        items = await self._calls.read_all(OPERATOR_PREFIX)
         if isinstance(items, StoreUnavailable):
             return items
         return replace(self._make_directives(items), authoritative=self._record_list_read(OPERATOR_PREFIX, known))
@@ -126,14 +86,14 @@
     ) -> DirectiveUpdate | StoreUnavailable | RevisionExpired:
         """Return the operators' changes after a position."""
         events = await self._watch_prefix(OPERATOR_PREFIX, after, wait, margin)
-        if not isinstance(events, _EventsResponse):
+        if not isinstance(events, EventsResponse):
             return events
-        settled = OPERATOR_PREFIX not in self._unsettled_prefixes and not self._epochs.may_have_been_restored(
+        settled = OPERATOR_PREFIX not in self._unsettled_prefixes and not self._calls.epochs.may_have_been_restored(
             self._clock.now()
         )
         return replace(self._make_directives(events), authoritative=settled)
 
-    def _make_directives(self, events: _EventsResponse) -> DirectiveUpdate:
+    def _make_directives(self, events: EventsResponse) -> DirectiveUpdate:
         documents = [item for item in events.events if item.tls_key == CONFIGURATION_KEY and not item.gone]
         evacuations = [
             Evacuation(item.tls_key.removeprefix(EVACUATION_PREFIX), item.revision, not item.gone)
@@ -145,7 +105,7 @@
 
     async def read_listing(self, known: int) -> ListingUpdate | StoreUnavailable:
         """Return the entries of all upstreams."""
-        items = await self._read_all(UPSTREAM_PREFIX)
+        items = await self._calls.read_all(UPSTREAM_PREFIX)
         if isinstance(items, StoreUnavailable):
             return items
         entries = [self._make_entry(item) for item in items.events]
@@ -160,13 +120,13 @@
         """
         now = self._clock.now()
         if known:
-            self._epochs.record_peer_epoch(get_epoch(known), now)
-        settled = self._epochs.is_settled(now)
+            self._calls.epochs.record_peer_epoch(get_epoch(known), now)
+        settled = self._calls.epochs.is_settled(now)
         if settled:
             self._unsettled_prefixes.discard(prefix)
         else:
             self._unsettled_prefixes.add(prefix)
-        is_complete = known > 0 or prefix in self._read_prefixes or not self._epochs.may_have_been_restored(now)
+        is_complete = known > 0 or prefix in self._read_prefixes or not self._calls.epochs.may_have_been_restored(now)
         self._read_prefixes.add(prefix)
         return settled and is_complete
 
@@ -175,30 +135,13 @@
     ) -> ListingUpdate | StoreUnavailable | RevisionExpired:
         """Return changes of upstreams' entries after a position."""
         events = await self._watch_prefix(UPSTREAM_PREFIX, after, wait, margin)
-        if not isinstance(events, _EventsResponse):
+        if not isinstance(events, EventsResponse):
             return events
         return ListingUpdate([self._make_entry(item) for item in events.events], events.at)
 
-    async def _read_all(self, prefix: str) -> _EventsResponse | StoreUnavailable:
-        """Return all items with a prefix, as of the first page; a watch from there returns later changes."""
-        items: list[_Item] = []
-        at = None
-        query = {"path_prefix": prefix}
-        while True:
-            page = self._decode_items(await self._get("kv-range", query), _RangeResponse)
-            if isinstance(page, StoreUnavailable):
-                return page
-            at = page.at if at is None else at
-            if get_epoch(page.at) != get_epoch(at):
-                return StoreUnavailable("the store was restored between two pages of a list")
-            items += page.items
-            if not page.more or not page.items:
-                return _EventsResponse(items, at)
-            query["after"] = page.items[-1].tls_key
-
     async def store_quarantine(self, fingerprint: Fingerprint, seconds: float) -> StoreUnavailable | None:
         """Write the key of a quarantined fingerprint with its own lease, unless it exists."""
-        lease = _decode(await self._post("kv-lease", {"ttl_ms": int(seconds * 1000)}), _LeaseResponse)
+        lease = decode(await self._calls.post("kv-lease", {"ttl_ms": int(seconds * 1000)}), LeaseResponse)
         if isinstance(lease, StoreUnavailable):
             return lease
         key = f"{QUARANTINE_PREFIX}{fingerprint.hex()}"
@@ -207,22 +150,24 @@
             "put": [{"tls_key": key, "value": "", "lease": lease.lease}],
             "remove": [],
         }
-        return _get_write_failure(await self._post("kv-txn", change))
+        return _get_write_failure(await self._calls.post("kv-txn", change))
 
     async def delete_quarantine(self, fingerprint: Fingerprint) -> StoreUnavailable | None:
         """Remove the key of a quarantined fingerprint."""
         change = {"if_revision": [], "put": [], "remove": [f"{QUARANTINE_PREFIX}{fingerprint.hex()}"]}
-        return _get_write_failure(await self._post("kv-txn", change))
+        return _get_write_failure(await self._calls.post("kv-txn", change))
 
     async def read_leadership(self) -> LeadershipState | StoreUnavailable:
         """Return whether there is a leader, the last order and the quarantined fingerprints."""
-        page = self._decode_items(await self._get("kv-range", {"path_prefix": ROUTER_PREFIX}), _RangeResponse)
+        page = self._calls.decode_items(
+            await self._calls.get("kv-range", {"path_prefix": ROUTER_PREFIX}), RangeResponse
+        )
         if isinstance(page, StoreUnavailable):
             return page
         before, self._leadership_at = self._leadership_at, page.at
         items = {item.tls_key: item for item in page.items}
         order = items.get(LAST_ORDER_KEY)
-        restored = 0 < get_epoch(before) < get_epoch(page.at) or not self._epochs.is_settled(self._clock.now())
+        restored = 0 < get_epoch(before) < get_epoch(page.at) or not self._calls.epochs.is_settled(self._clock.now())
         return LeadershipState(
             has_leader=LEADER_KEY in items,
             last_order=0 if order is None else order.revision,
@@ -230,7 +175,7 @@
             order="" if order is None else (order.raw or b"").decode(),
             quarantined=[found for found in map(_parse_quarantine_key, items) if found is not None],
             restored=restored,
-            order_may_be_lost=order is None and (restored or (not before and self._epochs.was_restored)),
+            order_may_be_lost=order is None and (restored or (not before and self._calls.epochs.was_restored)),
         )
 
     async def watch_leadership(self, after: int, wait: float, margin: float) -> bool | StoreUnavailable:
@@ -244,7 +189,7 @@
         self, holder: str, lifetime: float, seen: LeadershipState
     ) -> LeadershipClaim | LeadershipTaken | StoreUnavailable:
         """Claim the leadership, provided that nobody holds it and the last order and epoch are those in ``seen``."""
-        lease = _decode(await self._post("kv-lease", {"ttl_ms": int(lifetime * 1000)}), _LeaseResponse)
+        lease = decode(await self._calls.post("kv-lease", {"ttl_ms": int(lifetime * 1000)}), LeaseResponse)
         if isinstance(lease, StoreUnavailable):
             return lease
         value = base64.b64encode(holder.encode()).decode()
@@ -256,15 +201,15 @@
             "put": [{"tls_key": LEADER_KEY, "value": value, "lease": lease.lease}],
             "remove": [],
         }
-        response = await self._post("kv-txn", change)
+        response = await self._calls.post("kv-txn", change)
         if isinstance(response, str):
             return StoreUnavailable(response)
         if response.head.status == 412:
             return LeadershipTaken()
-        changed = _decode(response, _ChangeResponse)
+        changed = decode(response, ChangeResponse)
         if isinstance(changed, StoreUnavailable):
             return changed
-        epoch = self._record_epoch(response)
+        epoch = self._calls.record_epoch(response)
         return (
             LeadershipClaim(lease.lease, make_position(epoch, changed.revision))
             if epoch == get_epoch(seen.revision)
@@ -273,11 +218,11 @@
 
     async def renew_leadership(self, claim: LeadershipClaim, timeout: float) -> bool | StoreUnavailable:
         """Renew the lease of a claim; return whether the claim is still valid."""
-        response = await self._post(f"kv-keep/{claim.lease}", {}, timeout)
+        response = await self._calls.post(f"kv-keep/{claim.lease}", {}, timeout)
         if isinstance(response, str):
             return StoreUnavailable(response)
         if response.head.status in (200, 404):
-            return response.head.status == 200 and self._record_epoch(response) == get_epoch(claim.revision)
+            return response.head.status == 200 and self._calls.record_epoch(response) == get_epoch(claim.revision)
         return StoreUnavailable(f"status {response.head.status}")
 
     async def record_order(self, claim: LeadershipClaim, order: str) -> bool | StoreUnavailable:
@@ -287,17 +232,17 @@
             "put": [{"tls_key": LAST_ORDER_KEY, "value": base64.b64encode(order.encode()).decode(), "lease": 0}],
             "remove": [],
         }
-        response = await self._post("kv-txn", change)
+        response = await self._calls.post("kv-txn", change)
         if isinstance(response, str):
             return StoreUnavailable(response)
         if response.head.status in (200, 412):
             # after a restore, another VM's claim may have the same revision
-            return response.head.status == 200 and self._record_epoch(response) == get_epoch(claim.revision)
+            return response.head.status == 200 and self._calls.record_epoch(response) == get_epoch(claim.revision)
         return StoreUnavailable(f"status {response.head.status}")
 
     async def _watch_prefix(
         self, prefix: str, after: int, wait: float, margin: float
-    ) -> _EventsResponse | StoreUnavailable | RevisionExpired:
+    ) -> EventsResponse | StoreUnavailable | RevisionExpired:
         """Wait for changes after a position.
 
         ``RevisionExpired`` means that the list must be read again: the store no longer has the history, the position is
@@ -305,60 +250,28 @@
         """
         now = self._clock.now()
         if prefix in self._unsettled_prefixes:
-            if self._epochs.is_settled(now):
+            if self._calls.epochs.is_settled(now):
                 return RevisionExpired()
-            wait = min(wait, self._epochs.settled_at - now)
-        if get_epoch(after) != (self._epochs.epoch or 0):
+            wait = min(wait, self._calls.epochs.settled_at - now)
+        if get_epoch(after) != (self._calls.epochs.epoch or 0):
             return RevisionExpired()
         query = {"path_prefix": prefix, "after": str(get_revision(after)), "wait_ms": str(int(wait * 1000))}
-        response = await self._get("kv-watch", query, wait + margin)
+        response = await self._calls.get("kv-watch", query, wait + margin)
         if not isinstance(response, str) and response.head.status == 410:
             return RevisionExpired()
-        events = self._decode_items(response, _EventsResponse)
+        events = self._calls.decode_items(response, EventsResponse)
         return (
             RevisionExpired()
-            if isinstance(events, _EventsResponse) and get_epoch(events.at) != get_epoch(after)
+            if isinstance(events, EventsResponse) and get_epoch(events.at) != get_epoch(after)
             else events
         )
 
-    def _record_epoch(self, response: BufferedResponse) -> Epoch:
-        """Record and return the epoch of a response."""
-        epoch = read_epoch(response.head.headers)
-        before = self._epochs.epoch
-        if self._epochs.record(epoch, self._clock.now()):
-            self._documents.journal.write("STORE", "restored from a backup", epoch=epoch, before=before)
-        return epoch
-
-    def _decode_items(
-        self, response: BufferedResponse | str, wanted: type[ItemsResponse]
-    ) -> ItemsResponse | StoreUnavailable:
-        """Decode a response with items, and replace its revisions by positions."""
-        if isinstance(response, str):
-            return StoreUnavailable(response)
-        found = _decode(response, wanted)
-        if isinstance(found, StoreUnavailable):
-            return found
-        epoch = self._record_epoch(response)
-        found.at = make_position(epoch, found.at)
-        for item in found.items if isinstance(found, _RangeResponse) else found.events:
-            item.revision = make_position(epoch, item.revision)
-        return found
-
-    async def _post(self, name: str, body: object, timeout: float = CALL_TIMEOUT_S) -> BufferedResponse | str:
-        headers = [("Host", str(self._address)), ("Content-Type", "application/json")]
-        call = Call("POST", f"/api/{name}", headers, msgspec.json.encode(body))
-        return await fetch(self._client, self._clock, self._address, call, timeout)
-
-    async def _get(self, name: str, query: dict[str, str], timeout: float = CALL_TIMEOUT_S) -> BufferedResponse | str:
-        call = Call("GET", f"/api/{name}?{urlencode(query)}", [("Host", str(self._address))])
-        return await fetch(self._client, self._clock, self._address, call, timeout)
-
-    def _make_document(self, item: _Item) -> Document | None:
+    def _make_document(self, item: Item) -> Document | None:
         raw = item.raw
         table = None if raw is None else self._documents.read_configuration(raw)
         return None if raw is None or table is None else Document(raw, table)
 
-    def _make_entry(self, item: _Item) -> Entry:
+    def _make_entry(self, item: Item) -> Entry:
         return self._documents.read_entry(
             UpstreamId(item.tls_key.removeprefix(UPSTREAM_PREFIX)), item.revision, item.raw
         )
@@ -377,14 +290,3 @@
     if isinstance(response, str):
         return StoreUnavailable(response)
     return None if response.head.status in (200, 412) else StoreUnavailable(f"status {response.head.status}")
-
-
-def _decode(response: BufferedResponse | str, wanted: type[Decoded]) -> Decoded | StoreUnavailable:
-    if isinstance(response, str):
-        return StoreUnavailable(response)
-    if response.head.status != 200:
-        return StoreUnavailable(f"status {response.head.status}")
-    try:
-        return msgspec.json.decode(response.body, type=wanted)
-    except (msgspec.DecodeError, msgspec.ValidationError) as problem:
-        return StoreUnavailable(f"invalid response: {problem}")
