Keep the versions of services in the store, so that VMs that start together know the ones that are gone

Cause: which versions a service had was in the memory of the VMs alone. A VM that lists one version took it for the only one as soon as it had met its peers (2 s), though none of those that answered had run for longer. Ruled out: that records of streams were lost on the way (without the kill the same streams are refused, none mixed).

Change: the versions of all services are one entry in the store. The VMs that watch the store compare it each .25 s with what they know, and write on a difference, on the condition that it has not changed. A VM reads it at its start. One version is the only one if the VM, or one that answers, knows all: by a whole entry, or after 15 s with a whole listing. Otherwise the caller is told when to come back. An entry that a restore may have brought back is not whole; a missing one is only on the system's first start.

The test that took one version for the only one without any reason (test_lookup, second assertion) now asks for a reason: it stated the fault. Callers of the tests' fleet can honour Retry-After; those that did not came back too early to see the fault.

--- a/src/beamhatch/platform/settings.py
+++ b/src/beamhatch/platform/settings.py
@@ -71,6 +71,8 @@
     provider: _Provider
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     seeds: list[str] = []
+    bootstrap: bool = False
+    """Whether the whole system starts for the first time."""
     zones: dict[str, str] = {}
     """Regions by hall."""
     limits: _Limits = msgspec.field(default_factory=_Limits)
@@ -106,6 +108,7 @@
         tunnel_address=Address(config.ip, config.port_range[0]) if config.port_range else None,
         record_address=Address(config.ip, config.port_range[0]) if config.port_range else None,
         seeds=config.seeds,
+        is_first_start=config.bootstrap,
         topology=Topology({hall: RegionName(region) for hall, region in config.zones.items()}),
         cold_overage=bounds.cold_overage,
         cold_slack=bounds.cold_slack,
--- a/src/beamhatch/platform/standin/trial.py
+++ b/src/beamhatch/platform/standin/trial.py
@@ -41,6 +41,7 @@
         grace=3.0,
         retry_budget=RetryBudgetLimits(),
         peer_address=None,
+        is_first_start=True,
     )
     journal = Journal(clock, 2)
     documents = PlatformDocuments(journal)
--- a/src/beamhatch/platform/store.py
+++ b/src/beamhatch/platform/store.py
@@ -19,6 +19,7 @@
     StoreClient,
     decode,
 )
+from beamhatch.platform.stream_store import PlatformStreamStore
 from beamhatch.relay.api import (
     DirectiveUpdate,
     Document,
@@ -39,6 +40,7 @@
     from beamhatch.platform.documents import PlatformDocuments
     from beamhatch.relay.model import Address
     from beamhatch.relay.requests.response import BufferedResponse
+    from beamhatch.relay.streams.api import StreamStore
     from beamhatch.relay.upstreams.http_client import HttpClient
     from beamhatch.relay.upstreams.listing import Entry
 
@@ -67,6 +69,7 @@
         self._clock = clock
         self._documents = documents
         self._calls = StoreClient(client, clock, address, documents.journal)
+        self._streams = PlatformStreamStore(self._calls)
         self._leadership_at = 0
         """Position of the last read of the leadership, 0 before the first."""
         self._unsettled_prefixes: set[str] = set()
@@ -74,6 +77,11 @@
         self._read_prefixes: set[str] = set()
         """Prefixes whose lists were read at least once."""
 
+    @property
+    def streams(self) -> StreamStore:
+        """Return the part that keeps the versions of services."""
+        return self._streams
+
     async def read_directives(self, known: int) -> DirectiveUpdate | StoreUnavailable:
         """Return the current configuration and all evacuated halls."""
         items = await self._calls.read_all(OPERATOR_PREFIX)
--- a/src/beamhatch/relay/api.py
+++ b/src/beamhatch/relay/api.py
@@ -21,6 +21,7 @@
         Stage,
         Upstream,
     )
+    from beamhatch.relay.streams.api import StreamStore
     from beamhatch.relay.upstreams.http_client import Call
     from beamhatch.relay.upstreams.listing import Entry
     from beamhatch.relay.workspaces.workspace import WorkspaceName
@@ -209,6 +210,11 @@
 class Store(ABC):
     """The platform's store, with linearizable reads. Each call is billed; a watch counts as one call."""
 
+    @property
+    @abstractmethod
+    def streams(self) -> StreamStore:
+        """Return the part that keeps the versions of services."""
+
     @abstractmethod
     async def read_directives(self, known: int) -> DirectiveUpdate | StoreUnavailable:
         """Return the current configuration, and all evacuated halls.
--- a/src/beamhatch/relay/daemon.py
+++ b/src/beamhatch/relay/daemon.py
@@ -30,6 +30,7 @@
 from beamhatch.relay.overload.protection import OverloadProtection, ResourceLimits
 from beamhatch.relay.quarantine.persistence import QuarantinePersistence
 from beamhatch.relay.quarantine.quarantine import MAX_RELEASE_DELAY_S
+from beamhatch.relay.streams.version_recorder import VersionRecorder
 from beamhatch.relay.topology import Topology
 from beamhatch.relay.tunnels.monitor import ReachMonitor
 from beamhatch.relay.tunnels.service import Tunnels
@@ -47,6 +48,7 @@
     from beamhatch.relay.callers.http_server import IncomingRequest, Responder
     from beamhatch.relay.overload.listener import CallerListener
     from beamhatch.relay.requests.budget import RetryBudgetLimits
+    from beamhatch.relay.streams.api import StreamStore
     from beamhatch.relay.workspaces.quota import QuotaAllocator, QuotaLimitChange
 
 LISTEN_BACKLOG = 1024
@@ -94,6 +96,8 @@
     record_address: Address | None = None
     """Where peers send records of streams by UDP; None if this VM takes none."""
     seeds: list[str] = field(default_factory=list)
+    is_first_start: bool = False
+    """Whether no VM of the whole system has run before."""
     handover_time: float = 3.0
     """Minimum seconds between orders of two different VMs."""
     topology: Topology = field(default_factory=Topology)
@@ -182,6 +186,7 @@
         self.core.quarantine.release_delay_s = random.uniform(0.0, MAX_RELEASE_DELAY_S)
         self.core.quarantine_gossip.on_quarantined = persistence.add
         self.core.quarantine_gossip.on_clear = persistence.remove
+        self._version_recorder = self._make_version_recorder(store.streams)
         self._usage_gossip = self._make_usage_gossip()
         if self._gossip is not None and Mechanism.SHARED_DEPARTURES not in settings.disabled:
             departures = DepartureGossip(clock, self.core.announcements)
@@ -247,6 +252,7 @@
             self._gossip.start()
         for watcher in self._watchers:
             watcher.start()
+        self._version_recorder.start()
         self._usage_gossip.start()
         if self.leadership is not None and self._phase_controller is not None:
             self.leadership.start()
@@ -313,6 +319,7 @@
         self.journal.write("STOP", "ended", seconds=round(elapsed, 2), cut=len(self.core.exchanges))
         for watcher in self._watchers:
             watcher.stop()
+        self._version_recorder.stop()
         self._usage_gossip.stop()
         self.tunnels.stop()
         self.core.origins.stop()
@@ -404,6 +411,18 @@
             has_peers = self._gossip.has_peers()
         return not has_peers and not all(watcher.connected for watcher in self._watchers)
 
+    def _make_version_recorder(self, store: StreamStore) -> VersionRecorder:
+        gossip = self._gossip
+        return VersionRecorder(
+            self.clock,
+            self.journal,
+            self.tally,
+            self.core.listing,
+            store,
+            should_write=_always if gossip is None else gossip.should_watch_store,
+            is_first_start=self.settings.is_first_start,
+        )
+
     def _make_watchers(self, store: Store) -> list[StoreWatcher]:
         alone = self._gossip is None or Mechanism.FEW_WATCHERS in self.settings.disabled
         should_watch = _always if alone or self._gossip is None else self._gossip.should_watch_store
--- a/src/beamhatch/relay/streams/lookup.py
+++ b/src/beamhatch/relay/streams/lookup.py
@@ -35,7 +35,7 @@
     silent: int = 0
     """Number of VMs that did not answer and may know it."""
     wait_s: float = 0.0
-    """Seconds until this VM may know more because it has met its peers, 0 if it has met them."""
+    """Seconds until this VM may know more, 0 if it will not."""
 
     @property
     def is_final(self) -> bool:
@@ -54,8 +54,8 @@
     """Versions that are listed, or were until recently."""
     has_several: bool = False
     """Whether there are several, by its listing or a peer's."""
-    is_experienced: bool = False
-    """Whether it has run for so long that it lists, or listed, the version of any stream."""
+    is_complete: bool = False
+    """Whether no other version can have begun a stream that still goes on."""
 
 
 @dataclass(slots=True)
@@ -68,6 +68,8 @@
     """Addresses of the VMs that were asked and have not answered."""
     wait_s: float = 0.0
     """Seconds until this VM has met its peers, 0 if it has."""
+    complete_wait_s: float = 0.0
+    """Seconds until this VM knows all versions, 0 if it does."""
     asked: int = field(init=False)
     _half_suffices: bool = field(init=False)
     """Whether this VM itself would know of a second version."""
@@ -75,13 +77,13 @@
     def __post_init__(self) -> None:
         """Count the VMs that were asked."""
         self.asked = len(self.unanswered)
-        self._half_suffices = self.known.is_experienced
+        self._half_suffices = self.known.is_complete
 
     def add_answer(self, address: str, record: Begun | None, knowledge: Knowledge) -> Origin | None:
         """Add a VM's answer; return the origin once it is certain enough.
 
         All VMs are waited for, since any may hold the record; but if only one version is known, also to this VM, which
-        has run for long, the answers of half of them suffice.
+        knows all versions, the answers of half of them suffice.
         """
         self.unanswered.discard(address)
         if record is not None:
@@ -89,7 +91,7 @@
         known = self.known
         known.versions |= knowledge.versions
         known.has_several = known.has_several or knowledge.has_several or len(known.versions) > 1
-        known.is_experienced = known.is_experienced or knowledge.is_experienced
+        known.is_complete = known.is_complete or knowledge.is_complete
         answered = self.asked - len(self.unanswered)
         if not self.unanswered or (self._half_suffices and not known.has_several and 2 * answered >= self.asked):
             return self.conclude()
@@ -98,8 +100,10 @@
     def conclude(self) -> Origin:
         """Return the origin of a stream of which no record was found, after the time for answers is over.
 
-        A VM that has just started may not have met the peers that know of a second version.
+        One version is the only one if a VM that answered, or this one, knows that there was no other.
         """
-        if self.known.has_several or (self.wait_s and not self.known.is_experienced):
+        if self.known.has_several:
             return UnknownVersion(len(self.unanswered), self.wait_s)
+        if not self.known.is_complete:
+            return UnknownVersion(len(self.unanswered), max(self.wait_s, self.complete_wait_s))
         return OnlyVersion(next(iter(self.known.versions), None))
--- a/src/beamhatch/relay/streams/message.py
+++ b/src/beamhatch/relay/streams/message.py
@@ -55,8 +55,8 @@
     """Versions of the service in the query that are listed, or were until recently, at most ``MAX_VERSIONS``."""
     has_several: bool
     """Whether the sender knows, from its listing or a peer, that the service has several versions."""
-    is_experienced: bool
-    """Whether the sender has run for so long that it lists, or listed, the version of any stream."""
+    is_complete: bool
+    """Whether no other version can have begun a stream that still goes on."""
 
 
 Datagram = RecordPut | OriginQuery | OriginAnswer
--- a/src/beamhatch/relay/streams/origins.py
+++ b/src/beamhatch/relay/streams/origins.py
@@ -55,8 +55,8 @@
 JOIN_TIME_S = 2.0
 """Seconds after its start in which a VM may not know all of its peers."""
 
-EXPERIENCE_S = 15.0
-"""Seconds after its start from which a VM lists, or listed, the version that began any stream that still goes on."""
+MAX_KNOWLEDGE_WAIT_S = 15.0
+"""Upper bound of the time that callers are told until a VM knows all versions."""
 
 MEMBERS_MAX_AGE_S = 0.5
 """Seconds for which the placement of members is reused."""
@@ -189,15 +189,14 @@
         """
         now = self._clock.now()
         if request_id is None:
-            return Lookup(self._get_knowledge(service, now), set()).conclude()
+            return self._make_lookup(service, set(), now).conclude()
         key = compute_stream_key(request_id)
         own = self._records.get(key, now)
         if own is not None:
             return Begun(own.service, own.version)
         chooser = self._place_members(now)
         asked = [] if chooser is None else chooser.list_asked(key)
-        hosts = {_get_datagram_host(one) for one in asked}
-        lookup = Lookup(self._get_knowledge(service, now), hosts, self._compute_join_wait(now))
+        lookup = self._make_lookup(service, {_get_datagram_host(one) for one in asked}, now)
         if not asked:
             return lookup.conclude()
         pending = PendingLookup(key, lookup, on_origin)
@@ -206,6 +205,15 @@
         self._ask(number, service, [_get_datagram_address(one) for one in asked], LOOKUP_ROUNDS)
         return pending
 
+    def _make_lookup(self, service: ServiceName, hosts: set[str], now: float) -> Lookup:
+        """Return the lookup of a stream, given the hosts that are asked."""
+        return Lookup(
+            self._get_knowledge(service, now),
+            hosts,
+            self._compute_join_wait(now),
+            self._compute_knowledge_wait(now),
+        )
+
     def _ask(self, number: int, service: ServiceName, addresses: list[tuple[str, int]], rounds_left: int) -> None:
         """Ask the VMs that have not answered, and again after some time, until no round is left."""
         pending = self._pending[number]
@@ -263,7 +271,7 @@
         versions: list[str] = [*sorted(known.versions)[:MAX_VERSIONS]]
         found = self._records.get(StreamKey(query.key), now)
         service, version = (None, None) if found is None else (found.service, found.version)
-        return OriginAnswer(query.number, service, version, versions, known.has_several, known.is_experienced)
+        return OriginAnswer(query.number, service, version, versions, known.has_several, known.is_complete)
 
     def _handle_answer(self, message: OriginAnswer, host: str) -> None:
         pending = self._pending.get(message.number)
@@ -273,7 +281,7 @@
         if message.service is not None and message.version is not None:
             record = Begun(ServiceName(message.service), SoftwareVersion(message.version))
         versions = {SoftwareVersion(one) for one in message.versions}
-        knowledge = Knowledge(versions, message.has_several, message.is_experienced)
+        knowledge = Knowledge(versions, message.has_several, message.is_complete)
         origin = pending.lookup.add_answer(host, record, knowledge)
         if origin is not None:
             self._finish(message.number, origin)
@@ -292,9 +300,19 @@
         return Knowledge(
             self._versions.list_recent(service, now),
             self._versions.has_several(service, now),
-            now - self._started_at >= EXPERIENCE_S,
+            self._versions.is_complete(now),
         )
 
+    def _compute_knowledge_wait(self, now: float) -> float:
+        """Return the seconds until this VM knows all versions at the latest, 0 if it does.
+
+        A VM that has just started is expected to read them from the store soon.
+        """
+        if self._versions.is_complete(now):
+            return 0.0
+        join_wait_s = self._started_at + JOIN_TIME_S - now
+        return join_wait_s if join_wait_s > 0 else min(self._versions.complete_at - now, MAX_KNOWLEDGE_WAIT_S)
+
     def _compute_join_wait(self, now: float) -> float:
         """Return the seconds until this VM has met its peers, 0 if it has, or has none."""
         if self._membership is None or not self._membership.may_have_peers:
--- a/src/beamhatch/relay/streams/versions.py
+++ b/src/beamhatch/relay/streams/versions.py
@@ -7,9 +7,10 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
     from beamhatch.relay.model import ServiceName, SoftwareVersion, Upstream, UpstreamId
+    from beamhatch.relay.streams.api import VersionsByService
 
 VERSION_RETENTION_S = 120.0
 """Seconds for which a version counts after its last upstream was removed; streams that it began end within them."""
@@ -25,6 +26,8 @@
 
     on_several: Callable[[ServiceName], None] = _ignore
     """Called when a service is found to have more than one version."""
+    complete_at: float = float("inf")
+    """Monotonic seconds from which no other version can have begun a stream that still goes on, as far as known."""
     _listed: dict[UpstreamId, tuple[ServiceName, SoftwareVersion]] = field(default_factory=dict)
     _counts: defaultdict[ServiceName, Counter[SoftwareVersion]] = field(default_factory=lambda: defaultdict(Counter))
     """Number of listed upstreams of each version."""
@@ -67,6 +70,26 @@
         if not had_several:
             self.on_several(service)
 
+    def record_stored(self, service: ServiceName, versions: Iterable[SoftwareVersion], now: float) -> None:
+        """Record versions that a service had when they were last recorded in the store."""
+        had_several = self.has_several(service, now)
+        listed = self._counts.get(service, ())
+        for version in versions:
+            if version not in listed:
+                self._ended_at[service].setdefault(version, now)
+        if not had_several and self.has_several(service, now):
+            self.on_several(service)
+
+    def is_complete(self, now: float) -> bool:
+        """Return whether no other version can have begun a stream that still goes on."""
+        return now >= self.complete_at
+
+    def list_all(self, now: float) -> VersionsByService:
+        """Return the versions of all services that are listed, or were within the retention time."""
+        services = {*self._counts, *self._ended_at}
+        found = {service: frozenset(self.list_recent(service, now)) for service in services}
+        return {service: versions for service, versions in found.items() if versions}
+
     def list_recent(self, service: ServiceName, now: float) -> set[SoftwareVersion]:
         """Return the versions of a service that are listed, or were within the retention time."""
         ended = self._ended_at.get(service)
--- /dev/null
+++ b/tests/platform/test_all_vms_restart.py
@@ -0,0 +1,142 @@
+"""Streams that callers resume after all VMs were killed, so that nobody's memory tells which version began them."""
+
+from __future__ import annotations
+
+import pytest
+
+from beamhatch.platform.standin.store import StoreFault
+from beamhatch.relay.streams.version_recorder import EXPERIENCE_S
+from tests.support.version_fleet import VersionFleet
+
+ENGINES = 3
+DRAIN_S = 2.4
+"""Seconds from the announcement of an engine's departure to its end."""
+
+STREAMS = 24
+
+
+def make_fleet(size: int = 3, versions: tuple[str, ...] = ("v1",), streams: int = STREAMS) -> VersionFleet:
+    """Return a fleet at whose VMs streams have begun, and whose callers come back when they are told to."""
+    fleet = VersionFleet(size, versions=versions, engines=ENGINES * len(versions))
+    fleet.honours_retry_after = True
+    fleet.begin_streams(streams, "vm0", "vm1", "vm2")
+    return fleet
+
+
+def roll_out(fleet: VersionFleet, version: str = "v2") -> None:
+    """Start engines of another version, then drain and end the first ones."""
+    for number in range(ENGINES):
+        fleet.replace(number, 10 + number, version)
+
+
+def kill_all(fleet: VersionFleet, back_after_s: float = 0.5) -> None:
+    for vm in fleet.list_vms():
+        fleet.kill(vm, back_after_s)
+
+
+def assert_most_go_on(fleet: VersionFleet) -> None:
+    went_on, resumed = fleet.count_resumed()
+    assert not fleet.list_mixed()
+    assert resumed >= 12
+    assert went_on >= resumed / 2
+
+
+@pytest.mark.parametrize("size", [3, 9])
+@pytest.mark.parametrize("killed_at_s", [0.7, 2.7, 3.9])
+@pytest.mark.parametrize("back_after_s", [0.5, 4.0])
+def test_streams_go_on_at_another_version_after_all_vms_were_killed_in_a_rollout(
+    size: int, killed_at_s: float, back_after_s: float
+) -> None:
+    fleet = make_fleet(size)
+    roll_out(fleet)
+    fleet.run(killed_at_s)
+    kill_all(fleet, back_after_s)
+    fleet.finish()
+    assert not fleet.list_mixed()
+
+
+def test_streams_go_on_at_another_version_that_came_while_no_vm_ran() -> None:
+    fleet = make_fleet()
+    kill_all(fleet, DRAIN_S + 2.0)
+    roll_out(fleet)
+    fleet.finish()
+    assert not fleet.list_mixed()
+
+
+def test_streams_go_on_at_another_version_after_the_vms_were_killed_one_by_one() -> None:
+    fleet = make_fleet()
+    roll_out(fleet)
+    fleet.run(DRAIN_S + 0.8)
+    for vm in fleet.list_vms():
+        fleet.kill(vm, 0.05)
+        fleet.run(0.35)
+    fleet.finish()
+    assert not fleet.list_mixed()
+
+
+def test_streams_go_on_at_another_version_after_all_vms_were_killed_twice() -> None:
+    fleet = make_fleet()
+    roll_out(fleet)
+    fleet.run(2.7)
+    kill_all(fleet)
+    fleet.run(2.0)
+    kill_all(fleet)
+    fleet.finish()
+    assert not fleet.list_mixed()
+
+
+@pytest.mark.parametrize("fault", [StoreFault.UNAVAILABLE, StoreFault.UNRESPONSIVE, StoreFault.RESPONSE_LOST])
+def test_streams_go_on_at_another_version_as_the_store_fails_behind_the_restart_of_all_vms(fault: StoreFault) -> None:
+    fleet = make_fleet()
+    roll_out(fleet)
+    fleet.run(2.7)
+    kill_all(fleet)
+    fleet.run(1.1)
+    fleet.platform.store.fault = fault
+    fleet.run(4.0)
+    fleet.platform.store.fault = StoreFault.NONE
+    fleet.finish()
+    assert not fleet.list_mixed()
+
+
+def test_streams_go_on_at_another_version_after_a_restore_lost_the_record_of_versions() -> None:
+    fleet = make_fleet()
+    backup = fleet.platform.store.make_backup()
+    roll_out(fleet)
+    fleet.run(DRAIN_S + 1.3)
+    kill_all(fleet)
+    fleet.platform.store.restore(backup)
+    for number in range(ENGINES):
+        fleet.platform.store.remove(f"servers/prefill-{number}")
+        fleet.platform.store.remove(f"servers/decode-{number}")
+        fleet.platform.list_again(f"prefill-{10 + number}")
+        fleet.platform.list_again(f"decode-{10 + number}")
+    fleet.finish()
+    assert not fleet.list_mixed()
+
+
+def test_streams_of_the_only_version_wait_after_all_vms_were_killed() -> None:
+    fleet = make_fleet()
+    kill_all(fleet)
+    fleet.finish()
+    assert_most_go_on(fleet)
+    lines = [line for vm in fleet.list_vms() for line in fleet.platform.journals[vm].lines]
+    assert {line["found"] for line in lines if line["event"] == "origin"} == {"only_version"}
+
+
+def test_a_vm_that_finds_no_record_of_versions_takes_one_for_the_only_one() -> None:
+    fleet = VersionFleet(3, versions=["v1"])
+    fleet.platform.store.remove("beamhatch-streams/versions")
+    fleet.platform.store.restore(fleet.platform.store.make_backup())
+    for number in range(6):
+        fleet.platform.list_again(f"prefill-{number}")
+        fleet.platform.list_again(f"decode-{number}")
+    kill_all(fleet)
+    fleet.run(4.0)
+    headers = {"Last-Event-Id": "3", "Resumes": "q0"}
+    early = fleet.platform.finish(fleet.platform.call("/resumable/x", "q1", vm="vm0", headers=headers))
+    assert early.status == 503
+    assert "retry-after" in early.head.lower()
+    fleet.run(EXPERIENCE_S)
+    late = fleet.platform.finish(fleet.platform.call("/resumable/x", "q2", vm="vm0", headers=headers))
+    assert late.status == 200
--- a/tests/relay/streams/test_lookup.py
+++ b/tests/relay/streams/test_lookup.py
@@ -9,8 +9,8 @@
 
 V1, V2 = SoftwareVersion("v1"), SoftwareVersion("v2")
 RECORD = Begun(ServiceName("models"), V1)
-ONE = Knowledge({V1}, is_experienced=True)
-SEVERAL = Knowledge({V1, V2}, has_several=True, is_experienced=True)
+ONE = Knowledge({V1}, is_complete=True)
+SEVERAL = Knowledge({V1, V2}, has_several=True, is_complete=True)
 NEW = Knowledge({V1})
 
 
@@ -64,9 +64,14 @@
     assert make_lookup(asked=1).add_answer("vm0", None, Knowledge({V1}, has_several=True)) == UnknownVersion()
 
 
-def test_without_any_answer_one_known_version_goes_on() -> None:
+def test_without_any_answer_one_known_version_goes_on_if_all_versions_are_known() -> None:
     assert make_lookup().conclude() == OnlyVersion(V1)
-    assert make_lookup(NEW, asked=0).conclude() == OnlyVersion(V1)
+    assert make_lookup(replace(NEW, is_complete=True), asked=0).conclude() == OnlyVersion(V1)
+
+
+def test_one_listed_version_is_taken_for_the_only_one_by_vms_that_started_together() -> None:
+    lookup = replace(make_lookup(NEW, asked=1), complete_wait_s=9.0)
+    assert lookup.add_answer("vm0", None, NEW) == UnknownVersion(wait_s=9.0)
 
 
 def test_a_vm_that_has_not_met_its_peers_goes_on_only_if_one_that_ran_for_long_knows_one_version() -> None:
--- a/tests/support/platform.py
+++ b/tests/support/platform.py
@@ -182,6 +182,14 @@
         """Return the status of the first answer, 0 where none came."""
         return int(self.received.split(b" ", 2)[1]) if b"\r\n" in self.received else 0
 
+    @property
+    def retry_after_s(self) -> float | None:
+        """Return the seconds after which the first answer tells to come back, None where it does not."""
+        for line in self.head.split("\r\n"):
+            if line.lower().startswith("retry-after:"):
+                return float(line.partition(":")[2])
+        return None
+
     @property
     def whole(self) -> bool:
         """Tell whether the first answer has its end."""
@@ -364,6 +372,7 @@
             tunnel_address=Address(name, 8003),
             record_address=Address(name, 8003),
             seeds=seeds or [],
+            is_first_start=True,
             topology=places or self.places,
             disabled=without,
             limits=ResourceLimits(link_mbit_per_s=link_mbit_per_s),
--- a/tests/support/version_fleet.py
+++ b/tests/support/version_fleet.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from beamhatch.relay.streams.origins import EXPERIENCE_S
+from beamhatch.relay.streams.version_recorder import EXPERIENCE_S
 from tests.support.configuration_fleet import HALLS, SEEDS
 from tests.support.platform import Caller, Platform, make_request
 
@@ -26,6 +26,9 @@
 MAX_RETURN_DELAY_S = 0.3
 """Longest time after which a caller whose stream broke comes back."""
 
+RETRY_AFTER_SHARE = 1 / 3
+"""Share of the time left up to which a caller honours a retry-after time."""
+
 GIVE_UP_S = 3.6
 """Seconds without a byte after which a caller closes its stream and comes back."""
 
@@ -122,6 +125,8 @@
         self._drained: set[str] = set()
         self.returns_near = False
         """Whether callers come back at a VM of the hall where they were, as long as one runs there."""
+        self.honours_retry_after = False
+        """Whether callers that are refused come back when they are told to."""
         self._without = without
         self.halls = {f"vm{number}": HALLS[number % 3] for number in range(size)}
         self.platform.configure(1)
@@ -251,9 +256,16 @@
             return True
         if stream.is_complete or len(stream.tries) >= MAX_TRIES:
             return False
-        stream.returns_at = self.now + self.rng.uniform(0.0, MAX_RETURN_DELAY_S)
+        stream.returns_at = self.now + self._compute_return_delay(stream)
         return stream.returns_at < stream.began_at + CALLER_PATIENCE_S
 
+    def _compute_return_delay(self, stream: Stream) -> float:
+        """Return the seconds after which a caller comes back."""
+        told_s = stream.tries[-1].caller.retry_after_s
+        if not self.honours_retry_after or told_s is None:
+            return self.rng.uniform(0.0, MAX_RETURN_DELAY_S)
+        return min(told_s, RETRY_AFTER_SHARE * (stream.began_at + CALLER_PATIENCE_S - self.now))
+
     def _choose_return(self, stream: Stream) -> str:
         hall = self.halls[stream.tries[-1].vm]
         near = [vm for vm in self.list_vms() if self.halls[vm] == hall] if self.returns_near else []
