Keep open streams in the store while their service has several versions, so that they go on after all VMs restart

Cause: which version began a stream was in the memory of the VM where it began and of its peers. After all have restarted nobody has a record, and with several versions a stream without one is refused for good.

Evidence: lines "origin ... unknown, wait_s 0" for all tries of a trial with real processes.

Change: while a service has several versions, a VM writes the digests of its open streams under a lease of 120 s, once a second at the most and 40 times a second over all VMs. A lookup that finds no record and knows of several versions reads them, once a second at the most and 20 times over all VMs. If the store does not answer within .6 s, or may not be read yet, the caller is told when to come back; if it has no record, the request is refused at once. A service with one version writes and reads nothing.

--- a/src/beamhatch/platform/store.py
+++ b/src/beamhatch/platform/store.py
@@ -69,7 +69,7 @@
         self._clock = clock
         self._documents = documents
         self._calls = StoreClient(client, clock, address, documents.journal)
-        self._streams = PlatformStreamStore(self._calls)
+        self._streams = PlatformStreamStore(self._calls, clock)
         self._leadership_at = 0
         """Position of the last read of the leadership, 0 before the first."""
         self._unsettled_prefixes: set[str] = set()
@@ -79,7 +79,7 @@
 
     @property
     def streams(self) -> StreamStore:
-        """Return the part that keeps the versions of services."""
+        """Return the part that keeps the versions of services and open streams."""
         return self._streams
 
     async def read_directives(self, known: int) -> DirectiveUpdate | StoreUnavailable:
--- a/src/beamhatch/relay/api.py
+++ b/src/beamhatch/relay/api.py
@@ -213,7 +213,7 @@
     @property
     @abstractmethod
     def streams(self) -> StreamStore:
-        """Return the part that keeps the versions of services."""
+        """Return the part that keeps the versions of services and open streams."""
 
     @abstractmethod
     async def read_directives(self, known: int) -> DirectiveUpdate | StoreUnavailable:
--- a/src/beamhatch/relay/daemon.py
+++ b/src/beamhatch/relay/daemon.py
@@ -30,6 +30,8 @@
 from beamhatch.relay.overload.protection import OverloadProtection, ResourceLimits
 from beamhatch.relay.quarantine.persistence import QuarantinePersistence
 from beamhatch.relay.quarantine.quarantine import MAX_RELEASE_DELAY_S
+from beamhatch.relay.streams.open_stream_writer import OpenStreamWriter
+from beamhatch.relay.streams.stored_streams import StoredStreams
 from beamhatch.relay.streams.version_recorder import VersionRecorder
 from beamhatch.relay.topology import Topology
 from beamhatch.relay.tunnels.monitor import ReachMonitor
@@ -187,6 +189,7 @@
         self.core.quarantine_gossip.on_quarantined = persistence.add
         self.core.quarantine_gossip.on_clear = persistence.remove
         self._version_recorder = self._make_version_recorder(store.streams)
+        self._stream_writer = self._make_stream_writer(store.streams)
         self._usage_gossip = self._make_usage_gossip()
         if self._gossip is not None and Mechanism.SHARED_DEPARTURES not in settings.disabled:
             departures = DepartureGossip(clock, self.core.announcements)
@@ -253,6 +256,7 @@
         for watcher in self._watchers:
             watcher.start()
         self._version_recorder.start()
+        self._stream_writer.start()
         self._usage_gossip.start()
         if self.leadership is not None and self._phase_controller is not None:
             self.leadership.start()
@@ -320,6 +324,7 @@
         for watcher in self._watchers:
             watcher.stop()
         self._version_recorder.stop()
+        self._stream_writer.stop()
         self._usage_gossip.stop()
         self.tunnels.stop()
         self.core.origins.stop()
@@ -423,6 +428,12 @@
             is_first_start=self.settings.is_first_start,
         )
 
+    def _make_stream_writer(self, store: StreamStore) -> OpenStreamWriter:
+        """Return the writer of open streams, and have those of other VMs read from the store."""
+        origins = self.core.origins
+        origins.stored = StoredStreams(self.clock, self.journal, self.tally, store, self._count_vms)
+        return OpenStreamWriter(self.clock, self.journal, self.tally, store, origins.list_open_streams, self._count_vms)
+
     def _make_watchers(self, store: Store) -> list[StoreWatcher]:
         alone = self._gossip is None or Mechanism.FEW_WATCHERS in self.settings.disabled
         should_watch = _always if alone or self._gossip is None else self._gossip.should_watch_store
--- a/src/beamhatch/relay/streams/api.py
+++ b/src/beamhatch/relay/streams/api.py
@@ -7,10 +7,11 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Mapping, Sequence
 
     from beamhatch.relay.api import StoreUnavailable
     from beamhatch.relay.model import ServiceName, SoftwareVersion
+    from beamhatch.relay.streams.records import StreamKey
 
 VersionsByService = dict["ServiceName", frozenset["SoftwareVersion"]]
 """Versions of each service that are listed, or were until recently."""
@@ -34,8 +35,19 @@
     """Result of a write of versions that another VM has changed in the meantime; nothing was written."""
 
 
+@dataclass(frozen=True, slots=True)
+class OpenStreams:
+    """Open streams of one service that the same version began."""
+
+    service: ServiceName
+    version: SoftwareVersion
+    keys: Sequence[StreamKey]
+    lifetime_s: float
+    """Seconds for which the caller of any of them may still resume it."""
+
+
 class StreamStore(ABC):
-    """The part of the store that keeps versions. Each call is billed."""
+    """The part of the store that keeps versions and open streams. Each call is billed."""
 
     @property
     @abstractmethod
@@ -54,3 +66,15 @@
 
         :param replaces: the record as last read; nothing is written if it has changed since
         """
+
+    @abstractmethod
+    async def read_streams(self) -> list[OpenStreams] | StoreUnavailable:
+        """Return the open streams of all VMs that run, or ended within the last ``STREAMS_LIFETIME_S``."""
+
+    @abstractmethod
+    async def write_streams(self, streams: Sequence[OpenStreams]) -> StoreUnavailable | None:
+        """Record the open streams of this VM in place of those recorded before."""
+
+
+STREAMS_LIFETIME_S = 120.0
+"""Seconds for which open streams stay recorded after their VM has ended."""
--- /dev/null
+++ b/src/beamhatch/relay/streams/open_stream_writer.py
@@ -0,0 +1,102 @@
+"""Record the open streams of a VM in the store while their service has several versions.
+
+Peers hold the records of streams in memory, which is lost where all VMs end together.
+"""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING, Any
+
+from twisted.internet import defer
+
+from beamhatch.clock import sleep
+from beamhatch.relay.streams.api import STREAMS_LIFETIME_S
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Sequence
+
+    from beamhatch.clock import Clock
+    from beamhatch.observe.journal import Journal
+    from beamhatch.observe.tally import Tally
+    from beamhatch.relay.streams.api import OpenStreams, StreamStore
+    from beamhatch.relay.streams.records import StreamKey
+
+WRITE_INTERVAL_S = 1.0
+"""Minimum seconds between two writes; streams that began since the last one are lost with all VMs."""
+
+FLEET_WRITES_PER_S = 40.0
+"""Writes per second of all VMs together, a tenth of what the smallest store takes."""
+
+REWRITE_INTERVAL_S = STREAMS_LIFETIME_S / 3
+"""Seconds after which streams that are still open are recorded again, before their record expires."""
+
+
+class OpenStreamWriter:
+    """Writer of one VM's open streams."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        journal: Journal,
+        tally: Tally,
+        store: StreamStore,
+        list_streams: Callable[[], Sequence[OpenStreams]],
+        count_vms: Callable[[], int],
+    ) -> None:
+        """Create a writer.
+
+        :param list_streams: returns the VM's open streams whose services have several versions
+        :param count_vms: returns the number of VMs that write
+        """
+        self._clock = clock
+        self._journal = journal
+        self._tally = tally
+        self._store = store
+        self._list_streams = list_streams
+        self._count_vms = count_vms
+        self._written: frozenset[StreamKey] = frozenset()
+        self._written_at = float("-inf")
+        self._generation = 0
+        self._running: defer.Deferred[None] | None = None
+
+    def start(self) -> None:
+        """Start to write."""
+        self._running = defer.ensureDeferred(self._run())
+        self._running.addErrback(self._handle_exit)
+
+    def stop(self) -> None:
+        """Stop writing."""
+        running, self._running = self._running, None
+        if running is not None:
+            running.cancel()
+
+    async def _run(self) -> None:
+        while True:
+            interval_s = max(WRITE_INTERVAL_S, self._count_vms() / FLEET_WRITES_PER_S)
+            await sleep(self._clock, interval_s * random.uniform(0.8, 1.0))
+            await self._write_if_needed()
+
+    async def _write_if_needed(self) -> None:
+        streams = self._list_streams()
+        keys = frozenset(key for one in streams for key in one.keys)
+        if not keys or not self._is_due(keys):
+            return
+        self._tally.count("stream_store_writes_total")
+        failure = await self._store.write_streams(streams)
+        if failure is not None:
+            self._tally.count("store_failures_total", "streams")
+            self._journal.write("STREAM", "not recorded in the store", streams=len(keys), detail=failure.detail)
+            return
+        self._written = keys
+        self._written_at = self._clock.now()
+        self._generation = self._store.generation
+
+    def _is_due(self, keys: frozenset[StreamKey]) -> bool:
+        is_old = self._clock.now() - self._written_at > REWRITE_INTERVAL_S
+        return is_old or not keys <= self._written or self._generation != self._store.generation
+
+    def _handle_exit(self, failure: Any) -> None:
+        if not failure.check(defer.CancelledError):
+            self._journal.write("STREAM", "writer failed", error=failure.getTraceback())
+            self._clock.call_later(WRITE_INTERVAL_S, self.start)
--- a/src/beamhatch/relay/streams/origins.py
+++ b/src/beamhatch/relay/streams/origins.py
@@ -1,20 +1,23 @@
 """Keep the versions that began this VM's streams, tell some peers, and find out what began a stream of another VM.
 
 Peers are told only while a service has several versions, so a service with one version costs no messages. When a
-second version appears, the streams that are open already are told as well.
+second version appears, the streams that are open already are told as well. A stream that no peer has a record of is
+sought among those that VMs have recorded in the store.
 """
 
 from __future__ import annotations
 
 import itertools
 import secrets
+from dataclasses import replace
 from typing import TYPE_CHECKING, Any
 
 from twisted.internet.protocol import DatagramProtocol
 
 from beamhatch.relay.model import ServiceName, SoftwareVersion
+from beamhatch.relay.streams.api import OpenStreams
 from beamhatch.relay.streams.holders import HolderChooser
-from beamhatch.relay.streams.lookup import Begun, Knowledge, Lookup, Origin
+from beamhatch.relay.streams.lookup import Begun, Knowledge, Lookup, Origin, UnknownVersion
 from beamhatch.relay.streams.message import (
     MAX_DATAGRAM_BYTES,
     MAX_VERSIONS,
@@ -44,6 +47,7 @@
     from beamhatch.observe.tally import Tally
     from beamhatch.relay.fleet.membership import Member, Membership
     from beamhatch.relay.model import Address
+    from beamhatch.relay.streams.stored_streams import StoredStreams
     from beamhatch.relay.streams.versions import VersionHistory
 
 LOOKUP_ROUNDS = 5
@@ -58,6 +62,15 @@
 MAX_KNOWLEDGE_WAIT_S = 15.0
 """Upper bound of the time that callers are told until a VM knows all versions."""
 
+STORE_WAIT_S = 0.6
+"""Seconds for which a lookup waits for the store; callers are then told to come back."""
+
+STORE_RETRY_S = 1.0
+"""Seconds after which a caller may come back whose stream was not found as the store did not answer."""
+
+MAX_STORED_STREAMS = 16_384
+"""Open streams of one VM that are recorded in the store, the newest ones."""
+
 MEMBERS_MAX_AGE_S = 0.5
 """Seconds for which the placement of members is reused."""
 
@@ -103,6 +116,8 @@
         self._started_at = clock.now()
         self._holders: HolderChooser | None = None
         self._placed_at = float("-inf")
+        self.stored: StoredStreams | None = None
+        """Streams recorded in the store; None if they are not read."""
         self._pending: dict[int, PendingLookup] = {}
         self._numbers = itertools.count(secrets.randbits(32))
         self._port: Any = None
@@ -140,6 +155,23 @@
         """Forget a stream that its caller has received completely."""
         self._records.discard(compute_stream_key(request_id))
 
+    def list_open_streams(self) -> list[OpenStreams]:
+        """Return the open streams that began at this VM, of services with several versions."""
+        now = self._clock.now()
+        groups: dict[Begun, list[tuple[StreamKey, StreamRecord]]] = {}
+        for key, record in self._records.list_all_own(now)[-MAX_STORED_STREAMS:]:
+            if self._versions.has_several(record.service, now):
+                groups.setdefault(Begun(record.service, record.version), []).append((key, record))
+        return [
+            OpenStreams(
+                origin.service,
+                origin.version,
+                [key for key, _ in found],
+                max(record.expires_at for _, record in found) - now,
+            )
+            for origin, found in groups.items()
+        ]
+
     def _send_backlog(self, service: ServiceName) -> None:
         """Tell peers of the streams that began while only one version of the service was known."""
         pending = self._records.list_own(service, self._clock.now())
@@ -191,19 +223,20 @@
         if request_id is None:
             return self._make_lookup(service, set(), now).conclude()
         key = compute_stream_key(request_id)
-        own = self._records.get(key, now)
-        if own is not None:
-            return Begun(own.service, own.version)
+        known = self._find_record(key, now)
+        if known is not None:
+            return known
         chooser = self._place_members(now)
         asked = [] if chooser is None else chooser.list_asked(key)
         lookup = self._make_lookup(service, {_get_datagram_host(one) for one in asked}, now)
-        if not asked:
-            return lookup.conclude()
         pending = PendingLookup(key, lookup, on_origin)
         number = next(self._numbers)
-        self._pending[number] = pending
-        self._ask(number, service, [_get_datagram_address(one) for one in asked], LOOKUP_ROUNDS)
-        return pending
+        if asked:
+            self._pending[number] = pending
+            self._ask(number, service, [_get_datagram_address(one) for one in asked], LOOKUP_ROUNDS)
+            return pending
+        origin = self._read_stored(number, pending, lookup.conclude())
+        return pending if origin is None else origin
 
     def _make_lookup(self, service: ServiceName, hosts: set[str], now: float) -> Lookup:
         """Return the lookup of a stream, given the hosts that are asked."""
@@ -214,6 +247,13 @@
             self._compute_knowledge_wait(now),
         )
 
+    def _find_record(self, key: StreamKey, now: float) -> Begun | None:
+        """Return what began a stream, by this VM's records and those that it has read from the store."""
+        record = self._records.get(key, now)
+        if record is not None:
+            return Begun(record.service, record.version)
+        return None if self.stored is None else self.stored.find(key)
+
     def _ask(self, number: int, service: ServiceName, addresses: list[tuple[str, int]], rounds_left: int) -> None:
         """Ask the VMs that have not answered, and again after some time, until no round is left."""
         pending = self._pending[number]
@@ -229,9 +269,33 @@
         )
 
     def _finish(self, number: int, origin: Origin) -> None:
+        """End the questions to peers, and read the streams in the store if no record was found."""
         pending = self._pending.pop(number)
         pending.cancel()
-        pending.on_origin(origin)
+        found = self._read_stored(number, pending, origin)
+        if found is not None:
+            pending.on_origin(found)
+
+    def _read_stored(self, number: int, pending: PendingLookup, origin: Origin) -> Origin | None:
+        """Return the origin, or None if it is told once the streams in the store have been read."""
+        if not isinstance(origin, UnknownVersion) or not pending.lookup.known.has_several or self.stored is None:
+            return origin
+        wait_s = self.stored.compute_wait_s()
+        if wait_s:
+            return replace(origin, wait_s=max(origin.wait_s, wait_s))
+        self._pending[number] = pending
+        late = replace(origin, wait_s=max(origin.wait_s, STORE_RETRY_S))
+        pending.timer = self._clock.call_later(STORE_WAIT_S, self._finish_read, number, late)
+        self.stored.read(lambda succeeded: self._finish_read(number, origin if succeeded else late))
+        return None
+
+    def _finish_read(self, number: int, origin: Origin) -> None:
+        """Tell what was found in the store, unless the caller has left or was told before."""
+        pending = self._pending.pop(number, None)
+        if pending is None:
+            return
+        pending.cancel()
+        pending.on_origin(self._find_record(pending.key, self._clock.now()) or origin)
 
     def cancel(self, pending: PendingLookup) -> None:
         """End a lookup whose caller has left."""
@@ -269,7 +333,7 @@
         now = self._clock.now()
         known = self._get_knowledge(ServiceName(query.service), now)
         versions: list[str] = [*sorted(known.versions)[:MAX_VERSIONS]]
-        found = self._records.get(StreamKey(query.key), now)
+        found = self._find_record(StreamKey(query.key), now)
         service, version = (None, None) if found is None else (found.service, found.version)
         return OriginAnswer(query.number, service, version, versions, known.has_several, known.is_complete)
 
--- a/src/beamhatch/relay/streams/records.py
+++ b/src/beamhatch/relay/streams/records.py
@@ -70,11 +70,11 @@
 
     def list_own(self, service: ServiceName, now: float) -> list[tuple[StreamKey, StreamRecord]]:
         """Return the records of a service's streams that began at this VM."""
-        return [
-            (key, one)
-            for key, one in self._records.items()
-            if one.is_own and one.service == service and one.expires_at >= now
-        ]
+        return [(key, one) for key, one in self.list_all_own(now) if one.service == service]
+
+    def list_all_own(self, now: float) -> list[tuple[StreamKey, StreamRecord]]:
+        """Return the records of all streams that began at this VM, oldest first."""
+        return [(key, one) for key, one in self._records.items() if one.is_own and one.expires_at >= now]
 
     def _sweep(self, now: float) -> None:
         if now - self._swept_at < SWEEP_INTERVAL_S:
--- a/tests/platform/test_all_vms_restart.py
+++ b/tests/platform/test_all_vms_restart.py
@@ -5,6 +5,7 @@
 import pytest
 
 from beamhatch.platform.standin.store import StoreFault
+from beamhatch.relay.streams.open_stream_writer import WRITE_INTERVAL_S
 from beamhatch.relay.streams.version_recorder import EXPERIENCE_S
 from tests.support.version_fleet import VersionFleet
 
@@ -115,6 +116,26 @@
     assert not fleet.list_mixed()
 
 
+@pytest.mark.parametrize("back_after_s", [0.5, 3.0])
+def test_no_stream_goes_on_though_both_versions_serve_after_all_vms_were_killed(back_after_s: float) -> None:
+    fleet = make_fleet(versions=("v1", "v2"))
+    fleet.run(WRITE_INTERVAL_S)
+    kill_all(fleet, back_after_s)
+    fleet.finish()
+    assert_most_go_on(fleet)
+
+
+def test_no_stream_goes_on_after_a_restore_lost_the_open_streams() -> None:
+    fleet = make_fleet(versions=("v1", "v2"), streams=2 * STREAMS)
+    backup = fleet.platform.store.make_backup()
+    fleet.run(WRITE_INTERVAL_S)
+    fleet.platform.store.restore(backup)
+    fleet.run(1.5 * WRITE_INTERVAL_S)
+    kill_all(fleet)
+    fleet.finish()
+    assert_most_go_on(fleet)
+
+
 def test_streams_of_the_only_version_wait_after_all_vms_were_killed() -> None:
     fleet = make_fleet()
     kill_all(fleet)
@@ -140,3 +161,11 @@
     fleet.run(EXPERIENCE_S)
     late = fleet.platform.finish(fleet.platform.call("/resumable/x", "q2", vm="vm0", headers=headers))
     assert late.status == 200
+
+
+def test_the_store_gets_no_open_streams_of_a_service_with_one_version() -> None:
+    fleet = VersionFleet(3, versions=["v1"])
+    calls = fleet.platform.store.get_newest_revision("beamhatch-streams/")
+    fleet.begin_streams(STREAMS, "vm0", "vm1", "vm2")
+    fleet.finish()
+    assert fleet.platform.store.get_newest_revision("beamhatch-streams/") == calls
