Refuse streams without a record at a VM that reaches neither a peer nor the store

A VM was cut off from all peers and the store, a second version appeared, and streams that it began elsewhere went on at the first one at the VM that was cut off.

It has run for long, but it has heard of nothing since it was cut off.

Evidence: test_a_stream_goes_on_at_another_version_at_a_vm_that_was_cut_off_as_it_appeared fails before, .5 s and 60 s behind the cut.

Change: such a VM refuses the streams that it has no record of, with a time to come back, as long as it reaches nobody. Its own streams go on, and new ones begin. A VM that is the last one alive while the store is down refuses too, as it can't tell this from a cut; weighed against events of two versions in one stream.

--- a/src/beamhatch/relay/daemon.py
+++ b/src/beamhatch/relay/daemon.py
@@ -432,8 +432,16 @@
         """Return the writer of open streams, and have those of other VMs read from the store."""
         origins = self.core.origins
         origins.stored = StoredStreams(self.clock, self.journal, self.tally, store, self._count_vms)
+        origins.is_isolated = self._is_isolated
         return OpenStreamWriter(self.clock, self.journal, self.tally, store, origins.list_open_streams, self._count_vms)
 
+    def _is_isolated(self) -> bool:
+        """Return whether this VM reaches neither a peer nor the store, though it may have peers."""
+        gossip = self._gossip
+        if gossip is None or not gossip.membership.may_have_peers:
+            return False
+        return not gossip.has_peers() and self._is_store_unreachable()
+
     def _make_watchers(self, store: Store) -> list[StoreWatcher]:
         alone = self._gossip is None or Mechanism.FEW_WATCHERS in self.settings.disabled
         should_watch = _always if alone or self._gossip is None else self._gossip.should_watch_store
--- a/src/beamhatch/relay/streams/lookup.py
+++ b/src/beamhatch/relay/streams/lookup.py
@@ -8,6 +8,9 @@
 if TYPE_CHECKING:
     from beamhatch.relay.model import ServiceName, SoftwareVersion
 
+ISOLATED_RETRY_S = 1.0
+"""Seconds after which a caller may come back that a VM without peers refused; it probably reaches another VM."""
+
 
 @dataclass(frozen=True, slots=True)
 class Begun:
@@ -70,6 +73,8 @@
     """Seconds until this VM has met its peers, 0 if it has."""
     complete_wait_s: float = 0.0
     """Seconds until this VM knows all versions, 0 if it does."""
+    is_isolated: bool = False
+    """Whether this VM reaches neither a peer nor the store, and so may have missed a version."""
     asked: int = field(init=False)
     _half_suffices: bool = field(init=False)
     """Whether this VM itself would know of a second version."""
@@ -106,4 +111,6 @@
             return UnknownVersion(len(self.unanswered), self.wait_s)
         if not self.known.is_complete:
             return UnknownVersion(len(self.unanswered), max(self.wait_s, self.complete_wait_s))
+        if self.is_isolated and self.asked == len(self.unanswered):
+            return UnknownVersion(len(self.unanswered), max(self.wait_s, ISOLATED_RETRY_S))
         return OnlyVersion(next(iter(self.known.versions), None))
--- a/src/beamhatch/relay/streams/origins.py
+++ b/src/beamhatch/relay/streams/origins.py
@@ -118,6 +118,8 @@
         self._placed_at = float("-inf")
         self.stored: StoredStreams | None = None
         """Streams recorded in the store; None if they are not read."""
+        self.is_isolated: Callable[[], bool] = lambda: False
+        """Returns whether this VM reaches neither a peer nor the store."""
         self._pending: dict[int, PendingLookup] = {}
         self._numbers = itertools.count(secrets.randbits(32))
         self._port: Any = None
@@ -245,6 +247,7 @@
             hosts,
             self._compute_join_wait(now),
             self._compute_knowledge_wait(now),
+            self.is_isolated(),
         )
 
     def _find_record(self, key: StreamKey, now: float) -> Begun | None:
--- a/tests/platform/test_stream_versions.py
+++ b/tests/platform/test_stream_versions.py
@@ -162,3 +162,21 @@
     fleet.platform.network.run(1.0)
     assert not fleet.platform.vms["vm0"].core.exchanges
     assert not fleet.platform.ledger.arrivals["q1"]
+
+
+@pytest.mark.parametrize("outage_s", [0.5, 60.0])
+def test_a_stream_goes_on_at_another_version_at_a_vm_that_was_cut_off_as_it_appeared(outage_s: float) -> None:
+    fleet = VersionFleet(versions=["v1"], engines=2)
+    for other in ("vm1", "vm2", "vm3", "vm4", "vm5", "store"):
+        fleet.platform.network.cut_between("vm0", other)
+    fleet.run(3.0)
+    for number in range(6, 12):
+        fleet.add_engines(number, "v2")
+    fleet.run(outage_s)
+    begun = fleet.begin_streams(48, "vm1", "vm2")
+    assert any(fleet.list_versions(one) == {"v2"} for one in begun)
+    for one in begun:
+        headers = {"Last-Event-Id": str(one.last_event), "Resumes": str(one.first_request)}
+        caller = fleet.platform.call("/resumable/x", f"crossed-{one.first_request}", vm="vm0", headers=headers)
+        assert fleet.platform.finish(caller).status == 503
+        assert caller.retry_after_s
--- a/tests/relay/streams/test_lookup.py
+++ b/tests/relay/streams/test_lookup.py
@@ -5,7 +5,7 @@
 from dataclasses import replace
 
 from beamhatch.relay.model import ServiceName, SoftwareVersion
-from beamhatch.relay.streams.lookup import Begun, Knowledge, Lookup, OnlyVersion, UnknownVersion
+from beamhatch.relay.streams.lookup import ISOLATED_RETRY_S, Begun, Knowledge, Lookup, OnlyVersion, UnknownVersion
 
 V1, V2 = SoftwareVersion("v1"), SoftwareVersion("v2")
 RECORD = Begun(ServiceName("models"), V1)
@@ -74,6 +74,13 @@
     assert lookup.add_answer("vm0", None, NEW) == UnknownVersion(wait_s=9.0)
 
 
+def test_one_known_version_is_taken_for_the_only_one_by_a_vm_that_reaches_nobody() -> None:
+    lookup = replace(make_lookup(), is_isolated=True)
+    assert lookup.conclude() == UnknownVersion(silent=4, wait_s=ISOLATED_RETRY_S)
+    assert lookup.add_answer("vm0", None, ONE) is None
+    assert lookup.add_answer("vm1", None, ONE) == OnlyVersion(V1)
+
+
 def test_a_vm_that_has_not_met_its_peers_goes_on_only_if_one_that_ran_for_long_knows_one_version() -> None:
     assert make_lookup(NEW, asked=0, wait_s=1.5).conclude() == UnknownVersion(wait_s=1.5)
     assert not UnknownVersion(wait_s=1.5).is_final
