Bound what is read of a response by one rule for all calls to upstreams

What callers saw: one engine that sent bytes without end.

Cause: each kind of call bounded its own body, or not at all. What is no body (interim responses, responses to other requests, chunk framing) was bounded by nobody, as were comments and blank lines, which counted as progress of a stream. A release had no time-out.

Change: a connection counts, from the send of a call on, the bytes of the body and those beside it, and the responses that it skips. A receiver tells how large a body may be once the head is known (64 KB; 1 MB of a plain response; 8 MB of the store; streams check themselves). More ends the connection with a failure of its own kind, which counts against the upstream like others. A stream may have 256 KB without an event and four events for each token that its caller allows, and 64. Comments are passed on but are no progress. A release ends after 2 s.

--- a/src/beamhatch/relay/engines/ordering.py
+++ b/src/beamhatch/relay/engines/ordering.py
@@ -20,6 +20,7 @@
 from beamhatch.relay.model import Phase, UpstreamId
 from beamhatch.relay.tunnels.api import allow_no_hall
 from beamhatch.relay.upstreams.http_fetch import fetch
+from beamhatch.relay.upstreams.response_bounds import DEFAULT_MAX_BODY_BYTES
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
@@ -199,7 +200,13 @@
         timer = self.core.clock.call_later(ANSWER_TIMEOUT_S, self._record_unconfirmed, change)
         # an order that came from a peer's address would be taken for that of another holder
         answer = await fetch(
-            self.core.client, self.core.clock, upstream.address, call, LATE_ANSWER_TIMEOUT_S, allow_no_hall
+            self.core.client,
+            self.core.clock,
+            upstream.address,
+            call,
+            LATE_ANSWER_TIMEOUT_S,
+            allow_no_hall,
+            max_body_bytes=DEFAULT_MAX_BODY_BYTES,
         )
         if timer.active():
             timer.cancel()
--- a/src/beamhatch/relay/requests/exchange.py
+++ b/src/beamhatch/relay/requests/exchange.py
@@ -500,6 +500,11 @@
         self._cost.record_response(CHUNK_BYTES + len(data))
         self._responder.write(data)
 
+    def send_comments(self, data: bytes) -> None:
+        """Send comments and blank lines between two events to the caller."""
+        self._cost.record_response(CHUNK_BYTES + len(data))
+        self._responder.write(data)
+
     def end_stream(self) -> None:
         """End a complete stream to the caller."""
         self.write_log(
@@ -753,6 +758,11 @@
         """Return whether an attempt that responds may continue the stream now; if not, it is released later."""
         return self._failover.admits(attempt)
 
+    @property
+    def is_searching(self) -> bool:
+        """Return whether another upstream is sought, or was found and has not responded."""
+        return self._failover.active
+
     def settle_on(self, attempt: Attempt) -> None:
         """Continue a stream with an attempt whose upstream responds, and cancel all others."""
         if not self._failover.active:
--- a/src/beamhatch/relay/requests/release.py
+++ b/src/beamhatch/relay/requests/release.py
@@ -13,6 +13,9 @@
     from beamhatch.relay.model import Upstream
     from beamhatch.relay.upstreams.http_client import Call
 
+RELEASE_TIMEOUT_S = 2.0
+"""Time after which the connection of a release is closed; the memory expires at about the same time."""
+
 
 def send_release(core: Core, upstream: Upstream, call: Call, write_log: Callable[..., None]) -> None:
     """Send a release to an upstream if it may receive calls now; otherwise let the held memory expire there.
@@ -31,4 +34,5 @@
         return
     eligibility.limits.record_request(upstream.incarnation, now)
     write_log("given back", target=call.target, to=upstream.id)
-    core.client.open(upstream.address, call, AnnouncementSink(core.announcements, upstream))
+    sink = AnnouncementSink(core.announcements, upstream)
+    sink.limit_time(core.client.open(upstream.address, call, sink), RELEASE_TIMEOUT_S)
--- a/src/beamhatch/relay/upstreams/announcements.py
+++ b/src/beamhatch/relay/upstreams/announcements.py
@@ -7,7 +7,7 @@
 
 import math
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from beamhatch.relay.choosing.rests import Backoffs
 from beamhatch.relay.limits.limits import Limits
@@ -22,7 +22,7 @@
     from beamhatch.relay.api import AnnouncedLimit, Dialect, ResponseFacts
     from beamhatch.relay.limits.words import LimitState
     from beamhatch.relay.model import Incarnation, Upstream, UpstreamId
-    from beamhatch.relay.upstreams.http_client import CallFailure, ResponseHead
+    from beamhatch.relay.upstreams.http_client import CallFailure, HttpExchange, ResponseHead
     from beamhatch.relay.upstreams.listing import Listing
 
 LIMIT_LOG_INTERVAL_S = 1.0
@@ -164,6 +164,11 @@
         self._announcements = announcements
         self._upstream = upstream
         self._sent_at = announcements.clock.now()
+        self._timer: Any = None
+
+    def limit_time(self, http: HttpExchange, seconds: float) -> None:
+        """Close the connection of the call unless the response ends within some seconds."""
+        self._timer = self._announcements.clock.call_later(seconds, http.cancel)
 
     def handle_head(self, head: ResponseHead) -> None:
         """Apply the announcements."""
@@ -173,7 +178,13 @@
         """Do nothing."""
 
     def handle_end(self) -> None:
-        """Do nothing."""
+        """Stop the timer."""
+        self._stop_timer()
 
     def handle_failure(self, failure: CallFailure, detail: str) -> None:
-        """Do nothing."""
+        """Stop the timer."""
+        self._stop_timer()
+
+    def _stop_timer(self) -> None:
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
--- a/src/beamhatch/relay/upstreams/http_client.py
+++ b/src/beamhatch/relay/upstreams/http_client.py
@@ -27,6 +27,7 @@
 from beamhatch.relay.overload.meter import LinkMeter
 from beamhatch.relay.tunnels.api import DialReceiver, allow_any_hall, allow_no_hall
 from beamhatch.relay.tunnels.direct import DirectDialer
+from beamhatch.relay.upstreams.response_bounds import DEFAULT_MAX_BODY_BYTES, ResponseBounds
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Set
@@ -67,6 +68,8 @@
     """The connection was lost; the request may have run."""
     MALFORMED = "malformed"
     """The response was invalid; the request may have run."""
+    EXCESSIVE = "excessive"
+    """The response was larger, or took longer, than any valid one; the request may have run."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -107,6 +110,10 @@
         """Return whether a response is to this call, not a late one to another call."""
         return True
 
+    def get_max_body_bytes(self) -> int | None:
+        """Return the maximum size of the body, once the head is known; None if the sink bounds what it receives."""
+        return DEFAULT_MAX_BODY_BYTES
+
     @abstractmethod
     def handle_head(self, head: ResponseHead) -> None:
         """Handle the head of the response."""
@@ -176,6 +183,7 @@
         self._state = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
         self._skipping = False
         self._head: ResponseHead | None = None
+        self._bounds = ResponseBounds()
 
     def connectionMade(self) -> None:
         """Set the socket options."""
@@ -185,6 +193,7 @@
     def send(self, exchange: HttpExchange) -> None:
         """Write a call's request."""
         self._exchange = exchange
+        self._bounds = ResponseBounds()
         self.kind = exchange.kind
         exchange.connection = self
         if exchange.sink is not None:
@@ -221,6 +230,7 @@
 
     def _feed(self, data: bytes) -> None:
         try:
+            self._bounds.record_received(len(data))
             self._state.receive_data(data)
             self._handle_events()
         except h11.RemoteProtocolError as problem:
@@ -229,16 +239,24 @@
     def _handle_events(self) -> None:
         while self._exchange is not None:
             event = self._state.next_event()
-            if event is h11.NEED_DATA or event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
+            is_waiting = event is h11.NEED_DATA or event is h11.PAUSED or isinstance(event, h11.ConnectionClosed)
+            if not is_waiting:
+                self._handle_event(event)
+            excess = self._bounds.find_excess()
+            if excess is not None:
+                self._fail(CallFailure.EXCESSIVE, excess.value)
+            if is_waiting:
                 return
-            self._handle_event(event)
 
     def _handle_event(self, event: Any) -> None:
         exchange = self._exchange
         assert exchange is not None
-        if isinstance(event, h11.Response):
+        if isinstance(event, h11.InformationalResponse):
+            self._bounds.record_skipped()
+        elif isinstance(event, h11.Response):
             self._handle_head(exchange, ResponseHead(event.status_code, decode_headers(event.headers)))
         elif isinstance(event, h11.Data) and not self._skipping:
+            self._bounds.record_body(len(event.data))
             if exchange.sink is not None:
                 exchange.sink.handle_data(bytes(event.data))
         elif isinstance(event, h11.EndOfMessage):
@@ -247,8 +265,13 @@
     def _handle_head(self, exchange: HttpExchange, head: ResponseHead) -> None:
         self._head = head
         self._skipping = exchange.sink is not None and not exchange.sink.matches(head)
-        if not self._skipping and exchange.sink is not None:
+        if self._skipping:
+            self._bounds.record_skipped()
+            return
+        if exchange.sink is not None:
             exchange.sink.handle_head(head)
+        if exchange.sink is not None:  # it may have been cancelled
+            self._bounds.max_body_bytes = exchange.sink.get_max_body_bytes()
 
     def _handle_end(self, exchange: HttpExchange) -> None:
         if self._skipping:
--- a/src/beamhatch/relay/upstreams/http_fetch.py
+++ b/src/beamhatch/relay/upstreams/http_fetch.py
@@ -23,26 +23,27 @@
 
 
 class _Fetch(ResponseSink):
-    def __init__(self, clock: Clock, timeout: float, handle_silence: Callable[[], None]) -> None:
+    def __init__(self, clock: Clock, timeout: float, handle_silence: Callable[[], None], max_body_bytes: int) -> None:
         """Create a sink.
 
         :param handle_silence: called if there is no response in time
         """
         self._handle_silence = handle_silence
+        self._max_body_bytes = max_body_bytes
         self.done: defer.Deferred[BufferedResponse | str] = defer.Deferred(self._handle_cancel)
         self.exchange: HttpExchange | None = None
         self._head: ResponseHead | None = None
         self._body = bytearray()
         self._timer: Any = clock.call_later(timeout, self._handle_timeout)
 
+    def get_max_body_bytes(self) -> int | None:
+        return self._max_body_bytes
+
     def handle_head(self, head: ResponseHead) -> None:
         self._head = head
 
     def handle_data(self, data: bytes) -> None:
         self._body += data
-        if len(self._body) > MAX_BODY_BYTES:
-            self._cancel()
-            self._finish("response body too large")
 
     def handle_end(self) -> None:
         assert self._head is not None
@@ -79,6 +80,8 @@
     call: Call,
     timeout: float,
     may_pass: HallFilter = allow_any_hall,
+    *,
+    max_body_bytes: int = MAX_BODY_BYTES,
 ) -> defer.Deferred[BufferedResponse | str]:
     """Send a call; the deferred fires with the response, or with the error as text.
 
@@ -88,6 +91,6 @@
     :param timeout: seconds
     :param may_pass: returns whether the call may go through a peer in a hall
     """
-    sink = _Fetch(clock, timeout, lambda: client.close_idle(address))
+    sink = _Fetch(clock, timeout, lambda: client.close_idle(address), max_body_bytes)
     sink.exchange = client.open(address, call, sink, may_pass=may_pass)
     return sink.done
--- a/src/beamhatch/relay/upstreams/plain_attempt.py
+++ b/src/beamhatch/relay/upstreams/plain_attempt.py
@@ -22,11 +22,13 @@
 class PlainAttempt(Attempt):
     """Attempt at a plain service; the response is buffered until it is complete."""
 
+    def get_max_body_bytes(self) -> int | None:
+        """Return the maximum size of a response, which is buffered."""
+        return MAX_BODY_BYTES
+
     def handle_data(self, data: bytes) -> None:
         """Buffer body data."""
         self.body += data
-        if len(self.body) > MAX_BODY_BYTES:
-            self.fail("response body too large")
 
     def handle_end(self) -> None:
         """Forward the response, or let the exchange try another upstream."""
--- a/src/beamhatch/relay/upstreams/prefill_attempt.py
+++ b/src/beamhatch/relay/upstreams/prefill_attempt.py
@@ -7,12 +7,6 @@
 from beamhatch.relay.upstreams.attempt import Attempt
 from beamhatch.relay.upstreams.http_client import CallFailure
 
-MAX_BODY_BYTES = 64 * 1024
-"""Maximum size of the body of a response.
-
-Usual ones have less than a hundred.
-"""
-
 MIN_TIMEOUT_S = 0.6
 """Lower bound of the timeout.
 
@@ -38,8 +32,6 @@
     def handle_data(self, data: bytes) -> None:
         """Buffer body data."""
         self.body += data
-        if len(self.body) > MAX_BODY_BYTES:
-            self.fail("prefill response too large")
 
     def handle_end(self) -> None:
         """Record the handle of the KV cache, and let the exchange go on to a decode engine."""
--- a/src/beamhatch/relay/upstreams/reserve_attempt.py
+++ b/src/beamhatch/relay/upstreams/reserve_attempt.py
@@ -17,9 +17,6 @@
     from beamhatch.relay.tunnels.api import Via
     from beamhatch.relay.upstreams.http_client import Call, HttpExchange, ResponseHead
 
-MAX_BODY_BYTES = 64 * 1024
-"""Maximum size of each piece of body data that is kept."""
-
 GRANTED = 200
 """HTTP status of a granted reservation."""
 
@@ -99,7 +96,7 @@
 
     def handle_data(self, data: bytes) -> None:
         """Buffer body data."""
-        self._body += data[:MAX_BODY_BYTES]
+        self._body += data
 
     def handle_end(self) -> None:
         """Record the result, and let the exchange go on."""
@@ -188,7 +185,7 @@
 
     def handle_data(self, data: bytes) -> None:
         """Buffer body data."""
-        self._body += data[:MAX_BODY_BYTES]
+        self._body += data
 
     def handle_end(self) -> None:
         """Offer the memory that was granted to the request, and release it if the request does not need it."""
--- a/src/beamhatch/relay/upstreams/stream_attempt.py
+++ b/src/beamhatch/relay/upstreams/stream_attempt.py
@@ -30,6 +30,12 @@
 MIN_TIMEOUT_S = 0.6
 """Lower bound of the timeouts."""
 
+EVENTS_PER_TOKEN = 4
+"""Events that an engine may send for each token of output; usual ones send at most one."""
+
+EXTRA_EVENTS = 64
+"""Events that it may send in addition."""
+
 LAPSED_HANDLE_PAUSE_S = 3.0
 """Time for which a prefill engine is avoided after one of its KV cache handles expired."""
 
@@ -39,21 +45,36 @@
 
     def __init__(self, exchange: RelayExchange, send: Send) -> None:
         super().__init__(exchange, send)
-        self._events = EventChecker(self.request.last_event)
+        self._events = EventChecker(self.request.last_event, self._compute_max_events())
         self._last_event_at: float | None = None
         """Monotonic seconds of the last events from this engine."""
         self._parts_succeeded = False
         self._is_flowing = False
         """Whether the stream is counted among those of its engine that go on."""
+        self._early_comments = b""
+        """Comments that arrived before this attempt continued the stream."""
         self._held: list[Callable[[], None]] = []
         """What to do with the parts of the response that arrived before this attempt may continue the stream."""
 
+    def _compute_max_events(self) -> int | None:
+        """Return the number of events that a stream may have, None if the caller tells no number of tokens."""
+        tokens = self.request.facts.output_tokens
+        return None if not tokens else EVENTS_PER_TOKEN * tokens + EXTRA_EVENTS
+
     def handle_head(self, head: ResponseHead) -> None:
         """Apply the head; that of a stream is forwarded with the first event."""
         super().handle_head(head)
         if self._is_stream and self.send.handle is not None and self.request.handle is self.send.handle:
             self.request.drop_handle()
 
+    def is_success(self) -> bool:
+        """Return whether the response is a stream."""
+        return self.head is not None and self._is_stream
+
+    def get_max_body_bytes(self) -> int | None:
+        """Return the maximum size of an error response; a stream is bounded event by event."""
+        return None if self.is_success() else super().get_max_body_bytes()
+
     def handle_data(self, data: bytes) -> None:
         """Forward complete events, or buffer the body of an error response."""
         if not self._is_stream:
@@ -64,8 +85,10 @@
         except StreamError as problem:
             self.fail(str(problem))
             return
-        if events.data:
+        if events.has_events:
             self._do_when_admitted(lambda: self._forward_events(events.data, events.last_id))
+        elif events.data:
+            self._do_when_admitted(lambda: self._forward_comments(events.data))
 
     def _do_when_admitted(self, action: Callable[[], None]) -> None:
         """Do something at once, or as soon as this attempt may continue the stream."""
@@ -120,6 +143,8 @@
             self.stats.streams += 1 if is_flowing else -1
 
     def _end_stream(self) -> None:
+        if self._early_comments:
+            self.exchange.send_comments(self._early_comments)
         self._record_output_length()
         self.exchange.end_stream()
 
@@ -167,9 +192,17 @@
         self._record_token_rate(last)
         self.request.record_event(last, self.send.upstream.version)
         self._restart_timer(self.get_timeout())
-        self.exchange.send_events(data)
+        comments, self._early_comments = self._early_comments, b""
+        self.exchange.send_events(comments + data)
         self._record_progress()
 
+    def _forward_comments(self, data: bytes) -> None:
+        """Forward comments and blank lines, which are no progress of the stream."""
+        if self.request.response_begun and not self.exchange.is_searching:
+            self.exchange.send_comments(data)
+        else:
+            self._early_comments += data
+
     def _record_progress(self) -> None:
         """Record once that the engine goes on responding, which shows that the prompt does not crash it."""
         now = self.core.clock.now()
--- a/tests/relay/upstreams/test_events.py
+++ b/tests/relay/upstreams/test_events.py
@@ -6,7 +6,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from beamhatch.relay.upstreams.events import EventChecker, StreamError
+from beamhatch.relay.upstreams.events import MAX_EVENT_BYTES, EventChecker, StreamError
 
 
 def make_stream(first: int, last: int) -> bytes:
@@ -46,3 +46,22 @@
     checker = EventChecker(None)
     assert checker.feed(make_stream(1, 1) + b"id: 2\nda").last_id == 1
     assert not checker.is_complete
+
+
+@pytest.mark.parametrize("unit", [b": nothing\n\n", b"\n\n"])
+def test_bytes_without_an_event_are_bounded_and_told_apart(unit: bytes) -> None:
+    checker = EventChecker(None)
+    checker.feed(make_stream(1, 1))
+    passed = checker.feed(100 * unit)
+    assert passed.data == 100 * unit
+    assert not passed.has_events
+    assert checker.feed(unit + make_stream(2, 2)).has_events
+    with pytest.raises(StreamError):
+        checker.feed((MAX_EVENT_BYTES // len(unit) + 1) * unit)
+
+
+def test_more_events_than_the_stream_may_have_raise() -> None:
+    checker = EventChecker(None, max_events=3)
+    checker.feed(make_stream(1, 3))
+    with pytest.raises(StreamError):
+        checker.feed(make_stream(4, 4))
