Take a refusal for what its head says though its body does not end

What callers saw: an upstream refused a request that may not run twice, and its body did not end. Callers got 502 or, where bytes came slowly, 504 at their deadline, both of which say that the request may have run; a sound upstream was not asked.

Cause: whether a request has run was looked up at the end of the response only. A failure before that counted as a run, though the head had said that there was none.

Evidence: test_a_refusal_without_end_counts_as_a_run, four cases, fails before (502, 504).

Change: a response that is cut off because of its size or its time counts as a refusal where its head is one, and the request goes on to another upstream. A response that is no success ends within 1 s of its head, or is cut off; so slow bytes hold no request until its deadline. The failure counts against the upstream.

--- a/src/beamhatch/relay/upstreams/attempt.py
+++ b/src/beamhatch/relay/upstreams/attempt.py
@@ -26,6 +26,10 @@
     from beamhatch.relay.upstreams.http_client import Call, HttpExchange, ResponseHead
 
 
+UNSUCCESSFUL_BODY_TIME_S = 1.0
+"""Time from the head to the end of a response that is not a success; upstreams send both at once."""
+
+
 class Attempt(ResponseSink):
     """Attempt to send a request to one upstream; at its end, the exchange takes the next step."""
 
@@ -49,6 +53,8 @@
         self._ended = False
         self._crash_reported = False
         self._timer: Any = None
+        self._body_timer: Any = None
+        """Timer until the end of a response that is not a success; None without such a response."""
         self._is_paused = False
         """Whether the response is not read as the caller reads too slowly."""
         self._silence_recorded_at = -math.inf
@@ -131,6 +137,7 @@
         """Stop reading the response, and stop the timeout."""
         self._is_paused = True
         self._stop_timer()
+        self._stop_body_timer()
         if self._http is not None:
             self._http.pause()
 
@@ -140,6 +147,7 @@
         if self._http is not None and not self._ended:
             self._http.resume()
             self._restart_timer(self.get_timeout())
+            self._limit_body_time()
 
     def release_held(self) -> None:
         """Continue with what was held back of the response."""
@@ -192,11 +200,36 @@
             self.stats.record_load(self.facts.load, now)
         if self._probe is not None:
             self._probe.end(now, answered=not self.has_not_run())
+        self._limit_body_time()
+
+    def is_success(self) -> bool:
+        """Return whether the response has the status of a success."""
+        return self.head is not None and self.head.status < 300
+
+    def _limit_body_time(self) -> None:
+        """Close the connection soon unless the response ends, if it is not a success."""
+        self._stop_body_timer()
+        if self.head is not None and not self.is_success():
+            self._body_timer = self.core.clock.call_later(UNSUCCESSFUL_BODY_TIME_S, self._handle_body_timeout)
+
+    def _handle_body_timeout(self) -> None:
+        self._body_timer = None
+        if self._http is not None:
+            self._http.cancel()
+        self.handle_failure(CallFailure.EXCESSIVE, "the response did not end in time")
+
+    def _stop_body_timer(self) -> None:
+        timer, self._body_timer = self._body_timer, None
+        if timer is not None and timer.active():
+            timer.cancel()
 
     def handle_failure(self, failure: CallFailure, detail: str) -> None:
         """Record the failure, and let the exchange try another upstream."""
         if self._ended:
             return
+        if failure is CallFailure.EXCESSIVE and self.head is not None and self.has_not_run():
+            self._handle_excessive_rejection(detail)
+            return
         self._end()
         now = self.core.clock.now()
         if failure is CallFailure.UNREACHED:
@@ -226,6 +259,13 @@
             self.request.record_unreachable(self.send)
         self.exchange.replan_after(self)
 
+    def _handle_excessive_rejection(self, detail: str) -> None:
+        """Handle a response whose head proves that the request has not run, though its body is not complete."""
+        self.stats.record_failure(self.core.clock.now())
+        self.core.tally.count("send_faults_total", CallFailure.EXCESSIVE.value)
+        self.exchange.write_log("rejection cut off", to=self.send.upstream.id, detail=detail)
+        self.handle_end()
+
     def _report_broken_run(self, ran: float) -> None:
         """Report a run that may have ended with a crash of the upstream."""
         begun = self.head is not None
@@ -421,6 +461,7 @@
             if self._probe is not None:
                 self._probe.end(now, answered=False)
             self._stop_timer()
+            self._stop_body_timer()
             self._end_prefill()
             self.stats.record_end(self._tokens)
             if self._sent and self.send.stage is not Stage.PREFILL and self.request.split:
--- a/tests/platform/test_endless_bytes.py
+++ b/tests/platform/test_endless_bytes.py
@@ -87,6 +87,29 @@
     assert set(statuses) == {200}
 
 
+@pytest.mark.parametrize(("call", "flood"), CASES, ids=describe)
+def test_a_slow_response_without_end_holds_a_repeatable_request(call: CallType, flood: Flood) -> None:
+    platform, bad = make_platform_with(Selection(call, flood), is_slow=True)
+    path = "/safe/x" if call is CallType.PLAIN else "/resumable/x"
+    statuses = ask_until_called(platform, bad, path)
+    platform.network.run(MAX_CALL_TIME_S)
+    assert all(one.ended_at is not None for one in bad.outpours)
+    assert set(statuses) == {200}
+
+
+@pytest.mark.parametrize("is_slow", [False, True], ids=["fast", "slow"])
+@pytest.mark.parametrize("call", [CallType.STREAM, CallType.PLAIN], ids=describe)
+def test_a_refusal_without_end_counts_as_a_run(call: CallType, is_slow: bool) -> None:
+    platform, bad = make_platform_with(Selection(call, Flood.REFUSAL_BODY), is_slow=is_slow)
+    path = "/unsafe/x" if call is CallType.PLAIN else "/stream/x"
+    for number in range(12):
+        caller = platform.finish(platform.call(path, f"q{number}"), 30.0)
+        assert caller.status in (200, 503)
+        assert caller.status == 200 or not platform.ledger.runs[f"q{number}"]
+    assert bad.outpours
+    assert max(platform.ledger.runs.values()) == 1
+
+
 @pytest.mark.parametrize("flood", [*BODIES, *FRAMING], ids=describe)
 def test_a_release_is_answered_without_end(flood: Flood) -> None:
     platform, bad = make_platform_with(Selection(CallType.RELEASE, flood))
