Read the record of versions at few VMs, and where a stream needs it

Cause: each VM read the record at its start, and all VMs that watch wrote a change at once and read again what another one had written.

Change: the VMs that watch the store take turns, 1 s a rank and 10 s at the most, and read before they write. So a stream of a service with one version goes on at once after all VMs restarted, as test_all_vms_restart asks. The loops that compare draw no random numbers while nothing is to be written.

The mutant of test_silence_spells that leaves requests running is a mock of a receiver, which now has to tell a bound of the body; it sets none.

--- a/src/beamhatch/relay/daemon.py
+++ b/src/beamhatch/relay/daemon.py
@@ -189,6 +189,7 @@
         self.core.quarantine_gossip.on_quarantined = persistence.add
         self.core.quarantine_gossip.on_clear = persistence.remove
         self._version_recorder = self._make_version_recorder(store.streams)
+        self.core.origins.read_versions = self._version_recorder.read_now
         self._stream_writer = self._make_stream_writer(store.streams)
         self._usage_gossip = self._make_usage_gossip()
         if self._gossip is not None and Mechanism.SHARED_DEPARTURES not in settings.disabled:
@@ -425,6 +426,9 @@
             self.core.listing,
             store,
             should_write=_always if gossip is None else gossip.should_watch_store,
+            has_peers=_has_no_peers if gossip is None else gossip.has_peers,
+            get_rank=_get_first_rank if gossip is None else gossip.membership.count_higher_ranked,
+            start_delay_s=STARTUP_PEER_TIMEOUT_S if gossip is not None and gossip.membership.may_have_peers else 0.0,
             is_first_start=self.settings.is_first_start,
         )
 
@@ -492,3 +496,7 @@
 
 def _has_no_peers() -> bool:
     return False
+
+
+def _get_first_rank() -> int:
+    return 0
--- a/src/beamhatch/relay/streams/lookup.py
+++ b/src/beamhatch/relay/streams/lookup.py
@@ -93,15 +93,20 @@
         self.unanswered.discard(address)
         if record is not None:
             return record
+        self.add_knowledge(knowledge)
         known = self.known
-        known.versions |= knowledge.versions
-        known.has_several = known.has_several or knowledge.has_several or len(known.versions) > 1
-        known.is_complete = known.is_complete or knowledge.is_complete
         answered = self.asked - len(self.unanswered)
         if not self.unanswered or (self._half_suffices and not known.has_several and 2 * answered >= self.asked):
             return self.conclude()
         return None
 
+    def add_knowledge(self, knowledge: Knowledge) -> None:
+        """Add what another VM, or the store, knows of the service's versions."""
+        known = self.known
+        known.versions |= knowledge.versions
+        known.has_several = known.has_several or knowledge.has_several or len(known.versions) > 1
+        known.is_complete = known.is_complete or knowledge.is_complete
+
     def conclude(self) -> Origin:
         """Return the origin of a stream of which no record was found, after the time for answers is over.
 
--- a/src/beamhatch/relay/streams/open_stream_writer.py
+++ b/src/beamhatch/relay/streams/open_stream_writer.py
@@ -25,6 +25,9 @@
 WRITE_INTERVAL_S = 1.0
 """Minimum seconds between two writes; streams that began since the last one are lost with all VMs."""
 
+JITTER_SHARE = 0.2
+"""Share of the interval by which a write is delayed at random, so that VMs which started together write apart."""
+
 FLEET_WRITES_PER_S = 40.0
 """Writes per second of all VMs together, a tenth of what the smallest store takes."""
 
@@ -74,14 +77,15 @@
     async def _run(self) -> None:
         while True:
             interval_s = max(WRITE_INTERVAL_S, self._count_vms() / FLEET_WRITES_PER_S)
-            await sleep(self._clock, interval_s * random.uniform(0.8, 1.0))
-            await self._write_if_needed()
+            await sleep(self._clock, (1 - JITTER_SHARE) * interval_s)
+            await self._write_if_needed(JITTER_SHARE * interval_s)
 
-    async def _write_if_needed(self) -> None:
-        streams = self._list_streams()
-        keys = frozenset(key for one in streams for key in one.keys)
-        if not keys or not self._is_due(keys):
+    async def _write_if_needed(self, max_delay_s: float) -> None:
+        if not self._is_due(_list_keys(self._list_streams())):
             return
+        await sleep(self._clock, random.uniform(0.0, max_delay_s))
+        streams = self._list_streams()
+        keys = _list_keys(streams)
         self._tally.count("stream_store_writes_total")
         failure = await self._store.write_streams(streams)
         if failure is not None:
@@ -93,6 +97,8 @@
         self._generation = self._store.generation
 
     def _is_due(self, keys: frozenset[StreamKey]) -> bool:
+        if not keys:
+            return False
         is_old = self._clock.now() - self._written_at > REWRITE_INTERVAL_S
         return is_old or not keys <= self._written or self._generation != self._store.generation
 
@@ -100,3 +106,7 @@
         if not failure.check(defer.CancelledError):
             self._journal.write("STREAM", "writer failed", error=failure.getTraceback())
             self._clock.call_later(WRITE_INTERVAL_S, self.start)
+
+
+def _list_keys(streams: Sequence[OpenStreams]) -> frozenset[StreamKey]:
+    return frozenset(key for one in streams for key in one.keys)
--- a/src/beamhatch/relay/streams/origins.py
+++ b/src/beamhatch/relay/streams/origins.py
@@ -90,8 +90,11 @@
 class PendingLookup:
     """A lookup that waits for answers of peers."""
 
-    def __init__(self, key: StreamKey, lookup: Lookup, on_origin: Callable[[Origin], None]) -> None:
+    def __init__(
+        self, key: StreamKey, service: ServiceName, lookup: Lookup, on_origin: Callable[[Origin], None]
+    ) -> None:
         self.key = key
+        self.service = service
         self.lookup = lookup
         self.on_origin = on_origin
         self.timer: Any = None
@@ -118,6 +121,8 @@
         self._placed_at = float("-inf")
         self.stored: StoredStreams | None = None
         """Streams recorded in the store; None if they are not read."""
+        self.read_versions: Callable[[Callable[[], None]], bool] = lambda on_done: False
+        """Reads the recorded versions and calls its argument; returns False if that would tell no more."""
         self.is_isolated: Callable[[], bool] = lambda: False
         """Returns whether this VM reaches neither a peer nor the store."""
         self._pending: dict[int, PendingLookup] = {}
@@ -231,13 +236,13 @@
         chooser = self._place_members(now)
         asked = [] if chooser is None else chooser.list_asked(key)
         lookup = self._make_lookup(service, {_get_datagram_host(one) for one in asked}, now)
-        pending = PendingLookup(key, lookup, on_origin)
+        pending = PendingLookup(key, service, lookup, on_origin)
         number = next(self._numbers)
         if asked:
             self._pending[number] = pending
             self._ask(number, service, [_get_datagram_address(one) for one in asked], LOOKUP_ROUNDS)
             return pending
-        origin = self._read_stored(number, pending, lookup.conclude())
+        origin = self._ask_store(number, pending, lookup.conclude())
         return pending if origin is None else origin
 
     def _make_lookup(self, service: ServiceName, hosts: set[str], now: float) -> Lookup:
@@ -272,28 +277,55 @@
         )
 
     def _finish(self, number: int, origin: Origin) -> None:
-        """End the questions to peers, and read the streams in the store if no record was found."""
+        """End the questions to peers, and tell the origin unless the store may tell more."""
         pending = self._pending.pop(number)
         pending.cancel()
-        found = self._read_stored(number, pending, origin)
+        found = self._ask_store(number, pending, origin)
         if found is not None:
             pending.on_origin(found)
 
-    def _read_stored(self, number: int, pending: PendingLookup, origin: Origin) -> Origin | None:
-        """Return the origin, or None if it is told once the streams in the store have been read."""
-        if not isinstance(origin, UnknownVersion) or not pending.lookup.known.has_several or self.stored is None:
+    def _ask_store(self, number: int, pending: PendingLookup, origin: Origin) -> Origin | None:
+        """Return the origin, or None if it is told once the store has been read."""
+        if not isinstance(origin, UnknownVersion):
+            return origin
+        if not pending.lookup.known.is_complete and self.read_versions(lambda: self._handle_versions_read(number)):
+            self._await_store(number, pending, origin)
+            return None
+        return self._read_streams(number, pending, origin)
+
+    def _read_streams(self, number: int, pending: PendingLookup, origin: UnknownVersion) -> Origin | None:
+        """Return the origin, or None if it is told once the recorded streams have been read."""
+        if not pending.lookup.known.has_several or self.stored is None:
             return origin
         wait_s = self.stored.compute_wait_s()
         if wait_s:
             return replace(origin, wait_s=max(origin.wait_s, wait_s))
-        self._pending[number] = pending
-        late = replace(origin, wait_s=max(origin.wait_s, STORE_RETRY_S))
-        pending.timer = self._clock.call_later(STORE_WAIT_S, self._finish_read, number, late)
-        self.stored.read(lambda succeeded: self._finish_read(number, origin if succeeded else late))
+        late = self._await_store(number, pending, origin)
+        self.stored.read(lambda succeeded: self._tell(number, origin if succeeded else late))
         return None
 
-    def _finish_read(self, number: int, origin: Origin) -> None:
-        """Tell what was found in the store, unless the caller has left or was told before."""
+    def _await_store(self, number: int, pending: PendingLookup, origin: UnknownVersion) -> UnknownVersion:
+        """Tell the caller to come back unless the store answers soon; return that answer."""
+        late = replace(origin, wait_s=max(origin.wait_s, STORE_RETRY_S))
+        pending.cancel()
+        self._pending[number] = pending
+        pending.timer = self._clock.call_later(STORE_WAIT_S, self._tell, number, late)
+        return late
+
+    def _handle_versions_read(self, number: int) -> None:
+        """Conclude a lookup anew with the versions that were read."""
+        pending = self._pending.get(number)
+        if pending is None:
+            return
+        now = self._clock.now()
+        pending.lookup.add_knowledge(self._get_knowledge(pending.service, now))
+        origin = pending.lookup.conclude()
+        found = self._read_streams(number, pending, origin) if isinstance(origin, UnknownVersion) else origin
+        if found is not None:
+            self._tell(number, found)
+
+    def _tell(self, number: int, origin: Origin) -> None:
+        """Tell what was found, unless the caller has left or was told before."""
         pending = self._pending.pop(number, None)
         if pending is None:
             return
--- a/src/beamhatch/relay/streams/version_recorder.py
+++ b/src/beamhatch/relay/streams/version_recorder.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import random
 from typing import TYPE_CHECKING, Any
 
 from twisted.internet import defer
@@ -26,6 +25,12 @@
 CHECK_INTERVAL_S = 0.25
 """Seconds between two comparisons of the versions that this VM knows with the recorded ones; they need no call."""
 
+WRITE_STAGGER_S = 1.0
+"""Time that a VM leaves each VM of higher rank to write a change."""
+
+MAX_WRITE_STAGGER_S = 10.0
+"""Upper bound of the time that a VM leaves others to write a change; they may not reach the store."""
+
 MAX_RETRY_DELAY_S = 2.0
 """Upper bound of the delay after a failed call to the store; it doubles with each failure."""
 
@@ -41,12 +46,18 @@
         listing: Listing,
         store: StreamStore,
         should_write: Callable[[], bool],
+        has_peers: Callable[[], bool],
+        get_rank: Callable[[], int],
         *,
+        start_delay_s: float,
         is_first_start: bool,
     ) -> None:
         """Create a recorder.
 
         :param should_write: returns whether this VM records changes, on behalf of its hall
+        :param has_peers: returns whether any peer is connected that may be asked instead of the store
+        :param get_rank: returns the number of VMs that have precedence in recording changes
+        :param start_delay_s: seconds from the start in which peers are given time to connect
         :param is_first_start: whether no VM has ever run, so that a store without a record has lost none
         """
         self._clock = clock
@@ -56,6 +67,16 @@
         self._versions = listing.versions
         self._store = store
         self._should_write = should_write
+        self._has_peers = has_peers
+        self._get_rank = get_rank
+        self._is_reading = False
+        self._waiting: list[Callable[[], None]] = []
+        """Called when the read under way has ended."""
+        self._failed_at = float("-inf")
+        """Monotonic seconds of the last read that failed."""
+        self._outdated_since: float | None = None
+        """Monotonic seconds since which the record has to be read or written; None if it is up to date."""
+        self._start_delay_s = start_delay_s
         self._is_first_start = is_first_start
         self._stored: StoredVersions | None = None
         """The record as last read or written; None if it must be read again."""
@@ -76,7 +97,21 @@
         if running is not None:
             running.cancel()
 
+    def read_now(self, on_done: Callable[[], None]) -> bool:
+        """Read the record, or wait for the read under way; return False if it was read or could not be read just now.
+
+        :param on_done: called when the read has ended
+        """
+        now = self._clock.now()
+        if not self._is_reading and (self._stored is not None or now < self._failed_at + MAX_RETRY_DELAY_S):
+            return False
+        self._waiting.append(on_done)
+        if not self._is_reading:
+            defer.ensureDeferred(self._read()).addErrback(self._handle_exit)
+        return True
+
     async def _run(self) -> None:
+        await sleep(self._clock, self._start_delay_s)
         delay = CHECK_INTERVAL_S
         while True:
             failure = await self._check()
@@ -85,16 +120,43 @@
             else:
                 self._tally.count("store_failures_total", "versions")
                 delay = min(MAX_RETRY_DELAY_S, 2 * delay)
-            await sleep(self._clock, delay * random.uniform(0.7, 1.3))
+            await sleep(self._clock, delay)
 
     async def _check(self) -> StoreUnavailable | None:
         """Read the record, or write it anew, where that is due; return the failure of the call, if any."""
         self._note_experience()
-        if self._stored is None or (self._generation != self._store.generation and self._should_write()):
+        should_write = self._should_write()
+        if self._is_reading:
+            return None
+        if not self._has_peers() and self._stored is None:
             return await self._read()
-        if self._listing.complete and self._should_write() and self._differs(self._stored):
-            return await self._write(self._stored)
-        return None
+        if not should_write or not self._is_outdated():
+            self._outdated_since = None
+            return None
+        return await self._update() if self._is_next() else None
+
+    def _is_outdated(self) -> bool:
+        """Return whether the record has to be read, or differs from what this VM knows."""
+        if self._stored is None or self._generation != self._store.generation:
+            return True
+        return self._listing.complete and self._differs(self._stored)
+
+    def _is_next(self) -> bool:
+        """Return whether VMs of higher rank have had time to write the change."""
+        now = self._clock.now()
+        if self._outdated_since is None:
+            self._outdated_since = now
+        return now >= self._outdated_since + min(self._get_rank() * WRITE_STAGGER_S, MAX_WRITE_STAGGER_S)
+
+    async def _update(self) -> StoreUnavailable | None:
+        """Read the record unless it is known, and write the change if there still is one."""
+        if self._get_rank() or self._stored is None or self._generation != self._store.generation:
+            failure = await self._read()
+            if failure is not None or self._stored is None:
+                return failure
+        if not self._listing.complete or not self._differs(self._stored):
+            return None
+        return await self._write(self._stored)
 
     def _note_experience(self) -> None:
         now = self._clock.now()
@@ -109,9 +171,22 @@
         return self._versions.list_all(now) != stored.versions
 
     async def _read(self) -> StoreUnavailable | None:
-        stored = await self._store.read_versions()
-        if isinstance(stored, StoreUnavailable):
-            return stored
+        self._is_reading = True
+        try:
+            stored = await self._store.read_versions()
+            if isinstance(stored, StoreUnavailable):
+                self._failed_at = self._clock.now()
+                return stored
+            self._apply(stored)
+            return None
+        finally:
+            self._is_reading = False
+            waiting, self._waiting = self._waiting, []
+            for on_done in waiting:
+                on_done()
+
+    def _apply(self, stored: StoredVersions) -> None:
+        """Add what is recorded to what this VM knows."""
         self._keep(stored)
         now = self._clock.now()
         for service, versions in stored.versions.items():
@@ -122,7 +197,6 @@
         self._journal.write(
             "VERSION", "read", services=len(stored.versions), whole=stored.is_complete, revision=stored.revision
         )
-        return None
 
     async def _write(self, before: StoredVersions) -> StoreUnavailable | None:
         now = self._clock.now()
--- a/tests/platform/test_silence_spells.py
+++ b/tests/platform/test_silence_spells.py
@@ -65,7 +65,7 @@
         if not self._ended:
             self._end()
             if self._http is not None:
-                self._http.sink = Mock()
+                self._http.sink = Mock(get_max_body_bytes=lambda: None)
 
     monkeypatch.setattr(Attempt, "cancel", leave)
 
