Split the exchange of a request by job, and take it out of the circle round the core

requests/exchange.py had 934 lines and 80 methods and stood in a circle of imports with the core and the attempts.

- caller_response: what is sent to the caller, and how long it took
- held_memory: KV cache, reservation and permit, and their release
- queue_place: the place in the queue for decode memory
- planner: the next step, given what the VM knows of upstreams
- api: the request that the core hands over (NewRequest), and what the core asks of an open one (OpenRequest)
- upstreams/api: what attempts ask of their request (AttemptOwner)

The core names no exchange any more: the daemon gives it the function that makes one. Attempts name the interface.

--- a/src/beamhatch/relay/core.py
+++ b/src/beamhatch/relay/core.py
@@ -27,9 +27,9 @@
 from beamhatch.relay.quarantine.digests import RequestDigests, compute_digests
 from beamhatch.relay.quarantine.quarantine import Quarantine
 from beamhatch.relay.quarantine.talk import QuarantineGossip, QuarantineGossipDependencies
+from beamhatch.relay.requests.api import NewRequest
 from beamhatch.relay.requests.budget import RetryBudget, RetryBudgetLimits
 from beamhatch.relay.requests.caller_retries import CallerRetries
-from beamhatch.relay.requests.exchange import RelayExchange
 from beamhatch.relay.requests.fingerprint import compute_fingerprint
 from beamhatch.relay.requests.lengths import OutputLengths
 from beamhatch.relay.requests.memory_lines import MemoryQueues
@@ -62,13 +62,12 @@
         Fingerprint,
         Incarnation,
         RequestFacts,
-        Route,
         RoutingTable,
-        Service,
         SoftwareVersion,
         Upstream,
         UpstreamId,
     )
+    from beamhatch.relay.requests.api import OpenRequest
     from beamhatch.relay.topology import RegionName
     from beamhatch.relay.tunnels.api import HallFilter
     from beamhatch.relay.tunnels.monitor import ReachMonitor
@@ -94,17 +93,6 @@
     retry_budget: RetryBudgetLimits = field(default_factory=RetryBudgetLimits)
 
 
-@dataclass(frozen=True, slots=True)
-class _Destination:
-    """Route, service and constraints of an accepted request."""
-
-    route: Route
-    service: Service
-    admitted: Admitted
-    regions: Regions
-    digests: RequestDigests
-
-
 @dataclass(slots=True)
 class Core:
     """State of the relay on one VM."""
@@ -118,6 +106,8 @@
     stats: UpstreamStatsRegistry
     settings: ReloadableSettings
     reach: ReachMonitor
+    make_exchange: Callable[[Core, NewRequest], OpenRequest]
+    """Returns the handler that serves a request."""
     admission: Admission = field(default_factory=Admission)
     disabled: DisabledMechanisms = NONE_DISABLED
     listing: Listing = field(default_factory=Listing)
@@ -137,7 +127,7 @@
     """Number of VMs seen recently; shared limits are divided by it, since unreachable VMs still use their share."""
     stopping: bool = False
     """Whether new requests are refused because of a planned stop."""
-    exchanges: set[RelayExchange] = field(default_factory=set)
+    exchanges: set[OpenRequest] = field(default_factory=set)
     on_change: Callable[[], None] = lambda: None
     """Called when the configuration or the listing has changed."""
     on_evacuation: Callable[[], None] = lambda: None
@@ -543,31 +533,21 @@
         if isinstance(facts, BadRequest):
             self._refuse(responder, Refusal(facts.status, facts.detail), "")
             return None
-        destination = self._find_destination(incoming, facts)
-        if isinstance(destination, Refusal):
-            self._refuse(responder, destination, facts.id)
+        new = self._admit(incoming, responder, facts)
+        if isinstance(new, Refusal):
+            self._refuse(responder, new, facts.id)
             return None
-        self.get_retry_budget(destination.service.name).record_request(self.clock.now())
-        if destination.service.engine is not None:
-            answer = self.get_output_lengths(destination.service.name).compute_mean_tokens(facts)
-            self.get_demand(destination.service.name).record_prompt(facts.prompt_tokens, answer, self.clock.now())
-        exchange = RelayExchange(
-            self,
-            incoming,
-            responder,
-            facts,
-            destination.route,
-            destination.service,
-            destination.admitted,
-            destination.digests,
-            destination.regions,
-        )
+        self.get_retry_budget(new.service.name).record_request(self.clock.now())
+        if new.service.engine is not None:
+            answer = self.get_output_lengths(new.service.name).compute_mean_tokens(facts)
+            self.get_demand(new.service.name).record_prompt(facts.prompt_tokens, answer, self.clock.now())
+        exchange = self.make_exchange(self, new)
         self.exchanges.add(exchange)
         exchange.start()
         return exchange
 
-    def _find_destination(self, incoming: IncomingRequest, facts: RequestFacts) -> _Destination | Refusal:
-        """Return the destination of a request, or why it is refused."""
+    def _admit(self, incoming: IncomingRequest, responder: Responder, facts: RequestFacts) -> NewRequest | Refusal:
+        """Return the request with its destination, or why it is refused."""
         if self.stopping:
             return Refusal(503, "this VM stops", STOPPING_RETRY_S)
         table = self.table
@@ -589,7 +569,7 @@
         refusal = refusal or self._refuse_quarantined(digests)
         if refusal is not None:
             self.admission.refund(decision, self.clock.now())
-        return refusal or _Destination(route, service, decision, regions, digests)
+        return refusal or NewRequest(incoming, responder, facts, route, service, decision, digests, regions)
 
     def _refuse_unknown_route(self, version: int) -> Refusal:
         """Return the refusal of a request without a route, which a caller may retry if a newer version may have one."""
--- a/src/beamhatch/relay/daemon.py
+++ b/src/beamhatch/relay/daemon.py
@@ -30,6 +30,7 @@
 from beamhatch.relay.overload.protection import OverloadProtection, ResourceLimits
 from beamhatch.relay.quarantine.persistence import QuarantinePersistence
 from beamhatch.relay.quarantine.quarantine import MAX_RELEASE_DELAY_S
+from beamhatch.relay.requests.exchange import RelayExchange
 from beamhatch.relay.streams.open_stream_writer import OpenStreamWriter
 from beamhatch.relay.streams.stored_streams import StoredStreams
 from beamhatch.relay.streams.version_recorder import VersionRecorder
@@ -162,6 +163,7 @@
             peer_backlog=peer_backlog,
             settings=ReloadableSettings(settings.retry_budget),
             reach=reach,
+            make_exchange=RelayExchange,
             listing=Listing(gone_grace_s=GONE_GRACE_SHARE * settings.drain_time),
             started_at=clock.now(),
             topology=settings.topology,
--- a/src/beamhatch/relay/requests/exchange.py
+++ b/src/beamhatch/relay/requests/exchange.py
@@ -4,34 +4,42 @@
 
 import math
 import random
-from dataclasses import asdict, replace
+from dataclasses import asdict
 from typing import TYPE_CHECKING, Any
 
 from beamhatch.relay.api import SendOptions
-from beamhatch.relay.callers.error_response import send_error
 from beamhatch.relay.callers.headers import strip_hop_by_hop
-from beamhatch.relay.callers.http_server import RequestHandler
-from beamhatch.relay.choosing.eligibility import Obstacle
-from beamhatch.relay.choosing.lack import compute_retry_delay
 from beamhatch.relay.mechanism import Mechanism
-from beamhatch.relay.model import Phase, Reservation, RouteKind, RouteName, Stage
-from beamhatch.relay.overload.costs import CHUNK_BYTES, HEAD_BYTES
+from beamhatch.relay.model import Reservation, RouteKind, RouteName, Stage
+from beamhatch.relay.requests.api import OpenRequest
+from beamhatch.relay.requests.caller_response import CallerResponse
 from beamhatch.relay.requests.failover import SEARCH_INTERVAL_S, Failover
+from beamhatch.relay.requests.held_memory import HeldMemory
 from beamhatch.relay.requests.line import Claim
-from beamhatch.relay.requests.memory_lines import QueuedRequest, QueueKey, QueueOptions
-from beamhatch.relay.requests.refusal import make_quarantine_refusal
-from beamhatch.relay.requests.release import send_release
+from beamhatch.relay.requests.memory_lines import QueuedRequest
+from beamhatch.relay.requests.planner import Planner
+from beamhatch.relay.requests.queue_place import QueuePlace, QueueTerms
 from beamhatch.relay.requests.request import Fail, Refuse, RelayRequest, Reserve, Send, Step, Wait
 from beamhatch.relay.requests.response import MAY_HAVE_RUN_STATUS, NOT_RUN_STATUSES, TIMEOUT_STATUS, BufferedResponse
 from beamhatch.relay.requests.retry_times import (
-    REGION_RETRY_AFTER_S,
     compute_memory_delay,
     compute_usual_delay,
     limit_delay,
     round_delay,
 )
 from beamhatch.relay.requests.send_log import describe_send, record_distance
+from beamhatch.relay.requests.unserved import (
+    REFUSED_STATUS,
+    Circumstances,
+    End,
+    RefuseAsCold,
+    SearchOn,
+    WaitForCold,
+    WaitForMemory,
+    decide_unserved,
+)
 from beamhatch.relay.streams.origins import PendingLookup
+from beamhatch.relay.upstreams.api import AttemptOwner
 from beamhatch.relay.upstreams.attempt import Attempt
 from beamhatch.relay.upstreams.http_client import Call
 from beamhatch.relay.upstreams.plain_attempt import PlainAttempt
@@ -42,25 +50,11 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from beamhatch.relay.callers.http_server import IncomingRequest, Responder
-    from beamhatch.relay.choosing.eligibility import SendPermit
     from beamhatch.relay.core import Core
-    from beamhatch.relay.model import (
-        Handle,
-        Incarnation,
-        Regions,
-        RequestFacts,
-        Route,
-        RoutingTable,
-        Service,
-        SoftwareVersion,
-        Upstream,
-    )
-    from beamhatch.relay.quarantine.digests import RequestDigests
-    from beamhatch.relay.requests.line import MemoryQueue
+    from beamhatch.relay.model import Handle, Incarnation, Regions, RoutingTable, SoftwareVersion, Upstream
+    from beamhatch.relay.requests.api import NewRequest
     from beamhatch.relay.streams.lookup import Origin
     from beamhatch.relay.upstreams.http_client import ResponseHead
-    from beamhatch.relay.workspaces.admission import Admitted
 
 RESPONSE_MARGIN_S = 0.03
 """Time before the caller's deadline at which the request times out, so that the error response still arrives."""
@@ -74,81 +68,50 @@
 FIRST_EVENT_SHARE = 0.9
 """Share of the target latency up to which a predicted first event is on time; the rest is a margin for errors."""
 
-MIN_COLD_WAIT_S = 0.02
-"""Minimum wait for a cold upstream, which bounds how often a waiting request is planned again."""
-
-COLD_MARGIN_S = 0.002
-"""Delay added to the wait for a cold upstream, since timers may fire slightly early."""
-
 MAX_IDLE_S = 1.0
 """Maximum idle time of a reused connection for a send that may not be repeated."""
 
 
-class RelayExchange(RequestHandler, QueuedRequest):
+class RelayExchange(OpenRequest, QueuedRequest, AttemptOwner):
     """The handler of one caller's request."""
 
-    def __init__(
-        self,
-        core: Core,
-        incoming: IncomingRequest,
-        responder: Responder,
-        facts: RequestFacts,
-        route: Route,
-        service: Service,
-        admitted: Admitted,
-        digests: RequestDigests,
-        regions: Regions = None,
-    ) -> None:
+    def __init__(self, core: Core, new: NewRequest) -> None:
         self.core = core
-        self._admitted = admitted
-        on_time_until = incoming.arrived_at + FIRST_EVENT_SHARE * route.target_latency
-        if Mechanism.DECODE_PREFILL in core.disabled:
-            on_time_until = float("inf")
-        self.request = RelayRequest(
-            facts,
-            route,
-            service,
-            reserved_output_tokens=0
-            if service.engine is None
-            else core.get_output_lengths(service.name).compute_reserve_tokens(facts),
-            reserves_memory=Mechanism.RESERVATIONS not in core.disabled,
-            on_time_until=on_time_until,
-            regions=regions,
-            body_bytes=len(incoming.body),
+        self.digests = new.digests
+        self._admitted = new.admitted
+        self._incoming = new.incoming
+        self.request = _make_request(core, new)
+        self._is_caller_retry = Mechanism.CALLER_RETRIES not in core.disabled and core.caller_retries.is_retry(
+            new.route, new.facts.time_left
         )
-        self._claim = Claim(
-            admitted.workspace, admitted.priority, facts.prompt_tokens + self.request.reserved_output_tokens
+        self._forwarded_headers = strip_hop_by_hop(new.incoming.headers)
+        self._cost = core.costs.begin(RouteName(new.route.name), len(new.incoming.body), core.clock.now())
+        self._response = CallerResponse(
+            core.clock,
+            core.tally,
+            new.responder,
+            self._cost,
+            new.incoming.arrived_at,
+            new.route.kind,
+            self.write_log,
         )
-        self.digests = digests
-        self._incoming = incoming
-        self._responder = responder
-        self._forwarded_headers = strip_hop_by_hop(incoming.headers)
-        self._attempt: Attempt | ReserveAttempt | None = None
+        tokens = new.facts.prompt_tokens + self.request.reserved_output_tokens
+        claim = Claim(new.admitted.workspace, new.admitted.priority, tokens)
+        self._place = QueuePlace(core, self.request, claim, self, self.write_log)
+        self._held = HeldMemory(core, self.request, self.write_log)
+        self._planner = Planner(core, self.request, self.digests, self.write_log, is_caller_retry=self._is_caller_retry)
         self._failover = Failover(core.clock, self.request)
+        self._attempt: Attempt | ReserveAttempt | None = None
         self._lookup: PendingLookup | None = None
         """Search for the version that began the stream, if the caller resumes one."""
-        self._in_queue = False
-        self._permit: SendPermit | None = None
-        """Permit to send to the cold or limited engine that has reserved, or is asked to reserve, memory."""
         self._cold_wait_began_at: float | None = None
         """Monotonic time in seconds at which the request began to wait for a cold upstream."""
         self._replan_timer: Any = None
         self._search_obstacle: str | None = None
         """Why no upstream can take the stream at the moment; None while one has it."""
-        self._memory_acquired_at: float | None = None
-        """Monotonic time in seconds at which the request got decode memory."""
-        is_retry = Mechanism.CALLER_RETRIES not in core.disabled and core.caller_retries.is_retry(
-            route, facts.time_left
-        )
-        self._is_caller_retry = is_retry
         self._deadline_timer: Any = None
         self._upstream_failure: BufferedResponse | None = None
-        self._first_event_s = 0.0
-        """Seconds from the request's arrival to the first event of its stream."""
-        self._last_events_at: float | None = None
-        self._max_event_gap_s = 0.0
         self._ended = False
-        self._cost = core.costs.begin(RouteName(route.name), len(incoming.body), core.clock.now())
 
     # --- steps -------------------------------------------------------------------------------------------------------
 
@@ -176,7 +139,7 @@
         """Continue the stream at the version that began it, or refuse the request if that can't be."""
         self._lookup = None
         self.core.tally.count("stream_origins_total", origin.label)
-        self.write_log("origin", found=origin.label, seconds=self.compute_elapsed_s(), **asdict(origin))
+        self.write_log("origin", found=origin.label, seconds=self._response.compute_elapsed_s(), **asdict(origin))
         refusal = self.request.apply_origin(origin)
         if refusal is None:
             self._begin()
@@ -184,7 +147,7 @@
             self._give_up(refusal)
 
     def _begin(self) -> None:
-        if self.request.split and self._queue.has_on_time(self.core.clock.now()) and self._list_usable():
+        if self.request.split and self._place.has_others_on_time(self.core.clock.now()) and self._planner.list_usable():
             self._wait_for_memory()
         else:
             self.advance()
@@ -197,105 +160,11 @@
         self._execute(self._plan(self.core.clock.now()))
 
     def _plan(self, now: float) -> Step:
-        request = self.request
-        service = request.service.name
-        entry = self.core.quarantine.find_entry(self.digests, now)
-        if entry is not None:  # an attempt under way continues: if it succeeds, the request leaves quarantine
-            self.core.tally.count("quarantine_refusals_total")
-            return request.refuse_quarantined(make_quarantine_refusal(entry, now))
-        self._release_unusable()
-        usable = self._list_usable()
-        can_respond = any(one.phase is not Phase.PREFILL for one in usable)
-        can_proceed = can_respond or request.reservation is not None
-        shortage = None if can_proceed else self.core.detect_shortage(service, request.regions, request.version)
-        if shortage is not None and request.may_have_run:
-            is_temporary = shortage.obstacle in (Obstacle.RESTING, Obstacle.LIMITED)
-            return Fail(f"nothing may be sent to any upstream: {shortage.obstacle.value}", is_temporary=is_temporary)
-        if shortage is not None:
-            self.core.tally.count("shut_total", shortage.obstacle.name.lower())
-            self.core.get_demand(service).discard_last_prompt(request.facts.prompt_tokens)
-            if shortage.obstacle is Obstacle.LIMITED:
-                retry_after_s = self.core.reserve_retry_slot(service, shortage)
-            else:
-                retry_after_s = compute_retry_delay(shortage.wait, random.random(), is_retry=self._is_caller_retry)
-            step = request.refuse_unavailable(
-                f"nothing may be sent to any upstream: {shortage.obstacle.value}", retry_after_s
-            )
-        else:
-            vm_count = max(self.core.vm_count, self.core.recent_vm_count)
-            step = request.plan(usable, self.core.chooser, self.core.get_retry_budget(service), vm_count, now)
-        if isinstance(step, Refuse) and not step.memory_full and request.regions is not None:
-            return self._refuse_in_regions(step, request.regions)
-        return step
-
-    @property
-    def _queue(self) -> MemoryQueue[QueuedRequest]:
-        """Return the queue for decode memory that this request uses."""
-        return self.core.memory_queues.get(*self._queue_key)
-
-    @property
-    def _queue_key(self) -> QueueKey:
-        return QueueKey(self.request.service.name, self.request.regions, self.request.version)
-
-    def _list_usable(self) -> list[Upstream]:
-        request = self.request
-        is_retry = self._is_caller_retry or request.may_have_run
-        return self.core.list_usable(request.service.name, request.regions, request.version, is_retry=is_retry)
-
-    def _refuse_in_regions(self, step: Refuse, regions: Regions) -> Refuse:
-        """Return the refusal, with another reason and retry-after time if the allowed regions exclude upstreams."""
-        obstacles = self.core.count_obstacles(self.request.service.name, regions)
-        if not obstacles[Obstacle.REGION] or obstacles[Obstacle.COLD]:
-            return step
-        self.core.tally.count("residency_refusals_total", "not_now")
-        self.write_log(
-            "kept in its regions",
-            regions=sorted(regions or ()),
-            **{obstacle.name.lower(): count for obstacle, count in obstacles.items()},
-        )
-        return replace(step, reason=f"{step.reason} in the allowed regions", retry_after_s=REGION_RETRY_AFTER_S)
-
-    def _release_unusable(self) -> None:
-        """Release the KV cache and the reservation if their upstream may no longer be used for the request.
-
-        A plan uses an existing reservation without checking its upstream again. Without this check, a stream could
-        begin in a hall that was evacuated in the meantime. A reservation at a cold or limited engine stays usable with
-        its permit. A KV cache in an evacuated hall stays usable, but not one outside the allowed regions.
-        """
-        request = self.request
-        handle, reservation = request.handle, request.reservation
-        if handle is not None and self.core.has_restarted(handle.upstream):
-            request.drop_handle()
-        elif handle is not None and not self.core.eligibility.is_in_regions(handle.upstream, request.regions):
-            send_release(self.core, handle.upstream, self.core.dialect.make_release_call(handle), self.write_log)
-            request.drop_handle()
-        if reservation is None:
-            self._drop_permit()
-            return
-        if self.core.has_restarted(reservation.upstream):
-            self._drop_permit()
-            request.abandon_reservation()
-            self.write_log("memory given up", to=reservation.upstream.id, obstacle="started again")
-            return
-        obstacle = self._find_reservation_obstacle(reservation)
-        if obstacle is None:
-            return
-        self._drop_permit()
-        request.abandon_reservation()
-        self.write_log("memory given up", to=reservation.upstream.id, obstacle=obstacle)
-        self._release_reservation(reservation)
-
-    def _find_reservation_obstacle(self, reservation: Reservation) -> str | None:
-        """Return why reserved memory may not be used any more, or None if it may."""
-        request = self.request
-        obstacle = self.core.get_obstacle(reservation.upstream, request.service.name, request.regions)
-        has_room = self._permit is not None and obstacle in (Obstacle.COLD, Obstacle.LIMITED)
-        if obstacle is not None and not has_room:
-            return obstacle.name.lower()
-        if self.core.phase_changes.is_confirmed(reservation.upstream.id, self.core.clock.now()):
-            return "changing"
-        silent = self.core.chooser.list_silent([reservation.upstream], self.core.clock.now())
-        return "silent" if silent and self._failover.active else None
+        quarantined = self._planner.find_quarantine(now)
+        if quarantined is not None:  # an attempt under way continues: if it succeeds, the request leaves quarantine
+            return quarantined
+        self._held.release_unusable(is_searching=self._failover.active)
+        return self._planner.plan(now)
 
     def withdraw_from(self, incarnation: Incarnation) -> None:
         """Cancel an attempt at an upstream that accepts no more requests, if it is not sent yet, and plan again."""
@@ -310,11 +179,6 @@
             self._stop_attempt()
         self.advance()
 
-    def _drop_permit(self) -> None:
-        permit, self._permit = self._permit, None
-        if permit is not None:
-            permit.drop(self.core.clock.now())
-
     def _execute(self, step: Step) -> None:
         if isinstance(step, Refuse | Fail) and self._failover.active:
             self._return_to_fallback()
@@ -332,7 +196,7 @@
 
     def _record_distance(self, upstream: Upstream) -> None:
         distances = self.core.chooser.distances
-        record_distance(distances, self.core.tally, self.request, upstream, self._list_usable, self.write_log)
+        record_distance(distances, self.core.tally, self.request, upstream, self._planner.list_usable, self.write_log)
 
     def _send(self, send: Send, now: float) -> None:
         if self.deadline - now < MIN_SEND_TIME_S:
@@ -351,11 +215,11 @@
         if relation is not None:
             self.core.tally.count("streams_continued_total", relation)
         if request.split and send.stage is not Stage.PREFILL:
-            self.record_memory_acquired()
+            self._place.record_acquired()
         self._cold_wait_began_at = None
         attempt = self._make_attempt(send)
         if send.reservation is not None:
-            attempt.permit, self._permit = self._permit, None
+            attempt.permit = self._held.take_permit()
         if attempt.permit is None:
             attempt.permit = self.core.eligibility.acquire_permit(send.upstream, request.service.cold, now)
         self._attempt = attempt
@@ -365,44 +229,18 @@
 
     def _wait_for_memory(self) -> None:
         """Queue for decode memory, or refuse the request at once if the queue is full."""
-        now = self.core.clock.now()
-        max_wait_s = self.request.route.target_latency * ON_TIME_SHARE
-        queue = self._queue
-        if Mechanism.MEMORY_QUEUE in self.core.disabled and not self.request.response_begun:
-            self._execute(self.request.refuse_memory_full())
+        request = self.request
+        if Mechanism.MEMORY_QUEUE in self.core.disabled and not request.response_begun:
+            self._execute(request.refuse_memory_full())
             return
-        if not self._in_queue and not self._failover.active:
-            self.core.get_demand(self.request.service.name).record_wait(now)
-        was_delayed = self.request.reservation_lost or self.request.may_have_run or self._cold_wait_began_at is not None
-        late_with_precedence = self._is_caller_retry or self.request.response_begun or was_delayed
-        if not self._in_queue and not late_with_precedence and not queue.has_room(max_wait_s, now):
-            displaced = queue.find_displaced(self._claim, now)
-            if displaced is not None and displaced.has_attempt:
-                displaced = None  # its reservation may be about to succeed
-            self.write_log(
-                "line is full",
-                waiting=len(queue),
-                freed_per_second=queue.compute_freed_rate(now),
-                workspace=self._claim.workspace,
-                goes_before=displaced is not None,
-            )
-            if displaced is None:
-                self._execute(self.request.refuse_memory_full())
-                return
-            displaced.handle_displaced(self._claim)
-        if not self._in_queue:
-            self._in_queue = True
-            self.request.record_waiting(now)
-            self.write_log(
-                "waits",
-                waiting=len(queue),
-                freed_per_second=queue.compute_freed_rate(now),
-                workspace=self._claim.workspace,
-            )
-        options = QueueOptions(
-            self._memory_deadline, now + self.request.max_memory_wait_s, late_with_precedence, self._claim
+        was_delayed = request.reservation_lost or request.may_have_run or self._cold_wait_began_at is not None
+        terms = QueueTerms(
+            deadline=self._memory_deadline,
+            has_precedence=self._is_caller_retry or request.response_begun or was_delayed,
+            is_new_wait=not self._failover.active,
         )
-        self.core.memory_queues.enqueue(self, self._queue_key, options)
+        if not self._place.enter(terms, request.route.target_latency * ON_TIME_SHARE):
+            self._execute(request.refuse_memory_full())
 
     @property
     def has_attempt(self) -> bool:
@@ -411,14 +249,11 @@
 
     def handle_displaced(self, claim: Claim) -> None:
         """Refuse this request in favour of one of a workspace that was served less."""
-        self.core.tally.count("line_displaced_total")
-        self.write_log("gives way", workspace=self._claim.workspace, to=claim.workspace)
+        self._place.record_displaced(claim)
         self._execute(self.request.refuse_memory_full())
 
     def _reserve(self, step: Reserve) -> None:
-        self._drop_permit()
-        now = self.core.clock.now()
-        self._permit = self.core.eligibility.acquire_permit(step.upstream, self.request.service.cold, now)
+        self._held.acquire_permit(step.upstream)
         if self.core.eligibility.limits.get_rate(step.upstream.incarnation) is not None:
             self._reserve_by_permit(step)
             return
@@ -431,9 +266,7 @@
 
         Such an engine gets few requests and usually has free memory; otherwise it refuses the stream.
         """
-        self.leave_queue()
-        self.record_memory_acquired()
-        self.request.record_reserved(Reservation(None, step.upstream, math.inf))
+        self.handle_reserved(Reservation(None, step.upstream, math.inf))
         self.advance()
 
     def _make_attempt(self, send: Send) -> Attempt:
@@ -471,11 +304,7 @@
 
     def send_response(self, response: BufferedResponse) -> None:
         """Send a buffered upstream response to the caller."""
-        self.write_log("answered", status=response.head.status, seconds=self.compute_elapsed_s())
-        self._record_outcome(f"upstream_{response.head.status // 100}xx")
-        self._cost.record_response(HEAD_BYTES + len(response.body))
-        self._cost.record_answered()
-        self._responder.send_response(response.head.status, strip_hop_by_hop(response.head.headers), response.body)
+        self._response.send(response)
         self._end()
 
     def begin_stream(self, head: ResponseHead, version: SoftwareVersion) -> None:
@@ -483,42 +312,23 @@
 
         :param version: software version of the upstream that sends the stream
         """
-        lifetime_s = self.request.lifetime_s - self.compute_elapsed_s()
-        self.core.origins.record_begun(
-            self.request.facts.stream_id, self.request.service.name, version, max(0.0, lifetime_s)
-        )
-        self._first_event_s = self.compute_elapsed_s()
-        self.core.tally.note_latency("first_event", self.request.route.kind.value, self._first_event_s)
-        self._responder.send_head(head.status, strip_hop_by_hop(head.headers))
+        facts = self.request.facts
+        lifetime_s = max(0.0, self.request.lifetime_s - self._response.compute_elapsed_s())
+        self.core.origins.record_begun(facts.stream_id, self.request.service.name, version, lifetime_s)
+        self._response.begin_stream(head)
 
     def send_events(self, data: bytes) -> None:
         """Send complete events to the caller."""
-        now = self.core.clock.now()
-        if self._last_events_at is not None:
-            self._max_event_gap_s = max(self._max_event_gap_s, now - self._last_events_at)
-        self._last_events_at = now
-        self._cost.record_response(CHUNK_BYTES + len(data))
-        self._responder.write(data)
+        self._response.send_events(data)
 
     def send_comments(self, data: bytes) -> None:
         """Send comments and blank lines between two events to the caller."""
-        self._cost.record_response(CHUNK_BYTES + len(data))
-        self._responder.write(data)
+        self._response.send_comments(data)
 
     def end_stream(self) -> None:
         """End a complete stream to the caller."""
-        self.write_log(
-            "answered",
-            status=200,
-            last_event=self.request.last_event,
-            seconds=self.compute_elapsed_s(),
-            first_event=self._first_event_s,
-            longest_gap=round(self._max_event_gap_s, 3),
-        )
-        self._record_outcome("upstream_2xx")
-        self._cost.record_answered()
         self.core.origins.discard(self.request.facts.stream_id)
-        self._responder.end()
+        self._response.end_stream(self.request.last_event)
         self._end()
 
     def keep_upstream_failure(self, response: BufferedResponse) -> None:
@@ -531,79 +341,68 @@
             self._upstream_failure = response
 
     def _wait_or_end(self, step: Refuse | Fail) -> None:
-        """Wait for a cold upstream if one will have room in time; otherwise end the request."""
-        wait = self._get_cold_wait(step)
-        if wait is None:
-            if step.no_upstream and self.request.awaits_late_memory and self._time_left_for_memory > 0:
-                self._schedule_replan(self._time_left_for_memory)
-            elif self._may_search_on(step):
-                self._search_obstacle = step.reason
-                self.request.forget_obstacles()
-                self._schedule_replan(SEARCH_INTERVAL_S)
-            else:
-                self._give_up(step)
-            return
+        """Wait until an upstream may take the request, or end it."""
         now = self.core.clock.now()
-        is_first = self._cold_wait_began_at is None
-        if is_first:
+        cold_wait_s = self._planner.compute_cold_wait(step)
+        is_first_wait = cold_wait_s is not None and self._cold_wait_began_at is None
+        if is_first_wait:
             self._cold_wait_began_at = now
-        if now + wait < self._compute_cold_deadline():
-            if is_first:
-                self.core.tally.count("cold_waits_total")
-                self.write_log("waits for a cold upstream", seconds=round(wait, 3))
-            self._schedule_replan(max(wait, MIN_COLD_WAIT_S) + COLD_MARGIN_S)
-            return
-        self.core.tally.count("cold_refusals_total")
-        if isinstance(step, Fail):
-            self._fail(step)
-            return
-        usual_delay = compute_usual_delay(self.request.route.target_latency) if self.core.vm_count > 1 else wait
-        # The retry may reach another VM, which may have room earlier.
-        delay = limit_delay(min(wait, usual_delay), self.deadline - now)
-        self._end_with_error(503, "its upstreams are cold", round_delay(delay))
+        circumstances = Circumstances(
+            cold_wait_s=cold_wait_s,
+            cold_time_left_s=self._compute_cold_deadline() - now,
+            memory_time_left_s=self._memory_deadline - now,
+            awaits_late_memory=self.request.awaits_late_memory,
+            may_search=self._may_search_on(step),
+            time_left_s=self.deadline - now,
+            target_latency_s=self.request.route.target_latency,
+            is_only_vm=self.core.vm_count <= 1,
+        )
+        match decide_unserved(step, circumstances):
+            case WaitForCold() as wait:
+                if is_first_wait:
+                    self.core.tally.count("cold_waits_total")
+                    self.write_log("waits for a cold upstream", seconds=round(wait.wait_s, 3))
+                self._schedule_replan(wait.after_s)
+            case WaitForMemory(after_s=seconds):
+                self._schedule_replan(seconds)
+            case SearchOn() as search:
+                self._search_obstacle = search.obstacle
+                self.request.forget_obstacles()
+                self._schedule_replan(search.after_s)
+            case RefuseAsCold(retry_after_s=seconds):
+                self.core.tally.count("cold_refusals_total")
+                self._end_with_error(REFUSED_STATUS, "its upstreams are cold", seconds)
+            case End(is_cold=is_cold):
+                if is_cold:
+                    self.core.tally.count("cold_refusals_total")
+                self._give_up(step)
 
     def _may_search_on(self, step: Refuse | Fail) -> bool:
         """Return whether to go on seeking an upstream for a stream that may have run, until its caller disconnects."""
         if not isinstance(step, Fail) or self.request.route.kind is not RouteKind.STREAMING:
             return False
-        if not step.is_temporary and not (step.no_upstream and self._is_any_withheld()):
+        if not step.is_temporary and not (step.no_upstream and self._planner.is_any_withheld()):
             return False
-        since = self._incoming.arrived_at if self._last_events_at is None else self._last_events_at
+        last = self._response.last_events_at
+        since = self._incoming.arrived_at if last is None else last
         return self.core.clock.now() < since + self.request.max_memory_wait_s
 
-    def _is_any_withheld(self) -> bool:
-        """Return whether an upstream is not sent requests only because of its back-off or limit."""
-        obstacles = self.core.count_obstacles(self.request.service.name, self.request.regions)
-        return bool(obstacles[Obstacle.RESTING] or obstacles[Obstacle.LIMITED])
-
     def _schedule_replan(self, seconds: float) -> None:
         """Carry out the next step after some seconds, outside the queue so that others there are not blocked."""
-        self.leave_queue()
+        self._place.leave()
         self._stop_replan_timer()
         self._replan_timer = self.core.clock.call_later(seconds, self.advance)
 
-    def _get_cold_wait(self, step: Refuse | Fail) -> float | None:
-        """Return the seconds until a cold upstream has room, or None if none could serve the request."""
-        if not step.no_upstream or (isinstance(step, Refuse) and step.retry_after_s is not None):
-            return None
-        request = self.request
-        return self.core.compute_cold_wait(request.service.name, request.regions, request.version, request.tried)
-
     def _give_up(self, step: Refuse | Fail) -> None:
         if isinstance(step, Fail):
             self._fail(step)
         elif step.is_final:
-            self._end_with_error(503, step.reason, None)
+            self._end_with_error(REFUSED_STATUS, step.reason, None)
         elif step.retry_after_is_minimum:
-            self._end_with_error(503, step.reason, step.retry_after_s)
+            self._end_with_error(REFUSED_STATUS, step.reason, step.retry_after_s)
         else:
             self._refuse(step.reason, memory_full=step.memory_full, retry_after_s=step.retry_after_s)
 
-    @property
-    def _time_left_for_memory(self) -> float:
-        """Return the seconds for which the request may wait for decode memory and be on time."""
-        return self._memory_deadline - self.core.clock.now()
-
     @property
     def _memory_deadline(self) -> float:
         """Return the monotonic time in seconds by which decode memory has to be free for a response on time."""
@@ -629,10 +428,10 @@
             delay = compute_usual_delay(self.request.route.target_latency)
         else:
             delay = limit_delay(retry_after_s, self.deadline - now)
-        self._end_with_error(503, reason, round_delay(delay))
+        self._end_with_error(REFUSED_STATUS, reason, round_delay(delay))
 
     def _fail(self, step: Fail) -> None:
-        if self._upstream_failure is not None and not self._responder.started:
+        if self._upstream_failure is not None and not self._response.started:
             self.send_response(self._upstream_failure)
         else:
             self._end_with_error(MAY_HAVE_RUN_STATUS, step.reason, None)
@@ -648,25 +447,22 @@
         if self._ended:
             return
         self.write_log(
-            "broken off" if self._responder.started else "given up",
+            "broken off" if self._response.started else "given up",
             status=status,
             reason=reason,
             doubt=self.request.may_have_run,
             sends=self.request.sends,
-            seconds=self.compute_elapsed_s(),
+            seconds=self._response.compute_elapsed_s(),
             after=self.request.last_setback.value,
             last_event=self.request.last_event,
             **self.core.describe_unresponsive(self.request.service.name),
             **self.core.reach.describe(),
         )
-        if self._responder.started:
+        if self._response.started:
             self.core.tally.count("streams_broken_off_total", self.request.last_setback.value)
-        self._record_outcome(f"own_{status}")
+        self._response.record_outcome(f"own_{status}")
         self._stop_attempt()
-        if self._responder.started:
-            self._responder.abort()
-        else:
-            send_error(self._responder, status, reason, retry_after_s)
+        self._response.send_error(status, reason, retry_after_s)
         self._end()
 
     def abort(self, reason: str) -> None:
@@ -685,42 +481,21 @@
         self._failover.cancel()
         if self._lookup is not None:
             self.core.origins.cancel(self._lookup)
-        self._drop_permit()
-        self.leave_queue()
-        if self._memory_acquired_at is not None:
-            self.core.get_demand(self.request.service.name).end_stream(self._memory_acquired_at, self.core.clock.now())
+        self._held.drop_permit()
+        self._place.end()
         self._release_held()
         if not self.request.may_have_run:
             self.core.admission.refund(self._admitted, self.core.clock.now())
         self.core.exchanges.discard(self)
 
-    def _record_outcome(self, label: str) -> None:
-        self.core.tally.count("requests_total", label)
-        self.core.tally.note_latency("request", self.request.route.kind.value, self.compute_elapsed_s())
-
     def _stop_attempt(self) -> None:
         attempt, self._attempt = self._attempt, None
         if attempt is not None:
             attempt.cancel()
 
     def _release_held(self, *, except_handles: Sequence[Handle | None] = ()) -> None:
-        """Release the KV cache and the reservation that the request does not need any more.
-
-        :param except_handles: handles of KV caches that upstreams may still fetch
-        """
-        request = self.request
-        if request.handle is not None and request.handle not in except_handles:
-            call = self.core.dialect.make_release_call(request.handle)
-            send_release(self.core, request.handle.upstream, call, self.write_log)
-            request.drop_handle()
-        if request.reservation is not None:
-            self._release_reservation(request.reservation)
-            request.reservation = None
-
-    def _release_reservation(self, reservation: Reservation) -> None:
-        if reservation.id is not None:
-            call = self.core.dialect.make_unreserve_call(reservation)
-            send_release(self.core, reservation.upstream, call, self.write_log)
+        """Release the KV cache and the reservation that the request does not need any more."""
+        self._held.release(except_handles=except_handles)
 
     # --- callbacks of attempts ---------------------------------------------------------------------------------------
 
@@ -731,7 +506,7 @@
             self._failover.end_handover()
         elif isinstance(attempt, Attempt):
             self._remove_fallback(attempt)
-            if self._in_queue:
+            if self._place.is_waiting:
                 return  # the queue decides when the request asks for memory
         self.advance()
 
@@ -785,10 +560,8 @@
         if not self.core.eligibility.is_in_regions(reservation.upstream, self.request.regions):
             return False
         self._stop_attempt()
-        self._drop_permit()  # it is for the engine that was asked last
-        self.leave_queue()
-        self.record_memory_acquired()
-        self.request.record_reserved(reservation)
+        self._held.drop_permit()  # it is for the engine that was asked last
+        self.handle_reserved(reservation)
         self.write_log("reserved", to=reservation.upstream.id, late=True)
         self.advance()
         return True
@@ -807,7 +580,7 @@
 
     @property
     def _awaits_late_response(self) -> bool:
-        has_step = self._attempt is not None or self._in_queue or self.request.reservation is not None
+        has_step = self._attempt is not None or self._place.is_waiting or self.request.reservation is not None
         return not self._ended and not has_step
 
     def _return_to_fallback(self) -> None:
@@ -819,9 +592,9 @@
 
     def _end_search(self, attempt: Attempt) -> None:
         """Release what was acquired to replace an attempt."""
-        self.leave_queue()
+        self._place.leave()
         self._stop_replan_timer()
-        self._drop_permit()
+        self._held.drop_permit()
         self.request.end_search(self.core.get_retry_budget(self.request.service.name))
         self._release_held(except_handles=[attempt.send.handle, *self._failover.list_handles()])
 
@@ -829,26 +602,15 @@
         """Write a log event about this request."""
         self.core.journal.write("RELAY", event, request=self.request.facts.id, route=self.request.route.name, **fields)
 
-    def leave_queue(self) -> None:
-        """Remove the request from the queue for decode memory, if it waits there."""
-        if self._in_queue:
-            self._in_queue = False
-            self._queue.remove(self)
-
-    def record_memory_acquired(self) -> None:
-        """Record that the request holds decode memory from now on, until its end."""
-        if self._memory_acquired_at is None:
-            self._memory_acquired_at = self.core.clock.now()
-            self.core.get_demand(self.request.service.name).begin_stream(self._memory_acquired_at)
-            self.core.memory_queues.get(self.request.service.name).record_served(self._claim, self._memory_acquired_at)
-            if not self.request.list_full_upstreams():
-                self.core.memory_queues.record_granted(self._queue_key)
+    def handle_reserved(self, reservation: Reservation) -> None:
+        """Record that an engine has reserved memory for the request."""
+        self._place.leave()
+        self._place.record_acquired()
+        self.request.record_reserved(reservation)
 
     def record_first_event(self) -> None:
         """Record how long decode memory was held before the first event, when that event arrives."""
-        if self._memory_acquired_at is not None and not self.request.response_begun:
-            seconds = self.core.clock.now() - self._memory_acquired_at
-            self.core.get_demand(self.request.service.name).record_first_event(seconds)
+        self._place.record_first_event()
 
     @property
     def hall(self) -> str | None:
@@ -857,18 +619,14 @@
             return self._failover.hall
         return None if self._attempt is None else self._attempt.upstream.hall
 
-    def compute_elapsed_s(self) -> float:
-        """Return the seconds since the request arrived."""
-        return round(self.core.clock.now() - self._incoming.arrived_at, 4)
-
     # --- events from the caller and configuration changes ------------------------------------------------------------
 
     def handle_caller_lost(self) -> None:
         """Stop all work for a caller that disconnected."""
         if self._ended:
             return
-        self.write_log("caller gone", begun=self._responder.started, seconds=self.compute_elapsed_s())
-        self._record_outcome("caller_gone")
+        self.write_log("caller gone", begun=self._response.started, seconds=self._response.compute_elapsed_s())
+        self._response.record_outcome("caller_gone")
         self._end()
 
     def pause(self) -> None:
@@ -900,14 +658,15 @@
         if regions == self.request.regions:
             return
         self.write_log("regions changed", regions=None if regions is None else sorted(regions), version=version)
-        needs_plan = self._in_queue
-        self.leave_queue()
+        needs_plan = self._place.is_waiting
+        self._place.leave()
         self.request.apply_regions(regions)
         if self._is_connecting_outside_regions(regions):
             self._stop_attempt()
             needs_plan = True
         if self._attempt is None or self._is_prefilling:
-            self._release_unusable()  # otherwise an attempt may be using the memory: the plan after it does this
+            # Otherwise an attempt may be using the memory; the plan after it does this.
+            self._held.release_unusable(is_searching=self._failover.active)
         if needs_plan:
             self.advance()
 
@@ -932,3 +691,21 @@
         timer, self._deadline_timer = self._deadline_timer, None
         if timer is not None and timer.active():
             timer.cancel()
+
+
+def _make_request(core: Core, new: NewRequest) -> RelayRequest:
+    """Return the state of a new request."""
+    on_time_until = new.incoming.arrived_at + FIRST_EVENT_SHARE * new.route.target_latency
+    if Mechanism.DECODE_PREFILL in core.disabled:
+        on_time_until = float("inf")
+    lengths = core.get_output_lengths(new.service.name)
+    return RelayRequest(
+        new.facts,
+        new.route,
+        new.service,
+        reserved_output_tokens=0 if new.service.engine is None else lengths.compute_reserve_tokens(new.facts),
+        reserves_memory=Mechanism.RESERVATIONS not in core.disabled,
+        on_time_until=on_time_until,
+        regions=new.regions,
+        body_bytes=len(new.incoming.body),
+    )
--- a/src/beamhatch/relay/upstreams/attempt.py
+++ b/src/beamhatch/relay/upstreams/attempt.py
@@ -20,9 +20,9 @@
     from beamhatch.relay.choosing.pace import PrefillEstimator
     from beamhatch.relay.choosing.rests import BackoffProbe
     from beamhatch.relay.model import Upstream
-    from beamhatch.relay.requests.exchange import RelayExchange
     from beamhatch.relay.requests.request import Send
     from beamhatch.relay.tunnels.api import Via
+    from beamhatch.relay.upstreams.api import AttemptOwner
     from beamhatch.relay.upstreams.http_client import Call, HttpExchange, ResponseHead
 
 
@@ -33,7 +33,7 @@
 class Attempt(ResponseSink):
     """Attempt to send a request to one upstream; at its end, the exchange takes the next step."""
 
-    def __init__(self, exchange: RelayExchange, send: Send) -> None:
+    def __init__(self, exchange: AttemptOwner, send: Send) -> None:
         self.exchange = exchange
         self.send = send
         self.core = exchange.core
--- a/src/beamhatch/relay/upstreams/reserve_attempt.py
+++ b/src/beamhatch/relay/upstreams/reserve_attempt.py
@@ -12,9 +12,9 @@
 if TYPE_CHECKING:
     from beamhatch.relay.choosing.rests import BackoffProbe
     from beamhatch.relay.model import Upstream
-    from beamhatch.relay.requests.exchange import RelayExchange
     from beamhatch.relay.requests.request import Reserve
     from beamhatch.relay.tunnels.api import Via
+    from beamhatch.relay.upstreams.api import AttemptOwner
     from beamhatch.relay.upstreams.http_client import Call, HttpExchange, ResponseHead
 
 GRANTED = 200
@@ -30,7 +30,7 @@
 class ReserveAttempt(ResponseSink):
     """Attempt to reserve memory at a decode engine; it runs nothing and does not count as a send."""
 
-    def __init__(self, exchange: RelayExchange, step: Reserve) -> None:
+    def __init__(self, exchange: AttemptOwner, step: Reserve) -> None:
         self.core = exchange.core
         self._exchange = exchange
         self._step = step
@@ -111,9 +111,7 @@
         found = self.core.dialect.read_reservation(bytes(self._body)) if self._head.status == GRANTED else None
         self.core.tally.count("reservations_total", str(self._head.status))
         if found is not None:
-            self._exchange.leave_queue()
-            self._exchange.record_memory_acquired()
-            self._exchange.request.record_reserved(Reservation(found, upstream, now + self._step.lifetime_s))
+            self._exchange.handle_reserved(Reservation(found, upstream, now + self._step.lifetime_s))
         elif self._head.status == MISDIRECTED:
             stats.record_misdirected(now)
             self._exchange.request.record_reserve_failed(upstream.id)
@@ -156,7 +154,7 @@
 
     def __init__(
         self,
-        exchange: RelayExchange,
+        exchange: AttemptOwner,
         step: Reserve,
         http: HttpExchange,
         head: ResponseHead | None,
--- a/src/beamhatch/relay/upstreams/stream_attempt.py
+++ b/src/beamhatch/relay/upstreams/stream_attempt.py
@@ -14,8 +14,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from beamhatch.relay.requests.exchange import RelayExchange
     from beamhatch.relay.requests.request import Send
+    from beamhatch.relay.upstreams.api import AttemptOwner
     from beamhatch.relay.upstreams.http_client import ResponseHead
 
 FIRST_EVENT_TIMEOUT_FACTOR = 1.33
@@ -43,7 +43,7 @@
 class StreamAttempt(Attempt):
     """Attempt at a decode engine, whose events are forwarded as they arrive."""
 
-    def __init__(self, exchange: RelayExchange, send: Send) -> None:
+    def __init__(self, exchange: AttemptOwner, send: Send) -> None:
         super().__init__(exchange, send)
         self._events = EventChecker(self.request.last_event, self._compute_max_events())
         self._last_event_at: float | None = None
--- a/tests/platform/test_own_word.py
+++ b/tests/platform/test_own_word.py
@@ -19,12 +19,12 @@
 from beamhatch.platform.standin.store import StoreFault
 from beamhatch.platform.standin.upstream import StandInEngine, UpstreamFault
 from beamhatch.relay.model import ServiceName
+from beamhatch.relay.requests.exchange import RelayExchange
 from beamhatch.relay.upstreams.attempt import Attempt
 from tests.support.platform import SENT_TO, Platform, find_answering, make_platform
 
 if TYPE_CHECKING:
     from beamhatch.platform.standin.upstream import StandInUpstream
-    from beamhatch.relay.requests.exchange import RelayExchange
     from tests.support.platform import Caller
 
 DRAIN_TIME = 2.0
@@ -218,6 +218,7 @@
     exchanges = platform.vms["vm1"].core.exchanges
     platform.network.run_until(lambda: exchanges)
     (exchange,) = exchanges
+    assert isinstance(exchange, RelayExchange)
     return exchange
 
 
--- a/tests/platform/test_silence_spells.py
+++ b/tests/platform/test_silence_spells.py
@@ -78,6 +78,7 @@
     def give_up(self: Attempt) -> None:
         self._timer = None
         self.cancel()
+        assert isinstance(self.exchange, RelayExchange)
         self.exchange.abort("no answer in time")
 
     monkeypatch.setattr(Attempt, "_handle_timeout", give_up)
