--- a/src/beamhatch/relay/streams/version_recorder.py
+++ b/src/beamhatch/relay/streams/version_recorder.py
@@ -107,7 +107,7 @@
             return False
         self._waiting.append(on_done)
         if not self._is_reading:
-            defer.ensureDeferred(self._read()).addErrback(self._handle_exit)
+            defer.ensureDeferred(self._read()).addErrback(self._report_failure)
         return True
 
     async def _run(self) -> None:
@@ -222,5 +222,8 @@
 
     def _handle_exit(self, failure: Any) -> None:
         if not failure.check(defer.CancelledError):
-            self._journal.write("VERSION", "recorder failed", error=failure.getTraceback())
+            self._report_failure(failure)
             self._clock.call_later(MAX_RETRY_DELAY_S, self.start)
+
+    def _report_failure(self, failure: Any) -> None:
+        self._journal.write("VERSION", "recorder failed", error=failure.getTraceback())
--- a/tests/soak/mutants.py
+++ b/tests/soak/mutants.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
-from beamhatch.platform import store as platform_store
+from beamhatch.platform import store_client
 from beamhatch.platform.epochs import Epoch
 from beamhatch.platform.run import main
 from beamhatch.relay.choosing.eligibility import Eligibility, Obstacle
@@ -94,7 +94,7 @@
 
 
 def _ignores_epochs() -> None:
-    platform_store.read_epoch = lambda headers: Epoch(0)  # type: ignore[attr-defined]
+    store_client.read_epoch = lambda headers: Epoch(0)  # type: ignore[attr-defined]
 
 
 def _stops_at_once() -> None:
