Release memory that an engine set aside for a stream that it then turned away

Cause: the reservation went to the send, and was nobody's once the send was turned away.

Change: the attempt releases it, unless another engine answered at the address (421). One function releases reservations.

--- a/src/beamhatch/relay/requests/held_memory.py
+++ b/src/beamhatch/relay/requests/held_memory.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from beamhatch.relay.choosing.eligibility import Obstacle
-from beamhatch.relay.requests.release import send_release
+from beamhatch.relay.requests.release import release_reservation, send_release
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
@@ -67,7 +67,7 @@
         obstacle = self._find_obstacle(reservation, is_searching=is_searching)
         if obstacle is not None:
             self._give_up(reservation, obstacle)
-            self._release_reservation(reservation)
+            release_reservation(self._core, reservation, self._write_log)
 
     def _give_up(self, reservation: Reservation, obstacle: str) -> None:
         self.drop_permit()
@@ -96,14 +96,9 @@
         if request.handle is not None and request.handle not in except_handles:
             self._release_handle(request.handle)
         if request.reservation is not None:
-            self._release_reservation(request.reservation)
+            release_reservation(self._core, request.reservation, self._write_log)
             request.reservation = None
 
     def _release_handle(self, handle: Handle) -> None:
         send_release(self._core, handle.upstream, self._core.dialect.make_release_call(handle), self._write_log)
         self._request.drop_handle()
-
-    def _release_reservation(self, reservation: Reservation) -> None:
-        if reservation.id is not None:
-            call = self._core.dialect.make_unreserve_call(reservation)
-            send_release(self._core, reservation.upstream, call, self._write_log)
--- a/src/beamhatch/relay/requests/release.py
+++ b/src/beamhatch/relay/requests/release.py
@@ -10,7 +10,7 @@
     from collections.abc import Callable
 
     from beamhatch.relay.core import Core
-    from beamhatch.relay.model import Upstream
+    from beamhatch.relay.model import Reservation, Upstream
     from beamhatch.relay.upstreams.http_client import Call
 
 RELEASE_TIMEOUT_S = 2.0
@@ -36,3 +36,9 @@
     write_log("given back", target=call.target, to=upstream.id)
     sink = AnnouncementSink(core.announcements, upstream)
     sink.limit_time(core.client.open(upstream.address, call, sink), RELEASE_TIMEOUT_S)
+
+
+def release_reservation(core: Core, reservation: Reservation, write_log: Callable[..., None]) -> None:
+    """Send the release of reserved memory, if any was reserved."""
+    if reservation.id is not None:
+        send_release(core, reservation.upstream, core.dialect.make_unreserve_call(reservation), write_log)
--- a/src/beamhatch/relay/upstreams/reserve_attempt.py
+++ b/src/beamhatch/relay/upstreams/reserve_attempt.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING, Any
 
 from beamhatch.relay.model import Reservation
-from beamhatch.relay.requests.release import send_release
+from beamhatch.relay.requests.release import release_reservation
 from beamhatch.relay.upstreams.announcements import MISDIRECTED
 from beamhatch.relay.upstreams.http_client import CallFailure, ResponseSink
 
@@ -201,8 +201,7 @@
             self._core.tally.count("reservations_used_late_total")
             return
         self._core.tally.count("reservations_released_late_total")
-        call = self._core.dialect.make_unreserve_call(reservation)
-        send_release(self._core, upstream, call, self._exchange.write_log)
+        release_reservation(self._core, reservation, self._exchange.write_log)
 
     def handle_failure(self, failure: CallFailure, detail: str) -> None:
         """Let the request go on without this engine; memory that was granted expires there."""
--- a/src/beamhatch/relay/upstreams/stream_attempt.py
+++ b/src/beamhatch/relay/upstreams/stream_attempt.py
@@ -6,7 +6,9 @@
 
 from beamhatch.relay.model import Stage
 from beamhatch.relay.quarantine.part_successes import MIN_RESPONSE_S
+from beamhatch.relay.requests.release import release_reservation
 from beamhatch.relay.requests.response import BufferedResponse
+from beamhatch.relay.upstreams.announcements import MISDIRECTED
 from beamhatch.relay.upstreams.attempt import Attempt
 from beamhatch.relay.upstreams.events import EventChecker, StreamError
 from beamhatch.relay.upstreams.http_client import CallFailure
@@ -156,7 +158,10 @@
             self.core.record_output_length(service.name, self.request.facts, tokens)
 
     def handle_rejection(self, now: float) -> None:
-        """Avoid the prefill engine for a while if the handoff of its KV cache failed."""
+        """Release the memory that was reserved, and avoid a prefill engine for a while whose KV cache had expired."""
+        assert self.head is not None
+        if self.send.reservation is not None and self.head.status != MISDIRECTED:
+            release_reservation(self.core, self.send.reservation, self.exchange.write_log)
         if self.send.handle is not None and self.request.handoffs_exhausted:
             holder = self.core.stats.get(self.send.handle.upstream.id)
             holder.drops_caches_until = now + LAPSED_HANDLE_PAUSE_S
