--- a/tests/platform/test_all_vms_restart.py
+++ b/tests/platform/test_all_vms_restart.py
@@ -7,7 +7,9 @@
 from beamhatch.platform.standin.store import StoreFault
 from beamhatch.relay.streams.open_stream_writer import WRITE_INTERVAL_S
 from beamhatch.relay.streams.version_recorder import EXPERIENCE_S
+from beamhatch.relay.streams.versions import VersionHistory
 from tests.support.version_fleet import VersionFleet
+from tests.support.version_spell import VersionSpell
 
 ENGINES = 3
 DRAIN_S = 2.4
@@ -169,3 +171,20 @@
     fleet.begin_streams(STREAMS, "vm0", "vm1", "vm2")
     fleet.finish()
     assert fleet.platform.store.get_newest_revision("beamhatch-streams/") == calls
+
+
+def take_one_version_for_the_only_one(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(VersionHistory, "is_complete", lambda self, now: True)
+    monkeypatch.setattr(VersionHistory, "record_stored", lambda *_: None)
+
+
+@pytest.mark.parametrize("seed", [0, 1])
+def test_streams_go_on_at_another_version_as_all_vms_are_killed_among_other_disruptions(seed: int) -> None:
+    spell = VersionSpell(seed, kills_all=True)
+    broken = spell.play()
+    assert not broken, "\n".join([*broken, *spell.lines])
+
+
+def test_the_spells_see_a_vm_that_takes_one_version_for_the_only_one(monkeypatch: pytest.MonkeyPatch) -> None:
+    take_one_version_for_the_only_one(monkeypatch)
+    assert any(VersionSpell(seed, kills_all=True).play() for seed in range(4))
--- a/tests/soak/order.py
+++ b/tests/soak/order.py
@@ -14,10 +14,11 @@
     parser.add_argument("--seed", type=int, default=0, help="seed of the first spell")
     parser.add_argument("--count", type=int, default=10)
     parser.add_argument("--vms", type=int, default=6)
+    parser.add_argument("--kills-all", action="store_true", help="also kill all VMs at once")
     arguments = parser.parse_args()
     failed = mixed = resumed = went_on = 0
     for seed in range(arguments.seed, arguments.seed + arguments.count):
-        spell = VersionSpell(seed, arguments.vms)
+        spell = VersionSpell(seed, arguments.vms, kills_all=arguments.kills_all)
         broken = spell.play()
         found = spell.fleet.list_mixed()
         mixed += len(found)
--- a/tests/support/version_spell.py
+++ b/tests/support/version_spell.py
@@ -26,8 +26,15 @@
 class VersionSpell:
     """One spell, drawn from a seed."""
 
-    def __init__(self, seed: int, size: int = 6) -> None:
-        self.fleet = VersionFleet(size, seed)
+    def __init__(self, seed: int, size: int = 6, *, kills_all: bool = False) -> None:
+        """Start the fleet.
+
+        :param kills_all: whether all engines are replaced and all VMs killed at once too, and callers come back when
+            they are told to
+        """
+        self.fleet = VersionFleet(size, seed, versions=["v1"] if kills_all else ["v1", "v2"])
+        self.fleet.honours_retry_after = kills_all
+        self._kills_all = kills_all
         self.lines: list[str] = []
         """What was brought about, and when."""
         self._network = self.fleet.platform.network
@@ -53,6 +60,8 @@
             self._silence,
             self._lose_datagrams,
         ]
+        if self._kills_all:
+            kinds += [self._kill_all, self._roll_out, self._roll_out, self._roll_out]
         end = self.fleet.now + SPELL_S
         while self.fleet.now < end:
             self.fleet.rng.choice(kinds)()
@@ -87,6 +96,12 @@
             self._note(f"{vm} is killed with others")
             self.fleet.kill(vm, 0.5)
 
+    def _kill_all(self) -> None:
+        down_s = self.fleet.rng.choice([0.2, 0.5, 3.0])
+        self._note(f"all VMs are killed, for {down_s} s")
+        for vm in self.fleet.list_vms():
+            self.fleet.kill(vm, down_s)
+
     def _stop(self) -> None:
         vm = self._draw_vm()
         if vm is not None:
@@ -108,6 +123,18 @@
         self._numbers.append(self._successor)
         self._successor += 1
 
+    def _roll_out(self) -> None:
+        """Replace all engines by another version, and kill all VMs at about the end of the former ones."""
+        version = self.fleet.rng.choice(self._versions)
+        self._note(f"all engines are replaced by {version}")
+        for number in list(self._numbers):
+            self.fleet.replace(number, self._successor, version)
+            self._numbers.remove(number)
+            self._numbers.append(self._successor)
+            self._successor += 1
+        self.fleet.run(self.fleet.rng.uniform(2.0, 4.0), RATE)
+        self._kill_all()
+
     def _cut_store(self) -> None:
         self._note("the store is cut off")
         self._network.cut("store")
