Leave an error response the time for which a sound upstream may be silent

What callers could see: an upstream answered with an error and was silent for 1.3 s before its body, and the caller got 502 in place of the answer.

Cause: each response that is no success was cut off 1 s behind its head. Silence of a sound upstream is no reason to give up an answer.

Change: 3 s, and 1 s only for a response whose head proves that the request has not run, where nothing is lost.

Evidence: test_an_error_is_cut_off_whose_upstream_is_silent_before_its_body fails with 1 s and passes with 3 s.

--- a/src/beamhatch/relay/upstreams/attempt.py
+++ b/src/beamhatch/relay/upstreams/attempt.py
@@ -26,8 +26,11 @@
     from beamhatch.relay.upstreams.http_client import Call, HttpExchange, ResponseHead
 
 
-UNSUCCESSFUL_BODY_TIME_S = 1.0
-"""Time from the head to the end of a response that is not a success; upstreams send both at once."""
+REJECTION_BODY_TIME_S = 1.0
+"""Time from the head to the end of a response whose head proves that the request has not run."""
+
+ERROR_BODY_TIME_S = 3.0
+"""The same for other responses that are no success; longer than sound upstreams are silent."""
 
 
 class Attempt(ResponseSink):
@@ -210,7 +213,8 @@
         """Close the connection soon unless the response ends, if it is not a success."""
         self._stop_body_timer()
         if self.head is not None and not self.is_success():
-            self._body_timer = self.core.clock.call_later(UNSUCCESSFUL_BODY_TIME_S, self._handle_body_timeout)
+            seconds = REJECTION_BODY_TIME_S if self.has_not_run() else ERROR_BODY_TIME_S
+            self._body_timer = self.core.clock.call_later(seconds, self._handle_body_timeout)
 
     def _handle_body_timeout(self) -> None:
         self._body_timer = None
--- a/tests/platform/test_endless_bytes.py
+++ b/tests/platform/test_endless_bytes.py
@@ -2,15 +2,25 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 import pytest
 
-from beamhatch.relay.model import Address
-from tests.support.endless import CallType, EndlessEngine, EndlessUpstream, Flood, Selection
+from beamhatch.platform.standin.base import read_headers
+from beamhatch.relay.model import Address, Reservation, UpstreamId
+from beamhatch.relay.requests.release import release_reservation
+from tests.support.endless import CallType, EndlessEngine, EndlessUpstream, Flood, Selection, make_head
 from tests.support.platform import MODEL, PLAIN, Platform
 
+if TYPE_CHECKING:
+    from beamhatch.relay.callers.http_server import IncomingRequest, Responder
+
 MAX_CALL_BYTES = 2 * 1024 * 1024
 """Bytes of one call's response that a VM may read; some dozens of such calls at once fit into its memory."""
 
+SILENCE_S = 1.3
+"""Time for which a sound upstream may be silent."""
+
 MAX_CALL_TIME_S = 6.0
 """Seconds after which the connection of a call has to be closed that no caller waits for."""
 
@@ -125,14 +135,10 @@
 
 def send_release(platform: Platform) -> None:
     """Have the VM release memory at the upstream that sends bytes without end."""
-    from beamhatch.relay.model import Reservation, UpstreamId
-    from beamhatch.relay.requests.release import send_release as send
-
     core = platform.vms["vm1"].core
     upstream = core.listing.get(UpstreamId("bad"))
     assert upstream is not None
-    reservation = Reservation("h1", upstream, core.clock.now() + 1.0)
-    send(core, upstream, core.dialect.make_unreserve_call(reservation), lambda *_, **__: None)
+    release_reservation(core, Reservation("h1", upstream, core.clock.now() + 1.0), lambda *_, **__: None)
     platform.network.run(0.1)
 
 
@@ -147,3 +153,28 @@
     assert max(platform.ledger.runs.values()) == 1
     refused = [f"q{number}" for number, status in enumerate(statuses) if status == 503]
     assert not any(platform.ledger.runs[request] for request in refused)
+
+
+class PausingReplica(EndlessUpstream):
+    """A replica that is silent between the head and the body of its responses."""
+
+    def serve(self, incoming: IncomingRequest, responder: Responder) -> None:
+        request = read_headers(incoming)["request-id"]
+        self.ledger.runs[request] += 1
+        connection = responder._connection
+        assert connection is not None
+        connection.transport.write(make_head(request, 404, b"Content-Length: 2\r\n"))
+        self.clock.call_later(SILENCE_S, connection.transport.write, b"no")
+
+
+def test_an_error_is_cut_off_whose_upstream_is_silent_before_its_body() -> None:
+    platform = Platform()
+    platform.configure(1)
+    platform._add(
+        "bad", PausingReplica(platform.clock, Address("host-bad", 80), "bad", platform.ledger), PLAIN, "hall-a"
+    )
+    platform.add_vm()
+    platform.network.run_until(platform.is_ready)
+    caller = platform.finish(platform.call("/unsafe/x", "q1"))
+    assert caller.status == 404
+    assert caller.body == b"no"
