Ask once a service whether it has several versions, and buffer bodies in one place

Read once more: list_open_streams runs each second on every VM and asked for each open stream whether its service has several versions, which builds a set each time. It asks once a service now, and walks over no record where no service has several. The body of a response that is kept was buffered by the same lines in three kinds of attempts; Attempt does it. No behaviour is meant to change.

--- a/src/beamhatch/relay/streams/origins.py
+++ b/src/beamhatch/relay/streams/origins.py
@@ -165,9 +165,12 @@
     def list_open_streams(self) -> list[OpenStreams]:
         """Return the open streams that began at this VM, of services with several versions."""
         now = self._clock.now()
+        services = self._versions.list_with_several(now)
+        if not services:
+            return []
         groups: dict[Begun, list[tuple[StreamKey, StreamRecord]]] = {}
         for key, record in self._records.list_all_own(now)[-MAX_STORED_STREAMS:]:
-            if self._versions.has_several(record.service, now):
+            if record.service in services:
                 groups.setdefault(Begun(record.service, record.version), []).append((key, record))
         return [
             OpenStreams(
--- a/src/beamhatch/relay/streams/versions.py
+++ b/src/beamhatch/relay/streams/versions.py
@@ -86,10 +86,16 @@
 
     def list_all(self, now: float) -> VersionsByService:
         """Return the versions of all services that are listed, or were within the retention time."""
-        services = {*self._counts, *self._ended_at}
-        found = {service: frozenset(self.list_recent(service, now)) for service in services}
+        found = {service: frozenset(self.list_recent(service, now)) for service in self._list_services()}
         return {service: versions for service, versions in found.items() if versions}
 
+    def list_with_several(self, now: float) -> set[ServiceName]:
+        """Return the services that have several versions, by this VM's listing or by a peer's."""
+        return {service for service in self._list_services() if self.has_several(service, now)}
+
+    def _list_services(self) -> set[ServiceName]:
+        return {*self._counts, *self._ended_at}
+
     def list_recent(self, service: ServiceName, now: float) -> set[SoftwareVersion]:
         """Return the versions of a service that are listed, or were within the retention time."""
         ended = self._ended_at.get(service)
--- a/src/beamhatch/relay/upstreams/attempt.py
+++ b/src/beamhatch/relay/upstreams/attempt.py
@@ -205,6 +205,10 @@
             self._probe.end(now, answered=not self.has_not_run())
         self._limit_body_time()
 
+    def handle_data(self, data: bytes) -> None:
+        """Buffer body data, which the connection bounds."""
+        self.body += data
+
     def is_success(self) -> bool:
         """Return whether the response has the status of a success."""
         return self.head is not None and self.head.status < 300
--- a/src/beamhatch/relay/upstreams/plain_attempt.py
+++ b/src/beamhatch/relay/upstreams/plain_attempt.py
@@ -26,10 +26,6 @@
         """Return the maximum size of a response, which is buffered."""
         return MAX_BODY_BYTES
 
-    def handle_data(self, data: bytes) -> None:
-        """Buffer body data."""
-        self.body += data
-
     def handle_end(self) -> None:
         """Forward the response, or let the exchange try another upstream."""
         assert self.head is not None
--- a/src/beamhatch/relay/upstreams/prefill_attempt.py
+++ b/src/beamhatch/relay/upstreams/prefill_attempt.py
@@ -29,10 +29,6 @@
 class PrefillAttempt(Attempt):
     """Attempt at a prefill engine, which processes the prompt and holds its KV cache."""
 
-    def handle_data(self, data: bytes) -> None:
-        """Buffer body data."""
-        self.body += data
-
     def handle_end(self) -> None:
         """Record the handle of the KV cache, and let the exchange go on to a decode engine."""
         assert self.head is not None
--- a/src/beamhatch/relay/upstreams/stream_attempt.py
+++ b/src/beamhatch/relay/upstreams/stream_attempt.py
@@ -80,7 +80,7 @@
     def handle_data(self, data: bytes) -> None:
         """Forward complete events, or buffer the body of an error response."""
         if not self._is_stream:
-            self.body += data
+            super().handle_data(data)
             return
         try:
             events = self._events.feed(data)
