Leave it to CallerRetries whether retries are told apart

CallerRetries is made with the mechanism's switch, and the exchange asked for it again before it called. A batch of events says always whether it has any. No behaviour is meant to change.

--- a/src/beamhatch/relay/requests/exchange.py
+++ b/src/beamhatch/relay/requests/exchange.py
@@ -81,9 +81,7 @@
         self._admitted = new.admitted
         self._incoming = new.incoming
         self.request = _make_request(core, new)
-        self._is_caller_retry = Mechanism.CALLER_RETRIES not in core.disabled and core.caller_retries.is_retry(
-            new.route, new.facts.time_left
-        )
+        self._is_caller_retry = core.caller_retries.is_retry(new.route, new.facts.time_left)
         self._forwarded_headers = strip_hop_by_hop(new.incoming.headers)
         self._cost = core.costs.begin(RouteName(new.route.name), len(new.incoming.body), core.clock.now())
         self._response = CallerResponse(
--- a/src/beamhatch/relay/upstreams/events.py
+++ b/src/beamhatch/relay/upstreams/events.py
@@ -14,7 +14,7 @@
 
     data: bytes
     last_id: int | None
-    has_events: bool = True
+    has_events: bool
     """Whether the data has any event; otherwise it has only comments and blank lines."""
 
 
