--- a/review/4/case.py
+++ b/review/4/case.py
@@ -12,7 +12,7 @@
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent))
 
-from lab import Lab, Verdict, call, make_configuration, make_request, read_stream, run_case  # noqa: E402
+from lab import Lab, Verdict, call, make_configuration, run_case, send_request  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 LETTERS_PER_S, CARDS_PER_S = 116, 46
@@ -74,16 +74,10 @@
         if kind == "0":
             self.letters[request] = time.monotonic()
         self.lab.note(f"client sends {request} {path} to {address}")
-        host, _, port = address.rpartition(":")
-        reader, writer = await asyncio.open_connection(host, int(port))
-        writer.write(make_request(path, {"Request-Id": request, "Deadline-Ms": "1604"}, b"x" * 300))
-        try:
-            status, whole, _ = await asyncio.wait_for(read_stream(reader, lambda event: None), 1.604)
-        except TimeoutError:
-            status, whole = 0, False
-        writer.close()
+        headers = {"Request-Id": request, "Deadline-Ms": "1604"}
+        status, _, _ = await send_request(address, path, headers, b"x" * 300, 1.604)
         self.statuses[f"{kind}:{status}"] += 1
-        self.lab.note(f"client got {status} for {request}, whole: {whole}")
+        self.lab.note(f"client got {status} for {request}")
 
 
 async def play(lab: Lab) -> Verdict:
--- a/review/lab.py
+++ b/review/lab.py
@@ -267,6 +267,11 @@
 # --- servers ----------------------------------------------------------------------------------------------------------
 
 
+def make_piece(number: int, pieces: int) -> bytes:
+    """Return a piece of an answer without a length; the last one says that it is."""
+    return f"{number}/{pieces} ".encode().ljust(200, b".") + b"\n"
+
+
 class ModelServer(Server):
     """A replica: of a plain service without a phase, or a model server that prefills or decodes.
 
@@ -404,7 +409,7 @@
         request = headers.get("request-id", "")
         refused = encode_answer(503, b"{}", {"Request-Id": request, "Not-Executed": "1"})
         if not self.phase:
-            return await self.run_plain(request, target, body)
+            return await self.run_plain(writer, request, target, body)
         if (headers.get("stage") == "prefill") != (self.phase == "prefill"):
             return encode_answer(421, b"{}", {"Request-Id": request, "Not-Executed": "1"})
         prompt, output = (int(word) for word in headers["token-count"].split(","))
@@ -430,7 +435,7 @@
             self.running -= 1
         return None
 
-    async def run_plain(self, request: str, target: str, body: bytes) -> bytes:
+    async def run_plain(self, writer, request: str, target: str, body: bytes) -> bytes | None:
         """Run a request of a plain service."""
         self.running += 1
         self.note("runs", request=request, path=target)
@@ -442,8 +447,23 @@
         if random.random() < self.lost_share:
             self.note("answer lost", request=request)
             await asyncio.sleep(60.0)
+        if self.config.get("pieces"):
+            await self.write_unframed(writer, request)
+            return None
         return encode_answer(200, f"{self.id} {request} {len(body)}".encode(), self.make_headers(request))
 
+    async def write_unframed(self, writer, request: str) -> None:
+        """Write an answer that has neither a length nor chunks and ends with its connection."""
+        lines = [f"{name}: {value}" for name, value in self.make_headers(request).items()]
+        writer.write("\r\n".join(["HTTP/1.1 200 OK", "Connection: close", *lines, "", ""]).encode())
+        pieces = self.config["pieces"]
+        for number in range(1, pieces + 1):
+            writer.write(make_piece(number, pieces))
+            await writer.drain()
+            await asyncio.sleep(self.config["piece_s"])
+        self.note("answered whole", request=request)
+        writer.close()
+
     async def prefill(self, request: str, prompt: int) -> bytes:
         """Read a prompt."""
         now = time.monotonic()
@@ -764,8 +784,8 @@
         return 2
     try:
         verdict = asyncio.run(play(lab))
-    except CannotRunError as problem:
-        verdict = Verdict(f"can't run: {problem}", is_broken=False, is_valid=False)
+    except Exception as problem:  # an error of the script must not look like a broken rule
+        verdict = Verdict(f"can't run: {problem!r}", is_broken=False, is_valid=False)
     finally:
         lab.close()
     lab.write_record(verdict.text)
@@ -786,6 +806,25 @@
     return "\r\n".join([*lines, "", ""]).encode() + body
 
 
+async def send_request(
+    address: str, path: str, headers: dict[str, str], body: bytes, seconds: float
+) -> tuple[int, dict[str, str], bytes]:
+    """Send a request on a new connection; return status, headers and body, or status 0 without an answer in time."""
+    host, _, port = address.rpartition(":")
+    try:
+        reader, writer = await asyncio.wait_for(asyncio.open_connection(host, int(port)), 1.0)
+    except (OSError, TimeoutError):
+        return 0, {}, b""
+    try:
+        writer.write(make_request(path, headers, body))
+        message = await asyncio.wait_for(read_message(reader), seconds)
+    except (OSError, TimeoutError):
+        message = None
+    finally:
+        writer.close()
+    return (0, {}, b"") if message is None else (int(message[0].split()[1]), message[1], message[2])
+
+
 async def read_stream(reader: asyncio.StreamReader, on_event) -> tuple[int, bool, dict[str, str]]:
     """Read an answer; return its status, whether it came whole, and its headers; tell of each event."""
     message = await read_message(reader)
