Log and count sends of requests that may already have run

The lines could not tell why a request was sent twice: which kind allowed it, and what proved that the first send had not run. No logic changes.

--- a/src/beamhatch/relay/model.py
+++ b/src/beamhatch/relay/model.py
@@ -108,6 +108,11 @@
     priority: int = 0
     """Priority of its requests, 0 is highest; that of their workspace takes precedence."""
 
+    @property
+    def label(self) -> str:
+        """Return the kind as a metric label and log field; resumable streams are told from others."""
+        return "resumable" if self.kind is RouteKind.STREAMING and self.resumable else self.kind.value
+
     @property
     def idempotent(self) -> bool:
         """Return whether a request may run more than once."""
--- a/src/beamhatch/relay/requests/exchange.py
+++ b/src/beamhatch/relay/requests/exchange.py
@@ -51,7 +51,7 @@
     from collections.abc import Sequence
 
     from beamhatch.relay.core import Core
-    from beamhatch.relay.model import Handle, Incarnation, Regions, RoutingTable, SoftwareVersion, Upstream
+    from beamhatch.relay.model import Handle, Incarnation, Regions, Route, RoutingTable, SoftwareVersion, Upstream
     from beamhatch.relay.requests.api import NewRequest
     from beamhatch.relay.streams.lookup import Origin
     from beamhatch.relay.upstreams.http_client import ResponseHead
@@ -79,6 +79,7 @@
         self.core = core
         self.digests = new.digests
         self._admitted = new.admitted
+        self._admitted_route = self._matched_route = new.route
         self._incoming = new.incoming
         self.request = _make_request(core, new)
         self._is_caller_retry = core.caller_retries.is_retry(new.route, new.facts.time_left)
@@ -209,6 +210,8 @@
             **describe_send(request, self.digests, send, stats, now),
             **self.core.announcements.describe_limit(send.upstream.incarnation),
         )
+        if request.possible_runs and send.stage is not Stage.PREFILL:
+            self.core.tally.count("sends_beside_possible_runs_total", self._admitted_route.label)
         relation = request.get_continuation(send)
         if relation is not None:
             self.core.tally.count("streams_continued_total", relation)
@@ -598,7 +601,9 @@
 
     def write_log(self, event: str, **fields: object) -> None:
         """Write a log event about this request."""
-        self.core.journal.write("RELAY", event, request=self.request.facts.id, route=self.request.route.name, **fields)
+        self.core.journal.write(
+            "RELAY", event, request=self.request.facts.id, route=self._admitted_route.name, **fields
+        )
 
     def handle_reserved(self, reservation: Reservation) -> None:
         """Record that an engine has reserved memory for the request."""
@@ -642,6 +647,7 @@
         route = table.find_route(self._incoming.host, self._incoming.path)
         if route is None or self._ended:
             return
+        self._log_changed_route(route, table.version)
         self._apply_regions(
             table.get_allowed_regions(route, self._admitted.workspace, self.request.regions), table.version
         )
@@ -651,6 +657,18 @@
         self.request.apply_route(route)
         self._start_deadline_timer()
 
+    def _log_changed_route(self, route: Route, version: int) -> None:
+        if route == self._matched_route:
+            return
+        self._matched_route = route
+        self.write_log(
+            "route changed",
+            matched=route.name,
+            matched_kind=route.label,
+            admitted_kind=self._admitted_route.label,
+            version=version,
+        )
+
     def _apply_regions(self, regions: Regions, version: int) -> None:
         """Apply changed regions: release memory held outside them; a send made already completes on its upstream."""
         if regions == self.request.regions:
--- a/src/beamhatch/relay/upstreams/attempt.py
+++ b/src/beamhatch/relay/upstreams/attempt.py
@@ -298,6 +298,8 @@
             to=self.send.upstream.id,
             status=self.head.status,
             stage=self.send.stage.value,
+            names_request=self._names_request,
+            first_on_connection=self.head.is_first,
             detail=bytes(self.body[:120]).decode("latin-1"),
         )
         self.core.tally.count("turned_away_total", str(self.head.status))
@@ -310,6 +312,11 @@
     def handle_rejection(self, now: float) -> None:
         """Handle a rejection beyond recording that the request has not run."""
 
+    @property
+    def _names_request(self) -> bool:
+        """Whether the response carries the id of the request."""
+        return self.facts is not None and self.facts.request_id == self.request.facts.id
+
     def has_not_run(self) -> bool:
         """Return whether the response proves that the request has not run."""
         assert self.head is not None
--- a/src/beamhatch/relay/upstreams/http_client.py
+++ b/src/beamhatch/relay/upstreams/http_client.py
@@ -88,6 +88,8 @@
 
     status: int
     headers: Headers
+    is_first: bool = True
+    """Whether no other response was read on its connection before."""
 
     @property
     def ends_with_connection(self) -> bool:
@@ -183,6 +185,8 @@
         self._state = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
         self._skipping = False
         self._head: ResponseHead | None = None
+        self._has_responded = False
+        """Whether a response was read, to any call."""
         self._bounds = ResponseBounds()
 
     def connectionMade(self) -> None:
@@ -254,7 +258,9 @@
         if isinstance(event, h11.InformationalResponse):
             self._bounds.record_skipped()
         elif isinstance(event, h11.Response):
-            self._handle_head(exchange, ResponseHead(event.status_code, decode_headers(event.headers)))
+            head = ResponseHead(event.status_code, decode_headers(event.headers), is_first=not self._has_responded)
+            self._has_responded = True
+            self._handle_head(exchange, head)
         elif isinstance(event, h11.Data) and not self._skipping:
             self._bounds.record_body(len(event.data))
             if exchange.sink is not None:
