--- a/tests/platform/test_residency.py
+++ b/tests/platform/test_residency.py
@@ -282,6 +282,33 @@
     assert not [line for line in platform.journals["vm1"].lines if line["event"] == "sent" and "west" in line["to"]]
 
 
+WIDER = {
+    "shorter-left": [make_route("/stream/", "streaming", MODEL, max_attempts=1)],
+    "same-prefix": [make_route("/stream/x/", "streaming", MODEL, max_attempts=1)],
+    "longer-above": [
+        make_route("/stream/x/", "streaming", MODEL, max_attempts=1, allowed_regions=["east"]),
+        make_route("/stream/x/y/", "streaming", MODEL, max_attempts=1),
+    ],
+}
+
+
+@pytest.mark.parametrize("change", WIDER)
+def test_a_request_that_waits_leaves_its_regions_as_its_path_gets_a_route_with_more(change: str) -> None:
+    platform = make_world()
+    narrow_route = make_route("/stream/x/", "streaming", MODEL, max_attempts=1, allowed_regions=["east"])
+    platform.configure(2, [narrow_route])
+    platform.network.run(0.5)
+    fill_memory(platform, "decode-east")
+    caller = platform.call("/stream/x/y/z", "q")
+    platform.network.run(0.1)
+    platform.configure(3, WIDER[change])
+    platform.network.run(0.5)
+    assert not caller.received
+    get_engine(platform, "decode-east").reserved_tokens.clear()
+    assert platform.finish(caller).status == 200
+    assert list_asked(platform, "q") == {"prefill-east", "decode-east"}
+
+
 def test_a_workspace_that_is_gone_from_the_configuration_keeps_its_bounds() -> None:
     platform = make_world(None, [make_workspace("bound", "k", allowed_regions=["east"])])
     fill_memory(platform, "decode-east")
