Let an open request do only what all configurations since its admission allow

Cause: RelayExchange.apply_table looked the path of an open request up in the new table and, if the timeout differed, replaced its route: its kind, resumability, attempts and with them may_run_again, which each timeout and each broken connection asks anew. Its regions were replaced always. The other way about, a route that turned unsafe was not seen while its timeout stayed.

RequestTerms holds what a newer version may change; restrict_terms is a function of the terms, the admitted route and the new table: repeats, attempts and regions are what all versions allow, the timeout is that of the request's own route. What prepares another run is stopped as repeats become forbidden, and an upstream's own 503 that was kept as a failure is not passed on any more.

--- a/src/beamhatch/relay/model.py
+++ b/src/beamhatch/relay/model.py
@@ -219,6 +219,10 @@
         bounds = [*(route.regions for route in self.routes), *(one.regions for one in self.workspaces)]
         return {region for bound in bounds if bound is not None for region in bound}
 
+    def get_route(self, host: str, prefix: str) -> Route | None:
+        """Return the route of a host with exactly this prefix, or None."""
+        return next((route for route in self.by_host.get(host, ()) if route.prefix == prefix), None)
+
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route of a host with the longest prefix of a path (without query), or None."""
         for route in self.by_host.get(host, ()):
--- a/src/beamhatch/relay/requests/api.py
+++ b/src/beamhatch/relay/requests/api.py
@@ -56,7 +56,7 @@
 
     @abstractmethod
     def apply_table(self, table: RoutingTable) -> None:
-        """Apply the timeouts and regions of a new configuration to this request."""
+        """Apply the terms of a new configuration to this request."""
 
     @abstractmethod
     def abort(self, reason: str) -> None:
--- a/src/beamhatch/relay/requests/exchange.py
+++ b/src/beamhatch/relay/requests/exchange.py
@@ -28,6 +28,7 @@
     round_delay,
 )
 from beamhatch.relay.requests.send_log import describe_send, record_distance
+from beamhatch.relay.requests.terms import restrict_terms
 from beamhatch.relay.requests.unserved import (
     REFUSED_STATUS,
     Circumstances,
@@ -53,6 +54,7 @@
     from beamhatch.relay.core import Core
     from beamhatch.relay.model import Handle, Incarnation, Regions, Route, RoutingTable, SoftwareVersion, Upstream
     from beamhatch.relay.requests.api import NewRequest
+    from beamhatch.relay.requests.terms import RequestTerms
     from beamhatch.relay.streams.lookup import Origin
     from beamhatch.relay.upstreams.http_client import ResponseHead
 
@@ -79,9 +81,10 @@
         self.core = core
         self.digests = new.digests
         self._admitted = new.admitted
-        self._admitted_route = self._matched_route = new.route
         self._incoming = new.incoming
         self.request = _make_request(core, new)
+        self._matched_route: Route | None = new.route
+        """The route that the configuration in force has for the path."""
         self._is_caller_retry = core.caller_retries.is_retry(new.route, new.facts.time_left)
         self._forwarded_headers = strip_hop_by_hop(new.incoming.headers)
         self._cost = core.costs.begin(RouteName(new.route.name), len(new.incoming.body), core.clock.now())
@@ -211,7 +214,7 @@
             **self.core.announcements.describe_limit(send.upstream.incarnation),
         )
         if request.possible_runs and send.stage is not Stage.PREFILL:
-            self.core.tally.count("sends_beside_possible_runs_total", self._admitted_route.label)
+            self.core.tally.count("sends_beside_possible_runs_total", request.route.label)
         relation = request.get_continuation(send)
         if relation is not None:
             self.core.tally.count("streams_continued_total", relation)
@@ -224,7 +227,7 @@
         if attempt.permit is None:
             attempt.permit = self.core.eligibility.acquire_permit(send.upstream, request.service.cold, now)
         self._attempt = attempt
-        max_idle_s = 1e9 if request.route.idempotent or send.stage is Stage.PREFILL else MAX_IDLE_S
+        max_idle_s = 1e9 if request.terms.may_repeat or send.stage is Stage.PREFILL else MAX_IDLE_S
         self._cost.record_call()
         attempt.start(self._make_call(send, now), max_idle_s)
 
@@ -295,7 +298,7 @@
     @property
     def deadline(self) -> float:
         """Return the monotonic time in seconds at which the request times out."""
-        limit = self._incoming.arrived_at + self.request.route.timeout
+        limit = self._incoming.arrived_at + self.request.terms.timeout
         time_left = self.request.facts.time_left
         if time_left is not None:
             limit = min(limit, self._incoming.arrived_at + time_left - RESPONSE_MARGIN_S)
@@ -338,9 +341,13 @@
         If the request is not idempotent, a response whose status says that it has not run is not kept, since another
         upstream may have run it.
         """
-        if self.request.route.idempotent or response.head.status not in NOT_RUN_STATUSES:
+        if self._may_forward(response):
             self._upstream_failure = response
 
+    def _may_forward(self, response: BufferedResponse) -> bool:
+        """Return whether the status of an upstream's error response promises nothing that may be wrong."""
+        return self.request.terms.may_repeat or response.head.status not in NOT_RUN_STATUSES
+
     def _wait_or_end(self, step: Refuse | Fail) -> None:
         """Wait until an upstream may take the request, or end it."""
         now = self.core.clock.now()
@@ -432,8 +439,9 @@
         self._end_with_error(REFUSED_STATUS, reason, round_delay(delay))
 
     def _fail(self, step: Fail) -> None:
-        if self._upstream_failure is not None and not self._response.started:
-            self.send_response(self._upstream_failure)
+        failure = self._upstream_failure
+        if failure is not None and self._may_forward(failure) and not self._response.started:
+            self.send_response(failure)
         else:
             self._end_with_error(MAY_HAVE_RUN_STATUS, step.reason, None)
 
@@ -601,9 +609,7 @@
 
     def write_log(self, event: str, **fields: object) -> None:
         """Write a log event about this request."""
-        self.core.journal.write(
-            "RELAY", event, request=self.request.facts.id, route=self._admitted_route.name, **fields
-        )
+        self.core.journal.write("RELAY", event, request=self.request.facts.id, route=self.request.route.name, **fields)
 
     def handle_reserved(self, reservation: Reservation) -> None:
         """Record that an engine has reserved memory for the request."""
@@ -643,41 +649,68 @@
             self._attempt.resume()
 
     def apply_table(self, table: RoutingTable) -> None:
-        """Apply the timeouts and regions of a new configuration to this request."""
-        route = table.find_route(self._incoming.host, self._incoming.path)
-        if route is None or self._ended:
+        """Apply the terms of a new configuration to this request."""
+        if self._ended:
             return
-        self._log_changed_route(route, table.version)
-        self._apply_regions(
-            table.get_allowed_regions(route, self._admitted.workspace, self.request.regions), table.version
-        )
-        if self._ended or route.timeout == self.request.route.timeout:
+        request = self.request
+        self._log_changed_route(table)
+        before = request.terms
+        terms = restrict_terms(before, request.route, table, self._incoming.path, self._admitted.workspace)
+        if terms == before:
             return
-        self.write_log("timeout changed", timeout=route.timeout, version=table.version)
-        self.request.apply_route(route)
-        self._start_deadline_timer()
+        self._log_changed_terms(before, terms, table.version)
+        if terms.regions != before.regions:
+            self._apply_in_regions(terms)
+        else:
+            request.apply_terms(terms)
+        if terms.timeout != before.timeout and not self._ended:
+            self._start_deadline_timer()
+        if request.may_have_run and not request.may_run_again:
+            self._withdraw_repeat()
+
+    def _withdraw_repeat(self) -> None:
+        """Stop preparing another run of a request that may not run again."""
+        attempt = self._attempt
+        prepares = isinstance(attempt, ReserveAttempt) or self._is_prefilling
+        if attempt is not None and (prepares or not attempt.sent):
+            self._stop_attempt()
+        self.advance()
 
-    def _log_changed_route(self, route: Route, version: int) -> None:
-        if route == self._matched_route:
+    def _log_changed_route(self, table: RoutingTable) -> None:
+        """Log that another route matches the path, or none, or that the route allows something else."""
+        matched = table.find_route(self._incoming.host, self._incoming.path)
+        if matched == self._matched_route:
             return
-        self._matched_route = route
+        self._matched_route = matched
         self.write_log(
             "route changed",
-            matched=route.name,
-            matched_kind=route.label,
-            admitted_kind=self._admitted_route.label,
-            version=version,
+            matched=None if matched is None else matched.name,
+            matched_kind=None if matched is None else matched.label,
+            admitted_kind=self.request.route.label,
+            version=table.version,
         )
 
-    def _apply_regions(self, regions: Regions, version: int) -> None:
+    def _log_changed_terms(self, before: RequestTerms, terms: RequestTerms, version: int) -> None:
+        if terms.timeout != before.timeout:
+            self.write_log("timeout changed", timeout=terms.timeout, version=version)
+        if terms.regions != before.regions:
+            regions = None if terms.regions is None else sorted(terms.regions)
+            self.write_log("regions changed", regions=regions, version=version)
+        if (terms.may_repeat, terms.max_attempts) != (before.may_repeat, before.max_attempts):
+            self.write_log(
+                "repeats restricted",
+                may_repeat=terms.may_repeat,
+                max_attempts=terms.max_attempts,
+                possible_runs=self.request.possible_runs,
+                version=version,
+            )
+
+    def _apply_in_regions(self, terms: RequestTerms) -> None:
         """Apply changed regions: release memory held outside them; a send made already completes on its upstream."""
-        if regions == self.request.regions:
-            return
-        self.write_log("regions changed", regions=None if regions is None else sorted(regions), version=version)
         needs_plan = self._place.is_waiting
         self._place.leave()
-        self.request.apply_regions(regions)
-        if self._is_connecting_outside_regions(regions):
+        self.request.apply_terms(terms)
+        if self._is_connecting_outside_regions(terms.regions):
             self._stop_attempt()
             needs_plan = True
         if self._attempt is None or self._is_prefilling:
@@ -719,9 +752,9 @@
         new.facts,
         new.route,
         new.service,
+        new.regions,
         reserved_output_tokens=0 if new.service.engine is None else lengths.compute_reserve_tokens(new.facts),
         reserves_memory=Mechanism.RESERVATIONS not in core.disabled,
         on_time_until=on_time_until,
-        regions=new.regions,
         body_bytes=len(new.incoming.body),
     )
--- a/src/beamhatch/relay/requests/request.py
+++ b/src/beamhatch/relay/requests/request.py
@@ -6,13 +6,14 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field, replace
+from dataclasses import InitVar, dataclass, field, replace
 from enum import Enum
 from typing import TYPE_CHECKING
 
 from beamhatch.relay.choosing.chooser import RequestRequirements
 from beamhatch.relay.choosing.distance import EVENT_BYTES, compute_cache_transfer
 from beamhatch.relay.model import Handle, Phase, Reservation, RouteKind, Stage, Upstream, UpstreamId
+from beamhatch.relay.requests.terms import RequestTerms, make_terms
 from beamhatch.relay.streams.lookup import Begun, OnlyVersion, UnknownVersion
 
 if TYPE_CHECKING:
@@ -132,7 +133,11 @@
 
     facts: RequestFacts
     route: Route
+    """The route by which the request was admitted."""
     service: Service
+    allowed_regions: InitVar[Regions] = None
+    """Regions that the configuration allows at its admission; None for any region."""
+    terms: RequestTerms = field(init=False)
     may_have_run: bool = False
     """Whether an upstream may have run the request."""
     possible_runs: int = 0
@@ -146,8 +151,6 @@
     """True once a part of the response was sent to the caller."""
     reserved_output_tokens: int = 0
     """Tokens that are reserved for the output, in addition to the prompt."""
-    regions: Regions = None
-    """Regions in which the request may be served; None for any region."""
     body_bytes: int = 0
     reserves_memory: bool = True
     """Whether to reserve decode memory before the prefill."""
@@ -184,10 +187,16 @@
     _unreached: int = 0
     """Number of attempts at which an upstream could not be reached."""
 
-    def __post_init__(self) -> None:
-        """Start after the last event that the caller has received."""
+    def __post_init__(self, allowed_regions: Regions) -> None:
+        """Start with the terms of its admission, and after the last event that the caller has received."""
+        self.terms = make_terms(self.route, allowed_regions)
         self.last_event = self.facts.last_event
 
+    @property
+    def regions(self) -> Regions:
+        """Return the regions in which the request may be served; None for any region."""
+        return self.terms.regions
+
     @property
     def split(self) -> bool:
         """Return whether prefill and decode run on different engines."""
@@ -215,7 +224,7 @@
     @property
     def lifetime_s(self) -> float:
         """Return the seconds from the request's arrival for which its caller may resume the stream."""
-        return (self.route.timeout if self.facts.time_left is None else self.facts.time_left) + RETURN_MARGIN_S
+        return (self.terms.timeout if self.facts.time_left is None else self.facts.time_left) + RETURN_MARGIN_S
 
     @property
     def tried(self) -> set[UpstreamId]:
@@ -240,7 +249,7 @@
     @property
     def may_run_again(self) -> bool:
         """Return whether the request may be sent to another upstream although one may have run it."""
-        return self.route.idempotent and self.possible_runs < self.route.max_attempts
+        return self.terms.may_repeat and self.possible_runs < self.terms.max_attempts
 
     # --- the next step -----------------------------------------------------------------------------------------------
 
@@ -575,18 +584,15 @@
         """Return whether a decode engine may still answer that was asked for memory."""
         return bool(self._unanswered_by) and self.reservation is None
 
-    def apply_route(self, route: Route) -> None:
-        """Apply a changed route."""
-        self.route = route
-
     def list_full_upstreams(self) -> set[UpstreamId]:
         """Return the decode engines found without free memory since the request last waited for memory or got it."""
         return set(self._full_upstreams)
 
-    def apply_regions(self, regions: Regions) -> None:
-        """Apply changed regions, and allow all engines there to be asked for memory again."""
-        self.regions = regions
-        self._full_upstreams.clear()
+    def apply_terms(self, terms: RequestTerms) -> None:
+        """Apply changed terms; in other regions, all engines may be asked for memory again."""
+        if terms.regions != self.terms.regions:
+            self._full_upstreams.clear()
+        self.terms = terms
 
     def record_event(self, event: int | None, version: SoftwareVersion) -> None:
         """Record that the caller has received the stream up to an event.
--- a/src/beamhatch/relay/requests/send_log.py
+++ b/src/beamhatch/relay/requests/send_log.py
@@ -34,7 +34,7 @@
         "running": stats.running,
         "others": round(stats.estimate_other_requests(now), 1),
         "faults": round(stats.get_failure_rate(now), 2),
-        "may_repeat": request.route.idempotent,
+        "may_repeat": request.terms.may_repeat,
         "possible_runs": request.possible_runs,
         **request.describe_continuation(send),
     }
--- a/tests/platform/test_open_requests.py
+++ b/tests/platform/test_open_requests.py
@@ -135,3 +135,32 @@
     platform.configure(3, RESTRICTED[change].after)
     platform.finish(caller)
     assert platform.ledger.runs["q"] == 1
+
+
+@pytest.mark.parametrize("change", [name for name in RESTRICTED if name.startswith("plain")])
+def test_a_second_send_that_waits_for_its_connection_is_made_though_repeats_are_forbidden_by_now(change: str) -> None:
+    platform, caller, upstream = start_request(RESTRICTED[change])
+    upstream.fault = UpstreamFault.HANG
+    platform.network.find_delay = lambda here, there: 0.1 if "plain" in here + there else 0.001
+    events = platform.journals["vm1"].list_events
+    platform.network.run_until(lambda: "silent" in events("q"))
+    platform.network.run(0.02)
+    platform.configure(3, RESTRICTED[change].after)
+    platform.finish(caller)
+    assert platform.ledger.arrivals["q"] == 1
+
+
+def test_a_failure_that_says_not_run_is_passed_on_though_its_request_may_have_run_once_only_by_now() -> None:
+    change = RESTRICTED["plain-equal-timeout"]
+    platform, caller, upstream = start_request(change)
+    upstream.fault = UpstreamFault.UNCONFIRMED
+    others = [one for one in platform.upstreams.values() if one is not upstream]
+    for other in others:
+        other.fault = UpstreamFault.HANG
+    platform.network.run_until(lambda: platform.ledger.runs["q"] == 2)
+    platform.configure(3, change.after)
+    platform.network.run(0.1)
+    for other in others:
+        other.crash()
+    platform.finish(caller)
+    assert caller.status == 502
