Keep the limits of cold upstreams for open requests whose service a new configuration lacks

What callers saw: nothing; a cold upstream got what waited for it at once. Cause: the limits of cold upstreams were looked up in the newest table, and a service that is gone from it had none, while its open requests went on waiting and sending. Permits were taken by the service as admitted, the rest by the table. Now all ask the core, which keeps services of open requests that the newest version lacks. Found by asking of each thing that an open request looks up again what a newer version may change in it.

--- a/src/beamhatch/relay/core.py
+++ b/src/beamhatch/relay/core.py
@@ -63,6 +63,7 @@
         Incarnation,
         RequestFacts,
         RoutingTable,
+        Service,
         SoftwareVersion,
         Upstream,
         UpstreamId,
@@ -139,6 +140,8 @@
     topology: Topology = field(default_factory=Topology)
     costs: RequestCosts = field(default_factory=lambda: RequestCosts(LinkBudget(0.0, 0.0)))
     """Bytes of requests on the VM's link."""
+    _dropped_services: dict[ServiceName, Service] = field(default_factory=dict)
+    """Services that are gone from the configuration while requests to them are open."""
     _retry_budgets: dict[ServiceName, RetryBudget] = field(default_factory=dict)
     memory_queues: MemoryQueues = field(init=False)
     _demands: defaultdict[ServiceName, DemandEstimator] = field(default_factory=lambda: defaultdict(DemandEstimator))
@@ -208,6 +211,7 @@
                 self.journal.write("CONFIG", "older", version=version, in_force=self.version, source=source)
             return False
         before = self.version
+        self._keep_dropped_services(document.table)
         self.document = document
         self.journal.write(
             "CONFIG", "in force", version=version, before=before, source=source, routes=len(document.table.routes)
@@ -218,6 +222,12 @@
         self.on_change()
         return True
 
+    def _keep_dropped_services(self, table: RoutingTable) -> None:
+        """Keep the services of open requests that a new configuration lacks, as their limits still hold."""
+        known = self._dropped_services if self.table is None else {**self._dropped_services, **self.table.services}
+        used = {exchange.request.service.name for exchange in self.exchanges}
+        self._dropped_services = {name: known[name] for name in used if name in known and name not in table.services}
+
     def _log_unknown_regions(self, table: RoutingTable) -> None:
         """Log the regions that the configuration names but the settings assign no hall to."""
         unknown = sorted(region for region in table.list_named_regions() if not self.topology.has_hall_in({region}))
@@ -342,8 +352,9 @@
         return self.eligibility.count_obstacles(listed, regions, self.get_cold_terms(service), now)
 
     def get_cold_terms(self, service: ServiceName) -> ColdTerms | None:
-        """Return the limit on cold upstreams of a service; None if there is none."""
+        """Return the limit on cold upstreams of a service, by the newest version that has it; None if there is none."""
         found = None if self.table is None else self.table.services.get(service)
+        found = found or self._dropped_services.get(service)
         return None if found is None else found.cold
 
     def get_obstacle(self, upstream: Upstream, service: ServiceName, regions: Regions = None) -> Obstacle | None:
--- a/src/beamhatch/relay/requests/exchange.py
+++ b/src/beamhatch/relay/requests/exchange.py
@@ -225,7 +225,8 @@
         if send.reservation is not None:
             attempt.permit = self._held.take_permit()
         if attempt.permit is None:
-            attempt.permit = self.core.eligibility.acquire_permit(send.upstream, request.service.cold, now)
+            cold = self.core.get_cold_terms(request.service.name)
+            attempt.permit = self.core.eligibility.acquire_permit(send.upstream, cold, now)
         self._attempt = attempt
         max_idle_s = 1e9 if request.terms.may_repeat or send.stage is Stage.PREFILL else MAX_IDLE_S
         self._cost.record_call()
--- a/src/beamhatch/relay/requests/held_memory.py
+++ b/src/beamhatch/relay/requests/held_memory.py
@@ -29,7 +29,7 @@
     def acquire_permit(self, upstream: Upstream) -> None:
         """Replace the permit by one for another engine, if that needs one."""
         self.drop_permit()
-        cold = self._request.service.cold
+        cold = self._core.get_cold_terms(self._request.service.name)
         self._permit = self._core.eligibility.acquire_permit(upstream, cold, self._core.clock.now())
 
     def take_permit(self) -> SendPermit | None:
--- a/src/beamhatch/relay/upstreams/attempt.py
+++ b/src/beamhatch/relay/upstreams/attempt.py
@@ -182,7 +182,8 @@
         if self.permit is not None:
             self.permit.use(now)
         else:
-            self.core.eligibility.record_send(self.send.upstream, self.request.service.cold, now)
+            cold = self.core.get_cold_terms(self.request.service.name)
+            self.core.eligibility.record_send(self.send.upstream, cold, now)
 
     def matches(self, head: ResponseHead) -> bool:
         """Return whether a response is to this request."""
--- a/tests/platform/test_cold.py
+++ b/tests/platform/test_cold.py
@@ -10,7 +10,16 @@
 from beamhatch.relay.choosing.cold_gate import ColdLimit, CountingGate, UnlimitedGate
 from beamhatch.relay.mechanism import Mechanism
 from beamhatch.relay.model import UpstreamId
-from tests.support.platform import Caller, Platform, make_platform
+from tests.support.platform import (
+    MODEL,
+    PLAIN,
+    SERVICES,
+    Caller,
+    Platform,
+    make_configuration,
+    make_platform,
+    make_route,
+)
 
 ONE_A_SECOND = {"cold_start_s": 3.0, "cold_per_s": 2.0}
 """One view of the VMs has half of what is borne."""
@@ -268,3 +277,19 @@
     platform.finish(caller)
     assert caller.events == list(range(1, 11))
     assert count_events(platform, "waits for a cold upstream") >= 1
+
+
+def test_requests_that_wait_for_a_cold_upstream_reach_it_together_as_a_version_drops_their_service() -> None:
+    platform = make_cold("plain-0", cold={"cold_start_s": 6.0, "cold_per_s": 2.0}, plain=1)
+    slow = make_route("/safe/", "safe", PLAIN, target_latency_ms=8000)
+    document = make_configuration(3, [slow])
+    services = [{**service, "cold_start_s": 6.0, "cold_per_s": 2.0} for service in SERVICES]
+    platform.store.put("op/config", {**document, "services": services})
+    platform.network.run(2.0)
+    for number in range(10):
+        platform.call("/safe/x", f"q{number}")
+    platform.network.run(0.3)
+    gone = make_configuration(4, [make_route("/stream/", "streaming", MODEL)])
+    platform.store.put("op/config", {**gone, "services": [one for one in services if one["name"] != PLAIN]})
+    platform.network.run(4.0)
+    assert count_most(platform.upstreams["plain-0"].request_times) <= 2
