Count the runs of requests whose routes change beside them in the soak

The soak's configurations changed no route's kind, so no run of real processes could see a request run twice for that. 'routes' pauses upstreams, lets requests of two paths run again shortly behind that, and forbids it again; ONCE holds those that no version may have admitted as repeatable to one run, by their first arrival at an upstream.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 import signal
 from typing import TYPE_CHECKING, TypeVar
 
@@ -9,9 +10,10 @@
 from beamhatch.platform.standin.upstream import UpstreamFault
 from beamhatch.standin.link import Drop
 from tests.soak.promise import GRACE, LEAVE_BOUND, REST_TIME, Promise
+from tests.soak.routes import Layout
 from tests.soak.schedule import PLANNED, FaultKind, Step
 from tests.soak.upstreams import ModelEngine
-from tests.soak.world import HALLS
+from tests.soak.world import FAMILIES, HALLS
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
@@ -87,6 +89,18 @@
 LONGEST_PAUSE = 5.0
 """Seconds, shorter than the time-out of any route."""
 
+ROUTES_GAP = 7.0
+"""Seconds between two changes of routes at the least: by then, no VM in touch goes by the routes before."""
+
+ROUTES_TIME = 1.5
+"""Seconds for which requests may run again."""
+
+ROUTES_DELAY = (0.05, 0.5)
+"""Seconds from the start of a pause of upstreams to the change, from and to."""
+
+ROUTES_PAUSE = 2.0
+"""Seconds for which upstreams pause around a change."""
+
 UPSTREAM_FAULTS = [one for one in UpstreamFault if one is not UpstreamFault.NONE]
 
 
@@ -131,11 +145,13 @@
             FaultKind.HALL_COLD: self._chill_hall,
             FaultKind.EVACUATE: self._evacuate,
             FaultKind.CONFIGURE: lambda step: self._world.configure(),
+            FaultKind.ROUTES: self._change_routes,
             FaultKind.DEADLY: self._send_deadly,
             FaultKind.DEADLY_PART: self._send_deadly_part,
         }
         self._deadly = 0
         self._next_restore = 0.0
+        self._next_routes = 0.0
         world.on_crash = lambda name: self._crash(name, DEADLY_RESTART)
 
     def plan(self, steps: Sequence[Step]) -> None:
@@ -159,6 +175,27 @@
 
         self._clock.call_later(seconds, act)
 
+    def _change_routes(self, step: Step) -> None:
+        """Pause some upstreams, let requests that ran once run again shortly behind that, and forbid it again."""
+        now = self._world.now()
+        if now < self._next_routes:
+            return
+        self._next_routes = now + ROUTES_GAP
+        drawn = random.Random(step.pick)
+        self._pause_some(drawn.random())
+        delay = drawn.uniform(*ROUTES_DELAY)
+        for seconds, may_repeat in ((delay, True), (delay + ROUTES_TIME, False)):
+            layouts = [one for one in Layout if one.may_repeat is may_repeat]
+            self._later(seconds, self._world.change_routes, [drawn.choice(layouts) for _ in FAMILIES])
+
+    def _pause_some(self, choice: float) -> None:
+        """Pause each upstream that runs requests with a probability of a half."""
+        drawn = random.Random(choice)
+        for placed in self._world.placed.values():
+            if placed.phase != "prefill" and drawn.random() < 0.5:
+                placed.upstream.pause_for(ROUTES_PAUSE)
+        self._later(ROUTES_PAUSE, lambda: None)
+
     # --- relays ------------------------------------------------------------------------------------------------------
 
     def _disturb(self, vm: VmProcess, seconds: float) -> None:
--- a/tests/soak/mutants.py
+++ b/tests/soak/mutants.py
@@ -17,8 +17,11 @@
 from beamhatch.relay.model import Upstream
 from beamhatch.relay.quarantine.part_attribution import PartAttribution, PartCauses
 from beamhatch.relay.quarantine.quarantine import Quarantine
+from beamhatch.relay.requests import exchange
 from beamhatch.relay.requests.exchange import RelayExchange
 from beamhatch.relay.requests.request import RelayRequest
+from beamhatch.relay.requests.terms import make_terms
+from beamhatch.relay.upstreams.attempt import Attempt
 from beamhatch.relay.upstreams.events import EventChecker
 from beamhatch.relay.upstreams.listing import Listing
 from tests.soak.promise import Promise
@@ -27,8 +30,9 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
 
-    from beamhatch.relay.model import Handle
-    from beamhatch.relay.upstreams.attempt import Attempt
+    from beamhatch.relay.model import Handle, Route, RoutingTable
+    from beamhatch.relay.requests.terms import RequestTerms
+    from beamhatch.relay.workspaces.workspace import WorkspaceName
 
 
 def _runs_again() -> None:
@@ -150,11 +154,26 @@
     RelayExchange._may_search_on = lambda self, step: False  # type: ignore[method-assign]
 
 
+def _takes_newer_routes() -> None:
+    def take(
+        terms: RequestTerms, admitted: Route, table: RoutingTable, path: str, workspace: WorkspaceName | None
+    ) -> RequestTerms:
+        return make_terms(table.find_route(admitted.host, path) or admitted, terms.regions)
+
+    exchange.restrict_terms = take  # type: ignore[attr-defined]
+
+
+def _trusts_any_refusal() -> None:
+    Attempt.has_not_run = lambda self: self.head.status == 503  # type: ignore[method-assign,union-attr]
+
+
 UPSTREAM_FAULTS = [FaultKind.UPSTREAM_FAULT]
 COLD_FAULTS = [FaultKind.HALL_COLD, FaultKind.UPSTREAM_CRASH]
 
 MUTANTS = {
     "runs-again": Mutant(Promise.ONCE, UPSTREAM_FAULTS, _runs_again),
+    "takes-newer-routes": Mutant(Promise.ONCE, [FaultKind.ROUTES], _takes_newer_routes),
+    "trusts-any-refusal": Mutant(Promise.ONCE, UPSTREAM_FAULTS, _trusts_any_refusal),
     "promises-falsely": Mutant(Promise.NOT_RUN, UPSTREAM_FAULTS, _promises_falsely),
     "ignores-evacuations": Mutant(Promise.EMPTIED, [FaultKind.EVACUATE], _passes_obstacle(Obstacle.EMPTIED)),
     "ignores-regions": Mutant(Promise.REGION, [FaultKind.CONFIGURE], _passes_obstacle(Obstacle.REGION)),
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -62,6 +62,8 @@
     """A hall is emptied, and taken back later."""
     CONFIGURE = "configure"
     """A configuration with another route, and without the one added before."""
+    ROUTES = "routes"
+    """Routes come, go or change whose requests are open, and may run again by one version and not by the next."""
     DEADLY = "deadly"
     """A caller sends a request again and again that ends each upstream that begins to run it.
 
@@ -106,6 +108,7 @@
         FaultKind.UPSTREAM_SAYS_LEAVING,
         FaultKind.EVACUATE,
         FaultKind.CONFIGURE,
+        FaultKind.ROUTES,
     }
 )
 """What operators do, and nothing may be lost by."""
@@ -131,6 +134,12 @@
 PAUSES_GAP = 4.0
 """Seconds between two pauses in the mean."""
 
+ROUTES = (FaultKind.ROUTES,)
+"""Drawn apart for the same reason."""
+
+ROUTES_GAP = 2.5
+"""Seconds between two changes of routes in the mean."""
+
 WORDS_GAP = 3.0
 """Seconds between two upstreams in the mean that leave or rest by their own word."""
 
@@ -160,7 +169,8 @@
     limits = _draw(random.Random(f"limits of {seed}"), seconds, LIMITS, LIMITS_GAP)
     restores = _draw(random.Random(f"restores of {seed}"), seconds, RESTORES, RESTORES_GAP)
     pauses = _draw(random.Random(f"pauses of {seed}"), seconds, PAUSES, PAUSES_GAP)
-    return sorted([*steps, *words, *limits, *restores, *pauses], key=lambda step: step.at)
+    routes = _draw(random.Random(f"routes of {seed}"), seconds, ROUTES, ROUTES_GAP)
+    return sorted([*steps, *words, *limits, *restores, *pauses, *routes], key=lambda step: step.at)
 
 
 def _draw(drawn: random.Random, seconds: float, kinds: Sequence[FaultKind], gap: float) -> list[Step]:
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -72,6 +72,45 @@
     assert done.returncode == 0, done.stdout + done.stderr
 
 
+def test_requests_run_once_as_routes_change(tmp_path: Path) -> None:
+    command = [sys.executable, "-m", "tests.soak", "--seed", "4", "--seconds", "8", "--vms", "2"]
+    faults = ["--fault", "routes", "--fault", "upstream_fault"]
+    done = subprocess.run([*command, *faults, "--logs", str(tmp_path)], capture_output=True, text=True, timeout=110)
+    assert done.returncode == 0, done.stdout + done.stderr
+
+
+@pytest.mark.parametrize(
+    ("sent_at", "arrived_at", "in_touch", "must"),
+    [
+        (19.9, 19.95, True, True),
+        (19.9, 20.05, True, False),
+        (20.1, 20.2, True, False),
+        (22.0, 22.1, True, False),
+        (24.9, 25.0, True, True),
+        (24.9, 25.0, False, False),
+    ],
+)
+def test_requests_must_run_once_unless_a_version_that_may_have_admitted_them_lets_them_run_again(
+    witness: Witness, sent_at: float, arrived_at: float, in_touch: bool, must: bool
+) -> None:
+    for at, repeatable in ((0.0, frozenset[str]()), (20.0, frozenset({"/a/"})), (21.5, frozenset[str]())):
+        witness.repeats.record(at, repeatable)
+    assert witness.repeats.must_run_once("/a/", sent_at, arrived_at, in_touch=in_touch) is must
+    assert witness.repeats.must_run_once("/b/", sent_at, arrived_at, in_touch=in_touch)
+
+
+def test_a_request_that_runs_twice_as_its_route_changes_is_seen(witness: Witness) -> None:
+    witness.routes = {"/a/": RouteTerms(changes=True)}
+    for at, repeatable in ((0.0, frozenset[str]()), (20.5, frozenset({"/a/"}))):
+        witness.repeats.record(at, repeatable)
+    for request, sent_at in (("q1", 20.0), ("q2", 20.6)):
+        ask(witness, "/a/", sent_at, request)
+        witness.take_arrival(request, "/a/x", "i-1", sent_at + 0.1)
+        witness.ledger.runs[request] = 2
+    witness.check_all_runs(30.0)
+    assert [breach.detail for breach in witness.breaches] == ["q1 ran 2 times"]
+
+
 def test_the_same_seed_draws_the_same_faults() -> None:
     assert draw_steps(5, 30.0) == draw_steps(5, 30.0)
     assert draw_steps(5, 30.0) != draw_steps(6, 30.0)
--- a/tests/soak/witness.py
+++ b/tests/soak/witness.py
@@ -29,6 +29,7 @@
     Breach,
     Promise,
 )
+from tests.soak.routes import RepeatHistory
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -71,6 +72,8 @@
     repeatable: bool = True
     most_runs: int = 2
     regions: frozenset[str] | None = None
+    changes: bool = False
+    """Whether configurations change how often its requests may run."""
 
 
 @dataclass(slots=True)
@@ -146,6 +149,9 @@
     harms: Harms = field(default_factory=Harms)
     words: OwnWords = field(default_factory=OwnWords)
     limits: NamedLimits = field(default_factory=NamedLimits)
+    repeats: RepeatHistory = field(default_factory=RepeatHistory)
+    arrived_at: dict[str, float] = field(default_factory=dict)
+    """When each request first arrived at an upstream."""
     _orders: int = 0
     _last_order: Order | None = None
 
@@ -166,6 +172,7 @@
         if asked is None:
             self.break_promise(Promise.OWN_ANSWER, now, f"{instance} got {request}, which nobody sent")
             return
+        self.arrived_at.setdefault(request, now)
         self._check_deadly(asked, request, path, now)
         self._check_cold(upstream, instance, now)
         self._check_region(upstream, asked, request, now)
@@ -282,9 +289,16 @@
 
     def _check_runs(self, request: str, terms: RouteTerms, now: float) -> None:
         runs = self.ledger.runs[request]
-        if runs > (terms.most_runs if terms.repeatable else 1):
+        if runs > (terms.most_runs if self._may_repeat(request, terms) else 1):
             self.break_promise(Promise.ONCE, now, f"{request} ran {runs} times")
 
+    def _may_repeat(self, request: str, terms: RouteTerms) -> bool:
+        asked, arrived_at = self.asked.get(request), self.arrived_at.get(request)
+        if not terms.changes or asked is None or arrived_at is None:
+            return terms.repeatable
+        in_touch = self.is_in_touch(asked.vm, asked.sent_at)
+        return not self.repeats.must_run_once(asked.route, asked.sent_at, arrived_at, in_touch=in_touch)
+
     def _check_unbroken(self, outcome: Outcome, signature: str | None) -> None:
         """Check that silent upstreams were no reason to break a request off, at a VM that nothing disturbed."""
         failed = not outcome.whole or (outcome.status in (502, 504) and signature is None)
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -14,6 +14,7 @@
 from tests.soak.caller import CONNECT_TIMEOUT, HOST, PATIENCE, CallerConnection, CallerFactory, Outcome
 from tests.soak.net import Net
 from tests.soak.promise import COLD_RATE, COLD_TIME, GONE_BOUND, ROUTE_TIMEOUT, TOUCH_TIME, Promise
+from tests.soak.routes import Layout, RouteFamily
 from tests.soak.upstreams import Arrival, ModelEngine, PlainReplica
 from tests.soak.vm import CALLER_PORT, PEER_PORT, READY_PORT, VmProcess
 from tests.soak.witness import STREAM_EVENTS, Asked, RouteTerms, UpstreamFacts, VmFacts, Witness
@@ -43,13 +44,17 @@
 READY_INTERVAL = 0.5
 """Seconds between two times that a VM is asked whether it is ready; two misses take it out."""
 
-PATHS = ("/safe/", "/unsafe/", "/stream/", "/resumable/", "/west/")
+FAMILIES = (RouteFamily("/letters/", PLAIN), RouteFamily("/talks/", MODEL, streams=True))
+"""Routes that change while requests are open."""
+
+PATHS = ("/safe/", "/unsafe/", "/stream/", "/resumable/", "/west/", *(family.path for family in FAMILIES))
 ROUTES = {
     "/safe/": RouteTerms(),
     "/unsafe/": RouteTerms(repeatable=False),
     "/stream/": RouteTerms(streams=True, repeatable=False),
     "/resumable/": RouteTerms(streams=True),
     "/west/": RouteTerms(regions=frozenset({"west"})),
+    **{family.path: RouteTerms(streams=family.streams, changes=True) for family in FAMILIES},
 }
 
 
@@ -88,6 +93,7 @@
         self.active: set[str] = set()
         """Requests that upstreams are at work on."""
         self.version = 0
+        self.layouts = [Layout.LONG_ONCE for _ in FAMILIES]
         self._number = 0
         self.stopping = False
         self.vms = [self._make_vm(folder, number, vms, mutant) for number in range(vms)]
@@ -173,7 +179,14 @@
         """Write the next configuration: with a route of its own, and without that of the one before."""
         self.version += 1
         self.write_configuration()
-        self.witness.acknowledged[self.version] = self.now()
+        now = self.witness.acknowledged[self.version] = self.now()
+        pairs = zip(FAMILIES, self.layouts, strict=True)
+        self.witness.repeats.record(now, frozenset(one.path for one, layout in pairs if layout.may_repeat))
+
+    def change_routes(self, layouts: list[Layout]) -> None:
+        """Write the next configuration, with other routes for paths of open requests."""
+        self.layouts = layouts
+        self.configure()
 
     def write_configuration(self) -> None:
         """Write the newest configuration, again where it was written before."""
@@ -185,6 +198,8 @@
             _make_route("/west/", "safe", PLAIN, allowed_regions=["west"]),
             _make_route(f"/v{self.version}/", "safe", PLAIN),
         ]
+        for family, layout in zip(FAMILIES, self.layouts, strict=True):
+            routes += family.list_routes(layout, _make_route)
         engine = {"capacity": 128, "kv_capacity": 60_000, "kv_ttl_s": 0.5, "hold_ms": 2000, "reconfig_s": 2}
         cold = {"cold_start_s": COLD_TIME, "cold_per_s": COLD_RATE}
         services = [{"name": PLAIN, **cold}, {"name": MODEL, "engine": engine, **cold}]
