Take a refusal without an id for proof only as the first response on its connection

What callers would see: a request that may run once runs at two upstreams. Cause: Attempt.matches takes a response without Request-Id for its own, wherever it comes, and Not-Executed or 421 in it counted as proof that the request has not run. A response that an upstream sent for something else, late on a kept connection, is none: such a request now ends with 502 if it may not run again. 408, 421 and 429 without proof that answer a stream are not passed on either, as for plain services.

--- a/src/beamhatch/relay/upstreams/attempt.py
+++ b/src/beamhatch/relay/upstreams/attempt.py
@@ -319,10 +319,14 @@
         return self.facts is not None and self.facts.request_id == self.request.facts.id
 
     def has_not_run(self) -> bool:
-        """Return whether the response proves that the request has not run."""
+        """Return whether the response proves that the request has not run.
+
+        On a connection that has carried another response, one without an id may belong to another request.
+        """
         assert self.head is not None
         assert self.facts is not None
-        return self.facts.not_run or self.head.status == MISDIRECTED
+        is_refusal = self.facts.not_run or self.head.status == MISDIRECTED
+        return is_refusal and (self._names_request or self.head.is_first)
 
     def conclude(self, deliver: Callable[[], None]) -> None:
         """Record the success of the attempt, and deliver the response.
--- a/src/beamhatch/relay/upstreams/stream_attempt.py
+++ b/src/beamhatch/relay/upstreams/stream_attempt.py
@@ -7,7 +7,7 @@
 from beamhatch.relay.model import Stage
 from beamhatch.relay.quarantine.part_successes import MIN_RESPONSE_S
 from beamhatch.relay.requests.release import release_reservation
-from beamhatch.relay.requests.response import BufferedResponse
+from beamhatch.relay.requests.response import NOT_RUN_STATUSES, BufferedResponse
 from beamhatch.relay.upstreams.announcements import MISDIRECTED
 from beamhatch.relay.upstreams.attempt import Attempt
 from beamhatch.relay.upstreams.events import EventChecker, StreamError
@@ -234,10 +234,10 @@
     def _handle_error_response(self) -> None:
         assert self.head is not None
         status = self.head.status
-        if 300 <= status < 500:
+        if 300 <= status < 500 and status not in NOT_RUN_STATUSES:
             self.succeed()
             self.exchange.send_response(BufferedResponse(self.head, bytes(self.body)))
             return
-        if status >= 500:
+        if status >= 500 or status in NOT_RUN_STATUSES:
             self.exchange.keep_upstream_failure(BufferedResponse(self.head, bytes(self.body)))
         self.handle_failure(CallFailure.MALFORMED, f"upstream failed with status {status}")
