Release memory that an engine of another version grants late

Cause: an engine that was silent when it was asked for memory grants it late; by then the stream had begun at another version, and accept_late_reservation compared regions only. A plan uses a reservation without choosing among upstreams. Now both the late grant and memory that is held are held to the stream's version, and a late rejection by such an engine ends the wait for it.

Evidence: test_order, the stream went on at v2 behind events of v1 on the parent.

--- a/src/beamhatch/relay/requests/exchange.py
+++ b/src/beamhatch/relay/requests/exchange.py
@@ -567,7 +567,7 @@
         is_idle = attempt is None or isinstance(attempt, ReserveAttempt)
         if self._ended or not is_idle or self.request.reservation is not None:
             return False
-        if not self.core.eligibility.is_in_regions(reservation.upstream, self.request.regions):
+        if not self._may_use(reservation.upstream):
             return False
         self._stop_attempt()
         self._held.drop_permit()  # it is for the engine that was asked last
@@ -578,9 +578,13 @@
 
     def handle_late_rejection(self, upstream: Upstream) -> None:
         """Record that an engine rejected a reservation late, and plan again if the request waits for that."""
-        if self._awaits_late_response and self.core.eligibility.is_in_regions(upstream, self.request.regions):
+        if not self._awaits_late_response:
+            return
+        if self._may_use(upstream):
             self.request.record_full(upstream.id)
-            self.advance()
+        else:
+            self.request.record_reserve_lost(upstream.id)
+        self.advance()
 
     def handle_late_failure(self, upstream: Upstream) -> None:
         """Record that a reservation will not be answered any more, and plan again if the request waits for that."""
@@ -588,6 +592,11 @@
             self.request.record_reserve_lost(upstream.id)
             self.advance()
 
+    def _may_use(self, upstream: Upstream) -> bool:
+        """Return whether the stream may go on at an upstream that was asked for memory some time ago."""
+        in_regions = self.core.eligibility.is_in_regions(upstream, self.request.regions)
+        return in_regions and upstream.may_serve(self.request.version)
+
     @property
     def _awaits_late_response(self) -> bool:
         has_step = self._attempt is not None or self._place.is_waiting or self.request.reservation is not None
--- a/src/beamhatch/relay/requests/held_memory.py
+++ b/src/beamhatch/relay/requests/held_memory.py
@@ -77,6 +77,8 @@
     def _find_obstacle(self, reservation: Reservation, *, is_searching: bool) -> str | None:
         """Return why reserved memory may not be used any more, or None if it may."""
         request = self._request
+        if not reservation.upstream.may_serve(request.version):
+            return Obstacle.VERSION.name.lower()
         obstacle = self._core.get_obstacle(reservation.upstream, request.service.name, request.regions)
         has_room = self._permit is not None and obstacle in (Obstacle.COLD, Obstacle.LIMITED)
         if obstacle is not None and not has_room:
--- a/tests/platform/test_order.py
+++ b/tests/platform/test_order.py
@@ -4,6 +4,8 @@
 
 import pytest
 
+from tests.support.pauses import EVENTS, fill
+from tests.support.platform import make_platform
 from tests.support.version_disturbances import Disturbance
 from tests.support.version_fleet import VersionFleet
 from tests.support.version_spell import VersionSpell
@@ -104,3 +106,23 @@
     spell = VersionSpell(seed)
     broken = spell.play()
     assert not broken, "\n".join([*broken, *spell.lines])
+
+
+def test_a_stream_goes_on_at_another_version_whose_engine_grants_memory_late() -> None:
+    platform = make_platform(prefill=1, decode=0)
+    first = platform.add_engine("decode-first", "decode", version="v1")
+    full = platform.add_engine("decode-full", "decode", version="v1")
+    late = platform.add_engine("decode-late", "decode", version="v2")
+    platform.network.run(11.0)
+    fill(full)
+    late.pause_for(1.0)
+    headers = {"Token-Count": f"5000,{EVENTS}"}
+    callers = [platform.call("/resumable/x", f"q{number}", headers=headers) for number in range(8)]
+    lines = platform.journals["vm1"].lines
+    platform.network.run_until(lambda: len(platform.ledger.event_versions) == len(callers))
+    assert any(line["event"] == "not reserved" and line["to"] == late.instance for line in lines)
+    first.restart_time_s = 60.0
+    first.crash()
+    for caller in callers:
+        platform.finish(caller)
+    assert {len(set(events.values())) for events in platform.ledger.event_versions.values()} == {1}
--- a/tests/platform/test_stray_refusals.py
+++ b/tests/platform/test_stray_refusals.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from beamhatch.platform.standin.upstream import NOT_EXECUTED
 from tests.support.platform import Platform, make_platform
 
 if TYPE_CHECKING:
@@ -14,8 +15,8 @@
     from beamhatch.relay.callers.http_server import IncomingRequest, RequestHandler, Responder
 
 STRAY: dict[str, tuple[int, Headers]] = {
-    "full": (503, [("Not-Executed", "1")]),
-    "busy": (429, [("Not-Executed", "1")]),
+    "full": (503, [NOT_EXECUTED]),
+    "busy": (429, [NOT_EXECUTED]),
     "misdirected": (421, []),
 }
 
@@ -44,7 +45,7 @@
         if refused:
             return process(incoming, sent, request, responder)
         refused.append(upstream.instance)
-        upstream.send_response(responder, *STRAY["full"][:1], {}, *STRAY["full"][1])
+        upstream.send_response(responder, 503, {}, NOT_EXECUTED)
         return None
 
     upstream.process = process_or_refuse  # type: ignore[method-assign,assignment]
