Determine whether an upstream crashed before a response that ends with its connection is delivered

Cause: Attempt.conclude waited for the verdict on the end only if the request may run again, and delivered at once otherwise; and where no other connection was open, or the idle one that would tell had been closed just before, the verdict was UNKNOWN and the part was delivered. Now each such response from a direct connection waits for the verdict (20 ms), idle connections closed just before count, and where there is none a connection is opened, which is kept for the next call. A crash ends a request that may not run again with 502.

An upstream that leaves may end behind its last response, which is then delivered (two cases).

--- a/src/beamhatch/relay/core.py
+++ b/src/beamhatch/relay/core.py
@@ -282,6 +282,11 @@
         self.stats.get(upstream.id).reset()
         self.phase_changes.record_listed_phase(upstream.id, None)
 
+    def is_leaving(self, upstream: Upstream) -> bool:
+        """Return whether an upstream is known to end soon, or is not listed any more."""
+        listed = self.listing.get(upstream.id)
+        return listed is None or listed.draining or self.listing.is_leaving(upstream)
+
     def has_restarted(self, upstream: Upstream) -> bool:
         """Return whether an upstream has restarted since and so has lost its caches and reservations."""
         newest = self.listing.get_last_listed(upstream.id)
--- a/src/beamhatch/relay/quarantine/detection.py
+++ b/src/beamhatch/relay/quarantine/detection.py
@@ -122,7 +122,8 @@
         pending = self._pending.get(key)
         if pending is None:
             open_connections = self._connections.list_open(upstream.address, via)
-            open_before = {one for one in open_connections if not one.paused}
+            just_closed = self._connections.list_just_closed(upstream.address, via)
+            open_before = {one for one in open_connections if not one.paused} | just_closed
             pending = self._pending[key] = _PendingCrash(upstream, self._clock.now(), open_before)
             self._clock.call_later(SETTLE_S, self._settle, key)
         return pending
--- a/src/beamhatch/relay/upstreams/attempt.py
+++ b/src/beamhatch/relay/upstreams/attempt.py
@@ -332,45 +332,50 @@
         """Record the success of the attempt, and deliver the response.
 
         If only the close of the connection marks the end of the response, a crash of the upstream may have truncated
-        it. If the request may run again, this is determined first.
+        it. This is determined first, unless the connection went through a peer, which may have failed itself.
         """
         assert self.head is not None
         if not self.head.ends_with_connection:
             self.succeed()
             deliver()
             return
-        must_wait = self.may_abandon() and self._via is None
-        if not must_wait:
+        if self._via is not None:
             self._end_successfully()
             deliver()
-        if self._via is None:
-            self._stop_timer()
-            ran = self.core.clock.now() - self._started_at
-            gossip = self.core.quarantine_gossip
-            gossip.check_end(
-                self.upstream,
-                self.exchange.digests,
-                ran,
-                None if self._http is None else self._http.connection,
-                lambda verdict: self._handle_verdict(verdict, deliver if must_wait else None),
-            )
-
-    def _handle_verdict(self, verdict: EndVerdict, deliver: Callable[[], None] | None) -> None:
+            return
+        self._stop_timer()
+        self.core.quarantine_gossip.check_end(
+            self.upstream,
+            self.exchange.digests,
+            self.core.clock.now() - self._started_at,
+            None if self._http is None else self._http.connection,
+            lambda verdict: self._handle_verdict(verdict, deliver),
+        )
+
+    def _handle_verdict(self, verdict: EndVerdict, deliver: Callable[[], None]) -> None:
         """Handle what is known about the end of a response.
 
-        :param deliver: delivers the response; None if it is delivered already
+        :param deliver: delivers the response
         """
         if verdict is EndVerdict.COMPLETE:
             self._record_good_end()
-        if deliver is None or self._ended:
+        if self._ended:
             return
-        if verdict is EndVerdict.CRASHED:
+        if verdict is EndVerdict.UNKNOWN and not self.core.is_leaving(self.upstream):
+            self.core.client.probe(self.upstream.address, lambda accepted: self._handle_probe(deliver, accepted))
+        elif verdict is EndVerdict.CRASHED:
             self._crash_reported = True
             self.handle_failure(CallFailure.BROKEN, "the upstream crashed as the response ended with its connection")
         else:
             self._end_successfully()
             deliver()
 
+    def _handle_probe(self, deliver: Callable[[], None], accepted: bool) -> None:
+        """Handle whether the upstream accepts connections, where no other one shows whether it crashed."""
+        # One that leaves ends after its last response.
+        is_complete = accepted or self.core.is_leaving(self.upstream)
+        self._handle_verdict(EndVerdict.COMPLETE if is_complete else EndVerdict.CRASHED, deliver)
+
     def succeed(self) -> None:
         """Record the success of the attempt."""
         self._end_successfully()
--- a/src/beamhatch/relay/upstreams/http_client.py
+++ b/src/beamhatch/relay/upstreams/http_client.py
@@ -8,6 +8,7 @@
 
 import socket
 from abc import ABC, abstractmethod
+from collections import deque
 from dataclasses import dataclass
 from enum import Enum
 from typing import TYPE_CHECKING, Any
@@ -44,6 +45,12 @@
 SWEEP_INTERVAL_S = 1.0
 """Time between sweeps that close expired idle connections."""
 
+JUST_CLOSED_S = 0.02
+"""Time for which it is known that an idle connection was closed at the other end."""
+
+MAX_JUST_CLOSED = 64
+"""Maximum number of such connections that are known."""
+
 USER_TIMEOUT_MS = 5000
 """Time after which unacknowledged data closes a connection."""
 
@@ -329,6 +336,28 @@
         return b"".join(part for part in parts if part)
 
 
+class _Probe(DialReceiver):
+    """Opening of a connection that tells whether an upstream accepts any; it is kept for a later call."""
+
+    is_wanted = True
+
+    def __init__(self, client: HttpClient, address: Address, on_result: Callable[[bool], None]) -> None:
+        self._client = client
+        self._address = address
+        self._on_result = on_result
+
+    def build_protocol(self, via: Via | None) -> Connection:
+        """Create the protocol, and report the success."""
+        connection = _NewConnection(self._client, self._address, via, HttpExchange(_NO_CALL, None))
+        self._client.add_open(connection)
+        self._on_result(True)
+        return connection
+
+    def handle_failure(self, detail: str) -> None:
+        """Report the failure."""
+        self._on_result(False)
+
+
 _NO_CALL = Call("", "", [])
 """Placeholder for the call of a connection that is opened for later ones."""
 
@@ -388,6 +417,10 @@
     def list_open(self, address: Address, via: Via | None) -> Set[Connection]:
         """Return the open connections to an address that go through a peer, or the direct ones."""
 
+    @abstractmethod
+    def list_just_closed(self, address: Address, via: Via | None) -> Set[Connection]:
+        """Return the idle connections to an address that were closed at the other end a moment ago."""
+
     @abstractmethod
     def has_other_tunnel(self, via: Via, address: Address) -> bool:
         """Return whether a connection to another address is open through a peer."""
@@ -409,6 +442,8 @@
         self._dialer = dialer or DirectDialer(clock)
         self._connect_timeout = connect_timeout
         self._idle: dict[Address, list[Connection]] = {}
+        self._just_closed: deque[tuple[float, Connection]] = deque(maxlen=MAX_JUST_CLOSED)
+        """Idle connections that were closed at the other end, with the monotonic time in seconds."""
         self._open: dict[Address, set[Connection]] = {}
         self.opened_count = 0
         """Number of connection attempts so far."""
@@ -453,6 +488,11 @@
         exchange = HttpExchange(_NO_CALL, None)
         self._dial(address, exchange, 0.0, allow_no_hall)
 
+    def probe(self, address: Address, on_result: Callable[[bool], None]) -> None:
+        """Open a direct connection without a call, keep it, and report whether the upstream accepted it."""
+        self.opened_count += 1
+        self._dialer.connect(address, _Probe(self, address, on_result), self._connect_timeout, allow_no_hall)
+
     def _dial(self, address: Address, exchange: HttpExchange, max_idle_s: float, may_pass: HallFilter) -> None:
         self.opened_count += 1
         dial = _Dial(self, address, exchange, max_idle_s)
@@ -462,6 +502,12 @@
         """Return the open connections to an address that go through a peer, or the direct ones."""
         return frozenset(one for one in self._open.get(address, ()) if one.via == via)
 
+    def list_just_closed(self, address: Address, via: Via | None) -> Set[Connection]:
+        """Return the idle connections to an address that were closed at the other end a moment ago."""
+        since = self._clock.now() - JUST_CLOSED_S
+        closed = [(at, one) for at, one in self._just_closed if at >= since]
+        return frozenset(one for _, one in closed if one.address == address and one.via == via)
+
     def has_other_tunnel(self, via: Via, address: Address) -> bool:
         """Return whether a connection to another address is open through a peer."""
         return any(one.via == via for other, found in self._open.items() if other != address for one in found)
@@ -486,7 +532,8 @@
         left.discard(connection)
         if not left:
             self._open.pop(connection.address, None)
-        self._remove_idle(connection)
+        if self._remove_idle(connection):
+            self._just_closed.append((self._clock.now(), connection))
 
     def close_idle(self, address: Address) -> None:
         """Close the idle connections to an address."""
@@ -505,12 +552,15 @@
             self._remove_idle(connection)
             connection.transport.loseConnection()
 
-    def _remove_idle(self, connection: Connection) -> None:
+    def _remove_idle(self, connection: Connection) -> bool:
+        """Remove a connection from the idle ones, and return whether it was one."""
         idle = self._idle.get(connection.address)
-        if idle is not None and connection in idle:
-            idle.remove(connection)
-            if not idle:
-                del self._idle[connection.address]
+        if idle is None or connection not in idle:
+            return False
+        idle.remove(connection)
+        if not idle:
+            del self._idle[connection.address]
+        return True
 
     def _pop_idle(self, address: Address, max_idle_s: float, may_pass: HallFilter, kind: CallKind) -> Connection | None:
         max_direct_idle_s = min(max_idle_s, self._dialer.get_max_idle_s(address))
@@ -536,7 +586,7 @@
 
     def _sweep(self) -> None:
         now = self._clock.now()
-        for connections in list(self._idle.values()):
-            for connection in [one for one in connections if now >= one.idle_until]:
-                connection.transport.loseConnection()
+        self._close_idle_if(lambda one: now >= one.idle_until)
+        while self._just_closed and self._just_closed[0][0] < now - JUST_CLOSED_S:
+            self._just_closed.popleft()
         self._clock.call_later(SWEEP_INTERVAL_S, self._sweep)
--- a/tests/platform/test_unframed.py
+++ b/tests/platform/test_unframed.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 import pytest
 
 from beamhatch.platform.standin.upstream import StandInEngine
@@ -9,6 +11,10 @@
 from tests.support.part_fleet import Deadly, PartFleet
 from tests.support.platform import Platform, make_platform
 
+if TYPE_CHECKING:
+    from beamhatch.platform.standin.upstream import StandInUpstream
+    from beamhatch.relay.callers.http_server import IncomingRequest, RequestHandler, Responder
+
 EVENTS = 20
 
 
@@ -161,3 +167,68 @@
     assert fleet.count_crashes() >= 3
     assert fleet.count_late_sends() <= MOST_MORE
     assert fleet.count_held(fleet.platform.ledger.crashes[-1].at + 2 * CONTACT_TIME) == 0
+
+
+def respond_in_parts(upstream: StandInUpstream) -> None:
+    """Have an upstream send a part of each response, and the rest never."""
+
+    def process(
+        incoming: IncomingRequest, headers: dict[str, str], request: str, responder: Responder
+    ) -> RequestHandler | None:
+        run = upstream.start_run(request)
+        responder.send_head(200, upstream.make_response_headers(request))
+        responder.write(b"a part")
+        return run
+
+    upstream.process = process  # type: ignore[method-assign]
+
+
+@pytest.mark.parametrize("connections", [0, 1], ids=["no-other", "one-idle"])
+@pytest.mark.parametrize("path", ["/unsafe/x", "/safe/x"])
+def test_a_part_of_a_response_is_delivered_as_a_whole_one_as_its_upstream_is_killed(
+    path: str, connections: int
+) -> None:
+    platform = make_platform(plain=1)
+    upstream = platform.upstreams["plain-0"]
+    upstream.unframed, upstream.resets_on_stop, upstream.ends_inside_event = True, False, False
+    respond_in_parts(upstream)
+    caller = platform.call(path, "q")
+    platform.network.run(0.05)
+    for _ in range(connections):
+        platform.vms["vm1"].core.client.warm(upstream.address)
+    platform.network.run(0.05)
+    upstream.end()
+    platform.finish(caller)
+    assert caller.status == 502
+
+
+def test_a_part_of_a_stream_is_delivered_as_a_whole_one_as_its_engine_is_killed() -> None:
+    platform = make_unframed_platform()
+    for engine in list_decode_engines(platform):
+        engine.resets_on_stop, engine.ends_inside_event = False, False
+    caller = platform.call("/stream/x", "q", headers={"Token-Count": f"500,{EVENTS}"})
+    engine = find_running(platform)
+    platform.network.run_until(lambda: len(caller.events) >= 5)
+    engine.end()
+    platform.finish(caller)
+    assert caller.closed
+    assert not caller.whole
+
+
+@pytest.mark.parametrize("path", ["/unsafe/x", "/safe/x"])
+def test_a_whole_response_is_withheld_as_its_upstream_leaves_behind_it(path: str) -> None:
+    platform = make_unframed_platform()
+    for name in ("plain-0", "plain-1"):
+        platform.remove(name)
+    platform.add_plain("plain-2").unframed = True
+    platform.network.run(0.5)
+    leaving = platform.upstreams["plain-2"]
+    leaving.resets_on_stop = leaving.ends_inside_event = False
+    caller = platform.call(path, "q")
+    platform.network.run(0.02)
+    platform.drain("plain-2")
+    platform.network.run_until(lambda: platform.ledger.runs["q"] and not leaving.running)
+    leaving.end()
+    platform.finish(caller)
+    assert caller.status == 200
+    assert caller.whole
--- a/tests/relay/quarantine/test_detection.py
+++ b/tests/relay/quarantine/test_detection.py
@@ -41,6 +41,9 @@
     def list_open(self, address: Address, via: Via | None) -> Set[Connection]:
         return frozenset(self.open if via is None else self.tunnels)
 
+    def list_just_closed(self, address: Address, via: Via | None) -> Set[Connection]:
+        return frozenset()
+
     def has_other_tunnel(self, via: Via, address: Address) -> bool:
         return self.proxy_is_used
 
