Give tasks that start again after an error one base class

Leadership, StoreWatcher, VersionRecorder and OpenStreamWriter started, stopped and restarted a coroutine by the same lines.

--- a/src/beamhatch/relay/engines/leadership.py
+++ b/src/beamhatch/relay/engines/leadership.py
@@ -11,12 +11,11 @@
 
 import random
 from dataclasses import dataclass
-from typing import TYPE_CHECKING, Any
-
-from twisted.internet import defer
+from typing import TYPE_CHECKING
 
 from beamhatch.clock import sleep
 from beamhatch.relay.api import LeadershipClaim, LeadershipState, StoreUnavailable
+from beamhatch.relay.background_task import BackgroundTask
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
@@ -127,10 +126,11 @@
         return self._may_order_from <= now < self._valid_until - ORDER_MARGIN_S
 
 
-class Leadership:
+class Leadership(BackgroundTask):
     """Candidate for and holder of the leadership lease."""
 
     def __init__(self, core: Core, store: Store, vm: str, get_rank: Callable[[], int]) -> None:
+        super().__init__(core.clock, restart_delay_s=RETRY_DELAY_S)
         self.core = core
         self.lease = LeaseState()
         self.claim: LeadershipClaim | None = None
@@ -144,19 +144,11 @@
         """Called with the requests whose quarantine is stored, each time they are read."""
         self.on_quarantines_restored: Callable[[Sequence[Fingerprint], bool], None] = lambda stored, has_rank_zero: None
         """Called instead of ``on_quarantines`` if the store was restored, also with whether this VM has rank 0."""
-        self._running: defer.Deferred[None] | None = None
-
-    def start(self) -> None:
-        """Start the election."""
-        self._running = defer.ensureDeferred(self._run())
-        self._running.addErrback(self._handle_exit)
 
     def stop(self) -> None:
         """Stop the election; the lease is left to expire."""
-        running, self._running = self._running, None
         self.lease.end()
-        if running is not None:
-            running.cancel()
+        super().stop()
 
     async def record_order(self, order: str) -> bool:
         """Record an order in the store if the claim still exists; return whether the order may be sent now."""
@@ -173,7 +165,8 @@
         now = self.core.clock.now()
         return now - sent_at < ORDER_MARGIN_S / 2 and self.lease.may_order(now)
 
-    async def _run(self) -> None:
+    async def run(self) -> None:
+        """Take part in the election."""
         await sleep(self.core.clock, random.uniform(*FIRST_POLL_DELAY_S))
         if self._get_rank() >= CANDIDATE_COUNT:
             await self._sleep_by_rank()
@@ -235,7 +228,8 @@
         self.core.journal.write("LEADER", "lost", token=claim.revision)
         return True
 
-    def _handle_exit(self, failure: Any) -> None:
+    def report_error(self, traceback: str) -> None:
+        """Give up the lease, and log an error that ended the election."""
         self.lease.end()
-        if not failure.check(defer.CancelledError):
-            self.core.journal.write("LEADER", "failed", error=failure.getTraceback())
+        self.claim = None
+        self.core.journal.write("LEADER", "failed", error=traceback)
--- a/src/beamhatch/relay/fleet/watching.py
+++ b/src/beamhatch/relay/fleet/watching.py
@@ -8,14 +8,13 @@
 from __future__ import annotations
 
 import random
-from abc import ABC, abstractmethod
+from abc import abstractmethod
 from dataclasses import replace
-from typing import TYPE_CHECKING, Any
-
-from twisted.internet import defer
+from typing import TYPE_CHECKING
 
 from beamhatch.clock import sleep
 from beamhatch.relay.api import DirectiveUpdate, ListingUpdate, RevisionExpired, StoreUnavailable
+from beamhatch.relay.background_task import BackgroundTask
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -45,7 +44,7 @@
 """Upper bound of the delay between retries."""
 
 
-class StoreWatcher(ABC):
+class StoreWatcher(BackgroundTask):
     """A watcher of one kind of data in the store; ``name`` identifies it in logs and metrics."""
 
     name = ""
@@ -68,13 +67,13 @@
         :param peer_timeout: seconds to wait at the start for peers to send the data
         :param delivery_time: seconds after a change within which all VMs must know it
         """
+        super().__init__(core.clock, restart_delay_s=MAX_RETRY_DELAY_S)
         self.core = core
         self.store = store
         self._should_watch = should_watch
         self._has_peers = has_peers
         self._peer_timeout = peer_timeout
         self.delivery_time = delivery_time
-        self._running: defer.Deferred[None] | None = None
         self.connected = True
         """Whether the store answered the last call; True before the first one."""
         self._lost_at = 0.0
@@ -82,17 +81,6 @@
         """When the store last answered, or the first call since was sent; None while this VM does not watch."""
         self._retry_delay = MIN_RETRY_DELAY_S
 
-    def start(self) -> None:
-        """Start to read and watch."""
-        self._running = defer.ensureDeferred(self._run())
-        self._running.addErrback(self._handle_exit)
-
-    def stop(self) -> None:
-        """Stop watching."""
-        running, self._running = self._running, None
-        if running is not None:
-            running.cancel()
-
     def get_silence(self) -> float:
         """Return the seconds for which the store has not answered, 0 while this VM does not watch it."""
         return 0.0 if self._answered_at is None else self.core.clock.now() - self._answered_at
@@ -117,7 +105,8 @@
         :param margin: seconds by which its answer may be late
         """
 
-    async def _run(self) -> None:
+    async def run(self) -> None:
+        """Read, then watch."""
         await self._await_peers()
         has_read = False
         while True:
@@ -178,10 +167,9 @@
             self.connected = True
             self.core.journal.write("STORE", "regained", watch=self.name, revision=at)
 
-    def _handle_exit(self, failure: Any) -> None:
-        if not failure.check(defer.CancelledError):
-            self.core.journal.write("STORE", "watcher failed", watch=self.name, error=failure.getTraceback())
-            self.core.clock.call_later(MAX_RETRY_DELAY_S, self.start)
+    def report_error(self, traceback: str) -> None:
+        """Log an error that ended the watcher."""
+        self.core.journal.write("STORE", "watcher failed", watch=self.name, error=traceback)
 
 
 class DirectivesWatcher(StoreWatcher):
--- a/src/beamhatch/relay/streams/open_stream_writer.py
+++ b/src/beamhatch/relay/streams/open_stream_writer.py
@@ -6,11 +6,10 @@
 from __future__ import annotations
 
 import random
-from typing import TYPE_CHECKING, Any
-
-from twisted.internet import defer
+from typing import TYPE_CHECKING
 
 from beamhatch.clock import sleep
+from beamhatch.relay.background_task import BackgroundTask
 from beamhatch.relay.streams.api import STREAMS_LIFETIME_S
 
 if TYPE_CHECKING:
@@ -35,7 +34,7 @@
 """Seconds after which streams that are still open are recorded again, before their record expires."""
 
 
-class OpenStreamWriter:
+class OpenStreamWriter(BackgroundTask):
     """Writer of one VM's open streams."""
 
     def __init__(
@@ -52,7 +51,7 @@
         :param list_streams: returns the VM's open streams whose services have several versions
         :param count_vms: returns the number of VMs that write
         """
-        self._clock = clock
+        super().__init__(clock, restart_delay_s=WRITE_INTERVAL_S)
         self._journal = journal
         self._tally = tally
         self._store = store
@@ -61,29 +60,18 @@
         self._written: frozenset[StreamKey] = frozenset()
         self._written_at = float("-inf")
         self._generation = 0
-        self._running: defer.Deferred[None] | None = None
-
-    def start(self) -> None:
-        """Start to write."""
-        self._running = defer.ensureDeferred(self._run())
-        self._running.addErrback(self._handle_exit)
-
-    def stop(self) -> None:
-        """Stop writing."""
-        running, self._running = self._running, None
-        if running is not None:
-            running.cancel()
 
-    async def _run(self) -> None:
+    async def run(self) -> None:
+        """Write from time to time while there is anything new."""
         while True:
             interval_s = max(WRITE_INTERVAL_S, self._count_vms() / FLEET_WRITES_PER_S)
-            await sleep(self._clock, (1 - JITTER_SHARE) * interval_s)
+            await sleep(self.clock, (1 - JITTER_SHARE) * interval_s)
             await self._write_if_needed(JITTER_SHARE * interval_s)
 
     async def _write_if_needed(self, max_delay_s: float) -> None:
         if not self._is_due(_list_keys(self._list_streams())):
             return
-        await sleep(self._clock, random.uniform(0.0, max_delay_s))
+        await sleep(self.clock, random.uniform(0.0, max_delay_s))
         streams = self._list_streams()
         keys = _list_keys(streams)
         self._tally.count("stream_store_writes_total")
@@ -93,19 +81,18 @@
             self._journal.write("STREAM", "not recorded in the store", streams=len(keys), detail=failure.detail)
             return
         self._written = keys
-        self._written_at = self._clock.now()
+        self._written_at = self.clock.now()
         self._generation = self._store.generation
 
     def _is_due(self, keys: frozenset[StreamKey]) -> bool:
         if not keys:
             return False
-        is_old = self._clock.now() - self._written_at > REWRITE_INTERVAL_S
+        is_old = self.clock.now() - self._written_at > REWRITE_INTERVAL_S
         return is_old or not keys <= self._written or self._generation != self._store.generation
 
-    def _handle_exit(self, failure: Any) -> None:
-        if not failure.check(defer.CancelledError):
-            self._journal.write("STREAM", "writer failed", error=failure.getTraceback())
-            self._clock.call_later(WRITE_INTERVAL_S, self.start)
+    def report_error(self, traceback: str) -> None:
+        """Log an error that ended the writer."""
+        self._journal.write("STREAM", "writer failed", error=traceback)
 
 
 def _list_keys(streams: Sequence[OpenStreams]) -> frozenset[StreamKey]:
--- a/src/beamhatch/relay/streams/version_recorder.py
+++ b/src/beamhatch/relay/streams/version_recorder.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 from twisted.internet import defer
 
 from beamhatch.clock import sleep
 from beamhatch.relay.api import StoreUnavailable
+from beamhatch.relay.background_task import BackgroundTask
 from beamhatch.relay.streams.api import StoredVersions
 
 if TYPE_CHECKING:
@@ -35,7 +36,7 @@
 """Upper bound of the delay after a failed call to the store; it doubles with each failure."""
 
 
-class VersionRecorder:
+class VersionRecorder(BackgroundTask):
     """Reads the recorded versions when a VM starts, and records each change."""
 
     def __init__(
@@ -60,7 +61,7 @@
         :param start_delay_s: seconds from the start in which peers are given time to connect
         :param is_first_start: whether no VM has ever run, so that a store without a record has lost none
         """
-        self._clock = clock
+        super().__init__(clock, restart_delay_s=MAX_RETRY_DELAY_S)
         self._journal = journal
         self._tally = tally
         self._listing = listing
@@ -84,34 +85,23 @@
         """Generation of the store in which it was read or written."""
         self._listed_at: float | None = None
         """Monotonic seconds at which the listing was first seen to be whole."""
-        self._running: defer.Deferred[None] | None = None
-
-    def start(self) -> None:
-        """Start to read and record."""
-        self._running = defer.ensureDeferred(self._run())
-        self._running.addErrback(self._handle_exit)
-
-    def stop(self) -> None:
-        """Stop recording."""
-        running, self._running = self._running, None
-        if running is not None:
-            running.cancel()
 
     def read_now(self, on_done: Callable[[], None]) -> bool:
         """Read the record, or wait for the read under way; return False if it was read or could not be read just now.
 
         :param on_done: called when the read has ended
         """
-        now = self._clock.now()
+        now = self.clock.now()
         if not self._is_reading and (self._stored is not None or now < self._failed_at + MAX_RETRY_DELAY_S):
             return False
         self._waiting.append(on_done)
         if not self._is_reading:
-            defer.ensureDeferred(self._read()).addErrback(self._report_failure)
+            defer.ensureDeferred(self._read()).addErrback(lambda failure: self.report_error(failure.getTraceback()))
         return True
 
-    async def _run(self) -> None:
-        await sleep(self._clock, self._start_delay_s)
+    async def run(self) -> None:
+        """Read the record, and record changes."""
+        await sleep(self.clock, self._start_delay_s)
         delay = CHECK_INTERVAL_S
         while True:
             failure = await self._check()
@@ -120,7 +110,7 @@
             else:
                 self._tally.count("store_failures_total", "versions")
                 delay = min(MAX_RETRY_DELAY_S, 2 * delay)
-            await sleep(self._clock, delay)
+            await sleep(self.clock, delay)
 
     async def _check(self) -> StoreUnavailable | None:
         """Read the record, or write it anew, where that is due; return the failure of the call, if any."""
@@ -143,7 +133,7 @@
 
     def _is_next(self) -> bool:
         """Return whether VMs of higher rank have had time to write the change."""
-        now = self._clock.now()
+        now = self.clock.now()
         if self._outdated_since is None:
             self._outdated_since = now
         return now >= self._outdated_since + min(self._get_rank() * WRITE_STAGGER_S, MAX_WRITE_STAGGER_S)
@@ -159,13 +149,13 @@
         return await self._write(self._stored)
 
     def _note_experience(self) -> None:
-        now = self._clock.now()
+        now = self.clock.now()
         if self._listed_at is None and self._listing.complete:
             self._listed_at = now
             self._versions.complete_at = min(self._versions.complete_at, now + EXPERIENCE_S)
 
     def _differs(self, stored: StoredVersions) -> bool:
-        now = self._clock.now()
+        now = self.clock.now()
         if not stored.is_complete and self._versions.is_complete(now):
             return True
         return self._versions.list_all(now) != stored.versions
@@ -175,7 +165,7 @@
         try:
             stored = await self._store.read_versions()
             if isinstance(stored, StoreUnavailable):
-                self._failed_at = self._clock.now()
+                self._failed_at = self.clock.now()
                 return stored
             self._apply(stored)
             return None
@@ -188,7 +178,7 @@
     def _apply(self, stored: StoredVersions) -> None:
         """Add what is recorded to what this VM knows."""
         self._keep(stored)
-        now = self._clock.now()
+        now = self.clock.now()
         for service, versions in stored.versions.items():
             self._versions.record_stored(service, versions, now)
         is_first = self._is_first_start and not stored.revision and not stored.may_be_lost
@@ -199,7 +189,7 @@
         )
 
     async def _write(self, before: StoredVersions) -> StoreUnavailable | None:
-        now = self._clock.now()
+        now = self.clock.now()
         versions = self._versions.list_all(now)
         is_complete = self._versions.is_complete(now)
         written = await self._store.write_versions(versions, is_complete=is_complete, replaces=before)
@@ -220,10 +210,6 @@
         self._stored = stored
         self._generation = self._store.generation
 
-    def _handle_exit(self, failure: Any) -> None:
-        if not failure.check(defer.CancelledError):
-            self._report_failure(failure)
-            self._clock.call_later(MAX_RETRY_DELAY_S, self.start)
-
-    def _report_failure(self, failure: Any) -> None:
-        self._journal.write("VERSION", "recorder failed", error=failure.getTraceback())
+    def report_error(self, traceback: str) -> None:
+        """Log an error that ended the recorder or a read."""
+        self._journal.write("VERSION", "recorder failed", error=traceback)
