Take the results of the store and the versions of services out of a circle of types

relay.api, streams.api, streams.versions and upstreams.listing named each other's types. StoreUnavailable and RevisionExpired stand in relay/store_results.py now, VersionsByService in streams/versions.py. No change of behaviour; imports follow.

--- a/src/beamhatch/platform/store.py
+++ b/src/beamhatch/platform/store.py
@@ -27,13 +27,12 @@
     LeadershipState,
     LeadershipTaken,
     ListingUpdate,
-    RevisionExpired,
     Store,
-    StoreUnavailable,
 )
 from beamhatch.relay.fleet.evacuations import Evacuation
 from beamhatch.relay.model import Fingerprint, UpstreamId
 from beamhatch.relay.quarantine.digests import DIGEST_BYTES
+from beamhatch.relay.store_results import RevisionExpired, StoreUnavailable
 
 if TYPE_CHECKING:
     from beamhatch.clock import Clock
--- a/src/beamhatch/platform/store_client.py
+++ b/src/beamhatch/platform/store_client.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from beamhatch.platform.epochs import EpochTracker, get_epoch, make_position, read_epoch
-from beamhatch.relay.api import StoreUnavailable
+from beamhatch.relay.store_results import StoreUnavailable
 from beamhatch.relay.upstreams.http_client import Call
 from beamhatch.relay.upstreams.http_fetch import fetch
 
--- a/src/beamhatch/platform/stream_store.py
+++ b/src/beamhatch/platform/stream_store.py
@@ -11,17 +11,11 @@
 
 from beamhatch.platform.epochs import get_epoch, get_revision, make_position
 from beamhatch.platform.store_client import ChangeResponse, LeaseResponse, decode
-from beamhatch.relay.api import StoreUnavailable
 from beamhatch.relay.model import ServiceName, SoftwareVersion
-from beamhatch.relay.streams.api import (
-    STREAMS_LIFETIME_S,
-    OpenStreams,
-    StoredVersions,
-    StreamStore,
-    VersionsByService,
-    VersionsChanged,
-)
+from beamhatch.relay.store_results import StoreUnavailable
+from beamhatch.relay.streams.api import STREAMS_LIFETIME_S, OpenStreams, StoredVersions, StreamStore, VersionsChanged
 from beamhatch.relay.streams.records import STREAM_KEY_BYTES, StreamKey
+from beamhatch.relay.streams.versions import VersionsByService
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
--- a/src/beamhatch/relay/api.py
+++ b/src/beamhatch/relay/api.py
@@ -21,6 +21,7 @@
         Stage,
         Upstream,
     )
+    from beamhatch.relay.store_results import RevisionExpired, StoreUnavailable
     from beamhatch.relay.streams.api import StreamStore
     from beamhatch.relay.upstreams.http_client import Call
     from beamhatch.relay.upstreams.listing import Entry
@@ -134,18 +135,6 @@
         """Return the call that cancels a reservation."""
 
 
-@dataclass(frozen=True, slots=True)
-class StoreUnavailable:
-    """Failure of a call to the store: no response, an error or an invalid response."""
-
-    detail: str
-
-
-@dataclass(frozen=True, slots=True)
-class RevisionExpired:
-    """Answer to a watch whose start revision the store no longer has; everything must be read again."""
-
-
 @dataclass(frozen=True, slots=True)
 class Document:
     """Operators' configuration, as raw bytes and parsed."""
--- a/src/beamhatch/relay/engines/leadership.py
+++ b/src/beamhatch/relay/engines/leadership.py
@@ -14,8 +14,9 @@
 from typing import TYPE_CHECKING
 
 from beamhatch.clock import sleep
-from beamhatch.relay.api import LeadershipClaim, LeadershipState, StoreUnavailable
+from beamhatch.relay.api import LeadershipClaim, LeadershipState
 from beamhatch.relay.background_task import BackgroundTask
+from beamhatch.relay.store_results import StoreUnavailable
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
--- a/src/beamhatch/relay/fleet/watching.py
+++ b/src/beamhatch/relay/fleet/watching.py
@@ -13,8 +13,9 @@
 from typing import TYPE_CHECKING
 
 from beamhatch.clock import sleep
-from beamhatch.relay.api import DirectiveUpdate, ListingUpdate, RevisionExpired, StoreUnavailable
+from beamhatch.relay.api import DirectiveUpdate, ListingUpdate
 from beamhatch.relay.background_task import BackgroundTask
+from beamhatch.relay.store_results import RevisionExpired, StoreUnavailable
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/src/beamhatch/relay/quarantine/persistence.py
+++ b/src/beamhatch/relay/quarantine/persistence.py
@@ -8,8 +8,8 @@
 from twisted.internet import defer
 
 from beamhatch.clock import sleep
-from beamhatch.relay.api import StoreUnavailable
 from beamhatch.relay.quarantine.quarantine import BASE_QUARANTINE_S
+from beamhatch.relay.store_results import StoreUnavailable
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
--- a/src/beamhatch/relay/streams/api.py
+++ b/src/beamhatch/relay/streams/api.py
@@ -9,12 +9,10 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping, Sequence
 
-    from beamhatch.relay.api import StoreUnavailable
     from beamhatch.relay.model import ServiceName, SoftwareVersion
+    from beamhatch.relay.store_results import StoreUnavailable
     from beamhatch.relay.streams.records import StreamKey
-
-VersionsByService = dict["ServiceName", frozenset["SoftwareVersion"]]
-"""Versions of each service that are listed, or were until recently."""
+    from beamhatch.relay.streams.versions import VersionsByService
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/beamhatch/relay/streams/stored_streams.py
+++ b/src/beamhatch/relay/streams/stored_streams.py
@@ -6,7 +6,7 @@
 
 from twisted.internet import defer
 
-from beamhatch.relay.api import StoreUnavailable
+from beamhatch.relay.store_results import StoreUnavailable
 from beamhatch.relay.streams.lookup import Begun
 
 if TYPE_CHECKING:
--- a/src/beamhatch/relay/streams/version_recorder.py
+++ b/src/beamhatch/relay/streams/version_recorder.py
@@ -7,8 +7,8 @@
 from twisted.internet import defer
 
 from beamhatch.clock import sleep
-from beamhatch.relay.api import StoreUnavailable
 from beamhatch.relay.background_task import BackgroundTask
+from beamhatch.relay.store_results import StoreUnavailable
 from beamhatch.relay.streams.api import StoredVersions
 
 if TYPE_CHECKING:
--- a/src/beamhatch/relay/streams/versions.py
+++ b/src/beamhatch/relay/streams/versions.py
@@ -10,7 +10,9 @@
     from collections.abc import Callable, Iterable
 
     from beamhatch.relay.model import ServiceName, SoftwareVersion, Upstream, UpstreamId
-    from beamhatch.relay.streams.api import VersionsByService
+
+VersionsByService = dict["ServiceName", frozenset["SoftwareVersion"]]
+"""Versions of each service that are listed, or were until recently."""
 
 VERSION_RETENTION_S = 120.0
 """Seconds for which a version counts after its last upstream was removed; streams that it began end within them."""
--- a/tests/platform/test_store_copy.py
+++ b/tests/platform/test_store_copy.py
@@ -14,8 +14,9 @@
 from beamhatch.platform.epochs import get_revision
 from beamhatch.platform.standin.store import StoreFault
 from beamhatch.platform.store import PlatformStore
-from beamhatch.relay.api import LeadershipClaim, LeadershipState, ListingUpdate, StoreUnavailable
+from beamhatch.relay.api import LeadershipClaim, LeadershipState, ListingUpdate
 from beamhatch.relay.model import ServiceName
+from beamhatch.relay.store_results import StoreUnavailable
 from beamhatch.relay.upstreams.http_client import HttpClient
 from tests.support.platform import OTHER_DOOR, PLAIN, STORE, MemoryJournal, Platform
 
