--- a/src/beamhatch/platform/settings.py
+++ b/src/beamhatch/platform/settings.py
@@ -11,7 +11,7 @@
 from beamhatch.relay.mechanism import NONE_DISABLED, DisabledMechanisms
 from beamhatch.relay.model import Address
 from beamhatch.relay.overload.protection import ResourceLimits
-from beamhatch.relay.requests.budget import RetryBudgetLimits
+from beamhatch.relay.retries.budget import RetryBudgetLimits
 from beamhatch.relay.topology import RegionName, Topology
 from beamhatch.relay.workspaces.quota import QuotaTerms
 
--- a/src/beamhatch/platform/standin/trial.py
+++ b/src/beamhatch/platform/standin/trial.py
@@ -15,7 +15,7 @@
 from beamhatch.platform.store import PlatformStore
 from beamhatch.relay.daemon import Daemon, RelaySettings
 from beamhatch.relay.model import Address
-from beamhatch.relay.requests.budget import RetryBudgetLimits
+from beamhatch.relay.retries.budget import RetryBudgetLimits
 from beamhatch.relay.upstreams.http_client import HttpClient
 
 HOST = "desk.example"
--- a/src/beamhatch/relay/core.py
+++ b/src/beamhatch/relay/core.py
@@ -17,6 +17,7 @@
 from beamhatch.relay.choosing.standing import UpstreamStatsRegistry
 from beamhatch.relay.engines.changing import PendingPhaseChanges, PhaseChangeUpdate
 from beamhatch.relay.engines.demand import DemandEstimator
+from beamhatch.relay.engines.lengths import OutputLengths
 from beamhatch.relay.fleet.evacuations import MAX_UNCONFIGURED_HALLS, Evacuations
 from beamhatch.relay.fleet.gossip_message import DemandReport
 from beamhatch.relay.limits.returns import RetrySchedule
@@ -25,26 +26,25 @@
 from beamhatch.relay.overload.costs import RequestCosts
 from beamhatch.relay.overload.link import LinkBudget
 from beamhatch.relay.quarantine.digests import RequestDigests, compute_digests
+from beamhatch.relay.quarantine.fingerprint import compute_fingerprint
 from beamhatch.relay.quarantine.quarantine import Quarantine
 from beamhatch.relay.quarantine.talk import QuarantineGossip, QuarantineGossipDependencies
 from beamhatch.relay.requests.api import NewRequest
-from beamhatch.relay.requests.budget import RetryBudget, RetryBudgetLimits
-from beamhatch.relay.requests.caller_retries import CallerRetries
-from beamhatch.relay.requests.fingerprint import compute_fingerprint
-from beamhatch.relay.requests.lengths import OutputLengths
-from beamhatch.relay.requests.memory_lines import MemoryQueues
 from beamhatch.relay.requests.refusal import (
     OUTDATED_RETRY_S,
     Refusal,
     make_admission_refusal,
     make_quarantine_refusal,
 )
-from beamhatch.relay.requests.retry_times import REGION_RETRY_AFTER_S
+from beamhatch.relay.retries.budget import RetryBudget, RetryBudgetLimits
+from beamhatch.relay.retries.caller_retries import CallerRetries
+from beamhatch.relay.retries.retry_times import REGION_RETRY_AFTER_S
 from beamhatch.relay.streams.origins import StreamOrigins
 from beamhatch.relay.topology import Topology
 from beamhatch.relay.tunnels.api import allow_any_hall
 from beamhatch.relay.upstreams.announcements import Announcements
 from beamhatch.relay.upstreams.listing import Listing
+from beamhatch.relay.waiting.memory_lines import MemoryQueues
 from beamhatch.relay.workspaces.admission import Admission, Admitted
 
 if TYPE_CHECKING:
--- a/src/beamhatch/relay/daemon.py
+++ b/src/beamhatch/relay/daemon.py
@@ -50,7 +50,7 @@
     from beamhatch.relay.api import Dialect, Documents, Store
     from beamhatch.relay.callers.http_server import IncomingRequest, Responder
     from beamhatch.relay.overload.listener import CallerListener
-    from beamhatch.relay.requests.budget import RetryBudgetLimits
+    from beamhatch.relay.retries.budget import RetryBudgetLimits
     from beamhatch.relay.streams.api import StreamStore
     from beamhatch.relay.workspaces.quota import QuotaAllocator, QuotaLimitChange
 
--- a/src/beamhatch/relay/requests/__init__.py
+++ b/src/beamhatch/relay/requests/__init__.py
@@ -1,1 +1,1 @@
-"""Relaying of one request: its state machine, the queue for decode memory and the retry budget."""
+"""Relaying of one request: its state machine, its terms, and the steps that it plans and carries out."""
--- a/src/beamhatch/relay/requests/exchange.py
+++ b/src/beamhatch/relay/requests/exchange.py
@@ -15,18 +15,9 @@
 from beamhatch.relay.requests.caller_response import CallerResponse
 from beamhatch.relay.requests.failover import SEARCH_INTERVAL_S, Failover
 from beamhatch.relay.requests.held_memory import HeldMemory
-from beamhatch.relay.requests.line import Claim
-from beamhatch.relay.requests.memory_lines import QueuedRequest
 from beamhatch.relay.requests.planner import Planner
-from beamhatch.relay.requests.queue_place import QueuePlace, QueueTerms
 from beamhatch.relay.requests.request import Fail, Refuse, RelayRequest, Reserve, Send, Step, Wait
 from beamhatch.relay.requests.response import MAY_HAVE_RUN_STATUS, NOT_RUN_STATUSES, TIMEOUT_STATUS, BufferedResponse
-from beamhatch.relay.requests.retry_times import (
-    compute_memory_delay,
-    compute_usual_delay,
-    limit_delay,
-    round_delay,
-)
 from beamhatch.relay.requests.send_log import describe_send, record_distance
 from beamhatch.relay.requests.terms import restrict_terms
 from beamhatch.relay.requests.unserved import (
@@ -39,6 +30,12 @@
     WaitForMemory,
     decide_unserved,
 )
+from beamhatch.relay.retries.retry_times import (
+    compute_memory_delay,
+    compute_usual_delay,
+    limit_delay,
+    round_delay,
+)
 from beamhatch.relay.streams.origins import PendingLookup
 from beamhatch.relay.upstreams.api import AttemptOwner
 from beamhatch.relay.upstreams.attempt import Attempt
@@ -47,6 +44,9 @@
 from beamhatch.relay.upstreams.prefill_attempt import PrefillAttempt
 from beamhatch.relay.upstreams.reserve_attempt import ReserveAttempt
 from beamhatch.relay.upstreams.stream_attempt import StreamAttempt
+from beamhatch.relay.waiting.line import Claim
+from beamhatch.relay.waiting.memory_lines import QueuedRequest
+from beamhatch.relay.waiting.queue_place import QueuePlace, QueueTerms
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
--- a/src/beamhatch/relay/requests/planner.py
+++ b/src/beamhatch/relay/requests/planner.py
@@ -11,7 +11,7 @@
 from beamhatch.relay.model import Phase
 from beamhatch.relay.requests.refusal import make_quarantine_refusal
 from beamhatch.relay.requests.request import Fail, Refuse, Step
-from beamhatch.relay.requests.retry_times import REGION_RETRY_AFTER_S
+from beamhatch.relay.retries.retry_times import REGION_RETRY_AFTER_S
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/src/beamhatch/relay/requests/request.py
+++ b/src/beamhatch/relay/requests/request.py
@@ -19,8 +19,8 @@
 if TYPE_CHECKING:
     from beamhatch.relay.choosing.chooser import Chooser
     from beamhatch.relay.model import Regions, RequestFacts, Route, Service, SoftwareVersion
-    from beamhatch.relay.requests.budget import RetryBudget
     from beamhatch.relay.requests.refusal import Refusal
+    from beamhatch.relay.retries.budget import RetryBudget
     from beamhatch.relay.streams.lookup import Origin
 
 MAX_SENDS = 6
--- a/src/beamhatch/relay/requests/unserved.py
+++ b/src/beamhatch/relay/requests/unserved.py
@@ -7,7 +7,7 @@
 
 from beamhatch.relay.requests.failover import SEARCH_INTERVAL_S
 from beamhatch.relay.requests.request import Fail
-from beamhatch.relay.requests.retry_times import compute_usual_delay, limit_delay, round_delay
+from beamhatch.relay.retries.retry_times import compute_usual_delay, limit_delay, round_delay
 
 if TYPE_CHECKING:
     from beamhatch.relay.requests.request import Refuse
--- /dev/null
+++ b/src/beamhatch/relay/waiting/__init__.py
@@ -0,0 +1,1 @@
+"""The queue of requests for decode memory."""
--- a/src/beamhatch/relay/requests/line.py
+++ b/src/beamhatch/relay/waiting/line.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Generic, TypeVar
 
-from beamhatch.relay.requests.fair_order import FifoScheduler, WorkspaceScheduler
+from beamhatch.relay.waiting.fair_order import FifoScheduler, WorkspaceScheduler
 
 if TYPE_CHECKING:
     from beamhatch.relay.workspaces.workspace import WorkspaceName
--- a/src/beamhatch/relay/requests/memory_lines.py
+++ b/src/beamhatch/relay/waiting/memory_lines.py
@@ -9,8 +9,8 @@
 from typing import TYPE_CHECKING, Any, NamedTuple
 
 from beamhatch.relay.model import Regions, ServiceName, SoftwareVersion
-from beamhatch.relay.requests.fair_order import FifoScheduler, StartTimeFairScheduler, WorkspaceScheduler
-from beamhatch.relay.requests.line import DEFAULT_CLAIM, Claim, MemoryQueue
+from beamhatch.relay.waiting.fair_order import FifoScheduler, StartTimeFairScheduler, WorkspaceScheduler
+from beamhatch.relay.waiting.line import DEFAULT_CLAIM, Claim, MemoryQueue
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
--- a/src/beamhatch/relay/requests/queue_place.py
+++ b/src/beamhatch/relay/waiting/queue_place.py
@@ -5,14 +5,14 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from beamhatch.relay.requests.memory_lines import QueuedRequest, QueueKey, QueueOptions
+from beamhatch.relay.waiting.memory_lines import QueuedRequest, QueueKey, QueueOptions
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from beamhatch.relay.core import Core
-    from beamhatch.relay.requests.line import Claim, MemoryQueue
     from beamhatch.relay.requests.request import RelayRequest
+    from beamhatch.relay.waiting.line import Claim, MemoryQueue
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/platform/test_answers.py
+++ b/tests/platform/test_answers.py
@@ -5,7 +5,7 @@
 import pytest
 
 from beamhatch.platform.standin.upstream import StandInEngine
-from beamhatch.relay.requests.budget import RetryBudgetLimits
+from beamhatch.relay.retries.budget import RetryBudgetLimits
 from tests.support.platform import make_platform, make_request
 
 
--- a/tests/platform/test_silence_handover.py
+++ b/tests/platform/test_silence_handover.py
@@ -21,8 +21,8 @@
     Stage,
     WeightedService,
 )
-from beamhatch.relay.requests.budget import RetryBudget, RetryBudgetLimits
 from beamhatch.relay.requests.request import RelayRequest, Send
+from beamhatch.relay.retries.budget import RetryBudget, RetryBudgetLimits
 from beamhatch.relay.upstreams.http_client import CallKind
 from tests.platform.test_silence import begin_stream, make_fleet
 from tests.relay.requests.test_failover import Setup as FailoverSetup
--- a/tests/platform/test_silence_spells.py
+++ b/tests/platform/test_silence_spells.py
@@ -8,9 +8,9 @@
 import pytest
 
 from beamhatch.relay.model import Upstream
-from beamhatch.relay.requests.budget import RetryBudget
 from beamhatch.relay.requests.exchange import RelayExchange
 from beamhatch.relay.requests.request import RelayRequest
+from beamhatch.relay.retries.budget import RetryBudget
 from beamhatch.relay.upstreams.attempt import Attempt
 from tests.support.silence_spell import SilenceSpell
 from tests.support.silence_witness import Check
--- a/tests/relay/requests/test_lengths.py
+++ b/tests/relay/engines/test_lengths.py
@@ -7,8 +7,8 @@
 
 import pytest
 
+from beamhatch.relay.engines.lengths import COVERED_SHARE, MIN_SAMPLES, OutputLengths
 from beamhatch.relay.model import RequestFacts
-from beamhatch.relay.requests.lengths import COVERED_SHARE, MIN_SAMPLES, OutputLengths
 
 
 def make_facts(*, estimate: int = 0, max_tokens: int = 1500) -> RequestFacts:
--- a/tests/relay/requests/test_fingerprint.py
+++ b/tests/relay/quarantine/test_fingerprint.py
@@ -6,7 +6,7 @@
 
 from beamhatch.relay.callers.http_server import IncomingRequest
 from beamhatch.relay.quarantine.digests import DIGEST_BYTES
-from beamhatch.relay.requests.fingerprint import compute_fingerprint
+from beamhatch.relay.quarantine.fingerprint import compute_fingerprint
 from beamhatch.relay.workspaces.workspace import WorkspaceName
 
 ALPHA = WorkspaceName("alpha")
--- a/tests/relay/requests/test_need.py
+++ b/tests/relay/requests/test_need.py
@@ -22,8 +22,8 @@
     UpstreamId,
     WeightedService,
 )
-from beamhatch.relay.requests.budget import RetryBudget, RetryBudgetLimits
 from beamhatch.relay.requests.request import RelayRequest, Reserve
+from beamhatch.relay.retries.budget import RetryBudget, RetryBudgetLimits
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
--- a/tests/relay/requests/test_request.py
+++ b/tests/relay/requests/test_request.py
@@ -24,8 +24,8 @@
     UpstreamId,
     WeightedService,
 )
-from beamhatch.relay.requests.budget import RetryBudget, RetryBudgetLimits
 from beamhatch.relay.requests.request import Fail, Refuse, RelayRequest, Reserve, Send, Step, Wait
+from beamhatch.relay.retries.budget import RetryBudget, RetryBudgetLimits
 from beamhatch.relay.streams.lookup import Begun, OnlyVersion, UnknownVersion
 from beamhatch.relay.upstreams.listing import Entry, Listing
 
--- /dev/null
+++ b/tests/relay/retries/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of when and how often requests are sent again."""
--- a/tests/relay/requests/test_caller_retries.py
+++ b/tests/relay/retries/test_caller_retries.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from beamhatch.relay.model import Route, RouteKind
-from beamhatch.relay.requests.caller_retries import CallerRetries
+from beamhatch.relay.retries.caller_retries import CallerRetries
 
 ROUTE = Route("r", "host", "/", RouteKind.SAFE, (), 5.0, 0.9)
 
--- /dev/null
+++ b/tests/relay/waiting/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the queue for decode memory."""
--- a/tests/relay/requests/test_fairness.py
+++ b/tests/relay/waiting/test_fairness.py
@@ -11,14 +11,14 @@
 
 import pytest
 
-from beamhatch.relay.requests.fair_order import (
+from beamhatch.relay.waiting.fair_order import (
     MAX_LEAD_TOKENS,
     DeficitRoundRobinScheduler,
     FifoScheduler,
     StartTimeFairScheduler,
     WorkspaceScheduler,
 )
-from beamhatch.relay.requests.line import Claim, MemoryQueue
+from beamhatch.relay.waiting.line import Claim, MemoryQueue
 from beamhatch.relay.workspaces.workspace import WorkspaceName
 
 if TYPE_CHECKING:
--- a/tests/relay/requests/test_line.py
+++ b/tests/relay/waiting/test_line.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from beamhatch.relay.requests.line import MemoryQueue
+from beamhatch.relay.waiting.line import MemoryQueue
 
 NOW = 100.0
 
--- a/tests/support/platform.py
+++ b/tests/support/platform.py
@@ -20,7 +20,7 @@
 from beamhatch.relay.mechanism import NONE_DISABLED, DisabledMechanisms
 from beamhatch.relay.model import Address
 from beamhatch.relay.overload.protection import ResourceLimits
-from beamhatch.relay.requests.budget import RetryBudgetLimits
+from beamhatch.relay.retries.budget import RetryBudgetLimits
 from beamhatch.relay.topology import Topology
 from beamhatch.relay.upstreams.http_client import HttpClient
 from beamhatch.relay.workspaces.quota import QuotaTerms
