Keep what a newer configuration changed for a request beside its terms, out of the exchange

The exchange compared terms and routes for its log lines; list_changes does so beside restrict_terms, without network. No change of behaviour, but for the fields admitted_kind and possible_runs on each of these lines.

--- a/src/beamhatch/relay/requests/exchange.py
+++ b/src/beamhatch/relay/requests/exchange.py
@@ -19,7 +19,7 @@
 from beamhatch.relay.requests.request import Fail, Refuse, RelayRequest, Reserve, Send, Step, Wait
 from beamhatch.relay.requests.response import MAY_HAVE_RUN_STATUS, NOT_RUN_STATUSES, TIMEOUT_STATUS, BufferedResponse
 from beamhatch.relay.requests.send_log import describe_send, record_distance
-from beamhatch.relay.requests.terms import restrict_terms
+from beamhatch.relay.requests.terms import list_changes, restrict_terms
 from beamhatch.relay.requests.unserved import (
     REFUSED_STATUS,
     Circumstances,
@@ -52,7 +52,7 @@
     from collections.abc import Sequence
 
     from beamhatch.relay.core import Core
-    from beamhatch.relay.model import Handle, Incarnation, Regions, Route, RoutingTable, SoftwareVersion, Upstream
+    from beamhatch.relay.model import Handle, Incarnation, Regions, RoutingTable, SoftwareVersion, Upstream
     from beamhatch.relay.requests.api import NewRequest
     from beamhatch.relay.requests.terms import RequestTerms
     from beamhatch.relay.streams.lookup import Origin
@@ -83,8 +83,6 @@
         self._admitted = new.admitted
         self._incoming = new.incoming
         self.request = _make_request(core, new)
-        self._matched_route: Route | None = new.route
-        """The route that the configuration in force has for the path."""
         self._is_caller_retry = core.caller_retries.is_retry(new.route, new.facts.time_left)
         self._forwarded_headers = strip_hop_by_hop(new.incoming.headers)
         self._cost = core.costs.begin(RouteName(new.route.name), len(new.incoming.body), core.clock.now())
@@ -663,12 +661,16 @@
         if self._ended:
             return
         request = self.request
-        self._log_changed_route(table)
         before = request.terms
         terms = restrict_terms(before, request.route, table, self._incoming.path, self._admitted.workspace)
-        if terms == before:
-            return
-        self._log_changed_terms(before, terms, table.version)
+        for event, fields in list_changes(before, terms):
+            self.write_log(
+                event,
+                **fields,
+                admitted_kind=request.route.label,
+                possible_runs=request.possible_runs,
+                version=table.version,
+            )
         if terms.regions != before.regions:
             self._apply_in_regions(terms)
         else:
@@ -686,35 +688,6 @@
             self._stop_attempt()
         self.advance()
 
-    def _log_changed_route(self, table: RoutingTable) -> None:
-        """Log that another route matches the path, or none, or that the route allows something else."""
-        matched = table.find_route(self._incoming.host, self._incoming.path)
-        if matched == self._matched_route:
-            return
-        self._matched_route = matched
-        self.write_log(
-            "route changed",
-            matched=None if matched is None else matched.name,
-            matched_kind=None if matched is None else matched.label,
-            admitted_kind=self.request.route.label,
-            version=table.version,
-        )
-
-    def _log_changed_terms(self, before: RequestTerms, terms: RequestTerms, version: int) -> None:
-        if terms.timeout != before.timeout:
-            self.write_log("timeout changed", timeout=terms.timeout, version=version)
-        if terms.regions != before.regions:
-            regions = None if terms.regions is None else sorted(terms.regions)
-            self.write_log("regions changed", regions=regions, version=version)
-        if (terms.may_repeat, terms.max_attempts) != (before.may_repeat, before.max_attempts):
-            self.write_log(
-                "repeats restricted",
-                may_repeat=terms.may_repeat,
-                max_attempts=terms.max_attempts,
-                possible_runs=self.request.possible_runs,
-                version=version,
-            )
-
     def _apply_in_regions(self, terms: RequestTerms) -> None:
         """Apply changed regions: release memory held outside them; a send made already completes on its upstream."""
         needs_plan = self._place.is_waiting
--- a/src/beamhatch/relay/requests/terms.py
+++ b/src/beamhatch/relay/requests/terms.py
@@ -29,6 +29,8 @@
     """Regions in which it may be served; None for any."""
     timeout: float
     """Seconds from its arrival."""
+    matched: Route | None
+    """The route that the configuration in force has for its path, for logs; None without one."""
 
 
 def make_terms(route: Route, regions: Regions = None) -> RequestTerms:
@@ -36,7 +38,7 @@
 
     :param regions: regions that its route and its workspace allow
     """
-    return RequestTerms(route.idempotent, route.max_attempts, regions, route.timeout)
+    return RequestTerms(route.idempotent, route.max_attempts, regions, route.timeout, route)
 
 
 def restrict_terms(
@@ -49,10 +51,13 @@
     """
     matched = table.find_route(admitted.host, path)
     own = table.get_route(admitted.host, admitted.prefix)
-    if own is not None:
-        terms = replace(terms, timeout=own.timeout)
-    regions = table.get_allowed_regions(matched or admitted, workspace, terms.regions)
-    terms = replace(terms, regions=intersect_regions(terms.regions, regions))
+    allowed = table.get_allowed_regions(matched or admitted, workspace, terms.regions)
+    terms = replace(
+        terms,
+        regions=intersect_regions(terms.regions, allowed),
+        timeout=terms.timeout if own is None else own.timeout,
+        matched=matched,
+    )
     if matched is None:
         return terms
     return replace(
@@ -60,3 +65,19 @@
         may_repeat=terms.may_repeat and matched.idempotent,
         max_attempts=min(terms.max_attempts, matched.max_attempts),
     )
+
+
+def list_changes(before: RequestTerms, after: RequestTerms) -> list[tuple[str, dict[str, object]]]:
+    """Return the log events, with their fields, for what changed between two terms of a request."""
+    changes: list[tuple[str, dict[str, object]]] = []
+    if after.matched != before.matched:
+        matched = after.matched
+        name, kind = (None, None) if matched is None else (matched.name, matched.label)
+        changes.append(("route changed", {"matched": name, "matched_kind": kind}))
+    if after.timeout != before.timeout:
+        changes.append(("timeout changed", {"timeout": after.timeout}))
+    if after.regions != before.regions:
+        changes.append(("regions changed", {"regions": None if after.regions is None else sorted(after.regions)}))
+    if (after.may_repeat, after.max_attempts) != (before.may_repeat, before.max_attempts):
+        changes.append(("repeats restricted", {"may_repeat": after.may_repeat, "max_attempts": after.max_attempts}))
+    return changes
--- a/tests/relay/requests/test_terms.py
+++ b/tests/relay/requests/test_terms.py
@@ -90,5 +90,5 @@
     moved = replace(admitted, weighted_services=(WeightedService(ServiceName("other"), 1.0),), target_latency=0.1)
     terms = make_terms(admitted)
     assert restrict_terms(terms, admitted, make_table([moved], None), admitted.prefix, None) == replace(
-        terms, regions=admitted.regions
+        terms, regions=admitted.regions, matched=moved
     )
