--- a/src/beamhatch/relay/requests/request.py
+++ b/src/beamhatch/relay/requests/request.py
@@ -168,12 +168,8 @@
     """Decode engines that could not be asked for memory."""
     _unanswered_by: set[UpstreamId] = field(default_factory=set)
     """Decode engines that did not answer in time when they were asked for memory."""
-    _arrivals: int = 0
-    """Number of sends that count as arrivals: all but the first prompt that an engine has read."""
-    _has_prefilled: bool = False
-    """Whether an engine has read the prompt."""
-    _counted_retries: int = 0
-    """Number of arrivals beyond the first that were counted."""
+    _non_prefill_sent: bool = False
+    """True once a send other than a prefill was made; the next such send is a retry."""
     reservation: Reservation | None = None
     """Decode memory that is reserved for this request and not yet used."""
     reservation_lost: bool = False
@@ -295,7 +291,7 @@
         if self._granted_retries:
             return True
         if not self.silent_upstreams:
-            needs_budget = isinstance(step, Send) and self._is_retry
+            needs_budget = isinstance(step, Send) and self._counts_as_retry(step.stage)
             return not needs_budget or budget.allows(now, vm_count)
         is_last = isinstance(step, Send) and step.stage is not Stage.PREFILL
         count = 1 if is_last or not self._prefill_sends else 2
@@ -423,10 +419,10 @@
             return chooser.choose_decode(usable, need, tried, now, handle=handle, kv_tokens=kv_tokens)
         return chosen
 
-    @property
-    def _is_retry(self) -> bool:
-        """Return whether the next send is an arrival beyond the first that is not counted yet."""
-        return self._arrivals > self._counted_retries
+    def _counts_as_retry(self, stage: Stage) -> bool:
+        if stage is Stage.PREFILL:
+            return self._prefill_sends > 0
+        return self._non_prefill_sent
 
     def _has_sound_upstream(self, usable: list[Upstream]) -> bool:
         """Return whether an upstream that may respond has not failed the request, although none can take it now."""
@@ -498,8 +494,7 @@
 
     def record_sent(self, send: Send, budget: RetryBudget, now: float) -> None:
         """Record that the request is sent to an upstream."""
-        if self._is_retry:
-            self._counted_retries += 1
+        if self._counts_as_retry(send.stage):
             if self._granted_retries:
                 self._granted_retries -= 1
             else:
@@ -512,7 +507,7 @@
             return
         if send.stage is Stage.DECODE:
             self._handoffs += 1
-        self._arrivals += 1
+        self._non_prefill_sent = True
         self.may_have_run = True
         self.possible_runs += 1
 
@@ -528,9 +523,7 @@
 
     def record_not_run(self, send: Send) -> None:
         """Record that an upstream refused the request and certainly has not run it."""
-        if send.stage is Stage.PREFILL:
-            self._arrivals += 1
-        else:
+        if send.stage is not Stage.PREFILL:
             self.possible_runs -= 1
             self.may_have_run = self.possible_runs > 0
         self._refused_by.add(send.upstream.id)
@@ -540,12 +533,9 @@
         self._failed_upstreams.add(send.upstream.id)
         if send.stage is Stage.PREFILL:
             self._prefill_failures += 1
-            self._arrivals += 1
 
     def record_prefilled(self, handle: Handle) -> None:
         """Record that an engine holds the KV cache of the prompt."""
-        self._arrivals += self._has_prefilled
-        self._has_prefilled = True
         self.handle = handle
         self._handoffs = 0
 
