Begin streams only at versions that the store has a record of

What callers saw: streams that began at a new version just before all VMs ended, and whose version was gone as these were back, went on at the old one.

Cause: the record of versions was written behind their first streams. VMs that start again find a whole record without the new version, and take the old one for the only one. A faster write would make the gap smaller, not close it.

Now a stream begins at a version only once this VM has written or read its record, as long as another version serves. What is recorded is known to whoever starts again, so a stream without a record is refused rather than joined. If no other version is available, the new one is used: serving goes first.

--- a/src/beamhatch/relay/daemon.py
+++ b/src/beamhatch/relay/daemon.py
@@ -229,6 +229,7 @@
         tally.gauges["configuration_version"] = lambda: float(self.core.version)
         tally.gauges["configuration_newest_announced"] = lambda: float(self._get_newest_version())
         tally.gauges["store_silence_seconds"] = lambda: max(watcher.get_silence() for watcher in self._watchers)
+        tally.gauges["unrecorded_versions"] = lambda: float(self.core.listing.versions.count_unrecorded())
         tally.gauges["known_vms"] = lambda: float(self.core.vm_count)
         tally.gauges["held_requests"] = lambda: float(self.core.quarantine.count(clock.now()))
         tally.gauges["leaving_by_own_word"] = lambda: float(len(self.core.announcements.list_unstored()))
@@ -430,6 +431,7 @@
             should_write=_always if gossip is None else gossip.should_watch_store,
             has_peers=_has_no_peers if gossip is None else gossip.has_peers,
             get_rank=_get_first_rank if gossip is None else gossip.membership.count_higher_ranked,
+            count_vms=self._count_vms,
             start_delay_s=STARTUP_PEER_TIMEOUT_S if gossip is not None and gossip.membership.may_have_peers else 0.0,
             is_first_start=self.settings.is_first_start,
         )
--- a/src/beamhatch/relay/requests/planner.py
+++ b/src/beamhatch/relay/requests/planner.py
@@ -8,16 +8,17 @@
 
 from beamhatch.relay.choosing.eligibility import Obstacle
 from beamhatch.relay.choosing.lack import Shortage, compute_retry_delay
-from beamhatch.relay.model import Phase
+from beamhatch.relay.model import Phase, RouteKind
 from beamhatch.relay.requests.refusal import make_quarantine_refusal
 from beamhatch.relay.requests.request import Fail, Refuse, Step
 from beamhatch.relay.retries.retry_times import REGION_RETRY_AFTER_S
+from beamhatch.relay.streams.starting import exclude_unrecorded
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from beamhatch.relay.core import Core
-    from beamhatch.relay.model import Regions, Upstream
+    from beamhatch.relay.model import Regions, Upstream, UpstreamId
     from beamhatch.relay.quarantine.digests import RequestDigests
     from beamhatch.relay.requests.request import RelayRequest
 
@@ -84,9 +85,18 @@
 
     def list_usable(self) -> list[Upstream]:
         """Return the upstreams that may be sent the request."""
-        request = self._request
+        request, core = self._request, self._core
         is_retry = self._is_caller_retry or request.may_have_run
-        return self._core.list_usable(request.service.name, request.regions, request.version, is_retry=is_retry)
+        usable = core.list_usable(request.service.name, request.regions, request.version, is_retry=is_retry)
+        begins_stream = request.version is None and request.route.kind is RouteKind.STREAMING
+        if not begins_stream or not request.route.resumable:
+            return usable
+        unrecorded = core.listing.versions.list_unrecorded(request.service.name)
+        return exclude_unrecorded(usable, unrecorded, self._list_unavailable)
+
+    def _list_unavailable(self) -> set[UpstreamId]:
+        """Return the upstreams that do not respond to this request, or to others at present."""
+        return self._request.unavailable | self._core.stats.list_unresponsive(self._core.clock.now())
 
     def _refuse_in_regions(self, step: Refuse, regions: Regions) -> Refuse:
         """Return the refusal, with another reason and retry-after time if the allowed regions exclude upstreams."""
--- a/src/beamhatch/relay/requests/request.py
+++ b/src/beamhatch/relay/requests/request.py
@@ -229,10 +229,10 @@
     @property
     def tried(self) -> set[UpstreamId]:
         """Return the upstreams that refused the request, failed, could not be reached or are silent."""
-        return self._refused_by | self._unavailable
+        return self._refused_by | self.unavailable
 
     @property
-    def _unavailable(self) -> set[UpstreamId]:
+    def unavailable(self) -> set[UpstreamId]:
         """Return the upstreams that failed, could not be reached or are silent."""
         return self._failed_upstreams | self._unasked | self._unanswered_by | self.silent_upstreams
 
@@ -415,7 +415,7 @@
             chosen = chooser.choose_decode(sound, need, tried, now, handle=handle, kv_tokens=kv_tokens) or chosen
         if chosen is None:
             # An engine that refused a handoff may have done so because the handle had expired: try it again.
-            tried = self._unavailable | full_upstreams | silent
+            tried = self.unavailable | full_upstreams | silent
             return chooser.choose_decode(usable, need, tried, now, handle=handle, kv_tokens=kv_tokens)
         return chosen
 
--- a/src/beamhatch/relay/streams/version_recorder.py
+++ b/src/beamhatch/relay/streams/version_recorder.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from typing import TYPE_CHECKING
 
 from twisted.internet import defer
@@ -32,6 +33,12 @@
 MAX_WRITE_STAGGER_S = 10.0
 """Upper bound of the time that a VM leaves others to write a change; they may not reach the store."""
 
+MIN_CONFIRM_INTERVAL_S = 0.25
+"""Minimum seconds between two reads that find out whether a new version was recorded."""
+
+FLEET_READS_PER_S = 100.0
+"""Reads per second for that by all VMs together, a twentieth of what the smallest store takes."""
+
 MAX_RETRY_DELAY_S = 2.0
 """Upper bound of the delay after a failed call to the store; it doubles with each failure."""
 
@@ -49,6 +56,7 @@
         should_write: Callable[[], bool],
         has_peers: Callable[[], bool],
         get_rank: Callable[[], int],
+        count_vms: Callable[[], int],
         *,
         start_delay_s: float,
         is_first_start: bool,
@@ -58,6 +66,7 @@
         :param should_write: returns whether this VM records changes, on behalf of its hall
         :param has_peers: returns whether any peer is connected that may be asked instead of the store
         :param get_rank: returns the number of VMs that have precedence in recording changes
+        :param count_vms: returns the number of VMs that read the record
         :param start_delay_s: seconds from the start in which peers are given time to connect
         :param is_first_start: whether no VM has ever run, so that a store without a record has lost none
         """
@@ -70,6 +79,9 @@
         self._should_write = should_write
         self._has_peers = has_peers
         self._get_rank = get_rank
+        self._count_vms = count_vms
+        self._confirms_at: float | None = None
+        """Monotonic seconds from which to find out whether a new version was recorded; None if none is awaited."""
         self._is_reading = False
         self._waiting: list[Callable[[], None]] = []
         """Called when the read under way has ended."""
@@ -122,8 +134,24 @@
             return await self._read()
         if not should_write or not self._is_outdated():
             self._outdated_since = None
-            return None
-        return await self._update() if self._is_next() else None
+        elif self._is_next():
+            return await self._update()
+        return await self._read() if self._should_confirm() else None
+
+    def _should_confirm(self) -> bool:
+        """Return whether to find out now whether another VM has recorded a version at which streams may not begin."""
+        if not self._versions.count_unrecorded():
+            self._confirms_at = None
+            return False
+        now = self.clock.now()
+        if self._confirms_at is not None and now < self._confirms_at:
+            return False
+        is_first = self._confirms_at is None
+        if is_first:
+            self._journal.write("VERSION", "not recorded yet", versions=self._versions.count_unrecorded())
+        interval_s = max(MIN_CONFIRM_INTERVAL_S, self._count_vms() / FLEET_READS_PER_S)
+        self._confirms_at = now + random.uniform(0.0, interval_s) if is_first else now + interval_s
+        return not is_first
 
     def _is_outdated(self) -> bool:
         """Return whether the record has to be read, or differs from what this VM knows."""
@@ -209,6 +237,7 @@
     def _keep(self, stored: StoredVersions) -> None:
         self._stored = stored
         self._generation = self._store.generation
+        self._versions.confirm_recorded(stored.versions)
 
     def report_error(self, traceback: str) -> None:
         """Log an error that ended the recorder or a read."""
--- a/src/beamhatch/relay/streams/versions.py
+++ b/src/beamhatch/relay/streams/versions.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable, Iterable, Mapping
 
     from beamhatch.relay.model import ServiceName, SoftwareVersion, Upstream, UpstreamId
 
@@ -17,6 +17,9 @@
 VERSION_RETENTION_S = 120.0
 """Seconds for which a version counts after its last upstream was removed; streams that it began end within them."""
 
+ONLY_VERSION_S = 1.0
+"""Seconds after which the only listed version of a service counts as its only one; a listing may come in parts."""
+
 
 def _ignore(service: ServiceName) -> None:
     """Do nothing."""
@@ -37,6 +40,10 @@
     """Monotonic seconds at which the last upstream of a version was removed."""
     _reported_at: dict[ServiceName, float] = field(default_factory=dict)
     """Monotonic seconds at which a peer last reported that a service has several versions."""
+    _recorded: dict[ServiceName, set[SoftwareVersion]] = field(default_factory=dict)
+    """Listed versions that the store has a record of, as last read or written, or that were the only one."""
+    _began_at: dict[ServiceName, float] = field(default_factory=dict)
+    """Monotonic seconds at which the first version of each service was listed."""
 
     def record(self, upstream: UpstreamId, listed: Upstream | None, now: float) -> None:
         """Record the newest listed state of an upstream, None once its entry was removed."""
@@ -51,10 +58,21 @@
             del self._listed[upstream]
         if after is not None:
             self._listed[upstream] = after
+            self._note_only_version(after[0], now)
             self._counts[after[0]][after[1]] += 1
             if not had_several and self.has_several(after[0], now):
                 self.on_several(after[0])
 
+    def _note_only_version(self, service: ServiceName, now: float) -> None:
+        """Take a version that is the only one of its service so far for recorded, as nothing else began its streams.
+
+        Versions that are listed at about the same time are told apart by the record alone.
+        """
+        versions = self.list_recent(service, now)
+        began_at = self._began_at.setdefault(service, now)
+        if len(versions) == 1 and now - began_at > ONLY_VERSION_S:
+            self._recorded.setdefault(service, set()).update(versions)
+
     def _remove(self, before: tuple[ServiceName, SoftwareVersion], now: float) -> None:
         service, version = before
         counts = self._counts[service]
@@ -62,6 +80,7 @@
         if not counts[version]:
             del counts[version]
             self._ended_at[service][version] = now
+            self._recorded.get(service, set()).discard(version)
 
     def record_reported(self, service: ServiceName, now: float) -> None:
         """Record that a peer lists several versions of a service that this VM lists too."""
@@ -82,6 +101,28 @@
         if not had_several and self.has_several(service, now):
             self.on_several(service)
 
+    def confirm_recorded(self, versions: Mapping[ServiceName, frozenset[SoftwareVersion]]) -> None:
+        """Replace what the store is known to have a record of.
+
+        Versions that are not listed are left out: their record may be gone by the time that they are listed again.
+        """
+        self._recorded = {
+            service: {one for one in found if one in self._counts.get(service, ())}
+            for service, found in versions.items()
+        }
+
+    def list_unrecorded(self, service: ServiceName) -> set[SoftwareVersion]:
+        """Return the listed versions of a service that the store is not known to have a record of.
+
+        A version that is listed alone needs none: nothing else can have begun a stream that has no record.
+        """
+        counts = self._counts.get(service, Counter())
+        return set(counts) - self._recorded.get(service, set()) if len(counts) > 1 else set()
+
+    def count_unrecorded(self) -> int:
+        """Return the number of versions of all services that the store is not known to have a record of."""
+        return sum(len(self.list_unrecorded(service)) for service in self._counts)
+
     def is_complete(self, now: float) -> bool:
         """Return whether no other version can have begun a stream that still goes on."""
         return now >= self.complete_at
--- a/tests/platform/test_all_vms_restart.py
+++ b/tests/platform/test_all_vms_restart.py
@@ -2,15 +2,22 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 import pytest
 
 from beamhatch.platform.standin.store import StoreFault
+from beamhatch.platform.stream_store import PlatformStreamStore
+from beamhatch.relay.store_results import StoreUnavailable
 from beamhatch.relay.streams.open_stream_writer import WRITE_INTERVAL_S
 from beamhatch.relay.streams.version_recorder import EXPERIENCE_S
 from beamhatch.relay.streams.versions import VersionHistory
 from tests.support.version_fleet import VersionFleet
 from tests.support.version_spell import VersionSpell
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 ENGINES = 3
 DRAIN_S = 2.4
 """Seconds from the announcement of an engine's departure to its end."""
@@ -22,7 +29,8 @@
     """Return a fleet at whose VMs streams have begun, and whose callers come back when they are told to."""
     fleet = VersionFleet(size, versions=versions, engines=ENGINES * len(versions))
     fleet.honours_retry_after = True
-    fleet.begin_streams(streams, "vm0", "vm1", "vm2")
+    if streams:
+        fleet.begin_streams(streams, "vm0", "vm1", "vm2")
     return fleet
 
 
@@ -118,6 +126,83 @@
     assert not fleet.list_mixed()
 
 
+def play_version_that_is_gone_behind_a_restart(
+    fleet: VersionFleet, prepare: Callable[[], object], age_s: float
+) -> None:
+    """Start engines of v2, begin streams, and kill all VMs; v2 ends while they are down.
+
+    :param prepare: called before the engines start
+    :param age_s: age of the engines as streams begin
+    """
+    prepare()
+    for number in range(ENGINES):
+        fleet.add_engines(10 + number, "v2")
+    fleet.run(age_s)
+    fleet.begin_streams(STREAMS, *fleet.list_vms())
+    kill_all(fleet, 0.8)
+    for number in range(ENGINES):
+        fleet.platform.remove(f"prefill-{10 + number}")
+        fleet.platform.remove(f"decode-{10 + number}")
+    fleet.finish()
+
+
+@pytest.mark.parametrize("age_s", [0.04, 0.2])
+@pytest.mark.parametrize("lost", ["vm0", "vm1", "vm2"])
+def test_streams_go_on_at_another_version_than_one_that_was_not_recorded_before_all_vms_were_killed(
+    lost: str, age_s: float
+) -> None:
+    fleet = make_fleet(streams=0)
+    play_version_that_is_gone_behind_a_restart(fleet, lambda: fleet.kill(lost, 5.0, resets=False), age_s)
+    assert not fleet.list_mixed()
+
+
+def fail_to_record_versions(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def fail(*_: object, **__: object) -> StoreUnavailable:
+        return StoreUnavailable("it takes no writes")
+
+    monkeypatch.setattr(PlatformStreamStore, "write_versions", fail)
+
+
+def test_streams_go_on_at_another_version_than_one_that_the_store_did_not_take(monkeypatch: pytest.MonkeyPatch) -> None:
+    fleet = make_fleet(streams=0)
+    play_version_that_is_gone_behind_a_restart(fleet, lambda: fail_to_record_versions(monkeypatch), 3.0)
+    assert not fleet.list_mixed()
+    assert_most_go_on(fleet)
+
+
+def test_no_stream_begins_though_a_version_serves_that_can_not_be_recorded(monkeypatch: pytest.MonkeyPatch) -> None:
+    fleet = make_fleet(streams=0)
+    fail_to_record_versions(monkeypatch)
+    for number in range(ENGINES):
+        fleet.add_engines(10 + number, "v2")
+    fleet.run(0.5)
+    fleet.platform.store.fault = StoreFault.UNAVAILABLE
+    for engine in fleet.list_decode_engines("v1"):
+        engine.restart_time_s = 60.0
+        engine.crash()
+    fleet.run(1.0)
+    for number in range(STREAMS):
+        fleet.begin_stream(f"vm{number % 3}")
+    fleet.finish()
+    assert all(fleet.list_versions(one) == {"v2"} for one in fleet.streams)
+
+
+@pytest.mark.parametrize("size", [3, 18])
+def test_a_vm_does_not_use_a_new_version_long_after_it_was_recorded(size: int) -> None:
+    fleet = make_fleet(size, streams=0)
+    for number in range(ENGINES):
+        fleet.add_engines(10 + number, "v2")
+    fleet.run(1.2)
+    assert not [vm for vm, daemon in fleet.platform.vms.items() if daemon.core.listing.versions.count_unrecorded()]
+    fleet.run(1.0)
+    calls = fleet.platform.store.calls
+    fleet.run(4.0)
+    quiet = VersionFleet(size, versions=("v1",), engines=ENGINES)
+    before = quiet.platform.store.calls
+    quiet.run(4.0)
+    assert fleet.platform.store.calls - calls <= quiet.platform.store.calls - before + 2
+
+
 @pytest.mark.parametrize("back_after_s", [0.5, 3.0])
 def test_no_stream_goes_on_though_both_versions_serve_after_all_vms_were_killed(back_after_s: float) -> None:
     fleet = make_fleet(versions=("v1", "v2"))
--- a/tests/relay/streams/test_versions.py
+++ b/tests/relay/streams/test_versions.py
@@ -71,3 +71,32 @@
     history = VersionHistory()
     history.record_reported(OTHER, 1.0)
     assert not history.has_several(OTHER, 1.0)
+
+
+def test_a_version_that_comes_beside_another_has_no_record_until_one_is_read() -> None:
+    history = VersionHistory()
+    list_upstream(history, "a", V1, 0.0)
+    assert not history.count_unrecorded()
+    list_upstream(history, "b", V2, 9.0)
+    assert history.list_unrecorded(SERVICE) == {V2}
+    history.confirm_recorded({SERVICE: frozenset({V1})})
+    assert history.list_unrecorded(SERVICE) == {V2}
+    history.confirm_recorded({SERVICE: frozenset({V1, V2})})
+    assert not history.count_unrecorded()
+
+
+def test_of_versions_that_are_listed_together_the_record_alone_tells_which_has_one() -> None:
+    history = VersionHistory()
+    list_upstream(history, "a", V1, 0.0)
+    list_upstream(history, "b", V2, 0.1)
+    assert history.list_unrecorded(SERVICE) == {V1, V2}
+
+
+def test_a_version_that_is_back_is_recorded_anew() -> None:
+    history = VersionHistory()
+    list_upstream(history, "a", V1, 0.0)
+    list_upstream(history, "b", V2, 9.0)
+    history.confirm_recorded({SERVICE: frozenset({V1, V2})})
+    list_upstream(history, "b", None, 10.0)
+    list_upstream(history, "c", V2, 200.0)
+    assert history.list_unrecorded(SERVICE) == {V2}
