Find out from the store whether a service has one version, as a stream is resumed

Cause: VMs that answer each other were taken for all. None of them had heard of the version.

Now a VM that knows one version reads the record of versions by a call that begins with the lookup. As streams begin at recorded versions only, the record names the version of any stream that a caller can have. If the store does not answer, the stream goes on only if VMs of all halls have answered; so it does while the store is down for all.

Calls: one at a time and VM, shared by the streams that wait; 1,000 a second over all VMs at the most.

--- a/src/beamhatch/relay/daemon.py
+++ b/src/beamhatch/relay/daemon.py
@@ -192,6 +192,7 @@
         self.core.quarantine_gossip.on_clear = persistence.remove
         self._version_recorder = self._make_version_recorder(store.streams)
         self.core.origins.read_versions = self._version_recorder.read_now
+        self.core.origins.confirm_versions = self._version_recorder.confirm
         self._stream_writer = self._make_stream_writer(store.streams)
         self._usage_gossip = self._make_usage_gossip()
         if self._gossip is not None and Mechanism.SHARED_DEPARTURES not in settings.disabled:
@@ -441,8 +442,14 @@
         origins = self.core.origins
         origins.stored = StoredStreams(self.clock, self.journal, self.tally, store, self._count_vms)
         origins.is_isolated = self._is_isolated
+        origins.is_store_unreachable = self._is_hall_without_store
         return OpenStreamWriter(self.clock, self.journal, self.tally, store, origins.list_open_streams, self._count_vms)
 
+    def _is_hall_without_store(self) -> bool:
+        """Return whether this VM, or one of its hall that watches the store for it, does not reach the store."""
+        gossip = self._gossip
+        return self._is_store_unreachable() or (gossip is not None and gossip.membership.is_without_store)
+
     def _is_isolated(self) -> bool:
         """Return whether this VM reaches neither a peer nor the store, though it may have peers."""
         gossip = self._gossip
--- a/src/beamhatch/relay/fleet/membership.py
+++ b/src/beamhatch/relay/fleet/membership.py
@@ -53,6 +53,9 @@
 """Upper bound of the delay before a retry, without jitter."""
 
 
+MAX_HALLS = 256
+"""Upper bound of the halls that are remembered; peers name them."""
+
 HALL_TIMEOUT_S = 25.0
 """Seconds after which a hall counts as unreachable if none of its VMs was seen.
 
@@ -112,6 +115,8 @@
     """When any VM last received a message from each address, including those that are no longer members."""
     _without_store: set[str] = field(default_factory=set)
     """Addresses of members that reported the store as unreachable."""
+    other_halls: set[str] = field(default_factory=set)
+    """All other halls that had a member since this VM started; halls do not come and go as VMs do."""
 
     @property
     def size(self) -> int:
@@ -130,6 +135,8 @@
         before = self._known.get(member.address)
         seen_at = now - age if before is None else max(now - age, before.last_seen_at)
         self._known[member.address] = _KnownMember(member, seen_at)
+        if member.hall != self.own.hall and len(self.other_halls) < MAX_HALLS:
+            self.other_halls.add(member.hall)
         self._last_seen_at[member.address] = max(seen_at, self._last_seen_at.get(member.address, seen_at))
 
     def get_member(self, address: str) -> Member | None:
@@ -171,6 +178,11 @@
         else:
             self._without_store.discard(address)
 
+    @property
+    def is_without_store(self) -> bool:
+        """Return whether a member of this VM's hall has reported the store as unreachable."""
+        return bool(self._without_store)
+
     def drop_expired(self, now: float) -> None:
         """Remove members and addresses that were not seen for longer than they are kept."""
         self._known = {address: one for address, one in self._known.items() if now - one.last_seen_at <= MEMBER_TTL_S}
--- a/src/beamhatch/relay/streams/lookup.py
+++ b/src/beamhatch/relay/streams/lookup.py
@@ -75,6 +75,8 @@
     """Seconds until this VM knows all versions, 0 if it does."""
     is_isolated: bool = False
     """Whether this VM reaches neither a peer nor the store, and so may have missed a version."""
+    silent_halls: dict[str, set[str]] = field(default_factory=dict)
+    """Other halls of which no VM has answered, with the addresses of those that were asked there."""
     asked: int = field(init=False)
     _half_suffices: bool = field(init=False)
     """Whether this VM itself would know of a second version."""
@@ -91,6 +93,7 @@
         knows all versions, the answers of half of them suffice.
         """
         self.unanswered.discard(address)
+        self.silent_halls = {hall: vms for hall, vms in self.silent_halls.items() if address not in vms}
         if record is not None:
             return record
         self.add_knowledge(knowledge)
--- a/src/beamhatch/relay/streams/origins.py
+++ b/src/beamhatch/relay/streams/origins.py
@@ -1,8 +1,8 @@
 """Keep the versions that began this VM's streams, tell some peers, and find out what began a stream of another VM.
 
-Peers are told only while a service has several versions, so a service with one version costs no messages. When a
-second version appears, the streams that are open already are told as well. A stream that no peer has a record of is
-sought among those that VMs have recorded in the store.
+Peers are told only while a service has several versions or the store can't be reached, so a service with one version
+costs no messages. When a second version appears, or the store is lost, the streams that are open already are told as
+well. A stream that no peer has a record of is sought among those that VMs have recorded in the store.
 """
 
 from __future__ import annotations
@@ -17,7 +17,7 @@
 from beamhatch.relay.model import ServiceName, SoftwareVersion
 from beamhatch.relay.streams.api import OpenStreams
 from beamhatch.relay.streams.holders import HolderChooser
-from beamhatch.relay.streams.lookup import Begun, Knowledge, Lookup, Origin, UnknownVersion
+from beamhatch.relay.streams.lookup import Begun, Knowledge, Lookup, OnlyVersion, Origin, UnknownVersion
 from beamhatch.relay.streams.message import (
     MAX_DATAGRAM_BYTES,
     MAX_VERSIONS,
@@ -40,7 +40,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable, Iterable, Sequence
 
     from beamhatch.clock import Clock
     from beamhatch.observe.journal import Journal
@@ -98,6 +98,10 @@
         self.lookup = lookup
         self.on_origin = on_origin
         self.timer: Any = None
+        self.awaits_confirmation = False
+        """Whether one version is known, and the store is asked whether there is another."""
+        self.store_failed = False
+        """Whether the store did not answer that."""
 
     def cancel(self) -> None:
         """Wait no longer; answers that still arrive are ignored."""
@@ -123,8 +127,14 @@
         """Streams recorded in the store; None if they are not read."""
         self.read_versions: Callable[[Callable[[], None]], bool] = lambda on_done: False
         """Reads the recorded versions and calls its argument; returns False if that would tell no more."""
+        self.confirm_versions: Callable[[Callable[[bool], None]], None] = lambda on_done: on_done(False)
+        """Reads the recorded versions anew, and calls its argument with whether the store answered."""
+        self.is_store_unreachable: Callable[[], bool] = lambda: False
+        """Returns whether this VM, or one of its hall, does not reach the store."""
         self.is_isolated: Callable[[], bool] = lambda: False
         """Returns whether this VM reaches neither a peer nor the store."""
+        self._had_lost_store = False
+        """Whether the store was unreachable as the last stream began."""
         self._pending: dict[int, PendingLookup] = {}
         self._numbers = itertools.count(secrets.randbits(32))
         self._port: Any = None
@@ -155,8 +165,12 @@
         key = compute_stream_key(request_id)
         record = StreamRecord(service, version, now + min(lifetime_s, MAX_LIFETIME_S), is_own=True)
         self._records.put(key, record, now)
-        if self._versions.has_several(service, now):
+        lost_store = self.is_store_unreachable()
+        if lost_store and not self._had_lost_store:
+            self._send_in_batches(self._records.list_all_own(now))
+        elif lost_store or self._versions.has_several(service, now):
             self._send_records([(key, record)])
+        self._had_lost_store = lost_store
 
     def discard(self, request_id: str) -> None:
         """Forget a stream that its caller has received completely."""
@@ -184,9 +198,11 @@
 
     def _send_backlog(self, service: ServiceName) -> None:
         """Tell peers of the streams that began while only one version of the service was known."""
-        pending = self._records.list_own(service, self._clock.now())
-        for number, start in enumerate(range(0, len(pending), BACKLOG_BATCH)):
-            batch = pending[start : start + BACKLOG_BATCH]
+        self._send_in_batches(self._records.list_own(service, self._clock.now()))
+
+    def _send_in_batches(self, records: Sequence[tuple[StreamKey, StreamRecord]]) -> None:
+        for number, start in enumerate(range(0, len(records), BACKLOG_BATCH)):
+            batch = records[start : start + BACKLOG_BATCH]
             self._clock.call_later(number * BACKLOG_INTERVAL_S, self._send_records, batch)
 
     def _send_records(self, records: Iterable[tuple[StreamKey, StreamRecord]]) -> None:
@@ -230,32 +246,39 @@
         :param service: service that is to continue the stream
         """
         now = self._clock.now()
-        if request_id is None:
-            return self._make_lookup(service, set(), now).conclude()
-        key = compute_stream_key(request_id)
-        known = self._find_record(key, now)
-        if known is not None:
-            return known
-        chooser = self._place_members(now)
-        asked = [] if chooser is None else chooser.list_asked(key)
-        lookup = self._make_lookup(service, {_get_datagram_host(one) for one in asked}, now)
-        pending = PendingLookup(key, service, lookup, on_origin)
+        key = StreamKey(secrets.token_bytes(STREAM_KEY_BYTES))
+        asked: list[Member] = []
+        if request_id is not None:
+            key = compute_stream_key(request_id)
+            known = self._find_record(key, now)
+            if known is not None:
+                return known
+            chooser = self._place_members(now)
+            asked = [] if chooser is None else chooser.list_asked(key)
+        pending = PendingLookup(key, service, self._make_lookup(service, asked, now), on_origin)
         number = next(self._numbers)
         if asked:
             self._pending[number] = pending
             self._ask(number, service, [_get_datagram_address(one) for one in asked], LOOKUP_ROUNDS)
             return pending
-        origin = self._ask_store(number, pending, lookup.conclude())
+        origin = self._ask_store(number, pending, pending.lookup.conclude())
         return pending if origin is None else origin
 
-    def _make_lookup(self, service: ServiceName, hosts: set[str], now: float) -> Lookup:
-        """Return the lookup of a stream, given the hosts that are asked."""
+    def _make_lookup(self, service: ServiceName, asked: Sequence[Member], now: float) -> Lookup:
+        """Return the lookup of a stream, given the VMs that are asked."""
+        halls: dict[str, set[str]] = {}
+        if self._membership is not None:
+            halls = {hall: set() for hall in self._membership.other_halls}
+            for one in asked:
+                if one.hall != self._membership.own.hall:
+                    halls.setdefault(one.hall, set()).add(_get_datagram_host(one))
         return Lookup(
             self._get_knowledge(service, now),
-            hosts,
+            {_get_datagram_host(one) for one in asked},
             self._compute_join_wait(now),
             self._compute_knowledge_wait(now),
             self.is_isolated(),
+            halls,
         )
 
     def _find_record(self, key: StreamKey, now: float) -> Begun | None:
@@ -289,6 +312,8 @@
 
     def _ask_store(self, number: int, pending: PendingLookup, origin: Origin) -> Origin | None:
         """Return the origin, or None if it is told once the store has been read."""
+        if isinstance(origin, OnlyVersion):
+            return self._confirm(number, pending, origin)
         if not isinstance(origin, UnknownVersion):
             return origin
         if not pending.lookup.known.is_complete and self.read_versions(lambda: self._handle_versions_read(number)):
@@ -296,6 +321,45 @@
             return None
         return self._read_streams(number, pending, origin)
 
+    def _confirm(self, number: int, pending: PendingLookup, origin: OnlyVersion) -> Origin | None:
+        """Return the origin, or None if it is told once the store has been read.
+
+        Streams begin at recorded versions only, so that the record tells whether there is another one than those that
+        the VMs know. Without the store, no VM knows of a version that none of the others has heard of, unless some
+        were cut off together.
+        """
+        pending.cancel()
+        self._pending[number] = pending
+        pending.awaits_confirmation = True
+        pending.timer = self._clock.call_later(STORE_WAIT_S, self._tell_unconfirmed, number)
+        self.confirm_versions(lambda succeeded: self._handle_confirmed(number, succeeded=succeeded))
+        return None
+
+    def _handle_confirmed(self, number: int, *, succeeded: bool) -> None:
+        """Conclude a lookup with the versions that were read, or with the answers of all halls."""
+        pending = self._pending.get(number)
+        if pending is None:
+            return
+        if succeeded:
+            pending.awaits_confirmation = False
+            self._handle_versions_read(number)
+            return
+        pending.store_failed = True
+        if not pending.lookup.silent_halls:
+            self._tell_unconfirmed(number)
+
+    def _tell_unconfirmed(self, number: int) -> None:
+        """Tell the origin by the answers of the VMs alone."""
+        pending = self._pending.get(number)
+        if pending is None:
+            return
+        origin = pending.lookup.conclude()
+        if pending.lookup.silent_halls and isinstance(origin, OnlyVersion):
+            origin = UnknownVersion(len(pending.lookup.unanswered))
+        if isinstance(origin, UnknownVersion):
+            origin = replace(origin, wait_s=max(origin.wait_s, STORE_RETRY_S))
+        self._tell(number, origin)
+
     def _read_streams(self, number: int, pending: PendingLookup, origin: UnknownVersion) -> Origin | None:
         """Return the origin, or None if it is told once the recorded streams have been read."""
         if not pending.lookup.known.has_several or self.stored is None:
@@ -385,8 +449,13 @@
         versions = {SoftwareVersion(one) for one in message.versions}
         knowledge = Knowledge(versions, message.has_several, message.is_complete)
         origin = pending.lookup.add_answer(host, record, knowledge)
-        if origin is not None:
-            self._finish(message.number, origin)
+        if not pending.awaits_confirmation:
+            if origin is not None:
+                self._finish(message.number, origin)
+        elif isinstance(origin, Begun):
+            self._tell(message.number, origin)
+        elif pending.store_failed and not pending.lookup.silent_halls:
+            self._tell_unconfirmed(message.number)
 
     def _send(self, message: Datagram, address: tuple[str, int]) -> None:
         if self._port is None:
--- a/src/beamhatch/relay/streams/version_recorder.py
+++ b/src/beamhatch/relay/streams/version_recorder.py
@@ -39,6 +39,9 @@
 FLEET_READS_PER_S = 100.0
 """Reads per second for that by all VMs together, a twentieth of what the smallest store takes."""
 
+FLEET_CONFIRMATIONS_PER_S = 1000.0
+"""Reads per second for streams that callers resume, by all VMs together."""
+
 MAX_RETRY_DELAY_S = 2.0
 """Upper bound of the delay after a failed call to the store; it doubles with each failure."""
 
@@ -85,6 +88,8 @@
         self._is_reading = False
         self._waiting: list[Callable[[], None]] = []
         """Called when the read under way has ended."""
+        self._confirming: list[Callable[[bool], None]] = []
+        """Called with whether the next read has succeeded."""
         self._failed_at = float("-inf")
         """Monotonic seconds of the last read that failed."""
         self._outdated_since: float | None = None
@@ -107,9 +112,24 @@
         if not self._is_reading and (self._stored is not None or now < self._failed_at + MAX_RETRY_DELAY_S):
             return False
         self._waiting.append(on_done)
+        self._start_read()
+        return True
+
+    def confirm(self, on_done: Callable[[bool], None]) -> None:
+        """Read the record by a call that begins from now on.
+
+        :param on_done: called with whether the store answered; soon if it did not do so a moment ago
+        """
+        if self.clock.now() < self._failed_at + MAX_RETRY_DELAY_S:
+            self.clock.call_later(0.0, on_done, False)
+            return
+        self._confirming.append(on_done)
+        if not self._is_reading:
+            self._start_read()
+
+    def _start_read(self) -> None:
         if not self._is_reading:
             defer.ensureDeferred(self._read()).addErrback(lambda failure: self.report_error(failure.getTraceback()))
-        return True
 
     async def run(self) -> None:
         """Read the record, and record changes."""
@@ -190,18 +210,25 @@
 
     async def _read(self) -> StoreUnavailable | None:
         self._is_reading = True
+        confirming, self._confirming = self._confirming, []
+        succeeded = False
         try:
             stored = await self._store.read_versions()
             if isinstance(stored, StoreUnavailable):
                 self._failed_at = self.clock.now()
                 return stored
             self._apply(stored)
+            succeeded = True
             return None
         finally:
             self._is_reading = False
             waiting, self._waiting = self._waiting, []
             for on_done in waiting:
                 on_done()
+            for on_confirmed in confirming:
+                on_confirmed(succeeded)
+            if self._confirming:
+                self.clock.call_later(self._count_vms() / FLEET_CONFIRMATIONS_PER_S, self._start_read)
 
     def _apply(self, stored: StoredVersions) -> None:
         """Add what is recorded to what this VM knows."""
--- a/tests/relay/streams/test_lookup.py
+++ b/tests/relay/streams/test_lookup.py
@@ -86,3 +86,9 @@
     assert not UnknownVersion(wait_s=1.5).is_final
     assert make_lookup(NEW, asked=1, wait_s=1.5).add_answer("vm0", None, NEW) == UnknownVersion(wait_s=1.5)
     assert make_lookup(NEW, asked=1, wait_s=1.5).add_answer("vm0", None, ONE) == OnlyVersion(V1)
+
+
+def test_a_hall_is_silent_until_one_of_its_vms_has_answered() -> None:
+    lookup = replace(make_lookup(asked=3), silent_halls={"hall-b": {"vm0", "vm1"}, "hall-c": {"vm2"}, "hall-d": set()})
+    lookup.add_answer("vm1", None, ONE)
+    assert set(lookup.silent_halls) == {"hall-c", "hall-d"}
