Count a lower limit in the soak from the first answer that names it

Trace: its limit was 6 a second in the lines of all sends of all VMs up to 16.05 s; the soak lowered it to .5 while i-12 was paused, and the first answer behind the pause names none. A limit now counts once an answer with it has got to a caller; from then on the check is what it was.

--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -288,6 +288,21 @@
     assert list_broken(witness) == (set() if excuse else {Promise.LIMITED})
 
 
+@pytest.mark.parametrize("is_named", [False, True])
+def test_a_lower_limit_counts_once_an_answer_has_named_it(witness: Witness, is_named: bool) -> None:
+    ask(witness, "/safe/")
+    witness.limits.name("i-1", 8.0, 10.0)
+    witness.take_outcome(make_outcome("/safe/", 200, {**SIGNED, "server-limit": "8"}, b"GET /safe/x q1"))
+    witness.limits.name("i-1", 0.5, 21.1)
+    if is_named:
+        answer = make_outcome("/safe/", 200, {**SIGNED, "server-limit": "0.5"}, b"GET /safe/x q1")
+        answer.ended_at = 21.2
+        witness.take_outcome(answer)
+    for number in range(20):
+        witness.take_arrival("q1", "/safe/x", "i-1", 26.0 + number / 10)
+    assert list_broken(witness) == ({Promise.LIMITED} if is_named else set())
+
+
 def test_an_innocent_request_that_is_kept_away_is_seen(witness: Witness) -> None:
     body = b'{"error": "' + QUARANTINE_REASON.encode() + b', fingerprint 00"}'
     witness.ledger.crash_inducing.add("/safe/x")
