Tell the soak's witness what was sent to an upstream that has ended

The link accepts such a connection, so that nothing arrives at a stand-in, and the witness took the 502 for one of silence.

The link now tells which bytes did not get to an upstream, and the witness counts such a request among those that reached it; an upstream that has ended is harmed from then on. Requests that only reached paused upstreams are checked as before. Should the relay wait for the end of the rest? It outlasts the target latency by far, and is asked of one VM: a caller that tries again is served sooner elsewhere. So the 502 stands.

--- a/src/beamhatch/standin/link.py
+++ b/src/beamhatch/standin/link.py
@@ -17,9 +17,15 @@
 from beamhatch.standin.base import JsonRoot, announce, listen
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from twisted.web import server
 
 
+READ_TIME_S = 0.02
+"""Seconds for which the first bytes are awaited on a connection whose target can't be reached."""
+
+
 @dataclass(frozen=True, slots=True)
 class Drop:
     """Bytes that are lost."""
@@ -37,6 +43,8 @@
         self.drops: list[Drop] = []
         self.delay = 0.0
         self.sides: set[_Side] = set()
+        self.on_undelivered: Callable[[str, bytes], None] = lambda target, data: None
+        """Called with bytes that did not get to a target, as it can't be reached or has closed the connection."""
 
     def carry(self, way: str, side: _Side, data: bytes) -> None:
         """Carry bytes to the other side, late or not at all."""
@@ -79,6 +87,7 @@
         self.waiting: list[bytes] = []
         self.silent = False
         """Whether what arrives from this end is lost."""
+        self.closed = False
 
     def connectionMade(self) -> None:
         self.link.sides.add(self)
@@ -94,12 +103,23 @@
         factory = protocol.ClientFactory()
         factory.noisy = False
         factory.buildProtocol = lambda _: _Side(self.link, self.address, self.target, "back", self)
-        factory.clientConnectionFailed = lambda *_: self.transport.abortConnection()
+        factory.clientConnectionFailed = lambda *_: self._fail()
         host, _, port = self.target.partition(":")
         self.link.reactor.connectTCP(host, int(port), factory, timeout=2)
 
+    def _fail(self) -> None:
+        """Close a connection whose target can't be reached, but read first what was sent on it."""
+        self.link.reactor.callLater(0.0 if self.waiting else READ_TIME_S, self._abort)
+
+    def _abort(self) -> None:
+        if self.waiting:
+            self.link.on_undelivered(self.target, b"".join(self.waiting))
+        self.transport.abortConnection()
+
     def send(self, data: bytes) -> None:
-        if self.transport is not None:
+        if self.closed and self.way == "back":
+            self.link.on_undelivered(self.target, data)
+        elif self.transport is not None:
             self.transport.write(data)
 
     def dataReceived(self, data: bytes) -> None:
@@ -109,6 +129,7 @@
             self.link.carry(self.way, self, data)
 
     def connectionLost(self, reason: Any = None) -> None:
+        self.closed = True
         self.link.sides.discard(self)
         if self.other is not None and self.other.transport is not None:
             self.other.transport.loseConnection()
--- a/tests/soak/harms.py
+++ b/tests/soak/harms.py
@@ -24,10 +24,6 @@
         if self._begun.get(name):
             self._spans.setdefault(name, []).append((self._begun[name].pop(0), now))
 
-    def strike(self, name: str, now: float) -> None:
-        """Note a span of one moment."""
-        self._spans.setdefault(name, []).append((now, now))
-
     def overlap(self, name: str, begin: float, end: float) -> bool:
         """Return whether a span has a moment in common with a time."""
         ongoing = any(begun <= end for begun in self._begun.get(name, ()))
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -157,9 +157,9 @@
     ask(witness, "/stream/")
     outcome = make_broken(status)
     witness.reached["q1"] = {"i-1"}
-    witness.harms.strike("i-2", 20.5)
+    witness.harms.begin("i-2", 20.5)
     if excuse == "crash":
-        witness.harms.strike("i-1", 20.9)
+        witness.harms.begin("i-1", 20.9)
     if excuse == "fault":
         witness.harms.begin("i-1", 19.0)
     if excuse == "not reached":
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+import re
 from collections import Counter
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
@@ -88,6 +89,9 @@
         self.store = StandInStore(clock, Address(f"{self.net}.0.1", 0))
         self.store.start()
         self.upstream_link = Link(clock.reactor)
+        self.upstream_link.on_undelivered = self._take_undelivered
+        self._instances: dict[str, str] = {}
+        """Ids of all upstreams so far, by the address at which they listen behind the link."""
         self.store_links: dict[str, Link] = {}
         self.placed: dict[str, Placed] = {}
         self.active: set[str] = set()
@@ -147,6 +151,7 @@
         upstream.version = VERSIONS[self._number % len(VERSIONS)]
         upstream.observe(self._take_arrival, self._take_read, self._take_crash, self.active)
         upstream.start()
+        self._instances[str(upstream.address)] = name
         host = f"{self.net}.4.1"
         port = open_link(self.clock.reactor, self.upstream_link, f"{host}:0", str(upstream.address))
         upstream.address = Address(host, port)  # what others know of it, also in the names of KV caches
@@ -171,7 +176,7 @@
         """Have an upstream crash; return what it was."""
         placed = self.placed.pop(name)
         placed.upstream.end()
-        self.witness.harms.strike(name, self.now())
+        self.witness.harms.begin(name, self.now())
         self.store.remove(f"servers/{name}")
         return placed
 
@@ -216,6 +221,11 @@
         if not arrival.is_prefill:
             self.witness.reached.setdefault(arrival.request, set()).add(arrival.instance)
 
+    def _take_undelivered(self, address: str, data: bytes) -> None:
+        """Note the requests that were sent to an upstream that has ended."""
+        for request in re.findall(rb"(?im)^request-id: *([^\r\n]+)", data):
+            self.witness.reached.setdefault(request.decode(), set()).add(self._instances[address])
+
     def _take_read(self, arrival: Arrival) -> None:
         placed = self.placed.get(arrival.instance)
         if placed is not None and placed.upstream.fault is UpstreamFault.SHED and placed.upstream.retry_after:
--- a/tests/support/network.py
+++ b/tests/support/network.py
@@ -146,6 +146,10 @@
     def setTcpNoDelay(self, _: bool) -> None:
         """Ignore."""
 
+    def getPeer(self) -> IPv4Address:
+        """Return the other end's address."""
+        return IPv4Address("TCP", self.peer_host, 0)
+
     def getHandle(self) -> _Handle:
         """Return something that takes socket options."""
         return _Handle(self)
