Read the software version of an event from its data in the soak

Two engines had sent the same event, one behind a pause on a connection that the relay had given up, and the witness took the version of the one that sent it last.

--- a/src/beamhatch/platform/standin/upstream.py
+++ b/src/beamhatch/platform/standin/upstream.py
@@ -609,7 +609,7 @@
                 return
             self.ledger.event_versions.setdefault(request, {})[number] = self.version
             padding = "." * self.padding_bytes
-            responder.write(f"id: {number}\ndata: {request}-{number}{padding}\n\n".encode())
+            responder.write(f"id: {number}\ndata: {self.version}/{request}-{number}{padding}\n\n".encode())
             if number >= events:
                 run.end()
                 responder.end()
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -49,8 +49,9 @@
     return Outcome("q1", route, f"{route}x", "vm0", 1, 20.0, 21.0, status, headers, body, whole)
 
 
-def make_events(*numbers: int) -> bytes:
-    return b"".join(b"id: %d\ndata: q1-%d\n\n" % (number, number) for number in numbers)
+def make_events(*numbers: int, software: str = "v1") -> bytes:
+    version = software.encode()
+    return b"".join(b"id: %d\ndata: %b/q1-%d\n\n" % (number, version, number) for number in numbers)
 
 
 def test_requests_are_served_while_most_new_connections_go_to_one_vm(tmp_path: Path) -> None:
@@ -342,15 +343,14 @@
 
 
 def test_the_witness_sees_a_stream_of_two_versions_in_one_answer_and_over_tries(witness: Witness) -> None:
-    witness.ledger.event_versions["q1"] = {1: "v1", 2: "v2"}
     witness.take_outcome(make_outcome("/stream/", 200, SIGNED, make_events(1), whole=False))
     assert not list_broken(witness)
-    witness.take_outcome(make_outcome("/stream/", 200, SIGNED, make_events(1, 2), whole=False))
+    body = make_events(1) + make_events(2, software="v2")
+    witness.take_outcome(make_outcome("/stream/", 200, SIGNED, body, whole=False))
     assert list_broken(witness) == {Promise.VERSION}
     witness.breaches.clear()
-    witness.ledger.event_versions["q2"] = {2: "v2"}
     again = Outcome(
-        "q2", "/stream/", "/stream/x", "vm0", 1, 22.0, 23.0, 200, {"request-id": "q2"}, b"id: 2\ndata: q2-2\n\n"
+        "q2", "/stream/", "/stream/x", "vm0", 1, 22.0, 23.0, 200, {"request-id": "q2"}, b"id: 2\ndata: v2/q2-2\n\n"
     )
     again.headers["response-signature"] = "i-1.q2"
     again.began_as, again.last_event = "q1", 1
--- a/tests/soak/witness.py
+++ b/tests/soak/witness.py
@@ -39,6 +39,9 @@
 
 NEVER = float("inf")
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+SOFTWARE = re.compile(rb"^data: ([^/\n]+)/", re.MULTILINE)
+"""The software version that wrote an event, which engines name in its data."""
+
 VERSIONED = re.compile(r"/v(\d+)/")
 
 
@@ -338,12 +341,11 @@
             self.break_promise(Promise.ORDER, outcome.ended_at, f"{outcome.request} got the events {ids}")
         if outcome.whole and outcome.last_event + len(ids) != STREAM_EVENTS:
             self.break_promise(Promise.ORDER, outcome.ended_at, f"{outcome.request} ended with {len(ids)} events")
-        self._check_software(outcome, ids)
+        self._check_software(outcome)
 
-    def _check_software(self, outcome: Outcome, ids: list[int]) -> None:
-        sent = self.ledger.event_versions.get(outcome.request, {})
+    def _check_software(self, outcome: Outcome) -> None:
         versions = self.versions.setdefault(outcome.began_as or outcome.request, set())
-        versions.update(sent[number] for number in ids if number in sent)
+        versions.update(found.decode() for found in SOFTWARE.findall(outcome.body))
         if len(versions) > 1:
             detail = f"{outcome.request} ({outcome.began_as}) holds events of {sorted(versions)}"
             self.break_promise(Promise.VERSION, outcome.ended_at, detail)
