Roll out versions beside kills of all relays in the soak

A lasting check of streams that are joined from two versions, with real processes: engines of another version come, streams of 2 s begin, all relays are killed, and the newer, the older or no engines end meanwhile; the store may take no writes, or relays stand still before. Callers come back until they have their streams whole. VERSION counts the versions of all events that a caller received, and the new promise RESUMED the streams that went on whose version stayed.

Relays of the soak are told whether the whole system starts for the first time, as on the platform: without that, nothing is known of versions for 15 s.

--- a/src/beamhatch/platform/standin/store.py
+++ b/src/beamhatch/platform/standin/store.py
@@ -24,6 +24,8 @@
     """Respond with 503 to all requests."""
     UNRESPONSIVE = "silent"
     """Ignore all requests."""
+    READ_ONLY = "read-only"
+    """Respond with 503 to transactions."""
     RESPONSE_LOST = "lost"
     """Process requests without responding."""
 
@@ -150,6 +152,8 @@
             self._serve_range(read_query(incoming), responder)
         elif name == "kv-watch":
             self._serve_watch(read_query(incoming), responder)
+        elif name == "kv-txn" and self.fault is StoreFault.READ_ONLY:
+            self._send_response(responder, 503, {})
         elif name == "kv-txn":
             self._serve_transaction(json.loads(incoming.body), responder)
         else:
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -4,21 +4,24 @@
 
 import random
 import signal
+from dataclasses import replace
 from typing import TYPE_CHECKING, TypeVar
 
 from beamhatch.platform.standin.store import StoreFault
 from beamhatch.platform.standin.upstream import UpstreamFault
 from beamhatch.standin.link import Drop
+from tests.soak import rollouts
 from tests.soak.promise import GRACE, LEAVE_BOUND, REST_TIME, Promise
 from tests.soak.routes import Layout
 from tests.soak.schedule import PLANNED, FaultKind, Step
 from tests.soak.upstreams import ModelEngine
-from tests.soak.world import FAMILIES, HALLS
+from tests.soak.world import FAMILIES, HALLS, MODEL
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
 
     from beamhatch.platform.standin.store import StoreBackup
+    from tests.soak.long_streams import Batch
     from tests.soak.upstreams import PlainReplica
     from tests.soak.vm import VmProcess
     from tests.soak.world import World
@@ -89,6 +92,12 @@
 LONGEST_PAUSE = 5.0
 """Seconds, shorter than the time-out of any route."""
 
+READ_ONLY_SLACK = 0.2
+"""Seconds behind a kill of all relays for which the store takes no writes, so that none writes just before it."""
+
+LONG_STREAMS = 16
+"""Streams that begin before each kill of all relays."""
+
 ROUTES_GAP = 7.0
 """Seconds between two changes of routes at the least: by then, no VM in touch goes by the routes before."""
 
@@ -146,12 +155,15 @@
             FaultKind.EVACUATE: self._evacuate,
             FaultKind.CONFIGURE: lambda step: self._world.configure(),
             FaultKind.ROUTES: self._change_routes,
+            FaultKind.ROLLOUT: self._roll_out,
             FaultKind.DEADLY: self._send_deadly,
             FaultKind.DEADLY_PART: self._send_deadly_part,
         }
         self._deadly = 0
         self._next_restore = 0.0
         self._next_routes = 0.0
+        self._next_rollout = 0.0
+        self._software = 1
         world.on_crash = lambda name: self._crash(name, DEADLY_RESTART)
 
     def plan(self, steps: Sequence[Step]) -> None:
@@ -222,18 +234,57 @@
         self._disturb(vm, RESTART_DELAY + down)
         self._later(RESTART_DELAY + down, self.start_vm, vm)
 
+    def _roll_out(self, step: Step) -> None:
+        """Start engines of another version, begin streams, kill all relays, and end some engines meanwhile."""
+        now = self._world.now()
+        if now < self._next_rollout:
+            return
+        self._next_rollout = now + rollouts.TIME
+        self._software += 1
+        rollout = rollouts.draw_rollout(step.pick)
+        if rollout.going_on is not None:
+            vms = list(self._world.vms)
+            vms.pop(int(rollout.going_on * len(vms)))
+            for vm in vms:
+                self._stand_still(vm, rollout.killed_at)
+        if rollout.is_read_only:
+            self._harm_store(replace(step, seconds=rollout.killed_at + READ_ONLY_SLACK), StoreFault.READ_ONLY)
+        older = [name for name, one in self._world.placed.items() if one.service == MODEL]
+        for hall in HALLS:
+            self._later(rollout.newer_at, self._world.add_engines, hall, f"v{self._software}")
+        self._later(rollout.streams_at, self._begin_streams, rollout, older)
+        self._later(rollouts.TIME, lambda: None)
+
+    def _begin_streams(self, rollout: rollouts.Rollout, older: list[str]) -> None:
+        batch = self._world.long_streams.begin(LONG_STREAMS)
+        self._later(rollout.killed_at - rollout.streams_at, self._kill_all, rollout, older, batch)
+
+    def _kill_all(self, rollout: rollouts.Rollout, older: list[str], batch: Batch) -> None:
+        placed = self._world.placed
+        newer = [name for name, one in placed.items() if one.service == MODEL and name not in older]
+        ended = {rollouts.Ending.NEWER: newer, rollouts.Ending.OLDER: older, rollouts.Ending.NONE: []}[rollout.ending]
+        stay = {one.upstream.version for name, one in placed.items() if name not in ended}
+        if not rollout.is_read_only:  # otherwise the streams' records were not written
+            batch.kept |= stay - {placed[name].upstream.version for name in ended if name in placed}
+        for vm in self._world.vms:
+            self._kill_vm(vm, rollout.down)
+        for name in ended:
+            self._later(rollout.down / 2, self._end_upstream, name)
+
     def _herd(self, step: Step) -> None:
         for vm in self._world.vms[: max(1, int(len(self._world.vms) * (0.5 + step.pick / 2)))]:
             self._kill_vm(vm, 0.1)
 
     def _freeze(self, step: Step) -> None:
-        vm = pick(self._world.vms, step)
+        self._stand_still(pick(self._world.vms, step), step.seconds)
+
+    def _stand_still(self, vm: VmProcess, seconds: float) -> None:
         if vm.frozen or not vm.runs:
             return
         vm.frozen = True
         vm.send(signal.SIGSTOP)
-        self._disturb(vm, step.seconds)
-        self._later(step.seconds, self._thaw, vm, vm.life)
+        self._disturb(vm, seconds)
+        self._later(seconds, self._thaw, vm, vm.life)
 
     def _thaw(self, vm: VmProcess, life: int) -> None:
         if vm.life == life:
--- a/tests/soak/mutants.py
+++ b/tests/soak/mutants.py
@@ -17,10 +17,12 @@
 from beamhatch.relay.model import Upstream
 from beamhatch.relay.quarantine.part_attribution import PartAttribution, PartCauses
 from beamhatch.relay.quarantine.quarantine import Quarantine
-from beamhatch.relay.requests import exchange
+from beamhatch.relay.requests import exchange, planner
 from beamhatch.relay.requests.exchange import RelayExchange
 from beamhatch.relay.requests.request import RelayRequest
 from beamhatch.relay.requests.terms import make_terms
+from beamhatch.relay.streams.stored_streams import StoredStreams
+from beamhatch.relay.streams.versions import VersionHistory
 from beamhatch.relay.upstreams.attempt import Attempt
 from beamhatch.relay.upstreams.events import EventChecker
 from beamhatch.relay.upstreams.listing import Listing
@@ -143,6 +145,19 @@
     Upstream.may_serve = lambda self, version: True  # type: ignore[method-assign]
 
 
+def _begins_at_any_version() -> None:
+    planner.exclude_unrecorded = lambda usable, unrecorded, list_unavailable: usable  # type: ignore[attr-defined]
+
+
+def _forgets_versions() -> None:
+    VersionHistory.record_stored = lambda self, service, versions, now: None  # type: ignore[method-assign]
+    VersionHistory.is_complete = lambda self, now: True  # type: ignore[method-assign]
+
+
+def _forgets_streams() -> None:
+    StoredStreams.find = lambda self, key: None  # type: ignore[method-assign]
+
+
 def _leaves_silent() -> None:
     def leave(self: RelayExchange, attempt: Attempt) -> None:
         attempt.cancel()
@@ -190,6 +205,9 @@
     "sends-deadly": Mutant(Promise.DEADLY, [FaultKind.DEADLY], _sends_deadly),
     "ignores-parts": Mutant(Promise.DEADLY, [FaultKind.DEADLY_PART], _ignores_parts),
     "ignores-versions": Mutant(Promise.VERSION, [FaultKind.UPSTREAM_CRASH, *UPSTREAM_FAULTS], _ignores_versions),
+    "begins-at-any-version": Mutant(Promise.VERSION, [FaultKind.ROLLOUT], _begins_at_any_version),
+    "forgets-versions": Mutant(Promise.VERSION, [FaultKind.ROLLOUT], _forgets_versions),
+    "forgets-streams": Mutant(Promise.RESUMED, [FaultKind.ROLLOUT], _forgets_streams),
     "leaves-silent": Mutant(Promise.UNBROKEN, [FaultKind.UPSTREAMS_PAUSE], _leaves_silent),
     "passes-any-event": Mutant(Promise.ORDER, UPSTREAM_FAULTS, _passes_any_event),
 }
--- a/tests/soak/promise.py
+++ b/tests/soak/promise.py
@@ -14,6 +14,7 @@
     OWN_ANSWER = "an answer is whole, an upstream's, and to the own request"
     ORDER = "a stream's events come in order, none left out, none twice"
     VERSION = "a stream's events come from one version of its upstreams' software, over all tries of its caller"
+    RESUMED = "streams go on behind a restart of all VMs if their version still serves"
     EMPTIED = "nothing new reaches an emptied hall"
     COLD = "a cold upstream gets no more than it bears"
     REGION = "a request stays in the regions of its route"
@@ -114,3 +115,7 @@
 
 RECOVERY_BOUND = 15.0
 """Seconds behind the last fault within which everything is served again."""
+
+LEAST_RESUMED = 12
+RESUMED_SHARE = 0.5
+"""Of so many streams and more whose callers take them up again, at least this share goes on."""
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -8,8 +8,10 @@
 from beamhatch.clock import Clock
 from tests.soak.caller import PATIENCE
 from tests.soak.faults import Faults
+from tests.soak.long_streams import list_lost
 from tests.soak.promise import RECOVERY_BOUND, Breach, Promise
-from tests.soak.world import World
+from tests.soak.schedule import FaultKind
+from tests.soak.world import VERSIONS, World
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -111,6 +113,10 @@
         witness = self._world.witness
         for kept in self._world.list_kept():
             witness.break_promise(Promise.GIVEN_BACK, self._world.now(), kept)
+        if all(step.kind is FaultKind.ROLLOUT for step in self.steps):
+            batches = self._world.long_streams.batches
+            for lost in list_lost(batches, lambda request: witness.versions.get(request, set())):
+                witness.break_promise(Promise.RESUMED, self._world.now(), lost)
         witness.check_all_runs(self._world.now())
         self._clock.reactor.stop()
 
@@ -120,7 +126,8 @@
     from twisted.internet import reactor
 
     clock = Clock(reactor)
-    world = World(clock, folder, seed, vms, mutant)
+    rolls_out = any(step.kind is FaultKind.ROLLOUT for step in steps)
+    world = World(clock, folder, seed, vms, mutant, software=VERSIONS[:1] if rolls_out else VERSIONS)
     run = _Run(world, seconds, steps)
     clock.call_later(0.0, run.start)
     try:
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -60,6 +60,11 @@
     """All upstreams of a hall go down, and come back together, cold."""
     EVACUATE = "evacuate"
     """A hall is emptied, and taken back later."""
+    ROLLOUT = "rollout"
+    """Engines of another software version come, and all relays are killed at about that time, or as others end.
+
+    It is drawn only where it is asked for: all engines run one version before.
+    """
     CONFIGURE = "configure"
     """A configuration with another route, and without the one added before."""
     ROUTES = "routes"
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -11,6 +11,7 @@
 from beamhatch.platform.standin.upstream import Ledger, Order
 from beamhatch.relay.requests.refusal import QUARANTINE_REASON
 from tests.soak.caller import Outcome
+from tests.soak.long_streams import Batch, LongStream, list_lost
 from tests.soak.net import NETS, Net
 from tests.soak.promise import COLD_BOUND, Promise
 from tests.soak.schedule import draw_steps
@@ -80,6 +81,22 @@
     assert done.returncode == 0, done.stdout + done.stderr
 
 
+def test_streams_go_on_at_another_version_as_all_relays_are_killed_beside_a_rollout(tmp_path: Path) -> None:
+    command = [sys.executable, "-m", "tests.soak", "--seed", "55", "--seconds", "8", "--vms", "3"]
+    faults = ["--fault", "rollout"]
+    done = subprocess.run([*command, *faults, "--logs", str(tmp_path)], capture_output=True, text=True, timeout=110)
+    assert done.returncode == 0, done.stdout + done.stderr
+
+
+@pytest.mark.parametrize(("went_on", "lost"), [(8, False), (7, True)])
+def test_streams_that_do_not_go_on_though_their_version_serves_are_counted(went_on: int, lost: bool) -> None:
+    batch = Batch(kept={"v1"})
+    batch.streams = [LongStream(began_as=f"q{number}", broke=True, complete=number < went_on) for number in range(16)]
+    gone = [LongStream(began_as="gone", broke=True) for _ in range(16)]
+    assert bool(list_lost([batch], lambda request: {"v1"})) is lost
+    assert not list_lost([Batch(gone, {"v2"})], lambda request: {"v1"})
+
+
 @pytest.mark.parametrize(
     ("sent_at", "arrived_at", "in_touch", "must"),
     [
--- a/tests/soak/vm.py
+++ b/tests/soak/vm.py
@@ -22,6 +22,7 @@
 zone = "{hall}"
 port_range = [8003, 8010]
 seeds = {seeds}
+bootstrap = {bootstrap}
 [zones]
 {regions}
 [listen]
@@ -72,17 +73,15 @@
         self._log = folder / f"{name}.log"
         quoted = ", ".join(f'"{seed}"' for seed in seeds)
         lines = "\n".join(f'{one} = "{region}"' for one, region in regions.items())
-        self._path.write_text(
-            SETTINGS.format(
-                name=name,
-                ip=ip,
-                hall=hall,
-                seeds=f"[{quoted}]",
-                regions=lines,
-                store=store,
-                link_mbps=link_mbps,
-            )
-        )
+        self._settings = {
+            "name": name,
+            "ip": ip,
+            "hall": hall,
+            "seeds": f"[{quoted}]",
+            "regions": lines,
+            "store": store,
+            "link_mbps": link_mbps,
+        }
         self._process: subprocess.Popen[bytes] | None = None
 
     @property
@@ -99,6 +98,7 @@
         """Start the process."""
         module = ["tests.soak.mutants", self._mutant] if self._mutant else ["beamhatch.platform"]
         environment = {**os.environ, "BEAMHATCH_NODE_FILE": str(self._path)}
+        self._path.write_text(SETTINGS.format(**self._settings, bootstrap="false" if self.life else "true"))
         self.life += 1
         self.stopping_since = None
         self.frozen = False
--- a/tests/soak/witness.py
+++ b/tests/soak/witness.py
@@ -37,6 +37,7 @@
     from beamhatch.platform.standin.upstream import Ledger, Order
     from tests.soak.caller import Outcome
 
+STREAM_EVENTS = 10
 NEVER = float("inf")
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 SOFTWARE = re.compile(rb"^data: ([^/\n]+)/", re.MULTILINE)
@@ -72,6 +73,8 @@
     """What the witness knows of a route."""
 
     streams: bool = False
+    events: int = STREAM_EVENTS
+    """Events of each stream."""
     repeatable: bool = True
     most_runs: int = 2
     regions: frozenset[str] | None = None
@@ -339,7 +342,7 @@
         wanted = list(range(outcome.last_event + 1, outcome.last_event + len(ids) + 1))
         if ids != wanted or texts[: len(ids)] != wanted[: len(texts)]:
             self.break_promise(Promise.ORDER, outcome.ended_at, f"{outcome.request} got the events {ids}")
-        if outcome.whole and outcome.last_event + len(ids) != STREAM_EVENTS:
+        if outcome.whole and outcome.last_event + len(ids) != self.find_terms(outcome.route).events:
             self.break_promise(Promise.ORDER, outcome.ended_at, f"{outcome.request} ended with {len(ids)} events")
         self._check_software(outcome)
 
@@ -387,7 +390,3 @@
             self._check_runs(request, self.find_terms(asked.route), now)
             if request in self.refused and self.ledger.runs[request]:
                 self.break_promise(Promise.NOT_RUN, now, f"{request} was refused, and ran later")
-
-
-STREAM_EVENTS = 10
-"""Events of each stream."""
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -12,7 +12,9 @@
 from beamhatch.platform.standin.upstream import Ledger, UpstreamFault
 from beamhatch.relay.model import Address
 from beamhatch.standin.link import Link, open_link
+from tests.soak import long_streams
 from tests.soak.caller import CONNECT_TIMEOUT, HOST, PATIENCE, CallerConnection, CallerFactory, Outcome
+from tests.soak.long_streams import LongStreams
 from tests.soak.net import Net
 from tests.soak.promise import COLD_RATE, COLD_TIME, GONE_BOUND, ROUTE_TIMEOUT, TOUCH_TIME, Promise
 from tests.soak.routes import Layout, RouteFamily
@@ -21,7 +23,7 @@
 from tests.soak.witness import STREAM_EVENTS, Asked, RouteTerms, UpstreamFacts, VmFacts, Witness
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Sequence
     from pathlib import Path
 
     from beamhatch.clock import Clock
@@ -54,6 +56,7 @@
     "/unsafe/": RouteTerms(repeatable=False),
     "/stream/": RouteTerms(streams=True, repeatable=False),
     "/resumable/": RouteTerms(streams=True),
+    long_streams.PATH: RouteTerms(streams=True, events=long_streams.EVENTS),
     "/west/": RouteTerms(regions=frozenset({"west"})),
     **{family.path: RouteTerms(streams=family.streams, changes=True) for family in FAMILIES},
 }
@@ -72,12 +75,23 @@
 class World:
     """Everything but the relays' processes, which it knows by name."""
 
-    def __init__(self, clock: Clock, folder: Path, seed: int, vms: int, mutant: str, link_mbps: float = 100.0) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        folder: Path,
+        seed: int,
+        vms: int,
+        mutant: str,
+        link_mbps: float = 100.0,
+        software: Sequence[str] = VERSIONS,
+    ) -> None:
         """Create the store and the VMs' settings.
 
         :param link_mbps: rate of the VMs' links in their settings; nothing limits the loopback to it
+        :param software: versions of the upstreams, in turn
         """
         self._link_mbps = link_mbps
+        self._software = software
         self.clock = clock
         self.started = clock.now()
         self.random = random.Random(seed)
@@ -100,6 +114,7 @@
         self.layouts = [Layout.LONG_ONCE for _ in FAMILIES]
         self._number = 0
         self.stopping = False
+        self.long_streams = LongStreams(self)
         self.vms = [self._make_vm(folder, number, vms, mutant) for number in range(vms)]
         self.rotation: Counter[str] = Counter()
         """Times in a row that each VM was not ready; one with less than two gets connections."""
@@ -134,10 +149,17 @@
         self.configure()
         for hall in HALLS:
             self.add_upstream(PLAIN, hall)
-            for phase in ENGINES_A_HALL:
-                self.add_upstream(MODEL, hall, phase)
+            self.add_engines(hall)
 
-    def add_upstream(self, service: str, hall: str, phase: str = "", *, cold: bool = False) -> None:
+    def add_engines(self, hall: str, software: str = "") -> None:
+        """Start the engines of a hall.
+
+        :param software: their version; the usual ones if left out
+        """
+        for phase in ENGINES_A_HALL:
+            self.add_upstream(MODEL, hall, phase, software=software)
+
+    def add_upstream(self, service: str, hall: str, phase: str = "", *, cold: bool = False, software: str = "") -> None:
         """Start and list an upstream, under an id of its own."""
         self._number += 1
         name = f"i-{self._number}"
@@ -148,7 +170,7 @@
         else:
             upstream = ModelEngine(self.clock, address, name, self.ledger, phase)
             upstream.on_phase_change = lambda: self.list_upstream(name)
-        upstream.version = VERSIONS[self._number % len(VERSIONS)]
+        upstream.version = software or self._software[self._number % len(self._software)]
         upstream.observe(self._take_arrival, self._take_read, self._take_crash, self.active)
         upstream.start()
         self._instances[str(upstream.address)] = name
@@ -200,6 +222,7 @@
             _make_route("/unsafe/", "unsafe", PLAIN),
             _make_route("/stream/", "streaming", MODEL, max_attempts=1),
             _make_route("/resumable/", "streaming", MODEL, resumable=True),
+            _make_route(long_streams.PATH, "streaming", MODEL, resumable=True),
             _make_route("/west/", "safe", PLAIN, allowed_regions=["west"]),
             _make_route(f"/v{self.version}/", "safe", PLAIN),
         ]
@@ -342,11 +365,40 @@
         outcome.last_event = broken.events[-1]
         self._ask_alone(vm, outcome, [("Resumes", outcome.began_as), ("Last-Event-Id", str(outcome.last_event))])
 
-    def _ask_alone(self, vm: VmProcess, outcome: Outcome, extra: list[tuple[str, str]], parts: str = "") -> None:
+    def ask_for_stream(
+        self,
+        route: str,
+        events: int,
+        extra: list[tuple[str, str]],
+        prepare: Callable[[Outcome], None],
+        on_end: Callable[[Outcome | None], None],
+    ) -> None:
+        """Ask any VM for a stream.
+
+        :param extra: further headers
+        :param prepare: completes the outcome before the request is sent
+        :param on_end: called at the end, with None if the VM did not accept the connection
+        """
+        vm = self._choose_vm()
+        self.asked_count += 1
+        outcome = Outcome(f"long-{self.asked_count}", route, f"{route}x", vm.name, vm.life, self.now())
+        prepare(outcome)
+        self._ask_alone(vm, outcome, extra, events=events, on_end=on_end)
+
+    def _ask_alone(
+        self,
+        vm: VmProcess,
+        outcome: Outcome,
+        extra: list[tuple[str, str]],
+        parts: str = "",
+        *,
+        events: int = STREAM_EVENTS,
+        on_end: Callable[[Outcome | None], None] = lambda ended: None,
+    ) -> None:
         """Send a request on a connection of its own."""
         self.witness.asked[outcome.request] = Asked(outcome.route, vm.name, vm.life, outcome.sent_at)
         prompt = f"aa:200,{parts}{self.asked_count:x}:3800"
-        headers = [("Token-Count", f"4000,{STREAM_EVENTS}"), ("Prompt-Prefix", prompt), *extra]
+        headers = [("Token-Count", f"4000,{events}"), ("Prompt-Prefix", prompt), *extra]
 
         def ask(connection: CallerConnection) -> None:
             connection.ask(outcome, headers, b"")
@@ -355,10 +407,10 @@
         def take_end(ended: Outcome) -> None:
             ended.ended_at = self.now()
             self.witness.take_outcome(ended)
+            on_end(ended)
 
-        self.clock.reactor.connectTCP(
-            vm.ip, CALLER_PORT, CallerFactory(ask, take_end, lambda: None), timeout=CONNECT_TIMEOUT
-        )
+        factory = CallerFactory(ask, take_end, lambda: on_end(None))
+        self.clock.reactor.connectTCP(vm.ip, CALLER_PORT, factory, timeout=CONNECT_TIMEOUT)
 
     def _leave(self, connection: CallerConnection, outcome: Outcome) -> None:
         if not outcome.ended_at and connection.open:
