Read events that name their version in the checks of the paused network

The stand-ins' events name the version that wrote them since; two checks did not find any event behind that and failed. They demand the same as before.

--- a/tests/support/reach_spell.py
+++ b/tests/support/reach_spell.py
@@ -24,7 +24,7 @@
 LEAVING_SHARE = 0.1
 """Share of the callers that leave before their answer is complete."""
 
-_EVENT = re.compile(rb"id: (\d+)\ndata: (\w+)-(\d+)")
+_EVENT = re.compile(rb"id: (\d+)\ndata: [^/\n]+/(\w+)-(\d+)")
 
 
 @dataclass
--- a/tests/support/silence_witness.py
+++ b/tests/support/silence_witness.py
@@ -47,7 +47,7 @@
 """Share of the time for a planned stop after which it may cut what upstreams still work on."""
 
 NOT_RUN_STATUSES = (408, 421, 429, 503)
-_EVENT = re.compile(rb"id: (\d+)\ndata: (\w+)-(\d+)")
+_EVENT = re.compile(rb"id: (\d+)\ndata: [^/\n]+/(\w+)-(\d+)")
 
 
 class Check(Enum):
