Split the HTTP client by job: calls, connections, and the pool

Names are the same but for NewConnection, which another module uses now. No change of behaviour; the tests of upstreams, tunnels, slow and endless responses pass.

--- a/src/beamhatch/platform/dialect.py
+++ b/src/beamhatch/platform/dialect.py
@@ -18,7 +18,7 @@
 )
 from beamhatch.relay.choosing.standing import Load
 from beamhatch.relay.model import Handle, Phase, PromptPart, RequestFacts, Reservation, Stage, Upstream
-from beamhatch.relay.upstreams.http_client import Call
+from beamhatch.relay.upstreams.call import Call
 from beamhatch.relay.upstreams.retry_after import parse_retry_after
 from beamhatch.relay.workspaces.workspace import KeyDigest, digest_key
 
--- a/src/beamhatch/platform/store_client.py
+++ b/src/beamhatch/platform/store_client.py
@@ -12,7 +12,7 @@
 
 from beamhatch.platform.epochs import EpochTracker, get_epoch, make_position, read_epoch
 from beamhatch.relay.store_results import StoreUnavailable
-from beamhatch.relay.upstreams.http_client import Call
+from beamhatch.relay.upstreams.call import Call
 from beamhatch.relay.upstreams.http_fetch import fetch
 
 if TYPE_CHECKING:
--- a/src/beamhatch/relay/api.py
+++ b/src/beamhatch/relay/api.py
@@ -23,7 +23,7 @@
     )
     from beamhatch.relay.store_results import RevisionExpired, StoreUnavailable
     from beamhatch.relay.streams.api import StreamStore
-    from beamhatch.relay.upstreams.http_client import Call
+    from beamhatch.relay.upstreams.call import Call
     from beamhatch.relay.upstreams.listing import Entry
     from beamhatch.relay.workspaces.workspace import WorkspaceName
 
--- a/src/beamhatch/relay/quarantine/detection.py
+++ b/src/beamhatch/relay/quarantine/detection.py
@@ -15,7 +15,8 @@
     from beamhatch.clock import Clock
     from beamhatch.relay.model import Upstream, UpstreamId
     from beamhatch.relay.tunnels.api import Via
-    from beamhatch.relay.upstreams.http_client import Connection, ConnectionTracker
+    from beamhatch.relay.upstreams.connection import Connection
+    from beamhatch.relay.upstreams.http_client import ConnectionTracker
 
 SETTLE_S = 0.02
 """Time to wait after the first broken run for other connections to the upstream to close, in seconds."""
--- a/src/beamhatch/relay/quarantine/talk.py
+++ b/src/beamhatch/relay/quarantine/talk.py
@@ -33,7 +33,8 @@
     from beamhatch.relay.quarantine.digests import RequestDigests
     from beamhatch.relay.quarantine.quarantine import Quarantine, QuarantineEntry
     from beamhatch.relay.tunnels.api import Via
-    from beamhatch.relay.upstreams.http_client import Connection, ConnectionTracker
+    from beamhatch.relay.upstreams.connection import Connection
+    from beamhatch.relay.upstreams.http_client import ConnectionTracker
 
 SEND_INTERVAL_S = 0.1
 """Minimum interval between two messages to each peer, in seconds.
--- a/src/beamhatch/relay/requests/caller_response.py
+++ b/src/beamhatch/relay/requests/caller_response.py
@@ -17,7 +17,7 @@
     from beamhatch.relay.model import RouteKind
     from beamhatch.relay.overload.costs import RequestCost
     from beamhatch.relay.requests.response import BufferedResponse
-    from beamhatch.relay.upstreams.http_client import ResponseHead
+    from beamhatch.relay.upstreams.call import ResponseHead
 
 
 class CallerResponse:
--- a/src/beamhatch/relay/requests/exchange.py
+++ b/src/beamhatch/relay/requests/exchange.py
@@ -39,7 +39,7 @@
 from beamhatch.relay.streams.origins import PendingLookup
 from beamhatch.relay.upstreams.api import AttemptOwner
 from beamhatch.relay.upstreams.attempt import Attempt
-from beamhatch.relay.upstreams.http_client import Call
+from beamhatch.relay.upstreams.call import Call
 from beamhatch.relay.upstreams.plain_attempt import PlainAttempt
 from beamhatch.relay.upstreams.prefill_attempt import PrefillAttempt
 from beamhatch.relay.upstreams.reserve_attempt import ReserveAttempt
@@ -56,7 +56,7 @@
     from beamhatch.relay.requests.api import NewRequest
     from beamhatch.relay.requests.terms import RequestTerms
     from beamhatch.relay.streams.lookup import Origin
-    from beamhatch.relay.upstreams.http_client import ResponseHead
+    from beamhatch.relay.upstreams.call import ResponseHead
 
 RESPONSE_MARGIN_S = 0.03
 """Time before the caller's deadline at which the request times out, so that the error response still arrives."""
--- a/src/beamhatch/relay/requests/release.py
+++ b/src/beamhatch/relay/requests/release.py
@@ -11,7 +11,7 @@
 
     from beamhatch.relay.core import Core
     from beamhatch.relay.model import Reservation, Upstream
-    from beamhatch.relay.upstreams.http_client import Call
+    from beamhatch.relay.upstreams.call import Call
 
 RELEASE_TIMEOUT_S = 2.0
 """Time after which the connection of a release is closed; the memory expires at about the same time."""
--- a/src/beamhatch/relay/requests/response.py
+++ b/src/beamhatch/relay/requests/response.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from beamhatch.relay.upstreams.http_client import ResponseHead
+    from beamhatch.relay.upstreams.call import ResponseHead
 
 MAY_HAVE_RUN_STATUS = 502
 """Status of an error response of the relay if the request may have run."""
--- a/src/beamhatch/relay/tunnels/server.py
+++ b/src/beamhatch/relay/tunnels/server.py
@@ -22,7 +22,7 @@
     encode,
     frame,
 )
-from beamhatch.relay.upstreams.http_client import TCP_USER_TIMEOUT, USER_TIMEOUT_MS
+from beamhatch.relay.upstreams.connection import TCP_USER_TIMEOUT, USER_TIMEOUT_MS
 
 if TYPE_CHECKING:
     from twisted.python.failure import Failure
--- a/src/beamhatch/relay/upstreams/announcements.py
+++ b/src/beamhatch/relay/upstreams/announcements.py
@@ -11,7 +11,7 @@
 
 from beamhatch.relay.choosing.rests import Backoffs
 from beamhatch.relay.limits.limits import Limits
-from beamhatch.relay.upstreams.http_client import ResponseSink
+from beamhatch.relay.upstreams.call import ResponseSink
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection
@@ -22,7 +22,8 @@
     from beamhatch.relay.api import AnnouncedLimit, Dialect, ResponseFacts
     from beamhatch.relay.limits.words import LimitState
     from beamhatch.relay.model import Incarnation, Upstream, UpstreamId
-    from beamhatch.relay.upstreams.http_client import CallFailure, HttpExchange, ResponseHead
+    from beamhatch.relay.upstreams.call import CallFailure, ResponseHead
+    from beamhatch.relay.upstreams.connection import HttpExchange
     from beamhatch.relay.upstreams.listing import Listing
 
 LIMIT_LOG_INTERVAL_S = 1.0
--- a/src/beamhatch/relay/upstreams/api.py
+++ b/src/beamhatch/relay/upstreams/api.py
@@ -12,7 +12,7 @@
     from beamhatch.relay.requests.request import RelayRequest
     from beamhatch.relay.requests.response import BufferedResponse
     from beamhatch.relay.upstreams.attempt import Attempt
-    from beamhatch.relay.upstreams.http_client import ResponseHead
+    from beamhatch.relay.upstreams.call import ResponseHead
     from beamhatch.relay.upstreams.reserve_attempt import ReserveAttempt
 
 
--- a/src/beamhatch/relay/upstreams/attempt.py
+++ b/src/beamhatch/relay/upstreams/attempt.py
@@ -10,7 +10,7 @@
 from beamhatch.relay.quarantine.detection import EndVerdict
 from beamhatch.relay.requests.request import Setback
 from beamhatch.relay.upstreams.announcements import MISDIRECTED
-from beamhatch.relay.upstreams.http_client import CallFailure, CallKind, ResponseSink
+from beamhatch.relay.upstreams.call import CallFailure, CallKind, ResponseSink
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -23,7 +23,8 @@
     from beamhatch.relay.requests.request import Send
     from beamhatch.relay.tunnels.api import Via
     from beamhatch.relay.upstreams.api import AttemptOwner
-    from beamhatch.relay.upstreams.http_client import Call, HttpExchange, ResponseHead
+    from beamhatch.relay.upstreams.call import Call, ResponseHead
+    from beamhatch.relay.upstreams.connection import HttpExchange
 
 
 REJECTION_BODY_TIME_S = 1.0
--- a/src/beamhatch/relay/upstreams/http_client.py
+++ b/src/beamhatch/relay/upstreams/http_client.py
@@ -1,4 +1,4 @@
-"""HTTP/1.1 client for upstreams and the store, built on h11, with reuse of connections.
+"""HTTP/1.1 client for upstreams and the store, with reuse of connections.
 
 Its failures distinguish what decides whether a call may be retried: whether anything may have been sent, and whether
 the response was complete. Responses to other requests are skipped.
@@ -6,41 +6,24 @@
 
 from __future__ import annotations
 
-import socket
 from abc import ABC, abstractmethod
 from collections import deque
-from dataclasses import dataclass
-from enum import Enum
-from typing import TYPE_CHECKING, Any
-
-import h11
-from twisted.internet import error
-from twisted.internet.protocol import Protocol, connectionDone
-
-from beamhatch.relay.callers.headers import (
-    DEFAULT_KEEP_ALIVE_S,
-    decode_headers,
-    encode_headers,
-    parse_keep_alive_timeout,
-    wants_close,
-)
-from beamhatch.relay.model import Address
+from typing import TYPE_CHECKING
+
 from beamhatch.relay.overload.meter import LinkMeter
 from beamhatch.relay.tunnels.api import DialReceiver, allow_any_hall, allow_no_hall
 from beamhatch.relay.tunnels.direct import DirectDialer
-from beamhatch.relay.upstreams.response_bounds import DEFAULT_MAX_BODY_BYTES, ResponseBounds
+from beamhatch.relay.upstreams.call import Call, CallFailure, CallKind
+from beamhatch.relay.upstreams.connection import ConnectionPool, HttpExchange, NewConnection
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Set
 
-    from twisted.python.failure import Failure as TwistedFailure
-
     from beamhatch.clock import Clock
-    from beamhatch.relay.api import Headers
+    from beamhatch.relay.model import Address
     from beamhatch.relay.tunnels.api import Dialer, HallFilter, Via
-
-MAX_HEAD_BYTES = 64 * 1024
-"""Maximum size of the head of a response."""
+    from beamhatch.relay.upstreams.call import ResponseSink
+    from beamhatch.relay.upstreams.connection import Connection
 
 SWEEP_INTERVAL_S = 1.0
 """Time between sweeps that close expired idle connections."""
@@ -51,290 +34,6 @@
 MAX_JUST_CLOSED = 64
 """Maximum number of such connections that are known."""
 
-USER_TIMEOUT_MS = 5000
-"""Time after which unacknowledged data closes a connection."""
-
-TCP_USER_TIMEOUT = getattr(socket, "TCP_USER_TIMEOUT", 18)
-
-
-class CallKind(Enum):
-    """How responses to a call are told from those to other calls on the same connection."""
-
-    IDENTIFIED = "identified"
-    """Responses carry the request's ID."""
-    UNIDENTIFIED = "unidentified"
-    """Responses carry no ID."""
-
-
-class CallFailure(Enum):
-    """Reason why an exchange ended without a complete response."""
-
-    UNREACHED = "unreached"
-    """No connection was established; nothing was sent."""
-    BROKEN = "broken"
-    """The connection was lost; the request may have run."""
-    MALFORMED = "malformed"
-    """The response was invalid; the request may have run."""
-    EXCESSIVE = "excessive"
-    """The response was larger, or took longer, than any valid one; the request may have run."""
-
-
-@dataclass(frozen=True, slots=True)
-class Call:
-    """Complete HTTP request to send."""
-
-    method: str
-    target: str
-    headers: Headers
-    body: bytes = b""
-
-
-@dataclass(frozen=True, slots=True)
-class ResponseHead:
-    """Status and headers of a response."""
-
-    status: int
-    headers: Headers
-    is_first: bool = True
-    """Whether no other response was read on its connection before."""
-
-    @property
-    def ends_with_connection(self) -> bool:
-        """Return whether only the close of the connection marks the end of the body."""
-        if self.status in (204, 304):
-            return False
-        return not any(name.lower() in ("content-length", "transfer-encoding") for name, _ in self.headers)
-
-
-class ResponseSink(ABC):
-    """Receiver of the response to one call; ``handle_end`` or ``handle_failure`` is the last call to it."""
-
-    def handle_sent(self, via: Via | None) -> None:  # noqa: B027 - most sinks need not know
-        """Handle the start of writing the request.
-
-        :param via: the peer that the connection goes through; None for a direct one
-        """
-
-    def matches(self, head: ResponseHead) -> bool:
-        """Return whether a response is to this call, not a late one to another call."""
-        return True
-
-    def get_max_body_bytes(self) -> int | None:
-        """Return the maximum size of the body, once the head is known; None if the sink bounds what it receives."""
-        return DEFAULT_MAX_BODY_BYTES
-
-    @abstractmethod
-    def handle_head(self, head: ResponseHead) -> None:
-        """Handle the head of the response."""
-
-    @abstractmethod
-    def handle_data(self, data: bytes) -> None:
-        """Handle body data."""
-
-    @abstractmethod
-    def handle_end(self) -> None:
-        """Handle the end of a complete response."""
-
-    @abstractmethod
-    def handle_failure(self, failure: CallFailure, detail: str) -> None:
-        """Handle a failure: no complete response will follow."""
-
-
-class HttpExchange:
-    """Call in progress."""
-
-    def __init__(self, call: Call, sink: ResponseSink | None, kind: CallKind = CallKind.UNIDENTIFIED) -> None:
-        self.call = call
-        self.sink = sink
-        self.kind = kind
-        self.connection: Connection | None = None
-
-    def cancel(self) -> None:
-        """Close the connection without notifying the sink."""
-        self.sink = None
-        if self.connection is not None and self.connection.carries(self):
-            self.connection.abort()
-
-    def pause(self) -> None:
-        """Stop reading the response."""
-        if self.connection is not None and self.connection.carries(self):
-            self.connection.paused = True
-            self.connection.transport.pauseProducing()
-
-    def resume(self) -> None:
-        """Resume reading the response."""
-        if self.connection is not None and self.connection.carries(self):
-            self.connection.paused = False
-            self.connection.transport.resumeProducing()
-
-    def report_failure(self, failure: CallFailure, detail: str) -> None:
-        """Report a failure to the sink, unless the exchange has ended."""
-        sink, self.sink = self.sink, None
-        if sink is not None:
-            sink.handle_failure(failure, detail)
-
-
-class Connection(Protocol):
-    """Connection that carries one call at a time."""
-
-    def __init__(self, client: HttpClient, address: Address, via: Via | None = None) -> None:
-        self.address = address
-        self.via = via
-        """Peer that the connection goes through; None for a direct one."""
-        self.idle_until = 0.0
-        self.idle_since = 0.0
-        self.paused = False
-        """True while reading is paused and the end of the connection can't be seen."""
-        self.kind: CallKind | None = None
-        """Kind of the calls that the connection carries; None before the first one."""
-        self._client = client
-        self._exchange: HttpExchange | None = None
-        self._state = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
-        self._skipping = False
-        self._head: ResponseHead | None = None
-        self._has_responded = False
-        """Whether a response was read, to any call."""
-        self._bounds = ResponseBounds()
-
-    def connectionMade(self) -> None:
-        """Set the socket options."""
-        self.transport.setTcpNoDelay(True)
-        self.transport.getHandle().setsockopt(socket.IPPROTO_TCP, TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
-
-    def send(self, exchange: HttpExchange) -> None:
-        """Write a call's request."""
-        self._exchange = exchange
-        self._bounds = ResponseBounds()
-        self.kind = exchange.kind
-        exchange.connection = self
-        if exchange.sink is not None:
-            exchange.sink.handle_sent(self.via)
-        encoded = self._encode(exchange.call)
-        self._client.meter.record_sent(len(encoded))
-        self.transport.write(encoded)
-
-    def carries(self, exchange: HttpExchange) -> bool:
-        """Return whether a call is in progress here, and not another one since."""
-        return self._exchange is exchange
-
-    def abort(self) -> None:
-        """Reset the connection."""
-        self._exchange = None
-        self.transport.abortConnection()
-
-    def dataReceived(self, data: bytes) -> None:
-        """Parse received bytes; reset the connection if no call is in progress."""
-        self._client.meter.record_received(len(data))
-        if self._exchange is None:
-            self.abort()
-            return
-        self._feed(data)
-
-    def connectionLost(self, reason: TwistedFailure = connectionDone) -> None:
-        """End the call in progress; a response delimited by a clean close is complete."""
-        self._client.remove(self)
-        if self._exchange is not None and reason.check(error.ConnectionDone):
-            self._feed(b"")
-        self._fail(CallFailure.BROKEN, reason.getErrorMessage())
-
-    # --- reading -----------------------------------------------------------------------------------------------------
-
-    def _feed(self, data: bytes) -> None:
-        try:
-            self._bounds.record_received(len(data))
-            self._state.receive_data(data)
-            self._handle_events()
-        except h11.RemoteProtocolError as problem:
-            self._fail(CallFailure.BROKEN if not data else CallFailure.MALFORMED, str(problem))
-
-    def _handle_events(self) -> None:
-        while self._exchange is not None:
-            event = self._state.next_event()
-            is_waiting = event is h11.NEED_DATA or event is h11.PAUSED or isinstance(event, h11.ConnectionClosed)
-            if not is_waiting:
-                self._handle_event(event)
-            excess = self._bounds.find_excess()
-            if excess is not None:
-                self._fail(CallFailure.EXCESSIVE, excess.value)
-            if is_waiting:
-                return
-
-    def _handle_event(self, event: Any) -> None:
-        exchange = self._exchange
-        assert exchange is not None
-        if isinstance(event, h11.InformationalResponse):
-            self._bounds.record_skipped()
-        elif isinstance(event, h11.Response):
-            head = ResponseHead(event.status_code, decode_headers(event.headers), is_first=not self._has_responded)
-            self._has_responded = True
-            self._handle_head(exchange, head)
-        elif isinstance(event, h11.Data) and not self._skipping:
-            self._bounds.record_body(len(event.data))
-            if exchange.sink is not None:
-                exchange.sink.handle_data(bytes(event.data))
-        elif isinstance(event, h11.EndOfMessage):
-            self._handle_end(exchange)
-
-    def _handle_head(self, exchange: HttpExchange, head: ResponseHead) -> None:
-        self._head = head
-        self._skipping = exchange.sink is not None and not exchange.sink.matches(head)
-        if self._skipping:
-            self._bounds.record_skipped()
-            return
-        if exchange.sink is not None:
-            exchange.sink.handle_head(head)
-        if exchange.sink is not None:  # it may have been cancelled
-            self._bounds.max_body_bytes = exchange.sink.get_max_body_bytes()
-
-    def _handle_end(self, exchange: HttpExchange) -> None:
-        if self._skipping:
-            self._restart(exchange)
-            return
-        self._exchange = None
-        sink, exchange.sink = exchange.sink, None
-        self._release()
-        if sink is not None:
-            sink.handle_end()
-
-    def _restart(self, exchange: HttpExchange) -> None:
-        """Reset the parser to wait for the response to this call after a response to another."""
-        trailing, closed = self._state.trailing_data
-        self._skipping = False
-        self._state = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
-        self._encode(exchange.call)
-        if trailing:
-            self._state.receive_data(trailing)
-        if closed:
-            self._fail(CallFailure.BROKEN, "connection closed after a response to another request")
-
-    def _release(self) -> None:
-        """Keep the connection for reuse, or close it if it can't be reused."""
-        trailing, closed = self._state.trailing_data
-        head = self._head
-        reusable = self._state.our_state is h11.DONE and self._state.their_state is h11.DONE
-        if trailing or closed or not reusable or head is None or wants_close(head.headers):
-            self.transport.loseConnection()
-            return
-        self._state.start_next_cycle()
-        self._client.add_idle(self, parse_keep_alive_timeout(head.headers))
-
-    def _fail(self, failure: CallFailure, detail: str) -> None:
-        exchange, self._exchange = self._exchange, None
-        if exchange is None:
-            return
-        self.transport.abortConnection()
-        exchange.report_failure(failure, detail)
-
-    def _encode(self, call: Call) -> bytes:
-        headers = encode_headers(call.headers)
-        if call.body or call.method in ("POST", "PUT", "PATCH"):
-            headers.append((b"Content-Length", str(len(call.body)).encode()))
-        parts = [self._state.send(h11.Request(method=call.method, target=call.target, headers=headers))]
-        if call.body:
-            parts.append(self._state.send(h11.Data(data=call.body)))
-        parts.append(self._state.send(h11.EndOfMessage()))
-        return b"".join(part for part in parts if part)
-
 
 class _Probe(DialReceiver):
     """Opening of a connection that tells whether an upstream accepts any; it is kept for a later call."""
@@ -348,7 +47,7 @@
 
     def build_protocol(self, via: Via | None) -> Connection:
         """Create the protocol, and report the success."""
-        connection = _NewConnection(self._client, self._address, via, HttpExchange(_NO_CALL, None))
+        connection = NewConnection(self._client, self._address, via, HttpExchange(_NO_CALL, None))
         self._client.add_open(connection)
         self._on_result(True)
         return connection
@@ -378,7 +77,7 @@
 
     def build_protocol(self, via: Via | None) -> Connection:
         """Create the protocol; if the exchange was cancelled, the connection is kept for another one."""
-        connection = _NewConnection(self._client, self._address, via, self._exchange)
+        connection = NewConnection(self._client, self._address, via, self._exchange)
         self._client.add_open(connection)
         return connection
 
@@ -393,23 +92,6 @@
             self._exchange.report_failure(CallFailure.UNREACHED, detail)
 
 
-class _NewConnection(Connection):
-    """Connection that sends its first call as soon as it is established."""
-
-    def __init__(self, client: HttpClient, address: Address, via: Via | None, exchange: HttpExchange) -> None:
-        super().__init__(client, address, via)
-        self._first_exchange: HttpExchange | None = exchange
-
-    def connectionMade(self) -> None:
-        """Send the first call, or keep the connection if that was cancelled."""
-        super().connectionMade()
-        exchange, self._first_exchange = self._first_exchange, None
-        if exchange is not None and exchange.sink is not None:
-            self.send(exchange)
-        else:
-            self._client.add_idle(self, DEFAULT_KEEP_ALIVE_S)
-
-
 class ConnectionTracker(ABC):
     """Source of the open connections to upstreams."""
 
@@ -426,7 +108,7 @@
         """Return whether a connection to another address is open through a peer."""
 
 
-class HttpClient(ConnectionTracker):
+class HttpClient(ConnectionTracker, ConnectionPool):
     """HTTP client with a pool of connections per address."""
 
     def __init__(
--- a/src/beamhatch/relay/upstreams/http_fetch.py
+++ b/src/beamhatch/relay/upstreams/http_fetch.py
@@ -8,7 +8,7 @@
 
 from beamhatch.relay.requests.response import BufferedResponse
 from beamhatch.relay.tunnels.api import allow_any_hall
-from beamhatch.relay.upstreams.http_client import CallFailure, ResponseSink
+from beamhatch.relay.upstreams.call import CallFailure, ResponseSink
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -16,7 +16,9 @@
     from beamhatch.clock import Clock
     from beamhatch.relay.model import Address
     from beamhatch.relay.tunnels.api import HallFilter
-    from beamhatch.relay.upstreams.http_client import Call, HttpClient, HttpExchange, ResponseHead
+    from beamhatch.relay.upstreams.call import Call, ResponseHead
+    from beamhatch.relay.upstreams.connection import HttpExchange
+    from beamhatch.relay.upstreams.http_client import HttpClient
 
 MAX_BODY_BYTES = 8 * 1024 * 1024
 """Maximum size of the body of a fetched response."""
--- a/src/beamhatch/relay/upstreams/plain_attempt.py
+++ b/src/beamhatch/relay/upstreams/plain_attempt.py
@@ -4,7 +4,7 @@
 
 from beamhatch.relay.requests.response import NOT_RUN_STATUSES, BufferedResponse
 from beamhatch.relay.upstreams.attempt import Attempt
-from beamhatch.relay.upstreams.http_client import CallFailure
+from beamhatch.relay.upstreams.call import CallFailure
 
 MAX_BODY_BYTES = 1024 * 1024
 """Maximum size of the body of a buffered response."""
--- a/src/beamhatch/relay/upstreams/prefill_attempt.py
+++ b/src/beamhatch/relay/upstreams/prefill_attempt.py
@@ -5,7 +5,7 @@
 from beamhatch.relay.mechanism import Mechanism
 from beamhatch.relay.model import Handle
 from beamhatch.relay.upstreams.attempt import Attempt
-from beamhatch.relay.upstreams.http_client import CallFailure
+from beamhatch.relay.upstreams.call import CallFailure
 
 MIN_TIMEOUT_S = 0.6
 """Lower bound of the timeout.
--- a/src/beamhatch/relay/upstreams/reserve_attempt.py
+++ b/src/beamhatch/relay/upstreams/reserve_attempt.py
@@ -7,7 +7,7 @@
 from beamhatch.relay.model import Reservation
 from beamhatch.relay.requests.release import release_reservation
 from beamhatch.relay.upstreams.announcements import MISDIRECTED
-from beamhatch.relay.upstreams.http_client import CallFailure, ResponseSink
+from beamhatch.relay.upstreams.call import CallFailure, ResponseSink
 
 if TYPE_CHECKING:
     from beamhatch.relay.choosing.rests import BackoffProbe
@@ -15,7 +15,8 @@
     from beamhatch.relay.requests.request import Reserve
     from beamhatch.relay.tunnels.api import Via
     from beamhatch.relay.upstreams.api import AttemptOwner
-    from beamhatch.relay.upstreams.http_client import Call, HttpExchange, ResponseHead
+    from beamhatch.relay.upstreams.call import Call, ResponseHead
+    from beamhatch.relay.upstreams.connection import HttpExchange
 
 GRANTED = 200
 """HTTP status of a granted reservation."""
--- a/src/beamhatch/relay/upstreams/stream_attempt.py
+++ b/src/beamhatch/relay/upstreams/stream_attempt.py
@@ -10,15 +10,15 @@
 from beamhatch.relay.requests.response import NOT_RUN_STATUSES, BufferedResponse
 from beamhatch.relay.upstreams.announcements import MISDIRECTED
 from beamhatch.relay.upstreams.attempt import Attempt
+from beamhatch.relay.upstreams.call import CallFailure
 from beamhatch.relay.upstreams.events import EventChecker, StreamError
-from beamhatch.relay.upstreams.http_client import CallFailure
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from beamhatch.relay.requests.request import Send
     from beamhatch.relay.upstreams.api import AttemptOwner
-    from beamhatch.relay.upstreams.http_client import ResponseHead
+    from beamhatch.relay.upstreams.call import ResponseHead
 
 FIRST_EVENT_TIMEOUT_FACTOR = 1.33
 """Timeout until the first event, as a multiple of the target latency, if the engine gets the prompt's KV cache."""
--- a/tests/platform/test_limit.py
+++ b/tests/platform/test_limit.py
@@ -19,7 +19,7 @@
 
 from beamhatch.platform.standin.upstream import UpstreamFault
 from beamhatch.relay.model import UpstreamId
-from beamhatch.relay.upstreams.http_client import ResponseHead
+from beamhatch.relay.upstreams.call import ResponseHead
 from tests.support.platform import ENGINE, SENT_TO, Platform, find_answering
 
 if TYPE_CHECKING:
--- a/tests/platform/test_silence_handover.py
+++ b/tests/platform/test_silence_handover.py
@@ -23,7 +23,7 @@
 )
 from beamhatch.relay.requests.request import RelayRequest, Send
 from beamhatch.relay.retries.budget import RetryBudget, RetryBudgetLimits
-from beamhatch.relay.upstreams.http_client import CallKind
+from beamhatch.relay.upstreams.call import CallKind
 from tests.platform.test_silence import begin_stream, make_fleet
 from tests.relay.requests.test_failover import Setup as FailoverSetup
 from tests.relay.requests.test_request import SERVICE, make_upstream
--- a/tests/relay/quarantine/test_detection.py
+++ b/tests/relay/quarantine/test_detection.py
@@ -10,7 +10,8 @@
 from beamhatch.relay.quarantine.detection import SETTLE_S, CrashDetector, EndVerdict
 from beamhatch.relay.quarantine.ends import MAX_ANNOUNCED_RUNS, BrokenRun, CrashUpdate
 from beamhatch.relay.tunnels.api import Via
-from beamhatch.relay.upstreams.http_client import Connection, ConnectionTracker
+from beamhatch.relay.upstreams.connection import Connection
+from beamhatch.relay.upstreams.http_client import ConnectionTracker
 from tests.support.network import Network, PausedClock
 
 if TYPE_CHECKING:
--- a/tests/relay/upstreams/test_http_client.py
+++ b/tests/relay/upstreams/test_http_client.py
@@ -9,7 +9,8 @@
 
 from beamhatch.relay.model import Address
 from beamhatch.relay.tunnels.api import Dialer, allow_any_hall
-from beamhatch.relay.upstreams.http_client import Call, CallFailure, CallKind, HttpClient, ResponseHead, ResponseSink
+from beamhatch.relay.upstreams.call import Call, CallFailure, CallKind, ResponseHead, ResponseSink
+from beamhatch.relay.upstreams.http_client import HttpClient
 from tests.support.network import Network, PausedClock
 
 if TYPE_CHECKING:
--- a/tests/relay/upstreams/test_http_fetch.py
+++ b/tests/relay/upstreams/test_http_fetch.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from beamhatch.relay.requests.response import BufferedResponse
-from beamhatch.relay.upstreams.http_client import Call, HttpClient
+from beamhatch.relay.upstreams.call import Call
+from beamhatch.relay.upstreams.http_client import HttpClient
 from beamhatch.relay.upstreams.http_fetch import fetch
 from tests.relay.upstreams.test_http_client import ADDRESS, WHOLE, RawFactory, write
 from tests.support.network import Network, PausedClock
