Read the version of an event from its data in the paused fleet

Where two engines sent the same event, the fleet went by the one that sent it last: with engines of one version that fall silent and go on, it named up to 2 of 16 streams as mixed whose callers got one version's events alone. It goes by what callers received now, as the soak does.

--- a/tests/support/version_fleet.py
+++ b/tests/support/version_fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+import re
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -36,6 +37,8 @@
 EVENTS = 15, 70
 """Fewest and most events of a stream."""
 
+_VERSION = re.compile(rb"^data: ([^/\n]+)/", re.MULTILINE)
+
 STEP_S = 0.02
 """Interval at which callers look at their streams."""
 
@@ -289,9 +292,8 @@
     # --- what became of the streams ----------------------------------------------------------------------------------
 
     def list_versions(self, stream: Stream) -> set[str]:
-        """Return the versions whose events a caller received."""
-        sent = self.platform.ledger.event_versions
-        return {sent[one.request][event] for one in stream.tries for event in one.events}
+        """Return the versions whose events a caller received, by what the events say."""
+        return {found.decode() for one in stream.tries if one.events for found in _VERSION.findall(one.caller.received)}
 
     def list_mixed(self) -> list[str]:
         """Return the streams that hold events from more than one version, by the ids of their tries."""
