Handle connections, requests and runs in the order in which they came

Cause: built-in sets of connections, open requests and runs are iterated in the order of their addresses in memory. The first messages to differ are heartbeats of the gossip, in the first second. The random numbers that do not follow the test's seed (ids in limits, in lookups and in the store) change nothing here: 10 runs with other ones were alike.

With sets in the order of insertion two runs are alike to the byte (24,976 messages in 10 s).

--- a/src/beamhatch/platform/standin/upstream.py
+++ b/src/beamhatch/platform/standin/upstream.py
@@ -8,6 +8,7 @@
 from enum import Enum
 from typing import TYPE_CHECKING, Any
 
+from beamhatch.ordered_set import OrderedSet
 from beamhatch.platform.standin.base import StandIn, read_headers, send_json
 from beamhatch.relay.callers.http_server import IncomingRequest, RequestHandler, Responder
 
@@ -195,7 +196,7 @@
         """Start time in milliseconds of the upstream's own clock, whose epoch is arbitrary."""
         self.version = "v1"
         """Software version in its entry."""
-        self.runs: set[Run] = set()
+        self.runs: OrderedSet[Run] = OrderedSet()
         self._restart_timer: Any = None
         self.on_restart: Callable[[], None] = lambda: None
         """Called after a restart, to register the new incarnation."""
--- a/src/beamhatch/relay/callers/http_server.py
+++ b/src/beamhatch/relay/callers/http_server.py
@@ -13,6 +13,7 @@
 import h11
 from twisted.internet.protocol import Factory, Protocol, connectionDone
 
+from beamhatch.ordered_set import OrderedSet
 from beamhatch.relay.callers.headers import decode_headers, encode_headers, get_header
 from beamhatch.relay.overload.meter import LinkMeter
 
@@ -454,7 +455,7 @@
         """Returns whether responses end their connections, so that callers connect again."""
         self.closing = False
         """True during shutdown: responses carry ``Connection: close``."""
-        self.connections: set[CallerConnection] = set()
+        self.connections: OrderedSet[CallerConnection] = OrderedSet()
         self.held_bytes = 0
         """Bytes of request bodies held in memory."""
 
--- a/src/beamhatch/relay/core.py
+++ b/src/beamhatch/relay/core.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from beamhatch.ordered_set import OrderedSet
 from beamhatch.relay.api import BadRequest
 from beamhatch.relay.callers.error_response import send_error
 from beamhatch.relay.choosing.cold_transitions import ColdLog
@@ -128,7 +129,7 @@
     """Number of VMs seen recently; shared limits are divided by it, since unreachable VMs still use their share."""
     stopping: bool = False
     """Whether new requests are refused because of a planned stop."""
-    exchanges: set[OpenRequest] = field(default_factory=set)
+    exchanges: OrderedSet[OpenRequest] = field(default_factory=OrderedSet)
     on_change: Callable[[], None] = lambda: None
     """Called when the configuration or the listing has changed."""
     on_evacuation: Callable[[], None] = lambda: None
--- a/src/beamhatch/relay/fleet/gossip.py
+++ b/src/beamhatch/relay/fleet/gossip.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from beamhatch.ordered_set import OrderedSet
 from beamhatch.relay.api import Document, ListingUpdate
 from beamhatch.relay.engines.fleet_demand import FleetDemand
 from beamhatch.relay.fleet.far_words import EMPTY_HEARTBEAT
@@ -111,7 +112,7 @@
         self._documents = documents
         self._vm = vm
         self._traffic = PeerTraffic(core.tally, membership.own.hall, core.topology)
-        self._connections: set[PeerConnection] = set()
+        self._connections: OrderedSet[PeerConnection] = OrderedSet()
         self._dialled_addresses: dict[str, PeerConnection | None] = {}
         """Addresses that this VM dialled, with the connection once it is established."""
         self._fleet_demand = FleetDemand()
--- a/src/beamhatch/relay/tunnels/server.py
+++ b/src/beamhatch/relay/tunnels/server.py
@@ -9,6 +9,7 @@
 from twisted.internet import error
 from twisted.internet.protocol import ClientFactory, Factory, Protocol, connectionDone
 
+from beamhatch.ordered_set import OrderedSet
 from beamhatch.relay.model import Address
 from beamhatch.relay.tunnels.message import (
     END_OF_DATA,
@@ -77,7 +78,7 @@
 
     def __init__(self, host: TunnelHost) -> None:
         self.host = host
-        self.tunnels: set[ClientSide] = set()
+        self.tunnels: OrderedSet[ClientSide] = OrderedSet()
         """Tunnels that are open or being opened."""
 
     def buildProtocol(self, _: Any) -> ClientSide:
--- a/src/beamhatch/relay/upstreams/http_client.py
+++ b/src/beamhatch/relay/upstreams/http_client.py
@@ -10,6 +10,7 @@
 from collections import deque
 from typing import TYPE_CHECKING
 
+from beamhatch.ordered_set import OrderedSet
 from beamhatch.relay.overload.meter import LinkMeter
 from beamhatch.relay.tunnels.api import DialReceiver, allow_any_hall, allow_no_hall
 from beamhatch.relay.tunnels.direct import DirectDialer
@@ -126,7 +127,7 @@
         self._idle: dict[Address, list[Connection]] = {}
         self._just_closed: deque[tuple[float, Connection]] = deque(maxlen=MAX_JUST_CLOSED)
         """Idle connections that were closed at the other end, with the monotonic time in seconds."""
-        self._open: dict[Address, set[Connection]] = {}
+        self._open: dict[Address, OrderedSet[Connection]] = {}
         self.opened_count = 0
         """Number of connection attempts so far."""
 
@@ -206,11 +207,11 @@
 
     def add_open(self, connection: Connection) -> None:
         """Add a connection to the open ones."""
-        self._open.setdefault(connection.address, set()).add(connection)
+        self._open.setdefault(connection.address, OrderedSet()).add(connection)
 
     def remove(self, connection: Connection) -> None:
         """Remove a closed connection."""
-        left = self._open.get(connection.address, set())
+        left = self._open.get(connection.address, OrderedSet())
         left.discard(connection)
         if not left:
             self._open.pop(connection.address, None)
