Tell a peer that has ended from one that is cut off, as streams are resumed without the store

What callers saw: the only VM of a hall was killed just as the store was lost, and all streams that it had were refused for good (0 of 96 tries), although there was one version and its engines served.

Cause: a hall whose VMs have ended was taken for one that is cut off, and may have listed another version.

Now a VM whose connection to a peer breaks within .75 s of a message dials the peer once. A host that refuses shows that the process has ended and that no cut lies between; the listing revision of its last heartbeat shows that it knew of no other version, as changes are told at once. Halls whose VMs have all ended so are not waited for.

--- a/src/beamhatch/relay/daemon.py
+++ b/src/beamhatch/relay/daemon.py
@@ -178,6 +178,7 @@
         if self._gossip is not None:
             self._gossip.is_store_unreachable = self._is_store_unreachable
             self._gossip.is_shedding = self.overload.is_shedding
+            self.core.origins.has_ended = self._gossip.has_ended
             self.overload.gate.is_alone = self._is_alone
             self.overload.on_change = self._gossip.send_heartbeats_soon
         if self._gossip is not None and uses_tunnels:
--- a/src/beamhatch/relay/fleet/gossip.py
+++ b/src/beamhatch/relay/fleet/gossip.py
@@ -13,6 +13,7 @@
 from beamhatch.ordered_set import OrderedSet
 from beamhatch.relay.api import Document, ListingUpdate
 from beamhatch.relay.engines.fleet_demand import FleetDemand
+from beamhatch.relay.fleet.ended_peers import EndedPeers, ProbeFactory
 from beamhatch.relay.fleet.far_words import EMPTY_HEARTBEAT
 from beamhatch.relay.fleet.gossip_message import (
     MAX_MENTIONS,
@@ -31,6 +32,7 @@
     pack_configuration,
     unpack_configuration,
 )
+from beamhatch.relay.fleet.membership import get_host
 from beamhatch.relay.fleet.peer_connection import PeerClientFactory, PeerConnection, PeerHandler, PeerServerFactory
 from beamhatch.relay.fleet.peer_traffic import PeerTraffic
 from beamhatch.relay.fleet.throttle import Throttle
@@ -67,6 +69,12 @@
 PEER_TIMEOUT_S = 1.8
 """Seconds without a message after which a connection is closed."""
 
+MAX_SILENCE_S = 0.75
+"""Seconds without a message after which a peer may have listed upstreams that it did not tell of.
+
+It covers one heartbeat, as a change is told at once.
+"""
+
 EARLY_DIAL_DELAYS_S = 0.15, 0.3
 """Seconds after the start at which peers are dialled again.
 
@@ -115,6 +123,7 @@
         self._connections: OrderedSet[PeerConnection] = OrderedSet()
         self._dialled_addresses: dict[str, PeerConnection | None] = {}
         """Addresses that this VM dialled, with the connection once it is established."""
+        self._ended_peers = EndedPeers()
         self._fleet_demand = FleetDemand()
         self._is_aggregator = False
         """Whether this VM aggregates the reports of its hall; cached at each regular heartbeat."""
@@ -184,6 +193,14 @@
         """Return whether any connected peer has identified itself."""
         return any(connection.vm for connection in self._connections)
 
+    def has_connection(self, address: str) -> bool:
+        """Return whether a peer is connected that listens at an address."""
+        return any(one.address == address for one in self._connections)
+
+    def has_ended(self, host: str) -> bool:
+        """Return whether the peer at a host has ended that knew of no more upstreams than this VM does."""
+        return self._ended_peers.has_ended(host, self.core.revision)
+
     # --- connections -------------------------------------------------------------------------------------------------
 
     def add_connection(self, connection: PeerConnection) -> None:
@@ -203,13 +220,23 @@
         self._connections.discard(connection)
         if self.usage is not None:
             self.usage.forget_peer(connection)
-        if self.tunnels is not None and all(one.address != connection.address for one in self._connections):
+        if self.tunnels is not None and not self.has_connection(connection.address):
             self.tunnels.forget_peer(connection)
         address = connection.dialled_address
         if address is not None and self._dialled_addresses.get(address) is connection:
             del self._dialled_addresses[address]
         if connection.vm and not self._stopped:
             self.journal.write("PEER", "lost", vm=connection.vm, connections=len(self._connections))
+            self._find_out_if_ended(connection)
+
+    def _find_out_if_ended(self, connection: PeerConnection) -> None:
+        """Find out whether a peer has ended whose connection broke although messages arrived on it."""
+        was_silent = self.clock.now() - connection.last_received_at > MAX_SILENCE_S
+        if was_silent or connection.is_unwanted or self.has_connection(connection.address):
+            return
+        host, _, port = connection.address.rpartition(":")
+        self._ended_peers.record_lost(host, connection.received.revision)
+        self.clock.reactor.connectTCP(host, int(port), ProbeFactory(self._ended_peers, host), timeout=CONNECT_TIMEOUT_S)
 
     def record_sent(self, connection: PeerConnection, message: Message, size: int) -> None:
         """Count a sent message in the traffic metrics."""
@@ -226,6 +253,7 @@
         now = self.clock.now()
         self._close_unresponsive(now)
         self.membership.drop_expired(now)
+        self._ended_peers.keep({get_host(one.address) for one in self.membership.list_others()})
         self._fleet_demand.drop_expired(now)
         self.core.peer_backlog.drop_expired(now)
         self.core.vm_count = self.membership.size
@@ -263,6 +291,7 @@
             return
         for address, connection in list(self._dialled_addresses.items()):
             if connection is not None and address not in targets:
+                connection.is_unwanted = True
                 connection.transport.loseConnection()
 
     def _send_hellos(self, now: float) -> None:
@@ -438,6 +467,7 @@
         connection.sent.record_known([message.member, *(mention.member for mention in message.known)])
         self.membership.record_alive(message.member, 0.0, now)
         self.membership.record_reachable(message.member.address)
+        self._ended_peers.forget(get_host(message.member.address))
         for mention in message.known[:MAX_MENTIONS]:
             self.membership.record_alive(mention.member, mention.age, now)
         self.core.vm_count = self.membership.size
--- a/src/beamhatch/relay/fleet/membership.py
+++ b/src/beamhatch/relay/fleet/membership.py
@@ -334,6 +334,11 @@
         return failed is None or now >= failed.retry_at
 
 
+def get_host(address: str) -> str:
+    """Return the host of an address, which is given as ``HOST:PORT``."""
+    return address.rpartition(":")[0]
+
+
 def _make_mention(known: _KnownMember, now: float) -> Mention:
     return Mention(known.member, round(max(0.0, now - known.last_seen_at), 1))
 
--- a/src/beamhatch/relay/fleet/peer_connection.py
+++ b/src/beamhatch/relay/fleet/peer_connection.py
@@ -66,6 +66,8 @@
         self.address = ""
         """Where the peer listens; empty until its first hello."""
         self.last_received_at = 0.0
+        self.is_unwanted = False
+        """Whether this VM closes the connection as it has enough others."""
         self.received = ReceivedState()
         self.sent = SentState()
         self._handler = handler
--- a/src/beamhatch/relay/streams/origins.py
+++ b/src/beamhatch/relay/streams/origins.py
@@ -14,6 +14,7 @@
 
 from twisted.internet.protocol import DatagramProtocol
 
+from beamhatch.relay.fleet.membership import get_host
 from beamhatch.relay.model import ServiceName, SoftwareVersion
 from beamhatch.relay.streams.api import OpenStreams
 from beamhatch.relay.streams.holders import HolderChooser
@@ -133,6 +134,8 @@
         """Returns whether this VM, or one of its hall, does not reach the store."""
         self.is_isolated: Callable[[], bool] = lambda: False
         """Returns whether this VM reaches neither a peer nor the store."""
+        self.has_ended: Callable[[str], bool] = lambda host: False
+        """Returns whether the VM at a host has ended that knew of no more upstreams than this one."""
         self._had_lost_store = False
         """Whether the store was unreachable as the last stream began."""
         self._pending: dict[int, PendingLookup] = {}
@@ -345,16 +348,23 @@
             self._handle_versions_read(number)
             return
         pending.store_failed = True
-        if not pending.lookup.silent_halls:
+        if not self._lacks_hall(pending.lookup):
             self._tell_unconfirmed(number)
 
+    def _lacks_hall(self, lookup: Lookup) -> bool:
+        """Return whether another hall may know of a version that neither this VM nor those that answered know of.
+
+        A hall whose VMs ended while they were in touch with this one does not.
+        """
+        return any(not vms or not all(map(self.has_ended, vms)) for vms in lookup.silent_halls.values())
+
     def _tell_unconfirmed(self, number: int) -> None:
         """Tell the origin by the answers of the VMs alone."""
         pending = self._pending.get(number)
         if pending is None:
             return
         origin = pending.lookup.conclude()
-        if pending.lookup.silent_halls and isinstance(origin, OnlyVersion):
+        if isinstance(origin, OnlyVersion) and self._lacks_hall(pending.lookup):
             origin = UnknownVersion(len(pending.lookup.unanswered))
         if isinstance(origin, UnknownVersion):
             origin = replace(origin, wait_s=max(origin.wait_s, STORE_RETRY_S))
@@ -454,7 +464,7 @@
                 self._finish(message.number, origin)
         elif isinstance(origin, Begun):
             self._tell(message.number, origin)
-        elif pending.store_failed and not pending.lookup.silent_halls:
+        elif pending.store_failed and not self._lacks_hall(pending.lookup):
             self._tell_unconfirmed(message.number)
 
     def _send(self, message: Datagram, address: tuple[str, int]) -> None:
@@ -503,7 +513,7 @@
 
 
 def _get_datagram_host(member: Member) -> str:
-    return member.address.rpartition(":")[0]
+    return get_host(member.address)
 
 
 def _get_datagram_address(member: Member) -> tuple[str, int]:
--- a/tests/platform/test_cut_off_streams.py
+++ b/tests/platform/test_cut_off_streams.py
@@ -119,3 +119,23 @@
     quiet.run(1.5)
     assert resumed >= STREAMS / 2
     assert fleet.platform.store.calls - calls <= quiet.platform.store.calls - before + resumed / 2 + 18
+
+
+@pytest.mark.parametrize("cut_for_s", [1.0, 1.2, 3.0])
+def test_streams_go_on_at_another_version_as_the_vms_that_knew_it_end_and_a_cut_is_over(cut_for_s: float) -> None:
+    fleet = make_fleet(4)
+    cut_first_hall(fleet)
+    add_newer_engines(fleet)
+    fleet.run(cut_for_s)
+    elsewhere = list_vms(fleet, in_first_hall=False)
+    fleet.begin_streams(STREAMS, *elsewhere)
+    assert any(fleet.list_versions(one) == {"v2"} for one in fleet.streams)
+    fleet.platform.store.fault = StoreFault.UNAVAILABLE
+    for vm in elsewhere:
+        fleet.kill(vm, 20.0)
+    network = fleet.platform.network
+    for vm in list_vms(fleet, in_first_hall=True):
+        for other in elsewhere:
+            network.heal_between(vm, other)
+    fleet.finish()
+    assert not fleet.list_mixed()
