--- a/src/beamhatch/relay/requests/exchange.py
+++ b/src/beamhatch/relay/requests/exchange.py
@@ -4,17 +4,16 @@
 
 import math
 import random
-from dataclasses import asdict
 from typing import TYPE_CHECKING, Any
 
-from beamhatch.relay.api import SendOptions
-from beamhatch.relay.callers.headers import strip_hop_by_hop
 from beamhatch.relay.mechanism import Mechanism
 from beamhatch.relay.model import Reservation, RouteKind, RouteName, Stage
 from beamhatch.relay.requests.api import OpenRequest
 from beamhatch.relay.requests.caller_response import CallerResponse
+from beamhatch.relay.requests.deadlines import Deadlines
 from beamhatch.relay.requests.failover import SEARCH_INTERVAL_S, Failover
 from beamhatch.relay.requests.held_memory import HeldMemory
+from beamhatch.relay.requests.origin_search import OriginSearch
 from beamhatch.relay.requests.planner import Planner
 from beamhatch.relay.requests.request import Fail, Refuse, RelayRequest, Reserve, Send, Step, Wait
 from beamhatch.relay.requests.response import MAY_HAVE_RUN_STATUS, NOT_RUN_STATUSES, TIMEOUT_STATUS, BufferedResponse
@@ -30,20 +29,16 @@
     WaitForMemory,
     decide_unserved,
 )
+from beamhatch.relay.requests.upstream_calls import UpstreamCalls
 from beamhatch.relay.retries.retry_times import (
     compute_memory_delay,
     compute_usual_delay,
     limit_delay,
     round_delay,
 )
-from beamhatch.relay.streams.origins import PendingLookup
 from beamhatch.relay.upstreams.api import AttemptOwner
 from beamhatch.relay.upstreams.attempt import Attempt
-from beamhatch.relay.upstreams.call import Call
-from beamhatch.relay.upstreams.plain_attempt import PlainAttempt
-from beamhatch.relay.upstreams.prefill_attempt import PrefillAttempt
 from beamhatch.relay.upstreams.reserve_attempt import ReserveAttempt
-from beamhatch.relay.upstreams.stream_attempt import StreamAttempt
 from beamhatch.relay.waiting.line import Claim
 from beamhatch.relay.waiting.memory_lines import QueuedRequest
 from beamhatch.relay.waiting.queue_place import QueuePlace, QueueTerms
@@ -55,18 +50,11 @@
     from beamhatch.relay.model import Handle, Incarnation, Regions, RoutingTable, SoftwareVersion, Upstream
     from beamhatch.relay.requests.api import NewRequest
     from beamhatch.relay.requests.terms import RequestTerms
-    from beamhatch.relay.streams.lookup import Origin
     from beamhatch.relay.upstreams.call import ResponseHead
 
-RESPONSE_MARGIN_S = 0.03
-"""Time before the caller's deadline at which the request times out, so that the error response still arrives."""
-
 MIN_SEND_TIME_S = 0.02
 """Minimum time before the deadline for a send to start; with less, the request times out."""
 
-ON_TIME_SHARE = 0.55
-"""Share of the target latency within which decode memory has to be free for the response to be on time."""
-
 FIRST_EVENT_SHARE = 0.9
 """Share of the target latency up to which a predicted first event is on time; the rest is a margin for errors."""
 
@@ -83,8 +71,9 @@
         self._admitted = new.admitted
         self._incoming = new.incoming
         self.request = _make_request(core, new)
+        self._calls = UpstreamCalls(core, new, self.request)
+        self._deadlines = Deadlines(core.clock, self.request, new.incoming.arrived_at, self._handle_timeout)
         self._is_caller_retry = core.caller_retries.is_retry(new.route, new.facts.time_left)
-        self._forwarded_headers = strip_hop_by_hop(new.incoming.headers)
         self._cost = core.costs.begin(RouteName(new.route.name), len(new.incoming.body), core.clock.now())
         self._response = CallerResponse(
             core.clock,
@@ -102,14 +91,14 @@
         self._planner = Planner(core, self.request, self.digests, self.write_log, is_caller_retry=self._is_caller_retry)
         self._failover = Failover(core.clock, self.request)
         self._attempt: Attempt | ReserveAttempt | None = None
-        self._lookup: PendingLookup | None = None
-        """Search for the version that began the stream, if the caller resumes one."""
+        self._origin_search = OriginSearch(
+            core, self.request, self._response.compute_elapsed_s, self.write_log, self._handle_origin
+        )
         self._cold_wait_began_at: float | None = None
         """Monotonic time in seconds at which the request began to wait for a cold upstream."""
         self._replan_timer: Any = None
         self._search_obstacle: str | None = None
         """Why no upstream can take the stream at the moment; None while one has it."""
-        self._deadline_timer: Any = None
         self._upstream_failure: BufferedResponse | None = None
         self._ended = False
 
@@ -117,30 +106,16 @@
 
     def start(self) -> None:
         """Start the deadline timer, and carry out the first step."""
-        self._start_deadline_timer()
+        self._deadlines.start_timer()
         if self._ended:
             return
         if self.request.facts.resumes_stream and self.request.route.kind is RouteKind.STREAMING:
-            self._find_origin()
+            self._origin_search.start()
         else:
             self._begin()
 
-    def _find_origin(self) -> None:
-        """Find out which version began the stream that the caller resumes."""
-        facts = self.request.facts
-        self.write_log("resumes a stream", began_as=facts.resumed_request, last_event=facts.last_event)
-        found = self.core.origins.look_up(facts.resumed_request, self.request.service.name, self._apply_origin)
-        if isinstance(found, PendingLookup):
-            self._lookup = found
-        else:
-            self._apply_origin(found)
-
-    def _apply_origin(self, origin: Origin) -> None:
+    def _handle_origin(self, refusal: Refuse | Fail | None) -> None:
         """Continue the stream at the version that began it, or refuse the request if that can't be."""
-        self._lookup = None
-        self.core.tally.count("stream_origins_total", origin.label)
-        self.write_log("origin", found=origin.label, seconds=self._response.compute_elapsed_s(), **asdict(origin))
-        refusal = self.request.apply_origin(origin)
         if refusal is None:
             self._begin()
         else:
@@ -154,7 +129,7 @@
 
     def advance(self) -> None:
         """Carry out the next step, unless one is under way."""
-        if self._ended or self._attempt is not None or self._lookup is not None:
+        if self._ended or self._attempt is not None or self._origin_search.is_active:
             return
         self._stop_replan_timer()
         self._execute(self._plan(self.core.clock.now()))
@@ -219,7 +194,7 @@
         if request.split and send.stage is not Stage.PREFILL:
             self._place.record_acquired()
         self._cold_wait_began_at = None
-        attempt = self._make_attempt(send)
+        attempt = self._calls.make_attempt(self, send)
         if send.reservation is not None:
             attempt.permit = self._held.take_permit()
         if attempt.permit is None:
@@ -228,7 +203,7 @@
         self._attempt = attempt
         max_idle_s = 1e9 if request.terms.may_repeat or send.stage is Stage.PREFILL else MAX_IDLE_S
         self._cost.record_call()
-        attempt.start(self._make_call(send, now), max_idle_s)
+        attempt.start(self._calls.make_call(send, self.deadline - now), max_idle_s)
 
     def _wait_for_memory(self) -> None:
         """Queue for decode memory, or refuse the request at once if the queue is full."""
@@ -238,11 +213,11 @@
             return
         was_delayed = request.reservation_lost or request.may_have_run or self._cold_wait_began_at is not None
         terms = QueueTerms(
-            deadline=self._memory_deadline,
+            deadline=self._deadlines.memory_at,
             has_precedence=self._is_caller_retry or request.response_begun or was_delayed,
             is_new_wait=not self._failover.active,
         )
-        if not self._place.enter(terms, request.route.target_latency * ON_TIME_SHARE):
+        if not self._place.enter(terms, self._deadlines.memory_wait_s):
             self._execute(request.refuse_memory_full())
 
     @property
@@ -262,7 +237,7 @@
             return
         attempt = ReserveAttempt(self, step)
         self._attempt = attempt
-        attempt.start(self.core.dialect.make_reserve_call(step.upstream, step.tokens, step.lifetime_s))
+        attempt.start(self._calls.make_reserve_call(step))
 
     def _reserve_by_permit(self, step: Reserve) -> None:
         """Skip the reservation at an engine that announces a request limit, since a call counts against that limit.
@@ -272,36 +247,10 @@
         self.handle_reserved(Reservation(None, step.upstream, math.inf))
         self.advance()
 
-    def _make_attempt(self, send: Send) -> Attempt:
-        if send.stage is Stage.PREFILL:
-            return PrefillAttempt(self, send)
-        if self.request.route.kind is RouteKind.STREAMING:
-            return StreamAttempt(self, send)
-        return PlainAttempt(self, send)
-
-    def _make_call(self, send: Send, now: float) -> Call:
-        last_event = self.request.last_event if self.request.route.resumable else self.request.facts.last_event
-        terms = SendOptions(
-            stage=send.stage,
-            expected_upstream=send.upstream.id,
-            time_left=self.deadline - now,
-            handle=send.handle,
-            reservation=send.reservation,
-            last_event=last_event,
-            strips_credentials=self._admitted.keyed,
-            workspace=self._admitted.workspace,
-        )
-        headers = self.core.dialect.write_request(self._forwarded_headers, terms)
-        return Call(self._incoming.method, self._incoming.target, headers, self._incoming.body)
-
     @property
     def deadline(self) -> float:
         """Return the monotonic time in seconds at which the request times out."""
-        limit = self._incoming.arrived_at + self.request.terms.timeout
-        time_left = self.request.facts.time_left
-        if time_left is not None:
-            limit = min(limit, self._incoming.arrived_at + time_left - RESPONSE_MARGIN_S)
-        return limit
+        return self._deadlines.timeout_at
 
     # --- responses ---------------------------------------------------------------------------------------------------
 
@@ -356,8 +305,8 @@
             self._cold_wait_began_at = now
         circumstances = Circumstances(
             cold_wait_s=cold_wait_s,
-            cold_time_left_s=self._compute_cold_deadline() - now,
-            memory_time_left_s=self._memory_deadline - now,
+            cold_time_left_s=self._deadlines.compute_cold_wait_end(self._cold_wait_began_at) - now,
+            memory_time_left_s=self._deadlines.memory_at - now,
             awaits_late_memory=self.request.awaits_late_memory,
             may_search=self._may_search_on(step),
             time_left_s=self.deadline - now,
@@ -410,17 +359,6 @@
         else:
             self._refuse(step.reason, memory_full=step.memory_full, retry_after_s=step.retry_after_s)
 
-    @property
-    def _memory_deadline(self) -> float:
-        """Return the monotonic time in seconds by which decode memory has to be free for a response on time."""
-        return self._incoming.arrived_at + ON_TIME_SHARE * self.request.route.target_latency
-
-    def _compute_cold_deadline(self) -> float:
-        """Return the monotonic time up to which the request may wait for a cold upstream."""
-        if self.request.response_begun and self._cold_wait_began_at is not None:
-            return self._cold_wait_began_at + self.request.max_memory_wait_s
-        return self._memory_deadline
-
     def _stop_replan_timer(self) -> None:
         timer, self._replan_timer = self._replan_timer, None
         if timer is not None and timer.active():
@@ -445,7 +383,6 @@
             self._end_with_error(MAY_HAVE_RUN_STATUS, step.reason, None)
 
     def _handle_timeout(self) -> None:
-        self._deadline_timer = None
         if self.request.may_have_run:
             self._end_with_error(TIMEOUT_STATUS, self._search_obstacle or "the time is over", None)
         else:
@@ -483,12 +420,11 @@
     def _end(self) -> None:
         self._ended = True
         self._cost.end(self.core.clock.now())
-        self._stop_deadline_timer()
+        self._deadlines.stop_timer()
         self._stop_replan_timer()
         self._stop_attempt()
         self._failover.cancel()
-        if self._lookup is not None:
-            self.core.origins.cancel(self._lookup)
+        self._origin_search.cancel()
         self._held.drop_permit()
         self._place.end()
         self._release_held()
@@ -676,7 +612,7 @@
         else:
             request.apply_terms(terms)
         if terms.timeout != before.timeout and not self._ended:
-            self._start_deadline_timer()
+            self._deadlines.start_timer()
         if request.may_have_run and not request.may_run_again:
             self._withdraw_repeat()
 
@@ -714,16 +650,6 @@
             return False
         return not self.core.eligibility.is_in_regions(attempt.send.upstream, regions)
 
-    def _start_deadline_timer(self) -> None:
-        self._stop_deadline_timer()
-        left = self.deadline - self.core.clock.now()
-        self._deadline_timer = self.core.clock.call_later(max(0.0, left), self._handle_timeout)
-
-    def _stop_deadline_timer(self) -> None:
-        timer, self._deadline_timer = self._deadline_timer, None
-        if timer is not None and timer.active():
-            timer.cancel()
-
 
 def _make_request(core: Core, new: NewRequest) -> RelayRequest:
     """Return the state of a new request."""
