Move the intake of callers' requests out of the state that all requests share

No change of behaviour.

Evidence: tests of paths, residency, deadly requests, unframed responses, open requests and pages, 243 passed.

--- a/src/beamhatch/relay/core.py
+++ b/src/beamhatch/relay/core.py
@@ -7,8 +7,6 @@
 from typing import TYPE_CHECKING
 
 from beamhatch.ordered_set import OrderedSet
-from beamhatch.relay.api import BadRequest
-from beamhatch.relay.callers.error_response import send_error
 from beamhatch.relay.choosing.cold_transitions import ColdLog
 from beamhatch.relay.choosing.eligibility import Eligibility, Obstacle
 from beamhatch.relay.choosing.lack import VERSION_RETRY_S, Shortage, detect_shortage
@@ -26,27 +24,17 @@
 from beamhatch.relay.model import CallerLimits, Phase, Regions, ServiceName
 from beamhatch.relay.overload.costs import RequestCosts
 from beamhatch.relay.overload.link import LinkBudget
-from beamhatch.relay.quarantine.digests import RequestDigests, compute_digests
-from beamhatch.relay.quarantine.fingerprint import compute_fingerprint
 from beamhatch.relay.quarantine.quarantine import Quarantine
 from beamhatch.relay.quarantine.talk import QuarantineGossip, QuarantineGossipDependencies
-from beamhatch.relay.requests.api import NewRequest
-from beamhatch.relay.requests.refusal import (
-    OUTDATED_RETRY_S,
-    Refusal,
-    make_admission_refusal,
-    make_quarantine_refusal,
-)
 from beamhatch.relay.retries.budget import RetryBudget, RetryBudgetLimits
 from beamhatch.relay.retries.caller_retries import CallerRetries
-from beamhatch.relay.retries.retry_times import REGION_RETRY_AFTER_S
 from beamhatch.relay.streams.origins import StreamOrigins
 from beamhatch.relay.topology import Topology
 from beamhatch.relay.tunnels.api import allow_any_hall
 from beamhatch.relay.upstreams.announcements import Announcements
 from beamhatch.relay.upstreams.listing import Listing
 from beamhatch.relay.waiting.memory_lines import MemoryQueues
-from beamhatch.relay.workspaces.admission import Admission, Admitted
+from beamhatch.relay.workspaces.admission import Admission
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection, Mapping, Sequence
@@ -55,7 +43,6 @@
     from beamhatch.observe.journal import Journal
     from beamhatch.observe.tally import Tally
     from beamhatch.relay.api import Dialect, Document, ListingUpdate
-    from beamhatch.relay.callers.http_server import IncomingRequest, RequestHandler, Responder
     from beamhatch.relay.choosing.chooser import Chooser
     from beamhatch.relay.fleet.evacuations import Evacuation
     from beamhatch.relay.model import (
@@ -70,7 +57,6 @@
         UpstreamId,
     )
     from beamhatch.relay.requests.api import OpenRequest
-    from beamhatch.relay.topology import RegionName
     from beamhatch.relay.tunnels.api import HallFilter
     from beamhatch.relay.tunnels.monitor import ReachMonitor
     from beamhatch.relay.upstreams.http_client import HttpClient
@@ -81,12 +67,6 @@
 Without it, all VMs would prefer an upstream that has just started, since it is empty, although it is slow.
 """
 
-STOPPING_RETRY_S = 0.15
-"""Retry-After of a VM that is shutting down; the caller reaches another one."""
-
-UNREADY_RETRY_S = 1.0
-"""Retry-After of a VM that has no usable configuration yet."""
-
 
 @dataclass(slots=True)
 class ReloadableSettings:
@@ -108,7 +88,6 @@
     stats: UpstreamStatsRegistry
     settings: ReloadableSettings
     reach: ReachMonitor
-    make_exchange: Callable[[Core, NewRequest], OpenRequest]
     """Returns the handler that serves a request."""
     admission: Admission = field(default_factory=Admission)
     disabled: DisabledMechanisms = NONE_DISABLED
@@ -542,101 +521,8 @@
         """Return this VM's demand on each service with engines, as sent to other VMs."""
         return {name: self.make_demand_report(name) for name in self._demands}
 
-    # --- callers -----------------------------------------------------------------------------------------------------
-
-    def serve(self, incoming: IncomingRequest, responder: Responder) -> RequestHandler | None:
-        """Start the exchange of a caller's request, or refuse it and return None."""
-        facts = self.dialect.read_request(incoming.headers)
-        if isinstance(facts, BadRequest):
-            self._refuse(responder, Refusal(facts.status, facts.detail), "")
-            return None
-        new = self._admit(incoming, responder, facts)
-        if isinstance(new, Refusal):
-            self._refuse(responder, new, facts.id)
-            return None
-        self.get_retry_budget(new.service.name).record_request(self.clock.now())
-        if new.service.engine is not None:
-            answer = self.get_output_lengths(new.service.name).compute_mean_tokens(facts)
-            self.get_demand(new.service.name).record_prompt(facts.prompt_tokens, answer, self.clock.now())
-        exchange = self.make_exchange(self, new)
-        self.exchanges.add(exchange)
-        exchange.start()
-        return exchange
-
-    def _admit(self, incoming: IncomingRequest, responder: Responder, facts: RequestFacts) -> NewRequest | Refusal:
-        """Return the request with its destination, or why it is refused."""
-        if self.stopping:
-            return Refusal(503, "this VM stops", STOPPING_RETRY_S)
-        table = self.table
-        if table is None or not self.ready:
-            return Refusal(503, "no configuration is known yet", UNREADY_RETRY_S)
-        route = table.find_route(incoming.host, incoming.path)
-        if route is None:
-            return self._refuse_unknown_route(table.version)
-        service = table.services.get(route.choose_service(facts.identity))
-        if service is None:
-            return Refusal(503, "the route's service is not configured", UNREADY_RETRY_S)
-        decision = self.admission.decide(facts, route, table, self.clock.now())
-        if not isinstance(decision, Admitted):
-            return make_admission_refusal(decision, table.version)
-        regions = table.get_allowed_regions(route, decision.workspace)
-        refusal = None if regions is None else self._refuse_by_regions(regions, table.version)
-        fingerprint = compute_fingerprint(incoming, decision.workspace)
-        digests = compute_digests(fingerprint, facts, service.name, decision.workspace)
-        refusal = refusal or self._refuse_quarantined(digests)
-        if refusal is not None:
-            self.admission.refund(decision, self.clock.now())
-        return refusal or NewRequest(incoming, responder, facts, route, service, decision, digests, regions)
-
-    def _refuse_unknown_route(self, version: int) -> Refusal:
-        """Return the refusal of a request without a route, which a caller may retry if a newer version may have one."""
-        if self.admission.may_be_outdated():
-            return Refusal(503, f"no route, by version {version}, and there may be a newer one", OUTDATED_RETRY_S)
-        return Refusal(404, f"no route, by version {version}")
-
-    def _refuse_quarantined(self, digests: RequestDigests) -> Refusal | None:
-        """Return the refusal of a request in quarantine, or None if it is not in quarantine."""
-        now = self.clock.now()
-        entry = self.quarantine.find_entry(digests, now)
-        if entry is None:
-            return None
-        self.tally.count("quarantine_refusals_total")
-        return make_quarantine_refusal(entry, now)
-
-    def _refuse_by_regions(self, regions: frozenset[RegionName], version: int) -> Refusal | None:
-        """Return the refusal of a request that no hall may serve, or None if one may.
-
-        Responds with 403 only if this VM certainly has the newest configuration and only a change of it would help;
-        otherwise with 503, so that a caller retries a request that a newer version allows.
-        """
-        if regions and self.topology.has_hall_in(regions):
-            return None
-        if regions:
-            self.tally.count("residency_refusals_total", "no_hall")
-            named = ", ".join(sorted(regions))
-            return Refusal(503, f"the settings place no hall in an allowed region ({named})", REGION_RETRY_AFTER_S)
-        detail = f"route and workspace allow no region in common, by version {version}"
-        if self.admission.may_be_outdated():
-            self.tally.count("residency_refusals_total", "maybe_never")
-            return Refusal(503, f"{detail}, and there may be a newer one", OUTDATED_RETRY_S)
-        self.tally.count("residency_refusals_total", "never")
-        return Refusal(403, detail)
-
     def advance_waiting(self, fingerprint: Fingerprint) -> None:
         """Respond now to requests that have been put in quarantine and are not at an upstream."""
         for exchange in list(self.exchanges):
             if exchange.digests.match(fingerprint):
                 exchange.replan_unless_sent()
-
-    def record_bad_request(self, status: int, detail: str) -> None:
-        """Count and log a malformed request."""
-        self.tally.count("requests_total", f"bad_{status}")
-        self.journal.write("CALLER", "bad request", status=status, detail=detail)
-
-    def _refuse(self, responder: Responder, refusal: Refusal, request: str) -> None:
-        version = None if self.table is None else self.table.version
-        self.tally.count("requests_total", f"own_{refusal.status}")
-        self.journal.write(
-            "RELAY", "refused", request=request, status=refusal.status, reason=refusal.detail, version=version
-        )
-        send_error(responder, refusal.status, refusal.detail, refusal.retry_after)
--- a/src/beamhatch/relay/daemon.py
+++ b/src/beamhatch/relay/daemon.py
@@ -31,6 +31,7 @@
 from beamhatch.relay.quarantine.persistence import QuarantinePersistence
 from beamhatch.relay.quarantine.quarantine import MAX_RELEASE_DELAY_S
 from beamhatch.relay.requests.exchange import RelayExchange
+from beamhatch.relay.requests.intake import RequestIntake
 from beamhatch.relay.streams.open_stream_writer import OpenStreamWriter
 from beamhatch.relay.streams.stored_streams import StoredStreams
 from beamhatch.relay.streams.version_recorder import VersionRecorder
@@ -163,14 +164,14 @@
             peer_backlog=peer_backlog,
             settings=ReloadableSettings(settings.retry_budget),
             reach=reach,
-            make_exchange=RelayExchange,
             listing=Listing(gone_grace_s=GONE_GRACE_SHARE * settings.drain_time),
             started_at=clock.now(),
             topology=settings.topology,
         )
         self.core.costs = self.overload.costs
+        intake = RequestIntake(self.core, RelayExchange)
         self.callers = CallerServer(
-            clock, self.core.serve, self.core.get_caller_limits, self.core.record_bad_request, self.overload.meter
+            clock, intake.serve, self.core.get_caller_limits, intake.record_bad_request, self.overload.meter
         )
         self.overload.count_sockets = self._count_sockets
         self._gossip = self._make_gossip(documents)
