Let attempts be made for any owner, and join a read of the versions by one check

VersionRecorder.confirm asked whether a read is under way, as _start_read does right behind it. No change of behaviour.

--- a/src/beamhatch/relay/requests/upstream_calls.py
+++ b/src/beamhatch/relay/requests/upstream_calls.py
@@ -15,8 +15,8 @@
 if TYPE_CHECKING:
     from beamhatch.relay.core import Core
     from beamhatch.relay.requests.api import NewRequest
-    from beamhatch.relay.requests.exchange import RelayExchange
     from beamhatch.relay.requests.request import RelayRequest, Reserve, Send
+    from beamhatch.relay.upstreams.api import AttemptOwner
     from beamhatch.relay.upstreams.attempt import Attempt
 
 
@@ -30,13 +30,13 @@
         self._request = request
         self._headers = strip_hop_by_hop(new.incoming.headers)
 
-    def make_attempt(self, exchange: RelayExchange, send: Send) -> Attempt:
+    def make_attempt(self, owner: AttemptOwner, send: Send) -> Attempt:
         """Return an attempt that is not started."""
         if send.stage is Stage.PREFILL:
-            return PrefillAttempt(exchange, send)
+            return PrefillAttempt(owner, send)
         if self._request.route.kind is RouteKind.STREAMING:
-            return StreamAttempt(exchange, send)
-        return PlainAttempt(exchange, send)
+            return StreamAttempt(owner, send)
+        return PlainAttempt(owner, send)
 
     def make_call(self, send: Send, time_left_s: float) -> Call:
         """Return the call that carries out a step.
--- a/src/beamhatch/relay/streams/version_recorder.py
+++ b/src/beamhatch/relay/streams/version_recorder.py
@@ -124,8 +124,7 @@
             self.clock.call_later(0.0, on_done, False)
             return
         self._confirming.append(on_done)
-        if not self._is_reading:
-            self._start_read()
+        self._start_read()
 
     def _start_read(self) -> None:
         if not self._is_reading:
