Tell rejections on connections that had carried the same request

`turned away` says whether the response names the request and is the first of its connection. A correlation now records the connections that have carried the calls of a request; the line has `repeated_on_connection`, and a counter by status is new. It takes the place of the kind with which calls were opened. No decision follows from it yet.

--- a/src/beamhatch/relay/requests/exchange.py
+++ b/src/beamhatch/relay/requests/exchange.py
@@ -38,6 +38,7 @@
 )
 from beamhatch.relay.upstreams.api import AttemptOwner
 from beamhatch.relay.upstreams.attempt import Attempt
+from beamhatch.relay.upstreams.connection import Correlation
 from beamhatch.relay.upstreams.reserve_attempt import ReserveAttempt
 from beamhatch.relay.waiting.line import Claim
 from beamhatch.relay.waiting.memory_lines import QueuedRequest
@@ -68,6 +69,7 @@
     def __init__(self, core: Core, new: NewRequest) -> None:
         self.core = core
         self.digests = new.digests
+        self.correlation = Correlation()
         self._admitted = new.admitted
         self._incoming = new.incoming
         self.request = _make_request(core, new)
--- a/src/beamhatch/relay/upstreams/api.py
+++ b/src/beamhatch/relay/upstreams/api.py
@@ -13,6 +13,7 @@
     from beamhatch.relay.requests.response import BufferedResponse
     from beamhatch.relay.upstreams.attempt import Attempt
     from beamhatch.relay.upstreams.call import ResponseHead
+    from beamhatch.relay.upstreams.connection import Correlation
     from beamhatch.relay.upstreams.reserve_attempt import ReserveAttempt
 
 
@@ -22,6 +23,8 @@
     core: Core
     request: RelayRequest
     digests: RequestDigests
+    correlation: Correlation
+    """The calls of the request whose responses carry its ID."""
 
     @abstractmethod
     def write_log(self, event: str, **fields: object) -> None:
--- a/src/beamhatch/relay/upstreams/attempt.py
+++ b/src/beamhatch/relay/upstreams/attempt.py
@@ -10,7 +10,7 @@
 from beamhatch.relay.quarantine.detection import EndVerdict
 from beamhatch.relay.requests.request import Setback
 from beamhatch.relay.upstreams.announcements import MISDIRECTED
-from beamhatch.relay.upstreams.call import CallFailure, CallKind, ResponseSink
+from beamhatch.relay.upstreams.call import CallFailure, ResponseSink
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -92,7 +92,7 @@
             self,
             max_idle_s=max_idle_s,
             may_pass=may_pass,
-            kind=CallKind.IDENTIFIED,
+            correlation=self.exchange.correlation,
         )
         if not self._sent and not self._ended:
             self._restart_timer(self.get_timeout())
@@ -302,9 +302,12 @@
             stage=self.send.stage.value,
             names_request=self._names_request,
             first_on_connection=self.head.is_first,
+            repeated_on_connection=self.head.is_repeated_call,
             detail=bytes(self.body[:120]).decode("latin-1"),
         )
         self.core.tally.count("turned_away_total", str(self.head.status))
+        if self.head.is_repeated_call:
+            self.core.tally.count("turned_away_on_used_connections_total", str(self.head.status))
         if self.head.status != MISDIRECTED:
             self.core.record_rejection(self.send.upstream.id)
         self.request.record_not_run(self.send)
--- a/src/beamhatch/relay/upstreams/call.py
+++ b/src/beamhatch/relay/upstreams/call.py
@@ -54,6 +54,8 @@
     headers: Headers
     is_first: bool = True
     """Whether no other response was read on its connection before."""
+    is_repeated_call: bool = False
+    """Whether its connection had carried another call with the same ID before."""
 
     @property
     def ends_with_connection(self) -> bool:
--- a/src/beamhatch/relay/upstreams/connection.py
+++ b/src/beamhatch/relay/upstreams/connection.py
@@ -51,14 +51,47 @@
         """Remove a closed connection."""
 
 
+class Correlation:
+    """Calls whose responses carry the same ID, and the connections that have carried one of them.
+
+    On such a connection, a second response to one call can't be told from the response to the next one.
+    """
+
+    def __init__(self) -> None:
+        self._connections: set[Connection] = set()
+
+    def add(self, connection: Connection) -> None:
+        """Record that a connection carries one of the calls."""
+        self._connections.add(connection)
+
+    def includes(self, connection: Connection) -> bool:
+        """Return whether a connection has carried one of the calls."""
+        return connection in self._connections
+
+
 class HttpExchange:
     """Call in progress."""
 
-    def __init__(self, call: Call, sink: ResponseSink | None, kind: CallKind = CallKind.UNIDENTIFIED) -> None:
+    def __init__(self, call: Call, sink: ResponseSink | None, correlation: Correlation | None = None) -> None:
         self.call = call
         self.sink = sink
-        self.kind = kind
+        self.correlation = correlation
+        """The calls whose responses carry the same ID; None if responses carry none."""
         self.connection: Connection | None = None
+        self.is_repeated = False
+        """Whether its connection had carried another call with the same ID."""
+
+    @property
+    def kind(self) -> CallKind:
+        """Return how responses to this call are told from others."""
+        return CallKind.UNIDENTIFIED if self.correlation is None else CallKind.IDENTIFIED
+
+    def attach(self, connection: Connection) -> None:
+        """Record the connection that carries the call."""
+        self.connection = connection
+        if self.correlation is not None:
+            self.is_repeated = self.correlation.includes(connection)
+            self.correlation.add(connection)
 
     def cancel(self) -> None:
         """Close the connection without notifying the sink."""
@@ -117,7 +150,7 @@
         self._exchange = exchange
         self._bounds = ResponseBounds()
         self.kind = exchange.kind
-        exchange.connection = self
+        exchange.attach(self)
         if exchange.sink is not None:
             exchange.sink.handle_sent(self.via)
         encoded = self._encode(exchange.call)
@@ -176,7 +209,12 @@
         if isinstance(event, h11.InformationalResponse):
             self._bounds.record_skipped()
         elif isinstance(event, h11.Response):
-            head = ResponseHead(event.status_code, decode_headers(event.headers), is_first=not self._has_responded)
+            head = ResponseHead(
+                event.status_code,
+                decode_headers(event.headers),
+                is_first=not self._has_responded,
+                is_repeated_call=exchange.is_repeated,
+            )
             self._has_responded = True
             self._handle_head(exchange, head)
         elif isinstance(event, h11.Data) and not self._skipping:
--- a/src/beamhatch/relay/upstreams/http_client.py
+++ b/src/beamhatch/relay/upstreams/http_client.py
@@ -14,7 +14,7 @@
 from beamhatch.relay.overload.meter import LinkMeter
 from beamhatch.relay.tunnels.api import DialReceiver, allow_any_hall, allow_no_hall
 from beamhatch.relay.tunnels.direct import DirectDialer
-from beamhatch.relay.upstreams.call import Call, CallFailure, CallKind
+from beamhatch.relay.upstreams.call import Call, CallFailure
 from beamhatch.relay.upstreams.connection import ConnectionPool, HttpExchange, NewConnection
 
 if TYPE_CHECKING:
@@ -23,8 +23,8 @@
     from beamhatch.clock import Clock
     from beamhatch.relay.model import Address
     from beamhatch.relay.tunnels.api import Dialer, HallFilter, Via
-    from beamhatch.relay.upstreams.call import ResponseSink
-    from beamhatch.relay.upstreams.connection import Connection
+    from beamhatch.relay.upstreams.call import CallKind, ResponseSink
+    from beamhatch.relay.upstreams.connection import Connection, Correlation
 
 SWEEP_INTERVAL_S = 1.0
 """Time between sweeps that close expired idle connections."""
@@ -148,7 +148,7 @@
         *,
         max_idle_s: float = 1e9,
         may_pass: HallFilter = allow_any_hall,
-        kind: CallKind = CallKind.UNIDENTIFIED,
+        correlation: Correlation | None = None,
     ) -> HttpExchange:
         """Send a call on the last used idle connection if it is recent enough, otherwise on a new one.
 
@@ -157,9 +157,10 @@
 
         :param max_idle_s: limit on the idle time; low for calls that must not be retried after a stale connection
         :param may_pass: returns whether the call may go through a peer in a hall
+        :param correlation: the calls whose responses carry the same ID; None if responses carry none
         """
-        exchange = HttpExchange(call, sink, kind)
-        connection = self._pop_idle(address, max_idle_s, may_pass, kind)
+        exchange = HttpExchange(call, sink, correlation)
+        connection = self._pop_idle(address, max_idle_s, may_pass, exchange.kind)
         if connection is not None:
             connection.send(exchange)
             return exchange
--- a/tests/platform/test_run_lines.py
+++ b/tests/platform/test_run_lines.py
@@ -48,3 +48,4 @@
     platform.finish(platform.call("/unsafe/x", "q", body=b"x"))
     [line] = list_lines(platform, "turned away")
     assert (line["names_request"], line["first_on_connection"]) == (True, True)
+    assert not line["repeated_on_connection"]
--- a/tests/relay/upstreams/test_http_client.py
+++ b/tests/relay/upstreams/test_http_client.py
@@ -9,7 +9,8 @@
 
 from beamhatch.relay.model import Address
 from beamhatch.relay.tunnels.api import Dialer, allow_any_hall
-from beamhatch.relay.upstreams.call import Call, CallFailure, CallKind, ResponseHead, ResponseSink
+from beamhatch.relay.upstreams.call import Call, CallFailure, ResponseHead, ResponseSink
+from beamhatch.relay.upstreams.connection import Correlation
 from beamhatch.relay.upstreams.http_client import HttpClient
 from tests.support.network import Network, PausedClock
 
@@ -143,9 +144,9 @@
     network.listenTCP(1, Factory.forProtocol(RepeatingServer), interface="up")
     client = HttpClient(PausedClock(network))
     sinks = [StatusSink() for _ in range(4)]
-    for sink, kind in zip(sinks, [CallKind.UNIDENTIFIED, CallKind.IDENTIFIED] * 2, strict=True):
-        headers = [("Host", "up"), *([("Request-Id", "q")] if kind is CallKind.IDENTIFIED else [])]
-        client.open(ADDRESS, Call("GET", "/", headers), sink, kind=kind)
+    for sink, correlation in zip(sinks, [None, Correlation(), None, Correlation()], strict=True):
+        headers = [("Host", "up"), *([("Request-Id", "q")] if correlation is not None else [])]
+        client.open(ADDRESS, Call("GET", "/", headers), sink, correlation=correlation)
         network.run(0.05)
     assert [sink.status for sink in sinks] == [503, 200, 503, 200]
     assert client.opened_count == 2
