Send no request twice on one connection, so that its id shows which send a response is to

What callers saw: 503, or a second run, while an engine ran the request that may run once (REFUSED, TWICE).

Cause: a request that was turned away is sent again, often to the same engine on the connection that brought the rejection. A late copy of that rejection then stands in the place of the response; it names the request, and `has_not_run` believes it. The id shows which request a response is for, not which send. Class: a proof that holds for one send is taken for another one.

Change: a connection that has carried a request is not used for it again, in any stage, directly or through a peer; where no other idle one is there a new one is dialled, and the used one is closed in its place.

--- a/src/beamhatch/relay/upstreams/connection.py
+++ b/src/beamhatch/relay/upstreams/connection.py
@@ -86,6 +86,11 @@
         """Return how responses to this call are told from others."""
         return CallKind.UNIDENTIFIED if self.correlation is None else CallKind.IDENTIFIED
 
+    def may_use(self, connection: Connection) -> bool:
+        """Return whether a response on an idle connection can be told to be to this call."""
+        used = self.correlation is not None and self.correlation.includes(connection)
+        return connection.kind in (None, self.kind) and not used
+
     def attach(self, connection: Connection) -> None:
         """Record the connection that carries the call."""
         self.connection = connection
--- a/src/beamhatch/relay/upstreams/http_client.py
+++ b/src/beamhatch/relay/upstreams/http_client.py
@@ -23,7 +23,7 @@
     from beamhatch.clock import Clock
     from beamhatch.relay.model import Address
     from beamhatch.relay.tunnels.api import Dialer, HallFilter, Via
-    from beamhatch.relay.upstreams.call import CallKind, ResponseSink
+    from beamhatch.relay.upstreams.call import ResponseSink
     from beamhatch.relay.upstreams.connection import Connection, Correlation
 
 SWEEP_INTERVAL_S = 1.0
@@ -86,7 +86,7 @@
         """Send on an idle direct connection if there is one, or report that nothing was sent."""
         connection = None
         if self.is_wanted:
-            connection = self._client.pop_idle_direct(self._address, self._max_idle_s, self._exchange.kind)
+            connection = self._client.pop_idle_direct(self._address, self._max_idle_s, self._exchange)
         if connection is not None:
             connection.send(self._exchange)
         else:
@@ -152,18 +152,21 @@
     ) -> HttpExchange:
         """Send a call on the last used idle connection if it is recent enough, otherwise on a new one.
 
-        Connections are not shared between calls of different kinds: a second response to an unidentified call could
-        not be told from the response to the next call.
+        A connection is not used again where a second response to an earlier call could not be told from the response
+        to this one: it is not shared between calls of different kinds, nor by calls whose responses carry the same ID.
 
         :param max_idle_s: limit on the idle time; low for calls that must not be retried after a stale connection
         :param may_pass: returns whether the call may go through a peer in a hall
         :param correlation: the calls whose responses carry the same ID; None if responses carry none
         """
         exchange = HttpExchange(call, sink, correlation)
-        connection = self._pop_idle(address, max_idle_s, may_pass, exchange.kind)
+        connection = self._pop_idle(address, max_idle_s, may_pass, exchange)
         if connection is not None:
             connection.send(exchange)
             return exchange
+        if correlation is not None:
+            # The new connection takes its place, so that the upstream does not have to bear more of them.
+            self._close_idle_if(lambda one: one.address == address and correlation.includes(one))
         self._dial(address, exchange, max_idle_s, may_pass)
         return exchange
 
@@ -246,23 +249,27 @@
             del self._idle[connection.address]
         return True
 
-    def _pop_idle(self, address: Address, max_idle_s: float, may_pass: HallFilter, kind: CallKind) -> Connection | None:
+    def _pop_idle(
+        self, address: Address, max_idle_s: float, may_pass: HallFilter, exchange: HttpExchange
+    ) -> Connection | None:
         max_direct_idle_s = min(max_idle_s, self._dialer.get_max_idle_s(address))
-        direct = self.pop_idle_direct(address, max_direct_idle_s, kind)
+        direct = self.pop_idle_direct(address, max_direct_idle_s, exchange)
         if direct is not None:
             return direct
-        return self._pop_newest(address, max_idle_s, kind, lambda one: one.via is not None and may_pass(one.via.hall))
+        return self._pop_newest(
+            address, max_idle_s, exchange, lambda one: one.via is not None and may_pass(one.via.hall)
+        )
 
-    def pop_idle_direct(self, address: Address, max_idle_s: float, kind: CallKind) -> Connection | None:
-        """Return the direct connection to an address that was used last, or None if it is idle for too long."""
-        return self._pop_newest(address, max_idle_s, kind, lambda one: one.via is None)
+    def pop_idle_direct(self, address: Address, max_idle_s: float, exchange: HttpExchange) -> Connection | None:
+        """Return the direct connection that was used last and may carry a call, or None if it is idle for too long."""
+        return self._pop_newest(address, max_idle_s, exchange, lambda one: one.via is None)
 
     def _pop_newest(
-        self, address: Address, max_idle_s: float, kind: CallKind, concerns: Callable[[Connection], bool]
+        self, address: Address, max_idle_s: float, exchange: HttpExchange, concerns: Callable[[Connection], bool]
     ) -> Connection | None:
         now = self._clock.now()
         idle: list[Connection] = self._idle.get(address, [])
-        newest = next((one for one in reversed(idle) if one.kind in (None, kind) and concerns(one)), None)
+        newest = next((one for one in reversed(idle) if exchange.may_use(one) and concerns(one)), None)
         if newest is None or now >= newest.idle_until or now - newest.idle_since > max_idle_s:
             return None
         self._remove_idle(newest)
--- a/tests/relay/upstreams/test_http_client.py
+++ b/tests/relay/upstreams/test_http_client.py
@@ -241,3 +241,14 @@
     assert bench.ask(max_idle_s=1.0).outcome is CallFailure.UNREACHED
     assert bench.ask().outcome == "whole"
     assert bench.server.connections == 1
+
+
+def test_a_call_is_sent_on_a_connection_that_may_bring_a_second_response_with_its_id() -> None:
+    bench = ClientBench(*[write(WHOLE)] * 4)
+    correlation = Correlation()
+    bench.ask(correlation=correlation)
+    bench.ask(correlation=correlation)
+    assert bench.server.connections == 2
+    assert len(bench.client.list_open(ADDRESS, None)) == 1
+    bench.ask(correlation=Correlation())
+    assert bench.server.connections == 2
