Hold answers of the product's own engines and services to the run that was sent

Calls that may be repeated go on kept connections, and neither a refusal nor an export was asked which run it is for: a late answer to another run would have been taken for proof that this one has not run, or its KV cache for this one's. Calls that may run once have a new connection each, so their first answer is their own.

Change: an answer that names another run (X-Request-Id, new for each send) counts for nothing, and a refusal on a kept connection is proof only with the run's id; without one it counts as a break, behind which the call may be repeated. The stand-ins give the id back in all answers.

--- a/src/beamhatch/edge/upstream/http.py
+++ b/src/beamhatch/edge/upstream/http.py
@@ -47,6 +47,8 @@
 NOT_RUN_FIELD = "ran"
 """An engine's error body carries ``"ran": false`` as proof that nothing ran."""
 
+OTHER_RUN = "the answer is another run's"
+
 ORDER_LIMIT = 2.0
 """Seconds for a cancel, a report or a list of events."""
 
@@ -89,8 +91,10 @@
         reply = await self._client.ask("POST", url, body, _head(call, run), limit=limit, fresh=fresh)
         if isinstance(reply, Lost):
             return _judge_lost(reply)
+        if not _is_to(reply, run):
+            return Break(OTHER_RUN)
         if reply.status != 200:
-            return judge_status(reply)
+            return judge_status(reply, run, is_first=fresh)
         answer = reply.read_json()
         parameters = answer.get("kv_transfer_params") if isinstance(answer, dict) else None
         if not isinstance(parameters, dict):
@@ -149,8 +153,13 @@
         reply = await self._client.ask(call.method, self._base + call.path, body, headers, limit=limit, fresh=fresh)
         if isinstance(reply, Lost):
             return _judge_lost(reply)
-        if reply.status in (429, 503) and _proves_not_run(reply):
-            return Refusal(f"the service answered {reply.status}", _retry_after(reply))
+        if not _is_to(reply, run):
+            return Break(OTHER_RUN)
+        detail = f"the service answered {reply.status}"
+        if reply.status in (429, 503) and _proves_not_run(reply, run, is_first=fresh):
+            return Refusal(detail, _retry_after(reply))
+        if reply.status in (429, 503) and _says_not_run(reply):
+            return Break(f"{detail} without the id of the run")
         return Whole(reply.status, _passed_headers(reply), reply.body)
 
     async def read_load(self) -> LoadReport | None:
@@ -166,6 +175,8 @@
         self._sink: AnswerSink | None = sink
         self._cutter = FrameCutter(run, after)
         self._streamed = streamed
+        self._is_first = False
+        """Whether the response is the first one of its connection."""
         self._opening: defer.Deferred[None] | None = None
         self._ended = False
         """True once the last frame came: what is left of the response is read, and its connection used again."""
@@ -174,7 +185,7 @@
         self, client: HttpClient, method: str, url: str, body: bytes | None, headers: dict[str, str], call: Call
     ) -> None:
         """Send the request; what follows goes to the sink."""
-        fresh = not call.repeatable and method == "POST"
+        self._is_first = fresh = not call.repeatable and method == "POST"
         self._opening = defer.ensureDeferred(self._open(client, method, url, body, headers, fresh))
         self._opening.addErrback(lambda failure: failure.trap(defer.CancelledError) and None)
 
@@ -188,7 +199,10 @@
             self._end(_judge_lost(response))
         elif response.code != 200:
             reply = await read_reply(response)
-            self._end(Break("the refusal broke off") if isinstance(reply, Lost) else judge_status(reply))
+            if isinstance(reply, Lost):
+                self._end(Break("the refusal broke off"))
+            else:
+                self._end(judge_status(reply, self._run, is_first=self._is_first))
         elif self._streamed:
             response.deliverBody(self)
         else:
@@ -196,7 +210,7 @@
 
     async def _read_whole(self, response: IResponse) -> None:
         if response.headers.getRawHeaders(RUN_HEADER, [""])[0] != self._run:
-            self._end(Break("the answer is another run's"))
+            self._end(Break(OTHER_RUN))
             return
         if self._sink is not None:
             self._sink.take_head()
@@ -292,13 +306,18 @@
     )
 
 
-def judge_status(reply: Reply) -> Rejection | Refusal | Break:
-    """Return what an engine's error answer means."""
+def judge_status(reply: Reply, run: RunId, *, is_first: bool) -> Rejection | Refusal | Break:
+    """Return what an engine's error answer to a run means.
+
+    :param is_first: whether it is the first answer on its connection
+    """
+    if not _is_to(reply, run):
+        return Break(OTHER_RUN)
     if reply.status in (400, 404, 413, 422) and not _error_code(reply):
         content_type = reply.headers.getRawHeaders("Content-Type", ["application/json"])[0]
         return Rejection(reply.status, content_type, reply.body)
     detail = f"the engine answered {reply.status}"
-    if _proves_not_run(reply):
+    if _proves_not_run(reply, run, is_first=is_first):
         return Refusal(detail, _retry_after(reply), export_lost=_error_code(reply) == "export_lost")
     return Break(detail)
 
@@ -310,7 +329,17 @@
     return code if code in ("export_lost", "run_unknown") else None
 
 
-def _proves_not_run(reply: Reply) -> bool:
+def _is_to(reply: Reply, run: RunId) -> bool:
+    """Return whether an answer is to a run, as far as it names one."""
+    return reply.headers.getRawHeaders(RUN_HEADER, [str(run)])[0] == run
+
+
+def _proves_not_run(reply: Reply, run: RunId, *, is_first: bool) -> bool:
+    """Return whether an answer proves that a run has not begun; one without its id may be a late one to another."""
+    return _says_not_run(reply) and (is_first or reply.headers.getRawHeaders(RUN_HEADER) == [str(run)])
+
+
+def _says_not_run(reply: Reply) -> bool:
     value = reply.read_json()
     return isinstance(value, dict) and value.get(NOT_RUN_FIELD) is False
 
--- a/src/beamhatch/standin/engine.py
+++ b/src/beamhatch/standin/engine.py
@@ -163,7 +163,6 @@
         work.usage = bool(options.get("include_usage"))
         work.reader = request
         self.runs[run] = work
-        request.setHeader("X-Request-Id", run)
         request.setHeader("Content-Type", "text/event-stream" if work.streamed else "application/json")
         request.notifyFinish().addErrback(lambda _: self._note_disconnect(run))
         if not self._take_fault("stall_transfer"):
@@ -401,6 +400,7 @@
 
     def _complete(self, request: server.Request, body: Any) -> object:
         run = request.getHeader("X-Request-Id") or "none"
+        request.setHeader("X-Request-Id", run)
         key = request.getHeader("X-Idempotency-Key") or run.rsplit("-", 1)[0]
         if not isinstance(body, dict) or body.get("temperature", 0) > 2:
             return encode_json(request, {"error": {"message": "temperature must be at most 2", "code": None}}, 400)
@@ -420,7 +420,9 @@
         path = request.path.decode()
         if not path.startswith("/v1/runs/"):
             return encode_json(request, {}, 404)
-        return self._engine.resume(request, path.removeprefix("/v1/runs/"))
+        run = path.removeprefix("/v1/runs/")
+        request.setHeader("X-Request-Id", run)
+        return self._engine.resume(request, run)
 
     def _show_export(self, request: server.Request, body: Any) -> object:
         found = get_argument(request, "run", "") in self._engine.exports
--- a/src/beamhatch/standin/service.py
+++ b/src/beamhatch/standin/service.py
@@ -43,6 +43,9 @@
         return {}
 
     def _answer(self, request: server.Request, body: Any) -> object:
+        run = request.getHeader("X-Request-Id")
+        if run is not None:
+            request.setHeader("X-Request-Id", run)
         if self._take_fault("refuse"):
             return encode_json(request, {"ran": False}, 503)
         key = request.getHeader("X-Idempotency-Key") or request.getHeader("X-Request-Id") or "none"
