Count runs against refusals as upstreams repeat their rejections, also at the rates of an order desk

The soak had no upstream that repeats a rejection, and so many engines that a request rarely met the same one again.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -15,6 +15,7 @@
 from tests.soak.mutants import MUTANTS
 from tests.soak.run import Report, run_soak
 from tests.soak.schedule import FaultKind, draw_steps
+from tests.soak.world import DeskWorld, World
 
 MOST_SHOWN = 20
 """Breaches that are printed one by one."""
@@ -29,6 +30,7 @@
     parser.add_argument("--seed", type=int, default=1, help="of the faults and of the callers")
     parser.add_argument("--seconds", type=float, default=20.0, help="for which faults strike")
     parser.add_argument("--vms", type=int, default=6)
+    parser.add_argument("--desk", action="store_true", help="have few engines, and callers at an order desk's rates")
     parser.add_argument("--mutant", default="", choices=["", *MUTANTS], help="break a mechanism of the relays")
     parser.add_argument(
         "--fault",
@@ -45,7 +47,8 @@
     mutant = MUTANTS.get(asked.mutant)
     kinds = asked.fault or ([] if mutant is None else mutant.faults)
     steps = draw_steps(asked.seed, asked.seconds, kinds)
-    report = run_soak(folder, asked.seed, asked.vms, asked.seconds, steps, asked.mutant)
+    world_type = DeskWorld if asked.desk else World
+    report = run_soak(folder, asked.seed, asked.vms, asked.seconds, steps, asked.mutant, world_type)
     _show(report, asked.seed, folder)
     return 1 if report.breaches else 0
 
@@ -60,7 +63,7 @@
     share = report.served / max(1, report.outcomes - report.deadly)
     counts = (
         f"{report.faults} faults, {report.outcomes} requests ({report.deadly} deadly), {share:.3f} of the rest served, "
-        f"{report.resumed} streams resumed"
+        f"{report.resumed} streams resumed, {report.rejected} rejections, {report.copies} repeated"
     )
     print(f"seed {seed}: {counts}, promises {verdict}")
 
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -150,6 +150,7 @@
             FaultKind.UPSTREAM_LEAVES: self._leave,
             FaultKind.UPSTREAM_SAYS_LEAVING: self._say_leaving,
             FaultKind.UPSTREAM_RESTS: self._rest,
+            FaultKind.LATE_REJECTIONS: self._reject,
             FaultKind.UPSTREAM_LIMITS: self._limit,
             FaultKind.HALL_COLD: self._chill_hall,
             FaultKind.EVACUATE: self._evacuate,
@@ -533,6 +534,10 @@
             upstream.fault, upstream.retry_after = UpstreamFault.SHED, str(REST_TIME)
             self._later(REST_TIME + step.seconds, self._mend_upstream, upstream)
 
+    def _reject(self, step: Step) -> None:
+        self._world.rejections.begin()
+        self._later(step.seconds, self._world.rejections.end)
+
     def _limit(self, step: Step) -> None:
         """Have an upstream name a limit for longer than one window, then another one, and none at last."""
         name = pick(list(self._world.placed), step)
--- a/tests/soak/mutants.py
+++ b/tests/soak/mutants.py
@@ -24,6 +24,8 @@
 from beamhatch.relay.streams.stored_streams import StoredStreams
 from beamhatch.relay.streams.versions import VersionHistory
 from beamhatch.relay.upstreams.attempt import Attempt
+from beamhatch.relay.upstreams.call import CallKind
+from beamhatch.relay.upstreams.connection import Correlation, HttpExchange
 from beamhatch.relay.upstreams.events import EventChecker
 from beamhatch.relay.upstreams.listing import Listing
 from tests.soak.promise import Promise
@@ -182,6 +184,19 @@
     Attempt.has_not_run = lambda self: self.head.status == 503  # type: ignore[method-assign,union-attr]
 
 
+def _reuses_connections() -> None:
+    Correlation.includes = lambda self, connection: False  # type: ignore[method-assign]
+
+
+def _refuses_at_the_deadline() -> None:
+    RelayExchange._handle_timeout = lambda self: self._refuse("the time is over")  # type: ignore[method-assign]
+
+
+def _trusts_unnamed_refusals() -> None:
+    HttpExchange.kind = property(lambda self: CallKind.IDENTIFIED)  # type: ignore[assignment,method-assign]
+    Attempt.has_not_run = lambda self: self.facts.not_run  # type: ignore[method-assign,union-attr]
+
+
 UPSTREAM_FAULTS = [FaultKind.UPSTREAM_FAULT]
 COLD_FAULTS = [FaultKind.HALL_COLD, FaultKind.UPSTREAM_CRASH]
 
@@ -189,6 +204,9 @@
     "runs-again": Mutant(Promise.ONCE, UPSTREAM_FAULTS, _runs_again),
     "takes-newer-routes": Mutant(Promise.ONCE, [FaultKind.ROUTES], _takes_newer_routes),
     "trusts-any-refusal": Mutant(Promise.ONCE, UPSTREAM_FAULTS, _trusts_any_refusal),
+    "reuses-connections": Mutant(Promise.NOT_RUN, [FaultKind.LATE_REJECTIONS], _reuses_connections),
+    "trusts-unnamed-refusals": Mutant(Promise.NOT_RUN, [FaultKind.LATE_REJECTIONS], _trusts_unnamed_refusals),
+    "refuses-at-the-deadline": Mutant(Promise.NOT_RUN, UPSTREAM_FAULTS, _refuses_at_the_deadline),
     "promises-falsely": Mutant(Promise.NOT_RUN, UPSTREAM_FAULTS, _promises_falsely),
     "ignores-evacuations": Mutant(Promise.EMPTIED, [FaultKind.EVACUATE], _passes_obstacle(Obstacle.EMPTIED)),
     "ignores-regions": Mutant(Promise.REGION, [FaultKind.CONFIGURE], _passes_obstacle(Obstacle.REGION)),
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -43,6 +43,10 @@
     served: int
     resumed: int
     """Streams that callers resumed."""
+    rejected: int
+    """Requests and calls that upstreams turned away by the fault of late rejections."""
+    copies: int
+    """Of these rejections, those that came once more."""
 
 
 class _Run:
@@ -121,13 +125,21 @@
         self._clock.reactor.stop()
 
 
-def run_soak(folder: Path, seed: int, vms: int, seconds: float, steps: list[Step], mutant: str = "") -> Report:
+def run_soak(
+    folder: Path,
+    seed: int,
+    vms: int,
+    seconds: float,
+    steps: list[Step],
+    mutant: str = "",
+    world_type: type[World] = World,
+) -> Report:
     """Run once in this process, which is then used up; end all relays, whatever happens."""
     from twisted.internet import reactor
 
     clock = Clock(reactor)
     rolls_out = any(step.kind is FaultKind.ROLLOUT for step in steps)
-    world = World(clock, folder, seed, vms, mutant, software=VERSIONS[:1] if rolls_out else VERSIONS)
+    world = world_type(clock, folder, seed, vms, mutant, software=VERSIONS[:1] if rolls_out else VERSIONS)
     run = _Run(world, seconds, steps)
     clock.call_later(0.0, run.start)
     try:
@@ -136,4 +148,14 @@
         for vm in world.vms:
             vm.kill()
     witness = world.witness
-    return Report(witness.breaches, len(run.steps), witness.outcomes, witness.deadly, witness.served, witness.resumed)
+    rejections = world.rejections.copies
+    return Report(
+        witness.breaches,
+        len(run.steps),
+        witness.outcomes,
+        witness.deadly,
+        witness.served,
+        witness.resumed,
+        rejections.rejected.total(),
+        rejections.copies,
+    )
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -54,6 +54,8 @@
     """An upstream says in its answers alone that it leaves: its entry stays; it ends later, and another one comes."""
     UPSTREAM_RESTS = "upstream_rests"
     """An upstream turns requests away, and asks for rest."""
+    LATE_REJECTIONS = "late_rejections"
+    """All upstreams turn a share of requests and calls away, and repeat a share of these rejections later."""
     UPSTREAM_LIMITS = "upstream_limits"
     """An upstream names a limit in its answers, another one later, and none at last."""
     HALL_COLD = "hall_cold"
@@ -145,6 +147,12 @@
 ROUTES_GAP = 2.5
 """Seconds between two changes of routes in the mean."""
 
+REJECTIONS = (FaultKind.LATE_REJECTIONS,)
+"""Drawn apart for the same reason."""
+
+REJECTIONS_GAP = 8.0
+"""Seconds between two times in the mean at which upstreams begin to turn requests away."""
+
 WORDS_GAP = 3.0
 """Seconds between two upstreams in the mean that leave or rest by their own word."""
 
@@ -175,7 +183,8 @@
     restores = _draw(random.Random(f"restores of {seed}"), seconds, RESTORES, RESTORES_GAP)
     pauses = _draw(random.Random(f"pauses of {seed}"), seconds, PAUSES, PAUSES_GAP)
     routes = _draw(random.Random(f"routes of {seed}"), seconds, ROUTES, ROUTES_GAP)
-    return sorted([*steps, *words, *limits, *restores, *pauses, *routes], key=lambda step: step.at)
+    rejections = _draw(random.Random(f"rejections of {seed}"), seconds, REJECTIONS, REJECTIONS_GAP)
+    return sorted([*steps, *words, *limits, *restores, *pauses, *routes, *rejections], key=lambda step: step.at)
 
 
 def _draw(drawn: random.Random, seconds: float, kinds: Sequence[FaultKind], gap: float) -> list[Step]:
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -74,6 +74,15 @@
     assert done.returncode == 0, done.stdout + done.stderr
 
 
+def test_requests_that_were_refused_run_as_upstreams_repeat_rejections_at_the_rates_of_an_order_desk(
+    tmp_path: Path,
+) -> None:
+    command = [sys.executable, "-m", "tests.soak", "--seed", "2", "--seconds", "8", "--vms", "8", "--desk"]
+    faults = ["--fault", "late_rejections"]
+    done = subprocess.run([*command, *faults, "--logs", str(tmp_path)], capture_output=True, text=True, timeout=110)
+    assert done.returncode == 0, done.stdout + done.stderr
+
+
 def test_requests_run_once_as_routes_change(tmp_path: Path) -> None:
     command = [sys.executable, "-m", "tests.soak", "--seed", "4", "--seconds", "8", "--vms", "2"]
     faults = ["--fault", "routes", "--fault", "upstream_fault"]
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -17,6 +17,7 @@
 from tests.soak.long_streams import LongStreams
 from tests.soak.net import Net
 from tests.soak.promise import COLD_RATE, COLD_TIME, GONE_BOUND, ROUTE_TIMEOUT, TOUCH_TIME, Promise
+from tests.soak.rejections import Rejections
 from tests.soak.routes import Layout, RouteFamily
 from tests.soak.upstreams import Arrival, ModelEngine, PlainReplica
 from tests.soak.vm import CALLER_PORT, PEER_PORT, READY_PORT, VmProcess
@@ -37,6 +38,12 @@
 """Software versions of the upstreams, in turn."""
 
 ENGINES_A_HALL = ("prefill", "decode", "decode")
+DESK_ENGINES = {"west-a": ("prefill", "decode"), "west-b": ("decode",), "east-a": ("prefill", "decode")}
+"""Phases of the engines of an order desk, by hall."""
+
+DESK_RATES = {"/stream/": 5.2, "/unsafe/": 7.3, "/safe/": 4.0}
+"""Requests a second of an order desk's callers together, by route."""
+
 CALLERS_A_VM = 6
 PAUSE = 0.03, 0.25
 """Seconds between two requests of a caller, from and to."""
@@ -115,6 +122,7 @@
         self._number = 0
         self.stopping = False
         self.long_streams = LongStreams(self)
+        self.rejections = Rejections(seed)
         self.vms = [self._make_vm(folder, number, vms, mutant) for number in range(vms)]
         self.rotation: Counter[str] = Counter()
         """Times in a row that each VM was not ready; one with less than two gets connections."""
@@ -172,6 +180,7 @@
             upstream.on_phase_change = lambda: self.list_upstream(name)
         upstream.version = software or self._software[self._number % len(self._software)]
         upstream.observe(self._take_arrival, self._take_read, self._take_crash, self.active)
+        self.rejections.add(upstream)
         upstream.start()
         self._instances[str(upstream.address)] = name
         host = f"{self.net}.4.1"
@@ -468,6 +477,31 @@
         return kept + [f"KV cache {key} of {request}" for key, request in self.ledger.handles.items()]
 
 
+class DeskWorld(World):
+    """An order desk: a few engines, and callers who come at its rates, on connections of their own."""
+
+    def fill(self) -> None:
+        """Write the first configuration, and start all upstreams."""
+        self.configure()
+        for hall, phases in DESK_ENGINES.items():
+            self.add_upstream(PLAIN, hall)
+            for phase in phases:
+                self.add_upstream(MODEL, hall, phase)
+
+    def start_callers(self) -> None:
+        """Let callers come."""
+        for route in DESK_RATES:
+            self._await_caller(route)
+
+    def _await_caller(self, route: str) -> None:
+        self.clock.call_later(self.random.expovariate(DESK_RATES[route]), self._call, route)
+
+    def _call(self, route: str) -> None:
+        if not self.stopping:
+            self.ask_once(route, f"{route}x")
+            self._await_caller(route)
+
+
 def _make_route(prefix: str, kind: str, service: str, **changes: object) -> dict[str, object]:
     return {
         "name": f"r-{prefix.strip('/')}",
--- a/tests/support/late_copies.py
+++ b/tests/support/late_copies.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from beamhatch.platform.standin.upstream import NOT_EXECUTED
+from beamhatch.platform.standin.upstream import NOT_EXECUTED, StandInEngine
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -37,6 +37,8 @@
     repeats: Callable[[], bool] = lambda: True
     """Returns whether a rejection is sent a second time."""
     kind: str = "full"
+    rejects_calls: bool = False
+    """Whether calls for memory are rejected too; ``rejects`` is asked for an empty id."""
     rejected: Counter[str] = field(default_factory=Counter)
     """Number of rejections by request ID."""
     copies: int = 0
@@ -47,7 +49,27 @@
     """Request ID of the rejection that each connection will carry once more."""
 
     def apply_to(self, upstream: StandInUpstream) -> None:
-        """Have an upstream reject requests."""
+        """Have an upstream reject requests, and an engine also calls for memory, which have no id."""
+        self._reject_requests(upstream)
+        if self.rejects_calls and isinstance(upstream, StandInEngine):
+            self._reject_calls(upstream)
+
+    def _reject_calls(self, engine: StandInEngine) -> None:
+        reserve = engine._reserve
+
+        def reserve_or_reject(asked: dict[str, int], responder: Responder) -> None:
+            connection = responder._connection
+            assert connection is not None
+            if self.rejects(""):
+                self._send_copy(connection, "", responder)
+                self._reject(engine, connection, "", responder)
+            else:
+                reserve(asked, responder)
+                self._send_copy(connection, "", responder)
+
+        engine._reserve = reserve_or_reject  # type: ignore[method-assign]
+
+    def _reject_requests(self, upstream: StandInUpstream) -> None:
         process = upstream.process
 
         def process_or_reject(
@@ -81,7 +103,8 @@
         self.copies += 1
         self.own_copies += copied == request
         status, headers = REJECTIONS[self.kind]
-        responder.send_unsolicited(status, [("Request-Id", copied), *headers], b"{}")
+        named = [("Request-Id", copied)] if copied else []
+        responder.send_unsolicited(status, [*named, *headers], b"{}")
 
 
 def reject_once(name: str) -> Callable[[str], bool]:
