Take a success without framing that ends behind its head for broken

What callers saw: another operator reports 200 with an empty body, framed as whole, where a replica stopped in the middle of its head.

Cause: without framing, the close is the end, and whether the upstream had crashed was all that was asked. A response that is meant to be empty can say so by a length or by 204; one that does not is broken off: 502, or another try where the request may run again. Responses to HEAD have no body and are not asked.

Left: cuts inside such a body, and between two events, by a replica that closes cleanly; nothing tells these from whole ones.

--- a/src/beamhatch/relay/upstreams/call.py
+++ b/src/beamhatch/relay/upstreams/call.py
@@ -56,11 +56,13 @@
     """Whether no other response was read on its connection before."""
     is_repeated_call: bool = False
     """Whether its connection had carried another call with the same ID before."""
+    is_without_body: bool = False
+    """Whether it has no body whatever its headers say, as the response to ``HEAD``."""
 
     @property
     def ends_with_connection(self) -> bool:
         """Return whether only the close of the connection marks the end of the body."""
-        if self.status in (204, 304):
+        if self.is_without_body or self.status in (204, 304):
             return False
         return not any(name.lower() in ("content-length", "transfer-encoding") for name, _ in self.headers)
 
--- a/src/beamhatch/relay/upstreams/connection.py
+++ b/src/beamhatch/relay/upstreams/connection.py
@@ -219,6 +219,7 @@
                 decode_headers(event.headers),
                 is_first=not self._has_responded,
                 is_repeated_call=exchange.is_repeated,
+                is_without_body=exchange.call.method == "HEAD",
             )
             self._has_responded = True
             self._handle_head(exchange, head)
--- a/src/beamhatch/relay/upstreams/plain_attempt.py
+++ b/src/beamhatch/relay/upstreams/plain_attempt.py
@@ -40,6 +40,9 @@
         elif status >= 500 or status in NOT_RUN_STATUSES:
             self.exchange.keep_upstream_failure(answer)
             self.handle_failure(CallFailure.MALFORMED, f"upstream failed with status {status}")
+        elif status < 300 and self.head.ends_with_connection and not self.body:
+            # A response that is meant to be empty says so: the upstream stopped behind its head.
+            self.handle_failure(CallFailure.BROKEN, "the connection ended before the body")
         else:
             if status < 300:
                 self._responded_at = self._started_at
--- a/tests/relay/upstreams/test_http_client.py
+++ b/tests/relay/upstreams/test_http_client.py
@@ -23,6 +23,8 @@
 WHOLE = b"HTTP/1.1 200 OK\r\nRequest-Id: q\r\nContent-Length: 2\r\n\r\nok"
 UNFRAMED = b"HTTP/1.1 200 OK\r\nRequest-Id: q\r\n\r\nok"
 REFUSED = b"HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+CHUNKED = b"HTTP/1.1 200 OK\r\nRequest-Id: q\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX: y\r\n\r\n"
+INTERIM = b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + WHOLE
 FOREIGN = b"HTTP/1.1 200 OK\r\nRequest-Id: other\r\nContent-Length: 3\r\n\r\nbad"
 
 
@@ -195,6 +197,20 @@
     assert ClientBench(write_then_reset(WHOLE[:cut])).ask().outcome is CallFailure.BROKEN
 
 
+@pytest.mark.parametrize("whole", [CHUNKED, INTERIM, FOREIGN + WHOLE], ids=["chunked", "interim", "behind another"])
+def test_a_response_that_was_cut_at_any_byte_is_broken(whole: bytes) -> None:
+    assert ClientBench(write_then_close(whole)).ask().body == b"ok"
+    for cut in range(1, len(whole)):
+        assert ClientBench(write_then_close(whole[:cut])).ask().outcome is CallFailure.BROKEN
+        assert ClientBench(write_then_reset(whole[:cut])).ask().outcome is CallFailure.BROKEN
+
+
+@pytest.mark.parametrize("cut", range(1, len(UNFRAMED) - 1))
+def test_a_response_without_length_that_was_cut_in_its_head_is_broken(cut: int) -> None:
+    outcome = ClientBench(write_then_close(UNFRAMED[:cut])).ask().outcome
+    assert outcome == ("whole" if cut >= UNFRAMED.index(b"\r\n\r\n") + 4 else CallFailure.BROKEN)
+
+
 def test_response_without_length_is_complete_only_after_a_clean_close() -> None:
     assert ClientBench(write_then_close(UNFRAMED)).ask().outcome == "whole"
     assert ClientBench(write_then_reset(UNFRAMED)).ask().outcome is CallFailure.BROKEN
--- a/tests/support/network.py
+++ b/tests/support/network.py
@@ -16,7 +16,7 @@
 from beamhatch.clock import Clock
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
 DELAY = 0.001
 """Seconds that a message takes."""
@@ -112,6 +112,10 @@
             if self._producer is not None and self.other.waiting > WINDOW:
                 self._producer.pauseProducing()
 
+    def writeSequence(self, parts: Iterable[bytes]) -> None:
+        """Send several pieces."""
+        self.write(b"".join(parts))
+
     def loseConnection(self) -> None:
         """Close behind what was written."""
         if self.connected and not self.disconnecting:
