Count a send behind a rejected prompt as a retry, and a rejected prompt behind a send

Cause: a request counted a send as a retry if one of the same stage was made before.

Change: a rejection alone counts. A send other than a prompt is a retry behind a rejected prompt that was not counted; a rejected prompt behind such a send is counted as the rejection arrives. What follows a silent engine is counted as before.

--- a/src/beamhatch/relay/requests/request.py
+++ b/src/beamhatch/relay/requests/request.py
@@ -160,6 +160,10 @@
     """Software version that began the stream; None if it has not begun."""
     last_setback: Setback = Setback.NONE
     _prefill_sends: int = 0
+    _rejected_prompts: int = 0
+    """Number of times that an engine rejected the prompt, which is an arrival at the service as a run is."""
+    _counted_prompts: int = 0
+    """Number of times that sending the prompt was counted as a retry."""
     _handoffs: int = 0
     _refused_by: set[UpstreamId] = field(default_factory=set)
     _failed_upstreams: set[UpstreamId] = field(default_factory=set)
@@ -422,7 +426,7 @@
     def _counts_as_retry(self, stage: Stage) -> bool:
         if stage is Stage.PREFILL:
             return self._prefill_sends > 0
-        return self._non_prefill_sent
+        return self._non_prefill_sent or self._rejected_prompts > self._counted_prompts
 
     def _has_sound_upstream(self, usable: list[Upstream]) -> bool:
         """Return whether an upstream that may respond has not failed the request, although none can take it now."""
@@ -495,6 +499,7 @@
     def record_sent(self, send: Send, budget: RetryBudget, now: float) -> None:
         """Record that the request is sent to an upstream."""
         if self._counts_as_retry(send.stage):
+            self._counted_prompts += send.stage is Stage.PREFILL
             if self._granted_retries:
                 self._granted_retries -= 1
             else:
@@ -528,6 +533,13 @@
             self.may_have_run = self.possible_runs > 0
         self._refused_by.add(send.upstream.id)
 
+    def record_prompt_rejected(self, budget: RetryBudget, now: float) -> None:
+        """Record that a prefill engine rejected the prompt, and count that as a retry if the request arrived before."""
+        self._rejected_prompts += 1
+        if self._non_prefill_sent and self._rejected_prompts > self._counted_prompts:
+            self._counted_prompts += 1
+            budget.record_retry(now)
+
     def record_failed(self, send: Send) -> None:
         """Record that an upstream failed or closed the connection; the request may still run there."""
         self._failed_upstreams.add(send.upstream.id)
--- a/src/beamhatch/relay/upstreams/prefill_attempt.py
+++ b/src/beamhatch/relay/upstreams/prefill_attempt.py
@@ -46,6 +46,10 @@
         self.request.record_prefilled(Handle(handle, self.send.upstream, now))
         self.exchange.replan_after(self)
 
+    def handle_rejection(self, now: float) -> None:
+        """Count the rejection, which is an arrival at the service."""
+        self.request.record_prompt_rejected(self.core.get_retry_budget(self.request.service.name), now)
+
     def get_timeout(self) -> float:
         """Return the timeout, from the engine's mean latency and the slowest recent prefill at any engine."""
         by_engine = TIMEOUT_FACTOR * self.stats.latency
