Move the account of a request's retries out of its state

RelayRequest decided the next step, and counted which sends are retries, in advance or as they are made; the account is a job of its own, in relay/retries/account.py.

--- a/src/beamhatch/relay/requests/exchange.py
+++ b/src/beamhatch/relay/requests/exchange.py
@@ -458,7 +458,7 @@
 
     def _remove_fallback(self, attempt: Attempt) -> None:
         if self._failover.remove(attempt) and not self._failover.active:
-            self.request.return_retries(self.core.get_retry_budget(self.request.service.name))
+            self.request.retries.return_granted(self.core.get_retry_budget(self.request.service.name))
 
     def seek_alternative(self, attempt: Attempt) -> None:
         """Seek another upstream as the attempt's is silent; the attempt goes on if that one responds first."""
--- a/src/beamhatch/relay/requests/request.py
+++ b/src/beamhatch/relay/requests/request.py
@@ -14,6 +14,7 @@
 from beamhatch.relay.choosing.distance import EVENT_BYTES, compute_cache_transfer
 from beamhatch.relay.model import Handle, Phase, Reservation, RouteKind, Stage, Upstream, UpstreamId
 from beamhatch.relay.requests.terms import RequestTerms, make_terms
+from beamhatch.relay.retries.account import RetryAccount
 from beamhatch.relay.streams.lookup import Begun, OnlyVersion, UnknownVersion
 
 if TYPE_CHECKING:
@@ -159,11 +160,7 @@
     version: SoftwareVersion | None = None
     """Software version that began the stream; None if it has not begun."""
     last_setback: Setback = Setback.NONE
-    _prefill_sends: int = 0
-    _rejected_prompts: int = 0
-    """Number of times that an engine rejected the prompt, which is an arrival at the service as a run is."""
-    _counted_prompts: int = 0
-    """Number of times that sending the prompt was counted as a retry."""
+    retries: RetryAccount = field(default_factory=RetryAccount)
     _handoffs: int = 0
     _refused_by: set[UpstreamId] = field(default_factory=set)
     _failed_upstreams: set[UpstreamId] = field(default_factory=set)
@@ -172,8 +169,6 @@
     """Decode engines that could not be asked for memory."""
     _unanswered_by: set[UpstreamId] = field(default_factory=set)
     """Decode engines that did not answer in time when they were asked for memory."""
-    _non_prefill_sent: bool = False
-    """True once a send other than a prefill was made; the next such send is a retry."""
     reservation: Reservation | None = None
     """Decode memory that is reserved for this request and not yet used."""
     reservation_lost: bool = False
@@ -184,10 +179,6 @@
     _prefill_failures: int = 0
     silent_upstreams: set[UpstreamId] = field(default_factory=set)
     """Upstreams that may still respond to the request while another one is sought."""
-    _granted_retries: int = 0
-    """Sends that were counted as retries before they are made."""
-    _granted_at: float = 0.0
-    """Monotonic time in seconds at which these sends were counted."""
     _unreached: int = 0
     """Number of attempts at which an upstream could not be reached."""
 
@@ -287,24 +278,10 @@
         return Send(Stage.WHOLE, self.reservation.upstream, None, self.reservation)
 
     def _acquire_budget(self, step: Step, budget: RetryBudget, vm_count: int, now: float) -> bool:
-        """Return whether the budget for retries allows a step.
-
-        A request that leaves a silent upstream counts all its sends in advance: other requests leave the same upstream
-        at the same time, and would rely on the same rest of the budget.
-        """
-        if self._granted_retries:
-            return True
-        if not self.silent_upstreams:
-            needs_budget = isinstance(step, Send) and self._counts_as_retry(step.stage)
-            return not needs_budget or budget.allows(now, vm_count)
-        is_last = isinstance(step, Send) and step.stage is not Stage.PREFILL
-        count = 1 if is_last or not self._prefill_sends else 2
-        if not budget.allows(now, vm_count, count):
-            return False
-        if isinstance(step, Send):
-            budget.record_retry(now, count)
-            self._granted_retries, self._granted_at = count, now
-        return True
+        """Return whether the budget for retries allows a step."""
+        stage = step.stage if isinstance(step, Send) else None
+        acquire = self.retries.acquire_all if self.silent_upstreams else self.retries.acquire
+        return acquire(stage, budget, vm_count, now)
 
     def _choose(self, usable: list[Upstream], chooser: Chooser, now: float) -> Step | None:
         tried = self.tried
@@ -376,11 +353,11 @@
         return None if decode is None else Send(Stage.DECODE, decode, self.handle)
 
     def _choose_prefill_or_whole(self, usable: list[Upstream], chooser: Chooser, now: float) -> Send | None:
-        if self._prefill_sends < MAX_PREFILLS:
+        if self.retries.prompts < MAX_PREFILLS:
             prefill = chooser.choose_prefill(usable, self.need, self.tried, now)
             if prefill is not None:
                 return self._choose_whole(prefill, chooser, now) or Send(Stage.PREFILL, prefill)
-        if self.reservation is None and self._prefill_sends > self._prefill_failures:
+        if self.reservation is None and self.retries.prompts > self._prefill_failures:
             return None
         if self.reservation is not None:
             return Send(Stage.WHOLE, self.reservation.upstream, None, self.reservation)
@@ -423,11 +400,6 @@
             return chooser.choose_decode(usable, need, tried, now, handle=handle, kv_tokens=kv_tokens)
         return chosen
 
-    def _counts_as_retry(self, stage: Stage) -> bool:
-        if stage is Stage.PREFILL:
-            return self._prefill_sends > 0
-        return self._non_prefill_sent or self._rejected_prompts > self._counted_prompts
-
     def _has_sound_upstream(self, usable: list[Upstream]) -> bool:
         """Return whether an upstream that may respond has not failed the request, although none can take it now."""
         return any(one.phase is not Phase.PREFILL and one.id not in self._failed_upstreams for one in usable)
@@ -473,19 +445,14 @@
     def begin_search(self, silent: UpstreamId) -> None:
         """Record that an upstream is silent, so that another one is sought."""
         self.silent_upstreams.add(silent)
-        self._granted_retries = 0
+        self.retries.forget_granted()
         self.forget_obstacles()
 
     def end_search(self, budget: RetryBudget) -> None:
         """Record that no other upstream is sought any more."""
-        self.return_retries(budget)
+        self.retries.return_granted(budget)
         self._waiting_since = None
 
-    def return_retries(self, budget: RetryBudget) -> None:
-        """Take back the retries that were counted in advance and not made."""
-        count, self._granted_retries = self._granted_retries, 0
-        budget.withdraw_retry(self._granted_at, count)
-
     def forget_obstacles(self) -> None:
         """Allow upstreams to be asked again that refused the request or did not answer."""
         self._refused_by.clear()
@@ -498,21 +465,14 @@
 
     def record_sent(self, send: Send, budget: RetryBudget, now: float) -> None:
         """Record that the request is sent to an upstream."""
-        if self._counts_as_retry(send.stage):
-            self._counted_prompts += send.stage is Stage.PREFILL
-            if self._granted_retries:
-                self._granted_retries -= 1
-            else:
-                budget.record_retry(now)
+        self.retries.record_sent(send.stage, budget, now)
         self.sends += 1
         if send.reservation is not None:
             self.reservation = None
         if send.stage is Stage.PREFILL:
-            self._prefill_sends += 1
             return
         if send.stage is Stage.DECODE:
             self._handoffs += 1
-        self._non_prefill_sent = True
         self.may_have_run = True
         self.possible_runs += 1
 
@@ -521,7 +481,7 @@
         self._unreached += 1
         self._failed_upstreams.add(send.upstream.id)
         if send.stage is Stage.PREFILL:
-            self._prefill_sends += 1
+            self.retries.record_prompt_unreachable()
             self._prefill_failures += 1
         if send.reservation is not None:
             self.reservation = None
@@ -533,13 +493,6 @@
             self.may_have_run = self.possible_runs > 0
         self._refused_by.add(send.upstream.id)
 
-    def record_prompt_rejected(self, budget: RetryBudget, now: float) -> None:
-        """Record that a prefill engine rejected the prompt, and count that as a retry if the request arrived before."""
-        self._rejected_prompts += 1
-        if self._non_prefill_sent and self._rejected_prompts > self._counted_prompts:
-            self._counted_prompts += 1
-            budget.record_retry(now)
-
     def record_failed(self, send: Send) -> None:
         """Record that an upstream failed or closed the connection; the request may still run there."""
         self._failed_upstreams.add(send.upstream.id)
--- a/src/beamhatch/relay/upstreams/prefill_attempt.py
+++ b/src/beamhatch/relay/upstreams/prefill_attempt.py
@@ -48,7 +48,7 @@
 
     def handle_rejection(self, now: float) -> None:
         """Count the rejection, which is an arrival at the service."""
-        self.request.record_prompt_rejected(self.core.get_retry_budget(self.request.service.name), now)
+        self.request.retries.record_prompt_rejected(self.core.get_retry_budget(self.request.service.name), now)
 
     def get_timeout(self) -> float:
         """Return the timeout, from the engine's mean latency and the slowest recent prefill at any engine."""
--- a/tests/relay/requests/test_arrivals.py
+++ b/tests/relay/requests/test_arrivals.py
@@ -60,7 +60,7 @@
         if outcome == "rejected":
             request.record_not_run(send)
             if stage is Stage.PREFILL:
-                request.record_prompt_rejected(budget, 1.0)
+                request.retries.record_prompt_rejected(budget, 1.0)
         elif outcome == "failed":
             request.record_failed(send)
         else:
