Move what keeps a request from upstreams out of its state

Which upstreams refused, failed, were silent, full or out of reach is a record of its own (requests/obstacles.py) with its limits; RelayRequest decides by it.

--- a/src/beamhatch/relay/requests/exchange.py
+++ b/src/beamhatch/relay/requests/exchange.py
@@ -325,7 +325,7 @@
                 self._schedule_replan(seconds)
             case SearchOn() as search:
                 self._search_obstacle = search.obstacle
-                self.request.forget_obstacles()
+                self.request.obstacles.forget()
                 self._schedule_replan(search.after_s)
             case RefuseAsCold(retry_after_s=seconds):
                 self.core.tally.count("cold_refusals_total")
@@ -517,15 +517,15 @@
         if not self._awaits_late_response:
             return
         if self._may_use(upstream):
-            self.request.record_full(upstream.id)
+            self.request.obstacles.record_full(upstream.id)
         else:
-            self.request.record_reserve_lost(upstream.id)
+            self.request.obstacles.record_reserve_lost(upstream.id)
         self.advance()
 
     def handle_late_failure(self, upstream: Upstream) -> None:
         """Record that a reservation will not be answered any more, and plan again if the request waits for that."""
         if self._awaits_late_response:
-            self.request.record_reserve_lost(upstream.id)
+            self.request.obstacles.record_reserve_lost(upstream.id)
             self.advance()
 
     def _may_use(self, upstream: Upstream) -> bool:
--- a/src/beamhatch/relay/requests/failover.py
+++ b/src/beamhatch/relay/requests/failover.py
@@ -67,7 +67,7 @@
         if attempt not in self._fallbacks:
             return False
         self._fallbacks.remove(attempt)
-        self._request.silent_upstreams.discard(attempt.upstream.id)
+        self._request.obstacles.silent.discard(attempt.upstream.id)
         return True
 
     def pop_last(self) -> Attempt:
--- a/src/beamhatch/relay/requests/planner.py
+++ b/src/beamhatch/relay/requests/planner.py
@@ -96,7 +96,7 @@
 
     def _list_unavailable(self) -> set[UpstreamId]:
         """Return the upstreams that do not respond to this request, or to others at present."""
-        return self._request.unavailable | self._core.stats.list_unresponsive(self._core.clock.now())
+        return self._request.obstacles.unavailable | self._core.stats.list_unresponsive(self._core.clock.now())
 
     def _refuse_in_regions(self, step: Refuse, regions: Regions) -> Refuse:
         """Return the refusal, with another reason and retry-after time if the allowed regions exclude upstreams."""
@@ -121,4 +121,6 @@
         if not step.no_upstream or (isinstance(step, Refuse) and step.retry_after_s is not None):
             return None
         request = self._request
-        return self._core.compute_cold_wait(request.service.name, request.regions, request.version, request.tried)
+        return self._core.compute_cold_wait(
+            request.service.name, request.regions, request.version, request.obstacles.tried
+        )
--- a/src/beamhatch/relay/requests/request.py
+++ b/src/beamhatch/relay/requests/request.py
@@ -13,6 +13,7 @@
 from beamhatch.relay.choosing.chooser import RequestRequirements
 from beamhatch.relay.choosing.distance import EVENT_BYTES, compute_cache_transfer
 from beamhatch.relay.model import Handle, Phase, Reservation, RouteKind, Stage, Upstream, UpstreamId
+from beamhatch.relay.requests.obstacles import Obstacles
 from beamhatch.relay.requests.terms import RequestTerms, make_terms
 from beamhatch.relay.retries.account import RetryAccount
 from beamhatch.relay.streams.lookup import Begun, OnlyVersion, UnknownVersion
@@ -27,15 +28,6 @@
 MAX_SENDS = 6
 """Maximum number of sends of one request, which bounds the load that one caller can cause."""
 
-MAX_UNREACHED = 8
-"""Maximum number of upstreams that a request fails to reach, so that it is refused soon where no link works."""
-
-MAX_UNANSWERED = 2
-"""Number of decode engines that do not answer after which the others are asked in haste, active ones first."""
-
-MAX_ASKED_IN_VAIN = 24
-"""Maximum number of decode engines that do not answer, so that a request is refused soon where many are silent."""
-
 MAX_PREFILLS = 2
 """Maximum number of times that a prompt is sent to a prefill engine.
 
@@ -51,9 +43,6 @@
 RESERVATION_MARGIN_S = 0.05
 """Time before its expiry at which a reservation is no longer used."""
 
-MAX_RESERVE_ATTEMPTS = 4
-"""Number of decode engines found without free memory after which the request waits in the queue."""
-
 RETURN_MARGIN_S = 1.0
 """Time after its deadline for which a caller may still come back, as its clock and transfers differ."""
 
@@ -162,25 +151,13 @@
     last_setback: Setback = Setback.NONE
     retries: RetryAccount = field(default_factory=RetryAccount)
     _handoffs: int = 0
-    _refused_by: set[UpstreamId] = field(default_factory=set)
-    _failed_upstreams: set[UpstreamId] = field(default_factory=set)
-    """Upstreams that lost the request or could not be reached."""
-    _unasked: set[UpstreamId] = field(default_factory=set)
-    """Decode engines that could not be asked for memory."""
-    _unanswered_by: set[UpstreamId] = field(default_factory=set)
-    """Decode engines that did not answer in time when they were asked for memory."""
+    obstacles: Obstacles = field(default_factory=Obstacles)
     reservation: Reservation | None = None
     """Decode memory that is reserved for this request and not yet used."""
     reservation_lost: bool = False
     """True once a reservation was given up unused; the queue then serves the request before other late ones."""
-    _full_upstreams: set[UpstreamId] = field(default_factory=set)
-    """Decode engines found without free memory; cleared when the request waits for memory or gets it."""
     _waiting_since: float | None = None
     _prefill_failures: int = 0
-    silent_upstreams: set[UpstreamId] = field(default_factory=set)
-    """Upstreams that may still respond to the request while another one is sought."""
-    _unreached: int = 0
-    """Number of attempts at which an upstream could not be reached."""
 
     def __post_init__(self, allowed_regions: Regions) -> None:
         """Start with the terms of its admission, and after the last event that the caller has received."""
@@ -221,16 +198,6 @@
         """Return the seconds from the request's arrival for which its caller may resume the stream."""
         return (self.terms.timeout if self.facts.time_left is None else self.facts.time_left) + RETURN_MARGIN_S
 
-    @property
-    def tried(self) -> set[UpstreamId]:
-        """Return the upstreams that refused the request, failed, could not be reached or are silent."""
-        return self._refused_by | self.unavailable
-
-    @property
-    def unavailable(self) -> set[UpstreamId]:
-        """Return the upstreams that failed, could not be reached or are silent."""
-        return self._failed_upstreams | self._unasked | self._unanswered_by | self.silent_upstreams
-
     @property
     def max_memory_wait_s(self) -> float:
         """Return the maximum time to wait for decode memory, a share of that after which the caller disconnects."""
@@ -254,10 +221,9 @@
             return Fail("it may have run, and may not run again")
         if self.sends >= MAX_SENDS:
             return self._give_up("too many upstreams turned it away", is_temporary=False)
-        if self._unreached >= MAX_UNREACHED:
-            return self._give_up("too many upstreams could not be reached", no_upstream=True)
-        if len(self._unanswered_by) >= MAX_ASKED_IN_VAIN:
-            return self._give_up("too many upstreams did not answer", no_upstream=True)
+        limit = self.obstacles.find_limit()
+        if limit is not None:
+            return self._give_up(limit, no_upstream=True)
         step = self._choose(usable, chooser, now)
         if step is None:
             return self._give_up(
@@ -280,11 +246,11 @@
     def _acquire_budget(self, step: Step, budget: RetryBudget, vm_count: int, now: float) -> bool:
         """Return whether the budget for retries allows a step."""
         stage = step.stage if isinstance(step, Send) else None
-        acquire = self.retries.acquire_all if self.silent_upstreams else self.retries.acquire
+        acquire = self.retries.acquire_all if self.obstacles.silent else self.retries.acquire
         return acquire(stage, budget, vm_count, now)
 
     def _choose(self, usable: list[Upstream], chooser: Chooser, now: float) -> Step | None:
-        tried = self.tried
+        tried = self.obstacles.tried
         if not self.split:
             upstream = chooser.choose_plain(usable, tried, now)
             if upstream is None or chooser.should_skip(upstream, now):
@@ -304,11 +270,11 @@
         if self.reservation is not None and now < self.reservation.expires_at - RESERVATION_MARGIN_S:
             return None
         self.reservation = None
-        if len(self._full_upstreams) < MAX_RESERVE_ATTEMPTS:
-            decode = self._choose_decode(usable, chooser, now, self.handle, self._full_upstreams)
+        if self.obstacles.may_ask_another:
+            decode = self._choose_decode(usable, chooser, now, self.handle, self.obstacles.full)
             if decode is not None and not chooser.should_skip(decode, now):
                 return Reserve(decode, self.facts.prompt_tokens + self.reserved_output_tokens, engine.reservation_ttl)
-        if not self._full_upstreams:
+        if not self.obstacles.full:
             return self._give_up(
                 "no decode engine can be asked", no_upstream=True, is_temporary=self._has_sound_upstream(usable)
             )
@@ -324,7 +290,7 @@
         assert self._waiting_since is not None
         if now - self._waiting_since >= self.max_memory_wait_s:
             return self.refuse_memory_full()
-        self._full_upstreams.clear()
+        self.obstacles.forget_full()
         return Wait()
 
     def refuse_unavailable(self, reason: str, retry_after_s: float) -> Step:
@@ -349,19 +315,19 @@
             return None
         if self.reservation is not None:
             return Send(Stage.DECODE, self.reservation.upstream, self.handle, self.reservation)
-        decode = self._choose_decode(usable, chooser, now, self.handle, set())
+        decode = self._choose_decode(usable, chooser, now, self.handle, frozenset())
         return None if decode is None else Send(Stage.DECODE, decode, self.handle)
 
     def _choose_prefill_or_whole(self, usable: list[Upstream], chooser: Chooser, now: float) -> Send | None:
         if self.retries.prompts < MAX_PREFILLS:
-            prefill = chooser.choose_prefill(usable, self.need, self.tried, now)
+            prefill = chooser.choose_prefill(usable, self.need, self.obstacles.tried, now)
             if prefill is not None:
                 return self._choose_whole(prefill, chooser, now) or Send(Stage.PREFILL, prefill)
         if self.reservation is None and self.retries.prompts > self._prefill_failures:
             return None
         if self.reservation is not None:
             return Send(Stage.WHOLE, self.reservation.upstream, None, self.reservation)
-        decode = self._choose_decode(usable, chooser, now, None, set())
+        decode = self._choose_decode(usable, chooser, now, None, frozenset())
         return None if decode is None else Send(Stage.WHOLE, decode)
 
     def _choose_whole(self, prefill: Upstream, chooser: Chooser, now: float) -> Send | None:
@@ -381,28 +347,28 @@
         chooser: Chooser,
         now: float,
         handle: Handle | None,
-        full_upstreams: set[UpstreamId],
+        full_upstreams: frozenset[UpstreamId],
     ) -> Upstream | None:
-        silent = chooser.list_silent(usable, now) if self.silent_upstreams else set()
-        tried = self.tried | full_upstreams | silent
+        silent = chooser.list_silent(usable, now) if self.obstacles.silent else set()
+        tried = self.obstacles.tried | full_upstreams | silent
         kv_tokens = self.service.engine.kv_tokens if self.service.engine else 0
         need = self.need
         if full_upstreams:
             need = replace(need, refused_halls=tuple(one.hall for one in usable if one.id in full_upstreams))
         chosen = chooser.choose_decode(usable, need, tried, now, handle=handle, kv_tokens=kv_tokens)
-        if self.asks_in_haste:
+        if self.obstacles.asks_in_haste:
             active = chooser.list_active(usable, now)
             sound = [one for one in usable if one.id in active]
             chosen = chooser.choose_decode(sound, need, tried, now, handle=handle, kv_tokens=kv_tokens) or chosen
         if chosen is None:
             # An engine that refused a handoff may have done so because the handle had expired: try it again.
-            tried = self.unavailable | full_upstreams | silent
+            tried = self.obstacles.unavailable | full_upstreams | silent
             return chooser.choose_decode(usable, need, tried, now, handle=handle, kv_tokens=kv_tokens)
         return chosen
 
     def _has_sound_upstream(self, usable: list[Upstream]) -> bool:
         """Return whether an upstream that may respond has not failed the request, although none can take it now."""
-        return any(one.phase is not Phase.PREFILL and one.id not in self._failed_upstreams for one in usable)
+        return any(one.phase is not Phase.PREFILL and not self.obstacles.has_failed(one.id) for one in usable)
 
     def _give_up(self, reason: str, *, no_upstream: bool = False, is_temporary: bool = True) -> Step:
         if self.may_have_run:
@@ -444,23 +410,15 @@
 
     def begin_search(self, silent: UpstreamId) -> None:
         """Record that an upstream is silent, so that another one is sought."""
-        self.silent_upstreams.add(silent)
+        self.obstacles.silent.add(silent)
         self.retries.forget_granted()
-        self.forget_obstacles()
+        self.obstacles.forget()
 
     def end_search(self, budget: RetryBudget) -> None:
         """Record that no other upstream is sought any more."""
         self.retries.return_granted(budget)
         self._waiting_since = None
 
-    def forget_obstacles(self) -> None:
-        """Allow upstreams to be asked again that refused the request or did not answer."""
-        self._refused_by.clear()
-        self._unasked.clear()
-        self._unanswered_by.clear()
-        self._full_upstreams.clear()
-        self._unreached = 0
-
     # --- outcomes of sends -------------------------------------------------------------------------------------------
 
     def record_sent(self, send: Send, budget: RetryBudget, now: float) -> None:
@@ -478,8 +436,7 @@
 
     def record_unreachable(self, send: Send) -> None:
         """Record that the upstream could not be reached, so that nothing was sent."""
-        self._unreached += 1
-        self._failed_upstreams.add(send.upstream.id)
+        self.obstacles.record_unreachable(send.upstream.id)
         if send.stage is Stage.PREFILL:
             self.retries.record_prompt_unreachable()
             self._prefill_failures += 1
@@ -491,11 +448,11 @@
         if send.stage is not Stage.PREFILL:
             self.possible_runs -= 1
             self.may_have_run = self.possible_runs > 0
-        self._refused_by.add(send.upstream.id)
+        self.obstacles.record_refused(send.upstream.id)
 
     def record_failed(self, send: Send) -> None:
         """Record that an upstream failed or closed the connection; the request may still run there."""
-        self._failed_upstreams.add(send.upstream.id)
+        self.obstacles.record_failed(send.upstream.id)
         if send.stage is Stage.PREFILL:
             self._prefill_failures += 1
 
@@ -511,7 +468,7 @@
     def record_reserved(self, reservation: Reservation) -> None:
         """Record that a decode engine reserved memory."""
         self.reservation = reservation
-        self._full_upstreams.clear()
+        self.obstacles.forget_full()
         self._waiting_since = None
 
     def abandon_reservation(self) -> Reservation | None:
@@ -520,43 +477,15 @@
         self.reservation_lost = self.reservation_lost or reservation is not None
         return reservation
 
-    def record_full(self, upstream: UpstreamId) -> None:
-        """Record that a decode engine has no free memory."""
-        self._full_upstreams.add(upstream)
-        self._unanswered_by.discard(upstream)
-
-    def record_reserve_failed(self, upstream: UpstreamId) -> None:
-        """Record that a call to reserve memory at a decode engine failed."""
-        self._unreached += 1
-        self.record_reserve_lost(upstream)
-
-    def record_reserve_lost(self, upstream: UpstreamId) -> None:
-        """Record that a call for memory that was late will not be answered."""
-        self._unanswered_by.discard(upstream)
-        self._unasked.add(upstream)
-
-    def record_reserve_unanswered(self, upstream: UpstreamId) -> None:
-        """Record that a decode engine that was asked for memory did not answer in time."""
-        self._unanswered_by.add(upstream)
-
-    @property
-    def asks_in_haste(self) -> bool:
-        """Return whether so many decode engines did not answer that others are asked one soon after the other."""
-        return len(self._unanswered_by) >= MAX_UNANSWERED
-
     @property
     def awaits_late_memory(self) -> bool:
         """Return whether a decode engine may still answer that was asked for memory."""
-        return bool(self._unanswered_by) and self.reservation is None
-
-    def list_full_upstreams(self) -> set[UpstreamId]:
-        """Return the decode engines found without free memory since the request last waited for memory or got it."""
-        return set(self._full_upstreams)
+        return self.obstacles.has_unanswered and self.reservation is None
 
     def apply_terms(self, terms: RequestTerms) -> None:
         """Apply changed terms; in other regions, all engines may be asked for memory again."""
         if terms.regions != self.terms.regions:
-            self._full_upstreams.clear()
+            self.obstacles.forget_full()
         self.terms = terms
 
     def record_event(self, event: int | None, version: SoftwareVersion) -> None:
--- a/src/beamhatch/relay/requests/send_log.py
+++ b/src/beamhatch/relay/requests/send_log.py
@@ -61,6 +61,6 @@
     if chosen.phase is Phase.PREFILL and reservation is not None and not is_near(reservation.upstream.hall):
         reason = SpillReason.PAIR
     else:
-        reason = get_spill_reason(list_usable(), chosen.phase, request.list_full_upstreams(), is_near)
+        reason = get_spill_reason(list_usable(), chosen.phase, request.obstacles.full, is_near)
     tally.count("spills_total", reason.name.lower())
     write_log("spilled", to=chosen.id, hall=chosen.hall, phase=chosen.phase.value, reason=reason.value)
--- a/src/beamhatch/relay/upstreams/reserve_attempt.py
+++ b/src/beamhatch/relay/upstreams/reserve_attempt.py
@@ -44,7 +44,7 @@
         self._started_at = self.core.clock.now()
         self._probe: BackoffProbe | None = None
         """Probe of the engine after its back-off, if this attempt is one."""
-        timeout_s = HASTY_TIMEOUT_S if exchange.request.asks_in_haste else TIMEOUT_S
+        timeout_s = HASTY_TIMEOUT_S if exchange.request.obstacles.asks_in_haste else TIMEOUT_S
         self._timer: Any = self.core.clock.call_later(timeout_s, self._handle_timeout)
 
     @property
@@ -115,9 +115,9 @@
             self._exchange.handle_reserved(Reservation(found, upstream, now + self._step.lifetime_s))
         elif self._head.status == MISDIRECTED:
             stats.record_misdirected(now)
-            self._exchange.request.record_reserve_failed(upstream.id)
+            self._exchange.request.obstacles.record_reserve_failed(upstream.id)
         elif self.core.eligibility.is_in_regions(upstream, self._exchange.request.regions):
-            self._exchange.request.record_full(upstream.id)
+            self._exchange.request.obstacles.record_full(upstream.id)
         self._exchange.write_log("reserved" if found else "not reserved", to=upstream.id, status=self._head.status)
         self._exchange.replan_after(self)
 
@@ -128,7 +128,7 @@
         self._end()
         upstream = self._step.upstream
         self.core.stats.get(upstream.id).record_no_response(self.core.clock.now())
-        self._exchange.request.record_reserve_failed(upstream.id)
+        self._exchange.request.obstacles.record_reserve_failed(upstream.id)
         self._exchange.write_log("not reserved", to=upstream.id, fault=failure.value, detail=detail)
         self._exchange.replan_after(self)
 
@@ -137,7 +137,7 @@
         self._end()
         upstream = self._step.upstream
         self.core.stats.get(upstream.id).record_no_response(self.core.clock.now())
-        self._exchange.request.record_reserve_unanswered(upstream.id)
+        self._exchange.request.obstacles.record_reserve_unanswered(upstream.id)
         self._exchange.write_log("not reserved", to=upstream.id, detail="no answer in time")
         self._exchange.replan_after(self)
 
--- a/src/beamhatch/relay/waiting/queue_place.py
+++ b/src/beamhatch/relay/waiting/queue_place.py
@@ -112,7 +112,7 @@
         service = self._request.service.name
         self._core.get_demand(service).begin_stream(self._acquired_at)
         self._core.memory_queues.get(service).record_served(self._claim, self._acquired_at)
-        if not self._request.list_full_upstreams():
+        if not self._request.obstacles.full:
             self._core.memory_queues.record_granted(self._key)
 
     def record_first_event(self) -> None:
--- a/tests/platform/test_silence_handover.py
+++ b/tests/platform/test_silence_handover.py
@@ -209,7 +209,7 @@
     assert isinstance(step, Send)
     assert step.stage is Stage.PREFILL
     request.record_unreachable(step)
-    request.silent_upstreams.discard(decodes[0].id)
+    request.obstacles.silent.discard(decodes[0].id)
     request.record_failed(Send(Stage.DECODE, decodes[0]))
     step = request.plan(upstreams, chooser, budget, 6, 1.0)
     assert isinstance(step, Send)
--- a/tests/platform/test_tunnels.py
+++ b/tests/platform/test_tunnels.py
@@ -10,7 +10,7 @@
 from beamhatch.relay.engines.balancing import PhaseChange
 from beamhatch.relay.mechanism import Mechanism
 from beamhatch.relay.model import Phase, ServiceName, UpstreamId
-from beamhatch.relay.requests.request import MAX_UNREACHED
+from beamhatch.relay.requests.obstacles import MAX_UNREACHED
 from tests.support.configuration_fleet import CONTACT_S
 from tests.support.platform import MODEL, SENT_TO
 from tests.support.reach_fleet import CALLER_PATIENCE_S, Loss, ReachFleet
--- a/tests/relay/choosing/spill_simulation.py
+++ b/tests/relay/choosing/spill_simulation.py
@@ -18,7 +18,7 @@
 from beamhatch.relay.choosing.standing import Load, UpstreamStatsRegistry
 from beamhatch.relay.mechanism import NONE_DISABLED, DisabledMechanisms
 from beamhatch.relay.model import Address, Phase, ServiceName, Upstream, UpstreamId
-from beamhatch.relay.requests.request import MAX_RESERVE_ATTEMPTS
+from beamhatch.relay.requests.obstacles import MAX_RESERVE_ATTEMPTS
 from beamhatch.relay.topology import Distance, RegionName, Topology
 
 if TYPE_CHECKING:
--- a/tests/relay/requests/test_failover.py
+++ b/tests/relay/requests/test_failover.py
@@ -57,13 +57,13 @@
 
 def test_upstreams_of_fallbacks_are_silent_until_they_are_removed() -> None:
     setup = Setup()
-    assert setup.request.silent_upstreams == {"a", "b"}
+    assert setup.request.obstacles.silent == {"a", "b"}
     assert setup.failover.remove(cast("Attempt", setup.attempts[0]))
     assert not setup.failover.remove(cast("Attempt", setup.attempts[0]))
-    assert setup.request.silent_upstreams == {"b"}
+    assert setup.request.obstacles.silent == {"b"}
     assert setup.failover.pop_last() is cast("Attempt", setup.attempts[1])
     assert not setup.failover.active
-    assert not setup.request.silent_upstreams
+    assert not setup.request.obstacles.silent
 
 
 def test_a_fallback_that_responds_during_a_handover_is_released_a_little_later() -> None:
@@ -111,7 +111,7 @@
     setup.network.run(2 * HANDOVER_GRACE_S)
     assert setup.calls == [["cancel"], ["cancel"]]
     assert not setup.failover.active
-    assert not setup.request.silent_upstreams
+    assert not setup.request.obstacles.silent
 
 
 def test_a_fallback_at_an_engine_that_goes_on_with_others_is_cancelled_soon_after_the_handover() -> None:
@@ -120,7 +120,7 @@
     setup.failover.begin_handover()
     setup.network.run(HANDOVER_LIMIT_S + 0.01)
     assert setup.calls == [["cancel"], []]
-    assert setup.request.silent_upstreams == {"b"}
+    assert setup.request.obstacles.silent == {"b"}
 
 
 def test_no_fallback_is_cancelled_where_the_other_upstream_did_not_take_the_stream() -> None:
--- a/tests/relay/requests/test_need.py
+++ b/tests/relay/requests/test_need.py
@@ -84,5 +84,5 @@
     for _ in range(3):
         step = request.plan(usable, chooser, budget, 1, NOW)
         assert isinstance(step, Reserve)
-        request.record_full(step.upstream.id)
+        request.obstacles.record_full(step.upstream.id)
     assert [sorted(need.refused_halls) for need in chooser.needs] == [[], ["a"], ["a", "a"]]
--- a/tests/relay/requests/test_request.py
+++ b/tests/relay/requests/test_request.py
@@ -70,7 +70,7 @@
         self.now += elapsed
         self.step = self.request.plan(self.upstreams, self.chooser, self.budget, 3, self.now)
         if isinstance(self.step, Send | Reserve):
-            assert self.step.upstream.id not in self.request.silent_upstreams, "sent to a silent upstream again"
+            assert self.step.upstream.id not in self.request.obstacles.silent, "sent to a silent upstream again"
         if isinstance(self.step, Send):
             self.under_way = self.step
         elif isinstance(self.step, Refuse):
@@ -83,17 +83,17 @@
         upstream = self.step.upstream
         self.step = None
         if not reached:
-            self.request.record_reserve_failed(upstream.id)
+            self.request.obstacles.record_reserve_failed(upstream.id)
         elif granted:
             self.request.record_reserved(Reservation("v", upstream, self.now + 2.0))
         else:
-            self.request.record_full(upstream.id)
+            self.request.obstacles.record_full(upstream.id)
 
     @precondition(lambda self: isinstance(self.step, Reserve))
     @rule()
     def reserve_unanswered(self) -> None:
         assert isinstance(self.step, Reserve)
-        self.request.record_reserve_unanswered(self.step.upstream.id)
+        self.request.obstacles.record_reserve_unanswered(self.step.upstream.id)
         self.step = None
 
     @precondition(lambda self: self.under_way is not None and self.under_way.stage is not Stage.PREFILL)
@@ -108,12 +108,12 @@
         else:
             self.step = Fail("it is waited for")
 
-    @precondition(lambda self: self.under_way is None and self.request.silent_upstreams)
+    @precondition(lambda self: self.under_way is None and self.request.obstacles.silent)
     @rule(responds=st.booleans())
     def end_search(self, responds: bool) -> None:
         """End the search because the silent upstream responds, or has failed."""
-        silent = sorted(self.request.silent_upstreams)[0]
-        self.request.silent_upstreams.discard(silent)
+        silent = sorted(self.request.obstacles.silent)[0]
+        self.request.obstacles.silent.discard(silent)
         self.request.end_search(self.budget)
         if responds:
             self.step = Fail("it goes on")
