Split gossip by job, and decide what refused callers are told outside of the exchange

Gossip dialled peers and told them of the fleet's members, beside handling their messages: PeerDialer and Hellos do that now.

--- a/src/beamhatch/relay/fleet/gossip.py
+++ b/src/beamhatch/relay/fleet/gossip.py
@@ -32,8 +32,10 @@
     pack_configuration,
     unpack_configuration,
 )
+from beamhatch.relay.fleet.hellos import Hellos
 from beamhatch.relay.fleet.membership import get_host
-from beamhatch.relay.fleet.peer_connection import PeerClientFactory, PeerConnection, PeerHandler, PeerServerFactory
+from beamhatch.relay.fleet.peer_connection import PeerConnection, PeerHandler, PeerServerFactory
+from beamhatch.relay.fleet.peer_dialer import CONNECT_TIMEOUT_S, PeerDialer
 from beamhatch.relay.fleet.peer_traffic import PeerTraffic
 from beamhatch.relay.fleet.throttle import Throttle
 from beamhatch.relay.fleet.version_requests import VersionRequests
@@ -48,7 +50,7 @@
     from beamhatch.relay.core import Core
     from beamhatch.relay.engines.balancing import ServiceDemand
     from beamhatch.relay.fleet.departure_talk import DepartureGossip
-    from beamhatch.relay.fleet.membership import Membership, Mention
+    from beamhatch.relay.fleet.membership import Membership
     from beamhatch.relay.limits.talk import LimitGossip
     from beamhatch.relay.model import Service
     from beamhatch.relay.tunnels.service import Tunnels
@@ -81,27 +83,12 @@
 VMs that started at the same time should be listening by then.
 """
 
-CONNECT_TIMEOUT_S = 0.5
-"""Seconds within which a connection to a peer must be established."""
-
-MIN_HELLO_INTERVAL_S = 0.5
-"""Initial value of the interval between two hellos, which doubles with each hello."""
-
-MAX_HELLO_INTERVAL_S = 10.0
-"""Upper bound of the interval between two hellos."""
-
 STARTUP_DELAY_S = 1.0
 """Seconds after the start in which a VM that may have peers does not watch the store.
 
 It does not know the other members yet, so each VM of a starting fleet would consider itself a watcher.
 """
 
-MAX_REPEATED_MENTIONS = 8
-"""Maximum number of members, drawn at random, that a hello to another hall repeats although the peer knows them.
-
-Several VMs of a hall send them, so each member is mentioned far more often than ``MEMBER_TTL_S`` requires.
-"""
-
 MIN_FAILURE_RATE = 0.2
 """Minimum failure rate at which an upstream is reported to peers."""
 
@@ -118,19 +105,16 @@
         core.quarantine_gossip.hall = membership.own.hall
         core.quarantine_gossip.forwards_updates = self.is_aggregator
         self._documents = documents
-        self._vm = vm
         self._traffic = PeerTraffic(core.tally, membership.own.hall, core.topology)
         self._connections: OrderedSet[PeerConnection] = OrderedSet()
-        self._dialled_addresses: dict[str, PeerConnection | None] = {}
-        """Addresses that this VM dialled, with the connection once it is established."""
+        self._dialer = PeerDialer(core.clock, membership, self)
+        self._hellos = Hellos(core.clock, membership, vm)
         self._ended_peers = EndedPeers()
         self._fleet_demand = FleetDemand()
         self._is_aggregator = False
         """Whether this VM aggregates the reports of its hall; cached at each regular heartbeat."""
         self._reachable_share = 1.0
         """Share of all recent VMs that this one can reach; cached at each regular heartbeat."""
-        self._last_hello_at = 0.0
-        self._hello_interval = MIN_HELLO_INTERVAL_S
         self._version_requests = VersionRequests(core, self.list_connections, self._may_store_send)
         self._packed: tuple[int, PackedConfiguration] | None = None
         """Version and compressed form of the configuration that was last sent."""
@@ -164,7 +148,7 @@
 
     def _dial_early(self) -> None:
         if not self._stopped:
-            self._dial(self.clock.now())
+            self._dialer.dial(self.clock.now())
 
     def stop(self) -> None:
         """Close all connections."""
@@ -206,13 +190,12 @@
     def add_connection(self, connection: PeerConnection) -> None:
         """Register an established connection and send the first messages on it."""
         self._connections.add(connection)
-        if connection.dialled_address is not None:
-            self._dialled_addresses[connection.dialled_address] = connection
-            connection.hall = self.membership.get_hall(connection.dialled_address)
+        self._dialer.record_connected(connection)
         if connection.dialled_address is None:
-            connection.send(Hello(self._vm, self.membership.own, []))  # the members follow once its hall is known
+            self._hellos.introduce(connection)
         else:
-            self._send_hello(connection)
+            connection.hall = self.membership.get_hall(connection.dialled_address)
+            self._hellos.send(connection)
         self._send_heartbeat(connection, self._make_heartbeat())
 
     def remove_connection(self, connection: PeerConnection) -> None:
@@ -222,9 +205,7 @@
             self.usage.forget_peer(connection)
         if self.tunnels is not None and not self.has_connection(connection.address):
             self.tunnels.forget_peer(connection)
-        address = connection.dialled_address
-        if address is not None and self._dialled_addresses.get(address) is connection:
-            del self._dialled_addresses[address]
+        self._dialer.record_closed(connection)
         if connection.vm and not self._stopped:
             self.journal.write("PEER", "lost", vm=connection.vm, connections=len(self._connections))
             self._find_out_if_ended(connection)
@@ -244,8 +225,7 @@
 
     def record_unreachable(self, address: str) -> None:
         """Record a failed connection attempt."""
-        self._dialled_addresses.pop(address, None)
-        self.membership.record_unreachable(address, self.clock.now())
+        self._dialer.record_unreachable(address)
 
     def _tick(self) -> None:
         if self._stopped:
@@ -258,68 +238,20 @@
         self.core.peer_backlog.drop_expired(now)
         self.core.vm_count = self.membership.size
         self.core.recent_vm_count = self.membership.count_recent(now)
-        self._dial(now)
+        self._dialer.dial(now)
         self._is_aggregator = self.membership.is_watcher()
         halls = {connection.hall for connection in self.list_connections()}
         self._reachable_share = self.membership.compute_reachable_share(halls, now)
-        self._send_hellos(now)
+        self._hellos.send_due(self._connections, now)
         self._heartbeat_throttle.record_call()
         self._send_heartbeats(regular=True)
         self.clock.call_later(HEARTBEAT_INTERVAL_S, self._tick)
 
     def _close_unresponsive(self, now: float) -> None:
         for connection in [one for one in self._connections if now - one.last_received_at > PEER_TIMEOUT_S]:
-            if connection.dialled_address is not None:
-                self._dialled_addresses.pop(connection.dialled_address, None)
-                self.membership.record_silent(connection.dialled_address, now)
+            self._dialer.record_unresponsive(connection, now)
             connection.transport.abortConnection()
 
-    def _dial(self, now: float) -> None:
-        targets = self.membership.list_targets(now)
-        for address in [*targets, *self.membership.list_retries(now)]:
-            if address not in self._dialled_addresses:
-                self._dialled_addresses[address] = None
-                host, _, port = address.rpartition(":")
-                self.clock.reactor.connectTCP(
-                    host, int(port), PeerClientFactory(self, address), timeout=CONNECT_TIMEOUT_S
-                )
-        self._close_unwanted(targets)
-
-    def _close_unwanted(self, targets: list[str]) -> None:
-        """Close connections to addresses that are no longer targets, once all targets are connected."""
-        if any(self._dialled_addresses.get(address) is None for address in targets):
-            return
-        for address, connection in list(self._dialled_addresses.items()):
-            if connection is not None and address not in targets:
-                connection.is_unwanted = True
-                connection.transport.loseConnection()
-
-    def _send_hellos(self, now: float) -> None:
-        if now - self._last_hello_at < self._hello_interval:
-            return
-        self._last_hello_at = now
-        self._hello_interval = min(MAX_HELLO_INTERVAL_S, 2 * self._hello_interval)
-        for connection in list(self._connections):
-            self._send_hello(connection)
-
-    def _send_hello(self, connection: PeerConnection) -> None:
-        """Send the known members; to a peer in another hall, mainly those that it was not sent yet."""
-        known = (
-            self._select_mentions_for(connection) if self._is_in_other_hall(connection) else self._select_all_mentions()
-        )
-        connection.send(Hello(self._vm, self.membership.own, known))
-
-    def _select_all_mentions(self) -> list[Mention]:
-        return self.membership.list_mentions(MAX_MENTIONS, self.clock.now())
-
-    def _select_mentions_for(self, connection: PeerConnection) -> list[Mention]:
-        max_repeated = MAX_REPEATED_MENTIONS if self._hello_interval == MAX_HELLO_INTERVAL_S else 0
-        mentions = self.membership.select_mentions(
-            connection.sent.known_addresses, MAX_MENTIONS, max_repeated, self.clock.now()
-        )
-        connection.sent.record_known(mention.member for mention in mentions)
-        return mentions
-
     def _is_in_other_hall(self, connection: PeerConnection) -> bool:
         """Return whether a peer is in another hall or its hall is not known yet."""
         return connection.hall != self.membership.own.hall
@@ -478,7 +410,7 @@
             if self.limits is not None:
                 self.limits.send_all(connection)
         if is_new and connection.dialled_address is None:
-            self._send_hello(connection)
+            self._hellos.send(connection)
 
     def _handle_heartbeat(self, connection: PeerConnection, message: Heartbeat) -> None:
         now = self.clock.now()
--- a/src/beamhatch/relay/requests/exchange.py
+++ b/src/beamhatch/relay/requests/exchange.py
@@ -11,6 +11,7 @@
 from beamhatch.relay.requests.api import OpenRequest
 from beamhatch.relay.requests.caller_response import CallerResponse
 from beamhatch.relay.requests.deadlines import Deadlines
+from beamhatch.relay.requests.ending import RefusalTerms, make_refusal
 from beamhatch.relay.requests.failover import SEARCH_INTERVAL_S, Failover
 from beamhatch.relay.requests.held_memory import HeldMemory
 from beamhatch.relay.requests.origin_search import OriginSearch
@@ -30,12 +31,6 @@
     decide_unserved,
 )
 from beamhatch.relay.requests.upstream_calls import UpstreamCalls
-from beamhatch.relay.retries.retry_times import (
-    compute_memory_delay,
-    compute_usual_delay,
-    limit_delay,
-    round_delay,
-)
 from beamhatch.relay.upstreams.api import AttemptOwner
 from beamhatch.relay.upstreams.attempt import Attempt
 from beamhatch.relay.upstreams.connection import Correlation
@@ -354,28 +349,25 @@
     def _give_up(self, step: Refuse | Fail) -> None:
         if isinstance(step, Fail):
             self._fail(step)
-        elif step.is_final:
-            self._end_with_error(REFUSED_STATUS, step.reason, None)
-        elif step.retry_after_is_minimum:
-            self._end_with_error(REFUSED_STATUS, step.reason, step.retry_after_s)
         else:
-            self._refuse(step.reason, memory_full=step.memory_full, retry_after_s=step.retry_after_s)
+            self._refuse(step)
 
     def _stop_replan_timer(self) -> None:
         timer, self._replan_timer = self._replan_timer, None
         if timer is not None and timer.active():
             timer.cancel()
 
-    def _refuse(self, reason: str, *, memory_full: bool = False, retry_after_s: float | None = None) -> None:
+    def _refuse(self, step: Refuse) -> None:
         now = self.core.clock.now()
-        if memory_full and retry_after_s is None:
-            residence_s = self.core.get_demand(self.request.service.name).estimate_residence(now)
-            retry_after_s = compute_memory_delay(residence_s, random.uniform(-1.0, 1.0))
-        if retry_after_s is None:
-            delay = compute_usual_delay(self.request.route.target_latency)
-        else:
-            delay = limit_delay(retry_after_s, self.deadline - now)
-        self._end_with_error(REFUSED_STATUS, reason, round_delay(delay))
+        demand = self.core.get_demand(self.request.service.name)
+        terms = RefusalTerms(
+            self.request.route.target_latency,
+            self.deadline - now,
+            lambda: demand.estimate_residence(now),
+            lambda: random.uniform(-1.0, 1.0),
+        )
+        error = make_refusal(step, terms)
+        self._end_with_error(error.status, error.reason, error.retry_after_s)
 
     def _fail(self, step: Fail) -> None:
         failure = self._upstream_failure
@@ -388,7 +380,7 @@
         if self.request.may_have_run:
             self._end_with_error(TIMEOUT_STATUS, self._search_obstacle or "the time is over", None)
         else:
-            self._refuse("the time is over")
+            self._refuse(Refuse("the time is over"))
 
     def _end_with_error(self, status: int, reason: str, retry_after_s: float | None) -> None:
         if self._ended:
@@ -417,7 +409,7 @@
         if self.request.may_have_run:
             self._end_with_error(MAY_HAVE_RUN_STATUS, reason, None)
         else:
-            self._refuse(reason)
+            self._refuse(Refuse(reason))
 
     def _end(self) -> None:
         self._ended = True
--- a/tests/platform/test_silence_spells.py
+++ b/tests/platform/test_silence_spells.py
@@ -9,7 +9,7 @@
 
 from beamhatch.relay.model import Upstream
 from beamhatch.relay.requests.exchange import RelayExchange
-from beamhatch.relay.requests.request import RelayRequest
+from beamhatch.relay.requests.request import Refuse, RelayRequest
 from beamhatch.relay.retries.budget import RetryBudget
 from beamhatch.relay.upstreams.attempt import Attempt
 from tests.support.silence_spell import SilenceSpell
@@ -53,7 +53,7 @@
 
 
 def _refuse_what_ran(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(RelayExchange, "_fail", lambda self, step: self._refuse(step.reason))
+    monkeypatch.setattr(RelayExchange, "_fail", lambda self, step: self._refuse(Refuse(step.reason)))
 
 
 def _keep_memory(monkeypatch: pytest.MonkeyPatch) -> None:
--- a/tests/soak/mutants.py
+++ b/tests/soak/mutants.py
@@ -19,7 +19,7 @@
 from beamhatch.relay.quarantine.quarantine import Quarantine
 from beamhatch.relay.requests import exchange, planner
 from beamhatch.relay.requests.exchange import RelayExchange
-from beamhatch.relay.requests.request import RelayRequest
+from beamhatch.relay.requests.request import Refuse, RelayRequest
 from beamhatch.relay.requests.terms import make_terms
 from beamhatch.relay.streams.stored_streams import StoredStreams
 from beamhatch.relay.streams.versions import VersionHistory
@@ -44,7 +44,7 @@
 
 
 def _promises_falsely() -> None:
-    RelayExchange._fail = lambda self, step: self._refuse(step.reason)  # type: ignore[method-assign]
+    RelayExchange._fail = lambda self, step: self._refuse(Refuse(step.reason))  # type: ignore[method-assign]
 
 
 def _passes_obstacle(obstacle: Obstacle) -> Callable[[], None]:
@@ -189,7 +189,7 @@
 
 
 def _refuses_at_the_deadline() -> None:
-    RelayExchange._handle_timeout = lambda self: self._refuse("the time is over")  # type: ignore[method-assign]
+    RelayExchange._handle_timeout = lambda self: self._refuse(Refuse("the time is over"))  # type: ignore[method-assign]
 
 
 def _trusts_unnamed_refusals() -> None:
