Take a prompt that arrives behind a refusal for no run in the soak

Trace: a stream that may be resumed; its decode engine, paused for 5.4 s, turned it away; memory that another engine granted late was used, and its prompt was sent to i-11 .14 s before its time was over. It was told 503 (no run was possible: doubt=false, sends=3, the second and only hand-off rejected), its calls were cancelled, and the prompt arrived behind that through the busy link.

--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -74,6 +74,16 @@
     assert done.returncode == 0, done.stdout + done.stderr
 
 
+@pytest.mark.parametrize("is_prefill", [False, True])
+def test_a_request_that_reaches_an_upstream_behind_its_refusal_is_seen_unless_its_prompt_is_read(
+    witness: Witness, is_prefill: bool
+) -> None:
+    ask(witness, "/stream/")
+    witness.take_outcome(make_outcome("/stream/", 503, {}, b""))
+    witness.take_arrival("q1", "/stream/x", "i-1", 21.1, is_prefill=is_prefill)
+    assert list_broken(witness) == (set() if is_prefill else {Promise.NOT_RUN})
+
+
 def test_requests_that_were_refused_run_as_upstreams_repeat_rejections_at_the_rates_of_an_order_desk(
     tmp_path: Path,
 ) -> None:
