Use one table of rejections in the tests of stray and of late ones

tests/support/late_copies.py wrote the statuses and headers of test_stray_refusals again; the latter takes them from there now.

--- a/tests/platform/test_stray_refusals.py
+++ b/tests/platform/test_stray_refusals.py
@@ -7,6 +7,7 @@
 import pytest
 
 from beamhatch.platform.standin.upstream import NOT_EXECUTED
+from tests.support.late_copies import REJECTIONS
 from tests.support.platform import Platform, make_platform
 
 if TYPE_CHECKING:
@@ -14,12 +15,6 @@
     from beamhatch.relay.api import Headers
     from beamhatch.relay.callers.http_server import IncomingRequest, RequestHandler, Responder
 
-STRAY: dict[str, tuple[int, Headers]] = {
-    "full": (503, [NOT_EXECUTED]),
-    "busy": (429, [NOT_EXECUTED]),
-    "misdirected": (421, []),
-}
-
 
 def send_stray(upstream: StandInUpstream, status: int, headers: Headers) -> None:
     """Have an upstream send a response without an id in the place of each that it is going to send."""
@@ -57,7 +52,7 @@
         platform.finish(platform.call(path, f"w{number}", body=b"x" if "unsafe" in path else b""))
 
 
-@pytest.mark.parametrize("kind", STRAY)
+@pytest.mark.parametrize("kind", REJECTIONS)
 @pytest.mark.parametrize("path", ["/unsafe/x", "/stream/x"])
 def test_a_refusal_without_an_id_on_a_kept_connection_is_taken_for_proof_and_the_request_runs_twice(
     path: str, kind: str
@@ -66,7 +61,7 @@
     use_connections(platform, path)
     for name, upstream in platform.upstreams.items():
         if not name.startswith("prefill"):
-            send_stray(upstream, *STRAY[kind])
+            send_stray(upstream, *REJECTIONS[kind])
     caller = platform.finish(platform.call(path, "q", body=b"x" if "unsafe" in path else b""))
     assert platform.ledger.runs["q"] == 1
     assert caller.status == 502
